--- /dev/null
+++ b/admin/plans.go
@@ -0,0 +1,274 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package admin
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/mintlift/mintlift/httpserve"
+	"github.com/mintlift/mintlift/intent"
+	"github.com/mintlift/mintlift/peer"
+	"github.com/mintlift/mintlift/state"
+	"github.com/mintlift/mintlift/weights"
+	"github.com/mintlift/mintlift/workspace"
+)
+
+// createIntent answers an intent with a plan. Nothing moves.
+func (s *Server) createIntent(r *http.Request, operator string) (any, error) {
+	var in intent.Intent
+	if err := httpserve.ReadJSON(r, &in); err != nil {
+		return nil, err
+	}
+	in.ID = uuid.NewString()
+	return s.propose(r, operator, in)
+}
+
+func (s *Server) propose(r *http.Request, operator string, in intent.Intent) (*intent.Plan, error) {
+	if err := in.Validate(); err != nil {
+		return nil, err
+	}
+	if err := s.workspacesExist(in); err != nil {
+		return nil, err
+	}
+	m, err := s.World.Manifest(r.Context(), in.Ref)
+	if err != nil {
+		return nil, err
+	}
+	plan, err := intent.Make(in, m, s.world(r))
+	if err != nil {
+		return nil, err
+	}
+	if _, err := s.commit(r, operator, state.KindPlanProposed, state.PlanProposed{Plan: *plan}); err != nil {
+		return nil, err
+	}
+	return plan, nil
+}
+
+// workspacesExist spares the weight store and the boxes an intent that
+// cannot be planned anyway.
+func (s *Server) workspacesExist(in intent.Intent) error {
+	var err error
+	s.Replica.View(func(st *state.State) {
+		for _, name := range in.Workspaces {
+			if _, ok := st.Workspaces[name]; !ok {
+				err = Problem(CodeNotFound, "workspace %q does not exist", name)
+				return
+			}
+		}
+	})
+	return err
+}
+
+// world is the state of everything that a plan is made from. The offset is
+// taken before the sweep, so that a record that comes meanwhile counts as
+// later.
+func (s *Server) world(r *http.Request) intent.World {
+	w := intent.World{
+		Now:        time.Now(),
+		Workspaces: make(map[string]workspace.Workspace),
+		Links:      s.World.Links(),
+		Weighing:   s.Weighing,
+		TTL:        s.PlanTTL,
+	}
+	s.Replica.View(func(st *state.State) {
+		w.Base = st.Offset
+		for name, ws := range st.Workspaces {
+			w.Workspaces[name] = ws
+		}
+	})
+	boxes := s.World.Sweep(r.Context())
+	s.Replica.View(func(st *state.State) { w.Boxes = Candidates(st, boxes) })
+	return w
+}
+
+// Candidates are the boxes that answered and do not drain, as a planner
+// sees them.
+func Candidates(st *state.State, boxes []BoxStatus) []intent.Candidate {
+	var out []intent.Candidate
+	for _, b := range boxes {
+		if !b.Reached || b.Status.Draining || b.Box.State == "leaving" {
+			continue
+		}
+		c := intent.Candidate{Box: b.Box, MemoryBytes: b.Status.MemoryBytes}
+		for _, l := range b.Status.Loaded {
+			c.Loaded = append(c.Loaded, intent.LoadedVersion{Ref: l.Ref, Bytes: l.Bytes, Workspaces: routedTo(st, l.Ref)})
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// routedTo are the workspaces that are answered by a version now.
+func routedTo(st *state.State, ref weights.Ref) []string {
+	var out []string
+	for name := range st.Workspaces {
+		if slices.ContainsFunc(st.Route(name, ref.Model), func(p *intent.Plan) bool { return p.Intent.Ref == ref }) {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (s *Server) plans(*http.Request, string) (any, error) {
+	out := []*intent.Plan{}
+	s.Replica.View(func(st *state.State) {
+		for _, id := range st.PlanOrder {
+			out = append(out, st.Plans[id])
+		}
+	})
+	return out, nil
+}
+
+func (s *Server) plan(r *http.Request, _ string) (any, error) { return s.find(id(r)) }
+
+func (s *Server) find(id string) (*intent.Plan, error) {
+	var p *intent.Plan
+	s.Replica.View(func(st *state.State) { p = st.Plans[id] })
+	if p == nil {
+		return nil, Problem(CodeNotFound, "plan %q does not exist", id)
+	}
+	return p, nil
+}
+
+// confirm puts a plan in force, if the log's order lets it. A plan that
+// conflicts is answered with the reason and a fresh plan.
+func (s *Server) confirm(r *http.Request, operator string) (any, error) {
+	p, err := s.find(id(r))
+	if err != nil {
+		return nil, err
+	}
+	if p.Status != intent.Proposed {
+		return nil, Problem(CodeNotProposed, "plan %s is %s already%s", p.ID, p.Status, because(p))
+	}
+	recordID, err := s.commit(r, operator, state.KindPlanConfirmed, state.PlanRef{Plan: p.ID})
+	if err != nil {
+		return nil, err
+	}
+	if p, err = s.find(p.ID); err != nil {
+		return nil, err
+	}
+	if p.ConfirmID == recordID {
+		return p, nil
+	}
+	return nil, s.lost(r, operator, p)
+}
+
+func because(p *intent.Plan) string {
+	if p.Reason == "" {
+		return ""
+	}
+	return ": " + p.Reason
+}
+
+// lost says why a confirmation did not take effect.
+func (s *Server) lost(r *http.Request, operator string, p *intent.Plan) error {
+	switch p.Status {
+	case intent.Expired:
+		return Problem(CodeExpired, "plan %s was not confirmed: %s", p.ID, p.Reason)
+	case intent.Conflicted:
+		e := Problem(CodeConflict, "plan %s was not confirmed: %s", p.ID, p.Reason)
+		if fresh, err := s.propose(r, operator, p.Intent); err == nil {
+			e.Plan = fresh
+			e.Message += "; a fresh plan is " + fresh.ID
+		}
+		return e
+	default:
+		return Problem(CodeNotProposed, "plan %s is %s already%s", p.ID, p.Status, because(p))
+	}
+}
+
+func (s *Server) reject(r *http.Request, operator string) (any, error) {
+	return s.end(r, operator, intent.Proposed, intent.Rejected)
+}
+
+func (s *Server) cancel(r *http.Request, operator string) (any, error) {
+	return s.end(r, operator, intent.Confirmed, intent.Cancelled)
+}
+
+func (s *Server) end(r *http.Request, operator string, from, to intent.Status) (any, error) {
+	p, err := s.find(id(r))
+	if err != nil {
+		return nil, err
+	}
+	if p.Status != from {
+		return nil, Problem(CodeNotProposed, "plan %s is %s, not %s%s", p.ID, p.Status, from, because(p))
+	}
+	kind := state.KindPlanRejected
+	if to == intent.Cancelled {
+		kind = state.KindPlanCancelled
+	}
+	if _, err := s.commit(r, operator, kind, state.PlanRef{Plan: p.ID}); err != nil {
+		return nil, err
+	}
+	return s.find(p.ID)
+}
+
+// Progress is the answer to GET /plans/{id}/progress.
+type Progress struct {
+	Plan  *intent.Plan  `json:"plan"`
+	Boxes []BoxProgress `json:"boxes"`
+	// OriginBytes and PeerBytes are sums over the boxes that answer.
+	OriginBytes int64 `json:"origin_bytes"`
+	PeerBytes   int64 `json:"peer_bytes"`
+	CrossBytes  int64 `json:"cross_bytes"`
+	BadChunks   int64 `json:"bad_chunks"`
+	Serving     int   `json:"serving"`
+}
+
+// BoxProgress is one box's copy.
+type BoxProgress struct {
+	Step    intent.Step `json:"step"`
+	Reached bool        `json:"reached"`
+	Copy    peer.Copy   `json:"copy"`
+}
+
+// Done reports whether every box that answers serves the plan's version.
+func (p *Progress) Done() bool { return p.Serving > 0 && p.Serving == p.reached() }
+
+func (p *Progress) reached() int {
+	n := 0
+	for _, b := range p.Boxes {
+		if b.Reached {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Server) progress(r *http.Request, _ string) (any, error) {
+	p, err := s.find(id(r))
+	if err != nil {
+		return nil, err
+	}
+	byID := make(map[string]BoxStatus)
+	for _, b := range s.World.Sweep(r.Context()) {
+		byID[b.Box.ID] = b
+	}
+	out := &Progress{Plan: p}
+	for _, step := range p.Steps {
+		out.add(step, byID[step.Box])
+	}
+	return out, nil
+}
+
+func (p *Progress) add(step intent.Step, b BoxStatus) {
+	bp := BoxProgress{Step: step, Reached: b.Reached, Copy: peer.Copy{State: weights.Absent}}
+	for _, c := range b.Status.Copies {
+		if c.Ref == p.Plan.Intent.Ref {
+			bp.Copy = c
+		}
+	}
+	p.OriginBytes += bp.Copy.OriginBytes
+	p.PeerBytes += bp.Copy.PeerBytes
+	p.CrossBytes += bp.Copy.CrossBytes
+	p.BadChunks += bp.Copy.BadChunks
+	if bp.Copy.State == weights.Serving {
+		p.Serving++
+	}
+	p.Boxes = append(p.Boxes, bp)
+}
--- /dev/null
+++ b/admin/problem.go
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package admin
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/intent"
+	"github.com/mintlift/mintlift/journal"
+	"github.com/mintlift/mintlift/weights"
+)
+
+// Code names what kind of error an answer reports. Scripts go by it, and
+// the command line's exit codes follow from it.
+type Code string
+
+// The codes.
+const (
+	CodeInvalid      Code = "invalid"
+	CodeUnauthorized Code = "unauthorized"
+	CodeForbidden    Code = "forbidden"
+	CodeNotFound     Code = "not_found"
+	CodeConflict     Code = "conflict"
+	CodeNotProposed  Code = "not_proposed"
+	CodeExpired      Code = "expired"
+	CodeBadManifest  Code = "bad_manifest"
+	CodeNoBoxes      Code = "no_boxes"
+	CodeFloor        Code = "floor"
+	CodeMemory       Code = "memory"
+	CodeUnavailable  Code = "unavailable"
+	CodeUnsettled    Code = "unsettled"
+)
+
+// Error is an error of the administration API.
+type Error struct {
+	Code    Code   `json:"code"`
+	Message string `json:"message"`
+	// Plan is a fresh plan, where a conflict led to one.
+	Plan *intent.Plan `json:"plan,omitempty"`
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Message }
+
+// Problem returns an Error.
+func Problem(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// errorBody is the JSON of an error answer.
+type errorBody struct {
+	Error *Error `json:"error"`
+}
+
+var statuses = map[Code]int{
+	CodeInvalid:      http.StatusBadRequest,
+	CodeUnauthorized: http.StatusUnauthorized,
+	CodeForbidden:    http.StatusForbidden,
+	CodeNotFound:     http.StatusNotFound,
+	CodeConflict:     http.StatusConflict,
+	CodeNotProposed:  http.StatusConflict,
+	CodeExpired:      http.StatusConflict,
+	CodeBadManifest:  http.StatusUnprocessableEntity,
+	CodeNoBoxes:      http.StatusUnprocessableEntity,
+	CodeFloor:        http.StatusUnprocessableEntity,
+	CodeMemory:       http.StatusUnprocessableEntity,
+	CodeUnavailable:  http.StatusServiceUnavailable,
+	CodeUnsettled:    http.StatusGatewayTimeout,
+}
+
+// problemOf turns an error of the decision packages into an Error.
+func problemOf(err error) *Error {
+	var e *Error
+	switch {
+	case errors.As(err, &e):
+		return e
+	case errors.Is(err, intent.ErrUnknownWorkspace):
+		return Problem(CodeNotFound, "%v", err)
+	case errors.Is(err, intent.ErrNoBoxes):
+		return Problem(CodeNoBoxes, "%v", err)
+	case errors.Is(err, intent.ErrFloor):
+		return Problem(CodeFloor, "%v", err)
+	case errors.Is(err, intent.ErrNoMemory):
+		return Problem(CodeMemory, "%v", err)
+	case errors.Is(err, weights.ErrBadManifest):
+		return Problem(CodeBadManifest, "%v", err)
+	case errors.Is(err, journal.ErrUnsettled):
+		return Problem(CodeUnsettled, "it is not known whether the change was accepted: %v", err)
+	case errors.Is(err, journal.ErrUnavailable):
+		return Problem(CodeUnavailable, "the change was not accepted, the log service does not answer: %v", err)
+	case errors.Is(err, errors.NotValid):
+		return Problem(CodeInvalid, "%v", err)
+	default:
+		return Problem(CodeUnavailable, "%v", err)
+	}
+}
--- /dev/null
+++ b/admin/workspaces.go
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package admin
+
+import (
+	"cmp"
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/mintlift/mintlift/httpserve"
+	"github.com/mintlift/mintlift/state"
+	"github.com/mintlift/mintlift/workspace"
+)
+
+// WorkspaceChange is the body of PUT /workspaces/{name}. A field that is
+// left out keeps its value; a new workspace needs a key and a priority.
+type WorkspaceChange struct {
+	// Key is the plain key; it is hashed before it goes to the log.
+	Key         *string `json:"key,omitempty"`
+	Priority    *int    `json:"priority,omitempty"`
+	MaxInFlight *int    `json:"max_in_flight,omitempty"`
+	Floor       *int    `json:"floor,omitempty"`
+}
+
+// OperatorChange is the body of PUT /operators/{name}.
+type OperatorChange struct {
+	Key string `json:"key"`
+}
+
+// minKey is the least length of a key, in characters.
+const minKey = 16
+
+func (s *Server) workspaces(*http.Request, string) (any, error) {
+	var out []workspace.Workspace
+	s.Replica.View(func(st *state.State) { out = slices.Collect(maps.Values(st.Workspaces)) })
+	slices.SortFunc(out, func(a, b workspace.Workspace) int { return cmp.Compare(a.Name, b.Name) })
+	for i := range out {
+		out[i].KeyHash = ""
+	}
+	return out, nil
+}
+
+func (s *Server) setWorkspace(r *http.Request, operator string) (any, error) {
+	var c WorkspaceChange
+	if err := httpserve.ReadJSON(r, &c); err != nil {
+		return nil, err
+	}
+	w := workspace.Workspace{Name: name(r)}
+	s.Replica.View(func(st *state.State) {
+		if old, ok := st.Workspaces[w.Name]; ok {
+			w = old
+		}
+	})
+	if err := c.apply(&w); err != nil {
+		return nil, err
+	}
+	if err := s.keyFree(w); err != nil {
+		return nil, err
+	}
+	if _, err := s.commit(r, operator, state.KindWorkspaceSet, state.WorkspaceSet{Workspace: w}); err != nil {
+		return nil, err
+	}
+	w.KeyHash = ""
+	return w, nil
+}
+
+func (c *WorkspaceChange) apply(w *workspace.Workspace) error {
+	if c.Key != nil {
+		if len(*c.Key) < minKey {
+			return Problem(CodeInvalid, "key of %d characters (want %d or more)", len(*c.Key), minKey)
+		}
+		w.KeyHash = workspace.HashKey(*c.Key)
+	}
+	if c.Priority != nil {
+		w.Priority = *c.Priority
+	}
+	if c.MaxInFlight != nil {
+		w.MaxInFlight = *c.MaxInFlight
+	}
+	if c.Floor != nil {
+		w.Floor = *c.Floor
+	}
+	return w.Validate()
+}
+
+// keyFree refuses a key that another workspace has.
+func (s *Server) keyFree(w workspace.Workspace) error {
+	owner := ""
+	s.Replica.View(func(st *state.State) {
+		for _, o := range st.Workspaces {
+			if o.KeyHash == w.KeyHash && o.Name != w.Name {
+				owner = o.Name
+			}
+		}
+	})
+	if owner != "" {
+		return Problem(CodeConflict, "another workspace has this key")
+	}
+	return nil
+}
+
+func (s *Server) removeWorkspace(r *http.Request, operator string) (any, error) {
+	found := false
+	s.Replica.View(func(st *state.State) { _, found = st.Workspaces[name(r)] })
+	if !found {
+		return nil, Problem(CodeNotFound, "workspace %q does not exist", name(r))
+	}
+	_, err := s.commit(r, operator, state.KindWorkspaceRemove, state.Name{Name: name(r)})
+	return state.Name{Name: name(r)}, err
+}
+
+func (s *Server) operators(*http.Request, string) (any, error) {
+	var out []string
+	s.Replica.View(func(st *state.State) { out = slices.Sorted(maps.Keys(st.Operators)) })
+	return out, nil
+}
+
+func (s *Server) setOperator(r *http.Request, operator string) (any, error) {
+	var c OperatorChange
+	if err := httpserve.ReadJSON(r, &c); err != nil {
+		return nil, err
+	}
+	if len(c.Key) < minKey {
+		return nil, Problem(CodeInvalid, "key of %d characters (want %d or more)", len(c.Key), minKey)
+	}
+	o := workspace.Operator{Name: name(r), KeyHash: workspace.HashKey(c.Key)}
+	_, err := s.commit(r, operator, state.KindOperatorSet, state.OperatorSet{Operator: o})
+	return state.Name{Name: o.Name}, err
+}
+
+func (s *Server) removeOperator(r *http.Request, operator string) (any, error) {
+	found := false
+	s.Replica.View(func(st *state.State) { _, found = st.Operators[name(r)] })
+	if !found {
+		return nil, Problem(CodeNotFound, "operator %q does not exist", name(r))
+	}
+	_, err := s.commit(r, operator, state.KindOperatorRemove, state.Name{Name: name(r)})
+	return state.Name{Name: name(r)}, err
+}
--- /dev/null
+++ b/cmd/mintlift/daemons.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+	"github.com/zeromicro/go-zero/core/proc"
+
+	"github.com/mintlift/mintlift/gateway"
+	"github.com/mintlift/mintlift/httpserve"
+	"github.com/mintlift/mintlift/settings"
+	"github.com/mintlift/mintlift/sidecar"
+	"github.com/mintlift/mintlift/telemetry"
+)
+
+// daemon is what a gateway and a sidecar have in common.
+type daemon interface {
+	Stop(ctx context.Context) error
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "JSON settings `FILE`", Required: true}
+}
+
+func gatewayCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "gateway",
+		Usage:       "run the process of an entry box",
+		Description: "Example: mintlift gateway --settings /etc/mintlift/gateway.json",
+		Flags:       []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := settings.LoadGateway(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			return serve(ctx, "gateway", s.Trace, s.DrainTimeout, func() (daemon, error) {
+				return gateway.Start(s, telemetry.Part(telemetry.NewLogger(os.Stderr, s.Log), "gateway"))
+			})
+		},
+	}
+}
+
+func sidecarCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "sidecar",
+		Usage:       "run the process beside an endpoint",
+		Description: "Example: mintlift sidecar --settings /etc/mintlift/sidecar.json",
+		Flags:       []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := settings.LoadSidecar(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			return serve(ctx, "sidecar", s.Trace, s.DrainTimeout, func() (daemon, error) {
+				return sidecar.Start(s, telemetry.Part(telemetry.NewLogger(os.Stderr, s.Log), "sidecar"))
+			})
+		},
+	}
+}
+
+// serve runs a daemon until SIGTERM or SIGINT, then drains it. go-zero
+// forces an exit some seconds after a signal, whatever is in progress; its
+// bound is put past the daemon's own.
+func serve(ctx context.Context, name string, t telemetry.TraceSettings, bound time.Duration, start func() (daemon, error)) error {
+	const margin = 10 * time.Second
+	proc.SetTimeToForceQuit(bound + margin)
+	httpserve.Quiet()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stopTraces, err := telemetry.StartTraces("mintlift-"+name, t)
+	if err != nil {
+		return err
+	}
+	defer stopTraces()
+	d, err := start()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	select {
+	case <-signals:
+	case <-ctx.Done():
+	}
+	return d.Stop(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/cmd/mintlift/main.go
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Command mintlift runs the processes of mintlift and talks to them.
+//
+// "mintlift gateway" and "mintlift sidecar" are the daemons; the other
+// commands are a client of the administration API. docs/OPERATIONS.md is
+// the page for operators, docs/API.md lists the exit codes.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mintlift/mintlift/admin"
+	"github.com/mintlift/mintlift/settings"
+)
+
+// version is the release; the build may set it.
+var version = "0.1.0-dev"
+
+// Exit codes. docs/API.md documents them.
+const (
+	exitOK          = 0
+	exitFailed      = 1 // anything without a code of its own
+	exitUsage       = 2 // the command line or a settings file is wrong
+	exitUnavailable = 3 // the gateway or a platform service does not answer
+	exitRefused     = 4 // key missing, wrong or without the right
+	exitNotFound    = 5 // what the command names does not exist
+	exitInvalid     = 6 // the request can never be carried out as it is
+	exitConflict    = 7 // a later change goes first, or the plan is past
+	exitUnsettled   = 8 // not known whether the change was accepted
+	exitInvariant   = 9 // a check of the demo or of a benchmark failed
+)
+
+var exitCodes = map[admin.Code]int{
+	admin.CodeInvalid:      exitInvalid,
+	admin.CodeUnauthorized: exitRefused,
+	admin.CodeForbidden:    exitRefused,
+	admin.CodeNotFound:     exitNotFound,
+	admin.CodeConflict:     exitConflict,
+	admin.CodeNotProposed:  exitConflict,
+	admin.CodeExpired:      exitConflict,
+	admin.CodeBadManifest:  exitInvalid,
+	admin.CodeNoBoxes:      exitInvalid,
+	admin.CodeFloor:        exitInvalid,
+	admin.CodeMemory:       exitInvalid,
+	admin.CodeUnavailable:  exitUnavailable,
+	admin.CodeUnsettled:    exitUnsettled,
+}
+
+// errInvariant marks a failed check.
+const errInvariant = errors.ConstError("invariant does not hold")
+
+// errUsage marks a mistake on the command line.
+const errUsage = errors.ConstError("usage")
+
+func main() {
+	os.Exit(run(context.Background(), os.Args, os.Stdout, os.Stderr))
+}
+
+// run runs one command and returns its exit code.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	app := &cli.Command{
+		Name:                  "mintlift",
+		Usage:                 "put new model weights on many boxes at once, and serve meanwhile",
+		Version:               version,
+		EnableShellCompletion: true,
+		Writer:                out,
+		ErrWriter:             errOut,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			gatewayCommand(), sidecarCommand(), demoCommand(),
+			intentCommand(), planCommand(), boxesCommand(), workspacesCommand(), operatorsCommand(), statusCommand(),
+			settingsCommand(), benchCommand(), standinCommand(), versionCommand(),
+		},
+	}
+	err := app.Run(ctx, args)
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(errOut, "mintlift:", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var api *admin.Error
+	var problems settings.Problems
+	switch {
+	case errors.As(err, &api):
+		return exitCodes[api.Code]
+	case errors.As(err, &problems), errors.Is(err, errUsage):
+		return exitUsage
+	case errors.Is(err, errInvariant):
+		return exitInvariant
+	default:
+		return exitFailed
+	}
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the release",
+		Action: func(_ context.Context, c *cli.Command) error {
+			_, err := fmt.Fprintln(c.Root().Writer, version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/cmd/mintlift/operator.go
@@ -0,0 +1,261 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mintlift/mintlift/admin"
+	"github.com/mintlift/mintlift/internal/call"
+)
+
+// clientFlags are the flags of every command that calls a gateway.
+func clientFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{Name: "gateway", Usage: "gateway's administration `IP:PORT`", Value: "127.0.0.1:8081", Sources: cli.EnvVars("MINTLIFT_GATEWAY")},
+		&cli.StringFlag{Name: "key-file", Usage: "`FILE` with the operator's key", Sources: cli.EnvVars("MINTLIFT_KEY_FILE")},
+		&cli.StringFlag{Name: "ca-file", Usage: "use TLS and trust the authority in `FILE`", Sources: cli.EnvVars("MINTLIFT_CA_FILE")},
+		&cli.BoolFlag{Name: "json", Usage: "print JSON for scripts"},
+	}, more...)
+}
+
+func client(c *cli.Command) (*admin.Client, error) {
+	key := ""
+	if file := c.String("key-file"); file != "" {
+		b, err := os.ReadFile(file)
+		if err != nil {
+			return nil, errors.WithType(err, errUsage)
+		}
+		key = strings.TrimSpace(string(b))
+	}
+	var o call.Options
+	if file := c.String("ca-file"); file != "" {
+		pem, err := os.ReadFile(file)
+		if err != nil {
+			return nil, errors.WithType(err, errUsage)
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return nil, errors.WithType(errors.Errorf("%s holds no certificate", file), errUsage)
+		}
+		o.TLS = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+	}
+	return admin.NewClient(c.String("gateway"), key, o), nil
+}
+
+// action makes a command's action out of one that has a client.
+func action(f func(ctx context.Context, c *cli.Command, api *admin.Client) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		api, err := client(c)
+		if err != nil {
+			return err
+		}
+		return f(ctx, c, api)
+	}
+}
+
+// arg returns the command's one argument.
+func arg(c *cli.Command, what string) (string, error) {
+	if c.Args().Len() != 1 {
+		return "", errors.WithType(errors.Errorf("%s wants one argument, the %s", c.FullName(), what), errUsage)
+	}
+	return c.Args().First(), nil
+}
+
+// show prints JSON for scripts, or a table for people.
+func show(c *cli.Command, v any, table func(w io.Writer)) error {
+	out := c.Root().Writer
+	if c.Bool("json") {
+		enc := json.NewEncoder(out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+// row prints one line of a table.
+func row(w io.Writer, cells ...any) {
+	for i, cell := range cells {
+		if i > 0 {
+			fmt.Fprint(w, "\t")
+		}
+		fmt.Fprint(w, cell)
+	}
+	fmt.Fprintln(w)
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "status",
+		Usage:       "show how a gateway is",
+		Description: "Example: mintlift status --gateway 10.0.0.7:8081 --key-file operator.key",
+		Flags:       clientFlags(),
+		Action: action(func(ctx context.Context, c *cli.Command, api *admin.Client) error {
+			s, err := api.Status(ctx)
+			if err != nil {
+				return err
+			}
+			return show(c, s, func(w io.Writer) {
+				row(w, "box", s.Gateway.Box)
+				row(w, "incarnation", s.Gateway.Incarnation)
+				row(w, "log offset", s.Gateway.Offset)
+				row(w, "log heard", fmt.Sprintf("%d ms ago", s.Gateway.ContactMS))
+				row(w, "log silent", s.LogSilent)
+				row(w, "state digest", fmt.Sprintf("%.12s", s.Digest))
+				row(w, "workspaces", s.Workspaces)
+				row(w, "plans", s.Plans)
+				row(w, "in flight", s.Gateway.Load)
+				row(w, "draining", s.Gateway.Draining)
+			})
+		}),
+	}
+}
+
+func boxesCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "boxes",
+		Usage:       "list the boxes and what they serve",
+		Description: "Example: mintlift boxes --json",
+		Flags:       clientFlags(),
+		Action: action(func(ctx context.Context, c *cli.Command, api *admin.Client) error {
+			boxes, err := api.Boxes(ctx)
+			if err != nil {
+				return err
+			}
+			return show(c, boxes, func(w io.Writer) {
+				row(w, "BOX", "ZONE", "LIST", "ANSWERS", "DRAINING", "OFFSET", "LOAD", "COPIES")
+				for _, b := range boxes {
+					row(w, b.Box.ID, b.Box.Zone, b.Box.State, b.Reached, b.Status.Draining, b.Status.Offset, b.Status.Load, copiesText(b))
+				}
+			})
+		}),
+	}
+}
+
+func copiesText(b admin.BoxStatus) string {
+	var out []string
+	for _, c := range b.Status.Copies {
+		text := fmt.Sprintf("%s %s", c.Ref, c.State)
+		if c.Held < c.Chunks {
+			text += fmt.Sprintf(" %d/%d", c.Held, c.Chunks)
+		}
+		if c.Blocked != "" {
+			text += " (" + c.Blocked + ")"
+		}
+		out = append(out, text)
+	}
+	return strings.Join(out, ", ")
+}
+
+func workspacesCommand() *cli.Command {
+	list := action(func(ctx context.Context, c *cli.Command, api *admin.Client) error {
+		all, err := api.Workspaces(ctx)
+		if err != nil {
+			return err
+		}
+		return show(c, all, func(w io.Writer) {
+			row(w, "WORKSPACE", "PRIORITY", "MAX IN FLIGHT", "FLOOR")
+			for _, ws := range all {
+				row(w, ws.Name, ws.Priority, ws.MaxInFlight, ws.Floor)
+			}
+		})
+	})
+	return &cli.Command{
+		Name:   "workspaces",
+		Usage:  "list, change and remove workspaces",
+		Flags:  clientFlags(),
+		Action: list,
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "list the workspaces", Flags: clientFlags(), Action: list},
+			{
+				Name: "set", Usage: "add or change a workspace", ArgsUsage: "NAME",
+				Description: "Example: mintlift workspaces set liceo-salto --workspace-key-file liceo.key --priority 40 --floor 2",
+				Flags: clientFlags(
+					&cli.StringFlag{Name: "workspace-key-file", Usage: "`FILE` with the workspace's key"},
+					&cli.IntFlag{Name: "priority", Usage: "price class, 1 to 100"},
+					&cli.IntFlag{Name: "max-in-flight", Usage: "requests in progress at one gateway, 0 for no bound"},
+					&cli.IntFlag{Name: "floor", Usage: "boxes that must go on serving it"},
+				),
+				Action: action(setWorkspace),
+			},
+			{
+				Name: "remove", Usage: "remove a workspace", ArgsUsage: "NAME", Flags: clientFlags(),
+				Action: action(func(ctx context.Context, c *cli.Command, api *admin.Client) error {
+					name, err := arg(c, "workspace")
+					if err != nil {
+						return err
+					}
+					return api.RemoveWorkspace(ctx, name)
+				}),
+			},
+		},
+	}
+}
+
+func setWorkspace(ctx context.Context, c *cli.Command, api *admin.Client) error {
+	name, err := arg(c, "workspace")
+	if err != nil {
+		return err
+	}
+	var change admin.WorkspaceChange
+	if file := c.String("workspace-key-file"); file != "" {
+		b, err := os.ReadFile(file)
+		if err != nil {
+			return errors.WithType(err, errUsage)
+		}
+		key := strings.TrimSpace(string(b))
+		change.Key = &key
+	}
+	for flag, field := range map[string]**int{"priority": &change.Priority, "max-in-flight": &change.MaxInFlight, "floor": &change.Floor} {
+		if c.IsSet(flag) {
+			v := c.Int(flag)
+			*field = &v
+		}
+	}
+	ws, err := api.SetWorkspace(ctx, name, change)
+	if err != nil {
+		return err
+	}
+	return show(c, ws, func(w io.Writer) {
+		row(w, "workspace", ws.Name)
+		row(w, "priority", ws.Priority)
+		row(w, "max in flight", ws.MaxInFlight)
+		row(w, "floor", ws.Floor)
+	})
+}
+
+func operatorsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "operators",
+		Usage: "add operators",
+		Commands: []*cli.Command{{
+			Name: "set", Usage: "add an operator or change its key", ArgsUsage: "NAME",
+			Description: "Example: mintlift operators set ana --operator-key-file ana.key",
+			Flags:       clientFlags(&cli.StringFlag{Name: "operator-key-file", Usage: "`FILE` with the new key", Required: true}),
+			Action: action(func(ctx context.Context, c *cli.Command, api *admin.Client) error {
+				name, err := arg(c, "operator")
+				if err != nil {
+					return err
+				}
+				b, err := os.ReadFile(c.String("operator-key-file"))
+				if err != nil {
+					return errors.WithType(err, errUsage)
+				}
+				return api.SetOperator(ctx, name, strings.TrimSpace(string(b)))
+			}),
+		}},
+	}
+}
--- /dev/null
+++ b/cmd/mintlift/plans.go
@@ -0,0 +1,273 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mintlift/mintlift/admin"
+	"github.com/mintlift/mintlift/intent"
+	"github.com/mintlift/mintlift/weights"
+)
+
+func intentCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "intent",
+		Usage: "say what should serve whom; the answer is a plan",
+		Commands: []*cli.Command{
+			{
+				Name: "create", Usage: "ask for a plan; nothing moves before it is confirmed", ArgsUsage: "MODEL@VERSION",
+				Description: "Example: mintlift intent create celeste-draft@v7 --workspace liceo-salto --zone salto",
+				Flags: clientFlags(
+					&cli.StringSliceFlag{Name: "workspace", Usage: "workspace to serve; may be given again", Required: true},
+					&cli.StringSliceFlag{Name: "zone", Usage: "availability zone; may be given again; none means all"},
+					&cli.StringSliceFlag{Name: "box", Usage: "box; may be given again; none means all"},
+					&cli.IntFlag{Name: "replicas", Usage: "number of boxes, 0 for all that match"},
+					&cli.IntFlag{Name: "priority", Usage: "override the workspaces' own priority"},
+					&cli.StringFlag{Name: "weighing", Usage: "time_to_replicas or origin_bytes; empty for the deployment's"},
+				),
+				Action: action(createIntent),
+			},
+			{Name: "list", Usage: "list the intents and their plans", Flags: clientFlags(), Action: action(listPlans)},
+			{
+				Name: "show", Usage: "show the plan that answers an intent", ArgsUsage: "INTENT", Flags: clientFlags(),
+				Action: action(showIntent),
+			},
+		},
+	}
+}
+
+func planCommand() *cli.Command {
+	one := func(do func(*admin.Client, context.Context, string) (*intent.Plan, error)) cli.ActionFunc {
+		return action(func(ctx context.Context, c *cli.Command, api *admin.Client) error {
+			id, err := arg(c, "plan")
+			if err != nil {
+				return err
+			}
+			p, err := do(api, ctx, id)
+			if err != nil {
+				return err
+			}
+			return showPlan(c, p)
+		})
+	}
+	return &cli.Command{
+		Name:  "plan",
+		Usage: "look at plans, confirm and watch them",
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "list the plans", Flags: clientFlags(), Action: action(listPlans)},
+			{Name: "show", Usage: "show a plan", ArgsUsage: "PLAN", Flags: clientFlags(), Action: one((*admin.Client).Plan)},
+			{Name: "confirm", Usage: "put a plan in force", ArgsUsage: "PLAN", Flags: clientFlags(), Action: one((*admin.Client).Confirm)},
+			{Name: "reject", Usage: "end a proposed plan", ArgsUsage: "PLAN", Flags: clientFlags(), Action: one((*admin.Client).Reject)},
+			{Name: "cancel", Usage: "take a confirmed plan back; the one before it is in force again", ArgsUsage: "PLAN", Flags: clientFlags(), Action: one((*admin.Client).Cancel)},
+			{
+				Name: "watch", Usage: "show a plan's progress until it is done", ArgsUsage: "PLAN",
+				Description: "Example: mintlift plan watch 5f0c... --timeout 10m",
+				Flags:       clientFlags(&cli.DurationFlag{Name: "timeout", Value: 30 * time.Minute, Usage: "give up after"}, &cli.DurationFlag{Name: "every", Value: time.Second, Usage: "time between two looks"}),
+				Action:      action(watchPlan),
+			},
+		},
+	}
+}
+
+func createIntent(ctx context.Context, c *cli.Command, api *admin.Client) error {
+	name, err := arg(c, "model@version")
+	if err != nil {
+		return err
+	}
+	ref, err := weights.ParseRef(name)
+	if err != nil {
+		return errors.WithType(err, errUsage)
+	}
+	p, err := api.CreateIntent(ctx, intent.Intent{
+		Ref:        ref,
+		Workspaces: c.StringSlice("workspace"),
+		Zones:      c.StringSlice("zone"),
+		Boxes:      c.StringSlice("box"),
+		Replicas:   c.Int("replicas"),
+		Priority:   c.Int("priority"),
+		Weighing:   intent.Weighing(c.String("weighing")),
+	})
+	if err != nil {
+		return err
+	}
+	return showPlan(c, p)
+}
+
+func listPlans(ctx context.Context, c *cli.Command, api *admin.Client) error {
+	plans, err := api.Plans(ctx)
+	if err != nil {
+		return err
+	}
+	return show(c, plans, func(w io.Writer) {
+		row(w, "PLAN", "INTENT", "VERSION", "WORKSPACES", "BOXES", "PRIORITY", "STATUS", "REASON")
+		for _, p := range plans {
+			row(w, p.ID, p.Intent.ID, p.Intent.Ref, strings.Join(p.Intent.Workspaces, ","), len(p.Steps), p.Priority, p.Status, p.Reason)
+		}
+	})
+}
+
+func showIntent(ctx context.Context, c *cli.Command, api *admin.Client) error {
+	id, err := arg(c, "intent")
+	if err != nil {
+		return err
+	}
+	plans, err := api.Plans(ctx)
+	if err != nil {
+		return err
+	}
+	for _, p := range slices.Backward(plans) {
+		if p.Intent.ID == id {
+			return showPlan(c, p)
+		}
+	}
+	return admin.Problem(admin.CodeNotFound, "intent %q does not exist", id)
+}
+
+func showPlan(c *cli.Command, p *intent.Plan) error {
+	return show(c, p, func(w io.Writer) {
+		row(w, "plan", p.ID)
+		row(w, "status", strings.TrimSpace(string(p.Status)+" "+p.Reason))
+		row(w, "version", p.Intent.Ref)
+		row(w, "manifest", fmt.Sprintf("%.12s", p.ManifestDigest))
+		row(w, "size", fmt.Sprintf("%d bytes in %d chunks", p.Bytes, p.Chunks))
+		row(w, "workspaces", strings.Join(p.Intent.Workspaces, ", "))
+		row(w, "priority", p.Priority)
+		row(w, "made from offset", p.Base)
+		row(w, "expires", time.UnixMilli(p.ExpiresAt).UTC().Format(time.RFC3339))
+		for _, f := range p.Forecasts {
+			mark := ""
+			if f.Weighing == p.Weighing {
+				mark = " (chosen)"
+			}
+			row(w, "forecast "+string(f.Weighing), fmt.Sprintf("%v to all replicas, %d bytes from the origin%s", f.TimeToReplicas.Round(time.Millisecond), f.OriginBytes, mark))
+		}
+		for _, cap := range p.Capacities {
+			row(w, "capacity "+cap.Workspace, fmt.Sprintf("%d boxes now, %d at the lowest, floor %d", cap.Now, cap.Lowest, cap.Floor))
+		}
+		for i, s := range p.Steps {
+			evicts := ""
+			for _, e := range s.Evicts {
+				evicts += " evicts " + e.String()
+			}
+			row(w, fmt.Sprintf("box %d", i+1), fmt.Sprintf("%s in %s, first copy from %s, wave %d%s", s.Box, s.Zone, s.Source, s.Wave, evicts))
+		}
+	})
+}
+
+// zoneProgress sums the boxes of one availability zone.
+type zoneProgress struct {
+	zone                  string
+	boxes, serving, lost  int
+	chunksHeld, chunksAll int
+}
+
+func byZone(p *admin.Progress) []zoneProgress {
+	sums := make(map[string]*zoneProgress)
+	for _, b := range p.Boxes {
+		zone := b.Step.Zone.String()
+		z := sums[zone]
+		if z == nil {
+			z = &zoneProgress{zone: zone}
+			sums[zone] = z
+		}
+		z.boxes++
+		z.chunksAll += p.Plan.Chunks
+		z.chunksHeld += b.Copy.Held
+		if !b.Reached {
+			z.lost++
+		}
+		if b.Copy.State == weights.Serving {
+			z.serving++
+		}
+	}
+	var out []zoneProgress
+	for _, z := range sums {
+		out = append(out, *z)
+	}
+	slices.SortFunc(out, func(a, b zoneProgress) int { return cmp.Compare(a.zone, b.zone) })
+	return out
+}
+
+func (z zoneProgress) line() string {
+	const width = 30
+	share := 0.0
+	if z.chunksAll > 0 {
+		share = float64(z.chunksHeld) / float64(z.chunksAll)
+	}
+	full := int(share * width)
+	bar := strings.Repeat("#", full) + strings.Repeat(".", width-full)
+	text := fmt.Sprintf("%-24s [%s] %3.0f%%  %d/%d serving", z.zone, bar, 100*share, z.serving, z.boxes)
+	if z.lost > 0 {
+		text += fmt.Sprintf(", %d silent", z.lost)
+	}
+	return text
+}
+
+// watchPlan shows a bar for each zone on a terminal, and a line a look
+// elsewhere.
+func watchPlan(ctx context.Context, c *cli.Command, api *admin.Client) error {
+	id, err := arg(c, "plan")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("timeout"))
+	defer cancel()
+	out := c.Root().Writer
+	terminal := isTerminal(out)
+	lines := 0
+	for {
+		p, err := api.Progress(ctx, id)
+		if err != nil {
+			return err
+		}
+		if terminal && lines > 0 {
+			fmt.Fprintf(out, "\x1b[%dA", lines)
+		}
+		lines = printProgress(out, p, terminal)
+		if p.Done() {
+			return nil
+		}
+		if p.Plan.Status != intent.Confirmed {
+			return admin.Problem(admin.CodeNotProposed, "plan %s is %s: nothing to watch", id, p.Plan.Status)
+		}
+		select {
+		case <-ctx.Done():
+			return admin.Problem(admin.CodeUnavailable, "plan %s is not done after %v", id, c.Duration("timeout"))
+		case <-time.After(c.Duration("every")):
+		}
+	}
+}
+
+func printProgress(out io.Writer, p *admin.Progress, terminal bool) int {
+	sum := fmt.Sprintf("%d/%d serving, origin %d bytes, peers %d bytes, bad chunks %d", p.Serving, len(p.Boxes), p.OriginBytes, p.PeerBytes, p.BadChunks)
+	if !terminal {
+		fmt.Fprintln(out, sum)
+		return 1
+	}
+	zones := byZone(p)
+	for _, z := range zones {
+		fmt.Fprintf(out, "\x1b[2K%s\n", z.line())
+	}
+	fmt.Fprintf(out, "\x1b[2K%s\n", sum)
+	return len(zones) + 1
+}
+
+func isTerminal(out io.Writer) bool {
+	f, ok := out.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- /dev/null
+++ b/cmd/mintlift/standins.go
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/mintlift/mintlift/internal/standin"
+	"github.com/mintlift/mintlift/membership"
+	"github.com/mintlift/mintlift/weights"
+)
+
+// standinCommand runs the stand-ins for the platform, for tests and trials.
+func standinCommand() *cli.Command {
+	listen := &cli.StringFlag{Name: "listen", Usage: "IP:port", Value: "127.0.0.1:0"}
+	return &cli.Command{
+		Name:  "standin",
+		Usage: "run a stand-in for a platform service (tests and trials only)",
+		Commands: []*cli.Command{
+			{
+				Name: "log", Usage: "the log service", Flags: []cli.Flag{listen, &cli.IntFlag{Name: "keep", Usage: "records kept a stream, 0 for all"}},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					l := standin.NewLog()
+					l.Keep = c.Int("keep")
+					return runStandin(ctx, c, l.Handler())
+				},
+			},
+			{
+				Name: "store", Usage: "the weight store and the origin",
+				Flags: []cli.Flag{
+					listen,
+					&cli.FloatFlag{Name: "rate", Usage: "origin's bytes a second, 0 for no bound"},
+					&cli.StringSliceFlag{Name: "publish", Usage: "model@version to publish"},
+					&cli.Int64Flag{Name: "bytes", Usage: "size of each version", Value: 16 << 20},
+					&cli.Int64Flag{Name: "chunk", Usage: "size of a chunk", Value: 256 << 10},
+				},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					s := standin.NewStore(c.Float("rate"))
+					for _, name := range c.StringSlice("publish") {
+						ref, err := weights.ParseRef(name)
+						if err != nil {
+							return err
+						}
+						s.Publish(standin.NewManifest(ref, c.Int64("bytes"), c.Int64("chunk")))
+					}
+					return runStandin(ctx, c, s.Handler())
+				},
+			},
+			{
+				Name: "boxes", Usage: "the box list", Flags: []cli.Flag{listen, &cli.StringFlag{Name: "list", Usage: "JSON `FILE` with the boxes"}},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					l := new(standin.BoxList)
+					if file := c.String("list"); file != "" {
+						boxes, err := readBoxes(file)
+						if err != nil {
+							return err
+						}
+						l.Set(boxes)
+					}
+					return runStandin(ctx, c, l.Handler())
+				},
+			},
+			{
+				Name: "engine", Usage: "a model engine",
+				Flags: []cli.Flag{
+					listen,
+					&cli.BoolFlag{Name: "check-fences", Usage: "refuse stale orders"},
+					&cli.Int64Flag{Name: "memory", Usage: "bytes for loaded versions, 0 for no bound"},
+					&cli.DurationFlag{Name: "token-time", Usage: "time for each token", Value: 5 * time.Millisecond},
+					&cli.BoolFlag{Name: "forget", Usage: "keep no bytes of staged chunks"},
+				},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					e := standin.NewEngine()
+					e.ChecksFences, e.MemoryBytes, e.Forget = c.Bool("check-fences"), c.Int64("memory"), c.Bool("forget")
+					e.TokenTime, e.FirstTokenTime = c.Duration("token-time"), c.Duration("token-time")
+					return runStandin(ctx, c, e.Handler())
+				},
+			},
+			{
+				Name: "service", Usage: "a plain service", Flags: []cli.Flag{listen},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					return runStandin(ctx, c, new(standin.Service).Handler())
+				},
+			},
+		},
+	}
+}
+
+func readBoxes(file string) ([]membership.Box, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var boxes []membership.Box
+	return boxes, json.Unmarshal(b, &boxes)
+}
+
+func runStandin(ctx context.Context, c *cli.Command, h http.Handler) error {
+	s, err := standin.Serve(c.String("listen"), h)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	fmt.Fprintln(c.Root().Writer, s.Address())
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/gateway/probe.go
@@ -0,0 +1,214 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mintlift/mintlift/admin"
+	"github.com/mintlift/mintlift/intent"
+	"github.com/mintlift/mintlift/internal/call"
+	"github.com/mintlift/mintlift/membership"
+	"github.com/mintlift/mintlift/peer"
+	"github.com/mintlift/mintlift/route"
+	"github.com/mintlift/mintlift/state"
+	"github.com/mintlift/mintlift/weights"
+)
+
+// Timing of probes.
+const (
+	// probeEach spaces probes so that their bytes stay within the budget for
+	// control: a probe costs about 400 bytes, 25 a second 10 KB.
+	probeEach    = 40 * time.Millisecond
+	probeMin     = 500 * time.Millisecond
+	probeTimeout = 2 * time.Second
+	probeAtOnce  = 32
+)
+
+// view is what this gateway has learnt of the boxes.
+type view struct {
+	mu       sync.Mutex
+	members  membership.View
+	statuses map[string]peer.Status
+	listed   int
+}
+
+// probe asks the endpoints of this gateway's subset how they are.
+func (d *Daemon) probe(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.takeList()
+		boxes := d.subset()
+		d.probeAll(ctx, boxes)
+		d.updateTable()
+		pause(ctx, max(probeMin, time.Duration(len(boxes))*probeEach))
+	}
+}
+
+func pause(ctx context.Context, t time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(t):
+	}
+}
+
+func (d *Daemon) takeList() {
+	boxes, version := d.directory.Boxes()
+	d.view.mu.Lock()
+	defer d.view.mu.Unlock()
+	if version != d.view.listed {
+		d.view.members.SetList(boxes)
+		d.view.listed = version
+	}
+}
+
+// endpoints returns the listed endpoint boxes and the listed gateways.
+func (d *Daemon) endpoints() (endpoints, gateways []membership.Box) {
+	boxes, _ := d.directory.Boxes()
+	for _, b := range boxes {
+		if b.Role == membership.Gateway {
+			gateways = append(gateways, b)
+		} else {
+			endpoints = append(endpoints, b)
+		}
+	}
+	return endpoints, gateways
+}
+
+// subset is the endpoints that this gateway sends requests to: for each
+// plan in force and each service, the first ones in the gateway's order.
+func (d *Daemon) subset() []membership.Box {
+	endpoints, gateways := d.endpoints()
+	groups := make(map[string][]string)
+	for _, b := range endpoints {
+		if b.Service != "" {
+			groups["service "+b.Service] = append(groups["service "+b.Service], b.ID)
+		}
+	}
+	d.replica.View(func(s *state.State) {
+		for _, p := range s.Plans {
+			if p.Status == intent.Confirmed || p.Status == intent.Superseded {
+				groups["plan "+p.ID] = p.Boxes()
+			}
+		}
+	})
+	chosen := make(map[string]bool)
+	for _, ids := range groups {
+		for _, id := range route.Subset(d.settings.Node.Box, ids, len(gateways)) {
+			chosen[id] = true
+		}
+	}
+	return slices.DeleteFunc(endpoints, func(b membership.Box) bool { return !chosen[b.ID] })
+}
+
+func (d *Daemon) probeAll(ctx context.Context, boxes []membership.Box) {
+	var g errgroup.Group
+	g.SetLimit(probeAtOnce)
+	for _, b := range boxes {
+		g.Go(func() error {
+			if s, err := d.ask(ctx, b); err == nil {
+				d.heard(s)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // every function returns nil
+}
+
+func (d *Daemon) ask(ctx context.Context, b membership.Box) (peer.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var s peer.Status
+	err := d.peers.JSON(ctx, http.MethodGet, d.peers.URL(b.Address, peer.PathStatus), nil, &s)
+	return s, err
+}
+
+func (d *Daemon) heard(s peer.Status) {
+	d.view.mu.Lock()
+	defer d.view.mu.Unlock()
+	if d.view.statuses == nil {
+		d.view.statuses = make(map[string]peer.Status)
+	}
+	d.view.statuses[s.Box] = s
+	d.view.members.Heard(membership.Report{Box: s.Box, Incarnation: s.Incarnation, Draining: s.Draining, At: time.Now()})
+}
+
+// updateTable hands what is known of the boxes to package route.
+func (d *Daemon) updateTable() {
+	now := time.Now()
+	d.view.mu.Lock()
+	defer d.view.mu.Unlock()
+	var eps []route.Endpoint
+	for _, m := range d.view.members.Members(membership.Endpoint, now) {
+		s, ok := d.view.statuses[m.ID]
+		if !ok {
+			continue
+		}
+		eps = append(eps, route.Endpoint{
+			Box:         m.ID,
+			Zone:        m.Zone.Zone,
+			Address:     m.Address,
+			Incarnation: m.Incarnation,
+			Service:     m.Service,
+			Serving:     s.Serving(),
+			Usable:      m.Usable,
+			Load:        s.Load,
+			Slots:       s.Slots,
+		})
+	}
+	d.table.Update(eps)
+}
+
+// Sweep implements admin.World: it asks every listed endpoint at once.
+func (d *Daemon) Sweep(ctx context.Context) []admin.BoxStatus {
+	endpoints, _ := d.endpoints()
+	out := make([]admin.BoxStatus, len(endpoints))
+	var g errgroup.Group
+	g.SetLimit(probeAtOnce)
+	for i, b := range endpoints {
+		g.Go(func() error {
+			s, err := d.ask(ctx, b)
+			out[i] = admin.BoxStatus{Box: b, Status: s, Reached: err == nil}
+			if err == nil {
+				d.heard(s)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait() // every function returns nil
+	return out
+}
+
+// Manifest implements admin.World.
+func (d *Daemon) Manifest(ctx context.Context, ref weights.Ref) (*weights.Manifest, error) {
+	const limit = 4 << 20
+	url := d.platform.URL(d.settings.Platform.WeightStore, "/store/"+ref.Model+"/"+ref.Version+"/manifest")
+	raw, err := d.platform.Bytes(ctx, http.MethodGet, url, nil, limit)
+	switch {
+	case call.Status(err) == http.StatusNotFound:
+		return nil, admin.Problem(admin.CodeNotFound, "version %s is not in the weight store", ref)
+	case err != nil:
+		return nil, admin.Problem(admin.CodeUnavailable, "the weight store does not answer: %v", err)
+	}
+	m, err := weights.ParseManifest(raw, "")
+	if err == nil && m.Ref != ref {
+		return nil, admin.Problem(admin.CodeBadManifest, "the store's manifest for %s names %s", ref, m.Ref)
+	}
+	if err != nil {
+		return nil, admin.Problem(admin.CodeBadManifest, "%v", err)
+	}
+	return m, nil
+}
+
+// Links implements admin.World.
+func (d *Daemon) Links() intent.Links {
+	return intent.Links{Origin: d.settings.Links.Origin, Box: d.settings.Links.Box}
+}
+
+// Self implements admin.World.
+func (d *Daemon) Self() peer.Status { return d.status() }
--- /dev/null
+++ b/gateway/relay.go
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/mintlift/mintlift/httpserve"
+	"github.com/mintlift/mintlift/journal"
+	"github.com/mintlift/mintlift/peer"
+)
+
+const (
+	relayLimit   = 500
+	relayMaxWait = 10 * time.Second
+)
+
+func (d *Daemon) peerRoutes() []httpserve.Route {
+	return []httpserve.Route{
+		{Method: http.MethodGet, Path: "/streams/:stream/records", Handler: d.guard(d.handleRecords)},
+		{Method: http.MethodGet, Path: peer.PathBoxes, Handler: d.guard(d.handleBoxes)},
+		{Method: http.MethodGet, Path: peer.PathCheckpoint, Handler: d.guard(d.handleCheckpoint)},
+		{Method: http.MethodGet, Path: peer.PathStatus, Handler: d.guard(d.handleStatus)},
+		{Method: http.MethodGet, Path: peer.PathMetrics, Handler: d.metrics.Handler},
+		{Method: http.MethodGet, Path: peer.PathHealth, Handler: d.handleHealth},
+	}
+}
+
+// guard asks callers for the shared key.
+func (d *Daemon) guard(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !d.token.Allowed(r) {
+			d.log.Info("peer without the key refused", "from", r.RemoteAddr)
+			http.Error(w, "wrong or missing key", http.StatusUnauthorized)
+			return
+		}
+		h(w, r)
+	}
+}
+
+// handleRecords relays the configuration stream in the log's own protocol.
+func (d *Daemon) handleRecords(w http.ResponseWriter, r *http.Request) {
+	if pathvar.Vars(r)["stream"] != journal.ConfigStream {
+		http.Error(w, "only the configuration stream is relayed", http.StatusNotFound)
+		return
+	}
+	q := r.URL.Query()
+	from, err := strconv.ParseInt(q.Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from is not a number", http.StatusBadRequest)
+		return
+	}
+	waitMS, _ := strconv.Atoi(q.Get("wait_ms")) // a missing value does not wait
+	page := d.awaitRecords(r.Context(), from, min(time.Duration(waitMS)*time.Millisecond, relayMaxWait))
+	page.AgeMS = time.Since(d.replica.Contact()).Milliseconds()
+	if from < page.First {
+		httpserve.WriteJSON(w, http.StatusGone, page)
+		return
+	}
+	httpserve.WriteJSON(w, http.StatusOK, page)
+}
+
+func (d *Daemon) awaitRecords(ctx context.Context, from int64, wait time.Duration) journal.Page {
+	deadline := time.After(wait)
+	for {
+		changed := d.replica.Changed()
+		page := d.replica.Page(from, relayLimit)
+		if len(page.Records) > 0 || from != page.Next {
+			return page
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return page
+		case <-ctx.Done():
+			return page
+		}
+	}
+}
+
+func (d *Daemon) handleBoxes(w http.ResponseWriter, _ *http.Request) {
+	boxes, _ := d.directory.Boxes()
+	httpserve.WriteJSON(w, http.StatusOK, boxes)
+}
+
+func (d *Daemon) handleCheckpoint(w http.ResponseWriter, _ *http.Request) {
+	httpserve.WriteJSON(w, http.StatusOK, d.replica.Checkpoint())
+}
+
+func (d *Daemon) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	httpserve.WriteJSON(w, http.StatusOK, d.status())
+}
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,308 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package lab puts gateways, sidecars and stand-ins into one process, each
+// on its own TCP port of 127.0.0.1, for the demo and for tests. The parts
+// are the real ones; only the processes around them are missing.
+package lab
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/mintlift/mintlift/admin"
+	"github.com/mintlift/mintlift/gateway"
+	"github.com/mintlift/mintlift/httpserve"
+	"github.com/mintlift/mintlift/intent"
+	"github.com/mintlift/mintlift/internal/call"
+	"github.com/mintlift/mintlift/internal/standin"
+	"github.com/mintlift/mintlift/membership"
+	"github.com/mintlift/mintlift/settings"
+	"github.com/mintlift/mintlift/sidecar"
+	"github.com/mintlift/mintlift/telemetry"
+)
+
+// OperatorKey is the bootstrap operator's key in a lab.
+const OperatorKey = "lab-operator-key-0123456789"
+
+// loopback binds any port.
+const loopback = "127.0.0.1:0"
+
+// Config describes a lab.
+type Config struct {
+	Gateways int
+	Engines  int
+	Services int
+	// Zones are given to the boxes in turn.
+	Zones []membership.AvailabilityZone
+	// EngineMemory bounds each engine's loaded versions; 0 does not.
+	EngineMemory int64
+	ChecksFences bool
+	TokenTime    time.Duration
+	// Links are put into the settings; the origin is held to Links.Origin.
+	Links settings.Links
+	// LogTo receives the daemons' logs; nil drops them.
+	LogTo io.Writer
+	Level string
+	// GatewaySettings and SidecarSettings may change the settings before a
+	// start.
+	GatewaySettings func(*settings.Gateway)
+	SidecarSettings func(*settings.Sidecar)
+}
+
+// Box is an endpoint box of the lab.
+type Box struct {
+	Entry    membership.Box
+	Engine   *standin.Engine
+	Service  *standin.Service
+	Sidecar  *sidecar.Daemon
+	endpoint *standin.Server
+}
+
+// Lab is a running set of parts.
+type Lab struct {
+	Config
+	Log      *standin.Log
+	Store    *standin.Store
+	List     *standin.BoxList
+	Gateways []*gateway.Daemon
+	Boxes    []*Box
+
+	log      logr.Logger
+	servers  []*standin.Server
+	platform settings.Platform
+	dir      string
+}
+
+// ServiceName is the plain service of a lab.
+const ServiceName = "orders"
+
+// Start brings a lab up. Call Close at its end.
+func Start(c Config) (*Lab, error) {
+	httpserve.Quiet()
+	if len(c.Zones) == 0 {
+		c.Zones = []membership.AvailabilityZone{{Region: "r1", Zone: "a"}}
+	}
+	l := &Lab{Config: c, Log: standin.NewLog(), Store: standin.NewStore(c.Links.Origin), List: new(standin.BoxList), log: logr.Discard()}
+	if c.LogTo != nil {
+		l.log = telemetry.NewLogger(c.LogTo, telemetry.LogSettings{Level: cmp.Or(c.Level, telemetry.LevelInfo)})
+	}
+	if err := l.start(); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Lab) start() error {
+	dir, err := os.MkdirTemp("", "mintlift-lab-")
+	if err != nil {
+		return err
+	}
+	l.dir = dir
+	if err := os.WriteFile(l.keyFile(), []byte(OperatorKey), 0o600); err != nil {
+		return err
+	}
+	if err := l.startPlatform(); err != nil {
+		return err
+	}
+	for i := range l.Config.Gateways {
+		if err := l.AddGateway(fmt.Sprintf("entry-%d", i+1)); err != nil {
+			return err
+		}
+	}
+	for i := range l.Engines {
+		if err := l.AddBox(fmt.Sprintf("engine-%02d", i+1), i, ""); err != nil {
+			return err
+		}
+	}
+	for i := range l.Services {
+		if err := l.AddBox(fmt.Sprintf("orders-%02d", i+1), i, ServiceName); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Lab) keyFile() string { return filepath.Join(l.dir, "operator.key") }
+
+func (l *Lab) startPlatform() error {
+	addresses := make([]string, 3)
+	for i, h := range []http.Handler{l.Log.Handler(), l.Store.Handler(), l.List.Handler()} {
+		s, err := standin.Serve(loopback, h)
+		if err != nil {
+			return err
+		}
+		l.servers = append(l.servers, s)
+		addresses[i] = s.Address()
+	}
+	l.platform = settings.Platform{Log: addresses[0], WeightStore: addresses[1], Origin: addresses[1], BoxList: addresses[2]}
+	return nil
+}
+
+func (l *Lab) zone(i int) membership.AvailabilityZone { return l.Zones[i%len(l.Zones)] }
+
+func node(box string, z membership.AvailabilityZone) settings.Node {
+	return settings.Node{Box: box, Region: z.Region, Zone: z.Zone}
+}
+
+// AddGateway starts another gateway.
+func (l *Lab) AddGateway(box string) error {
+	z := l.zone(len(l.Gateways))
+	s := settings.DefaultGateway()
+	s.Node, s.Platform, s.Links = node(box, z), l.platform, l.Links
+	s.CallerListen, s.AdminListen, s.PeerListen = loopback, loopback, loopback
+	s.OperatorKeyFile = l.keyFile()
+	if l.GatewaySettings != nil {
+		l.GatewaySettings(&s)
+	}
+	g, err := gateway.Start(s, l.log.WithName(box))
+	if err != nil {
+		return err
+	}
+	l.Gateways = append(l.Gateways, g)
+	l.List.Put(membership.Box{ID: box, Zone: z, Role: membership.Gateway, Address: g.PeerAddress(), State: membership.Live})
+	return nil
+}
+
+// AddBox starts another endpoint with its sidecar. An empty service is a
+// model engine.
+func (l *Lab) AddBox(id string, zone int, service string) error {
+	b := &Box{Entry: membership.Box{ID: id, Zone: l.zone(zone), Role: membership.Endpoint, Service: service, State: membership.Live}}
+	var h http.Handler
+	if service == "" {
+		b.Engine = standin.NewEngine()
+		b.Engine.MemoryBytes, b.Engine.ChecksFences = l.EngineMemory, l.ChecksFences
+		b.Engine.TokenTime, b.Engine.FirstTokenTime = l.TokenTime, l.TokenTime
+		h = b.Engine.Handler()
+	} else {
+		b.Service = new(standin.Service)
+		h = b.Service.Handler()
+	}
+	var err error
+	if b.endpoint, err = standin.Serve(loopback, h); err != nil {
+		return err
+	}
+	l.Boxes = append(l.Boxes, b)
+	return l.StartSidecar(b)
+}
+
+// StartSidecar starts a sidecar for a box, after the former one ended.
+func (l *Lab) StartSidecar(b *Box) error {
+	s := settings.DefaultSidecar()
+	s.Node, s.Platform, s.Links = node(b.Entry.ID, b.Entry.Zone), l.platform, l.Links
+	s.PeerListen, s.Endpoint, s.Service = loopback, b.endpoint.Address(), b.Entry.Service
+	if l.SidecarSettings != nil {
+		l.SidecarSettings(&s)
+	}
+	d, err := sidecar.Start(s, l.log.WithName(b.Entry.ID))
+	if err != nil {
+		return err
+	}
+	b.Sidecar = d
+	b.Entry.Address = d.Address()
+	l.List.Put(b.Entry)
+	return nil
+}
+
+// KillBox ends a box as a power failure would: sidecar and endpoint go at
+// once, and the box list drops it a moment later if delist is set.
+func (l *Lab) KillBox(b *Box, delist bool) {
+	b.endpoint.Close()
+	b.Sidecar.Kill()
+	b.Sidecar = nil
+	if delist {
+		l.List.Remove(b.Entry.ID)
+	}
+}
+
+// Admin returns a client of a gateway's administration API.
+func (l *Lab) Admin(gateway int) *admin.Client {
+	return admin.NewClient(l.Gateways[gateway].AdminAddress(), OperatorKey, call.Options{})
+}
+
+// AddWorkspace adds a workspace whose key is WorkspaceKey(name).
+func (l *Lab) AddWorkspace(ctx context.Context, name string, priority, floor int) error {
+	key := WorkspaceKey(name)
+	_, err := l.Admin(0).SetWorkspace(ctx, name, admin.WorkspaceChange{Key: &key, Priority: &priority, Floor: &floor})
+	return err
+}
+
+// WorkspaceKey is the key of a lab's workspace.
+func WorkspaceKey(name string) string { return "lab-workspace-key-" + name }
+
+// Rollout makes a plan through one gateway and confirms it.
+func (l *Lab) Rollout(ctx context.Context, in intent.Intent) (*intent.Plan, error) {
+	api := l.Admin(0)
+	p, err := api.CreateIntent(ctx, in)
+	if err != nil {
+		return nil, err
+	}
+	return api.Confirm(ctx, p.ID)
+}
+
+// AwaitDone waits until a plan's boxes all serve, those that do not answer
+// left out.
+func (l *Lab) AwaitDone(ctx context.Context, plan string) (*admin.Progress, error) {
+	const every = 50 * time.Millisecond
+	for {
+		p, err := l.Admin(0).Progress(ctx, plan)
+		if err != nil {
+			return nil, err
+		}
+		if p.Done() {
+			return p, nil
+		}
+		select {
+		case <-ctx.Done():
+			return p, fmt.Errorf("plan %s is not done: %d of %d serve: %w", plan, p.Serving, len(p.Boxes), ctx.Err())
+		case <-time.After(every):
+		}
+	}
+}
+
+// AwaitBoxes waits until so many endpoints answer a sweep.
+func (l *Lab) AwaitBoxes(ctx context.Context, n int) error {
+	const every = 50 * time.Millisecond
+	for {
+		boxes, err := l.Admin(0).Boxes(ctx)
+		reached := 0
+		for _, b := range boxes {
+			if b.Reached {
+				reached++
+			}
+		}
+		if err == nil && reached >= n {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d of %d boxes answer: %w", reached, n, ctx.Err())
+		case <-time.After(every):
+		}
+	}
+}
+
+// Close ends everything at once.
+func (l *Lab) Close() {
+	for _, b := range l.Boxes {
+		if b.Sidecar != nil {
+			b.Sidecar.Kill()
+		}
+		b.endpoint.Close()
+	}
+	for _, g := range l.Gateways {
+		g.Kill()
+	}
+	for _, s := range l.servers {
+		s.Close()
+	}
+	_ = os.RemoveAll(l.dir) // a temporary folder
+}
--- /dev/null
+++ b/keys/keys.go
@@ -0,0 +1,195 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package keys holds the secrets that settings name as files: shared keys
+// and TLS certificates. Both are read again when their files change, so
+// that they can be replaced while the process runs. A file that has become
+// unreadable leaves the former value in force.
+package keys
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/settings"
+)
+
+// lookEvery is how often a file's time is looked at.
+const lookEvery = time.Second
+
+// watched calls read when one of the files has changed.
+type watched struct {
+	mu     sync.Mutex
+	files  []string
+	looked time.Time
+	stamp  time.Time
+	read   func() error
+}
+
+func (w *watched) refresh() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if now.Sub(w.looked) < lookEvery {
+		return nil
+	}
+	w.looked = now
+	newest := w.stamp
+	for _, f := range w.files {
+		if info, err := os.Stat(f); err == nil && info.ModTime().After(newest) {
+			newest = info.ModTime()
+		}
+	}
+	if newest.Equal(w.stamp) {
+		return nil
+	}
+	if err := w.read(); err != nil {
+		return err
+	}
+	w.stamp = newest
+	return nil
+}
+
+// File is a key in a file. Use OpenFile.
+type File struct {
+	watch watched
+	mu    sync.Mutex
+	key   string
+}
+
+// OpenFile reads the key in a file; an empty path is an empty key.
+func OpenFile(path string) (*File, error) {
+	f := new(File)
+	if path == "" {
+		return f, nil
+	}
+	f.watch = watched{files: []string{path}, read: func() error { return f.load(path) }}
+	if err := f.watch.refresh(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *File) load(path string) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Annotate(err, "key file")
+	}
+	key := strings.TrimSpace(string(b))
+	if key == "" {
+		return errors.NotValidf("empty key file %s", path)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.key = key
+	return nil
+}
+
+// Key returns the key as the file now has it.
+func (f *File) Key() string {
+	if len(f.watch.files) > 0 {
+		_ = f.watch.refresh() // an unreadable file leaves the former key
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.key
+}
+
+// pair is a certificate with its clients' authority.
+type pair struct {
+	watch watched
+	mu    sync.Mutex
+	cert  *tls.Certificate
+	pool  *x509.CertPool
+}
+
+func openPair(t settings.TLS) (*pair, error) {
+	p := new(pair)
+	files := []string{t.CertFile, t.KeyFile}
+	if t.ClientCAFile != "" {
+		files = append(files, t.ClientCAFile)
+	}
+	p.watch = watched{files: files, read: func() error { return p.load(t) }}
+	if err := p.watch.refresh(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *pair) load(t settings.TLS) error {
+	cert, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile)
+	if err != nil {
+		return errors.Annotate(err, "certificate")
+	}
+	var pool *x509.CertPool
+	if t.ClientCAFile != "" {
+		pem, err := os.ReadFile(t.ClientCAFile)
+		if err != nil {
+			return errors.Annotate(err, "client CA")
+		}
+		pool = x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return errors.NotValidf("client CA file %s", t.ClientCAFile)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cert, p.pool = &cert, pool
+	return nil
+}
+
+func (p *pair) current() (*tls.Certificate, *x509.CertPool) {
+	_ = p.watch.refresh() // unreadable files leave the former pair
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cert, p.pool
+}
+
+// ServerTLS returns the configuration of a listener, or nil for plain HTTP.
+func ServerTLS(t settings.TLS) (*tls.Config, error) {
+	if !t.Enabled() {
+		return nil, nil
+	}
+	p, err := openPair(t)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			cert, pool := p.current()
+			c := &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{*cert}}
+			if pool != nil {
+				c.ClientCAs, c.ClientAuth = pool, tls.RequireAndVerifyClientCert
+			}
+			return c, nil
+		},
+	}, nil
+}
+
+// PeerTLS returns the configuration of a client of other mintlift
+// processes: it shows the process's own certificate and trusts the
+// authority that signs all of them. It is nil for plain HTTP.
+func PeerTLS(t settings.TLS) (*tls.Config, error) {
+	if !t.Enabled() {
+		return nil, nil
+	}
+	p, err := openPair(t)
+	if err != nil {
+		return nil, err
+	}
+	_, pool := p.current()
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		RootCAs:    pool,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			cert, _ := p.current()
+			return cert, nil
+		},
+	}, nil
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,208 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package relay keeps a process in touch with the platform without 1,030
+// processes asking it at once. Gateways, which are few, read the log and
+// the box list directly and serve both to sidecars; a sidecar asks one
+// gateway, chosen by rendezvous so that they share the sidecars evenly, and
+// turns to the platform itself only when no gateway answers.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/internal/call"
+	"github.com/mintlift/mintlift/journal"
+	"github.com/mintlift/mintlift/membership"
+	"github.com/mintlift/mintlift/peer"
+	"github.com/mintlift/mintlift/state"
+)
+
+// Timing of a Directory.
+const (
+	listEvery   = 2 * time.Second
+	listTimeout = 3 * time.Second
+	// leaveAlone is how long a gateway that failed is not asked.
+	leaveAlone = 5 * time.Second
+	// checkpointPeers is how many peers are asked for a checkpoint.
+	checkpointPeers = 5
+)
+
+// ErrNoPeer says that no peer had a checkpoint.
+const ErrNoPeer = errors.ConstError("no peer has a checkpoint")
+
+// Directory is a process's knowledge of the box list and of where to read
+// the log. All exported fields but Direct are needed; its lock is a leaf.
+type Directory struct {
+	Self     string
+	Platform *call.Client
+	Peers    *call.Client
+	BoxList  string
+	Log      *journal.Client
+	Logger   logr.Logger
+	// Direct makes the process read the platform itself, as gateways do.
+	Direct bool
+
+	mu      sync.Mutex
+	boxes   []membership.Box
+	version int
+	avoid   map[string]time.Time
+}
+
+// Boxes returns the box list as last read, and a number that grows with
+// each change.
+func (d *Directory) Boxes() ([]membership.Box, int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.boxes), d.version
+}
+
+// Run reads the box list until ctx ends. A list that cannot be read leaves
+// the former in force.
+func (d *Directory) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := d.refresh(ctx); err != nil && ctx.Err() == nil {
+			d.Logger.V(1).Info("box list not read", "error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(listEvery/2 + rand.N(listEvery)):
+		}
+	}
+}
+
+func (d *Directory) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	var boxes []membership.Box
+	if g, ok := d.gateway(time.Now()); ok && !d.Direct {
+		err := d.Peers.JSON(ctx, http.MethodGet, d.Peers.URL(g.Address, peer.PathBoxes), nil, &boxes)
+		if err == nil && len(boxes) > 0 {
+			d.set(boxes)
+			return nil
+		}
+		d.failed(g.ID)
+	}
+	if err := d.Platform.JSON(ctx, http.MethodGet, d.Platform.URL(d.BoxList, "/boxes"), nil, &boxes); err != nil {
+		return err
+	}
+	d.set(boxes)
+	return nil
+}
+
+func (d *Directory) set(boxes []membership.Box) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !slices.Equal(d.boxes, boxes) {
+		d.boxes = boxes
+		d.version++
+	}
+}
+
+// gateway returns the first gateway in this process's order that has not
+// failed lately.
+func (d *Directory) gateway(now time.Time) (membership.Box, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var best membership.Box
+	var bestWeight uint64
+	found := false
+	for _, b := range d.boxes {
+		if b.Role != membership.Gateway || b.ID == d.Self || now.Before(d.avoid[b.ID]) {
+			continue
+		}
+		if w := xxhash.Sum64String(d.Self + "\x00" + b.ID); !found || w > bestWeight {
+			best, bestWeight, found = b, w, true
+		}
+	}
+	return best, found
+}
+
+func (d *Directory) failed(box string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.avoid == nil {
+		d.avoid = make(map[string]time.Time)
+	}
+	d.avoid[box] = time.Now().Add(leaveAlone)
+}
+
+// Sources returns where a state.Follower reads.
+func (d *Directory) Sources() state.Sources { return sources{d} }
+
+type sources struct{ d *Directory }
+
+// relayed is a gateway as a source.
+type relayed struct {
+	*journal.Client
+	box string
+}
+
+// Next implements state.Sources.
+func (s sources) Next() state.Source {
+	if s.d.Direct {
+		return s.d.Log
+	}
+	g, ok := s.d.gateway(time.Now())
+	if !ok {
+		return s.d.Log
+	}
+	return relayed{Client: &journal.Client{Call: s.d.Peers, Address: g.Address}, box: g.ID}
+}
+
+// Failed implements state.Sources.
+func (s sources) Failed(src state.Source) {
+	if r, ok := src.(relayed); ok {
+		s.d.failed(r.box)
+	}
+}
+
+// Checkpoint returns the highest checkpoint that a few other processes
+// hold, gateways first.
+func (d *Directory) Checkpoint(ctx context.Context) (state.Checkpoint, error) {
+	if err := d.refresh(ctx); err != nil {
+		return state.Checkpoint{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	var best state.Checkpoint
+	found := false
+	for _, b := range d.someOthers() {
+		var c state.Checkpoint
+		if err := d.Peers.JSON(ctx, http.MethodGet, d.Peers.URL(b.Address, peer.PathCheckpoint), nil, &c); err != nil {
+			continue
+		}
+		if !found || c.Offset > best.Offset {
+			best, found = c, true
+		}
+	}
+	if !found {
+		return best, ErrNoPeer
+	}
+	return best, nil
+}
+
+func (d *Directory) someOthers() []membership.Box {
+	boxes, _ := d.Boxes()
+	boxes = slices.DeleteFunc(boxes, func(b membership.Box) bool { return b.ID == d.Self })
+	rand.Shuffle(len(boxes), func(i, j int) { boxes[i], boxes[j] = boxes[j], boxes[i] })
+	slices.SortStableFunc(boxes, func(a, b membership.Box) int {
+		switch {
+		case a.Role == b.Role:
+			return 0
+		case a.Role == membership.Gateway:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return boxes[:min(len(boxes), checkpointPeers)]
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,383 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package settings reads the JSON settings of mintlift's processes.
+//
+// Each program has one typed struct. Reading starts from stated defaults,
+// refuses fields it does not know and values out of bounds, and reports
+// every mistake at once, with the field's path, the value and what is
+// allowed, before anything is bound. Secrets are never in the settings:
+// they stand in files that the settings name.
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-viper/mapstructure/v2"
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/intent"
+	"github.com/mintlift/mintlift/membership"
+	"github.com/mintlift/mintlift/telemetry"
+)
+
+// Node says where a process runs.
+type Node struct {
+	// Box identifies the box; it is the identity in the box list.
+	Box    string `json:"box"`
+	Region string `json:"region"`
+	// Zone is the availability zone within the region.
+	Zone string `json:"availability_zone"`
+}
+
+// AvailabilityZone returns the node's zone.
+func (n Node) AvailabilityZone() membership.AvailabilityZone {
+	return membership.AvailabilityZone{Region: n.Region, Zone: n.Zone}
+}
+
+// Platform holds the IP and port of each platform service.
+type Platform struct {
+	Log         string `json:"log"`
+	WeightStore string `json:"weight_store"`
+	Origin      string `json:"origin"`
+	BoxList     string `json:"box_list"`
+}
+
+// TLS names the files of a listener's certificate. Empty means plain HTTP.
+type TLS struct {
+	CertFile string `json:"cert_file"`
+	KeyFile  string `json:"key_file"`
+	// ClientCAFile, when set, demands a client certificate signed by it.
+	ClientCAFile string `json:"client_ca_file"`
+}
+
+// Enabled reports whether a certificate is named.
+func (t TLS) Enabled() bool { return t.CertFile != "" }
+
+// Links are the rates that plans reckon with, in bytes a second.
+type Links struct {
+	Origin float64 `json:"origin_bytes_per_second"`
+	Box    float64 `json:"box_bytes_per_second"`
+}
+
+// Gateway is the settings of "mintlift gateway".
+type Gateway struct {
+	Node     Node     `json:"node"`
+	Platform Platform `json:"platform"`
+	// CallerListen, AdminListen and PeerListen are IP:port addresses.
+	CallerListen string `json:"caller_listen"`
+	AdminListen  string `json:"admin_listen"`
+	PeerListen   string `json:"peer_listen"`
+	CallerTLS    TLS    `json:"caller_tls"`
+	AdminTLS     TLS    `json:"admin_tls"`
+	PeerTLS      TLS    `json:"peer_tls"`
+	// PeerKeyFile holds the key that mintlift's processes share; empty
+	// means that they do not ask each other for one.
+	PeerKeyFile string `json:"peer_key_file"`
+	// OperatorKeyFile holds the key of the first operator, "bootstrap".
+	OperatorKeyFile string `json:"operator_key_file"`
+	// MaxInFlight bounds the requests in progress; Queue those that wait.
+	MaxInFlight int `json:"max_in_flight"`
+	Queue       int `json:"queue"`
+	// RequestTimeout bounds a request whose caller names no deadline.
+	RequestTimeout time.Duration `json:"request_timeout"`
+	// DrainTimeout bounds a planned stop.
+	DrainTimeout time.Duration   `json:"drain_timeout"`
+	Weighing     intent.Weighing `json:"weighing"`
+	Links        Links           `json:"links"`
+	// PlanTTL is how long a plan can be confirmed.
+	PlanTTL time.Duration           `json:"plan_ttl"`
+	Log     telemetry.LogSettings   `json:"log"`
+	Trace   telemetry.TraceSettings `json:"trace"`
+}
+
+// Sidecar is the settings of "mintlift sidecar".
+type Sidecar struct {
+	Node     Node     `json:"node"`
+	Platform Platform `json:"platform"`
+	// PeerListen is the IP:port for gateways and other sidecars.
+	PeerListen  string `json:"peer_listen"`
+	PeerTLS     TLS    `json:"peer_tls"`
+	PeerKeyFile string `json:"peer_key_file"`
+	// Endpoint is the IP:port of the model engine or plain service.
+	Endpoint string `json:"endpoint"`
+	// Service names the plain service; empty means a model engine.
+	Service string `json:"service"`
+	// MaxInFlight bounds the requests at the endpoint; Queue those that
+	// wait for it here, by priority.
+	MaxInFlight  int           `json:"max_in_flight"`
+	Queue        int           `json:"queue"`
+	DrainTimeout time.Duration `json:"drain_timeout"`
+	Links        Links         `json:"links"`
+
+	Log   telemetry.LogSettings   `json:"log"`
+	Trace telemetry.TraceSettings `json:"trace"`
+}
+
+// DefaultGateway returns the defaults of a gateway.
+func DefaultGateway() Gateway {
+	return Gateway{
+		CallerListen:   "127.0.0.1:8080",
+		AdminListen:    "127.0.0.1:8081",
+		PeerListen:     "127.0.0.1:8082",
+		MaxInFlight:    2000,
+		Queue:          500,
+		RequestTimeout: 2 * time.Minute,
+		DrainTimeout:   time.Minute,
+		Weighing:       intent.TimeToReplicas,
+		PlanTTL:        15 * time.Minute,
+		Log:            telemetry.LogSettings{Level: telemetry.LevelInfo},
+		Trace:          telemetry.TraceSettings{Exporter: telemetry.ExportNone, Sample: 0.01},
+	}
+}
+
+// DefaultSidecar returns the defaults of a sidecar.
+func DefaultSidecar() Sidecar {
+	return Sidecar{
+		PeerListen:   "127.0.0.1:8090",
+		MaxInFlight:  64,
+		Queue:        64,
+		DrainTimeout: time.Minute,
+		Log:          telemetry.LogSettings{Level: telemetry.LevelInfo},
+		Trace:        telemetry.TraceSettings{Exporter: telemetry.ExportNone, Sample: 0.01},
+	}
+}
+
+// Problem is one mistake in a settings file.
+type Problem struct {
+	// Path is the field, as in "platform.log".
+	Path string `json:"path"`
+	// Value is what stands there, as text.
+	Value string `json:"value"`
+	// Want says what is allowed.
+	Want string `json:"want"`
+}
+
+// String returns the problem as one line.
+func (p Problem) String() string { return fmt.Sprintf("%s: %s (want %s)", p.Path, p.Value, p.Want) }
+
+// Problems are all the mistakes in a settings file.
+type Problems []Problem
+
+// Error implements error.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, one := range p {
+		lines[i] = one.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// LoadGateway reads a gateway's settings; the error is Problems where the
+// file is JSON at all.
+func LoadGateway(path string) (Gateway, error) {
+	s := DefaultGateway()
+	err := load(path, &s, func(c *checker) { c.gateway(&s) })
+	return s, err
+}
+
+// LoadSidecar reads a sidecar's settings.
+func LoadSidecar(path string) (Sidecar, error) {
+	s := DefaultSidecar()
+	err := load(path, &s, func(c *checker) { c.sidecar(&s) })
+	return s, err
+}
+
+func load(path string, into any, check func(*checker)) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Annotate(err, "settings")
+	}
+	var raw map[string]any
+	if err := json.Unmarshal(b, &raw); err != nil {
+		return errors.Annotatef(err, "settings %s are not JSON", path)
+	}
+	c := &checker{}
+	c.decode(raw, into)
+	check(c)
+	if len(c.problems) == 0 {
+		return nil
+	}
+	slices.SortFunc(c.problems, func(a, b Problem) int { return strings.Compare(a.Path, b.Path) })
+	return c.problems
+}
+
+type checker struct{ problems Problems }
+
+func (c *checker) add(path, value, want string) {
+	for _, p := range c.problems {
+		if p.Path == path {
+			return // the first word on a field is the plainest
+		}
+	}
+	c.problems = append(c.problems, Problem{Path: path, Value: value, Want: want})
+}
+
+// decode fills into from raw, field by field, and notes what does not fit.
+func (c *checker) decode(raw map[string]any, into any) {
+	var meta mapstructure.Metadata
+	d, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
+		Result:     into,
+		TagName:    "json",
+		Metadata:   &meta,
+		MatchName:  func(key, field string) bool { return key == field },
+		DecodeHook: mapstructure.StringToTimeDurationHookFunc(),
+	})
+	if err != nil {
+		panic("settings: decoder: " + err.Error()) // the configuration above is constant
+	}
+	c.decodeErrors(d.Decode(raw))
+	for _, path := range meta.Unused {
+		c.add(path, "unknown field", "a field named on docs/SETTINGS.md")
+	}
+}
+
+func (c *checker) decodeErrors(err error) {
+	if err == nil {
+		return
+	}
+	if many, ok := err.(interface{ Unwrap() []error }); ok {
+		for _, one := range many.Unwrap() {
+			c.decodeErrors(one)
+		}
+		return
+	}
+	var de *mapstructure.DecodeError
+	if errors.As(err, &de) {
+		c.add(de.Name(), de.Unwrap().Error(), "a value of the documented type")
+		return
+	}
+	if inner := errors.Unwrap(err); inner != nil {
+		c.decodeErrors(inner)
+		return
+	}
+	c.add("settings", err.Error(), "values of the documented types")
+}
+
+func (c *checker) gateway(s *Gateway) {
+	c.node(s.Node)
+	c.platform(s.Platform)
+	c.address("caller_listen", s.CallerListen)
+	c.address("admin_listen", s.AdminListen)
+	c.address("peer_listen", s.PeerListen)
+	c.tls("caller_tls", s.CallerTLS)
+	c.tls("admin_tls", s.AdminTLS)
+	c.tls("peer_tls", s.PeerTLS)
+	c.file("peer_key_file", s.PeerKeyFile)
+	c.file("operator_key_file", s.OperatorKeyFile)
+	c.number("max_in_flight", s.MaxInFlight, 1, 100000)
+	c.number("queue", s.Queue, 0, 100000)
+	c.duration("request_timeout", s.RequestTimeout, time.Second, time.Hour)
+	c.duration("drain_timeout", s.DrainTimeout, time.Second, time.Hour)
+	c.duration("plan_ttl", s.PlanTTL, time.Second, 24*time.Hour)
+	c.choice("weighing", string(s.Weighing), string(intent.TimeToReplicas), string(intent.OriginBytes))
+	c.links(s.Links)
+	c.telemetry(s.Log, s.Trace)
+}
+
+func (c *checker) sidecar(s *Sidecar) {
+	c.node(s.Node)
+	c.platform(s.Platform)
+	c.address("peer_listen", s.PeerListen)
+	c.address("endpoint", s.Endpoint)
+	c.tls("peer_tls", s.PeerTLS)
+	c.file("peer_key_file", s.PeerKeyFile)
+	c.number("max_in_flight", s.MaxInFlight, 1, 100000)
+	c.number("queue", s.Queue, 0, 100000)
+	c.duration("drain_timeout", s.DrainTimeout, time.Second, time.Hour)
+	c.links(s.Links)
+	c.telemetry(s.Log, s.Trace)
+}
+
+func (c *checker) node(n Node) {
+	c.name("node.box", n.Box)
+	c.name("node.region", n.Region)
+	c.name("node.availability_zone", n.Zone)
+}
+
+func (c *checker) platform(p Platform) {
+	c.address("platform.log", p.Log)
+	c.address("platform.weight_store", p.WeightStore)
+	c.address("platform.origin", p.Origin)
+	c.address("platform.box_list", p.BoxList)
+}
+
+func (c *checker) links(l Links) {
+	c.rate("links.origin_bytes_per_second", l.Origin)
+	c.rate("links.box_bytes_per_second", l.Box)
+}
+
+func (c *checker) telemetry(l telemetry.LogSettings, t telemetry.TraceSettings) {
+	c.choice("log.level", l.Level, telemetry.LevelError, telemetry.LevelInfo, telemetry.LevelDebug)
+	c.choice("trace.exporter", t.Exporter, telemetry.ExportNone, telemetry.ExportFile, telemetry.ExportOTLP)
+	if t.Exporter != telemetry.ExportNone && t.Target == "" {
+		c.add("trace.target", `""`, "a file for exporter file, host:port for otlphttp")
+	}
+	if t.Sample < 0 || t.Sample > 1 {
+		c.add("trace.sample", strconv.FormatFloat(t.Sample, 'g', -1, 64), "0 to 1")
+	}
+}
+
+func (c *checker) name(path, v string) {
+	if v == "" || len(v) > 64 || strings.ContainsAny(v, " /\\\"") {
+		c.add(path, strconv.Quote(v), "a name of 1 to 64 characters without space, slash or quote")
+	}
+}
+
+func (c *checker) address(path, v string) {
+	host, port, err := net.SplitHostPort(v)
+	n, bad := strconv.Atoi(port)
+	if err != nil || bad != nil || n < 0 || n > 65535 || net.ParseIP(host) == nil {
+		c.add(path, strconv.Quote(v), "an IP number and port, as in 10.0.0.7:8080")
+	}
+}
+
+func (c *checker) number(path string, v, low, high int) {
+	if v < low || v > high {
+		c.add(path, strconv.Itoa(v), fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func (c *checker) duration(path string, v, low, high time.Duration) {
+	if v < low || v > high {
+		c.add(path, v.String(), fmt.Sprintf("%v to %v", low, high))
+	}
+}
+
+func (c *checker) rate(path string, v float64) {
+	if v < 0 || v > 1e12 {
+		c.add(path, strconv.FormatFloat(v, 'g', -1, 64), "0 (not known) to 1e12 bytes a second")
+	}
+}
+
+func (c *checker) choice(path, v string, allowed ...string) {
+	if !slices.Contains(allowed, v) {
+		c.add(path, strconv.Quote(v), "one of "+strings.Join(allowed, ", "))
+	}
+}
+
+func (c *checker) file(path, v string) {
+	if v == "" {
+		return
+	}
+	if _, err := os.Stat(v); err != nil {
+		c.add(path, strconv.Quote(v), "a file that can be read")
+	}
+}
+
+func (c *checker) tls(path string, t TLS) {
+	if (t.CertFile == "") != (t.KeyFile == "") {
+		c.add(path, "one of cert_file and key_file is missing", "both or neither")
+	}
+	v := reflect.ValueOf(t)
+	for i := range v.NumField() {
+		c.file(path+"."+v.Type().Field(i).Tag.Get("json"), v.Field(i).String())
+	}
+}
--- /dev/null
+++ b/sidecar/copies.go
@@ -0,0 +1,571 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package sidecar
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/engine"
+	"github.com/mintlift/mintlift/intent"
+	"github.com/mintlift/mintlift/internal/call"
+	"github.com/mintlift/mintlift/peer"
+	"github.com/mintlift/mintlift/state"
+	"github.com/mintlift/mintlift/transfer"
+	"github.com/mintlift/mintlift/weights"
+)
+
+// Timing of the work on copies.
+const (
+	reconcileEvery = time.Second
+	retryEvery     = 300 * time.Millisecond
+	drainPoll      = 20 * time.Millisecond
+	manifestLimit  = 4 << 20
+)
+
+// copies is the table of this box's copies. mu is taken before a job's mu.
+type copies struct {
+	mu     sync.Mutex
+	jobs   map[weights.Ref]*job
+	memory int64 // of the engine, 0 when not bounded
+}
+
+// job is the work on one copy.
+type job struct {
+	ref    weights.Ref
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	originBytes, peerBytes, crossBytes, bad atomic.Int64
+	inFlight                                atomic.Int64
+
+	mu       sync.Mutex
+	plan     *intent.Plan
+	copy     *weights.Copy // nil until the manifest is known
+	swarm    *transfer.Swarm
+	picker   *transfer.Picker
+	manifest []byte
+	blocked  string
+}
+
+// report describes the copies for a Status.
+func (c *copies) report() (out []peer.Copy, loaded []peer.Loaded, memory int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, j := range c.jobs {
+		r := j.report()
+		out = append(out, r)
+		if size := j.loadedBytes(); size > 0 {
+			loaded = append(loaded, peer.Loaded{Ref: j.ref, Bytes: size})
+		}
+	}
+	slices.SortFunc(out, func(a, b peer.Copy) int { return cmp.Compare(a.String(), b.String()) })
+	slices.SortFunc(loaded, func(a, b peer.Loaded) int { return cmp.Compare(a.String(), b.String()) })
+	return out, loaded, c.memory
+}
+
+func (j *job) report() peer.Copy {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := peer.Copy{
+		Ref:         j.ref,
+		State:       weights.Absent,
+		OriginBytes: j.originBytes.Load(),
+		PeerBytes:   j.peerBytes.Load(),
+		CrossBytes:  j.crossBytes.Load(),
+		BadChunks:   j.bad.Load(),
+		Blocked:     j.blocked,
+	}
+	if j.plan != nil {
+		r.Plan = j.plan.ID
+	}
+	if j.copy != nil {
+		r.State, r.Held, r.Chunks = j.copy.State(), j.copy.Count(), len(j.copy.Manifest().Chunks)
+	}
+	return r
+}
+
+// loadedBytes is the version's size if the engine holds it, else 0.
+func (j *job) loadedBytes() int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.copy == nil {
+		return 0
+	}
+	switch j.copy.State() {
+	case weights.Loading, weights.Serving, weights.Draining:
+		return j.copy.Manifest().Bytes
+	default:
+		return 0
+	}
+}
+
+func (j *job) state() weights.CopyState {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.copy == nil {
+		return weights.Absent
+	}
+	return j.copy.State()
+}
+
+func (j *job) block(reason string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.blocked = reason
+}
+
+// serving returns the job that admits requests for a version and counts
+// the request there; the caller calls j.inFlight.Add(-1) at its end.
+func (c *copies) serving(ref weights.Ref) (*job, bool) {
+	c.mu.Lock()
+	j := c.jobs[ref]
+	c.mu.Unlock()
+	if j == nil {
+		return nil, false
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.copy == nil || j.copy.State() != weights.Serving {
+		return nil, false
+	}
+	j.inFlight.Add(1)
+	return j, true
+}
+
+func (c *copies) find(ref weights.Ref) *job {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.jobs[ref]
+}
+
+// runCopies adopts what the engine holds and then carries out the plans.
+func (d *Daemon) runCopies(ctx context.Context) {
+	d.copies.mu.Lock()
+	d.copies.jobs = make(map[weights.Ref]*job)
+	d.copies.mu.Unlock()
+	adopted := false
+	for ctx.Err() == nil {
+		changed := d.replica.Changed()
+		if !adopted {
+			adopted = d.adopt(ctx)
+		}
+		if adopted {
+			d.reconcile(ctx)
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(reconcileEvery):
+		}
+	}
+	d.copies.mu.Lock()
+	jobs := d.copies.all()
+	d.copies.mu.Unlock()
+	for _, j := range jobs {
+		j.end()
+	}
+}
+
+func (c *copies) all() []*job {
+	out := make([]*job, 0, len(c.jobs))
+	for _, j := range c.jobs {
+		out = append(out, j)
+	}
+	return out
+}
+
+func (j *job) end() {
+	if j.cancel != nil {
+		j.cancel()
+		<-j.done
+	}
+}
+
+// adopt learns from the engine what it holds, after a restart beside a
+// running engine. It claims the engine first, so that a former sidecar's
+// orders are refused from here on by an engine that checks.
+func (d *Daemon) adopt(ctx context.Context) bool {
+	if d.replica.Contact().IsZero() && d.replica.Offset() == 0 {
+		return false // nothing known of the log yet: no fence to go by
+	}
+	d.orders.mu.Lock()
+	err := d.claim(ctx)
+	d.orders.mu.Unlock()
+	if err != nil {
+		d.log.V(1).Info("copies: engine not claimed", "error", err.Error())
+		return false
+	}
+	s, err := d.engine.State(ctx)
+	if err != nil {
+		return false
+	}
+	d.copies.mu.Lock()
+	d.copies.memory = s.MemoryBytes
+	d.copies.mu.Unlock()
+	for _, l := range s.Loaded {
+		d.adoptLoaded(ctx, l)
+	}
+	return true
+}
+
+// adoptLoaded takes a version as serving that the engine holds and that a
+// plan in force vouches for by its manifest's digest.
+func (d *Daemon) adoptLoaded(ctx context.Context, l engine.Loaded) {
+	var plan *intent.Plan
+	d.replica.View(func(s *state.State) {
+		for _, id := range s.PlanOrder {
+			p := s.Plans[id]
+			if p.Intent.Ref == l.Ref && p.ManifestDigest == l.ManifestDigest && p.Fence > 0 {
+				plan = p
+			}
+		}
+	})
+	if plan == nil {
+		return
+	}
+	m, raw, err := d.fetchManifest(ctx, plan)
+	if err != nil {
+		d.log.Info("copies: loaded version not adopted", "version", l.Ref.String(), "error", err.Error())
+		return
+	}
+	j := &job{ref: l.Ref, plan: plan, manifest: raw, copy: weights.NewCopy(m)}
+	if err := j.copy.Adopt(l.Fence); err != nil {
+		panic("sidecar: fresh copy refused adoption: " + err.Error()) // broken invariant
+	}
+	j.swarm, j.picker = d.newSwarm(plan, m, j.copy)
+	d.copies.mu.Lock()
+	d.copies.jobs[l.Ref] = j
+	d.copies.mu.Unlock()
+	d.log.Info("copies: adopted", "version", l.Ref.String())
+}
+
+// reconcile starts the jobs that plans in force want and ends the others.
+func (d *Daemon) reconcile(ctx context.Context) {
+	var desired []*intent.Plan
+	d.replica.View(func(s *state.State) { desired = s.Desired(d.settings.Node.Box) })
+	want := make(map[weights.Ref]*intent.Plan)
+	for _, p := range desired {
+		want[p.Intent.Ref] = p
+	}
+	d.copies.mu.Lock()
+	var stale []*job
+	for ref, j := range d.copies.jobs {
+		if want[ref] == nil && j.loadedBytes() == 0 {
+			stale = append(stale, j)
+		}
+	}
+	d.copies.mu.Unlock()
+	for _, j := range stale {
+		d.dropJob(ctx, j)
+	}
+	for _, p := range desired {
+		d.ensure(ctx, p)
+	}
+}
+
+// dropJob stops the chunks of a version that no plan wants here any more.
+func (d *Daemon) dropJob(ctx context.Context, j *job) {
+	j.end()
+	d.copies.mu.Lock()
+	loaded := j.loadedBytes() > 0
+	if !loaded {
+		delete(d.copies.jobs, j.ref)
+	}
+	d.copies.mu.Unlock()
+	if loaded {
+		return
+	}
+	d.log.Info("copies: dropped", "version", j.ref.String())
+	if err := d.engine.Drop(ctx, j.ref); err != nil {
+		d.log.V(1).Info("copies: staging not freed", "version", j.ref.String(), "error", err.Error())
+	}
+}
+
+func (d *Daemon) ensure(ctx context.Context, p *intent.Plan) {
+	d.copies.mu.Lock()
+	defer d.copies.mu.Unlock()
+	j := d.copies.jobs[p.Intent.Ref]
+	if j != nil {
+		j.mu.Lock()
+		j.plan = p
+		j.mu.Unlock()
+		if j.cancel != nil || j.state() == weights.Serving {
+			return
+		}
+	} else {
+		j = &job{ref: p.Intent.Ref, plan: p}
+		d.copies.jobs[j.ref] = j
+	}
+	work, cancel := context.WithCancel(ctx)
+	j.cancel, j.done = cancel, make(chan struct{})
+	go func() {
+		defer close(j.done)
+		d.work(work, j)
+		d.copies.mu.Lock()
+		j.cancel = nil
+		d.copies.mu.Unlock()
+		cancel()
+	}()
+}
+
+func (j *job) planNow() *intent.Plan {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.plan
+}
+
+// work brings one copy from absent to serving. Every step is tried again
+// until it succeeds or the job ends.
+func (d *Daemon) work(ctx context.Context, j *job) {
+	steps := []func(context.Context, *job) error{d.prepare, d.fetch, d.awaitWave, d.makeRoom, d.load}
+	for _, step := range steps {
+		for {
+			err := step(ctx, j)
+			if err == nil {
+				j.block("")
+				break
+			}
+			if ctx.Err() != nil {
+				return
+			}
+			j.block(err.Error())
+			d.log.V(1).Info("copies: step not done", "version", j.ref.String(), "error", err.Error())
+			pause(ctx, retryEvery)
+		}
+	}
+}
+
+func pause(ctx context.Context, t time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(t):
+	}
+}
+
+// prepare learns the manifest and opens staging.
+func (d *Daemon) prepare(ctx context.Context, j *job) error {
+	if j.state() != weights.Absent {
+		return nil
+	}
+	plan := j.planNow()
+	m, raw, err := d.fetchManifest(ctx, plan)
+	if err != nil {
+		return err
+	}
+	if err := d.engine.Stage(ctx, m); err != nil {
+		return errors.Annotate(err, "engine does not stage")
+	}
+	c := weights.NewCopy(m)
+	if err := c.Fetch(); err != nil {
+		return err
+	}
+	swarm, picker := d.newSwarm(plan, m, c)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.copy, j.swarm, j.picker, j.manifest = c, swarm, picker, raw
+	return nil
+}
+
+// fetchManifest asks the weight store, and peers of the plan when the store
+// does not answer. The plan's digest decides, whoever sent it.
+func (d *Daemon) fetchManifest(ctx context.Context, p *intent.Plan) (*weights.Manifest, []byte, error) {
+	ref := p.Intent.Ref
+	url := d.platform.URL(d.settings.Platform.WeightStore, "/store/"+ref.Model+"/"+ref.Version+"/manifest")
+	raw, err := d.platform.Bytes(ctx, http.MethodGet, url, nil, manifestLimit)
+	if err == nil {
+		m, err := weights.ParseManifest(raw, p.ManifestDigest)
+		return m, raw, err
+	}
+	boxes, _ := d.directory.Boxes()
+	for _, b := range boxes {
+		if _, ok := p.Step(b.ID); !ok || b.ID == d.settings.Node.Box {
+			continue
+		}
+		raw, peerErr := d.peers.Bytes(ctx, http.MethodGet, d.peers.URL(b.Address, peer.ManifestPath(ref)), nil, manifestLimit)
+		if peerErr != nil {
+			continue
+		}
+		if m, peerErr := weights.ParseManifest(raw, p.ManifestDigest); peerErr == nil {
+			return m, raw, nil
+		}
+	}
+	return nil, nil, errors.Annotate(err, "no manifest from the store or a peer")
+}
+
+// awaitWave waits until the log has opened the box's wave.
+func (d *Daemon) awaitWave(ctx context.Context, j *job) error {
+	plan := j.planNow()
+	step, ok := plan.Step(d.settings.Node.Box)
+	if !ok || step.Wave <= plan.Wave {
+		return nil
+	}
+	return errors.Errorf("waits for wave %d, wave %d is open", step.Wave, plan.Wave)
+}
+
+// makeRoom drains and unloads what the plan evicts, until the version fits.
+func (d *Daemon) makeRoom(ctx context.Context, j *job) error {
+	plan := j.planNow()
+	step, _ := plan.Step(d.settings.Node.Box)
+	for d.missing(j) > 0 {
+		victim := d.victim(j, step)
+		if victim == nil {
+			return errors.Errorf("engine's memory lacks %d bytes and the plan evicts nothing more", d.missing(j))
+		}
+		if err := d.evict(ctx, victim); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// missing is how many bytes of the engine's memory the version lacks.
+func (d *Daemon) missing(j *job) int64 {
+	d.copies.mu.Lock()
+	defer d.copies.mu.Unlock()
+	if d.copies.memory == 0 {
+		return 0
+	}
+	j.mu.Lock()
+	used := j.copy.Manifest().Bytes
+	j.mu.Unlock()
+	for _, o := range d.copies.jobs {
+		if o != j {
+			used += o.loadedBytes()
+		}
+	}
+	return max(used-d.copies.memory, 0)
+}
+
+// victim is the next version to leave: one that the plan names, or one that
+// no workspace is routed to first.
+func (d *Daemon) victim(j *job, step intent.Step) *job {
+	d.copies.mu.Lock()
+	defer d.copies.mu.Unlock()
+	var spare *job
+	for _, o := range d.copies.jobs {
+		if o == j || o.loadedBytes() == 0 {
+			continue
+		}
+		if slices.Contains(step.Evicts, o.ref) {
+			return o
+		}
+		if !d.routedFirst(o.ref) {
+			spare = o
+		}
+	}
+	return spare
+}
+
+func (d *Daemon) routedFirst(ref weights.Ref) bool {
+	first := false
+	d.replica.View(func(s *state.State) {
+		for name := range s.Workspaces {
+			if r := s.Route(name, ref.Model); len(r) > 0 && r[0].Intent.Ref == ref {
+				first = true
+			}
+		}
+	})
+	return first
+}
+
+// evict drains a version, waits for its requests to end and unloads it.
+func (d *Daemon) evict(ctx context.Context, j *job) error {
+	j.mu.Lock()
+	if j.copy.State() == weights.Serving {
+		if err := j.copy.Drain(); err != nil {
+			j.mu.Unlock()
+			return err
+		}
+		d.log.Info("copies: draining", "version", j.ref.String())
+	}
+	j.mu.Unlock()
+	for j.inFlight.Load() > 0 {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		pause(ctx, drainPoll)
+	}
+	always := func(*state.State) bool { return true }
+	if err := d.order(ctx, j.ref, always, d.engine.Unload); err != nil {
+		return err
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	d.log.Info("copies: unloaded", "version", j.ref.String())
+	return j.copy.Unload()
+}
+
+// load orders the engine to load the verified copy and starts to serve. An
+// order whose answer was lost is settled by asking the engine.
+func (d *Daemon) load(ctx context.Context, j *job) error {
+	j.mu.Lock()
+	plan := j.plan
+	if j.copy.State() == weights.Draining {
+		err := j.copy.Resume()
+		j.mu.Unlock()
+		return err
+	}
+	err := j.copy.Load(plan.Fence)
+	j.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	wanted := func(s *state.State) bool {
+		return slices.ContainsFunc(s.Desired(d.settings.Node.Box), func(p *intent.Plan) bool { return p.Intent.Ref == j.ref })
+	}
+	err = d.order(ctx, j.ref, wanted, d.engine.Load)
+	if err != nil && !d.holds(ctx, j) {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		return errors.Wrap(err, errors.Annotate(cmp.Or(j.copy.LoadFailed(), err), "load"))
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	d.log.Info("copies: serving", "version", j.ref.String(), "plan", plan.ID, "origin_bytes", j.originBytes.Load(), "peer_bytes", j.peerBytes.Load())
+	return j.copy.Serve()
+}
+
+// holds reports whether the engine says that it has loaded the copy.
+func (d *Daemon) holds(ctx context.Context, j *job) bool {
+	s, err := d.engine.State(ctx)
+	if err != nil {
+		return false
+	}
+	digest := j.planNow().ManifestDigest
+	return slices.ContainsFunc(s.Loaded, func(l engine.Loaded) bool { return l.Ref == j.ref && l.ManifestDigest == digest })
+}
+
+func (d *Daemon) handleManifest(w http.ResponseWriter, r *http.Request) {
+	j := d.copies.find(refOf(r))
+	if j == nil {
+		http.Error(w, "no such version here", http.StatusNotFound)
+		return
+	}
+	j.mu.Lock()
+	raw := j.manifest
+	j.mu.Unlock()
+	if !json.Valid(raw) {
+		http.Error(w, "no manifest yet", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(raw) // the peer has gone if this fails
+}
+
+// retryAfter is the pause that an error asks for.
+func retryAfter(err error) time.Duration {
+	var se *call.StatusError
+	if errors.As(err, &se) {
+		return se.RetryAfter
+	}
+	return 0
+}
--- /dev/null
+++ b/sidecar/fetch.go
@@ -0,0 +1,274 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/intent"
+	"github.com/mintlift/mintlift/internal/call"
+	"github.com/mintlift/mintlift/peer"
+	"github.com/mintlift/mintlift/transfer"
+	"github.com/mintlift/mintlift/weights"
+)
+
+// Errors of a pull.
+const (
+	errNothing = errors.ConstError("peer has nothing of use")
+	errBusy    = errors.ConstError("sender is busy")
+	errTaken   = errors.ConstError("chunk is held or on its way already")
+	errStalled = errors.ConstError("no byte came for too long")
+)
+
+// defaultChunkTurn is the time between two chunks' turns at the origin when
+// the settings do not say how fast its link is.
+const defaultChunkTurn = 10 * time.Millisecond
+
+// newSwarm returns the decisions of package transfer for one copy.
+func (d *Daemon) newSwarm(p *intent.Plan, m *weights.Manifest, c *weights.Copy) (*transfer.Swarm, *transfer.Picker) {
+	params := transfer.Params{Chunks: len(m.Chunks), OriginRegions: p.OriginRegions(), ChunkTurn: defaultChunkTurn}
+	for _, s := range p.Steps {
+		params.Peers = append(params.Peers, transfer.Peer{Box: s.Box, Region: s.Zone.Region, Zone: s.Zone.Zone})
+	}
+	links := d.settings.Links
+	if links.Origin > 0 {
+		params.ChunkTurn = time.Duration(float64(m.ChunkBytes) / links.Origin * float64(time.Second))
+	}
+	floor := time.Duration(len(m.Chunks)) * params.ChunkTurn
+	if links.Box > 0 {
+		floor = max(floor, time.Duration(float64(m.Bytes)/links.Box*float64(time.Second)))
+	}
+	params.TakeOver = transfer.TakeOver(floor)
+	box := d.settings.Node.Box
+	swarm := transfer.NewSwarm(params, transfer.NewOrder(params), box, c.Held(), time.Now())
+	return swarm, transfer.NewPicker(len(m.Chunks), xxhash.Sum64String(box))
+}
+
+// fetch pulls chunks until the copy is verified.
+func (d *Daemon) fetch(ctx context.Context, j *job) error {
+	ended := make(chan struct{}, 1)
+	for ctx.Err() == nil {
+		j.mu.Lock()
+		if j.copy.State() != weights.Fetching {
+			j.mu.Unlock()
+			return nil
+		}
+		p := j.swarm.Next(time.Now())
+		has := j.swarm.Wants()
+		j.mu.Unlock()
+		if p.Kind != transfer.None {
+			go func() {
+				d.pull(ctx, j, p, has)
+				select {
+				case ended <- struct{}{}:
+				default:
+				}
+			}()
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-ended:
+		case <-time.After(p.Wait):
+		}
+	}
+	return ctx.Err()
+}
+
+// pull carries out one decision and reports its end to the swarm.
+func (d *Daemon) pull(ctx context.Context, j *job, p transfer.Pull, has *bitset.BitSet) {
+	began := time.Now()
+	know, err := d.transferChunk(ctx, j, &p, has)
+	now := time.Now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	switch {
+	case err == nil:
+		j.swarm.Arrived(p, know, now.Sub(began), now)
+	case errors.Is(err, errNothing):
+		j.swarm.Nothing(p, know, now)
+	case errors.Is(err, errTaken):
+		j.swarm.Drop(p)
+	case errors.Is(err, errBusy):
+		j.swarm.Busy(p, retryAfter(err), now)
+	case errors.Is(err, errStalled):
+		j.swarm.Stalled(p, now)
+	default:
+		j.swarm.Bad(p, now)
+	}
+	if err != nil && ctx.Err() == nil {
+		d.log.V(1).Info("transfer: pull ended without a chunk", "version", j.ref.String(), "peer", p.Peer, "chunk", p.Chunk, "error", err.Error())
+	}
+}
+
+// transferChunk asks the sender and streams its answer into staging.
+func (d *Daemon) transferChunk(ctx context.Context, j *job, p *transfer.Pull, has *bitset.BitSet) (transfer.Knowledge, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	j.mu.Lock()
+	limit := j.swarm.StallLimit()
+	j.mu.Unlock()
+	watch := newWatchdog(limit, func() { cancel(errStalled) })
+	defer watch.stop()
+
+	resp, err := d.ask(ctx, j, *p, has)
+	if err != nil {
+		return transfer.Knowledge{}, stalledOr(ctx, err)
+	}
+	defer resp.Body.Close()
+	know := peer.KnowledgeOf(resp.Header, len(j.copy.Manifest().Chunks))
+	chunk := p.Chunk
+	if p.Kind == transfer.FromPeer {
+		if resp.StatusCode == http.StatusNoContent {
+			return know, errNothing
+		}
+		if chunk, err = strconv.Atoi(resp.Header.Get(peer.HeaderChunk)); err != nil {
+			return know, errors.Annotate(err, "answer names no chunk")
+		}
+	}
+	if resp.StatusCode == http.StatusNoContent {
+		return know, errNothing
+	}
+	j.mu.Lock()
+	fresh := j.swarm.Offered(p, chunk)
+	j.mu.Unlock()
+	if !fresh {
+		return know, errTaken
+	}
+	err = d.take(ctx, j, *p, &watchedReader{r: resp.Body, watch: watch})
+	return know, stalledOr(ctx, err)
+}
+
+func stalledOr(ctx context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		return errStalled
+	}
+	return err
+}
+
+// ask sends the pull to the origin or to a peer.
+func (d *Daemon) ask(ctx context.Context, j *job, p transfer.Pull, has *bitset.BitSet) (*http.Response, error) {
+	client, req, err := d.pullRequest(ctx, j, p, has)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode < http.StatusMultipleChoices {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	refused := call.ReadStatusError(resp)
+	if refused.Code == http.StatusTooManyRequests || refused.Code == http.StatusServiceUnavailable {
+		return nil, errors.WithType(refused, errBusy)
+	}
+	return nil, refused
+}
+
+func (d *Daemon) pullRequest(ctx context.Context, j *job, p transfer.Pull, has *bitset.BitSet) (*call.Client, *http.Request, error) {
+	if p.Kind == transfer.FromOrigin {
+		path := fmt.Sprintf("/origin/%s/%s/chunks/%d", j.ref.Model, j.ref.Version, p.Chunk)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.platform.URL(d.settings.Platform.Origin, path), nil)
+		return d.platform, req, err
+	}
+	address, ok := d.addressOf(p.Peer)
+	if !ok {
+		return nil, nil, errors.NotFoundf("box %s in the box list", p.Peer)
+	}
+	body, err := json.Marshal(peer.PullRequest{Box: d.settings.Node.Box, Priority: j.planNow().Priority, Chunk: p.Chunk, Has: peer.EncodeBits(has)})
+	if err != nil {
+		return nil, nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.peers.URL(address, peer.PullPath(j.ref)), bytes.NewReader(body))
+	return d.peers, req, err
+}
+
+func (d *Daemon) addressOf(box string) (string, bool) {
+	boxes, _ := d.directory.Boxes()
+	for _, b := range boxes {
+		if b.ID == box {
+			return b.Address, true
+		}
+	}
+	return "", false
+}
+
+// take streams a chunk into staging and accepts it if its digest is right.
+// The engine may hold wrong bytes for a moment, but the copy does not count
+// them: nothing unverified is passed on or loaded.
+func (d *Daemon) take(ctx context.Context, j *job, p transfer.Pull, body io.Reader) error {
+	m := j.copy.Manifest()
+	size := m.Size(p.Chunk)
+	hash := weights.NewHasher()
+	counted := io.TeeReader(io.LimitReader(body, size), hash)
+	if err := d.engine.Put(ctx, j.ref, p.Chunk, counted, size); err != nil {
+		return errors.Annotate(err, "chunk did not arrive")
+	}
+	j.count(p, hash.Written(), d.crossed(p))
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.copy.State() != weights.Fetching {
+		return errors.Errorf("copy of %s is %s", j.ref, j.copy.State())
+	}
+	if err := j.copy.AcceptSum(p.Chunk, hash.Written(), hash.Digest()); err != nil {
+		j.bad.Add(1)
+		return err
+	}
+	return nil
+}
+
+// crossed reports whether a pull crosses a region's border.
+func (d *Daemon) crossed(p transfer.Pull) bool { return p.Kind == transfer.FromFar }
+
+func (j *job) count(p transfer.Pull, n int64, crossed bool) {
+	switch {
+	case p.Kind == transfer.FromOrigin:
+		j.originBytes.Add(n)
+	case crossed:
+		j.crossBytes.Add(n)
+		j.peerBytes.Add(n)
+	default:
+		j.peerBytes.Add(n)
+	}
+}
+
+// watchdog calls a function when it is not fed for a while.
+type watchdog struct {
+	limit time.Duration
+	timer *time.Timer
+}
+
+func newWatchdog(limit time.Duration, bark func()) *watchdog {
+	return &watchdog{limit: limit, timer: time.AfterFunc(limit, bark)}
+}
+
+func (w *watchdog) feed() { w.timer.Reset(w.limit) }
+func (w *watchdog) stop() { w.timer.Stop() }
+
+// watchedReader feeds the watchdog with every byte.
+type watchedReader struct {
+	r     io.Reader
+	watch *watchdog
+}
+
+// Read implements io.Reader.
+func (r *watchedReader) Read(b []byte) (int, error) {
+	n, err := r.r.Read(b)
+	if n > 0 {
+		r.watch.feed()
+	}
+	return n, err
+}
--- /dev/null
+++ b/sidecar/orders.go
@@ -0,0 +1,161 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/engine"
+	"github.com/mintlift/mintlift/state"
+	"github.com/mintlift/mintlift/weights"
+)
+
+// Errors of orders.
+const (
+	// errFence says that an order is older than what is known.
+	errFence = errors.ConstError("order carries an older fence than the highest known")
+	// errReplaced says that another incarnation has taken this box over.
+	errReplaced = errors.ConstError("another sidecar has taken this box over")
+	// errPaused says that this process was paused and has not heard the log
+	// since.
+	errPaused = errors.ConstError("process was paused and has not heard the log since")
+)
+
+// Timing of the watch over the process's own pauses.
+const (
+	tickEvery  = 100 * time.Millisecond
+	pauseAfter = time.Second
+	orderLimit = time.Minute
+)
+
+// fencing is the aggregate that decides whether an order may be given. It
+// does no I/O; the zero value knows of nothing.
+type fencing struct {
+	epoch   int64
+	highest int64
+	tick    time.Time // last time that the process was seen to run
+	woke    time.Time // end of the last pause, or zero
+}
+
+// ran notes that the process runs at now.
+func (f *fencing) ran(now time.Time) {
+	if !f.tick.IsZero() && now.Sub(f.tick) > pauseAfter {
+		f.woke = now
+	}
+	f.tick = now
+}
+
+// claimed takes a claim's answer: the engine's fence is a lower bound.
+func (f *fencing) claimed(c engine.Claim) {
+	f.epoch = c.Epoch
+	f.highest = max(f.highest, c.Fence)
+}
+
+// check decides on an order with the given fence. contact is when the log
+// was last heard.
+func (f *fencing) check(fence int64, contact, now time.Time) error {
+	f.ran(now)
+	if !f.woke.IsZero() && !contact.After(f.woke) {
+		return errPaused
+	}
+	if fence < f.highest {
+		return errors.WithType(errors.Errorf("fence %d, highest known %d", fence, f.highest), errFence)
+	}
+	f.highest = fence
+	return nil
+}
+
+// orders gives the engine orders, one at a time.
+type orders struct {
+	mu      sync.Mutex
+	fencing fencing
+	claimed bool
+}
+
+// watchClock notes that the process runs, so that a pause shows.
+func (d *Daemon) watchClock(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.orders.mu.Lock()
+		d.orders.fencing.ran(time.Now())
+		d.orders.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(tickEvery):
+		}
+	}
+}
+
+// replaced reports whether the log names another incarnation for this box
+// after it had named this one, or names one that came later.
+func (d *Daemon) replaced() bool {
+	gone := false
+	d.replica.View(func(s *state.State) {
+		for _, c := range s.Changes {
+			for _, h := range c.Removed {
+				if h.Box == d.settings.Node.Box && h.Incarnation == d.incarnation {
+					gone = true
+				}
+			}
+			for _, h := range c.Added {
+				if h.Box == d.settings.Node.Box && h.Incarnation == d.incarnation {
+					gone = false
+				}
+			}
+		}
+	})
+	return gone
+}
+
+// order gives one order if the plan still wants it. wanted is asked under
+// the same view of the state that the fence is taken from.
+func (d *Daemon) order(ctx context.Context, ref weights.Ref, wanted func(*state.State) bool, give func(context.Context, engine.Order) error) error {
+	ctx, cancel := context.WithTimeout(ctx, orderLimit)
+	defer cancel()
+	d.orders.mu.Lock()
+	defer d.orders.mu.Unlock()
+	if err := d.claim(ctx); err != nil {
+		return err
+	}
+	fence, ok := int64(0), false
+	d.replica.View(func(s *state.State) {
+		fence, ok = s.Offset, wanted(s)
+	})
+	if !ok {
+		return errors.WithType(errors.Errorf("%s is not wanted at offset %d", ref, fence), errFence)
+	}
+	if d.replaced() {
+		return errReplaced
+	}
+	if err := d.orders.fencing.check(fence, d.replica.Contact(), time.Now()); err != nil {
+		return err
+	}
+	err := give(ctx, engine.Order{Ref: ref, Epoch: d.orders.fencing.epoch, Fence: fence})
+	if errors.Is(err, engine.ErrStale) {
+		d.orders.claimed = false
+		d.log.Info("orders: engine knows a newer holder or fence", "version", ref.String(), "fence", fence)
+	}
+	return err
+}
+
+// claim takes hold of the engine once, before the first order. A sidecar
+// whose claim was overtaken claims again only while the log has not named
+// another for its box.
+func (d *Daemon) claim(ctx context.Context) error {
+	if d.orders.claimed {
+		return nil
+	}
+	if d.replaced() {
+		return errReplaced
+	}
+	c, err := d.engine.Claim(ctx)
+	if err != nil {
+		return errors.Annotate(err, "claim of the engine")
+	}
+	d.orders.fencing.claimed(c)
+	d.orders.claimed = true
+	return nil
+}
--- /dev/null
+++ b/sidecar/pulls.go
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package sidecar
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/mintlift/mintlift/httpserve"
+	"github.com/mintlift/mintlift/peer"
+	"github.com/mintlift/mintlift/transfer"
+	"github.com/mintlift/mintlift/weights"
+)
+
+func refOf(r *http.Request) weights.Ref {
+	v := pathvar.Vars(r)
+	return weights.Ref{Model: v["model"], Version: v["version"]}
+}
+
+// handlePull passes on a chunk: the one asked for, or the one that this box
+// has sent the fewest times. The highest priority gets a slot first.
+func (d *Daemon) handlePull(w http.ResponseWriter, r *http.Request) {
+	var req peer.PullRequest
+	if err := httpserve.ReadJSON(r, &req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	j := d.copies.find(refOf(r))
+	if j == nil || j.state() == weights.Absent {
+		http.Error(w, "no such version here", http.StatusNotFound)
+		return
+	}
+	if err := d.uploads.Acquire(r.Context(), req.Priority); err != nil {
+		http.Error(w, err.Error(), http.StatusTooManyRequests)
+		return
+	}
+	defer d.uploads.Release()
+	chunk, know, err := j.pick(req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	peer.SetKnowledge(w.Header(), know)
+	if chunk < 0 {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	d.send(w, r, j, chunk)
+}
+
+// pick chooses the chunk for a pull, or -1.
+func (j *job) pick(req peer.PullRequest) (int, transfer.Knowledge, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	know := j.swarm.Knows()
+	has, err := peer.DecodeBits(req.Has, len(j.copy.Manifest().Chunks))
+	if err != nil {
+		return -1, know, err
+	}
+	if req.Chunk < 0 {
+		return j.picker.Pick(know.Held, has), know, nil
+	}
+	if know.Held.Test(uint(req.Chunk)) {
+		return req.Chunk, know, nil
+	}
+	return -1, know, nil
+}
+
+// send streams a verified chunk out of the engine's staging.
+func (d *Daemon) send(w http.ResponseWriter, r *http.Request, j *job, chunk int) {
+	body, err := d.engine.Get(r.Context(), j.ref, chunk)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer body.Close()
+	w.Header().Set(peer.HeaderChunk, strconv.Itoa(chunk))
+	w.Header().Set("Content-Length", strconv.FormatInt(j.copy.Manifest().Size(chunk), 10))
+	n, _ := io.Copy(w, body) // the receiver checks the digest and sees a cut
+	d.metrics.Counter("mintlift_chunk_sent_bytes_total").Add(int(n))
+}
--- /dev/null
+++ b/sidecar/requests.go
@@ -0,0 +1,297 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"github.com/mintlift/mintlift/engine"
+	"github.com/mintlift/mintlift/httpserve"
+	"github.com/mintlift/mintlift/internal/call"
+	"github.com/mintlift/mintlift/outcome"
+	"github.com/mintlift/mintlift/peer"
+	"github.com/mintlift/mintlift/prio"
+	"github.com/mintlift/mintlift/weights"
+)
+
+// busyRetry is when a caller that found no room is told to come back.
+const busyRetry = time.Second
+
+// admitted is a request that may go to the endpoint.
+type admitted struct {
+	id        string
+	version   weights.Ref
+	workspace string
+	priority  int
+	once      string
+	ctx       context.Context
+	leave     func()
+}
+
+// refusal is a refusal at admission: nothing has reached the endpoint.
+type refusal struct {
+	status  int
+	reason  peer.Reason
+	outcome outcome.Outcome
+	message string
+	retry   time.Duration
+}
+
+func refuse(status int, reason peer.Reason, message string) *refusal {
+	return &refusal{status: status, reason: reason, outcome: outcome.NotRun, message: message}
+}
+
+// handleRun is a caller's request, sent on by a gateway. A request that is
+// not repeatable carries the key that its home has granted.
+func (d *Daemon) handleRun(w http.ResponseWriter, r *http.Request) {
+	d.requests.Add(1)
+	defer d.requests.Done()
+	a, no := d.admit(r)
+	if no != nil {
+		d.writeRefusal(w, r, no)
+		return
+	}
+	defer a.leave()
+	d.forward(w, r, a)
+}
+
+// admit decides whether a request may go to the endpoint now.
+func (d *Daemon) admit(r *http.Request) (*admitted, *refusal) {
+	switch {
+	case d.draining.Load():
+		return nil, refuse(http.StatusServiceUnavailable, peer.ReasonDraining, "the sidecar is draining")
+	case d.replaced():
+		return nil, refuse(http.StatusServiceUnavailable, peer.ReasonReplaced, "another sidecar has taken this box over")
+	}
+	a := &admitted{id: r.Header.Get(peer.HeaderRequest), workspace: r.Header.Get(peer.HeaderWorkspace), once: r.Header.Get(peer.HeaderOnce), ctx: r.Context()}
+	a.priority, _ = strconv.Atoi(r.Header.Get(peer.HeaderPriority)) // missing counts as lowest
+	cancel := func() {}
+	if left, ok := peer.TimeLeft(r.Header); ok {
+		if left <= 0 {
+			return nil, refuse(http.StatusGatewayTimeout, peer.ReasonDeadline, "the deadline has passed")
+		}
+		a.ctx, cancel = context.WithTimeout(a.ctx, left)
+	}
+	unlock, no := d.admitVersion(r, a)
+	if no != nil {
+		cancel()
+		return nil, no
+	}
+	if err := d.gate.Acquire(a.ctx, a.priority); err != nil {
+		unlock()
+		cancel()
+		no := refuse(http.StatusTooManyRequests, peer.ReasonBusy, "no slot is free at the endpoint")
+		if !errors.Is(err, prio.ErrFull) {
+			no = refuse(http.StatusGatewayTimeout, peer.ReasonDeadline, "the deadline passed while waiting")
+		}
+		no.retry = busyRetry
+		return nil, no
+	}
+	a.leave = func() {
+		d.gate.Release()
+		unlock()
+		cancel()
+	}
+	return a, nil
+}
+
+// admitVersion holds the version for the request, where there is one.
+func (d *Daemon) admitVersion(r *http.Request, a *admitted) (unlock func(), no *refusal) {
+	if d.settings.Service != "" {
+		if pathvar.Vars(r)["service"] != d.settings.Service {
+			return nil, refuse(http.StatusNotFound, peer.ReasonVersion, "no such service here")
+		}
+		return func() {}, nil
+	}
+	ref, err := weights.ParseRef(r.Header.Get(peer.HeaderVersion))
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, peer.ReasonVersion, err.Error())
+	}
+	j, ok := d.copies.serving(ref)
+	if !ok {
+		return nil, refuse(http.StatusConflict, peer.ReasonVersion, ref.String()+" is not served here")
+	}
+	a.version = ref
+	return func() { j.inFlight.Add(-1) }, nil
+}
+
+func (d *Daemon) writeRefusal(w http.ResponseWriter, r *http.Request, no *refusal) {
+	d.metrics.Counter("mintlift_requests_refused_total", "reason", string(no.reason)).Inc()
+	h := w.Header()
+	h.Set(peer.HeaderRequest, r.Header.Get(peer.HeaderRequest))
+	h.Set(peer.HeaderOutcome, string(no.outcome))
+	h.Set(peer.HeaderReason, string(no.reason))
+	h.Set(peer.HeaderOffset, strconv.FormatInt(d.replica.Offset(), 10))
+	httpserve.WriteJSON(w, no.status, peer.Refusal{Error: peer.RefusalError{
+		Message:      no.message,
+		Type:         "refused",
+		Code:         string(no.reason),
+		Outcome:      no.outcome,
+		RequestID:    r.Header.Get(peer.HeaderRequest),
+		RetryAfterMS: no.retry.Milliseconds(),
+	}})
+}
+
+// forward sends the request to the endpoint and its answer back.
+func (d *Daemon) forward(w http.ResponseWriter, r *http.Request, a *admitted) {
+	req, err := d.endpointRequest(r, a)
+	if err != nil {
+		d.writeRefusal(w, r, refuse(http.StatusBadRequest, peer.ReasonEndpoint, err.Error()))
+		return
+	}
+	client := d.endpoint
+	if a.once != "" {
+		client = d.once
+	}
+	resp, err := client.Do(req)
+	if errors.Is(err, call.ErrNotSent) {
+		no := refuse(http.StatusServiceUnavailable, peer.ReasonEndpoint, "the endpoint does not answer")
+		no.retry = busyRetry
+		d.writeRefusal(w, r, no)
+		return
+	}
+	if err != nil {
+		panic(http.ErrAbortHandler) // the request may have run: cut, so that the gateway sees no answer
+	}
+	defer resp.Body.Close()
+	if !d.correlated(a, resp) {
+		panic(http.ErrAbortHandler)
+	}
+	d.answer(w, a, resp)
+}
+
+// correlated reports whether an answer is the one that the request asked
+// for: an answer to another request, or by another version, goes nowhere.
+func (d *Daemon) correlated(a *admitted, resp *http.Response) bool {
+	if got := resp.Header.Get(engine.HeaderRequest); got != "" && got != a.id {
+		d.log.Error(nil, "requests: endpoint answered another request", "want", a.id, "got", got)
+		return false
+	}
+	if got := resp.Header.Get(engine.HeaderVersion); got != "" && got != a.version.String() {
+		d.log.Error(nil, "requests: endpoint answered with another version", "want", a.version.String(), "got", got)
+		return false
+	}
+	return true
+}
+
+func (d *Daemon) endpointRequest(r *http.Request, a *admitted) (*http.Request, error) {
+	path := strings.TrimPrefix(r.URL.Path, peer.PathRun)
+	if d.settings.Service != "" {
+		path = strings.TrimPrefix(path, "/v1/services/"+d.settings.Service)
+	}
+	target, err := url.Parse(d.endpoint.URL(d.settings.Endpoint, path))
+	if err != nil {
+		return nil, err
+	}
+	target.RawQuery = r.URL.RawQuery
+	req, err := http.NewRequestWithContext(a.ctx, r.Method, target.String(), bodyOf(r))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = r.ContentLength
+	for _, name := range []string{"Content-Type", "Accept"} {
+		if v := r.Header.Get(name); v != "" {
+			req.Header.Set(name, v)
+		}
+	}
+	req.Header.Set(engine.HeaderRequest, a.id)
+	req.Header.Set(engine.HeaderWorkspace, a.workspace)
+	req.Header.Set(engine.HeaderPriority, strconv.Itoa(a.priority))
+	if a.version.Valid() {
+		req.Header.Set(engine.HeaderVersion, a.version.String())
+	}
+	if a.once != "" {
+		req.Header.Set(engine.HeaderKey, a.once)
+	}
+	return req, nil
+}
+
+// bodyOf is the request's body, or http.NoBody where there is none.
+func bodyOf(r *http.Request) io.Reader {
+	if r.ContentLength == 0 {
+		return http.NoBody
+	}
+	return r.Body
+}
+
+// answer copies the endpoint's answer; a cut on either side ends it with a
+// cut on the other.
+func (d *Daemon) answer(w http.ResponseWriter, a *admitted, resp *http.Response) {
+	h := w.Header()
+	for _, name := range []string{"Content-Type", "Content-Length", "Cache-Control"} {
+		if v := resp.Header.Get(name); v != "" {
+			h.Set(name, v)
+		}
+	}
+	h.Set(peer.HeaderRequest, a.id)
+	if a.version.Valid() {
+		h.Set(peer.HeaderVersion, a.version.String())
+	}
+	w.WriteHeader(resp.StatusCode)
+	if err := copyFlushing(w, resp.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// copyFlushing copies piece by piece, so that a stream's tokens do not wait
+// for a buffer to fill. It holds one piece at a time, however slowly the
+// reader reads.
+func copyFlushing(w http.ResponseWriter, body io.Reader) error {
+	rc := http.NewResponseController(w)
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return werr
+			}
+			if ferr := rc.Flush(); ferr != nil {
+				return ferr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// handleResume takes up a stream whose connection to the gateway was cut.
+func (d *Daemon) handleResume(w http.ResponseWriter, r *http.Request) {
+	d.requests.Add(1)
+	defer d.requests.Done()
+	id := pathvar.Vars(r)["id"]
+	target := d.endpoint.URL(d.settings.Endpoint, "/v1/resume/"+url.PathEscape(id)) + "?after=" + url.QueryEscape(r.URL.Query().Get("after"))
+	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, target, nil)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	resp, err := d.endpoint.Do(req)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer resp.Body.Close()
+	ref, _ := weights.ParseRef(resp.Header.Get(engine.HeaderVersion)) // checked by the gateway
+	d.answer(w, &admitted{id: resp.Header.Get(engine.HeaderRequest), version: ref}, resp)
+}
+
+// handleCancel hands a caller's cancel on to the engine.
+func (d *Daemon) handleCancel(w http.ResponseWriter, r *http.Request) {
+	target := d.endpoint.URL(d.settings.Endpoint, "/control/cancel/"+url.PathEscape(pathvar.Vars(r)["id"]))
+	if err := d.endpoint.JSON(r.Context(), http.MethodPost, target, nil, nil); err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+	}
+}
--- /dev/null
+++ b/transfer/swarm.go
@@ -0,0 +1,569 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package transfer decides who sends which chunk to whom, without a
+// coordinator. Each box of a plan runs its own Swarm for the version and
+// asks it what to do next; the answer is a Pull.
+//
+// The rules, all computed from the plan alone, so that boxes agree on them
+// without talking:
+//
+//   - Every chunk has a rendezvous order over the plan's boxes in each
+//     region. In a region that reads from the origin, the box of rank 0
+//     reads the chunk from the origin, in the chunk's turn; a box of rank r
+//     takes over only after r further waits without a sign that anyone holds
+//     the chunk. So one copy leaves the origin, and a reader's death wakes
+//     one successor, not all of them.
+//   - In any other region, the same order says who fetches the chunk across
+//     the border, so that crossing is paid once a region.
+//   - Everything else comes from peers of the own region. The box that pulls
+//     sends the bitmap of what it holds and of what is on its way; the box
+//     that is asked picks the chunk (package transfer's Uploads), because it
+//     knows what it has passed on least. Each answer carries the sender's
+//     bitmap, so knowledge costs no messages of its own.
+//
+// A sender whose chunk fails its digest, or that stalls, is left alone for
+// a while that doubles. The package does no I/O and takes time as a value.
+package transfer
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Peer is a box of the plan.
+type Peer struct {
+	Box    string
+	Region string
+	// Zone is the availability zone, for the preference of near peers.
+	Zone string
+}
+
+// Params are what all boxes of a plan know alike.
+type Params struct {
+	Chunks int
+	Peers  []Peer
+	// OriginRegions read from the origin; the others cross from them.
+	OriginRegions []string
+	// ChunkTurn is the time between two chunks' turns at the origin: a
+	// chunk's size over the origin's rate.
+	ChunkTurn time.Duration
+	// TakeOver is how long each further rank waits before it reads a chunk
+	// from the origin, or across a border, in the place of a silent one.
+	TakeOver time.Duration
+	// Downloads bounds the pulls under way at once.
+	Downloads int
+}
+
+// Defaults for Params.
+const (
+	DefaultDownloads = 6
+	// UploadSlots is how many chunks a box sends at once; it equals
+	// DefaultDownloads, so that neither end of a link waits for the other.
+	UploadSlots = 6
+	// UploadWaiting is how many pulls may wait for a slot: one keeps the
+	// link busy, more would tie up the pulls of boxes that could ask
+	// elsewhere.
+	UploadWaiting = 1
+	// originSlots bounds one box's reads from the origin at once.
+	originSlots = 2
+)
+
+// Kind says where a pull goes.
+type Kind int
+
+// The kinds of a pull.
+const (
+	// None: nothing to do until Wait has passed or something arrives.
+	None Kind = iota
+	// FromOrigin: read Chunk from the origin.
+	FromOrigin
+	// FromPeer: ask Peer for any chunk that helps; Chunk is -1 until Offered.
+	FromPeer
+	// FromFar: ask Peer, in another region, for Chunk.
+	FromFar
+)
+
+// Pull is a decision of a Swarm.
+type Pull struct {
+	Kind  Kind
+	Chunk int
+	Peer  string
+	// Wait is how long to wait before asking again, for None.
+	Wait time.Duration
+}
+
+// Timing of what a Swarm does about peers.
+const (
+	// idleRetry is how soon a peer without anything useful is asked again.
+	idleRetry    = 20 * time.Millisecond
+	idleRetryMax = 640 * time.Millisecond
+	// penaltyMin and penaltyMax bound how long a bad peer is left alone.
+	penaltyMin = 2 * time.Second
+	penaltyMax = 2 * time.Minute
+	// a pull without a byte for stallFactor chunk times has stalled.
+	stallFactor = 3
+	stallMin    = 500 * time.Millisecond
+	stallMax    = 10 * time.Second
+	// quietMin is how long nothing new must have come before a box looks
+	// for chunks that have been lost.
+	quietMin = 2 * time.Second
+)
+
+type peerState struct {
+	Peer
+	pulling bool
+	// retry is when the peer may be asked again; idle and penalty double.
+	retry   time.Duration
+	idle    time.Duration
+	penalty time.Duration
+	held    *bitset.BitSet
+}
+
+// Swarm is one box's view of one version's transfer. It is not safe for
+// concurrent use.
+type Swarm struct {
+	params Params
+	self   Peer
+	start  time.Time
+	rng    *rand.Rand
+
+	held    *bitset.BitSet // verified here
+	flying  *bitset.BitSet // on its way here
+	exists  *bitset.BitSet // seen at some peer of the own region
+	peers   []*peerState   // own region
+	far     []*peerState   // regions that read from the origin, for crossing
+	byBox   map[string]*peerState
+	turns   []turn // the chunks that this box may have to fetch first
+	firstly int    // turns before this index are done
+	origin  int    // reads from the origin under way
+	pulls   int    // all pulls under way
+	lastNew time.Time
+	// chunkTime is the smoothed time that a chunk takes.
+	chunkTime time.Duration
+	// ownStall says that pulls from all sides stalled together.
+	ownStall bool
+}
+
+// turn is a chunk whose rendezvous order names this box early.
+type turn struct {
+	chunk int
+	at    time.Duration
+}
+
+// NewSwarm returns the view of box self; held are the chunks it has
+// already. o is the order of p, and start is when the plan was seen
+// confirmed.
+func NewSwarm(p Params, o *Order, self string, held *bitset.BitSet, start time.Time) *Swarm {
+	if p.Downloads <= 0 {
+		p.Downloads = DefaultDownloads
+	}
+	s := &Swarm{
+		params:  p,
+		start:   start,
+		rng:     rand.New(rand.NewPCG(xxhash.Sum64String(self), uint64(p.Chunks))),
+		held:    held.Clone(),
+		flying:  bitset.New(uint(p.Chunks)),
+		exists:  bitset.New(uint(p.Chunks)),
+		byBox:   make(map[string]*peerState),
+		lastNew: start,
+	}
+	for _, peer := range p.Peers {
+		if peer.Box == self {
+			s.self = peer
+		}
+	}
+	s.addPeers()
+	s.addTurns(o)
+	return s
+}
+
+func (s *Swarm) addPeers() {
+	crossing := !s.readsOrigin()
+	for _, peer := range s.params.Peers {
+		if peer.Box == s.self.Box {
+			continue
+		}
+		ps := &peerState{Peer: peer, held: bitset.New(uint(s.params.Chunks))}
+		switch {
+		case peer.Region == s.self.Region:
+			s.peers = append(s.peers, ps)
+		case crossing && slices.Contains(s.params.OriginRegions, peer.Region):
+			s.far = append(s.far, ps)
+		default:
+			continue
+		}
+		s.byBox[peer.Box] = ps
+	}
+}
+
+func (s *Swarm) readsOrigin() bool {
+	return slices.Contains(s.params.OriginRegions, s.self.Region)
+}
+
+// addTurns computes the chunks for which this box has one of the first
+// ranks in its region.
+func (s *Swarm) addTurns(o *Order) {
+	for c, ranked := range o.first[s.self.Region] {
+		rank := slices.Index(ranked, s.self.Box)
+		if rank < 0 || s.held.Test(uint(c)) {
+			continue
+		}
+		at := time.Duration(c)*s.params.ChunkTurn + time.Duration(rank)*s.params.TakeOver
+		if !s.readsOrigin() {
+			at += s.params.ChunkTurn
+		}
+		s.turns = append(s.turns, turn{chunk: c, at: at})
+	}
+	slices.SortFunc(s.turns, func(a, b turn) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.chunk, b.chunk))
+	})
+}
+
+// Done reports whether every chunk is held.
+func (s *Swarm) Done() bool { return int(s.held.Count()) == s.params.Chunks }
+
+// Wants returns the bitmap that goes with a pull: what is held or on its
+// way, and so is not wanted.
+func (s *Swarm) Wants() *bitset.BitSet { return s.held.Union(s.flying) }
+
+// Held returns a copy of the bitmap of verified chunks.
+func (s *Swarm) Held() *bitset.BitSet { return s.held.Clone() }
+
+// Knowledge is what an answer tells about chunks besides the one it brings.
+type Knowledge struct {
+	// Held are the sender's chunks.
+	Held *bitset.BitSet
+	// Exists are the chunks that the sender knows some peer of its region to
+	// hold. It spreads from answer to answer, so that a box of a later rank
+	// does not read again from the origin what has arrived long ago.
+	Exists *bitset.BitSet
+}
+
+// Knows returns what to send along with an answer.
+func (s *Swarm) Knows() Knowledge {
+	return Knowledge{Held: s.held.Clone(), Exists: s.exists.Clone()}
+}
+
+// Next decides on one more pull. The caller reports its end with Arrived,
+// Nothing, Busy or Bad.
+func (s *Swarm) Next(now time.Time) Pull {
+	if s.Done() || s.pulls >= s.downloads() {
+		return Pull{Wait: idleRetry}
+	}
+	since := now.Sub(s.start)
+	if p, ok := s.firstTurn(since); ok {
+		return p
+	}
+	if p, ok := s.nearPeer(since); ok {
+		return p
+	}
+	if p, ok := s.lastResort(now); ok {
+		return p
+	}
+	return Pull{Wait: idleRetry}
+}
+
+// downloads bounds the pulls under way: a single one, as a probe, while the
+// box's own link seems to stall.
+func (s *Swarm) downloads() int {
+	if s.ownStall {
+		return 1
+	}
+	return s.params.Downloads
+}
+
+// firstTurn fetches a chunk that is due and that nobody is known to hold.
+func (s *Swarm) firstTurn(since time.Duration) (Pull, bool) {
+	if s.origin >= originSlots {
+		return Pull{}, false
+	}
+	for i := s.firstly; i < len(s.turns); i++ {
+		t := s.turns[i]
+		if t.at > since {
+			return Pull{}, false
+		}
+		c := uint(t.chunk)
+		if s.held.Test(c) || s.exists.Test(c) {
+			if i == s.firstly {
+				s.firstly++
+			}
+			continue
+		}
+		if s.flying.Test(c) {
+			continue
+		}
+		return s.first(t.chunk, since)
+	}
+	return Pull{}, false
+}
+
+// first starts the fetch of a chunk new to the region.
+func (s *Swarm) first(chunk int, since time.Duration) (Pull, bool) {
+	if s.readsOrigin() {
+		s.begin(chunk)
+		s.origin++
+		return Pull{Kind: FromOrigin, Chunk: chunk}, true
+	}
+	ps := s.holderFarAway(chunk, since)
+	if ps == nil {
+		return Pull{}, false
+	}
+	s.begin(chunk)
+	s.origin++
+	ps.pulling = true
+	return Pull{Kind: FromFar, Chunk: chunk, Peer: ps.Box}, true
+}
+
+// holderFarAway is the far box that has, or soon will have, the chunk: the
+// first in the far region's own order that is not left alone.
+func (s *Swarm) holderFarAway(chunk int, since time.Duration) *peerState {
+	var best *peerState
+	var bestWeight uint64
+	for _, ps := range s.far {
+		if ps.retry > since || ps.pulling {
+			continue
+		}
+		w := weight(chunk, ps.Box)
+		if ps.held.Test(uint(chunk)) {
+			w |= 1 << 63
+		} else {
+			w >>= 1
+		}
+		if best == nil || w > bestWeight {
+			best, bestWeight = ps, w
+		}
+	}
+	return best
+}
+
+func (s *Swarm) begin(chunk int) {
+	s.flying.Set(uint(chunk))
+	s.pulls++
+}
+
+// nearPeer chooses a peer of the own region: two at random, and of these
+// the one that is known to hold more of what is wanted.
+func (s *Swarm) nearPeer(since time.Duration) (Pull, bool) {
+	first := s.randomPeer(since)
+	if first == nil {
+		return Pull{}, false
+	}
+	second := s.randomPeer(since)
+	if second != nil && s.useful(second) > s.useful(first) {
+		first = second
+	}
+	first.pulling = true
+	s.pulls++
+	return Pull{Kind: FromPeer, Chunk: -1, Peer: first.Box}, true
+}
+
+func (s *Swarm) randomPeer(since time.Duration) *peerState {
+	n := len(s.peers)
+	if n == 0 {
+		return nil
+	}
+	at := s.rng.IntN(n)
+	for i := range n {
+		ps := s.peers[(at+i)%n]
+		if !ps.pulling && ps.retry <= since {
+			return ps
+		}
+	}
+	return nil
+}
+
+func (s *Swarm) useful(ps *peerState) uint { return ps.held.DifferenceCardinality(s.held) }
+
+// lastResort fetches what has been seen at some peer but cannot be had any
+// more, because the peers that held it died. When nothing new has come for
+// a while, the first in the chunk's order among the peers that still answer
+// goes, and each further one waits another TakeOver.
+func (s *Swarm) lastResort(now time.Time) (Pull, bool) {
+	quiet := now.Sub(s.lastNew)
+	if quiet < quietMin || s.origin >= originSlots {
+		return Pull{}, false
+	}
+	since := now.Sub(s.start)
+	living := s.living()
+	for c, ok := s.held.NextClear(0); ok && int(c) < s.params.Chunks; c, ok = s.held.NextClear(c + 1) {
+		if s.flying.Test(c) || time.Duration(c)*s.params.ChunkTurn > since {
+			continue
+		}
+		rank := rankAmong(int(c), s.self.Box, living)
+		if quiet >= quietMin+time.Duration(rank)*s.params.TakeOver {
+			return s.first(int(c), since)
+		}
+	}
+	return Pull{}, false
+}
+
+// living are the peers that have not failed when last asked.
+func (s *Swarm) living() []*peerState {
+	var out []*peerState
+	for _, ps := range s.peers {
+		if ps.penalty == 0 {
+			out = append(out, ps)
+		}
+	}
+	return out
+}
+
+// Offered says that the peer answers p with the chunk. It returns false when
+// the chunk is held or on its way already; the caller then drops the answer
+// and calls Drop.
+func (s *Swarm) Offered(p *Pull, chunk int) bool {
+	if chunk < 0 || chunk >= s.params.Chunks {
+		return false
+	}
+	if p.Kind != FromPeer {
+		return p.Chunk == chunk
+	}
+	c := uint(chunk)
+	if s.held.Test(c) || s.flying.Test(c) {
+		return false
+	}
+	s.flying.Set(c)
+	p.Chunk = chunk
+	return true
+}
+
+// Arrived says that the pull brought its chunk, verified, and what the
+// sender told along with it; took is how long the chunk was on its way.
+func (s *Swarm) Arrived(p Pull, k Knowledge, took time.Duration, now time.Time) {
+	s.end(p)
+	s.held.Set(uint(p.Chunk))
+	s.exists.Set(uint(p.Chunk))
+	s.lastNew = now
+	s.ownStall = false
+	s.chunkTime = smooth(s.chunkTime, took)
+	if ps := s.byBox[p.Peer]; ps != nil {
+		ps.idle, ps.penalty, ps.retry = 0, 0, 0
+		s.learn(ps, k)
+	}
+}
+
+// smooth is an exponentially weighted mean.
+func smooth(mean, sample time.Duration) time.Duration {
+	const weight = 8
+	if mean == 0 {
+		return sample
+	}
+	return mean + (sample-mean)/weight
+}
+
+// StallLimit is how long a pull may go without a byte before it counts as
+// stalled: a multiple of what chunks take here lately, so that a slow link
+// that moves is let be.
+func (s *Swarm) StallLimit() time.Duration {
+	if s.chunkTime == 0 {
+		return stallMax
+	}
+	return min(max(stallFactor*s.chunkTime, stallMin), stallMax)
+}
+
+// Nothing says that the peer held nothing of use.
+func (s *Swarm) Nothing(p Pull, k Knowledge, now time.Time) {
+	s.end(p)
+	ps := s.byBox[p.Peer]
+	if ps == nil {
+		return
+	}
+	s.learn(ps, k)
+	ps.idle = min(max(2*ps.idle, idleRetry), idleRetryMax)
+	ps.retry = now.Sub(s.start) + ps.idle
+}
+
+// Busy says that the sender refused for now; after is its own word on when
+// to come back, or zero.
+func (s *Swarm) Busy(p Pull, after time.Duration, now time.Time) {
+	s.end(p)
+	if ps := s.byBox[p.Peer]; ps != nil {
+		ps.retry = now.Sub(s.start) + max(after, idleRetry)
+	}
+}
+
+// Bad says that the pull failed: a wrong digest, a stall, a broken
+// connection.
+func (s *Swarm) Bad(p Pull, now time.Time) {
+	s.end(p)
+	ps := s.byBox[p.Peer]
+	if ps == nil {
+		return
+	}
+	ps.penalty = min(max(2*ps.penalty, penaltyMin), penaltyMax)
+	ps.retry = now.Sub(s.start) + ps.penalty
+}
+
+// Stalled says that the pull went without a byte for StallLimit. Where
+// chunks arrived from others meanwhile, the peer is to blame; otherwise this
+// box's own link is, and nobody is left alone for it.
+func (s *Swarm) Stalled(p Pull, now time.Time) {
+	if now.Sub(s.lastNew) < s.StallLimit() {
+		s.Bad(p, now)
+		return
+	}
+	s.ownStall = true
+	s.end(p)
+	if ps := s.byBox[p.Peer]; ps != nil {
+		ps.retry = now.Sub(s.start) + idleRetryMax
+	}
+}
+
+// Drop says that an answer to p was not taken.
+func (s *Swarm) Drop(p Pull) { s.end(p) }
+
+// Gone says that a box has left the plan's boxes for good.
+func (s *Swarm) Gone(box string) {
+	if ps := s.byBox[box]; ps != nil {
+		ps.retry = time.Duration(1<<62 - 1)
+	}
+}
+
+// Known says that a box holds these chunks.
+func (s *Swarm) Known(box string, k Knowledge) {
+	if ps := s.byBox[box]; ps != nil {
+		s.learn(ps, k)
+	}
+}
+
+func (s *Swarm) learn(ps *peerState, k Knowledge) {
+	if !s.fits(k.Held) {
+		return
+	}
+	ps.held.InPlaceUnion(k.Held)
+	if ps.Region != s.self.Region {
+		return
+	}
+	s.exists.InPlaceUnion(k.Held)
+	if s.fits(k.Exists) {
+		s.exists.InPlaceUnion(k.Exists)
+	}
+}
+
+func (s *Swarm) fits(b *bitset.BitSet) bool {
+	return b != nil && b.Len() == uint(s.params.Chunks)
+}
+
+func (s *Swarm) end(p Pull) {
+	s.pulls--
+	if p.Kind != FromPeer {
+		s.origin--
+	}
+	if p.Chunk >= 0 {
+		s.flying.Clear(uint(p.Chunk))
+	}
+	if ps := s.byBox[p.Peer]; ps != nil {
+		ps.pulling = false
+	}
+}
+
+// TakeOver is the wait of each further rank for a transfer whose floor on
+// time is floor.
+func TakeOver(floor time.Duration) time.Duration {
+	return max(floor/20, time.Second)
+}
