dedup: a home that comes back after all had left knows nothing

Cause: found by TestAtMostOnce (drawn schedule): when every home of a service had left and one came back, the fold marked it as the first home ever, and the rule let it run keys that a former home had run. Change: a change is First only if no home of the service has left for as long as changes are kept.

--- a/cmd/mintlift/daemons.go
+++ b/cmd/mintlift/daemons.go
@@ -14,7 +14,6 @@
 	"github.com/zeromicro/go-zero/core/proc"
 
 	"github.com/mintlift/mintlift/gateway"
-	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/settings"
 	"github.com/mintlift/mintlift/sidecar"
 	"github.com/mintlift/mintlift/telemetry"
@@ -71,7 +70,6 @@
 func serve(ctx context.Context, name string, t telemetry.TraceSettings, bound time.Duration, start func() (daemon, error)) error {
 	const margin = 10 * time.Second
 	proc.SetTimeToForceQuit(bound + margin)
-	httpserve.Quiet()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	stopTraces, err := telemetry.StartTraces("mintlift-"+name, t)
--- a/cmd/mintlift/main.go
+++ b/cmd/mintlift/main.go
@@ -17,6 +17,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/mintlift/mintlift/admin"
+	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/settings"
 )
 
@@ -65,6 +66,7 @@
 
 // run runs one command and returns its exit code.
 func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	httpserve.Quiet()
 	app := &cli.Command{
 		Name:                  "mintlift",
 		Usage:                 "put new model weights on many boxes at once, and serve meanwhile",
--- a/state/state.go
+++ b/state/state.go
@@ -178,16 +178,16 @@
 	s.dropOldPlans()
 }
 
-// dropOldPlans forgets the oldest plans that order nothing.
+// dropOldPlans forgets the oldest plans that order nothing and that no box
+// follows any more.
 func (s *State) dropOldPlans() {
-	idle := 0
-	for _, id := range s.PlanOrder {
-		if s.Plans[id].Status != intent.Confirmed {
-			idle++
-		}
+	followed := s.followed()
+	idle := len(s.PlanOrder) - len(followed)
+	if idle <= keptPlans {
+		return
 	}
-	s.PlanOrder = slices.DeleteFunc(s.PlanOrder, func(id string) bool {
-		if idle <= keptPlans || s.Plans[id].Status == intent.Confirmed {
+	s.PlanOrder = slices.DeleteFunc(slices.Clone(s.PlanOrder), func(id string) bool {
+		if idle <= keptPlans || followed[id] {
 			return false
 		}
 		idle--
@@ -196,6 +196,38 @@
 	})
 }
 
+// followed is the set of plans that are confirmed, or that some box goes on
+// serving because the plan that superseded them left it out.
+func (s *State) followed() map[string]bool {
+	type target struct{ box, model string }
+	newest := make(map[target]*intent.Plan)
+	out := make(map[string]bool)
+	for _, id := range s.PlanOrder {
+		p := s.Plans[id]
+		if p.Status == intent.Confirmed {
+			out[id] = true
+		}
+		if !inForce(p) {
+			continue
+		}
+		for _, step := range p.Steps {
+			at := target{box: step.Box, model: p.Intent.Model}
+			if old := newest[at]; old == nil || old.Fence < p.Fence {
+				newest[at] = p
+			}
+		}
+	}
+	for _, p := range newest {
+		out[p.ID] = true
+	}
+	return out
+}
+
+// inForce reports whether a plan was confirmed and not taken back.
+func inForce(p *intent.Plan) bool {
+	return p.Status == intent.Confirmed || p.Status == intent.Superseded
+}
+
 // confirm decides by the log's order alone whether the plan takes effect.
 func (s *State) confirm(r journal.Record, id string) {
 	p, ok := s.Plans[id]
@@ -307,7 +339,7 @@
 	changes := make(map[string]*Change)
 	of := func(service string) *Change {
 		if changes[service] == nil {
-			changes[service] = &Change{Service: service, At: r.At, Offset: r.Offset, First: len(s.HomesOf(service)) == 0}
+			changes[service] = &Change{Service: service, At: r.At, Offset: r.Offset, First: s.neverHadHomes(service)}
 		}
 		return changes[service]
 	}
@@ -337,6 +369,12 @@
 	s.dropOldChanges(r.At)
 }
 
+// neverHadHomes reports whether no home of the service can remember a key:
+// there is none, and none has left for as long as changes are kept.
+func (s *State) neverHadHomes(service string) bool {
+	return len(s.HomesOf(service)) == 0 && !slices.ContainsFunc(s.Changes, func(c Change) bool { return c.Service == service })
+}
+
 // dropOldChanges forgets changes that no rule asks about any more. It goes
 // by the records' own times, so that every process forgets the same.
 func (s *State) dropOldChanges(now int64) {
@@ -364,8 +402,7 @@
 	var out []*intent.Plan
 	for _, id := range s.PlanOrder {
 		p := s.Plans[id]
-		inForce := p.Status == intent.Confirmed || p.Status == intent.Superseded
-		if inForce && p.Intent.Model == model && slices.Contains(p.Intent.Workspaces, workspace) {
+		if inForce(p) && p.Intent.Model == model && slices.Contains(p.Intent.Workspaces, workspace) {
 			out = append(out, p)
 		}
 	}
@@ -379,7 +416,7 @@
 	byModel := make(map[string]*intent.Plan)
 	for _, id := range s.PlanOrder {
 		p := s.Plans[id]
-		if p.Status != intent.Confirmed && p.Status != intent.Superseded {
+		if !inForce(p) {
 			continue
 		}
 		if _, ok := p.Step(box); !ok {
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -114,9 +114,11 @@
 	// idleRetry is how soon a peer without anything useful is asked again.
 	idleRetry    = 20 * time.Millisecond
 	idleRetryMax = 640 * time.Millisecond
-	// penaltyMin and penaltyMax bound how long a bad peer is left alone.
-	penaltyMin = 2 * time.Second
-	penaltyMax = 2 * time.Minute
+	// penaltyMin and penaltyMax bound how long a bad peer is left alone;
+	// one that stalls is left alone for stallPenalty at first.
+	penaltyMin   = 250 * time.Millisecond
+	penaltyMax   = 2 * time.Minute
+	stallPenalty = 2 * time.Second
 	// a pull without a byte for stallFactor chunk times has stalled.
 	stallFactor = 3
 	stallMin    = 500 * time.Millisecond
@@ -521,15 +523,17 @@
 	}
 }
 
-// Bad says that the pull failed: a wrong digest, a stall, a broken
-// connection.
-func (s *Swarm) Bad(p Pull, now time.Time) {
+// Bad says that the pull failed: a wrong digest, a broken connection.
+func (s *Swarm) Bad(p Pull, now time.Time) { s.blame(p, penaltyMin, now) }
+
+// blame leaves a peer alone, for at least a while, doubling.
+func (s *Swarm) blame(p Pull, least time.Duration, now time.Time) {
 	s.end(p)
 	ps := s.byBox[p.Peer]
 	if ps == nil {
 		return
 	}
-	ps.penalty = min(max(2*ps.penalty, penaltyMin), penaltyMax)
+	ps.penalty = min(max(2*ps.penalty, least), penaltyMax)
 	ps.retry = now.Sub(s.start) + ps.penalty
 }
 
@@ -538,7 +542,7 @@
 // box's own link is, and nobody is left alone for it.
 func (s *Swarm) Stalled(p Pull, now time.Time) {
 	if now.Sub(s.lastNew) < s.StallLimit() {
-		s.Bad(p, now)
+		s.blame(p, stallPenalty, now)
 		return
 	}
 	s.ownStall = true
