prio: a queue of no length refuses instead of crashing

Cause: found by TestQueueBounds: with no place to wait, Admit looked for the lowest among no waiters. Named test: TestNoPlaceToWait, failed first.

--- a/dedup/dedup_test.go
+++ b/dedup/dedup_test.go
@@ -93,6 +93,13 @@
 		}
 	}
 	assert.Equal(t, Admit(fresh, self(home(2, 2)), s, later, later), Run, "a key made after the change cannot have run at b1")
+	early := now.Add(Lease) // b1 may not have heard of its removal by then
+	for n := range 1000 {
+		if movedFrom(keyAt(early, n), w.at(1)) == "b1" {
+			assert.Equal(t, Admit(keyAt(early, n), self(home(2, 2)), s, later, later), Unknowable, "a key made while b1 may still have held its lease")
+			break
+		}
+	}
 	moved := movedFrom("plain-key-of-unknown-age", w.at(1)) == "b1"
 	assert.Equal(t, Admit("plain-key-of-unknown-age", self(home(2, 2)), s, later, later) == Run, !moved)
 
--- a/prio/prio_test.go
+++ b/prio/prio_test.go
@@ -44,6 +44,15 @@
 	assert.Equal(t, out.ID, uint64(2))
 }
 
+// TestNoPlaceToWait was found by TestQueueBounds: a queue of no length
+// looked for the lowest among no waiters.
+func TestNoPlaceToWait(t *testing.T) {
+	q := Queue{Slots: 1}
+	q.Admit(Waiter{ID: 1})
+	granted, queued, out := q.Admit(Waiter{ID: 2})
+	assert.Assert(t, !granted && !queued && out == nil)
+}
+
 // TestQueueBounds draws work and checks that no slot is lost or doubled.
 func TestQueueBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/prio/queue.go
+++ b/prio/queue.go
@@ -48,6 +48,9 @@
 		q.waiting = append(q.waiting, w)
 		return false, true, nil
 	}
+	if len(q.waiting) == 0 {
+		return false, false, nil
+	}
 	low := q.newestLowest()
 	if q.waiting[low].Priority >= w.Priority {
 		return false, false, nil
