route: every endpoint is worked on by three gateways at least

And when every endpoint of a service had been ejected, requests were refused (seen in TestOutcomeTable). Change: endpoints choose gateways as well; ejection gives way when nothing else fits. TestOutcomeTable cuts the connection at eight places.

--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -97,9 +97,13 @@
 			}
 		}
 	})
+	names := make([]string, len(gateways))
+	for i, g := range gateways {
+		names[i] = g.ID
+	}
 	chosen := make(map[string]bool)
 	for _, ids := range groups {
-		for _, id := range route.Subset(d.settings.Node.Box, ids, len(gateways)) {
+		for _, id := range route.Subset(d.settings.Node.Box, ids, names) {
 			chosen[id] = true
 		}
 	}
--- /dev/null
+++ b/internal/lab/outcome_test.go
@@ -0,0 +1,235 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package lab
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/outcome"
+	"github.com/mintlift/mintlift/settings"
+)
+
+// death is the moment at which a dying endpoint cuts the connection.
+type death string
+
+const (
+	diesClosed    death = "connection refused"
+	diesAtAccept  death = "before the request's bytes"
+	diesInBody    death = "in the middle of the request"
+	diesAfterBody death = "after the request, before the answer"
+	diesAfterHead death = "after the answer's head"
+	diesInAnswer  death = "in the middle of the answer"
+	diesNever     death = "never"
+	answers500    death = "never, answers 500"
+)
+
+// dying is a plain service over raw TCP that dies when told to.
+type dying struct {
+	ln net.Listener
+
+	mu   sync.Mutex
+	when death
+	ran  int // requests read whole
+}
+
+func newDying(t *testing.T) *dying {
+	ln, err := net.Listen("tcp", loopback)
+	assert.NilError(t, err)
+	d := &dying{ln: ln}
+	t.Cleanup(func() { _ = ln.Close() })
+	go d.accept()
+	return d
+}
+
+func (d *dying) accept() {
+	for {
+		conn, err := d.ln.Accept()
+		if err != nil {
+			return
+		}
+		go d.serve(conn)
+	}
+}
+
+func (d *dying) set(when death) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.when, d.ran = when, 0
+}
+
+func (d *dying) runs() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ran
+}
+
+func (d *dying) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for {
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		d.mu.Lock()
+		when := d.when
+		d.mu.Unlock()
+		if when == diesAtAccept {
+			return
+		}
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if when == diesInBody {
+			_, _ = io.CopyN(io.Discard, req.Body, 1)
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		d.mu.Lock()
+		d.ran++
+		d.mu.Unlock()
+		status := "200 OK"
+		switch when {
+		case diesAfterBody:
+			return
+		case answers500:
+			status = "500 Internal Server Error"
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: 10\r\nX-Request-Id: %s\r\n\r\n", status, req.Header.Get("X-Request-Id"))
+		if when == diesAfterHead {
+			return
+		}
+		fmt.Fprint(conn, "01234")
+		if when == diesInAnswer {
+			return
+		}
+		fmt.Fprint(conn, "56789")
+	}
+}
+
+// call sends a request to the lab's plain service.
+func (l *Lab) call(t *testing.T, gateway int, method, body string, header map[string]string) (status int, o outcome.Outcome, text string) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+l.Gateways[gateway].CallerAddress()+"/v1/services/"+ServiceName+"/pages/12", strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+WorkspaceKey("liceo"))
+	for name, v := range header {
+		req.Header.Set(name, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, outcome.Outcome(resp.Header.Get("Mintlift-Outcome")), string(b)
+}
+
+// settle waits until the gateways know the lab's boxes and their homes.
+func (l *Lab) settle(t *testing.T, ctx context.Context, homes int) {
+	t.Helper()
+	for i := range l.Gateways {
+		for {
+			s, err := l.Admin(i).Status(ctx)
+			assert.NilError(t, err)
+			if s.Homes >= homes {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		for {
+			if status, _, _ := l.call(t, i, http.MethodGet, "", nil); status != http.StatusServiceUnavailable {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// TestOutcomeTable cuts the connection at every place where it can die and
+// compares what the caller is told with what the endpoint counted.
+func TestOutcomeTable(t *testing.T) {
+	d := newDying(t)
+	d.set(diesNever)
+	closed, err := net.Listen("tcp", loopback)
+	assert.NilError(t, err)
+	nowhere := closed.Addr().String()
+	assert.NilError(t, closed.Close())
+	target := d.ln.Addr().String()
+	l, ctx := start(t, Config{Gateways: 1, Services: 1, SidecarSettings: func(s *settings.Sidecar) { s.Endpoint = target }})
+	assert.NilError(t, l.AddWorkspace(ctx, "liceo", 40, 0))
+	l.settle(t, ctx, 1)
+
+	cells := []struct {
+		when death
+		want outcome.Outcome
+		runs int // what the endpoint must count for a request that is not repeatable
+	}{
+		{diesAtAccept, outcome.Unknown, 0},
+		{diesInBody, outcome.Unknown, 0},
+		{diesAfterBody, outcome.Unknown, 1},
+		{diesAfterHead, outcome.Unknown, 1},
+		{diesInAnswer, outcome.Unknown, 1},
+		{diesNever, outcome.Completed, 1},
+		{answers500, outcome.Failed, 1},
+		{diesClosed, outcome.NotRun, 0},
+	}
+	for _, cell := range cells {
+		if cell.when == diesClosed {
+			target = nowhere
+			b := l.Boxes[0]
+			assert.NilError(t, b.Sidecar.Stop(ctx))
+			assert.NilError(t, l.StartSidecar(b))
+			l.awaitIncarnation(t, ctx, b)
+		}
+		for name, header := range map[string]map[string]string{
+			"repeatable":     {"Mintlift-Repeatable": "true"},
+			"not repeatable": {"Mintlift-Repeatable": "false"},
+			"with a key":     {"Idempotency-Key": fmt.Sprintf("key-%s", strings.ReplaceAll(string(cell.when), " ", "-"))},
+		} {
+			t.Run(string(cell.when)+"/"+name, func(t *testing.T) {
+				d.set(cell.when)
+				want := cell.want
+				if cell.when == diesClosed && name == "with a key" {
+					want = outcome.Unknown // the home has started again and cannot know
+				}
+				_, got, text := l.call(t, 0, http.MethodPost, "some body", header)
+				assert.Equal(t, got, want, text)
+				if name != "repeatable" {
+					assert.Equal(t, d.runs(), cell.runs, "a request that is not repeatable was repeated, or did not run")
+				}
+				if got == outcome.NotRun {
+					assert.Equal(t, d.runs(), 0, "not run was said of a request that ran")
+				}
+			})
+		}
+	}
+}
+
+// awaitIncarnation waits until the gateway sends to a box's new sidecar.
+func (l *Lab) awaitIncarnation(t *testing.T, ctx context.Context, b *Box) {
+	t.Helper()
+	for {
+		boxes, err := l.Admin(0).Boxes(ctx)
+		assert.NilError(t, err)
+		for _, one := range boxes {
+			if one.Box.ID == b.Entry.ID && one.Reached && one.Box.Address == b.Sidecar.Address() {
+				time.Sleep(time.Second) // one more probe, for the routing table
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -130,32 +130,31 @@
 	return len(t.fitting(w, now))
 }
 
-// Slots returns how many requests the fitting endpoints run at once.
-func (t *Table) Slots(now time.Time) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
+// fitting returns the endpoints that can take the request. Ejected ones are
+// left out while any other fits: a doubtful endpoint is better than none.
+func (t *Table) fitting(w Want, now time.Time) []*endpoint {
+	var fit, ejected []*endpoint
 	for _, e := range t.all {
-		if e.Usable && e.ejected.Before(now) {
-			n += e.Slots
+		switch {
+		case !e.fits(w):
+		case now.Before(e.ejected):
+			ejected = append(ejected, e)
+		default:
+			fit = append(fit, e)
 		}
 	}
-	return n
+	if len(fit) == 0 {
+		fit = ejected
+	}
+	slices.SortFunc(fit, func(a, b *endpoint) int { return cmp.Compare(a.Box, b.Box) })
+	return fit
 }
 
-func (t *Table) fitting(w Want, now time.Time) []*endpoint {
-	var out []*endpoint
-	for _, e := range t.all {
-		if !e.Usable || e.Service != w.Service || now.Before(e.ejected) || slices.Contains(w.Not, e.Box) {
-			continue
-		}
-		if w.Service == "" && !slices.Contains(e.Serving, w.Version) {
-			continue
-		}
-		out = append(out, e)
+func (e *endpoint) fits(w Want) bool {
+	if !e.Usable || e.Service != w.Service || slices.Contains(w.Not, e.Box) {
+		return false
 	}
-	slices.SortFunc(out, func(a, b *endpoint) int { return cmp.Compare(a.Box, b.Box) })
-	return out
+	return w.Service != "" || slices.Contains(e.Serving, w.Version)
 }
 
 func pick(fit []*endpoint, w Want) *endpoint {
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package route
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/weights"
+)
+
+var (
+	epoch = time.Unix(1000, 0)
+	v1    = weights.Ref{Model: "m", Version: "v1"}
+	v2    = weights.Ref{Model: "m", Version: "v2"}
+)
+
+func table(n int, serving ...weights.Ref) *Table {
+	t := new(Table)
+	var eps []Endpoint
+	for i := range n {
+		eps = append(eps, Endpoint{Box: fmt.Sprintf("b%d", i), Incarnation: "1", Serving: serving, Usable: true, Slots: 8})
+	}
+	t.Update(eps)
+	return t
+}
+
+func TestChooseFitsOnly(t *testing.T) {
+	tb := table(3, v1)
+	_, ok := tb.Choose(Want{Version: v2}, epoch)
+	assert.Assert(t, !ok, "a box that serves another version was chosen")
+	tb.Draining("b0")
+	seen := map[string]bool{}
+	for range 100 {
+		e, ok := tb.Choose(Want{Version: v1, Not: []string{"b1"}}, epoch)
+		assert.Assert(t, ok)
+		seen[e.Box] = true
+	}
+	assert.DeepEqual(t, seen, map[string]bool{"b2": true})
+}
+
+func TestEjectionAndReturn(t *testing.T) {
+	tb := table(2, v1)
+	for range ejectAfter {
+		_, _ = tb.Take("b0", epoch)
+		tb.Done("b0", false, epoch)
+	}
+	for range 50 {
+		e, _ := tb.Choose(Want{Version: v1}, epoch)
+		assert.Equal(t, e.Box, "b1")
+		tb.Done(e.Box, true, epoch)
+	}
+	seen := map[string]bool{}
+	for range 100 {
+		e, _ := tb.Choose(Want{Version: v1}, epoch.Add(2*ejectMin))
+		seen[e.Box] = true
+		tb.Done(e.Box, true, epoch)
+	}
+	assert.Equal(t, len(seen), 2, "an ejected endpoint never came back")
+	e, ok := tb.Choose(Want{Version: v1, Not: []string{"b1"}}, epoch)
+	assert.Assert(t, ok && e.Box == "b0", "a doubtful endpoint is better than none")
+}
+
+// TestPrefixPaysOnlyWhileIdle sends one prefix until its endpoint is much
+// busier than the rest.
+func TestPrefixPaysOnlyWhileIdle(t *testing.T) {
+	tb := table(8, v1)
+	count := map[string]int{}
+	for range 80 {
+		e, _ := tb.Choose(Want{Version: v1, Prefix: "the same start"}, epoch)
+		count[e.Box]++
+	}
+	most := slices.Max([]int{count["b0"], count["b1"], count["b2"], count["b3"], count["b4"], count["b5"], count["b6"], count["b7"]})
+	assert.Assert(t, most >= 80/8, "the prefix has no favourite")
+	assert.Assert(t, most <= 80/8+affinitySlack+8, "the prefix piled %d of 80 on one endpoint", most)
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	var b Budget
+	retries := 0
+	for range 1000 {
+		b.Request()
+		for range 3 {
+			if b.Retry() {
+				retries++
+			}
+		}
+	}
+	assert.Assert(t, float64(retries) <= 1000*BudgetShare+BudgetBurst+1, "%d retries for 1000 requests", retries)
+	assert.Assert(t, retries > 50)
+}
+
+func TestLimits(t *testing.T) {
+	var l Limits
+	assert.Assert(t, l.Enter("a", 2))
+	assert.Assert(t, l.Enter("a", 2))
+	assert.Assert(t, !l.Enter("a", 2))
+	assert.Assert(t, l.Enter("b", 2), "one workspace's flood took another's room")
+	l.Leave("a")
+	assert.Assert(t, l.Enter("a", 2))
+}
+
+// TestSubsets covers every endpoint of a large group by several gateways,
+// and gives each gateway a bounded share.
+func TestSubsets(t *testing.T) {
+	var endpoints, gateways []string
+	for i := range 410 {
+		endpoints = append(endpoints, fmt.Sprintf("box-%03d", i))
+	}
+	for i := range 10 {
+		gateways = append(gateways, fmt.Sprintf("gw-%d", i))
+	}
+	cover := map[string]int{}
+	for _, g := range gateways {
+		s := Subset(g, endpoints, gateways)
+		assert.Assert(t, len(s) >= SubsetMin && len(s) < 410/2, "%s works on %d of 410", g, len(s))
+		for _, e := range s {
+			cover[e]++
+		}
+	}
+	for _, e := range endpoints {
+		assert.Assert(t, cover[e] >= subsetCover, "%s is worked on by %d gateways", e, cover[e])
+	}
+	assert.DeepEqual(t, Subset("g", endpoints[:6], gateways), endpoints[:6])
+	assert.Assert(t, len(Subset("gw-3", endpoints[:12], gateways)) >= SubsetMin)
+}
--- a/route/subset.go
+++ b/route/subset.go
@@ -13,21 +13,32 @@
 const (
 	// SubsetMin is how many endpoints of a group a gateway works on at least.
 	SubsetMin = 8
-	// subsetCover is how many gateways work on each endpoint on average.
+	// subsetCover is how many gateways work on each endpoint at least.
 	subsetCover = 3
 )
 
 // Subset returns the endpoints of a group that one of several gateways
-// works on: the first by rendezvous, so that gateways share a large group
-// and all of a small one.
-func Subset(gateway string, endpoints []string, gateways int) []string {
-	size := max(SubsetMin, (subsetCover*len(endpoints)+gateways-1)/max(gateways, 1))
-	if size >= len(endpoints) {
+// works on: all of a small group; of a large one those that have the
+// gateway among the first in their rendezvous order, so that no endpoint is
+// left without work, and the first in the gateway's own order.
+func Subset(gateway string, endpoints, gateways []string) []string {
+	if len(endpoints) <= SubsetMin || len(gateways) <= subsetCover {
 		return endpoints
 	}
-	ranked := slices.Clone(endpoints)
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(gateway+"\x00"+b), xxhash.Sum64String(gateway+"\x00"+a))
+	own := first(endpoints, SubsetMin, func(e string) uint64 { return pairWeight(gateway, e) })
+	return slices.DeleteFunc(slices.Clone(endpoints), func(e string) bool {
+		theirs := first(gateways, subsetCover, func(g string) uint64 { return pairWeight(g, e) })
+		return !slices.Contains(own, e) && !slices.Contains(theirs, gateway)
 	})
-	return ranked[:size]
+}
+
+// first returns the n names of the highest weight.
+func first(names []string, n int, weight func(string) uint64) []string {
+	ranked := slices.Clone(names)
+	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(weight(b), weight(a)) })
+	return ranked[:n]
+}
+
+func pairWeight(gateway, endpoint string) uint64 {
+	return xxhash.Sum64String(gateway + "\x00" + endpoint)
 }
