--- /dev/null
+++ b/internal/lab/proxy_test.go
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package lab
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// cutter is a TCP pipe to a sidecar that can be cut: after so many bytes
+// of answers, or altogether, as a network partition would.
+type cutter struct {
+	ln net.Listener
+
+	mu     sync.Mutex
+	target string
+	after  int64 // bytes of the next answers until a cut, 0 for none
+	down   bool
+	conns  []net.Conn
+	cuts   int
+}
+
+func newCutter(t *testing.T, target string) *cutter {
+	ln, err := net.Listen("tcp", loopback)
+	assert.NilError(t, err)
+	c := &cutter{ln: ln, target: target}
+	t.Cleanup(func() { _ = ln.Close(); c.partition(true) })
+	go c.accept()
+	return c
+}
+
+func (c *cutter) address() string { return c.ln.Addr().String() }
+
+// cutAfter cuts one connection after n more bytes of answers.
+func (c *cutter) cutAfter(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.after = n
+}
+
+func (c *cutter) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cuts
+}
+
+// partition cuts all connections and refuses new ones while on.
+func (c *cutter) partition(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = on
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+	c.conns = nil
+}
+
+func (c *cutter) accept() {
+	for {
+		conn, err := c.ln.Accept()
+		if err != nil {
+			return
+		}
+		c.mu.Lock()
+		down, target := c.down, c.target
+		c.mu.Unlock()
+		if down {
+			_ = conn.Close()
+			continue
+		}
+		up, err := net.Dial("tcp", target)
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		c.mu.Lock()
+		c.conns = append(c.conns, conn, up)
+		c.mu.Unlock()
+		go func() { _, _ = io.Copy(up, conn); _ = up.Close() }()
+		go c.answers(conn, up)
+	}
+}
+
+// answers copies from the sidecar until the cut.
+func (c *cutter) answers(conn, up net.Conn) {
+	defer conn.Close()
+	defer up.Close()
+	buf := make([]byte, 4096)
+	for {
+		n, err := up.Read(buf)
+		if n > 0 {
+			n, stop := c.budget(int64(n))
+			if _, werr := conn.Write(buf[:n]); werr != nil || stop {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (c *cutter) budget(n int64) (int64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.after == 0 || n < c.after {
+		c.after = max(c.after-n, 0)
+		return n, false
+	}
+	n = c.after
+	c.after = 0
+	c.cuts++
+	return n, true
+}
--- /dev/null
+++ b/internal/lab/stream_test.go
@@ -0,0 +1,219 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/intent"
+	"github.com/mintlift/mintlift/internal/invariant"
+	"github.com/mintlift/mintlift/internal/standin"
+)
+
+// served starts a lab that serves v1 on all engines to workspace liceo.
+func served(t *testing.T, c Config) (*Lab, context.Context) {
+	t.Helper()
+	l, ctx := start(t, c)
+	l.Store.Publish(standin.NewManifest(v1, 1<<20, 64<<10))
+	assert.NilError(t, l.AddWorkspace(ctx, "liceo", 40, 0))
+	p, err := l.Rollout(ctx, intent.Intent{Ref: v1, Workspaces: []string{"liceo"}})
+	assert.NilError(t, err)
+	_, err = l.AwaitDone(ctx, p.ID)
+	assert.NilError(t, err)
+	l.awaitServed(t)
+	return l, ctx
+}
+
+// awaitServed waits until every gateway answers.
+func (l *Lab) awaitServed(t *testing.T) {
+	t.Helper()
+	for g := range l.Gateways {
+		for {
+			if resp, _ := chat(t, l, g, "liceo", v1.Model); resp.StatusCode == http.StatusOK {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// openChat starts a streamed request of so many tokens.
+func openChat(ctx context.Context, l *Lab, gateway, tokens int, header map[string]string) (*http.Response, error) {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"hola"}]}`, v1.Model, tokens)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.Gateways[gateway].CallerAddress()+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+WorkspaceKey("liceo"))
+	for name, v := range header {
+		req.Header.Set(name, v)
+	}
+	return http.DefaultClient.Do(req)
+}
+
+// textOf joins a stream's tokens; done says that it ended with its mark.
+func textOf(body io.Reader) (text string, done bool, err error) {
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true, nil
+		}
+		var e struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			return text, false, err
+		}
+		for _, c := range e.Choices {
+			text += c.Delta.Content
+		}
+	}
+	return text, false, lines.Err()
+}
+
+// TestCutStreamHeals cuts the connection between gateway and sidecar in the
+// middle of a stream, and the engine's own: every token comes once.
+func TestCutStreamHeals(t *testing.T) {
+	const tokens = 60
+	l, ctx := served(t, Config{Gateways: 1, Engines: 1, TokenTime: 2 * time.Millisecond})
+	b := l.Boxes[0]
+	c := newCutter(t, b.Sidecar.Address())
+	entry := b.Entry
+	entry.Address = c.address()
+	l.List.Put(entry)
+	time.Sleep(3 * time.Second) // the gateway reads the list again
+	for _, where := range []string{"sidecar", "engine"} {
+		t.Run(where, func(t *testing.T) {
+			if where == "sidecar" {
+				c.cutAfter(4000)
+			} else {
+				b.Engine.Faults.Set(standin.FaultSettings{DieAfterTokens: 20})
+			}
+			resp, err := openChat(ctx, l, 0, tokens, nil)
+			assert.NilError(t, err)
+			defer resp.Body.Close()
+			text, done, err := textOf(resp.Body)
+			assert.NilError(t, err)
+			assert.Assert(t, done, "the stream has no end: %s", text)
+			assert.DeepEqual(t, invariant.Answer(text, v1.String(), resp.Header.Get("Mintlift-Request-Id"), tokens), []invariant.Violation(nil))
+		})
+	}
+	assert.Assert(t, c.count() > 0, "nothing was cut")
+}
+
+// TestCancelReachesEngine hangs up in the middle of a stream.
+func TestCancelReachesEngine(t *testing.T) {
+	l, ctx := served(t, Config{Gateways: 1, Engines: 1, TokenTime: 5 * time.Millisecond})
+	callCtx, hangUp := context.WithCancel(ctx)
+	resp, err := openChat(callCtx, l, 0, 1000000, nil)
+	assert.NilError(t, err)
+	_, err = io.ReadFull(resp.Body, make([]byte, 500))
+	assert.NilError(t, err)
+	hangUp()
+	_ = resp.Body.Close()
+	for {
+		s, err := http.Get("http://" + l.Boxes[0].endpoint.Address() + "/control/state")
+		assert.NilError(t, err)
+		raw, err := io.ReadAll(s.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, s.Body.Close())
+		if bytes.Contains(raw, []byte(`"running":0`)) {
+			return
+		}
+		assert.NilError(t, ctx.Err(), "the engine still generates")
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestForeignAnswerIsBroken has the engine answer under another request's
+// id: the caller gets a clear outcome and not a word of it.
+func TestForeignAnswerIsBroken(t *testing.T) {
+	l, ctx := served(t, Config{Gateways: 1, Engines: 1})
+	l.Boxes[0].Engine.Faults.Set(standin.FaultSettings{ForeignAnswers: true})
+	resp, err := openChat(ctx, l, 0, 3, nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Header.Get("Mintlift-Outcome"), "unknown", string(b))
+	assert.Assert(t, !bytes.Contains(b, []byte("celeste-draft@v1/")), string(b))
+}
+
+// TestForeignEventIsBroken has an event of another request appear inside a
+// stream.
+func TestForeignEventIsBroken(t *testing.T) {
+	l, ctx := served(t, Config{Gateways: 1, Engines: 1})
+	l.Boxes[0].Engine.Faults.Set(standin.FaultSettings{ForeignEvents: true})
+	resp, err := openChat(ctx, l, 0, 3, nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, !bytes.Contains(b, []byte("somebody-else")), string(b))
+	assert.Assert(t, bytes.Contains(b, []byte(`"outcome":"unknown"`)), string(b))
+}
+
+// TestPlannedStopCutsNothing stops the sidecar, and then the gateway, while
+// streams are in progress.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	const tokens, streams = 200, 8
+	l, ctx := served(t, Config{Gateways: 2, Engines: 2, TokenTime: 5 * time.Millisecond})
+	type end struct {
+		text, id string
+		done     bool
+		err      error
+	}
+	ends := make(chan end, streams)
+	for i := range streams {
+		go func() {
+			resp, err := openChat(ctx, l, i%2, tokens, nil)
+			if err != nil {
+				ends <- end{err: err}
+				return
+			}
+			defer resp.Body.Close()
+			text, done, err := textOf(resp.Body)
+			ends <- end{text: text, id: resp.Header.Get("Mintlift-Request-Id"), done: done, err: err}
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	stopped := make(chan error, 2)
+	go func() { stopped <- l.Boxes[0].Sidecar.Stop(ctx) }()
+	go func() { stopped <- l.Gateways[1].Stop(ctx) }()
+	time.Sleep(100 * time.Millisecond)
+	ran := len(l.Boxes[0].Engine.Journal())
+	for range 10 { // new work goes elsewhere at once, whatever the box list says
+		resp, text := chat(t, l, 0, "liceo", v1.Model)
+		assert.Equal(t, resp.StatusCode, http.StatusOK, text)
+	}
+	assert.Equal(t, len(l.Boxes[0].Engine.Journal()), ran, "a leaving endpoint got new work")
+	for range streams {
+		e := <-ends
+		assert.NilError(t, e.err)
+		assert.Assert(t, e.done, "a planned stop cut a stream")
+		assert.Equal(t, len(invariant.Answer(e.text, v1.String(), e.id, tokens)), 0)
+	}
+	assert.NilError(t, <-stopped)
+	assert.NilError(t, <-stopped)
+	l.Boxes[0].Sidecar = nil
+	l.Gateways = l.Gateways[:1]
+}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -33,6 +33,10 @@
 	ShowOffset int64 `json:"show_offset"`
 	// DieAfterTokens cuts every stream after so many tokens, once.
 	DieAfterTokens int `json:"die_after_tokens"`
+	// ForeignAnswers answers under another request's id; ForeignEvents puts
+	// an event of another request into each stream.
+	ForeignAnswers bool `json:"foreign_answers"`
+	ForeignEvents  bool `json:"foreign_events"`
 }
 
 // Faults guards FaultSettings. The zero value shows no faults.
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -14,6 +14,9 @@
 	"github.com/mintlift/mintlift/weights"
 )
 
+// foreignID is the request that ForeignAnswers and ForeignEvents claim.
+const foreignID = "foreign-request"
+
 // defaultTokens is the length of an answer when the caller does not say.
 const defaultTokens = 16
 
@@ -219,6 +222,9 @@
 		}
 	}()
 	w.Header().Set(engine.HeaderRequest, g.id)
+	if e.Faults.Get().ForeignAnswers {
+		w.Header().Set(engine.HeaderRequest, foreignID)
+	}
 	w.Header().Set(engine.HeaderVersion, g.version.String())
 	if stream {
 		e.stream(w, r, g, from)
@@ -260,7 +266,11 @@
 		if !ok {
 			break
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, chunkJSON(g, token))
+		shown := g.id
+		if e.Faults.Get().ForeignEvents && i == 1 {
+			shown, token = foreignID, "somebody-else"
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, chunkJSON(shown, g, token))
 		_ = rc.Flush() // the client has gone if this fails
 		if die > 0 && i+1 == die {
 			cut()
@@ -291,8 +301,8 @@
 	Choices []choice `json:"choices"`
 }
 
-func chunkJSON(g *run, token string) []byte {
-	b, _ := json.Marshal(answer{ID: g.id, Object: "chat.completion.chunk", Model: g.version.String(), Choices: []choice{{Delta: &message{Content: token}}}}) // plain fields always marshal
+func chunkJSON(id string, g *run, token string) []byte {
+	b, _ := json.Marshal(answer{ID: id, Object: "chat.completion.chunk", Model: g.version.String(), Choices: []choice{{Delta: &message{Content: token}}}}) // plain fields always marshal
 	return b
 }
 
