--- a/settings/settings.go
+++ b/settings/settings.go
@@ -233,32 +233,44 @@
 	if err != nil {
 		panic("settings: decoder: " + err.Error()) // the configuration above is constant
 	}
-	c.decodeErrors(d.Decode(raw))
+	c.decodeErrors(d.Decode(raw), raw)
 	for _, path := range meta.Unused {
 		c.add(path, "unknown field", "a field named on docs/SETTINGS.md")
 	}
 }
 
-func (c *checker) decodeErrors(err error) {
-	if err == nil {
-		return
-	}
-	if many, ok := err.(interface{ Unwrap() []error }); ok {
-		for _, one := range many.Unwrap() {
-			c.decodeErrors(one)
+// decodeErrors notes every error in a tree of wrapped and joined ones.
+func (c *checker) decodeErrors(err error, raw map[string]any) {
+	switch e := err.(type) {
+	case nil:
+	case *mapstructure.DecodeError:
+		c.add(e.Name(), valueAt(raw, e.Name()), "a value of the documented type: "+e.Unwrap().Error())
+	case interface{ Unwrap() []error }:
+		for _, one := range e.Unwrap() {
+			c.decodeErrors(one, raw)
 		}
-		return
+	case interface{ Unwrap() error }:
+		c.decodeErrors(e.Unwrap(), raw)
+	default:
+		c.add("settings", err.Error(), "values of the documented types")
 	}
-	var de *mapstructure.DecodeError
-	if errors.As(err, &de) {
-		c.add(de.Name(), de.Unwrap().Error(), "a value of the documented type")
-		return
+}
+
+// valueAt is what stands at a path, as JSON.
+func valueAt(raw map[string]any, path string) string {
+	var at any = raw
+	for _, name := range strings.Split(path, ".") {
+		inner, ok := at.(map[string]any)
+		if !ok {
+			return ""
+		}
+		at = inner[name]
 	}
-	if inner := errors.Unwrap(err); inner != nil {
-		c.decodeErrors(inner)
-		return
+	b, err := json.Marshal(at)
+	if err != nil {
+		return ""
 	}
-	c.add("settings", err.Error(), "values of the documented types")
+	return string(b)
 }
 
 func (c *checker) gateway(s *Gateway) {
