gateway: a rollover in waves fails no request

Ruled out: waiting longer between waves (only hides it). Change: a refusal tells what the sidecar serves, and a request that finds no endpoint probes once before it gives up; a wave opens only while every workspace keeps its floor.

--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -107,7 +107,7 @@
 	}
 	boxes := d.Sweep(ctx)
 	for _, p := range rolling {
-		if d.waveDone(p, boxes) {
+		if d.waveDone(p, boxes) && d.floorKept(p, boxes) {
 			d.commit(ctx, state.KindPlanAdvanced, state.PlanAdvanced{Plan: p.ID, Wave: p.Wave + 1})
 		}
 	}
@@ -133,6 +133,15 @@
 	return true
 }
 
+// floorKept reports whether the next wave leaves every workspace its floor.
+func (d *Daemon) floorKept(p *intent.Plan, boxes []admin.BoxStatus) bool {
+	kept := false
+	d.replica.View(func(s *state.State) {
+		kept = intent.NextWaveKeepsFloor(p, admin.Candidates(s, boxes), s.Workspaces)
+	})
+	return kept
+}
+
 func serves(b admin.BoxStatus, ref weights.Ref) bool {
 	for _, r := range b.Status.Serving() {
 		if r == ref {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 	"github.com/juju/errors"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/mintlift/mintlift/admin"
 	"github.com/mintlift/mintlift/engine"
@@ -58,6 +59,8 @@
 	token    peer.Token
 
 	view   view
+	probes singleflight.Group
+	probed time.Time // of the last probeNow; only probes touches it
 	table  route.Table
 	limits route.Limits
 	budget route.Budget
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -29,6 +29,9 @@
 	probeMin     = 500 * time.Millisecond
 	probeTimeout = 2 * time.Second
 	probeAtOnce  = 32
+
+	probeNowEvery   = 100 * time.Millisecond
+	probeNowTimeout = 300 * time.Millisecond
 )
 
 // view is what this gateway has learnt of the boxes.
@@ -50,6 +53,23 @@
 	}
 }
 
+// probeNow probes at once, because a request found no endpoint: during a
+// rollover the view of half a second ago may name none. Requests that find
+// none together share one probe, and there is at most one a probeNowEvery.
+func (d *Daemon) probeNow(ctx context.Context) {
+	_, _, _ = d.probes.Do("now", func() (any, error) {
+		if time.Since(d.probed) < probeNowEvery {
+			return nil, nil
+		}
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeNowTimeout)
+		defer cancel()
+		d.probeAll(ctx, d.subset())
+		d.updateTable()
+		d.probed = time.Now()
+		return nil, nil
+	})
+}
+
 func pause(ctx context.Context, t time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -263,6 +263,10 @@
 			break
 		}
 		ep, ref, ok := d.choose(q, tried)
+		if !ok {
+			d.probeNow(q.ctx)
+			ep, ref, ok = d.choose(q, tried)
+		}
 		if !ok {
 			break
 		}
@@ -372,6 +376,7 @@
 		d.table.Draining(ep.Box)
 		no.status, no.retry = http.StatusServiceUnavailable, shedRetry
 	case peer.ReasonVersion:
+		d.table.Serving(ep.Box, peer.SplitRefs(resp.Header.Get(peer.HeaderServing)))
 		no.status, no.retry = http.StatusServiceUnavailable, shedRetry
 	}
 	return trial{failure: no, healthy: reason != peer.ReasonEndpoint}
--- a/intent/plan.go
+++ b/intent/plan.go
@@ -346,3 +346,26 @@
 	f.TimeToReplicas = time.Duration(floor * slack * float64(time.Second))
 	return f
 }
+
+// NextWaveKeepsFloor reports whether the boxes of p's next wave can stop
+// serving now: every workspace that they serve must keep its floor with the
+// boxes that answer.
+func NextWaveKeepsFloor(p *Plan, boxes []Candidate, workspaces map[string]workspace.Workspace) bool {
+	serving := servingNow(boxes)
+	leaving := make(map[string]int)
+	for _, c := range boxes {
+		step, ok := p.Step(c.ID)
+		if !ok || step.Wave != p.Wave+1 {
+			continue
+		}
+		for name := range workspacesOn(c, c.Loaded) {
+			leaving[name]++
+		}
+	}
+	for name, n := range leaving {
+		if ws, ok := workspaces[name]; ok && serving[name]-n < ws.Floor {
+			return false
+		}
+	}
+	return true
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -8,6 +8,7 @@
 	"encoding/base64"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/bits-and-blooms/bitset"
@@ -59,6 +60,9 @@
 	HeaderOutcome = "Mintlift-Outcome"
 	// HeaderReason is the Reason of a refusal.
 	HeaderReason = "Mintlift-Reason"
+	// HeaderServing lists the versions that a sidecar serves, with each
+	// refusal, so that a gateway need not wait for its next probe.
+	HeaderServing = "Mintlift-Serving"
 	// HeaderDraining comes with every answer of a process that drains.
 	HeaderDraining = "Mintlift-Draining"
 )
@@ -129,6 +133,26 @@
 	return out
 }
 
+// JoinRefs writes HeaderServing.
+func JoinRefs(refs []weights.Ref) string {
+	names := make([]string, len(refs))
+	for i, r := range refs {
+		names[i] = r.String()
+	}
+	return strings.Join(names, ",")
+}
+
+// SplitRefs reads what JoinRefs wrote; what is no version is left out.
+func SplitRefs(s string) []weights.Ref {
+	var out []weights.Ref
+	for name := range strings.SplitSeq(s, ",") {
+		if r, err := weights.ParseRef(name); err == nil {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // PullRequest asks a sidecar for a chunk.
 type PullRequest struct {
 	Box      string `json:"box"`
--- a/route/route.go
+++ b/route/route.go
@@ -230,6 +230,15 @@
 	}
 }
 
+// Serving notes at once which versions an endpoint serves.
+func (t *Table) Serving(box string, refs []weights.Ref) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.all[box]; ok {
+		e.Serving = refs
+	}
+}
+
 // Endpoints returns a copy of the table, ordered by box.
 func (t *Table) Endpoints() []Endpoint {
 	t.mu.Lock()
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -130,6 +130,8 @@
 	h.Set(peer.HeaderRequest, r.Header.Get(peer.HeaderRequest))
 	h.Set(peer.HeaderOutcome, string(no.outcome))
 	h.Set(peer.HeaderReason, string(no.reason))
+	status := d.status()
+	h.Set(peer.HeaderServing, peer.JoinRefs(status.Serving()))
 	h.Set(peer.HeaderOffset, strconv.FormatInt(d.replica.Offset(), 10))
 	httpserve.WriteJSON(w, no.status, peer.Refusal{Error: peer.RefusalError{
 		Message:      no.message,
