relay: sidecars stay with gateways while the log is out

Change: a sidecar goes to the platform once in 30 s at most while it knows gateways; package drain counts requests; sidecars take their first checkpoint from gateways.

--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -29,7 +29,7 @@
 	var swept time.Time
 	for ctx.Err() == nil {
 		pause(ctx, dutyEvery/2+rand.N(dutyEvery))
-		if d.draining.Load() || time.Since(d.replica.Contact()) > dutyWithin {
+		if d.requests.Draining() || time.Since(d.replica.Contact()) > dutyWithin {
 			continue
 		}
 		d.openWaves(ctx)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,15 +20,14 @@
 	"context"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
-	"github.com/juju/errors"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/mintlift/mintlift/admin"
+	"github.com/mintlift/mintlift/drain"
 	"github.com/mintlift/mintlift/engine"
 	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/internal/call"
@@ -66,8 +65,7 @@
 	budget route.Budget
 	gate   *prio.Gate
 
-	draining atomic.Bool
-	requests sync.WaitGroup
+	requests drain.Tracker
 	callers  *httpserve.Server
 	admins   *httpserve.Server
 	sidecars *httpserve.Server
@@ -195,21 +193,10 @@
 // in progress end. It returns nil once they have, or an error when the
 // bound of the settings has passed.
 func (d *Daemon) Stop(ctx context.Context) error {
-	d.draining.Store(true)
 	d.log.Info("draining", "bound", d.settings.DrainTimeout.String())
 	ctx, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout)
 	defer cancel()
-	idle := make(chan struct{})
-	go func() {
-		d.requests.Wait()
-		close(idle)
-	}()
-	var err error
-	select {
-	case <-idle:
-	case <-ctx.Done():
-		err = errors.Annotate(ctx.Err(), "requests in progress were cut")
-	}
+	err := d.requests.Drain(ctx)
 	d.stop()
 	d.loops.Wait()
 	for _, s := range []*httpserve.Server{d.callers, d.admins, d.sidecars} {
@@ -245,7 +232,7 @@
 }
 
 func (d *Daemon) handleHealth(w http.ResponseWriter, _ *http.Request) {
-	if d.draining.Load() {
+	if d.requests.Draining() {
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 		return
 	}
@@ -260,7 +247,7 @@
 		Incarnation: d.incarnation,
 		Offset:      d.replica.Offset(),
 		ContactMS:   time.Since(d.replica.Contact()).Milliseconds(),
-		Draining:    d.draining.Load(),
+		Draining:    d.requests.Draining(),
 		Load:        active + waiting,
 		Slots:       d.settings.MaxInFlight,
 	}
--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -103,8 +103,8 @@
 }
 
 func (d *Daemon) handle(w http.ResponseWriter, r *http.Request, prepare func(*request) *failure) {
-	d.requests.Add(1)
-	defer d.requests.Done()
+	d.requests.Enter()
+	defer d.requests.Leave()
 	began := time.Now()
 	q, no := d.accept(w, r)
 	if no == nil {
@@ -129,7 +129,7 @@
 // accept checks who asks and reads the request.
 func (d *Daemon) accept(w http.ResponseWriter, r *http.Request) (*request, *failure) {
 	q := &request{id: uuid.NewString(), method: r.Method, path: r.URL.Path, query: r.URL.RawQuery, header: r.Header, key: r.Header.Get(headerKey), ctx: r.Context()}
-	if d.draining.Load() {
+	if d.requests.Draining() {
 		w.Header().Set("Connection", "close")
 		no := notRun(http.StatusServiceUnavailable, "draining", "this gateway is leaving")
 		no.retry = shedRetry
--- /dev/null
+++ b/internal/linksim/linksim_test.go
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package linksim
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const committed = "../../docs/transfer.json"
+
+func rows(t *testing.T) []Row {
+	t.Helper()
+	b, err := os.ReadFile(committed)
+	assert.NilError(t, err)
+	var out []Row
+	assert.NilError(t, json.Unmarshal(b, &out))
+	return out
+}
+
+func find(t *testing.T, all []Row, name string, boxes int) Row {
+	t.Helper()
+	for _, r := range all {
+		if r.Name == name && r.Boxes == boxes {
+			return r
+		}
+	}
+	t.Fatalf("no row %q for %d boxes", name, boxes)
+	return Row{}
+}
+
+// TestTransferBounds holds the committed table to its bounds.
+func TestTransferBounds(t *testing.T) {
+	all := rows(t)
+	assert.Equal(t, len(all), len(Sizes)*len(Cases(1)))
+	for _, n := range Sizes {
+		plain := find(t, all, "swarm", n)
+		assert.Assert(t, plain.All <= 1.15, "%d boxes: %.3f T*", n, plain.All)
+		assert.Assert(t, plain.OriginCopies <= 1.05, "%d boxes: %.3f copies", n, plain.OriginCopies)
+		faults := find(t, all, "swarm, all three faults", n)
+		assert.Assert(t, faults.All <= 1.5, "%d boxes with faults: %.3f T*", n, faults.All)
+		assert.Assert(t, faults.OriginCopies <= 1.3, "%d boxes with faults: %.3f copies", n, faults.OriginCopies)
+		assert.Equal(t, plain.Unfinished+faults.Unfinished, 0)
+	}
+	growth := find(t, all, "swarm", 1024).All / find(t, all, "swarm", 64).All
+	assert.Assert(t, growth < 1.25, "from 64 to 1,024 boxes the time grows %.3f times", growth)
+}
+
+// TestTransferRows plays the rows of up to 64 boxes, and the largest size
+// of today's aim without faults and with all, and compares them with the
+// committed table: the figures are the same every run.
+func TestTransferRows(t *testing.T) {
+	all := rows(t)
+	cases := append(append(Cases(12), Cases(16)...), Cases(64)...)
+	for _, c := range Cases(410) {
+		if c.Name == "swarm" || c.Name == "swarm, all three faults" {
+			cases = append(cases, c)
+		}
+	}
+	for _, c := range cases {
+		t.Run(strings.ReplaceAll(c.Name, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			assert.DeepEqual(t, RunCase(c), find(t, all, c.Name, c.Config.Boxes))
+		})
+	}
+}
+
+// TestSeeds plays the faults under other seeds: the bounds must not hang on
+// one drawing.
+func TestSeeds(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			c := base(48)
+			c.Seed = 100 + seed
+			c.DeathShare, c.StallShare, c.CorruptShare = 0.1, 0.1, 0.01
+			r := Run(c)
+			assert.Equal(t, r.Unfinished, 0)
+			assert.Assert(t, r.All <= 1.5, "%.3f T*", r.All)
+			assert.Assert(t, r.OriginCopies <= 1.3, "%.3f copies", r.OriginCopies)
+		})
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -31,8 +31,13 @@
 	listEvery   = 2 * time.Second
 	listSoon    = 300 * time.Millisecond
 	listTimeout = 3 * time.Second
+	// startSpread spreads the first look of many sidecars that start at once.
+	startSpread = time.Second
 	// leaveAlone is how long a gateway that failed is not asked.
 	leaveAlone = 5 * time.Second
+	// directEvery spaces a sidecar's turns to the platform itself while it
+	// knows of gateways and none answers.
+	directEvery = 30 * time.Second
 	// checkpointPeers is how many peers are asked for a checkpoint.
 	checkpointPeers = 5
 )
@@ -56,6 +61,7 @@
 	boxes   []membership.Box
 	version int
 	avoid   map[string]time.Time
+	direct  time.Time // when the platform was last chosen for want of gateways
 	stale   bool
 }
 
@@ -90,14 +96,21 @@
 // Run reads the box list until ctx ends. A list that cannot be read leaves
 // the former in force.
 func (d *Directory) Run(ctx context.Context) {
+	if !d.Direct {
+		wait(ctx, rand.N(startSpread))
+	}
 	for ctx.Err() == nil {
 		if err := d.refresh(ctx); err != nil && ctx.Err() == nil {
 			d.Logger.V(1).Info("box list not read", "error", err.Error())
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(d.pause()):
-		}
+		wait(ctx, d.pause())
+	}
+}
+
+func wait(ctx context.Context, t time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(t):
 	}
 }
 
@@ -130,15 +143,30 @@
 }
 
 // gateway returns the first gateway in this process's order that has not
-// failed lately.
+// failed lately. When all have, it is the first one all the same, and only
+// once in a directEvery none, which sends the process to the platform
+// itself: hundreds of sidecars must not turn to the log together because
+// it, or all gateways, are in trouble.
 func (d *Directory) gateway(now time.Time) (membership.Box, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var best membership.Box
+	best, found := d.first(func(b membership.Box) bool { return !now.Before(d.avoid[b.ID]) })
+	if found {
+		return best, true
+	}
+	if now.Sub(d.direct) >= directEvery {
+		d.direct = now
+		return best, false
+	}
+	return d.first(func(membership.Box) bool { return true })
+}
+
+// first returns the gateway of the highest rendezvous weight that fits; the
+// caller holds the lock.
+func (d *Directory) first(fits func(membership.Box) bool) (best membership.Box, found bool) {
 	var bestWeight uint64
-	found := false
 	for _, b := range d.boxes {
-		if b.Role != membership.Gateway || b.ID == d.Self || now.Before(d.avoid[b.ID]) {
+		if b.Role != membership.Gateway || b.ID == d.Self || !fits(b) {
 			continue
 		}
 		if w := xxhash.Sum64String(d.Self + "\x00" + b.ID); !found || w > bestWeight {
@@ -190,8 +218,10 @@
 // Checkpoint returns the highest checkpoint that a few other processes
 // hold, gateways first.
 func (d *Directory) Checkpoint(ctx context.Context) (state.Checkpoint, error) {
-	if err := d.refresh(ctx); err != nil {
-		return state.Checkpoint{}, err
+	if boxes, _ := d.Boxes(); len(boxes) == 0 {
+		if err := d.refresh(ctx); err != nil {
+			return state.Checkpoint{}, err
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- a/sidecar/copies.go
+++ b/sidecar/copies.go
@@ -171,7 +171,7 @@
 	jobs := d.copies.all()
 	d.copies.mu.Unlock()
 	for _, j := range jobs {
-		j.end()
+		d.copies.end(j)
 	}
 }
 
@@ -183,10 +183,14 @@
 	return out
 }
 
-func (j *job) end() {
-	if j.cancel != nil {
-		j.cancel()
-		<-j.done
+// end stops the work on a copy and waits for it.
+func (c *copies) end(j *job) {
+	c.mu.Lock()
+	cancel, done := j.cancel, j.done
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel()
+		<-done
 	}
 }
 
@@ -274,7 +278,7 @@
 
 // dropJob stops the chunks of a version that no plan wants here any more.
 func (d *Daemon) dropJob(ctx context.Context, j *job) {
-	j.end()
+	d.copies.end(j)
 	d.copies.mu.Lock()
 	loaded := j.loadedBytes() > 0
 	if !loaded {
@@ -307,8 +311,9 @@
 	}
 	work, cancel := context.WithCancel(ctx)
 	j.cancel, j.done = cancel, make(chan struct{})
+	done := j.done
 	go func() {
-		defer close(j.done)
+		defer close(done)
 		d.work(work, j)
 		d.copies.mu.Lock()
 		j.cancel = nil
--- a/sidecar/once.go
+++ b/sidecar/once.go
@@ -36,7 +36,7 @@
 	if e, ok := d.memory.Lookup(key, now); ok && e.Status != dedup.Refused && e.Holder != c.Request {
 		return seen(e)
 	}
-	if d.draining.Load() || d.replaced() {
+	if d.requests.Draining() || d.replaced() {
 		return peer.Claimed{Reason: peer.ReasonDraining, Outcome: outcome.Unknown, Message: "the key's home is leaving", RetryMS: busyRetry.Milliseconds()}
 	}
 	if no := d.admitKey(c.Key, now); no != nil {
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -53,8 +53,8 @@
 // handleRun is a caller's request, sent on by a gateway. A request that is
 // not repeatable carries the key that its home has granted.
 func (d *Daemon) handleRun(w http.ResponseWriter, r *http.Request) {
-	d.requests.Add(1)
-	defer d.requests.Done()
+	d.requests.Enter()
+	defer d.requests.Leave()
 	a, no := d.admit(r)
 	if no != nil {
 		d.writeRefusal(w, r, no)
@@ -67,7 +67,7 @@
 // admit decides whether a request may go to the endpoint now.
 func (d *Daemon) admit(r *http.Request) (*admitted, *refusal) {
 	switch {
-	case d.draining.Load():
+	case d.requests.Draining():
 		return nil, refuse(http.StatusServiceUnavailable, peer.ReasonDraining, "the sidecar is draining")
 	case d.replaced():
 		return nil, refuse(http.StatusServiceUnavailable, peer.ReasonReplaced, "another sidecar has taken this box over")
@@ -271,8 +271,8 @@
 
 // handleResume takes up a stream whose connection to the gateway was cut.
 func (d *Daemon) handleResume(w http.ResponseWriter, r *http.Request) {
-	d.requests.Add(1)
-	defer d.requests.Done()
+	d.requests.Enter()
+	defer d.requests.Leave()
 	id := pathvar.Vars(r)["id"]
 	target := d.endpoint.URL(d.settings.Endpoint, "/v1/resume/"+url.PathEscape(id)) + "?after=" + url.QueryEscape(r.URL.Query().Get("after"))
 	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, target, nil)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -23,14 +23,13 @@
 	"context"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
-	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/dedup"
+	"github.com/mintlift/mintlift/drain"
 	"github.com/mintlift/mintlift/engine"
 	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/internal/call"
@@ -67,8 +66,7 @@
 	gate    *prio.Gate
 	memory  dedup.Memory
 
-	draining atomic.Bool
-	requests sync.WaitGroup
+	requests drain.Tracker
 	server   *httpserve.Server
 	stop     context.CancelFunc
 	loops    sync.WaitGroup
@@ -136,7 +134,9 @@
 		Sources: d.directory.Sources(),
 		Log:     d.directory.Log,
 		Peers:   d.directory.Checkpoint,
-		Logger:  telemetry.Part(d.log, "state"),
+
+		PeersFirst: true,
+		Logger:     telemetry.Part(d.log, "state"),
 	}
 	d.loop(ctx, d.directory.Run)
 	d.loop(ctx, follower.Run)
@@ -161,21 +161,10 @@
 // returns nil once they have, or an error when the bound of the settings
 // has passed.
 func (d *Daemon) Stop(ctx context.Context) error {
-	d.draining.Store(true)
 	d.log.Info("draining", "bound", d.settings.DrainTimeout.String())
 	ctx, cancel := context.WithTimeout(ctx, d.settings.DrainTimeout)
 	defer cancel()
-	idle := make(chan struct{})
-	go func() {
-		d.requests.Wait()
-		close(idle)
-	}()
-	var err error
-	select {
-	case <-idle:
-	case <-ctx.Done():
-		err = errors.Annotate(ctx.Err(), "requests in progress were cut")
-	}
+	err := d.requests.Drain(ctx)
 	d.stop()
 	d.loops.Wait()
 	if stopErr := d.server.Stop(ctx); err == nil {
@@ -200,7 +189,7 @@
 		Incarnation: d.incarnation,
 		Offset:      d.replica.Offset(),
 		ContactMS:   time.Since(d.replica.Contact()).Milliseconds(),
-		Draining:    d.draining.Load(),
+		Draining:    d.requests.Draining(),
 		Service:     d.settings.Service,
 		Load:        active + waiting,
 		Slots:       d.settings.MaxInFlight,
@@ -239,7 +228,7 @@
 			http.Error(w, "wrong or missing key", http.StatusUnauthorized)
 			return
 		}
-		if d.draining.Load() {
+		if d.requests.Draining() {
 			w.Header().Set(peer.HeaderDraining, "1")
 		}
 		h(w, r)
@@ -255,7 +244,7 @@
 }
 
 func (d *Daemon) handleHealth(w http.ResponseWriter, _ *http.Request) {
-	if d.draining.Load() {
+	if d.requests.Draining() {
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 		return
 	}
--- a/state/follower.go
+++ b/state/follower.go
@@ -45,6 +45,10 @@
 	readTimeout = pollWait + 3*time.Second
 	pauseMin    = 100 * time.Millisecond
 	pauseMax    = 2 * time.Second
+	// relayStale is the age from which another relay is worth a try.
+	relayStale = 6 * time.Second
+	// startSpread spreads what many processes do that start at once.
+	startSpread = time.Second
 )
 
 // Follower keeps a Replica up to date. All fields are needed but Peers.
@@ -52,11 +56,14 @@
 	Replica *Replica
 	Sources Sources
 	// Log reads checkpoints from the log service itself.
-	Log *journal.Client
+	Log Source
 	// Peers returns the highest checkpoint that other processes hold, for a
 	// start while the log is out. It may be nil.
-	Peers  func(ctx context.Context) (Checkpoint, error)
-	Logger logr.Logger
+	Peers func(ctx context.Context) (Checkpoint, error)
+	// PeersFirst asks the peers before the log: sidecars do, so that many
+	// that start at once do not all read checkpoints from the log.
+	PeersFirst bool
+	Logger     logr.Logger
 }
 
 // Run follows until ctx ends. It reports nothing: a failed read is tried
@@ -83,6 +90,13 @@
 
 // start takes the newest checkpoint within reach before the first read.
 func (f *Follower) start(ctx context.Context) {
+	if f.PeersFirst {
+		sleep(ctx, rand.N(startSpread))
+		f.restoreFromPeers(ctx)
+		if f.Replica.Offset() > 0 {
+			return
+		}
+	}
 	if err := f.restoreFromLog(ctx); err != nil {
 		f.Logger.Info("no checkpoint from the log", "error", err.Error())
 		f.restoreFromPeers(ctx)
@@ -107,7 +121,11 @@
 	if err := f.Replica.Apply(page.Records); err != nil {
 		return err
 	}
-	f.Replica.Heard(asked.Add(-time.Duration(page.AgeMS) * time.Millisecond))
+	age := time.Duration(page.AgeMS) * time.Millisecond
+	f.Replica.Heard(asked.Add(-age))
+	if age > relayStale {
+		f.Sources.Failed(src)
+	}
 	return nil
 }
 
--- /dev/null
+++ b/transfer/swarm_test.go
@@ -0,0 +1,220 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package transfer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
+	"gotest.tools/v3/assert"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func params(boxes, chunks int) Params {
+	p := Params{Chunks: chunks, OriginRegions: []string{"A"}, ChunkTurn: 10 * time.Millisecond, TakeOver: time.Second}
+	for i := range boxes {
+		region := "A"
+		if i%2 == 1 {
+			region = "B"
+		}
+		p.Peers = append(p.Peers, Peer{Box: fmt.Sprintf("b%d", i), Region: region})
+	}
+	return p
+}
+
+func swarm(p Params, box string) *Swarm {
+	return NewSwarm(p, NewOrder(p), box, bitset.New(uint(p.Chunks)), epoch)
+}
+
+// originReads asks a swarm, whose peers have nothing, what it reads from
+// the origin until the given time; nothing arrives.
+func originReads(s *Swarm, until time.Duration) []int {
+	var out []int
+	for at := time.Duration(0); at < until; at += 5 * time.Millisecond {
+		for {
+			p := s.Next(epoch.Add(at))
+			if p.Kind == None {
+				break
+			}
+			switch p.Kind {
+			case FromOrigin:
+				out = append(out, p.Chunk)
+				s.end(p) // let it be read again only if the rules say so
+				s.held.Set(uint(p.Chunk))
+			default:
+				s.Nothing(p, Knowledge{}, epoch.Add(at))
+			}
+		}
+	}
+	return out
+}
+
+// TestOneReaderAChunk checks that in time every chunk is read by exactly
+// one box, and none by a region that does not read from the origin.
+func TestOneReaderAChunk(t *testing.T) {
+	p := params(8, 64)
+	p.TakeOver = 10 * time.Second
+	readers := map[int][]string{}
+	for _, peer := range p.Peers {
+		for _, c := range originReads(swarm(p, peer.Box), time.Duration(p.Chunks+1)*p.ChunkTurn) {
+			readers[c] = append(readers[c], peer.Box)
+			assert.Equal(t, peer.Region, "A", "a region that must not read from the origin did")
+		}
+	}
+	for c := range p.Chunks {
+		assert.Equal(t, len(readers[c]), 1, "chunk %d is read by %v", c, readers[c])
+	}
+}
+
+// TestOneSuccessorTakesOver lets the reader of each chunk die: one more box
+// wakes after each wait, not all.
+func TestOneSuccessorTakesOver(t *testing.T) {
+	p := params(8, 16)
+	o := NewOrder(p)
+	for c := range p.Chunks {
+		ranked := o.first["A"][c]
+		for rank, box := range ranked {
+			s := swarm(p, box)
+			at := time.Duration(c)*p.ChunkTurn + time.Duration(rank)*p.TakeOver
+			for _, turn := range s.turns {
+				if turn.chunk == c {
+					assert.Equal(t, turn.at, at)
+				}
+			}
+		}
+	}
+}
+
+// TestKnownChunksAreNotReadAgain tells a successor that the chunk exists.
+func TestKnownChunksAreNotReadAgain(t *testing.T) {
+	p := params(8, 64)
+	all := bitset.New(64).Complement()
+	for _, peer := range p.Peers {
+		if peer.Region != "A" {
+			continue
+		}
+		s := swarm(p, peer.Box)
+		other := s.peers[0].Box
+		s.Known(other, Knowledge{Held: all, Exists: all})
+		s.lastNew = epoch.Add(time.Hour) // chunks go on arriving
+		assert.Equal(t, len(originReads(s, 20*time.Second)), 0, "%s reads what is known to exist", peer.Box)
+	}
+}
+
+// TestCrossingOnce checks that in the other region each chunk is fetched
+// across the border by one box, from the far region.
+func TestCrossingOnce(t *testing.T) {
+	p := params(8, 64)
+	crossed := map[int]int{}
+	for _, peer := range p.Peers {
+		if peer.Region != "B" {
+			continue
+		}
+		s := swarm(p, peer.Box)
+		for at := time.Duration(0); at < time.Duration(p.Chunks+2)*p.ChunkTurn; at += 5 * time.Millisecond {
+			for {
+				pull := s.Next(epoch.Add(at))
+				if pull.Kind == None {
+					break
+				}
+				if pull.Kind == FromFar {
+					crossed[pull.Chunk]++
+					assert.Equal(t, s.byBox[pull.Peer].Region, "A")
+					s.Arrived(pull, Knowledge{}, time.Millisecond, epoch.Add(at))
+					continue
+				}
+				assert.Assert(t, pull.Kind != FromOrigin)
+				s.Nothing(pull, Knowledge{}, epoch.Add(at))
+			}
+		}
+	}
+	for c := range p.Chunks {
+		assert.Equal(t, crossed[c], 1, "chunk %d", c)
+	}
+}
+
+// TestBadPeerIsLeftAlone doubles the time that a bad peer is not asked.
+func TestBadPeerIsLeftAlone(t *testing.T) {
+	p := params(4, 8) // b0 and b2 share region A
+	s := swarm(p, "b0")
+	now := epoch
+	var gaps []time.Duration
+	var last time.Time
+	for ; len(gaps) < 4; now = now.Add(10 * time.Millisecond) {
+		for pull := s.Next(now); pull.Kind != None; pull = s.Next(now) {
+			if pull.Kind == FromOrigin {
+				s.Arrived(pull, Knowledge{}, time.Millisecond, now)
+				continue
+			}
+			assert.Equal(t, pull.Peer, "b2")
+			if !last.IsZero() {
+				gaps = append(gaps, now.Sub(last))
+			}
+			last = now
+			s.Bad(pull, now)
+		}
+		if s.Done() {
+			s.held.Clear(0) // keep it wanting
+		}
+	}
+	for i := 1; i < len(gaps); i++ {
+		assert.Assert(t, gaps[i] >= gaps[i-1]*3/2, "%v", gaps)
+	}
+}
+
+// TestOwnStallBlamesNobody stalls every pull at once: the box's own link is
+// at fault, and the peers must be asked again soon.
+func TestOwnStallBlamesNobody(t *testing.T) {
+	p := params(8, 64)
+	s := swarm(p, "b0")
+	now := epoch
+	first := s.Next(now)
+	for first.Kind != FromPeer {
+		s.Arrived(first, Knowledge{}, 10*time.Millisecond, now)
+		first = s.Next(now)
+	}
+	now = now.Add(s.StallLimit() + time.Second)
+	s.Stalled(first, now)
+	assert.Equal(t, s.byBox[first.Peer].penalty, time.Duration(0), "a peer was blamed for the box's own link")
+	assert.Equal(t, s.downloads(), 1, "a stalled box probes with one pull")
+
+	all := bitset.New(64).Complement()
+	s.Known("b2", Knowledge{Held: all, Exists: all}) // nothing is left to read from the origin
+	now = now.Add(idleRetryMax)
+	second := s.Next(now)
+	assert.Equal(t, second.Kind, FromPeer)
+	s.lastNew = now // chunks come from others
+	s.Stalled(second, now)
+	assert.Equal(t, s.byBox[second.Peer].penalty, stallPenalty)
+}
+
+// TestExtraShareIsBounded reads beyond the rules only within the share.
+func TestExtraShareIsBounded(t *testing.T) {
+	p := params(4, 40)
+	p.ExtraOrigin = ExtraOrigin(40, 4, 1)
+	assert.Equal(t, p.ExtraOrigin, 10)
+	total := 0
+	for _, peer := range p.Peers {
+		s := swarm(p, peer.Box)
+		own := len(s.turns)
+		s.lastNew = epoch.Add(time.Hour)
+		reads := originReads(s, p.TakeOver/2+time.Duration(p.Chunks)*p.ChunkTurn)
+		total += len(reads)
+		assert.Assert(t, len(reads) <= own+p.ExtraOrigin)
+	}
+	assert.Assert(t, total <= 40+40, "%d chunks for 40 and one extra copy", total)
+}
+
+func TestPickerSpreadsWhatIsRare(t *testing.T) {
+	p := NewPicker(10, 1)
+	held, none := bitset.New(10).Complement(), bitset.New(10)
+	seen := map[int]bool{}
+	for range 10 {
+		seen[p.Pick(held, none)] = true
+	}
+	assert.Equal(t, len(seen), 10, "a chunk was sent twice before another was sent once")
+	assert.Equal(t, p.Pick(held, held), -1)
+}
