--- a/cmd/mintlift/process_test.go
+++ b/cmd/mintlift/process_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -118,8 +119,10 @@
 	for i := range gateways {
 		s.addGateway(fmt.Sprintf("entry-%d", i))
 	}
-	for i := range sidecars {
-		s.addSidecar(fmt.Sprintf("engine-%d", i))
+	var engines string
+	s.procs["engines"] = launch(t, &engines, "standin", "engine", "--check-fences", "--count", strconv.Itoa(sidecars))
+	for i, engine := range strings.Split(engines, ",") {
+		s.addSidecar(fmt.Sprintf("engine-%d", i), engine)
 	}
 	return s
 }
@@ -169,9 +172,7 @@
 	s.list(membership.Box{ID: g.Node.Box, Zone: g.Node.AvailabilityZone(), Role: membership.Gateway, Address: g.PeerListen, State: membership.Live})
 }
 
-func (s *system) addSidecar(box string) {
-	var engine string
-	s.procs["standin "+box] = launch(s.t, &engine, "standin", "engine", "--check-fences")
+func (s *system) addSidecar(box, engine string) {
 	c := settings.DefaultSidecar()
 	c.Node, c.Platform, c.Endpoint = settings.Node{Box: box, Region: "r1", Zone: "a"}, s.platform, engine
 	c.PeerListen = freeAddress(s.t)
--- a/cmd/mintlift/standins.go
+++ b/cmd/mintlift/standins.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -70,19 +71,24 @@
 				},
 			},
 			{
-				Name: "engine", Usage: "a model engine",
+				Name: "engine", Usage: "a model engine, or several on ports of their own",
 				Flags: []cli.Flag{
 					listen,
+					&cli.IntFlag{Name: "count", Usage: "number of engines", Value: 1},
 					&cli.BoolFlag{Name: "check-fences", Usage: "refuse stale orders"},
 					&cli.Int64Flag{Name: "memory", Usage: "bytes for loaded versions, 0 for no bound"},
 					&cli.DurationFlag{Name: "token-time", Usage: "time for each token", Value: 5 * time.Millisecond},
 					&cli.BoolFlag{Name: "forget", Usage: "keep no bytes of staged chunks"},
 				},
 				Action: func(ctx context.Context, c *cli.Command) error {
-					e := standin.NewEngine()
-					e.ChecksFences, e.MemoryBytes, e.Forget = c.Bool("check-fences"), c.Int64("memory"), c.Bool("forget")
-					e.TokenTime, e.FirstTokenTime = c.Duration("token-time"), c.Duration("token-time")
-					return runStandin(ctx, c, e.Handler())
+					engines := make([]http.Handler, c.Int("count"))
+					for i := range engines {
+						e := standin.NewEngine()
+						e.ChecksFences, e.MemoryBytes, e.Forget = c.Bool("check-fences"), c.Int64("memory"), c.Bool("forget")
+						e.TokenTime, e.FirstTokenTime = c.Duration("token-time"), c.Duration("token-time")
+						engines[i] = e.Handler()
+					}
+					return runStandin(ctx, c, engines...)
 				},
 			},
 			{
@@ -104,13 +110,19 @@
 	return boxes, json.Unmarshal(b, &boxes)
 }
 
-func runStandin(ctx context.Context, c *cli.Command, h http.Handler) error {
-	s, err := standin.Serve(c.String("listen"), h)
-	if err != nil {
-		return err
+// runStandin serves each handler on a port of its own, prints the addresses
+// on one line and runs until a signal.
+func runStandin(ctx context.Context, c *cli.Command, handlers ...http.Handler) error {
+	var addresses []string
+	for _, h := range handlers {
+		s, err := standin.Serve(c.String("listen"), h)
+		if err != nil {
+			return err
+		}
+		defer s.Close()
+		addresses = append(addresses, s.Address())
 	}
-	defer s.Close()
-	fmt.Fprintln(c.Root().Writer, s.Address())
+	fmt.Fprintln(c.Root().Writer, strings.Join(addresses, ","))
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	<-ctx.Done()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/mintlift/mintlift/engine"
 	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/internal/call"
+	"github.com/mintlift/mintlift/internal/meter"
 	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/keys"
 	"github.com/mintlift/mintlift/peer"
@@ -47,6 +48,7 @@
 	settings    settings.Gateway
 	log         logr.Logger
 	metrics     *telemetry.Metrics
+	meter       meter.Meter
 	incarnation string
 	replica     *state.Replica
 	directory   *relay.Directory
@@ -84,6 +86,7 @@
 		replica:     state.NewReplica(),
 		gate:        prio.NewGate(s.MaxInFlight, s.Queue),
 	}
+	d.metrics.Traffic(&d.meter)
 	if err := d.connect(); err != nil {
 		return nil, err
 	}
@@ -105,9 +108,9 @@
 		return err
 	}
 	d.token = key.Key
-	d.platform = call.New("platform", call.Options{})
-	d.peers = peer.NewClient(call.Options{TLS: peerTLS}, d.token)
-	d.once = peer.NewClient(call.Options{TLS: peerTLS, NoReuse: true}, d.token)
+	d.platform = call.New("platform", call.Options{Meter: &d.meter})
+	d.peers = peer.NewClient(call.Options{TLS: peerTLS, Meter: &d.meter}, d.token)
+	d.once = peer.NewClient(call.Options{TLS: peerTLS, NoReuse: true, Meter: &d.meter}, d.token)
 	d.journal = &journal.Client{Call: d.platform, Address: d.settings.Platform.Log}
 	d.directory = &relay.Directory{
 		Self:     d.settings.Node.Box,
@@ -157,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return httpserve.Listen("mintlift-gateway", address, c, routes)
+	return httpserve.Listen(httpserve.Options{Name: "mintlift-gateway", Address: address, TLS: c, Meter: &d.meter}, routes)
 }
 
 func (d *Daemon) startLoops() {
--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -25,6 +25,8 @@
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/core/stat"
 	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/mintlift/mintlift/internal/meter"
 )
 
 // Bounds of every server.
@@ -68,19 +70,31 @@
 	stat.DisableLog()
 }
 
-// Listen binds address and serves routes. A nil config serves plain HTTP.
-// name appears in traces.
-func Listen(name, address string, tlsConfig *tls.Config, routes []Route) (*Server, error) {
-	handler, err := Handler(name, routes)
+// Options configure a Server.
+type Options struct {
+	// Name appears in traces.
+	Name string
+	// Address is the IP and port to bind.
+	Address string
+	// TLS is nil for plain HTTP.
+	TLS *tls.Config
+	// Meter, when set, counts the connections' bytes.
+	Meter *meter.Meter
+}
+
+// Listen binds an address and serves routes.
+func Listen(o Options, routes []Route) (*Server, error) {
+	handler, err := Handler(o.Name, routes)
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", address)
+	ln, err := net.Listen("tcp", o.Address)
 	if err != nil {
-		return nil, errors.Annotatef(err, "listen on %s", address)
+		return nil, errors.Annotatef(err, "listen on %s", o.Address)
 	}
-	if tlsConfig != nil {
-		ln = tls.NewListener(ln, tlsConfig)
+	ln = o.Meter.Listener(ln)
+	if o.TLS != nil {
+		ln = tls.NewListener(ln, o.TLS)
 	}
 	s := &Server{
 		http:     &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout},
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -24,6 +24,8 @@
 	"github.com/juju/errors"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/mintlift/mintlift/internal/meter"
 )
 
 // Bounds of the shared transport.
@@ -79,18 +81,14 @@
 	// repeats a request by itself only on a reused connection, so this is
 	// what a request that is not repeatable needs.
 	NoReuse bool
-	// Dial replaces the network, for tests.
-	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Meter, when set, counts the connections' bytes.
+	Meter *meter.Meter
 }
 
 // New returns a client whose spans carry name.
 func New(name string, o Options) *Client {
-	dial := o.Dial
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
-	}
 	tr := &http.Transport{
-		DialContext:         dial,
+		DialContext:         o.Meter.Dial(&net.Dialer{Timeout: dialTimeout}),
 		TLSClientConfig:     o.TLS,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -33,6 +33,7 @@
 	"github.com/mintlift/mintlift/engine"
 	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/internal/call"
+	"github.com/mintlift/mintlift/internal/meter"
 	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/keys"
 	"github.com/mintlift/mintlift/peer"
@@ -49,6 +50,7 @@
 	settings    settings.Sidecar
 	log         logr.Logger
 	metrics     *telemetry.Metrics
+	meter       meter.Meter // all connections but those to the endpoint
 	incarnation string
 	replica     *state.Replica
 	directory   *relay.Directory
@@ -84,6 +86,7 @@
 		uploads:     prio.NewGate(transfer.UploadSlots, transfer.UploadWaiting),
 		gate:        prio.NewGate(s.MaxInFlight, s.Queue),
 	}
+	d.metrics.Traffic(&d.meter)
 	if err := d.connect(); err != nil {
 		return nil, err
 	}
@@ -91,7 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d.server, err = httpserve.Listen("mintlift-sidecar", s.PeerListen, serverTLS, d.routes())
+	d.server, err = httpserve.Listen(httpserve.Options{Name: "mintlift-sidecar", Address: s.PeerListen, TLS: serverTLS, Meter: &d.meter}, d.routes())
 	if err != nil {
 		return nil, err
 	}
@@ -110,8 +113,8 @@
 		return err
 	}
 	d.token = key.Key
-	d.platform = call.New("platform", call.Options{})
-	d.peers = peer.NewClient(call.Options{TLS: peerTLS}, d.token)
+	d.platform = call.New("platform", call.Options{Meter: &d.meter})
+	d.peers = peer.NewClient(call.Options{TLS: peerTLS, Meter: &d.meter}, d.token)
 	d.endpoint = call.New("endpoint", call.Options{})
 	d.once = call.New("endpoint", call.Options{NoReuse: true})
 	d.engine = &engine.Client{Call: d.endpoint, Address: d.settings.Endpoint}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -21,6 +21,8 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 	"github.com/zeromicro/go-zero/core/trace"
+
+	"github.com/mintlift/mintlift/internal/meter"
 )
 
 // LogSettings choose what is logged.
@@ -104,6 +106,12 @@
 // Gauge registers a gauge that is read when metrics are.
 func (m *Metrics) Gauge(name string, read func() float64) { m.set.GetOrCreateGauge(name, read) }
 
+// Traffic registers the gauges of a meter.
+func (m *Metrics) Traffic(t *meter.Meter) {
+	m.Gauge("mintlift_net_received_bytes", func() float64 { return float64(t.In()) })
+	m.Gauge("mintlift_net_sent_bytes", func() float64 { return float64(t.Out()) })
+}
+
 // Handler serves the set, and the process's own metrics, on /metrics.
 func (m *Metrics) Handler(w http.ResponseWriter, _ *http.Request) {
 	m.set.WritePrometheus(w)
