--- /dev/null
+++ b/load/send.go
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/mintlift/mintlift/outcome"
+	"github.com/mintlift/mintlift/peer"
+)
+
+// order is one request to send.
+type order struct {
+	path, key, once string
+	body            []byte
+	stream          bool
+}
+
+// order draws a request of the class.
+func (c *Class) order(rng *rand.Rand) order {
+	o := order{key: c.key}
+	if rng.Float64() < c.NotRepeatable {
+		o.once = uuid.Must(uuid.NewV7()).String()
+	}
+	if c.Service != "" {
+		o.path = "/v1/services/" + c.Service + "/load"
+		o.body = []byte(`{"page":1}`)
+		return o
+	}
+	o.path, o.stream = "/v1/chat/completions", true
+	prompt := fmt.Sprintf("prompt %d", rng.IntN(max(c.Prefixes, 1)))
+	o.body = fmt.Appendf(nil, `{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, c.Model, max(c.Tokens, 1), prompt)
+	return o
+}
+
+// answer is what came back.
+type answer struct {
+	request, version string
+	outcome          outcome.Outcome
+	first, end       time.Time
+	gaps             []time.Duration
+	broken           bool
+}
+
+// sender sends requests over a pool of connections.
+type sender struct{ client *http.Client }
+
+func newSender() *sender {
+	const perHost = 4096
+	return &sender{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: perHost, DisableCompression: true}}}
+}
+
+func (s *sender) send(ctx context.Context, target string, o order) (a answer) {
+	defer func() { a.end = time.Now() }()
+	a.outcome = outcome.Unknown
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+o.path, bytes.NewReader(o.body))
+	if err != nil {
+		return a
+	}
+	req.GetBody = nil // the tool sends each request once
+	req.Header.Set("Authorization", "Bearer "+o.key)
+	req.Header.Set("Content-Type", "application/json")
+	if o.once != "" {
+		req.Header.Set("Idempotency-Key", o.once)
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return a
+	}
+	defer resp.Body.Close()
+	a.request, a.version = resp.Header.Get(peer.HeaderRequest), resp.Header.Get(peer.HeaderVersion)
+	if v := resp.Header.Get(peer.HeaderOutcome); v != "" {
+		a.outcome = outcome.Outcome(v)
+	}
+	if o.stream && resp.StatusCode == http.StatusOK && resp.Header.Get(peer.HeaderReason) == "" {
+		a.read(resp.Body)
+		return a
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		a.outcome, a.broken = outcome.Unknown, true
+	}
+	return a
+}
+
+// streamEvent is what a caller reads of an event.
+type streamEvent struct {
+	ID    string             `json:"id"`
+	Model string             `json:"model"`
+	Error *peer.RefusalError `json:"error"`
+}
+
+// read follows a stream to its end and checks whose it is.
+func (a *answer) read(body io.Reader) {
+	lines := bufio.NewScanner(body)
+	last := time.Time{}
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			a.outcome = outcome.Completed
+			return
+		}
+		now := time.Now()
+		var e streamEvent
+		if json.Unmarshal([]byte(data), &e) != nil {
+			break
+		}
+		if e.Error != nil {
+			a.outcome = e.Error.Outcome
+			return
+		}
+		if e.ID != a.request || a.version != "" && e.Model != a.version {
+			break
+		}
+		if a.first.IsZero() {
+			a.first = now
+		} else {
+			a.gaps = append(a.gaps, now.Sub(last))
+		}
+		last = now
+	}
+	a.outcome, a.broken = outcome.Unknown, true
+}
