--- a/cmd/mintlift/idle_test.go
+++ b/cmd/mintlift/idle_test.go
@@ -48,7 +48,7 @@
 		n, err := strconv.Atoi(text)
 		assert.NilError(t, err)
 		t.Run(text, func(t *testing.T) {
-			s := newSystem(t, 2, n)
+			s := newSystem(t, 2, n, 0)
 			s.prepare()
 			s.deploy("v1")
 			time.Sleep(10 * time.Second)
--- a/cmd/mintlift/process_test.go
+++ b/cmd/mintlift/process_test.go
@@ -103,14 +103,15 @@
 	t        *testing.T
 	dir      string
 	platform settings.Platform
+	sample   float64 // share of requests traced
 	gateways []settings.Gateway
 	sidecars []settings.Sidecar
 	engines  []string
 	procs    map[string]*process
 }
 
-func newSystem(t *testing.T, gateways, sidecars int) *system {
-	s := &system{t: t, dir: t.TempDir(), procs: make(map[string]*process)}
+func newSystem(t *testing.T, gateways, sidecars int, sample float64) *system {
+	s := &system{t: t, dir: t.TempDir(), sample: sample, procs: make(map[string]*process)}
 	assert.NilError(t, os.WriteFile(s.path("operator.key"), []byte(testKey+"\n"), 0o600))
 	s.procs["log"] = launch(t, &s.platform.Log, "standin", "log")
 	s.procs["store"] = launch(t, &s.platform.WeightStore, "standin", "store", "--publish", "draft@v1", "--publish", "draft@v2", "--bytes", "2097152", "--chunk", "65536")
@@ -161,7 +162,7 @@
 	g.CallerListen, g.AdminListen, g.PeerListen = freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
 	g.OperatorKeyFile = s.path("operator.key")
 	g.DrainTimeout = 20 * time.Second
-	g.Trace = telemetry.TraceSettings{Exporter: telemetry.ExportFile, Target: s.path(box + ".trace"), Sample: 1}
+	g.Trace = telemetry.TraceSettings{Exporter: telemetry.ExportFile, Target: s.path(box + ".trace"), Sample: s.sample}
 	s.gateways = append(s.gateways, g)
 	s.startGateway(len(s.gateways) - 1)
 }
@@ -177,7 +178,7 @@
 	c.Node, c.Platform, c.Endpoint = settings.Node{Box: box, Region: "r1", Zone: "a"}, s.platform, engine
 	c.PeerListen = freeAddress(s.t)
 	c.DrainTimeout = 20 * time.Second
-	c.Trace = telemetry.TraceSettings{Exporter: telemetry.ExportFile, Target: s.path(box + ".trace"), Sample: 1}
+	c.Trace = telemetry.TraceSettings{Exporter: telemetry.ExportFile, Target: s.path(box + ".trace"), Sample: s.sample}
 	s.sidecars = append(s.sidecars, c)
 	s.engines = append(s.engines, engine)
 	s.startSidecar(len(s.sidecars) - 1)
@@ -301,7 +302,7 @@
 // of their own: the whole path, a planned stop under load, a crash, a
 // paused sidecar, and one trace.
 func TestProcesses(t *testing.T) {
-	s := newSystem(t, 2, 6)
+	s := newSystem(t, 2, 6, 1)
 	s.prepare()
 	s.deploy("v1")
 	s.awaitChat(0)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,6 +87,7 @@
 		gate:        prio.NewGate(s.MaxInFlight, s.Queue),
 	}
 	d.metrics.Traffic(&d.meter)
+	d.metrics.State(d.replica.Offset, d.replica.Contact, d.gate.Load)
 	if err := d.connect(); err != nil {
 		return nil, err
 	}
--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -223,7 +223,8 @@
 	if err := d.engine.Put(ctx, j.ref, p.Chunk, counted, size); err != nil {
 		return errors.Annotate(err, "chunk did not arrive")
 	}
-	j.count(p, hash.Written(), d.crossed(p))
+	j.count(p, hash.Written())
+	d.metrics.Counter("mintlift_chunk_received_bytes_total", "source", sourceOf(p)).Add(int(hash.Written()))
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.copy.State() != weights.Fetching {
@@ -231,19 +232,29 @@
 	}
 	if err := j.copy.AcceptSum(p.Chunk, hash.Written(), hash.Digest()); err != nil {
 		j.bad.Add(1)
+		d.metrics.Counter("mintlift_chunks_bad_total", "source", sourceOf(p)).Inc()
 		return err
 	}
 	return nil
 }
 
-// crossed reports whether a pull crosses a region's border.
-func (d *Daemon) crossed(p transfer.Pull) bool { return p.Kind == transfer.FromFar }
+// sourceOf names where a pull's chunk comes from.
+func sourceOf(p transfer.Pull) string {
+	switch p.Kind {
+	case transfer.FromOrigin:
+		return "origin"
+	case transfer.FromFar:
+		return "other_region"
+	default:
+		return "peer"
+	}
+}
 
-func (j *job) count(p transfer.Pull, n int64, crossed bool) {
-	switch {
-	case p.Kind == transfer.FromOrigin:
+func (j *job) count(p transfer.Pull, n int64) {
+	switch p.Kind {
+	case transfer.FromOrigin:
 		j.originBytes.Add(n)
-	case crossed:
+	case transfer.FromFar:
 		j.crossBytes.Add(n)
 		j.peerBytes.Add(n)
 	default:
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -16,6 +16,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
@@ -112,6 +113,21 @@
 	m.Gauge("mintlift_net_sent_bytes", func() float64 { return float64(t.Out()) })
 }
 
+// State registers the gauges that every process has: its state's offset,
+// the seconds since it heard the log, and the requests in progress.
+func (m *Metrics) State(offset func() int64, contact func() time.Time, load func() (active, waiting int)) {
+	m.Gauge("mintlift_state_offset", func() float64 { return float64(offset()) })
+	m.Gauge("mintlift_log_contact_seconds", func() float64 { return time.Since(contact()).Seconds() })
+	m.Gauge("mintlift_requests_in_flight", func() float64 {
+		active, _ := load()
+		return float64(active)
+	})
+	m.Gauge("mintlift_requests_waiting", func() float64 {
+		_, waiting := load()
+		return float64(waiting)
+	})
+}
+
 // Handler serves the set, and the process's own metrics, on /metrics.
 func (m *Metrics) Handler(w http.ResponseWriter, _ *http.Request) {
 	m.set.WritePrometheus(w)
