gateway: manifests come from a gateway, not 410 times from the store

Change: gateways keep the last manifests and read each once; the plan's digest still decides. The store sees one request a gateway and plan.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,8 @@
 	once     *call.Client // sidecars, without reuse of connections
 	token    peer.Token
 
+	manifests manifests
+
 	view   view
 	probes singleflight.Group
 	probed time.Time // of the last probeNow; only probes touches it
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -13,12 +13,10 @@
 
 	"github.com/mintlift/mintlift/admin"
 	"github.com/mintlift/mintlift/intent"
-	"github.com/mintlift/mintlift/internal/call"
 	"github.com/mintlift/mintlift/membership"
 	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/route"
 	"github.com/mintlift/mintlift/state"
-	"github.com/mintlift/mintlift/weights"
 )
 
 // Timing of probes.
@@ -208,27 +206,6 @@
 	return out
 }
 
-// Manifest implements admin.World.
-func (d *Daemon) Manifest(ctx context.Context, ref weights.Ref) (*weights.Manifest, error) {
-	const limit = 4 << 20
-	url := d.platform.URL(d.settings.Platform.WeightStore, "/store/"+ref.Model+"/"+ref.Version+"/manifest")
-	raw, err := d.platform.Bytes(ctx, http.MethodGet, url, nil, limit)
-	switch {
-	case call.Status(err) == http.StatusNotFound:
-		return nil, admin.Problem(admin.CodeNotFound, "version %s is not in the weight store", ref)
-	case err != nil:
-		return nil, admin.Problem(admin.CodeUnavailable, "the weight store does not answer: %v", err)
-	}
-	m, err := weights.ParseManifest(raw, "")
-	if err == nil && m.Ref != ref {
-		return nil, admin.Problem(admin.CodeBadManifest, "the store's manifest for %s names %s", ref, m.Ref)
-	}
-	if err != nil {
-		return nil, admin.Problem(admin.CodeBadManifest, "%v", err)
-	}
-	return m, nil
-}
-
 // Links implements admin.World.
 func (d *Daemon) Links() intent.Links {
 	return intent.Links{Origin: d.settings.Links.Origin, Box: d.settings.Links.Box}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -26,6 +26,7 @@
 		{Method: http.MethodGet, Path: peer.PathBoxes, Handler: d.guard(d.handleBoxes)},
 		{Method: http.MethodGet, Path: peer.PathCheckpoint, Handler: d.guard(d.handleCheckpoint)},
 		{Method: http.MethodGet, Path: peer.PathStatus, Handler: d.guard(d.handleStatus)},
+		{Method: http.MethodGet, Path: "/peer/v1/weights/:model/:version/manifest", Handler: d.guard(d.handleManifest)},
 		{Method: http.MethodGet, Path: peer.PathMetrics, Handler: d.metrics.Handler},
 		{Method: http.MethodGet, Path: peer.PathHealth, Handler: d.handleHealth},
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -209,6 +209,9 @@
 	return "/peer/v1/weights/" + ref.Model + "/" + ref.Version + "/pull"
 }
 
+// QueryDigest says which manifest is wanted, by the plan's digest.
+const QueryDigest = "digest"
+
 // ManifestPath is the path of a version's manifest.
 func ManifestPath(ref weights.Ref) string {
 	return "/peer/v1/weights/" + ref.Model + "/" + ref.Version + "/manifest"
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -142,6 +142,17 @@
 	}
 }
 
+// Gateway returns the gateway that this process works with now.
+func (d *Directory) Gateway() (membership.Box, bool) { return d.gateway(time.Now()) }
+
+// Others returns the listed boxes among ids, but the process's own.
+func (d *Directory) Others(ids []string) []membership.Box {
+	boxes, _ := d.Boxes()
+	return slices.DeleteFunc(boxes, func(b membership.Box) bool {
+		return b.ID == d.Self || !slices.Contains(ids, b.ID)
+	})
+}
+
 // gateway returns the first gateway in this process's order that has not
 // failed lately. When all have, it is the first one all the same, and only
 // once in a directEvery none, which sends the process to the platform
--- a/sidecar/copies.go
+++ b/sidecar/copies.go
@@ -380,30 +380,39 @@
 	return nil
 }
 
-// fetchManifest asks the weight store, and peers of the plan when the store
-// does not answer. The plan's digest decides, whoever sent it.
+// fetchManifest asks this sidecar's gateway, then the weight store, then
+// peers of the plan. The plan's digest decides, whoever sent it.
 func (d *Daemon) fetchManifest(ctx context.Context, p *intent.Plan) (*weights.Manifest, []byte, error) {
 	ref := p.Intent.Ref
-	url := d.platform.URL(d.settings.Platform.WeightStore, "/store/"+ref.Model+"/"+ref.Version+"/manifest")
-	raw, err := d.platform.Bytes(ctx, http.MethodGet, url, nil, manifestLimit)
-	if err == nil {
+	var last error
+	try := func(c *call.Client, url string) (*weights.Manifest, []byte) {
+		raw, err := c.Bytes(ctx, http.MethodGet, url, nil, manifestLimit)
+		if err != nil {
+			last = err
+			return nil, nil
+		}
 		m, err := weights.ParseManifest(raw, p.ManifestDigest)
-		return m, raw, err
-	}
-	boxes, _ := d.directory.Boxes()
-	for _, b := range boxes {
-		if _, ok := p.Step(b.ID); !ok || b.ID == d.settings.Node.Box {
-			continue
+		if err != nil {
+			last = err
+			return nil, nil
 		}
-		raw, peerErr := d.peers.Bytes(ctx, http.MethodGet, d.peers.URL(b.Address, peer.ManifestPath(ref)), nil, manifestLimit)
-		if peerErr != nil {
-			continue
+		return m, raw
+	}
+	if g, ok := d.directory.Gateway(); ok {
+		url := d.peers.URL(g.Address, peer.ManifestPath(ref)) + "?" + peer.QueryDigest + "=" + string(p.ManifestDigest)
+		if m, raw := try(d.peers, url); m != nil {
+			return m, raw, nil
 		}
-		if m, peerErr := weights.ParseManifest(raw, p.ManifestDigest); peerErr == nil {
+	}
+	if m, raw := try(d.platform, d.platform.URL(d.settings.Platform.WeightStore, "/store/"+ref.Model+"/"+ref.Version+"/manifest")); m != nil {
+		return m, raw, nil
+	}
+	for _, b := range d.directory.Others(p.Boxes()) {
+		if m, raw := try(d.peers, d.peers.URL(b.Address, peer.ManifestPath(ref))); m != nil {
 			return m, raw, nil
 		}
 	}
-	return nil, nil, errors.Annotate(err, "no manifest from the store or a peer")
+	return nil, nil, errors.Annotate(last, "no manifest from a gateway, the store or a peer")
 }
 
 // awaitWave waits until the log has opened the box's wave.
