relay, gateway: control traffic that does not grow with the box list

Cause: TestMeasureIdle, 200 sidecars and 2 gateways: a gateway sent 1.34 MB/s and took 72 MB, a sidecar received 12.3 KB/s, because every sidecar read the whole box list every 2 s; and a gateway's probe cycle (40 ms a box) went past the 3 s of patience at 75 boxes. Change: the box list and a sidecar's status carry a tag and are sent only when they changed; a relayed read tells the tag of the box list; patience grows with the cycle.

--- /dev/null
+++ b/capacity/page.go
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"math"
+)
+
+// Row is a line of the page: one figure of one role at full size.
+type Row struct {
+	Role, What string
+	// Value at full size, in Unit; Bound is 0 where the users set none.
+	Value, Bound float64
+	Unit         string
+	// Source is the slope, its fit, and what measured it.
+	Source string
+	// Mechanism carries the row.
+	Mechanism string
+}
+
+// Verdict compares the value with the bound.
+func (r Row) Verdict() string {
+	switch {
+	case r.Bound == 0:
+		return ""
+	case r.Value <= r.Bound:
+		return "within"
+	default:
+		return "**over**"
+	}
+}
+
+const (
+	secondsADay = 86400
+	megabyte    = 1e6
+	// subsetCover and subsetMin are package route's: how many gateways work
+	// on each endpoint, and how many endpoints a gateway chooses itself.
+	subsetCover = 3
+	subsetMin   = 8
+	// originRow is the row of docs/transfer.json that the page takes.
+	originRow = "swarm"
+)
+
+// Transfer is what the page takes from docs/transfer.json.
+type Transfer struct {
+	Name         string  `json:"name"`
+	Boxes        int     `json:"boxes"`
+	All          float64 `json:"all"`
+	OriginCopies float64 `json:"origin_copies"`
+	CrossCopies  float64 `json:"cross_copies"`
+	ControlBytes float64 `json:"control_bytes_a_box"`
+}
+
+// probed is how many endpoints one gateway works on at full size.
+func (s Sizes) probed() float64 {
+	return float64(subsetCover*s.Sidecars)/float64(s.Gateways) + subsetMin
+}
+
+// Rows works the page out.
+func Rows(d Data, transfers []Transfer) []Row {
+	rows := append(d.controlRows("gateway", d.Sizes.probed()), d.controlRows("sidecar", float64(d.Sizes.Sidecars))...)
+	rows = append(rows, d.stateRow())
+	rows = append(rows, d.requestRows()...)
+	rows = append(rows, d.logRows()...)
+	return append(rows, d.transferRows(transfers)...)
+}
+
+func (d *Data) controlRows(role string, n float64) []Row {
+	cpu := d.idle(role, func(i Idle) float64 { return i.CPU })
+	mb := d.idle(role, func(i Idle) float64 { return i.MB })
+	net := d.idle(role, func(i Idle) float64 { return i.InRate + i.OutRate })
+	carries := map[string]string{
+		"gateway": "`route.Subset` bounds whom it probes, `gateway.probeEach` how often",
+		"sidecar": "`relay`: one long poll of one gateway; no call to other sidecars when idle",
+	}[role]
+	source := func(l Line, unit string) string {
+		return fmt.Sprintf("%.3g + %.3g %s an endpoint, at %.0f (%s); TestMeasureIdle", l.At0, l.Slope, unit, n, l.Quality())
+	}
+	return []Row{
+		{Role: role, What: "processor, idle control", Value: max(cpu.At(n), 0), Bound: d.Bounds.CPUPercent, Unit: "% of a core", Source: source(cpu, "%"), Mechanism: carries},
+		{Role: role, What: "resident memory, idle", Value: mb.At(n), Bound: d.Bounds.MB, Unit: "MB", Source: source(mb, "MB"), Mechanism: carries},
+		{Role: role, What: "control traffic, both ways", Value: net.At(n), Bound: d.Bounds.BytesRate, Unit: "bytes/s", Source: source(net, "B/s"), Mechanism: carries},
+	}
+}
+
+func (d *Data) stateRow() Row {
+	perWorkspace := d.stateLine(func(s State) int { return s.Workspaces })
+	perStep := d.stateLine(func(s State) int { return s.PlanBoxes })
+	perHome := d.stateLine(func(s State) int { return s.Homes })
+	s := d.Sizes
+	bytes := perWorkspace.At0 + perWorkspace.Slope*float64(s.Workspaces) +
+		perStep.Slope*float64(s.PlansInForce*s.Sidecars) + perHome.Slope*float64(s.Sidecars)
+	return Row{
+		Role: "every process", What: "state, as a checkpoint", Value: bytes / megabyte, Unit: "MB",
+		Source:    fmt.Sprintf("%.0f B a workspace, %.0f a box of a plan in force, %.0f a home (bytes, the same every run; TestStateSlopes)", perWorkspace.Slope, perStep.Slope, perHome.Slope),
+		Mechanism: "`state` keeps plans in force, 64 others, 4,096 record ids",
+	}
+}
+
+func (d *Data) requestRows() []Row {
+	gateway := d.requests(func(r Request) float64 { return r.GatewayMS })
+	sidecar := d.requests(func(r Request) float64 { return r.SidecarMS })
+	s := d.Sizes
+	tokens := s.Tokens / s.Requests
+	row := func(role string, l Line, processes int) Row {
+		rate := s.Requests / float64(processes)
+		return Row{
+			Role: role, What: "processor, requests at the peak", Value: rate * l.At(tokens) / 1000, Unit: "cores a process",
+			Source:    fmt.Sprintf("%.2f ms + %.4f ms a token (%s); %.0f requests/s of %.0f tokens each; TestMeasureRequests", l.At0, l.Slope, l.Quality(), rate, tokens),
+			Mechanism: "event by event, no buffer beyond 16 KB a stream",
+		}
+	}
+	return []Row{row("gateway", gateway, s.Gateways), row("sidecar", sidecar, s.Sidecars)}
+}
+
+// records is the number of records a day.
+func (s Sizes) records() float64 {
+	plans := 2*s.Rollouts + s.Rollouts*s.WavesARollout
+	homes := 2 * (s.Replaced + s.Failed)
+	n := float64(s.Changes + plans + homes)
+	return n + n/float64(s.CheckpointEach)
+}
+
+func (d *Data) logRows() []Row {
+	s, h := d.Sizes, d.Herd
+	perGateway := h.IdleReads / float64(s.Gateways)
+	return []Row{
+		{Role: "log service", What: "appends, mean over a day", Value: s.records() / secondsADay, Bound: d.Bounds.Appends, Unit: "a second",
+			Source:    fmt.Sprintf("%.0f records a day: %d changes, 2 a rollout and its waves, 2 a replaced or failed box, a checkpoint in %d", s.records(), s.Changes, s.CheckpointEach),
+			Mechanism: "`journal.Commit`; homes are batched"},
+		{Role: "log service", What: "reads, idle", Value: h.IdleReads, Unit: "a second",
+			Source: fmt.Sprintf("%.2f a gateway, none a sidecar; TestInForceEverywhere, %d processes", perGateway, h.Processes), Mechanism: "`relay`: gateways read, sidecars ask gateways"},
+		{Role: "log service", What: "reads, all processes start at once", Value: float64(h.LogPeak), Unit: "a second at the peak",
+			Source: fmt.Sprintf("%d reads of checkpoints in all; TestStartUpHerd", h.Checkpoints), Mechanism: "`state.Follower.PeersFirst`: sidecars take their checkpoint from a gateway"},
+		{Role: "log service", What: "reads, all start while the log is down", Value: float64(h.LogPeakDown), Unit: "a second at the peak",
+			Source: "TestStartUpHerd", Mechanism: "`relay.Directory`: a sidecar turns to the log once in 30 s at most"},
+		{Role: "every process", What: "configuration in force, calm", Value: h.InForceCalm, Bound: d.Bounds.InForce, Unit: "s", Source: "worst of 30 changes, virtual time; TestInForceEverywhere", Mechanism: "long polls"},
+		{Role: "every process", What: "configuration in force, a gateway frozen", Value: h.InForceFrozen, Bound: d.Bounds.InForce, Unit: "s", Source: "TestInForceEverywhere", Mechanism: "a read that hangs ends after 5 s, then the next gateway"},
+		{Role: "every process", What: "configuration in force, after a log outage", Value: h.InForceAfterOut, Bound: d.Bounds.InForce, Unit: "s", Source: "10 minutes of outage; TestInForceEverywhere", Mechanism: "pauses of 2 s at most"},
+		{Role: "box list", What: "reads", Value: float64(s.Gateways) / boxListEvery, Unit: "a second",
+			Source: fmt.Sprintf("each gateway every %.0f s; sidecars read a gateway's copy", boxListEvery), Mechanism: "`relay.Directory`"},
+		{Role: "weight store", What: "requests for a manifest, a rollout", Value: float64(s.Gateways + 1), Unit: "requests",
+			Source: "one a gateway, one for the plan", Mechanism: "`gateway.manifests`"},
+	}
+}
+
+// boxListEvery is package relay's mean time between two looks, in seconds.
+const boxListEvery = 2.0
+
+func (d *Data) transferRows(transfers []Transfer) []Row {
+	var out []Row
+	for _, t := range transfers {
+		if t.Name != originRow || t.Boxes != 410 {
+			continue
+		}
+		out = append(out,
+			Row{Role: "origin", What: "bytes, a rollout to 410 boxes", Value: t.OriginCopies, Bound: 1.05, Unit: "copies", Source: "docs/transfer.json, virtual time", Mechanism: "`transfer`: one reader a chunk, by rendezvous"},
+			Row{Role: "regions", What: "bytes across the border, a rollout", Value: t.CrossCopies, Unit: "copies for the second region", Source: "docs/transfer.json", Mechanism: "`transfer`: one crossing a chunk and region"},
+			Row{Role: "sidecar", What: "time to 410 replicas", Value: t.All, Bound: 1.15, Unit: "T*", Source: "docs/transfer.json", Mechanism: "`transfer`"},
+			Row{Role: "sidecar", What: "control bytes of a transfer, a box", Value: math.Round(t.ControlBytes/megabyte*10) / 10, Unit: "MB a rollout", Source: "docs/transfer.json; 400 bytes of heads and 3 bitmaps a pull", Mechanism: "bitmaps travel with the chunks"},
+		)
+	}
+	return out
+}
+
+// Markdown prints the rows as a table.
+func Markdown(w io.Writer, rows []Row) {
+	fmt.Fprintln(w, "| role | what | at full size | bound | | slope and source | carried by |")
+	fmt.Fprintln(w, "|---|---|---:|---:|---|---|---|")
+	for _, r := range rows {
+		bound := ""
+		if r.Bound > 0 {
+			bound = fmt.Sprintf("%g", r.Bound)
+		}
+		fmt.Fprintf(w, "| %s | %s | %s %s | %s | %s | %s | %s |\n", r.Role, r.What, number(r.Value), r.Unit, bound, r.Verdict(), r.Source, r.Mechanism)
+	}
+}
+
+func number(v float64) string {
+	switch {
+	case v >= 100:
+		return fmt.Sprintf("%.0f", v)
+	case v >= 10:
+		return fmt.Sprintf("%.1f", v)
+	default:
+		return fmt.Sprintf("%.3f", v)
+	}
+}
--- /dev/null
+++ b/cmd/mintlift/capacity.go
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/mintlift/mintlift/capacity"
+	"github.com/mintlift/mintlift/docs"
+)
+
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "capacity",
+		Usage:       "work out what each role costs at full size, from the committed measurements",
+		Description: "Example: mintlift capacity --json",
+		Flags:       []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "print JSON for scripts"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			rows, err := capacity.Committed(docs.Capacity, docs.Transfer)
+			if err != nil {
+				return err
+			}
+			if !c.Bool("json") {
+				capacity.Markdown(c.Root().Writer, rows)
+				return nil
+			}
+			enc := json.NewEncoder(c.Root().Writer)
+			enc.SetIndent("", "  ")
+			return enc.Encode(rows)
+		},
+	}
+}
--- /dev/null
+++ b/docs/docs.go
@@ -0,0 +1,17 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package docs holds the data behind mintlift's pages: the measurements that
+// docs/CAPACITY.md and docs/TRANSFER.md are made from.
+package docs
+
+import _ "embed"
+
+// Capacity is docs/capacity.json.
+//
+//go:embed capacity.json
+var Capacity []byte
+
+// Transfer is docs/transfer.json.
+//
+//go:embed transfer.json
+var Transfer []byte
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -9,10 +9,12 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mintlift/mintlift/admin"
 	"github.com/mintlift/mintlift/intent"
+	"github.com/mintlift/mintlift/internal/call"
 	"github.com/mintlift/mintlift/membership"
 	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/route"
@@ -22,8 +24,8 @@
 // Timing of probes.
 const (
 	// probeEach spaces probes so that their bytes stay within the budget for
-	// control: a probe costs about 400 bytes, 25 a second 10 KB.
-	probeEach    = 40 * time.Millisecond
+	// control: a probe that finds no change costs about 300 bytes.
+	probeEach    = 100 * time.Millisecond
 	probeMin     = 500 * time.Millisecond
 	probeTimeout = 2 * time.Second
 	probeAtOnce  = 32
@@ -37,6 +39,7 @@
 	mu       sync.Mutex
 	members  membership.View
 	statuses map[string]peer.Status
+	tags     map[string]string
 	listed   int
 }
 
@@ -47,18 +50,19 @@
 		boxes := d.subset()
 		d.probeAll(ctx, boxes)
 		d.updateTable()
-		pause(ctx, max(probeMin, time.Duration(len(boxes))*probeEach))
+		cycle := max(probeMin, time.Duration(len(boxes))*probeEach)
+		d.view.setPatience(cycle)
+		pause(ctx, cycle)
 	}
 }
 
 // probeNow probes at once, because a request found no endpoint: during a
 // rollover the view of half a second ago may name none. Requests that find
-// none together share one probe, and there is at most one a probeNowEvery.
+// none together share one probe; it starts probeNowEvery after the last at
+// the earliest, and they wait for it.
 func (d *Daemon) probeNow(ctx context.Context) {
 	_, _, _ = d.probes.Do("now", func() (any, error) {
-		if time.Since(d.probed) < probeNowEvery {
-			return nil, nil
-		}
+		pause(ctx, probeNowEvery-time.Since(d.probed))
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeNowTimeout)
 		defer cancel()
 		d.probeAll(ctx, d.subset())
@@ -75,6 +79,14 @@
 	}
 }
 
+// setPatience lets a box be silent for a few cycles.
+func (v *view) setPatience(cycle time.Duration) {
+	const cycles = 3
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.members.Patience = max(membership.SilenceAfter, cycles*cycle)
+}
+
 func (d *Daemon) takeList() {
 	boxes, version := d.directory.Boxes()
 	d.view.mu.Lock()
@@ -133,15 +145,41 @@
 	g.SetLimit(probeAtOnce)
 	for _, b := range boxes {
 		g.Go(func() error {
-			if s, err := d.ask(ctx, b); err == nil {
-				d.heard(s)
-			}
+			d.probeBox(ctx, b)
 			return nil
 		})
 	}
 	_ = g.Wait() // every function returns nil
 }
 
+// probeBox asks one box, which answers in full only when something has
+// changed.
+func (d *Daemon) probeBox(ctx context.Context, b membership.Box) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	d.view.mu.Lock()
+	known, tag := d.view.statuses[b.ID], d.view.tags[b.Address]
+	d.view.mu.Unlock()
+	var s peer.Status
+	newTag, err := d.peers.JSONIfChanged(ctx, d.peers.URL(b.Address, peer.PathStatus), tag, &s)
+	switch {
+	case errors.Is(err, call.ErrNotModified):
+		d.heard(known)
+	case err == nil:
+		d.heard(s)
+		d.view.setTag(b.Address, newTag)
+	}
+}
+
+func (v *view) setTag(address, tag string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.tags == nil {
+		v.tags = make(map[string]string)
+	}
+	v.tags[address] = tag
+}
+
 func (d *Daemon) ask(ctx context.Context, b membership.Box) (peer.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -59,6 +59,7 @@
 	waitMS, _ := strconv.Atoi(q.Get("wait_ms")) // a missing value does not wait
 	page := d.awaitRecords(r.Context(), from, min(time.Duration(waitMS)*time.Millisecond, relayMaxWait))
 	page.AgeMS = time.Since(d.replica.Contact()).Milliseconds()
+	_, page.BoxesTag = d.directory.Tagged()
 	if from < page.First {
 		httpserve.WriteJSON(w, http.StatusGone, page)
 		return
@@ -84,9 +85,9 @@
 	}
 }
 
-func (d *Daemon) handleBoxes(w http.ResponseWriter, _ *http.Request) {
-	boxes, _ := d.directory.Boxes()
-	httpserve.WriteJSON(w, http.StatusOK, boxes)
+func (d *Daemon) handleBoxes(w http.ResponseWriter, r *http.Request) {
+	boxes, tag := d.directory.Tagged()
+	httpserve.WriteTagged(w, r, tag, boxes)
 }
 
 func (d *Daemon) handleCheckpoint(w http.ResponseWriter, _ *http.Request) {
--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -38,6 +38,12 @@
 // Bounds of a request.
 const (
 	maxAttempts = 4
+	// maxLooks is how often a request that finds no endpoint has the boxes
+	// probed: twice, since it may have joined a probe that began earlier.
+	maxLooks = 2
+	// maxMoves is how often a request may find that a box serves another
+	// version by now; such a refusal costs nothing and is no failure.
+	maxMoves    = 16
 	prefixBytes = 256
 	// bufferBytes of an answer are held back, so that an attempt whose
 	// answer breaks early can be followed by another.
@@ -258,19 +264,15 @@
 	var tried []string
 	no := notRun(http.StatusServiceUnavailable, "no_endpoint", "no endpoint can take the request now")
 	no.retry = shedRetry
-	for attempt := range maxAttempts {
-		if attempt > 0 && !d.budget.Retry() {
+	attempts, moves := 0, 0
+	for attempts < maxAttempts && moves < maxMoves {
+		if attempts > 0 && !d.budget.Retry() {
 			break
 		}
-		ep, ref, ok := d.choose(q, tried)
-		if !ok {
-			d.probeNow(q.ctx)
-			ep, ref, ok = d.choose(q, tried)
-		}
+		ep, ref, ok := d.look(q, tried)
 		if !ok {
 			break
 		}
-		tried = append(tried, ep.Box)
 		t := d.attempt(w, q, ep, ref)
 		d.table.Done(ep.Box, t.healthy, time.Now())
 		if t.failure == nil {
@@ -280,10 +282,27 @@
 		if q.ctx.Err() != nil || !outcome.Retry(no.outcome, !q.once, t.started) {
 			break
 		}
+		if t.moved {
+			moves++
+			continue
+		}
+		attempts++
+		tried = append(tried, ep.Box)
 	}
 	return no, nil
 }
 
+// look chooses an endpoint; when none fits it has the boxes probed before
+// it gives up.
+func (d *Daemon) look(q *request, tried []string) (route.Endpoint, weights.Ref, bool) {
+	ep, ref, ok := d.choose(q, tried)
+	for looks := 0; !ok && looks < maxLooks && q.ctx.Err() == nil; looks++ {
+		d.probeNow(q.ctx)
+		ep, ref, ok = d.choose(q, tried)
+	}
+	return ep, ref, ok
+}
+
 // choose picks an endpoint for the newest version that has one.
 func (d *Daemon) choose(q *request, tried []string) (route.Endpoint, weights.Ref, bool) {
 	now := time.Now()
@@ -306,6 +325,7 @@
 	failure *failure // nil when the caller has the whole answer
 	started bool     // some of the answer has reached the caller
 	healthy bool     // the endpoint did its part
+	moved   bool     // refused: the box serves other versions by now
 	answer  *dedup.Answer
 }
 
@@ -379,7 +399,7 @@
 		d.table.Serving(ep.Box, peer.SplitRefs(resp.Header.Get(peer.HeaderServing)))
 		no.status, no.retry = http.StatusServiceUnavailable, shedRetry
 	}
-	return trial{failure: no, healthy: reason != peer.ReasonEndpoint}
+	return trial{failure: no, healthy: reason != peer.ReasonEndpoint, moved: reason == peer.ReasonVersion}
 }
 
 // correlated reports whether an answer carries the request's own id and the
--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -21,6 +21,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/core/stat"
@@ -144,6 +145,26 @@
 	_ = json.NewEncoder(w).Encode(body) // the client has gone if this fails
 }
 
+// WriteTagged answers with a JSON body and its tag, or with 304 when the
+// request names the tag.
+func WriteTagged(w http.ResponseWriter, r *http.Request, tag string, body any) {
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	WriteJSON(w, http.StatusOK, body)
+}
+
+// Tag returns the tag of a body.
+func Tag(body any) string {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return "" // matches no request's tag
+	}
+	return strconv.FormatUint(xxhash.Sum64(b), 36)
+}
+
 // ReadJSON decodes a request's body strictly.
 func ReadJSON(r *http.Request, out any) error {
 	dec := json.NewDecoder(io.LimitReader(r.Body, MaxBody))
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -112,6 +112,7 @@
 // Do sends r. The caller closes the answer's body. A failure before the
 // first byte has the type ErrNotSent.
 func (c *Client) Do(r *http.Request) (*http.Response, error) {
+	r.Header.Set("User-Agent", "") // a few bytes less on every call between processes
 	if c.token != nil {
 		r.Header.Set("Authorization", "Bearer "+c.token())
 	}
@@ -159,6 +160,33 @@
 	return json.NewDecoder(io.LimitReader(resp.Body, maxJSONBody)).Decode(out)
 }
 
+// ErrNotModified says that what was asked for still has the given tag.
+const ErrNotModified = errors.ConstError("not modified")
+
+// JSONIfChanged is JSON for a GET that asks only for what does not have the
+// tag any more; it returns the new tag, or ErrNotModified.
+func (c *Client) JSONIfChanged(ctx context.Context, url, tag string, out any) (string, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	if tag != "" {
+		r.Header.Set("If-None-Match", tag)
+	}
+	resp, err := c.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode == http.StatusNotModified:
+		return tag, ErrNotModified
+	case resp.StatusCode >= http.StatusMultipleChoices:
+		return "", ReadStatusError(resp)
+	}
+	return resp.Header.Get("ETag"), json.NewDecoder(io.LimitReader(resp.Body, maxJSONBody)).Decode(out)
+}
+
 // Bytes sends a body of b (nil for none) and reads the whole answer, at
 // most limit bytes.
 func (c *Client) Bytes(ctx context.Context, method, url string, b []byte, limit int64) ([]byte, error) {
--- /dev/null
+++ b/internal/lab/pairs_test.go
@@ -0,0 +1,157 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package lab
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/intent"
+	"github.com/mintlift/mintlift/internal/invariant"
+	"github.com/mintlift/mintlift/internal/standin"
+	"github.com/mintlift/mintlift/load"
+	"github.com/mintlift/mintlift/outcome"
+	"github.com/mintlift/mintlift/settings"
+)
+
+// failure is one of the brief's failures, switched on and off again.
+type failure struct {
+	name string
+	on   func(l *Lab)
+	off  func(l *Lab) error
+}
+
+func nothing(*Lab) error { return nil }
+
+// failures are those that a lab can cause in one process.
+func failures() []failure {
+	logFault := func(f standin.FaultSettings) (func(*Lab), func(*Lab) error) {
+		return func(l *Lab) { l.Log.Faults.Set(f) }, func(l *Lab) error { l.Log.Faults.Set(standin.FaultSettings{}); return nil }
+	}
+	storeFault := func(f standin.FaultSettings) (func(*Lab), func(*Lab) error) {
+		return func(l *Lab) { l.Store.Faults.Set(f) }, func(l *Lab) error { l.Store.Faults.Set(standin.FaultSettings{}); return nil }
+	}
+	make := func(name string, on func(*Lab), off func(*Lab) error) failure { return failure{name, on, off} }
+	logDown, logUp := logFault(standin.FaultSettings{Down: true})
+	logOld, logNow := logFault(standin.FaultSettings{ShowOffset: 2})
+	storeDown, storeUp := storeFault(standin.FaultSettings{Down: true})
+	storeBad, storeGood := storeFault(standin.FaultSettings{CorruptEvery: 3})
+	return []failure{
+		make("log down", logDown, logUp),
+		make("log answers older", logOld, logNow),
+		make("origin down", storeDown, storeUp),
+		make("chunks corrupt", storeBad, storeGood),
+		make("box list lags", func(l *Lab) { l.List.Faults.Set(standin.FaultSettings{LagMS: 3000}) }, func(l *Lab) error { l.List.Faults.Set(standin.FaultSettings{}); return nil }),
+		make("orders' answers lost", func(l *Lab) {
+			for _, b := range l.Boxes[:3] {
+				b.Engine.Faults.Set(standin.FaultSettings{LoseAnswers: 1})
+			}
+		}, nothing),
+		make("box dies", func(l *Lab) { l.KillBox(l.Boxes[3], true) }, nothing),
+		make("sidecar starts again empty", func(l *Lab) { l.Boxes[0].Sidecar.Kill() }, func(l *Lab) error { return l.StartSidecar(l.Boxes[0]) }),
+		make("gateway dies", func(l *Lab) { l.Gateways[1].Kill() }, nothing),
+	}
+}
+
+// TestPairsOfFailures brings about every pair of failures while a version
+// changes under traffic, and checks the invariants afterwards.
+func TestPairsOfFailures(t *testing.T) {
+	all := failures()
+	for i, a := range all {
+		for _, b := range all[i+1:] {
+			t.Run(a.name+" and "+b.name, func(t *testing.T) {
+				t.Parallel()
+				pair(t, a, b)
+			})
+		}
+	}
+}
+
+func pair(t *testing.T, a, b failure) {
+	const size = 1 << 20
+	l, ctx := start(t, Config{Gateways: 2, Engines: 4, Services: 2, ChecksFences: true, TokenTime: time.Millisecond, Links: settings.Links{Origin: 2 * size, Box: size}})
+	l.Store.Publish(standin.NewManifest(v1, size, 32<<10))
+	l.Store.Publish(standin.NewManifest(v2, size, 32<<10))
+	assert.NilError(t, l.AddWorkspace(ctx, "liceo", 40, 0))
+	in := intent.Intent{Ref: v1, Workspaces: []string{"liceo"}}
+	p, err := l.Rollout(ctx, in)
+	assert.NilError(t, err)
+	_, err = l.AwaitDone(ctx, p.ID)
+	assert.NilError(t, err)
+	l.awaitServed(t)
+
+	report := make(chan load.Report, 1)
+	m := load.Mix{Name: "pair", Rate: 40, Seconds: 6, Seed: 5, Targets: []string{l.Gateways[0].CallerAddress(), l.Gateways[1].CallerAddress()}}
+	m.Classes = []load.Class{{Name: "model", Share: 1, Model: v1.Model, Tokens: 10}, {Name: "once", Share: 1, Service: ServiceName, NotRepeatable: 1}}
+	for i := range m.Classes {
+		m.Classes[i].SetKey(WorkspaceKey("liceo"))
+	}
+	go func() {
+		r, _ := load.Run(ctx, m)
+		report <- r
+	}()
+	in.Ref = v2
+	p, err = l.Rollout(ctx, in)
+	assert.NilError(t, err)
+	time.Sleep(200 * time.Millisecond)
+	a.on(l)
+	b.on(l)
+	time.Sleep(3 * time.Second)
+	assert.NilError(t, a.off(l))
+	assert.NilError(t, b.off(l))
+	assert.NilError(t, l.awaitLiving(ctx, p.ID))
+	r := <-report
+	assert.NilError(t, l.resend(ctx))
+
+	runs := append(l.engineRuns(), l.runs()...)
+	violations := invariant.Journal(runs)
+	violations = append(violations, invariant.NotRun(r.NotRun, runs)...)
+	for _, c := range r.Classes {
+		if c.Broken > 0 && !dies(a) && !dies(b) {
+			violations = append(violations, invariant.Violation{Name: invariant.WholeAnswer, Detail: fmt.Sprintf("%s: %d broken answers", c.Name, c.Broken)})
+		}
+	}
+	assert.Equal(t, len(violations), 0, "%v", violations)
+	model := r.Classes[0]
+	assert.Assert(t, model.Outcomes[outcome.Completed] > model.Sent/4, "hardly a request was answered: %v of %d", model.Outcomes, model.Sent)
+	assert.Equal(t, len(invariant.Rising(invariant.FenceOrder, l.fences())), 0)
+}
+
+// dies reports whether a failure cuts connections to callers by itself.
+func dies(f failure) bool { return f.name == "gateway dies" }
+
+// awaitLiving waits until every engine that lives serves the plan.
+func (l *Lab) awaitLiving(ctx context.Context, plan string) error {
+	ctx, cancel := context.WithTimeout(ctx, 40*time.Second)
+	defer cancel()
+	_, err := l.AwaitDone(ctx, plan)
+	return err
+}
+
+// resend sends one key through the living gateway several times at once.
+func (l *Lab) resend(ctx context.Context) error {
+	key := newKey()
+	m := load.Mix{Name: "resend", Rate: 1, Seconds: 1, Targets: []string{l.Gateways[0].CallerAddress()}, Classes: []load.Class{{Name: "once", Share: 1, Service: ServiceName}}}
+	m.Classes[0].SetKey(WorkspaceKey("liceo"))
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			m.Classes[0].SendKey(ctx, m.Targets[0], key)
+		}()
+	}
+	wg.Wait()
+	if n := ranWith(l.runs(), key); n > 1 {
+		return fmt.Errorf("key %s ran %d times", key, n)
+	}
+	return nil
+}
+
+// fences are the fences that the first engine has loaded under, in order.
+func (l *Lab) fences() []int64 { return l.Boxes[0].Engine.Fences() }
--- a/internal/standin/boxes.go
+++ b/internal/standin/boxes.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/membership"
 )
 
@@ -83,9 +84,10 @@
 // Handler returns the list's HTTP API.
 func (l *BoxList) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /boxes", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /boxes", func(w http.ResponseWriter, r *http.Request) {
 		if l.Faults.gate(w) {
-			answerJSON(w, http.StatusOK, l.visible())
+			boxes := l.visible()
+			httpserve.WriteTagged(w, r, httpserve.Tag(boxes), boxes)
 		}
 	})
 	mux.HandleFunc("PUT /boxes/{id}", func(_ http.ResponseWriter, r *http.Request) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -43,6 +43,7 @@
 	active  int
 	waiting []*waiter
 	orders  []string
+	fences  []int64 // of the orders, as they took effect
 }
 
 type staging struct {
@@ -109,6 +110,13 @@
 	return slices.Clone(e.orders)
 }
 
+// Fences returns the fences of the orders that took effect, in order.
+func (e *Engine) Fences() []int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.fences)
+}
+
 // Handler returns the engine's HTTP API.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -231,6 +239,7 @@
 		return false
 	}
 	e.fence = max(e.fence, o.Fence)
+	e.fences = append(e.fences, o.Fence)
 	return true
 }
 
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -87,8 +87,10 @@
 	Next  int64 `json:"next"`
 	// AgeMS is how long ago a relay itself heard the log; the log service
 	// leaves it out.
-	AgeMS   int64   `json:"age_ms,omitempty"`
-	Records []Entry `json:"records"`
+	AgeMS int64 `json:"age_ms,omitempty"`
+	// BoxesTag is the tag of the box list that a relay has.
+	BoxesTag string  `json:"boxes_tag,omitempty"`
+	Records  []Entry `json:"records"`
 }
 
 // Appended is an answer of the log service to an append.
--- a/load/send.go
+++ b/load/send.go
@@ -44,6 +44,13 @@
 	return o
 }
 
+// SendKey sends one request of the class under the given key.
+func (c *Class) SendKey(ctx context.Context, target, key string) outcome.Outcome {
+	o := c.order(rand.New(rand.NewPCG(1, 1)))
+	o.once = key
+	return newSender().send(ctx, target, o).outcome
+}
+
 // answer is what came back.
 type answer struct {
 	request, version string
--- a/membership/box.go
+++ b/membership/box.go
@@ -67,8 +67,7 @@
 
 // Bounds of a view's patience.
 const (
-	// SilenceAfter is how long a process may be silent before a view takes
-	// it as unreachable.
+	// SilenceAfter is a view's patience by default.
 	SilenceAfter = 3 * time.Second
 )
 
@@ -85,6 +84,10 @@
 // View joins the box list with the processes' own reports. The zero value
 // is empty and ready for use; it is not safe for concurrent use.
 type View struct {
+	// Patience is how long a process may be silent before it counts as
+	// unreachable; 0 is SilenceAfter.
+	Patience time.Duration
+
 	listed  map[string]Box
 	reports map[string]Report
 }
@@ -142,7 +145,7 @@
 		return m
 	}
 	m.Incarnation = r.Incarnation
-	m.Heard = now.Sub(r.At) < SilenceAfter
+	m.Heard = now.Sub(r.At) < cmp.Or(v.Patience, SilenceAfter)
 	m.Usable = m.Heard && !r.Draining && b.State != Leaving
 	return m
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/internal/call"
 	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/membership"
@@ -28,8 +29,12 @@
 
 // Timing of a Directory.
 const (
-	listEvery   = 2 * time.Second
-	listSoon    = 300 * time.Millisecond
+	listEvery = 2 * time.Second
+	listSoon  = 300 * time.Millisecond
+	// listRelayed is a sidecar's time between two looks when its gateway's
+	// answers do not tell of a change.
+	listRelayed = 15 * time.Second
+	lookEvery   = 250 * time.Millisecond
 	listTimeout = 3 * time.Second
 	// startSpread spreads the first look of many sidecars that start at once.
 	startSpread = time.Second
@@ -60,9 +65,12 @@
 	mu      sync.Mutex
 	boxes   []membership.Box
 	version int
+	tag     string // of boxes, as the one who served them gave it
 	avoid   map[string]time.Time
 	direct  time.Time // when the platform was last chosen for want of gateways
 	stale   bool
+	ownTag  string // of boxes' content, at version tagOf
+	tagOf   int
 }
 
 // Stale asks for the box list to be read again soon, because a box that
@@ -73,11 +81,39 @@
 	d.stale = true
 }
 
+func (d *Directory) isStale() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stale
+}
+
+// saw takes the tag of the box list that a gateway now has.
+func (d *Directory) saw(tag string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if tag != "" && tag != d.tag {
+		d.stale = true
+	}
+}
+
+// Tagged returns the box list with a tag of its content.
+func (d *Directory) Tagged() ([]membership.Box, string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.tagOf != d.version || d.ownTag == "" {
+		d.ownTag, d.tagOf = httpserve.Tag(d.boxes), d.version
+	}
+	return slices.Clone(d.boxes), d.ownTag
+}
+
 // pause is the time until the next look at the list.
 func (d *Directory) pause() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	every := listEvery
+	if !d.Direct {
+		every = listRelayed
+	}
 	if d.stale || len(d.boxes) == 0 {
 		every = listSoon
 	}
@@ -103,7 +139,9 @@
 		if err := d.refresh(ctx); err != nil && ctx.Err() == nil {
 			d.Logger.V(1).Info("box list not read", "error", err.Error())
 		}
-		wait(ctx, d.pause())
+		for left := d.pause(); left > 0 && ctx.Err() == nil && !d.isStale(); left -= lookEvery {
+			wait(ctx, min(left, lookEvery))
+		}
 	}
 }
 
@@ -119,23 +157,37 @@
 	defer cancel()
 	var boxes []membership.Box
 	if g, ok := d.gateway(time.Now()); ok && !d.Direct {
-		err := d.Peers.JSON(ctx, http.MethodGet, d.Peers.URL(g.Address, peer.PathBoxes), nil, &boxes)
+		tag, err := d.Peers.JSONIfChanged(ctx, d.Peers.URL(g.Address, peer.PathBoxes), d.tagNow(), &boxes)
+		if errors.Is(err, call.ErrNotModified) {
+			return nil
+		}
 		if err == nil && len(boxes) > 0 {
-			d.set(boxes)
+			d.set(boxes, tag)
 			return nil
 		}
 		d.failed(g.ID)
 	}
-	if err := d.Platform.JSON(ctx, http.MethodGet, d.Platform.URL(d.BoxList, "/boxes"), nil, &boxes); err != nil {
+	tag, err := d.Platform.JSONIfChanged(ctx, d.Platform.URL(d.BoxList, "/boxes"), d.tagNow(), &boxes)
+	if errors.Is(err, call.ErrNotModified) {
+		return nil
+	}
+	if err != nil {
 		return err
 	}
-	d.set(boxes)
+	d.set(boxes, tag)
 	return nil
 }
 
-func (d *Directory) set(boxes []membership.Box) {
+func (d *Directory) tagNow() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.tag
+}
+
+func (d *Directory) set(boxes []membership.Box, tag string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tag = tag
 	if !slices.Equal(d.boxes, boxes) {
 		d.boxes = boxes
 		d.version++
@@ -204,9 +256,17 @@
 // relayed is a gateway as a source.
 type relayed struct {
 	*journal.Client
+	d   *Directory
 	box string
 }
 
+// Read implements state.Source; on the way it hears of a new box list.
+func (r relayed) Read(ctx context.Context, stream string, from int64, wait time.Duration) (journal.Page, error) {
+	p, err := r.Client.Read(ctx, stream, from, wait)
+	r.d.saw(p.BoxesTag)
+	return p, err
+}
+
 // Next implements state.Sources.
 func (s sources) Next() state.Source {
 	if s.d.Direct {
@@ -216,7 +276,7 @@
 	if !ok {
 		return s.d.Log
 	}
-	return relayed{Client: &journal.Client{Call: s.d.Peers, Address: g.Address}, box: g.ID}
+	return relayed{Client: &journal.Client{Call: s.d.Peers, Address: g.Address}, d: s.d, box: g.ID}
 }
 
 // Failed implements state.Sources.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -239,8 +239,13 @@
 	}
 }
 
-func (d *Daemon) handleStatus(w http.ResponseWriter, _ *http.Request) {
-	httpserve.WriteJSON(w, http.StatusOK, d.status())
+// handleStatus answers 304 to a prober that knows all but the numbers that
+// change from moment to moment.
+func (d *Daemon) handleStatus(w http.ResponseWriter, r *http.Request) {
+	s := d.status()
+	lasting := s
+	lasting.Offset, lasting.ContactMS, lasting.Load = 0, 0, 0
+	httpserve.WriteTagged(w, r, httpserve.Tag(lasting), s)
 }
 
 func (d *Daemon) handleCheckpoint(w http.ResponseWriter, _ *http.Request) {
--- a/state/follower.go
+++ b/state/follower.go
@@ -41,8 +41,8 @@
 const (
 	// pollWait is how long a read waits for a record. An answer without one
 	// is a sign of life: silence beyond it is not calm.
-	pollWait    = 2 * time.Second
-	readTimeout = pollWait + 3*time.Second
+	pollWait    = 3 * time.Second
+	readTimeout = pollWait + 2*time.Second
 	pauseMin    = 100 * time.Millisecond
 	pauseMax    = 2 * time.Second
 	// relayStale is the age from which another relay is worth a try.
