--- a/internal/demo/traffic.go
+++ b/internal/demo/traffic.go
@@ -148,13 +148,6 @@
 	t.callers.Wait()
 }
 
-// count returns the requests sent so far.
-func (t *traffic) count() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.sent
-}
-
 // callService sends one call to a plain service.
 func callService(ctx context.Context, address, key, service, body string) (reply, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/services/"+service+"/pages", strings.NewReader(body))
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -3,6 +3,7 @@
 package state
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -140,6 +141,9 @@
 	torn := c
 	torn.State = c.State[:len(c.State)-3]
 	assert.Assert(t, errors.Is(fresh.Restore(torn), ErrBadCheckpoint))
+	altered := c
+	altered.State = bytes.Replace(c.State, []byte(`"priority":10`), []byte(`"priority":99`), 1)
+	assert.Assert(t, errors.Is(fresh.Restore(altered), ErrBadCheckpoint), "a checkpoint that was altered is taken")
 	assert.Equal(t, fresh.Offset(), int64(0))
 	assert.NilError(t, fresh.Restore(c))
 	assert.Equal(t, fresh.Offset(), int64(2))
