--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -19,6 +19,7 @@
 	"github.com/mintlift/mintlift/workspace"
 )
 
+// accept checks who asks and reads the request.
 func (d *Daemon) accept(w http.ResponseWriter, r *http.Request) (*request, *failure) {
 	q := &request{id: uuid.NewString(), method: r.Method, path: r.URL.Path, query: r.URL.RawQuery, header: r.Header, key: r.Header.Get(headerKey), ctx: r.Context()}
 	if d.Requests.Draining() {
@@ -40,6 +41,8 @@
 	return q, nil
 }
 
+// doubt turns "not run" into "unknown" for a request with a key of the
+// caller's, whose earlier attempts this gateway knows nothing of.
 func (q *request) doubt(no *failure) *failure {
 	if q.key != "" && no.outcome == outcome.NotRun {
 		no.outcome = outcome.Unknown
@@ -70,12 +73,14 @@
 	return ws, nil
 }
 
+// modelBody is what a gateway reads of a request to a model.
 type modelBody struct {
 	Model    string          `json:"model"`
 	Messages json.RawMessage `json:"messages"`
 	Prompt   json.RawMessage `json:"prompt"`
 }
 
+// routeModel finds the versions that may answer.
 func (d *Daemon) routeModel(q *request) *failure {
 	var body modelBody
 	if err := json.Unmarshal(q.body, &body); err != nil || body.Model == "" {
@@ -100,6 +105,7 @@
 	return nil
 }
 
+// bound gives the request its deadline.
 func (q *request) bound(r *http.Request, most time.Duration) context.CancelFunc {
 	left := most
 	if asked, ok := peer.TimeLeft(r.Header); ok {
@@ -110,6 +116,7 @@
 	return cancel
 }
 
+// modelList is the answer to GET /v1/models.
 type modelList struct {
 	Object string      `json:"object"`
 	Data   []modelItem `json:"data"`
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -22,6 +22,7 @@
 	"github.com/mintlift/mintlift/weights"
 )
 
+// trial is how one attempt ended.
 type trial struct {
 	failure *failure // nil when the caller has the whole answer
 	started bool     // some of the answer has reached the caller
@@ -30,6 +31,7 @@
 	answer  *dedup.Answer
 }
 
+// attempt sends the request to one endpoint.
 func (d *Daemon) attempt(w http.ResponseWriter, q *request, ep route.Endpoint, ref weights.Ref) trial {
 	req, err := d.sidecarRequest(q, ep, ref)
 	if err != nil {
@@ -64,6 +66,7 @@
 	return &failure{status: http.StatusBadGateway, code: code, outcome: outcome.Unknown, message: message}
 }
 
+// unanswered is an attempt that ended without an answer's head.
 func (d *Daemon) unanswered(q *request, ep route.Endpoint, err error) trial {
 	stage := outcome.Sending
 	if errors.Is(err, call.ErrNotSent) {
@@ -81,6 +84,7 @@
 	return trial{failure: no, healthy: gone}
 }
 
+// refused is a sidecar's refusal at admission: nothing has run.
 func (d *Daemon) refused(ep route.Endpoint, resp *http.Response) trial {
 	reason := peer.Reason(resp.Header.Get(peer.HeaderReason))
 	no := &failure{status: resp.StatusCode, code: string(reason), outcome: outcome.Outcome(resp.Header.Get(peer.HeaderOutcome)), message: "refused by the endpoint"}
@@ -100,6 +104,8 @@
 	return trial{failure: no, healthy: reason != peer.ReasonEndpoint, moved: reason == peer.ReasonVersion}
 }
 
+// correlated reports whether an answer carries the request's own id and the
+// version that it was sent for.
 func correlated(q *request, ref weights.Ref, resp *http.Response) bool {
 	if resp.Header.Get(peer.HeaderRequest) != q.id {
 		return false
@@ -146,6 +152,9 @@
 	return q.id
 }
 
+// whole answers with a body that is not a stream. It is held back up to
+// bufferBytes, so that an answer that breaks off early never reaches the
+// caller in part.
 func (d *Daemon) whole(w http.ResponseWriter, q *request, ref weights.Ref, resp *http.Response) trial {
 	head := new(bytes.Buffer)
 	n, err := io.CopyN(head, resp.Body, bufferBytes)
@@ -184,6 +193,8 @@
 	return ""
 }
 
+// relayBody copies a long answer; a caller that reads slowly slows the
+// endpoint down and takes one buffer here.
 func relayBody(w http.ResponseWriter, body io.Reader) error {
 	rc := http.NewResponseController(w)
 	buf := make([]byte, 64<<10)
@@ -204,6 +215,7 @@
 	}
 }
 
+// head sets the headers of an answer to a caller.
 func (d *Daemon) head(w http.ResponseWriter, q *request, ref weights.Ref, contentType string) {
 	h := w.Header()
 	h.Set(peer.HeaderRequest, q.id)
@@ -215,6 +227,7 @@
 	}
 }
 
+// cancelRun hands a caller's cancel on towards the engine.
 func (d *Daemon) cancelRun(q *request, ep route.Endpoint) {
 	if q.service != "" {
 		return
--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -124,12 +124,6 @@
 	d.Metrics.Histogram("mintlift_request_seconds").UpdateDuration(began)
 }
 
-// accept checks who asks and reads the request.
-// doubt turns "not run" into "unknown" for a request with a key of the
-// caller's, whose earlier attempts this gateway knows nothing of.
-// modelBody is what a gateway reads of a request to a model.
-// routeModel finds the versions that may answer.
-// bound gives the request its deadline.
 // serve runs the request and writes its answer. A failure that it returns
 // has not been written yet.
 func (d *Daemon) serve(w http.ResponseWriter, q *request) *failure {
@@ -221,18 +215,6 @@
 	return route.Endpoint{}, weights.Ref{}, false
 }
 
-// trial is how one attempt ended.
-// attempt sends the request to one endpoint.
-// unanswered is an attempt that ended without an answer's head.
-// refused is a sidecar's refusal at admission: nothing has run.
-// correlated reports whether an answer carries the request's own id and the
-// version that it was sent for.
-// whole answers with a body that is not a stream. It is held back up to
-// bufferBytes, so that an answer that breaks off early never reaches the
-// caller in part.
-// relayBody copies a long answer; a caller that reads slowly slows the
-// endpoint down and takes one buffer here.
-// head sets the headers of an answer to a caller.
 // fail gives a final answer at once.
 func (d *Daemon) fail(w http.ResponseWriter, q *request, no *failure) {
 	h := w.Header()
@@ -250,6 +232,3 @@
 		RetryAfterMS: no.retry.Milliseconds(),
 	}})
 }
-
-// cancelRun hands a caller's cancel on towards the engine.
-// modelList is the answer to GET /v1/models.
--- a/sidecar/copies.go
+++ b/sidecar/copies.go
@@ -328,20 +328,6 @@
 	return j.plan
 }
 
-// work brings one copy from absent to serving. Every step is tried again
-// until it succeeds or the job ends.
-// prepare learns the manifest and opens staging.
-// fetchManifest asks this sidecar's gateway, then the weight store, then
-// peers of the plan. The plan's digest decides, whoever sent it.
-// awaitWave waits until the log has opened the box's wave.
-// makeRoom drains and unloads what the plan evicts, until the version fits.
-// missing is how many bytes of the engine's memory the version lacks.
-// victim is the next version to leave: one that the plan names, or one that
-// no workspace is routed to first.
-// evict drains a version, waits for its requests to end and unloads it.
-// load orders the engine to load the verified copy and starts to serve. An
-// order whose answer was lost is settled by asking the engine.
-// holds reports whether the engine says that it has loaded the copy.
 func (d *Daemon) handleManifest(w http.ResponseWriter, r *http.Request) {
 	j := d.copies.find(refOf(r))
 	if j == nil {
--- a/sidecar/steps.go
+++ b/sidecar/steps.go
@@ -19,6 +19,8 @@
 	"github.com/mintlift/mintlift/weights"
 )
 
+// work brings one copy from absent to serving. Every step is tried again
+// until it succeeds or the job ends.
 func (d *Daemon) work(ctx context.Context, j *job) {
 	steps := []func(context.Context, *job) error{d.prepare, d.fetch, d.awaitWave, d.makeRoom, d.load}
 	for _, step := range steps {
@@ -45,6 +47,7 @@
 	}
 }
 
+// prepare learns the manifest and opens staging.
 func (d *Daemon) prepare(ctx context.Context, j *job) error {
 	if j.state() != weights.Absent {
 		return nil
@@ -68,6 +71,8 @@
 	return nil
 }
 
+// fetchManifest asks this sidecar's gateway, then the weight store, then
+// peers of the plan. The plan's digest decides, whoever sent it.
 func (d *Daemon) fetchManifest(ctx context.Context, p *intent.Plan) (*weights.Manifest, []byte, error) {
 	ref := p.Intent.Ref
 	var last error
@@ -101,6 +106,7 @@
 	return nil, nil, errors.Annotate(last, "no manifest from a gateway, the store or a peer")
 }
 
+// awaitWave waits until the log has opened the box's wave.
 func (d *Daemon) awaitWave(ctx context.Context, j *job) error {
 	plan := j.planNow()
 	step, ok := plan.Step(d.settings.Node.Box)
@@ -110,6 +116,7 @@
 	return errors.Errorf("waits for wave %d, wave %d is open", step.Wave, plan.Wave)
 }
 
+// makeRoom drains and unloads what the plan evicts, until the version fits.
 func (d *Daemon) makeRoom(ctx context.Context, j *job) error {
 	plan := j.planNow()
 	step, _ := plan.Step(d.settings.Node.Box)
@@ -125,6 +132,7 @@
 	return nil
 }
 
+// missing is how many bytes of the engine's memory the version lacks.
 func (d *Daemon) missing(j *job) int64 {
 	d.copies.mu.Lock()
 	defer d.copies.mu.Unlock()
@@ -142,6 +150,8 @@
 	return max(used-d.copies.memory, 0)
 }
 
+// victim is the next version to leave: one that the plan names, or one that
+// no workspace is routed to first.
 func (d *Daemon) victim(j *job, step intent.Step) *job {
 	d.copies.mu.Lock()
 	defer d.copies.mu.Unlock()
@@ -172,6 +182,7 @@
 	return first
 }
 
+// evict drains a version, waits for its requests to end and unloads it.
 func (d *Daemon) evict(ctx context.Context, j *job) error {
 	j.mu.Lock()
 	if j.copy.State() == weights.Serving {
@@ -198,6 +209,8 @@
 	return j.copy.Unload()
 }
 
+// load orders the engine to load the verified copy and starts to serve. An
+// order whose answer was lost is settled by asking the engine.
 func (d *Daemon) load(ctx context.Context, j *job) error {
 	j.mu.Lock()
 	plan := j.plan
@@ -226,6 +239,7 @@
 	return j.copy.Serve()
 }
 
+// holds reports whether the engine says that it has loaded the copy.
 func (d *Daemon) holds(ctx context.Context, j *job) bool {
 	s, err := d.engine.State(ctx)
 	if err != nil {
--- a/transfer/results.go
+++ b/transfer/results.go
@@ -8,6 +8,9 @@
 	"github.com/bits-and-blooms/bitset"
 )
 
+// Offered says that the peer answers p with the chunk. It returns false when
+// the chunk is held or on its way already; the caller then drops the answer
+// and calls Drop.
 func (s *Swarm) Offered(p *Pull, chunk int) bool {
 	if chunk < 0 || chunk >= s.params.Chunks {
 		return false
@@ -24,6 +27,8 @@
 	return true
 }
 
+// Arrived says that the pull brought its chunk, verified, and what the
+// sender told along with it; took is how long the chunk was on its way.
 func (s *Swarm) Arrived(p Pull, k Knowledge, took time.Duration, now time.Time) {
 	s.end(p)
 	s.held.Set(uint(p.Chunk))
@@ -37,6 +42,7 @@
 	}
 }
 
+// smooth is an exponentially weighted mean.
 func smooth(mean, sample time.Duration) time.Duration {
 	const weight = 8
 	if mean == 0 {
@@ -45,6 +51,9 @@
 	return mean + (sample-mean)/weight
 }
 
+// StallLimit is how long a pull may go without a byte before it counts as
+// stalled: a multiple of what chunks take here lately, so that a slow link
+// that moves is let be.
 func (s *Swarm) StallLimit() time.Duration {
 	if s.chunkTime == 0 {
 		return stallMax
@@ -52,6 +61,7 @@
 	return min(max(stallFactor*s.chunkTime, stallMin), stallMax)
 }
 
+// Nothing says that the peer held nothing of use.
 func (s *Swarm) Nothing(p Pull, k Knowledge, now time.Time) {
 	s.end(p)
 	ps := s.byBox[p.Peer]
@@ -63,6 +73,8 @@
 	ps.retry = now.Sub(s.start) + ps.idle
 }
 
+// Busy says that the sender refused for now; after is its own word on when
+// to come back, or zero.
 func (s *Swarm) Busy(p Pull, after time.Duration, now time.Time) {
 	s.end(p)
 	if ps := s.byBox[p.Peer]; ps != nil {
@@ -70,8 +82,10 @@
 	}
 }
 
+// Bad says that the pull failed: a wrong digest, a broken connection.
 func (s *Swarm) Bad(p Pull, now time.Time) { s.blame(p, penaltyMin, now) }
 
+// blame leaves a peer alone, for at least a while, doubling.
 func (s *Swarm) blame(p Pull, least time.Duration, now time.Time) {
 	s.end(p)
 	ps := s.byBox[p.Peer]
@@ -82,6 +96,9 @@
 	ps.retry = now.Sub(s.start) + ps.penalty
 }
 
+// Stalled says that the pull went without a byte for StallLimit. Where
+// chunks arrived from others meanwhile, the peer is to blame; otherwise this
+// box's own link is, and nobody is left alone for it.
 func (s *Swarm) Stalled(p Pull, now time.Time) {
 	if now.Sub(s.lastNew) < s.StallLimit() {
 		s.blame(p, stallPenalty, now)
@@ -94,14 +111,17 @@
 	}
 }
 
+// Drop says that an answer to p was not taken.
 func (s *Swarm) Drop(p Pull) { s.end(p) }
 
+// Gone says that a box has left the plan's boxes for good.
 func (s *Swarm) Gone(box string) {
 	if ps := s.byBox[box]; ps != nil {
 		ps.retry = time.Duration(1<<62 - 1)
 	}
 }
 
+// Known says that a box holds these chunks.
 func (s *Swarm) Known(box string, k Knowledge) {
 	if ps := s.byBox[box]; ps != nil {
 		s.learn(ps, k)
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -449,26 +449,6 @@
 	return out
 }
 
-// Offered says that the peer answers p with the chunk. It returns false when
-// the chunk is held or on its way already; the caller then drops the answer
-// and calls Drop.
-// Arrived says that the pull brought its chunk, verified, and what the
-// sender told along with it; took is how long the chunk was on its way.
-// smooth is an exponentially weighted mean.
-// StallLimit is how long a pull may go without a byte before it counts as
-// stalled: a multiple of what chunks take here lately, so that a slow link
-// that moves is let be.
-// Nothing says that the peer held nothing of use.
-// Busy says that the sender refused for now; after is its own word on when
-// to come back, or zero.
-// Bad says that the pull failed: a wrong digest, a broken connection.
-// blame leaves a peer alone, for at least a while, doubling.
-// Stalled says that the pull went without a byte for StallLimit. Where
-// chunks arrived from others meanwhile, the peer is to blame; otherwise this
-// box's own link is, and nobody is left alone for it.
-// Drop says that an answer to p was not taken.
-// Gone says that a box has left the plan's boxes for good.
-// Known says that a box holds these chunks.
 // TakeOver is the wait of each further rank for a transfer whose floor on
 // time is floor.
 func TakeOver(floor time.Duration) time.Duration {
