--- /dev/null
+++ b/membership/box_test.go
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func TestProcessesWordGoesBeforeTheList(t *testing.T) {
+	var v View
+	v.SetList([]Box{{ID: "a", Role: Endpoint, State: Live}, {ID: "b", Role: Endpoint, State: Live}, {ID: "g", Role: Gateway, State: Live}})
+	usable := func(id string, at time.Time) bool {
+		m, ok := v.Member(id, at)
+		return ok && m.Usable
+	}
+	assert.Assert(t, !usable("a", epoch), "listed, but never heard")
+	v.Heard(Report{Box: "a", Incarnation: "1", At: epoch})
+	assert.Assert(t, usable("a", epoch.Add(time.Second)))
+	assert.Assert(t, !usable("a", epoch.Add(2*SilenceAfter)), "silent for too long")
+	v.Heard(Report{Box: "a", Incarnation: "1", Draining: true, At: epoch.Add(time.Second)})
+	assert.Assert(t, !usable("a", epoch.Add(time.Second)), "drains, whatever the list says")
+	v.Heard(Report{Box: "a", Incarnation: "1", At: epoch}) // an older report, late
+	assert.Assert(t, !usable("a", epoch.Add(time.Second)), "an older report undid a newer one")
+	v.Heard(Report{Box: "a", Incarnation: "2", At: epoch.Add(2 * time.Second)})
+	assert.Assert(t, usable("a", epoch.Add(2*time.Second)), "a new incarnation under the same box")
+
+	v.SetList([]Box{{ID: "a", Role: Endpoint, State: Leaving}})
+	assert.Assert(t, !usable("a", epoch.Add(2*time.Second)))
+	_, ok := v.Member("b", epoch)
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(v.Members(Gateway, epoch)), 0)
+
+	v.Patience = time.Minute
+	v.SetList([]Box{{ID: "a", Role: Endpoint, State: Live}})
+	assert.Assert(t, usable("a", epoch.Add(30*time.Second)))
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package peer
+
+import (
+	"testing"
+
+	"github.com/bits-and-blooms/bitset"
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/weights"
+)
+
+func FuzzDecodeBits(f *testing.F) {
+	f.Add(EncodeBits(bitset.New(70).Set(3)), 70)
+	f.Add("AAAA", 1)
+	f.Fuzz(func(t *testing.T, s string, n int) {
+		if n < 0 || n > weights.MaxChunks {
+			return
+		}
+		b, err := DecodeBits(s, n)
+		if err != nil {
+			return
+		}
+		if b.Len() != uint(n) {
+			t.Fatalf("%d bits, want %d", b.Len(), n)
+		}
+		again, err := DecodeBits(EncodeBits(b), n)
+		if err != nil || !again.Equal(b) {
+			t.Fatalf("does not come back: %v", err)
+		}
+	})
+}
+
+func TestRefs(t *testing.T) {
+	refs := []weights.Ref{{Model: "a", Version: "1"}, {Model: "b+x", Version: "2"}}
+	assert.DeepEqual(t, SplitRefs(JoinRefs(refs)), refs)
+	assert.Equal(t, len(SplitRefs("")), 0)
+	assert.Equal(t, len(SplitRefs("no version,../x@1")), 0)
+}
