gateway: homes wait until they know the log, and come in together

Change: a sidecar tells when it is ready, its first read does not wait, and a service's first homes go into one record; the lab lists its boxes at once. Tried and dropped: not waiting whenever the log was not heard lately; it read without a pause during an outage (TestInForceEverywhere hung). Also: one workspace alone cannot take an eighth of an endpoint's slots (TestFloodLeavesSlots).

--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/mintlift/mintlift/admin"
@@ -20,6 +21,9 @@
 const (
 	dutyEvery  = time.Second
 	dutyWithin = 20 * time.Second
+	// firstHomesWait is how long after a gateway's start the first homes of a
+	// service wait for each other.
+	firstHomesWait = 5 * time.Second
 	// homesEvery spaces the sweeps for new incarnations.
 	homesEvery = 2 * time.Second
 )
@@ -56,12 +60,31 @@
 		}
 	})
 	change := d.homeChanges(ctx, listed, known)
+	change.Add = d.holdFirst(change.Add, listed, known)
 	if len(change.Add)+len(change.Remove) == 0 {
 		return
 	}
 	d.commit(ctx, state.KindHomesChanged, change)
 }
 
+// holdFirst holds a service's very first homes back until all its listed
+// boxes are ready, or firstHomesWait has passed: each later addition moves
+// keys, and keys that have just moved cannot be run for a while.
+func (d *Daemon) holdFirst(add []state.Home, listed []membership.Box, known map[string]state.Home) []state.Home {
+	missing := make(map[string]int) // by service: listed boxes less those ready
+	for _, b := range listed {
+		missing[b.Service]++
+	}
+	for _, h := range add {
+		missing[h.Service]--
+	}
+	for _, h := range known {
+		missing[h.Service] = 0 // homes there are: nothing is first any more
+	}
+	late := time.Since(d.started) > firstHomesWait
+	return slices.DeleteFunc(add, func(h state.Home) bool { return missing[h.Service] > 0 && !late })
+}
+
 func (d *Daemon) homeChanges(ctx context.Context, listed []membership.Box, known map[string]state.Home) state.HomesChanged {
 	var change state.HomesChanged
 	present := make(map[string]bool, len(listed))
@@ -73,13 +96,13 @@
 		switch {
 		case !heard && known[b.ID].Incarnation == "":
 			unknown = append(unknown, b)
-		case heard && s.Incarnation != known[b.ID].Incarnation && !s.Draining:
+		case heard && s.Incarnation != known[b.ID].Incarnation && s.Ready && !s.Draining:
 			change.Add = append(change.Add, state.Home{Box: b.ID, Incarnation: s.Incarnation, Service: b.Service})
 		}
 	}
 	d.view.mu.Unlock()
 	for _, b := range unknown {
-		if s, err := d.ask(ctx, b); err == nil && !s.Draining {
+		if s, err := d.ask(ctx, b); err == nil && s.Ready && !s.Draining {
 			change.Add = append(change.Add, state.Home{Box: b.ID, Incarnation: s.Incarnation, Service: b.Service})
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	*process.Process
 
 	settings  settings.Gateway
+	started   time.Time
 	once      *call.Client // sidecars, without reuse of connections
 	manifests manifests
 
@@ -66,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{Process: common, settings: s, once: common.PeersOnce(), gate: prio.NewGate(s.MaxInFlight, s.Queue)}
+	d := &Daemon{Process: common, settings: s, started: time.Now(), once: common.PeersOnce(), gate: prio.NewGate(prio.Queue{Slots: s.MaxInFlight, Waiting: s.Queue})}
 	d.Metrics.State(d.Replica.Offset, d.Replica.Contact, d.gate.Load)
 	if err := d.listen(); err != nil {
 		return nil, err
--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -144,12 +144,12 @@
 		return no, nil
 	}
 	defer d.limits.Leave(q.workspace.Name)
-	if err := d.gate.Acquire(q.ctx, q.workspace.Priority); err != nil {
+	if err := d.gate.Acquire(q.ctx, q.workspace.Priority, q.workspace.Name); err != nil {
 		no := notRun(http.StatusTooManyRequests, "overloaded", "the system is overloaded")
 		no.retry = shedRetry
 		return no, nil
 	}
-	defer d.gate.Release()
+	defer d.gate.Release(q.workspace.Name)
 	d.budget.Request()
 	return d.run(w, q)
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -79,6 +79,8 @@
 	servers  []*standin.Server
 	platform settings.Platform
 	dir      string
+	first    []membership.Box // on the list once all have started
+	up       bool
 }
 
 // ServiceName is the plain service of a lab.
@@ -128,9 +130,21 @@
 			return err
 		}
 	}
+	l.List.Set(l.first)
+	l.up = true
 	return nil
 }
 
+// list puts a box on the box list; those of the start come all at once, as
+// when a deployment is brought up.
+func (l *Lab) list(b membership.Box) {
+	if l.up {
+		l.List.Put(b)
+		return
+	}
+	l.first = append(l.first, b)
+}
+
 func (l *Lab) keyFile() string { return filepath.Join(l.dir, "operator.key") }
 
 func (l *Lab) startPlatform() error {
@@ -168,7 +182,7 @@
 		return err
 	}
 	l.Gateways = append(l.Gateways, g)
-	l.List.Put(membership.Box{ID: box, Zone: z, Role: membership.Gateway, Address: g.PeerAddress(), State: membership.Live})
+	l.list(membership.Box{ID: box, Zone: z, Role: membership.Gateway, Address: g.PeerAddress(), State: membership.Live})
 	return nil
 }
 
@@ -208,7 +222,7 @@
 	}
 	b.Sidecar = d
 	b.Entry.Address = d.Address()
-	l.List.Put(b.Entry)
+	l.list(b.Entry)
 	return nil
 }
 
@@ -268,11 +282,20 @@
 	}
 }
 
-// AwaitBoxes waits until so many endpoints answer a sweep.
+// AwaitBoxes waits until so many endpoints answer a sweep of each gateway.
 func (l *Lab) AwaitBoxes(ctx context.Context, n int) error {
+	for i := range l.Gateways {
+		if err := l.awaitBoxes(ctx, i, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Lab) awaitBoxes(ctx context.Context, gateway, n int) error {
 	const every = 50 * time.Millisecond
 	for {
-		boxes, err := l.Admin(0).Boxes(ctx)
+		boxes, err := l.Admin(gateway).Boxes(ctx)
 		reached := 0
 		for _, b := range boxes {
 			if b.Reached {
--- a/internal/lab/outcome_test.go
+++ b/internal/lab/outcome_test.go
@@ -150,9 +150,18 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 		for {
-			if status, _, _ := l.call(t, i, http.MethodGet, "", nil); status != http.StatusServiceUnavailable {
+			_, plain, _ := l.call(t, i, http.MethodGet, "", nil)
+			keyed := 0
+			for range 4 * homes { // keys of all homes, most likely
+				_, o, _ := l.call(t, i, http.MethodPost, "", map[string]string{"Idempotency-Key": newKey()})
+				if o == outcome.Completed {
+					keyed++
+				}
+			}
+			if plain == outcome.Completed && keyed == 4*homes {
 				break
 			}
+			assert.NilError(t, ctx.Err(), "gateway %d answers %s, and %d of %d keys", i, plain, keyed, 4*homes)
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
--- a/internal/linksim/linksim.go
+++ b/internal/linksim/linksim.go
@@ -350,7 +350,7 @@
 	if b.dead {
 		return
 	}
-	w, ok := b.queue.Release()
+	w, ok := b.queue.Release("")
 	if !ok {
 		return
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -110,9 +110,12 @@
 	Incarnation string `json:"incarnation"`
 	// Offset is the state's offset; ContactMS how long ago the log was
 	// heard.
-	Offset      int64    `json:"offset"`
-	ContactMS   int64    `json:"contact_ms"`
-	Draining    bool     `json:"draining"`
+	Offset    int64 `json:"offset"`
+	ContactMS int64 `json:"contact_ms"`
+	Draining  bool  `json:"draining"`
+	// Ready says that the log has been heard lately enough to be the home of
+	// keys.
+	Ready       bool     `json:"ready"`
 	Service     string   `json:"service,omitempty"`
 	Copies      []Copy   `json:"copies,omitempty"`
 	Loaded      []Loaded `json:"loaded,omitempty"`
--- a/prio/gate.go
+++ b/prio/gate.go
@@ -20,19 +20,19 @@
 	waiting map[uint64]chan bool
 }
 
-// NewGate returns a gate with the given bounds.
-func NewGate(slots, waiting int) *Gate {
-	return &Gate{queue: Queue{Slots: slots, Waiting: waiting}, waiting: make(map[uint64]chan bool)}
+// NewGate returns a gate with the bounds of q.
+func NewGate(q Queue) *Gate {
+	return &Gate{queue: q, waiting: make(map[uint64]chan bool)}
 }
 
 // Acquire takes a slot, waiting for one if the queue lets it. It returns
 // ErrFull at once, or as soon as something of a higher priority needs the
 // place, and ctx's error when ctx ends first.
-func (g *Gate) Acquire(ctx context.Context, priority int) error {
+func (g *Gate) Acquire(ctx context.Context, priority int, class string) error {
 	g.mu.Lock()
 	g.next++
 	id := g.next
-	granted, queued, out := g.queue.Admit(Waiter{ID: id, Priority: priority})
+	granted, queued, out := g.queue.Admit(Waiter{ID: id, Priority: priority, Class: class})
 	if out != nil {
 		g.wake(out.ID, false)
 	}
@@ -46,10 +46,10 @@
 	ready := make(chan bool, 1)
 	g.waiting[id] = ready
 	g.mu.Unlock()
-	return g.wait(ctx, id, ready)
+	return g.wait(ctx, id, class, ready)
 }
 
-func (g *Gate) wait(ctx context.Context, id uint64, ready chan bool) error {
+func (g *Gate) wait(ctx context.Context, id uint64, class string, ready chan bool) error {
 	select {
 	case ok := <-ready:
 		if ok {
@@ -62,20 +62,20 @@
 	defer g.mu.Unlock()
 	delete(g.waiting, id)
 	if !g.queue.Cancel(id) && <-ready {
-		g.release() // the slot was handed over as ctx ended
+		g.release(class) // the slot was handed over as ctx ended
 	}
 	return ctx.Err()
 }
 
-// Release gives a slot back.
-func (g *Gate) Release() {
+// Release gives a slot of the class back.
+func (g *Gate) Release(class string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.release()
+	g.release(class)
 }
 
-func (g *Gate) release() {
-	if w, ok := g.queue.Release(); ok {
+func (g *Gate) release(class string) {
+	if w, ok := g.queue.Release(class); ok {
 		g.wake(w.ID, true)
 	}
 }
--- a/prio/prio_test.go
+++ b/prio/prio_test.go
@@ -23,7 +23,7 @@
 	q.Admit(Waiter{ID: 1, Priority: 10})
 	low := 0
 	for i := range 20 {
-		w, ok := q.Release()
+		w, ok := q.Release("")
 		assert.Assert(t, ok)
 		if w.ID == 1 {
 			low = i + 1
@@ -53,6 +53,23 @@
 	assert.Assert(t, !granted && !queued && out == nil)
 }
 
+// TestFloodLeavesSlots floods with one class: the others find slots free,
+// and the flood goes on as its own end.
+func TestFloodLeavesSlots(t *testing.T) {
+	q := Queue{Slots: 8, Waiting: 20, ClassSlots: 7}
+	for i := range 15 {
+		q.Admit(Waiter{ID: uint64(i), Priority: 9, Class: "flood"})
+	}
+	assert.Equal(t, q.Active(), 7)
+	granted, _, _ := q.Admit(Waiter{ID: 100, Priority: 1, Class: "quiet"})
+	assert.Assert(t, granted, "a quiet class found no slot")
+	w, ok := q.Release("quiet")
+	assert.Assert(t, !ok, "%d of the flood took the free slot", w.ID)
+	w, ok = q.Release("flood")
+	assert.Assert(t, ok && w.Class == "flood")
+	assert.Equal(t, q.Active(), 7)
+}
+
 // TestQueueBounds draws work and checks that no slot is lost or doubled.
 func TestQueueBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -73,7 +90,7 @@
 				}
 			default:
 				running--
-				if w, ok := q.Release(); ok {
+				if w, ok := q.Release(""); ok {
 					if !waiting[w.ID] {
 						t.Fatalf("%d was granted and did not wait", w.ID)
 					}
@@ -93,24 +110,24 @@
 
 func TestGate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := NewGate(1, 2)
+		g := NewGate(Queue{Slots: 1, Waiting: 2})
 		ctx := context.Background()
-		assert.NilError(t, g.Acquire(ctx, 1))
+		assert.NilError(t, g.Acquire(ctx, 1, ""))
 		short, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
-		assert.Assert(t, errors.Is(g.Acquire(short, 1), context.DeadlineExceeded))
+		assert.Assert(t, errors.Is(g.Acquire(short, 1, ""), context.DeadlineExceeded))
 		order := make(chan int, 2)
 		for _, p := range []int{1, 9} {
 			go func() {
-				if g.Acquire(ctx, p) == nil {
+				if g.Acquire(ctx, p, "") == nil {
 					order <- p
-					g.Release()
+					g.Release("")
 				}
 			}()
 			synctest.Wait()
 		}
-		assert.Assert(t, errors.Is(g.Acquire(ctx, 1), ErrFull), "the queue is full")
-		g.Release()
+		assert.Assert(t, errors.Is(g.Acquire(ctx, 1, ""), ErrFull), "the queue is full")
+		g.Release("")
 		assert.Equal(t, <-order, 9)
 		assert.Equal(t, <-order, 1)
 		synctest.Wait()
--- a/prio/queue.go
+++ b/prio/queue.go
@@ -20,6 +20,8 @@
 type Waiter struct {
 	ID       uint64
 	Priority int
+	// Class is what ClassSlots bounds: the workspace.
+	Class string
 }
 
 // Queue shares slots by priority. The zero value has no slots and refuses
@@ -28,8 +30,12 @@
 	// Slots is how much may be under way at once, Waiting how much may wait.
 	Slots   int
 	Waiting int
+	// ClassSlots bounds the slots of one class, so that a flood of one
+	// leaves some free for the others; 0 does not.
+	ClassSlots int
 
 	active  int
+	classes map[string]int // slots in use, where ClassSlots bounds them
 	granted int
 	waiting []Waiter
 }
@@ -39,9 +45,8 @@
 // least its priority; otherwise the lowest that waits is pushed out and
 // returned.
 func (q *Queue) Admit(w Waiter) (granted, queued bool, out *Waiter) {
-	if q.active < q.Slots && len(q.waiting) == 0 {
-		q.active++
-		q.granted++
+	if q.active < q.Slots && q.eligible(w) {
+		q.grant(w)
 		return true, false, nil
 	}
 	if len(q.waiting) < q.Waiting {
@@ -60,18 +65,56 @@
 	return false, true, &pushed
 }
 
-// Release frees a slot and returns the waiter that gets it, if any.
-func (q *Queue) Release() (Waiter, bool) {
+// Release frees a slot that the class had and returns the waiter that gets
+// it, if any.
+func (q *Queue) Release(class string) (Waiter, bool) {
 	q.active--
-	if len(q.waiting) == 0 {
+	if q.ClassSlots > 0 {
+		q.classes[class]--
+		if q.classes[class] == 0 {
+			delete(q.classes, class)
+		}
+	}
+	at, ok := q.next()
+	if !ok {
 		return Waiter{}, false
 	}
+	w := q.take(at)
+	q.grant(w)
+	return w, true
+}
+
+func (q *Queue) grant(w Waiter) {
 	q.active++
 	q.granted++
-	if q.granted%floorEvery == 0 {
-		return q.take(q.oldestLowest()), true
+	if q.ClassSlots == 0 {
+		return
+	}
+	if q.classes == nil {
+		q.classes = make(map[string]int)
 	}
-	return q.take(q.highest()), true
+	q.classes[w.Class]++
+}
+
+// eligible reports whether the class may have one more slot.
+func (q *Queue) eligible(w Waiter) bool {
+	return q.ClassSlots == 0 || q.classes[w.Class] < q.ClassSlots
+}
+
+// next is the waiter to be served: the highest priority, or in its turn the
+// lowest, among those whose class may have a slot.
+func (q *Queue) next() (int, bool) {
+	low := (q.granted+1)%floorEvery == 0
+	best := -1
+	for i, w := range q.waiting {
+		if !q.eligible(w) {
+			continue
+		}
+		if best < 0 || low && w.Priority < q.waiting[best].Priority || !low && w.Priority > q.waiting[best].Priority {
+			best = i
+		}
+	}
+	return best, best >= 0
 }
 
 // Cancel removes a waiter and reports whether it still waited.
@@ -91,29 +134,6 @@
 // Queued returns the number of waiters.
 func (q *Queue) Queued() int { return len(q.waiting) }
 
-// highest is the first waiter of the highest priority.
-func (q *Queue) highest() int {
-	at := 0
-	for i, w := range q.waiting {
-		if w.Priority > q.waiting[at].Priority {
-			at = i
-		}
-	}
-	return at
-}
-
-// oldestLowest is the first waiter of the lowest priority: the one that the
-// floor serves.
-func (q *Queue) oldestLowest() int {
-	at := 0
-	for i, w := range q.waiting {
-		if w.Priority < q.waiting[at].Priority {
-			at = i
-		}
-	}
-	return at
-}
-
 // newestLowest is the last waiter of the lowest priority: the one that is
 // pushed out.
 func (q *Queue) newestLowest() int {
--- a/process/process.go
+++ b/process/process.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 
+	"github.com/mintlift/mintlift/dedup"
 	"github.com/mintlift/mintlift/drain"
 	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/internal/call"
@@ -217,11 +218,13 @@
 
 // Status fills in what every process says about itself.
 func (p *Process) Status() peer.Status {
+	silent := time.Since(p.Replica.Contact())
 	return peer.Status{
 		Box:         p.config.Node.Box,
 		Incarnation: p.Incarnation,
 		Offset:      p.Replica.Offset(),
-		ContactMS:   time.Since(p.Replica.Contact()).Milliseconds(),
+		ContactMS:   silent.Milliseconds(),
 		Draining:    p.Requests.Draining(),
+		Ready:       silent < dedup.Lease,
 	}
 }
--- a/sidecar/pulls.go
+++ b/sidecar/pulls.go
@@ -33,11 +33,11 @@
 		http.Error(w, "no such version here", http.StatusNotFound)
 		return
 	}
-	if err := d.uploads.Acquire(r.Context(), req.Priority); err != nil {
+	if err := d.uploads.Acquire(r.Context(), req.Priority, req.Box); err != nil {
 		http.Error(w, err.Error(), http.StatusTooManyRequests)
 		return
 	}
-	defer d.uploads.Release()
+	defer d.uploads.Release(req.Box)
 	chunk, know, err := j.pick(req)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -86,7 +86,7 @@
 		cancel()
 		return nil, no
 	}
-	if err := d.gate.Acquire(a.ctx, a.priority); err != nil {
+	if err := d.gate.Acquire(a.ctx, a.priority, a.workspace); err != nil {
 		unlock()
 		cancel()
 		no := refuse(http.StatusTooManyRequests, peer.ReasonBusy, "no slot is free at the endpoint")
@@ -97,7 +97,7 @@
 		return nil, no
 	}
 	a.leave = func() {
-		d.gate.Release()
+		d.gate.Release(a.workspace)
 		unlock()
 		cancel()
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -65,8 +65,8 @@
 		settings: s,
 		endpoint: call.New("endpoint", call.Options{}),
 		once:     call.New("endpoint", call.Options{NoReuse: true}),
-		uploads:  prio.NewGate(transfer.UploadSlots, transfer.UploadWaiting),
-		gate:     prio.NewGate(s.MaxInFlight, s.Queue),
+		uploads:  prio.NewGate(prio.Queue{Slots: transfer.UploadSlots, Waiting: transfer.UploadWaiting}),
+		gate:     prio.NewGate(prio.Queue{Slots: s.MaxInFlight, Waiting: s.Queue, ClassSlots: s.MaxInFlight - reserved(s.MaxInFlight)}),
 	}
 	d.engine = &engine.Client{Call: d.endpoint, Address: s.Endpoint}
 	d.Metrics.State(d.Replica.Offset, d.Replica.Contact, d.gate.Load)
@@ -83,6 +83,13 @@
 	return d, nil
 }
 
+// reserved is how many of an endpoint's slots one workspace alone cannot
+// take, so that another's request finds one free whatever the first floods.
+func reserved(slots int) int {
+	const share = 8
+	return (slots + share - 1) / share % slots
+}
+
 // Address is the address of the peer port.
 func (d *Daemon) Address() string { return d.server.Address() }
 
--- a/state/follower.go
+++ b/state/follower.go
@@ -64,6 +64,8 @@
 	// that start at once do not all read checkpoints from the log.
 	PeersFirst bool
 	Logger     logr.Logger
+
+	heard bool // a read has been answered
 }
 
 // Run follows until ctx ends. It reports nothing: a failed read is tried
@@ -108,7 +110,7 @@
 	defer cancel()
 	asked := time.Now()
 	from := f.Replica.Offset()
-	page, err := src.Read(ctx, journal.ConfigStream, from, pollWait)
+	page, err := src.Read(ctx, journal.ConfigStream, from, f.patience())
 	if errors.Is(err, journal.ErrGone) {
 		return f.catchUp(ctx, page)
 	}
@@ -121,6 +123,7 @@
 	if err := f.Replica.Apply(page.Records); err != nil {
 		return err
 	}
+	f.heard = true
 	age := time.Duration(page.AgeMS) * time.Millisecond
 	f.Replica.Heard(asked.Add(-age))
 	if age > relayStale {
@@ -129,6 +132,16 @@
 	return nil
 }
 
+// patience is how long a read may wait for a record: not at all until one
+// has been answered, since a process that starts needs to know at once that
+// the log is heard.
+func (f *Follower) patience() time.Duration {
+	if !f.heard {
+		return 0
+	}
+	return pollWait
+}
+
 // catchUp loads a checkpoint when the records to be read next are gone.
 func (f *Follower) catchUp(ctx context.Context, page journal.Page) error {
 	f.Logger.Info("records are gone, loading a checkpoint", "offset", f.Replica.Offset(), "first", page.First)
