--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -10,6 +10,7 @@
 
 	"github.com/mintlift/mintlift/admin"
 	"github.com/mintlift/mintlift/intent"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/membership"
 	"github.com/mintlift/mintlift/state"
@@ -32,7 +33,7 @@
 func (d *Daemon) duties(ctx context.Context) {
 	var swept time.Time
 	for ctx.Err() == nil {
-		pause(ctx, dutyEvery/2+rand.N(dutyEvery))
+		clock.Sleep(ctx, dutyEvery/2+rand.N(dutyEvery))
 		if d.Requests.Draining() || time.Since(d.Replica.Contact()) > dutyWithin {
 			continue
 		}
--- a/gateway/probe.go
+++ b/gateway/probe.go
@@ -15,6 +15,7 @@
 	"github.com/mintlift/mintlift/admin"
 	"github.com/mintlift/mintlift/intent"
 	"github.com/mintlift/mintlift/internal/call"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/membership"
 	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/route"
@@ -54,7 +55,7 @@
 		d.updateTable()
 		cycle := min(max(probeMin, time.Duration(len(boxes)*len(boxes))*probeSquare), probeMax)
 		d.view.setPatience(cycle)
-		pause(ctx, cycle)
+		clock.Sleep(ctx, cycle)
 	}
 }
 
@@ -64,7 +65,7 @@
 // the earliest, and they wait for it.
 func (d *Daemon) probeNow(ctx context.Context) {
 	_, _, _ = d.probes.Do("now", func() (any, error) {
-		pause(ctx, probeNowEvery-time.Since(d.probed))
+		clock.Sleep(ctx, probeNowEvery-time.Since(d.probed))
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeNowTimeout)
 		defer cancel()
 		d.probeAll(ctx, d.subset())
@@ -74,13 +75,6 @@
 	})
 }
 
-func pause(ctx context.Context, t time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(t):
-	}
-}
-
 // setPatience lets a box be silent for a few cycles.
 func (v *view) setPatience(cycle time.Duration) {
 	const cycles = 3
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -15,6 +15,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/route"
 	"github.com/mintlift/mintlift/weights"
@@ -98,7 +99,7 @@
 
 // resume takes the stream up after the last event passed on.
 func (d *Daemon) resume(s *relayed, ep route.Endpoint, ref weights.Ref) error {
-	pause(s.q.ctx, resumePause)
+	clock.Sleep(s.q.ctx, resumePause)
 	ctx, cancel := context.WithCancel(s.q.ctx)
 	defer cancel()
 	target := d.Peers.URL(ep.Address, peer.PathResume+s.q.id) + "?after=" + strconv.Itoa(s.last)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,6 +21,7 @@
 
 	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/internal/call"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/membership"
 	"github.com/mintlift/mintlift/peer"
@@ -133,25 +134,18 @@
 // the former in force.
 func (d *Directory) Run(ctx context.Context) {
 	if !d.Direct {
-		wait(ctx, rand.N(startSpread))
+		clock.Sleep(ctx, rand.N(startSpread))
 	}
 	for ctx.Err() == nil {
 		if err := d.refresh(ctx); err != nil && ctx.Err() == nil {
 			d.Logger.V(1).Info("box list not read", "error", err.Error())
 		}
 		for left := d.pause(); left > 0 && ctx.Err() == nil && !d.isStale(); left -= lookEvery {
-			wait(ctx, min(left, lookEvery))
+			clock.Sleep(ctx, min(left, lookEvery))
 		}
 	}
 }
 
-func wait(ctx context.Context, t time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(t):
-	}
-}
-
 func (d *Directory) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- a/sidecar/steps.go
+++ b/sidecar/steps.go
@@ -7,13 +7,13 @@
 	"context"
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/engine"
 	"github.com/mintlift/mintlift/intent"
 	"github.com/mintlift/mintlift/internal/call"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/state"
 	"github.com/mintlift/mintlift/weights"
@@ -35,18 +35,11 @@
 			}
 			j.block(err.Error())
 			d.Log.V(1).Info("copies: step not done", "version", j.ref.String(), "error", err.Error())
-			pause(ctx, retryEvery)
+			clock.Sleep(ctx, retryEvery)
 		}
 	}
 }
 
-func pause(ctx context.Context, t time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(t):
-	}
-}
-
 // prepare learns the manifest and opens staging.
 func (d *Daemon) prepare(ctx context.Context, j *job) error {
 	if j.state() != weights.Absent {
@@ -197,7 +190,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		pause(ctx, drainPoll)
+		clock.Sleep(ctx, drainPoll)
 	}
 	always := func(*state.State) bool { return true }
 	if err := d.order(ctx, j.ref, always, d.engine.Unload); err != nil {
--- a/state/follower.go
+++ b/state/follower.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/journal"
 )
 
@@ -85,7 +86,7 @@
 		}
 		f.Sources.Failed(src)
 		f.Logger.V(1).Info("read failed", "error", err.Error(), "offset", f.Replica.Offset())
-		sleep(ctx, pause/2+rand.N(pause))
+		clock.Sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, pauseMax)
 	}
 }
@@ -93,7 +94,7 @@
 // start takes the newest checkpoint within reach before the first read.
 func (f *Follower) start(ctx context.Context) {
 	if f.PeersFirst {
-		sleep(ctx, rand.N(startSpread))
+		clock.Sleep(ctx, rand.N(startSpread))
 		f.restoreFromPeers(ctx)
 		if f.Replica.Offset() > 0 {
 			return
@@ -195,13 +196,6 @@
 	return true
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // CheckpointEvery is how many records lie between two checkpoints. The log
 // must keep at least twice as many.
 const CheckpointEvery = 200
@@ -228,7 +222,7 @@
 	for ctx.Err() == nil {
 		changed := c.Replica.Changed()
 		if c.Replica.Offset()-c.last >= every {
-			sleep(ctx, rand.N(2*time.Second))
+			clock.Sleep(ctx, rand.N(2*time.Second))
 			c.write(ctx, every)
 			continue
 		}
@@ -249,7 +243,7 @@
 	cp := c.Replica.Checkpoint()
 	if _, err := c.Log.Append(ctx, journal.CheckpointStream, cp); err != nil {
 		c.Logger.Info("checkpoint not written", "offset", cp.Offset, "error", err.Error())
-		sleep(ctx, pauseMax)
+		clock.Sleep(ctx, pauseMax)
 		return
 	}
 	c.last = cp.Offset
