gateway: a later refusal does not undo an attempt that may have run

Cause: found in a critical read: a repeatable request whose first attempt ended unknown was tried on another endpoint, and when that one refused, the caller was told not_run, though the first may have run. TestDoubtOutlivesLaterRefusals failed first with exactly that answer. Change: an unknown attempt stays unknown whatever refuses later; refusals of keys before the home is asked are unknown as well, also for a wrong workspace key.

--- a/gateway/accept.go
+++ b/gateway/accept.go
@@ -30,7 +30,7 @@
 	}
 	ws, no := d.authenticate(r)
 	if no != nil {
-		return q, no
+		return q, q.doubt(no)
 	}
 	q.workspace = ws
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpserve.MaxBody))
--- a/gateway/requests.go
+++ b/gateway/requests.go
@@ -76,6 +76,15 @@
 	written bool
 }
 
+// followedBy is what may be said after this attempt and a later one: once
+// an attempt may have run, no later refusal makes that undone.
+func (no *failure) followedBy(later *failure) *failure {
+	if no.outcome == outcome.Unknown && later.outcome == outcome.NotRun {
+		return no
+	}
+	return later
+}
+
 func notRun(status int, code, message string) *failure {
 	return &failure{status: status, code: code, outcome: outcome.NotRun, message: message}
 }
@@ -173,8 +182,8 @@
 		if t.failure == nil {
 			return nil, t.answer
 		}
-		no = t.failure
-		if q.ctx.Err() != nil || !outcome.Retry(no.outcome, !q.once, t.started) {
+		no = no.followedBy(t.failure)
+		if q.ctx.Err() != nil || !outcome.Retry(t.failure.outcome, !q.once, t.started) {
 			break
 		}
 		if t.moved {
--- a/internal/lab/outcome_test.go
+++ b/internal/lab/outcome_test.go
@@ -242,3 +242,36 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// TestDoubtOutlivesLaterRefusals has one endpoint that dies after it has
+// read the request and another that refuses connections: whichever is tried
+// last, the request ran, so "not run" must not be said.
+func TestDoubtOutlivesLaterRefusals(t *testing.T) {
+	d := newDying(t)
+	d.set(diesNever)
+	closed, err := net.Listen("tcp", loopback)
+	assert.NilError(t, err)
+	nowhere := closed.Addr().String()
+	targets := []string{d.ln.Addr().String(), nowhere}
+	l, ctx := start(t, Config{Gateways: 1, Services: 2, SidecarSettings: func(s *settings.Sidecar) {
+		s.Endpoint = targets[0]
+		targets = targets[1:]
+	}})
+	assert.NilError(t, closed.Close())
+	assert.NilError(t, l.AddWorkspace(ctx, "liceo", 40, 0))
+	header := map[string]string{"Mintlift-Repeatable": "true"}
+	for {
+		if _, o, _ := l.call(t, 0, http.MethodPost, "warm", header); o == outcome.Completed {
+			break
+		}
+		assert.NilError(t, ctx.Err())
+		time.Sleep(20 * time.Millisecond)
+	}
+	for range 20 {
+		d.set(diesAfterBody)
+		_, o, text := l.call(t, 0, http.MethodPost, "some body", header)
+		if d.runs() > 0 {
+			assert.Equal(t, o, outcome.Unknown, text)
+		}
+	}
+}
