peer: a bitmap's claimed length is checked before room is made for it

Cause: FuzzDecodeBits crashed within a second: the library makes room for whatever length the bytes claim, so one bad header ended a process. TestBitmapOfTooManyBits is the named test.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/base64"
+	"encoding/binary"
 	"net/http"
 	"strconv"
 	"strings"
@@ -239,9 +240,12 @@
 	if len(raw) != head+(n+63)/64*8 {
 		return nil, errors.NotValidf("bitmap of %d bytes for %d bits", len(raw), n)
 	}
+	if bits := binary.BigEndian.Uint64(raw); bits != uint64(n) {
+		return nil, errors.NotValidf("bitmap of %d bits, want %d", bits, n) // the library would make room for any number
+	}
 	b := new(bitset.BitSet)
-	if err := b.UnmarshalBinary(raw); err != nil || b.Len() != uint(n) {
-		return nil, errors.NotValidf("bitmap of %d bits, want %d", b.Len(), n)
+	if err := b.UnmarshalBinary(raw); err != nil {
+		return nil, errors.NewNotValid(err, "bitmap")
 	}
 	return b, nil
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/bits-and-blooms/bitset"
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/weights"
@@ -32,6 +33,13 @@
 	})
 }
 
+// TestBitmapOfTooManyBits was found by FuzzDecodeBits: a bitmap that claimed
+// a huge length crashed the process.
+func TestBitmapOfTooManyBits(t *testing.T) {
+	_, err := DecodeBits("00000000000000000000000000000000", 117)
+	assert.Assert(t, errors.Is(err, errors.NotValid), "%v", err)
+}
+
 func TestRefs(t *testing.T) {
 	refs := []weights.Ref{{Model: "a", Version: "1"}, {Model: "b+x", Version: "2"}}
 	assert.DeepEqual(t, SplitRefs(JoinRefs(refs)), refs)
