--- a/cmd/mintlift/process_test.go
+++ b/cmd/mintlift/process_test.go
@@ -114,7 +114,7 @@
 	s := &system{t: t, dir: t.TempDir(), sample: sample, procs: make(map[string]*process)}
 	assert.NilError(t, os.WriteFile(s.path("operator.key"), []byte(testKey+"\n"), 0o600))
 	s.procs["log"] = launch(t, &s.platform.Log, "standin", "log")
-	s.procs["store"] = launch(t, &s.platform.WeightStore, "standin", "store", "--publish", "draft@v1", "--publish", "draft@v2", "--bytes", "2097152", "--chunk", "65536")
+	s.procs["store"] = launch(t, &s.platform.WeightStore, "standin", "store", "--publish", "draft@v1", "--publish", "draft@v2", "--broken", "draft@broken", "--bytes", "2097152", "--chunk", "65536")
 	s.platform.Origin = s.platform.WeightStore
 	s.procs["boxes"] = launch(t, &s.platform.BoxList, "standin", "boxes")
 	for i := range gateways {
@@ -308,6 +308,7 @@
 	s.awaitChat(0)
 	s.awaitChat(1)
 
+	t.Run("errors", s.testErrors)
 	t.Run("trace", s.testTrace)
 	t.Run("memory", s.testMemory)
 	t.Run("planned stop", s.testPlannedStop)
@@ -315,6 +316,43 @@
 	t.Run("pause", s.testPause)
 }
 
+// testErrors makes an operator's mistakes on the command line: each ends
+// with its documented exit code, and nothing moves.
+func (s *system) testErrors(t *testing.T) {
+	plan := func() string {
+		var p struct{ ID string }
+		out := s.must("intent", "create", "draft@v2", "--workspace", "liceo", "--json")
+		assert.NilError(t, json.Unmarshal([]byte(out), &p), out)
+		return p.ID
+	}
+	first, second := plan(), plan()
+	for _, c := range []struct {
+		name string
+		want int
+		args []string
+	}{
+		{"model that does not exist", exitNotFound, []string{"intent", "create", "none@v1", "--workspace", "liceo"}},
+		{"workspace that does not exist", exitNotFound, []string{"intent", "create", "draft@v2", "--workspace", "nobody"}},
+		{"broken manifest", exitInvalid, []string{"intent", "create", "draft@broken", "--workspace", "liceo"}},
+		{"plan that does not exist", exitNotFound, []string{"plan", "confirm", "no-such-plan"}},
+		{"first plan", exitOK, []string{"plan", "confirm", first}},
+		{"confirmed twice", exitConflict, []string{"plan", "confirm", first}},
+		{"confirmed after a conflicting one", exitConflict, []string{"plan", "confirm", second}},
+		{"taken back", exitOK, []string{"plan", "cancel", first}},
+		{"wrong key", exitRefused, []string{"status", "--key-file", s.path("liceo.key")}},
+	} {
+		code, out := s.mintlift(c.args...)
+		if c.name == "wrong key" {
+			code, out = command("status", "--gateway", s.gateways[0].AdminListen, "--key-file", s.path("liceo.key"))
+		}
+		assert.Equal(t, code, c.want, "%s: %s", c.name, out)
+		if code != exitOK {
+			t.Logf("%s: exit %d: %s", c.name, code, strings.TrimSpace(out))
+		}
+	}
+	s.awaitChat(0)
+}
+
 // testTrace follows one request from the caller's traceparent to the
 // sidecar's call of the engine.
 func (s *system) testTrace(t *testing.T) {
--- a/cmd/mintlift/standins.go
+++ b/cmd/mintlift/standins.go
@@ -41,6 +41,7 @@
 					listen,
 					&cli.FloatFlag{Name: "rate", Usage: "origin's bytes a second, 0 for no bound"},
 					&cli.StringSliceFlag{Name: "publish", Usage: "model@version to publish"},
+					&cli.StringSliceFlag{Name: "broken", Usage: "model@version whose manifest contradicts itself"},
 					&cli.Int64Flag{Name: "bytes", Usage: "size of each version", Value: 16 << 20},
 					&cli.Int64Flag{Name: "chunk", Usage: "size of a chunk", Value: 256 << 10},
 				},
@@ -53,6 +54,13 @@
 						}
 						s.Publish(standin.NewManifest(ref, c.Int64("bytes"), c.Int64("chunk")))
 					}
+					for _, name := range c.StringSlice("broken") {
+						ref, err := weights.ParseRef(name)
+						if err != nil {
+							return err
+						}
+						s.PublishRaw(ref, []byte(`{"model":"`+ref.Model+`","version":"`+ref.Version+`","bytes":10,"chunk_bytes":4,"chunks":[]}`))
+					}
 					return runStandin(ctx, c, s.Handler())
 				},
 			},
