admin: a box whose engine has not been asked is no candidate

Change: a status says whether the engine is known; planning waits for it. TestCandidatesKnowTheirEngine failed without it by construction: it names a box that only this rule leaves out.

--- a/admin/plans.go
+++ b/admin/plans.go
@@ -11,6 +11,7 @@
 
 	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/intent"
+	"github.com/mintlift/mintlift/membership"
 	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/state"
 	"github.com/mintlift/mintlift/weights"
@@ -85,14 +86,17 @@
 	return w
 }
 
-// Candidates are the boxes that answered and do not drain, as a planner
-// sees them.
+// Candidates are the boxes that answered, do not drain and know their
+// engine, as a planner sees them.
 func Candidates(st *state.State, boxes []BoxStatus) []intent.Candidate {
 	var out []intent.Candidate
 	for _, b := range boxes {
-		if !b.Reached || b.Status.Draining || b.Box.State == "leaving" {
+		if !b.Reached || b.Status.Draining || b.Box.State == membership.Leaving {
 			continue
 		}
+		if b.Box.Service == "" && !b.Status.EngineKnown {
+			continue // its memory and what it serves are not known yet
+		}
 		c := intent.Candidate{Box: b.Box, MemoryBytes: b.Status.MemoryBytes}
 		for _, l := range b.Status.Loaded {
 			c.Loaded = append(c.Loaded, intent.LoadedVersion{Ref: l.Ref, Bytes: l.Bytes, Workspaces: routedTo(st, l.Ref)})
--- a/cmd/mintlift/process_test.go
+++ b/cmd/mintlift/process_test.go
@@ -240,7 +240,7 @@
 		boxes, err := api.Boxes(context.Background())
 		reached := 0
 		for _, b := range boxes {
-			if b.Reached {
+			if b.Reached && b.Status.EngineKnown {
 				reached++
 			}
 		}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -298,7 +298,7 @@
 		boxes, err := l.Admin(gateway).Boxes(ctx)
 		reached := 0
 		for _, b := range boxes {
-			if b.Reached {
+			if b.Reached && (b.Box.Service != "" || b.Status.EngineKnown) {
 				reached++
 			}
 		}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -121,6 +121,9 @@
 	Copies      []Copy   `json:"copies,omitempty"`
 	Loaded      []Loaded `json:"loaded,omitempty"`
 	MemoryBytes int64    `json:"memory_bytes,omitempty"`
+	// EngineKnown says that the sidecar has asked its engine what it holds;
+	// before that Loaded and MemoryBytes say nothing.
+	EngineKnown bool `json:"engine_known,omitempty"`
 	// Load is the number of requests here, Slots how many run at once.
 	Load  int `json:"load"`
 	Slots int `json:"slots"`
--- a/sidecar/copies.go
+++ b/sidecar/copies.go
@@ -36,6 +36,14 @@
 	mu     sync.Mutex
 	jobs   map[weights.Ref]*job
 	memory int64 // of the engine, 0 when not bounded
+	known  bool  // the engine has told what it holds
+}
+
+// engineKnown reports whether the engine has told what it holds.
+func (c *copies) engineKnown() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known
 }
 
 // job is the work on one copy.
@@ -218,6 +226,9 @@
 	for _, l := range s.Loaded {
 		d.adoptLoaded(ctx, l)
 	}
+	d.copies.mu.Lock()
+	d.copies.known = true
+	d.copies.mu.Unlock()
 	return true
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -109,6 +109,7 @@
 	s := d.Status()
 	s.Service, s.Load, s.Slots = d.settings.Service, active+waiting, d.settings.MaxInFlight
 	s.Copies, s.Loaded, s.MemoryBytes = d.copies.report()
+	s.EngineKnown = d.copies.engineKnown()
 	return s
 }
 
