--- a/admin/problem.go
+++ b/admin/problem.go
@@ -8,8 +8,8 @@
 
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/intent"
-	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/weights"
 )
 
@@ -87,9 +87,9 @@
 		return Problem(CodeMemory, "%v", err)
 	case errors.Is(err, weights.ErrBadManifest):
 		return Problem(CodeBadManifest, "%v", err)
-	case errors.Is(err, journal.ErrUnsettled):
+	case errors.Is(err, eventlog.ErrUnsettled):
 		return Problem(CodeUnsettled, "it is not known whether the change was accepted: %v", err)
-	case errors.Is(err, journal.ErrUnavailable):
+	case errors.Is(err, eventlog.ErrUnavailable):
 		return Problem(CodeUnavailable, "the change was not accepted, the log service does not answer: %v", err)
 	case errors.Is(err, errors.NotValid):
 		return Problem(CodeInvalid, "%v", err)
--- a/admin/server.go
+++ b/admin/server.go
@@ -17,9 +17,9 @@
 	"github.com/go-logr/logr"
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/intent"
-	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/membership"
 	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/state"
@@ -59,7 +59,7 @@
 // Server answers the API. All fields are needed.
 type Server struct {
 	Replica *state.Replica
-	Journal *journal.Client
+	Journal *eventlog.Client
 	World   World
 	// Bootstrap returns the key of the first operator, or "".
 	Bootstrap func() string
@@ -139,14 +139,14 @@
 
 // commit writes a record and waits until it has come back. It returns the
 // record's id.
-func (s *Server) commit(r *http.Request, operator string, kind journal.Kind, body any) (string, error) {
-	rec, err := journal.NewRecord(kind, operator, time.Now(), body)
+func (s *Server) commit(r *http.Request, operator string, kind eventlog.Kind, body any) (string, error) {
+	rec, err := eventlog.NewRecord(kind, operator, time.Now(), body)
 	if err != nil {
 		return "", err
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), commitTimeout)
 	defer cancel()
-	return rec.ID, journal.Commit(ctx, s.Journal, s.Replica, rec)
+	return rec.ID, eventlog.Commit(ctx, s.Journal, s.Replica, rec)
 }
 
 // Status is the answer to GET /status.
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -174,7 +174,7 @@
 	return []Row{
 		{Role: "log service", What: "appends, mean over a day", Value: s.records() / secondsADay, Bound: d.Bounds.Appends, Unit: "a second",
 			Source:    fmt.Sprintf("%.0f records a day: %d changes, 2 a rollout and its waves, 2 a replaced or failed box, a checkpoint in %d", s.records(), s.Changes, s.CheckpointEach),
-			Mechanism: "`journal.Commit`; homes are batched"},
+			Mechanism: "`eventlog.Commit`; homes are batched"},
 		{Role: "log service", What: "reads, idle", Value: h.IdleReads, Unit: "a second",
 			Source: fmt.Sprintf("%.2f a gateway, none a sidecar; TestInForceEverywhere, %d processes", perGateway, h.Processes), Mechanism: "`relay`: gateways read, sidecars ask gateways"},
 		{Role: "log service", What: "reads, all processes start at once", Value: float64(h.LogPeak), Unit: "a second at the peak",
--- a/capacity/state.go
+++ b/capacity/state.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"time"
 
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/intent"
-	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/membership"
 	"github.com/mintlift/mintlift/state"
 	"github.com/mintlift/mintlift/weights"
@@ -19,9 +19,9 @@
 // confirmed plan over planBoxes boxes, and homes.
 func MeasureState(workspaces, planBoxes, homes int) State {
 	r := state.NewReplica()
-	var entries []journal.Entry
-	add := func(kind journal.Kind, body any) {
-		rec, err := journal.NewRecord(kind, "entry-01", time.UnixMilli(1_800_000_000_000), body)
+	var entries []eventlog.Entry
+	add := func(kind eventlog.Kind, body any) {
+		rec, err := eventlog.NewRecord(kind, "entry-01", time.UnixMilli(1_800_000_000_000), body)
 		if err != nil {
 			panic("capacity: record does not marshal: " + err.Error()) // plain fields always marshal
 		}
@@ -30,7 +30,7 @@
 		if err != nil {
 			panic("capacity: record does not marshal: " + err.Error()) // plain fields always marshal
 		}
-		entries = append(entries, journal.Entry{Offset: int64(len(entries)), Data: b})
+		entries = append(entries, eventlog.Entry{Offset: int64(len(entries)), Data: b})
 	}
 	for i := range workspaces {
 		add(state.KindWorkspaceSet, state.WorkspaceSet{Workspace: workspace.Workspace{Name: fmt.Sprintf("workspace-%04d", i), KeyHash: workspace.HashKey("k"), Priority: 50}})
--- a/cmd/mintlift/main.go
+++ b/cmd/mintlift/main.go
@@ -76,7 +76,7 @@
 		ErrWriter:             errOut,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			gatewayCommand(), sidecarCommand(), demoCommand(),
+			gatewayCommand(), sidecarCommand(), platformCommand(), demoCommand(),
 			intentCommand(), planCommand(), boxesCommand(), workspacesCommand(), operatorsCommand(), statusCommand(),
 			settingsCommand(), loadCommand(), benchCommand(), capacityCommand(), standinCommand(), versionCommand(),
 		},
--- /dev/null
+++ b/cmd/mintlift/platform.go
@@ -0,0 +1,355 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/ingress"
+	"github.com/mintlift/mintlift/installer"
+	"github.com/mintlift/mintlift/loadreport"
+	"github.com/mintlift/mintlift/platform"
+	"github.com/mintlift/mintlift/routing"
+	"github.com/mintlift/mintlift/telemetry"
+)
+
+// Internal ports of our processes, counted from the first of the settings.
+const (
+	portSidecars  = 0 // TCP: between sidecars
+	portPublish   = 1 // UDP: subscriptions at a sidecar
+	portSubscribe = 2 // UDP: reports to a gateway
+	portMetrics   = 3 // TCP: metrics
+)
+
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run on the users' platform, by the settings that it hands out",
+		Commands: []*cli.Command{
+			{
+				Name:  "gateway",
+				Usage: "serve callers on an entry box",
+				Action: func(ctx context.Context, _ *cli.Command) error {
+					return runPlatform(ctx, "gateway", startPlatformGateway)
+				},
+			},
+			{
+				Name:  "sidecar",
+				Usage: "bring the engine of this box to the named version",
+				Action: func(ctx context.Context, _ *cli.Command) error {
+					return runPlatform(ctx, "sidecar", startPlatformSidecar)
+				},
+			},
+		},
+	}
+}
+
+// platformProcess is what the two daemons on the platform start from.
+type platformProcess struct {
+	settings *platform.Settings
+	requests logr.Logger // lines about single requests
+	events   logr.Logger // lines about what the process believes
+	metrics  *telemetry.Metrics
+	watcher  *platform.Watcher
+}
+
+// stopper ends a daemon; it returns once it has ended.
+type stopper func(ctx context.Context)
+
+// stopMargin is kept of the grace for closing logs.
+const stopMargin = 400 * time.Millisecond
+
+// collectAt is how much garbage may gather, in percent of what lives.
+const collectAt = 75
+
+// runPlatform runs a daemon until SIGTERM.
+func runPlatform(ctx context.Context, part string, start func(context.Context, *platformProcess) (stopper, error)) error {
+	debug.SetGCPercent(collectAt)
+	sink := telemetry.NewSink(os.Stdout)
+	defer sink.Close(stopMargin / 2)
+	level := telemetry.LogSettings{Level: telemetry.LevelInfo}
+	events := telemetry.Part(telemetry.NewLogger(sink.Rare(), level), part)
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		events.Error(err, "settings not usable")
+		return err
+	}
+	p := &platformProcess{
+		settings: settings,
+		requests: telemetry.Part(telemetry.NewLogger(sink, level), part),
+		events:   events,
+		metrics:  telemetry.NewMetrics(),
+		watcher:  platform.NewWatcher(platform.NewStore(settings.Store.Address), events),
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop, err := start(ctx, p)
+	if err != nil {
+		events.Error(err, "start failed")
+		return err
+	}
+	events.Info("started", "release", version, "node", settings.Node, "zone", settings.Zone, "ip", settings.IP)
+	for {
+		s := <-signals
+		if s != syscall.SIGHUP {
+			break
+		}
+		events.Info("reload asked for: settings are read at the start only, and none of those in use change in a life")
+	}
+	grace := settings.Grace() - stopMargin
+	events.Info("stopping", "grace_ms", grace.Milliseconds())
+	ending, done := context.WithTimeout(context.WithoutCancel(ctx), grace)
+	defer done()
+	stop(ending)
+	events.Info("stopped")
+	return nil
+}
+
+// gatewayView gives what the store tells to a gateway.
+type gatewayView struct{ *ingress.Server }
+
+// Configured implements platform.Operator.
+func (v gatewayView) Configured(c *routing.Configuration) { v.Apply(c) }
+
+// Named implements platform.Operator.
+func (v gatewayView) Named(n platform.Naming, first bool) {
+	v.NameVersion(n.Model, n.Version, first, time.Now())
+}
+
+// assumedGateways divides what all gateways may do together; the settings
+// do not tell how many there are.
+const assumedGateways = 8
+
+// Limits of the callers' server.
+const (
+	headerTimeout  = 10 * time.Second
+	callerIdle     = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	// drainLead is how long a stopping gateway takes new connections, until
+	// the platform has seen that it is not ready.
+	drainLead     = 2500 * time.Millisecond
+	maintainEvery = time.Second
+)
+
+func startPlatformGateway(ctx context.Context, p *platformProcess) (stopper, error) {
+	s := p.settings
+	budget := s.RetryBudget()
+	budget.Gateways = assumedGateways
+	server := ingress.New(ingress.Settings{
+		Zone:            s.Zone,
+		Headers:         platform.Headers(),
+		Budget:          budget,
+		VersionDeadline: s.VersionDeadline(),
+		LocalIP:         s.IP,
+	}, p.requests, p.events, p.metrics)
+	front, err := net.Listen("tcp4", s.Listen.Front)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	ready, err := net.Listen("tcp4", s.Listen.Ready)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	subscriber, err := loadreport.NewSubscriber(s.Internal(s.IP, portSubscribe))
+	if err != nil {
+		return nil, err
+	}
+	callers := &http.Server{Handler: server, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes}
+	probes := http.NewServeMux()
+	probes.HandleFunc("/ready", server.ServeReady)
+	go func() { _ = callers.Serve(front) }()
+	go func() { _ = http.Serve(ready, probes) }()
+	p.serveMetrics()
+
+	view := gatewayView{server}
+	go p.watcher.WatchOperator(ctx, view)
+	go p.watchEndpoints(ctx, server)
+	go subscriber.Run(ctx, func() []string {
+		out := server.EngineAddresses()
+		for i, address := range out {
+			out[i] = s.Internal(address, portPublish)
+		}
+		return out
+	}, server.Heard)
+	go func() {
+		for range time.Tick(maintainEvery) {
+			server.Maintain(time.Now())
+		}
+	}()
+	return func(ending context.Context) { stopGateway(ending, p, server, callers) }, nil
+}
+
+// watchEndpoints reads the list once the configuration, which says how many
+// layers a model has, is known.
+func (p *platformProcess) watchEndpoints(ctx context.Context, server *ingress.Server) {
+	const look = 20 * time.Millisecond
+	for server.Configuration() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(look):
+		}
+	}
+	p.watcher.WatchEndpoints(ctx, server, func(service string) int {
+		if named := server.Configuration().Services[service]; named != nil && named.Engine != nil {
+			return named.Engine.Layers
+		}
+		return 0
+	})
+}
+
+// stopGateway lets requests in progress end.
+func stopGateway(ending context.Context, p *platformProcess, server *ingress.Server, callers *http.Server) {
+	server.StartStopping()
+	select {
+	case <-time.After(drainLead):
+	case <-ending.Done():
+	}
+	callers.SetKeepAlivesEnabled(false)
+	if err := callers.Shutdown(ending); err != nil {
+		p.events.Info("requests cut off at the end of the grace", "in_flight", server.InFlight())
+		_ = callers.Close()
+	}
+}
+
+func (p *platformProcess) serveMetrics() {
+	listener, err := net.Listen("tcp4", p.settings.Internal(p.settings.IP, portMetrics))
+	if err != nil {
+		p.events.Error(err, "metrics not served")
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/metrics", p.metrics.Handler)
+	go func() { _ = http.Serve(listener, mux) }()
+}
+
+// sidecarView gives what the store tells to a sidecar.
+type sidecarView struct {
+	settings  *platform.Settings
+	installer *installer.Installer
+	table     *routing.Table
+}
+
+// Configured implements platform.Operator.
+func (v *sidecarView) Configured(c *routing.Configuration) {
+	if !v.table.Apply(c) {
+		return
+	}
+	service := c.Services[v.settings.Service]
+	if service == nil || service.Engine == nil || service.Engine.Chunks == 0 {
+		return
+	}
+	params := installer.Params{
+		Model:      service.Engine.Model,
+		Chunks:     service.Engine.Chunks,
+		ChunkBytes: service.Engine.ChunkBytes,
+		Deadline:   v.settings.VersionDeadline(),
+	}
+	if origin := c.Origin(); origin != nil {
+		params.OriginRate = origin.OriginRate
+		params.OriginRegion = v.settings.Regions[origin.Zone]
+	}
+	v.installer.Configure(params)
+}
+
+// Named implements platform.Operator.
+func (v *sidecarView) Named(n platform.Naming, first bool) {
+	v.installer.Name(n.Model, n.Version, first)
+}
+
+// layers is how many layers the service's model has, or 0.
+func (v *sidecarView) layers(service string) int {
+	c := v.table.Get()
+	if c == nil || c.Services[service] == nil || c.Services[service].Engine == nil {
+		return 0
+	}
+	return c.Services[service].Engine.Layers
+}
+
+// peers reads the sidecars of the service from the list of endpoints.
+func (v *sidecarView) peers(ctx context.Context, w *platform.Watcher) ([]installer.Peer, error) {
+	list, err := w.List(ctx, v.layers)
+	if err != nil {
+		return nil, err
+	}
+	var out []installer.Peer
+	for _, e := range list {
+		if e.Service != v.settings.Service {
+			continue
+		}
+		box, _, err := net.SplitHostPort(e.Address)
+		if err != nil {
+			continue
+		}
+		out = append(out, installer.Peer{
+			Box: box, Address: v.settings.Internal(e.Address, portSidecars), Zone: e.Zone, Region: v.settings.Regions[e.Zone],
+		})
+	}
+	return out, nil
+}
+
+// reportEvery is how often the engine's report is read.
+const reportEvery = 80 * time.Millisecond
+
+func startPlatformSidecar(ctx context.Context, p *platformProcess) (stopper, error) {
+	s := p.settings
+	view := &sidecarView{settings: s, table: &routing.Table{}}
+	engine := platform.NewEngine(s.App, func() int { return view.layers(s.Service) })
+	origin := platform.NewOrigin(func() string {
+		if c := view.table.Get(); c != nil && c.Origin() != nil {
+			return c.Origin().Origin
+		}
+		return ""
+	})
+	view.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone}, engine, origin,
+		func(ctx context.Context) ([]installer.Peer, error) { return view.peers(ctx, p.watcher) }, p.events, p.metrics)
+	listener, err := net.Listen("tcp4", s.Internal(s.IP, portSidecars))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	publisher, err := loadreport.NewPublisher(s.Internal(s.IP, portPublish))
+	if err != nil {
+		return nil, err
+	}
+	peers := &http.Server{Handler: view.installer.Handler(), ReadHeaderTimeout: headerTimeout}
+	go func() { _ = peers.Serve(listener) }()
+	p.serveMetrics()
+	go p.watcher.WatchOperator(ctx, view)
+	go view.installer.Run(ctx)
+	go reportLoad(ctx, s.App, engine, view.installer, publisher)
+	return func(context.Context) { _ = peers.Close() }, nil
+}
+
+// reportLoad reads the engine's state and publishes it.
+func reportLoad(ctx context.Context, address string, engine *platform.Engine, i *installer.Installer, publisher *loadreport.Publisher) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		if state, err := engine.State(ctx); err == nil {
+			i.Heard(state)
+			publisher.Publish(fleet.Report{
+				Address: address, Model: state.Model, Version: state.Version, Busy: state.Busy,
+				Running: state.Running, Queued: state.Queued, Pace: state.Pace,
+			}, time.Now())
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/dedup/dedup_test.go
+++ b/dedup/dedup_test.go
@@ -12,7 +12,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/mintlift/mintlift/journal"
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/state"
 )
 
@@ -33,11 +33,11 @@
 
 // world is a log of home changes and the states that processes hold.
 type world struct {
-	entries []journal.Entry
+	entries []eventlog.Entry
 }
 
 func (w *world) change(at time.Time, c state.HomesChanged) {
-	r, err := journal.NewRecord(state.KindHomesChanged, "test", at, c)
+	r, err := eventlog.NewRecord(state.KindHomesChanged, "test", at, c)
 	if err != nil {
 		panic(err)
 	}
@@ -45,7 +45,7 @@
 	if err != nil {
 		panic(err)
 	}
-	w.entries = append(w.entries, journal.Entry{Offset: int64(len(w.entries)), Data: b})
+	w.entries = append(w.entries, eventlog.Entry{Offset: int64(len(w.entries)), Data: b})
 }
 
 func (w *world) at(offset int) *state.State {
--- a/journal/journal.go
+++ b/eventlog/eventlog.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package journal is mintlift's side of the platform's log service. What
+// Package eventlog is mintlift's side of the platform's log service. What
 // must be agreed or kept is a Record on the log; the order of offsets is
 // the order in which everything happened.
 //
@@ -9,7 +9,7 @@
 // once however often it was sent. Reader yields records in offset order and
 // reports a gap instead of skipping it. The same protocol is served by
 // gateways as a relay, so a Client can read from either.
-package journal
+package eventlog
 
 import (
 	"context"
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,364 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package fleet is what a gateway believes of the endpoints: the list of
+// them, what they said of their load, and what their answers showed. It
+// chooses the endpoint of an attempt.
+//
+// A Fleet does no I/O, takes time as a value, and is not safe for
+// concurrent use; package ingress holds it under one lock.
+package fleet
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Record is an endpoint as the platform's list tells it.
+type Record struct {
+	ID       string
+	Service  string
+	Address  string // IP:PORT
+	Zone     string
+	Slots    int
+	Draining bool
+	// Models are the versions of the models that the endpoint holds whole;
+	// nil for endpoints that hold none, or are no engines.
+	Models map[string]int
+}
+
+// Report is an engine's load as the sidecar beside it read it.
+type Report struct {
+	Address string `json:"a"`
+	// Model and Version are what the engine holds whole; Version is 0 while
+	// it holds nothing whole.
+	Model   string `json:"m"`
+	Version int    `json:"v"`
+	// Busy says that an order is under way and that nothing new is taken.
+	Busy    bool    `json:"b,omitempty"`
+	Running int     `json:"r"`
+	Queued  int     `json:"q"`
+	Pace    float64 `json:"p,omitempty"`
+}
+
+// Timing of what a Fleet believes.
+const (
+	// reportLife is how long a report counts.
+	reportLife = 900 * time.Millisecond
+	// openMin and openMax bound how long an endpoint that failed is left
+	// alone; the time doubles with each failure in a row.
+	openMin = 300 * time.Millisecond
+	openMax = 4 * time.Second
+	// failureWeight is the share of the newest attempt in failures.
+	failureWeight = 0.12
+)
+
+// Costs of choosing an endpoint, in requests of load.
+const (
+	zoneCost    = 0.7
+	failureCost = 10
+)
+
+// Endpoint is one endpoint and what is believed of it.
+type Endpoint struct {
+	Record
+	// own are the attempts of this gateway in progress there.
+	own int
+	// others estimates what everybody else has there.
+	others   float64
+	report   Report
+	reportAt time.Time
+	heardAt  time.Time
+	failures float64 // share of attempts that failed, smoothed
+	strikes  int     // broken connections in a row
+	openTill time.Time
+	// probing says that one request tries an endpoint that was left alone.
+	probing bool
+}
+
+// Fleet is the set of endpoints.
+type Fleet struct {
+	zone      string
+	byID      map[string]*Endpoint
+	byAddress map[string]*Endpoint
+	byService map[string][]*Endpoint
+}
+
+// New returns an empty fleet, seen from a gateway in zone.
+func New(zone string) *Fleet {
+	return &Fleet{
+		zone:      zone,
+		byID:      make(map[string]*Endpoint),
+		byAddress: make(map[string]*Endpoint),
+		byService: make(map[string][]*Endpoint),
+	}
+}
+
+// Put adds or changes an endpoint. It reports whether anything but the
+// heartbeat changed.
+func (f *Fleet) Put(r Record) bool {
+	e := f.byID[r.ID]
+	if e == nil {
+		if old := f.byAddress[r.Address]; old != nil {
+			f.Remove(old.ID)
+		}
+		e = &Endpoint{Record: r}
+		f.byID[r.ID] = e
+		f.byAddress[r.Address] = e
+		f.byService[r.Service] = append(f.byService[r.Service], e)
+		return true
+	}
+	changed := e.Draining != r.Draining || !sameModels(e.Models, r.Models)
+	if changed {
+		e.Record = r
+	}
+	return changed
+}
+
+func sameModels(a, b map[string]int) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for k, v := range a {
+		if b[k] != v {
+			return false
+		}
+	}
+	return true
+}
+
+// Remove forgets an endpoint.
+func (f *Fleet) Remove(id string) bool {
+	e := f.byID[id]
+	if e == nil {
+		return false
+	}
+	delete(f.byID, id)
+	if f.byAddress[e.Address] == e {
+		delete(f.byAddress, e.Address)
+	}
+	list := f.byService[e.Service]
+	for i, other := range list {
+		if other == e {
+			f.byService[e.Service] = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	return true
+}
+
+// Replace sets the whole list.
+func (f *Fleet) Replace(records []Record) {
+	keep := make(map[string]bool, len(records))
+	for _, r := range records {
+		keep[r.ID] = true
+	}
+	for id := range f.byID {
+		if !keep[id] {
+			f.Remove(id)
+		}
+	}
+	for _, r := range records {
+		f.Put(r)
+	}
+}
+
+// Endpoints returns the endpoints of a service.
+func (f *Fleet) Endpoints(service string) []*Endpoint { return f.byService[service] }
+
+// Len returns the number of endpoints.
+func (f *Fleet) Len() int { return len(f.byID) }
+
+// Addresses returns the addresses of all endpoints of a service.
+func (f *Fleet) Addresses(service string) []string {
+	var out []string
+	for _, e := range f.byService[service] {
+		out = append(out, e.Address)
+	}
+	return out
+}
+
+// Heard takes a report and returns its endpoint, or nil if the endpoint is
+// not on the list. changed says that version or readiness changed.
+func (f *Fleet) Heard(r Report, now time.Time) (e *Endpoint, changed bool) {
+	e = f.byAddress[r.Address]
+	if e == nil {
+		return nil, false
+	}
+	changed = e.reportAt.IsZero() || e.report.Version != r.Version || e.report.Busy != r.Busy
+	e.report = r
+	e.reportAt = now
+	e.heardAt = now
+	e.others = math.Max(0, float64(r.Running+r.Queued-e.own))
+	return e, changed
+}
+
+// Holds returns the version of model that the endpoint holds whole, or 0.
+func (e *Endpoint) Holds(model string, now time.Time) int {
+	if e.fresh(now) && e.report.Model == model {
+		return e.report.Version
+	}
+	return e.Models[model]
+}
+
+func (e *Endpoint) fresh(now time.Time) bool {
+	return !e.reportAt.IsZero() && now.Sub(e.reportAt) < reportLife
+}
+
+// ReportAge is the age of the newest report, or a negative value.
+func (e *Endpoint) ReportAge(now time.Time) time.Duration {
+	if e.reportAt.IsZero() {
+		return -1
+	}
+	return now.Sub(e.reportAt)
+}
+
+// SilentFor is how long nothing at all came from the endpoint's box.
+func (e *Endpoint) SilentFor(now time.Time) time.Duration { return now.Sub(e.heardAt) }
+
+// Own is the number of attempts of this gateway in progress.
+func (e *Endpoint) Own() int { return e.own }
+
+// Load estimates the requests that the endpoint has, running and queued.
+func (e *Endpoint) Load(now time.Time) float64 {
+	if !e.fresh(now) {
+		return float64(e.own) + e.others*0.5
+	}
+	return float64(e.own) + e.others
+}
+
+// pace is how many times slower than usual the endpoint works.
+func (e *Endpoint) pace(now time.Time) float64 {
+	if !e.fresh(now) || e.report.Pace < 1 {
+		return 1
+	}
+	return e.report.Pace
+}
+
+// Query describes the attempt that an endpoint is chosen for.
+type Query struct {
+	Service string
+	// Model is empty for plain services.
+	Model string
+	// MinVersion is the lowest version that may answer.
+	MinVersion int
+	// Limit is the load up to which an endpoint takes more, or 0 for none.
+	Limit float64
+	// Exclude are the ids of endpoints that have been tried.
+	Exclude map[string]bool
+}
+
+// usable reports whether the endpoint may get the attempt at all.
+func (e *Endpoint) usable(q *Query, now time.Time) bool {
+	if e.Draining || q.Exclude[e.ID] {
+		return false
+	}
+	if q.Model == "" {
+		return true
+	}
+	holds := e.Holds(q.Model, now)
+	return holds > 0 && holds >= q.MinVersion && !(e.fresh(now) && e.report.Busy)
+}
+
+// open reports whether the endpoint is being left alone.
+func (e *Endpoint) open(now time.Time) bool {
+	return e.strikes > 0 && (now.Before(e.openTill) || e.probing)
+}
+
+// Choose returns the endpoint for an attempt and counts the attempt there,
+// or nil if none has room. End must follow.
+func (f *Fleet) Choose(q Query, now time.Time) *Endpoint {
+	var best *Endpoint
+	bestCost := math.Inf(1)
+	for _, e := range f.byService[q.Service] {
+		if !e.usable(&q, now) || e.open(now) {
+			continue
+		}
+		load := e.Load(now)
+		if q.Limit > 0 && load >= f.limit(e, q.Limit, now) {
+			continue
+		}
+		if cost := f.cost(e, load, now); cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.own++
+	if best.strikes > 0 {
+		best.probing = true
+	}
+	return best
+}
+
+// limit lowers a slow endpoint's limit by its pace.
+func (f *Fleet) limit(e *Endpoint, limit float64, now time.Time) float64 {
+	return math.Max(1, limit/e.pace(now))
+}
+
+func (f *Fleet) cost(e *Endpoint, load float64, now time.Time) float64 {
+	cost := (load+1)*e.pace(now) + failureCost*e.failures + rand.Float64()
+	if e.Zone != f.zone {
+		cost += zoneCost
+	}
+	return cost
+}
+
+// Usable counts the endpoints that could take a request, whatever their
+// load, and sums their load and places.
+func (f *Fleet) Usable(q Query, now time.Time) (count int, load, places float64) {
+	for _, e := range f.byService[q.Service] {
+		if !e.usable(&q, now) || e.open(now) {
+			continue
+		}
+		count++
+		load += e.Load(now)
+		places += q.Limit
+	}
+	return count, load, places
+}
+
+// Result is how an attempt ended, for what it says of the endpoint.
+type Result int
+
+// The results of an attempt.
+const (
+	// Answered: the endpoint answered as it should.
+	Answered Result = iota
+	// Failed: the endpoint answered with an error, or spoilt its answer.
+	Failed
+	// Broken: no connection, or one that broke.
+	Broken
+	// Rejected: the endpoint turned the request away.
+	Rejected
+	// Abandoned: the caller left, or time ran out; it says nothing.
+	Abandoned
+)
+
+// End takes the result of an attempt that Choose counted.
+func (f *Fleet) End(e *Endpoint, result Result, now time.Time) {
+	e.own--
+	e.probing = false
+	switch result {
+	case Answered:
+		e.strikes = 0
+		e.failures -= failureWeight * e.failures
+		e.heardAt = now
+	case Failed:
+		e.strikes = 0
+		e.failures += failureWeight * (1 - e.failures)
+		e.heardAt = now
+	case Broken:
+		e.failures += failureWeight * (1 - e.failures)
+		e.strikes++
+		pause := openMin << min(e.strikes-1, 4)
+		e.openTill = now.Add(min(pause, openMax))
+	case Rejected:
+		e.others = math.Max(e.others, e.others+1)
+		e.heardAt = now
+	}
+}
+
+// Alive notes that bytes came from the endpoint.
+func (f *Fleet) Alive(e *Endpoint, now time.Time) { e.heardAt = now }
--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/mintlift/mintlift/admin"
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/intent"
 	"github.com/mintlift/mintlift/internal/clock"
-	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/membership"
 	"github.com/mintlift/mintlift/state"
 	"github.com/mintlift/mintlift/weights"
@@ -175,14 +175,14 @@
 	return false
 }
 
-func (d *Daemon) commit(ctx context.Context, kind journal.Kind, body any) {
+func (d *Daemon) commit(ctx context.Context, kind eventlog.Kind, body any) {
 	ctx, cancel := context.WithTimeout(ctx, dutyWithin)
 	defer cancel()
-	r, err := journal.NewRecord(kind, d.settings.Node.Box, time.Now(), body)
+	r, err := eventlog.NewRecord(kind, d.settings.Node.Box, time.Now(), body)
 	if err != nil {
 		panic("gateway: record does not marshal: " + err.Error()) // plain fields always marshal
 	}
-	if err := journal.Commit(ctx, d.Journal, d.Replica, r); err != nil {
+	if err := eventlog.Commit(ctx, d.Journal, d.Replica, r); err != nil {
 		d.Log.Info("duties: record not committed", "kind", string(kind), "error", err.Error())
 		return
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -10,8 +10,8 @@
 
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/httpserve"
-	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/peer"
 )
 
@@ -30,7 +30,7 @@
 
 // handleRecords relays the configuration stream in the log's own protocol.
 func (d *Daemon) handleRecords(w http.ResponseWriter, r *http.Request) {
-	if pathvar.Vars(r)["stream"] != journal.ConfigStream {
+	if pathvar.Vars(r)["stream"] != eventlog.ConfigStream {
 		http.Error(w, "only the configuration stream is relayed", http.StatusNotFound)
 		return
 	}
@@ -51,7 +51,7 @@
 	httpserve.WriteJSON(w, http.StatusOK, page)
 }
 
-func (d *Daemon) awaitRecords(ctx context.Context, from int64, wait time.Duration) journal.Page {
+func (d *Daemon) awaitRecords(ctx context.Context, from int64, wait time.Duration) eventlog.Page {
 	deadline := time.After(wait)
 	for {
 		changed := d.Replica.Changed()
--- /dev/null
+++ b/ingress/handler.go
@@ -0,0 +1,381 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/routing"
+	"github.com/mintlift/mintlift/upstream"
+)
+
+// exchange is one request of a caller, from its admission to its answer.
+type exchange struct {
+	server  *Server
+	writer  http.ResponseWriter
+	request *http.Request
+	config  *routing.Configuration
+	route   *routing.Route
+	service string
+	model   string
+	id      string
+	body    []byte
+	header  http.Header // for the endpoint, without what each attempt adds
+	start   time.Time
+	// end is when the request is given up: the caller's deadline or the
+	// route's time-out, whichever is first.
+	end time.Time
+	// deadline is the caller's, handed on to endpoints; zero if none.
+	deadline time.Time
+	priority int
+	// returned says that the caller was refused before.
+	returned bool
+
+	attempts  int             // sent to an endpoint
+	tried     map[string]bool // ids of endpoints
+	mayRun    bool            // an endpoint may have run, or may yet run it
+	lastCause string
+}
+
+// Outcomes of a request, for logs and metrics.
+const (
+	outcomeAnswered = "answered"
+	outcomeRefused  = "refused"
+	outcomeDenied   = "denied"
+	outcomeFailed   = "failed"
+	outcomeLate     = "timed_out"
+	outcomeLeft     = "caller_left"
+	outcomeBroken   = "broken_off"
+)
+
+// Bounds of reading a request.
+const (
+	defaultBodyBytes = 4 << 20
+	bodyReadTime     = 3 * time.Second
+	maxPriority      = 9
+)
+
+// ServeHTTP serves a caller's request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	x := &exchange{server: s, writer: w, request: r, start: time.Now(), id: r.Header.Get(s.settings.Headers.RequestID)}
+	if x.id != "" {
+		w.Header().Set(s.settings.Headers.RequestID, x.id)
+	}
+	if !x.accept() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.end)
+	defer cancel()
+	if x.route.Kind == routing.Streaming {
+		x.stream(ctx)
+		return
+	}
+	x.plain(ctx)
+}
+
+// accept checks the request against the configuration in force and reads
+// its body; if it returns false, the answer has been given.
+func (x *exchange) accept() bool {
+	x.config = x.server.routes.Get()
+	if x.config == nil {
+		x.refuse("no configuration yet", comeBackMin+comeBackNone)
+		return false
+	}
+	path, _, _ := strings.Cut(x.target(), "?")
+	x.route = x.config.Match(x.request.Host, path)
+	if x.route == nil {
+		x.deny(http.StatusNotFound, "no route")
+		return false
+	}
+	x.priority = x.route.Priority
+	workspace := ""
+	if !x.route.Public && x.config.Authenticated() {
+		key, _ := strings.CutPrefix(x.request.Header.Get("Authorization"), "Bearer ")
+		holder := x.config.Workspace(key)
+		if holder == nil {
+			x.deny(http.StatusUnauthorized, "unknown key")
+			return false
+		}
+		workspace = holder.Name
+		x.priority = holder.Priority
+	}
+	x.service = x.route.Service(rand.Float64())
+	x.setTimes()
+	x.setHeader(workspace)
+	return x.readBody()
+}
+
+// target is the request target, as the caller wrote it where it is a path.
+func (x *exchange) target() string {
+	if strings.HasPrefix(x.request.RequestURI, "/") {
+		return x.request.RequestURI
+	}
+	return x.request.URL.RequestURI()
+}
+
+// setTimes sets deadline and end.
+func (x *exchange) setTimes() {
+	timeout := x.route.Timeout
+	if timeout <= 0 {
+		timeout = time.Hour
+	}
+	x.end = x.start.Add(timeout)
+	ms, err := strconv.ParseFloat(x.request.Header.Get(x.server.settings.Headers.Deadline), 64)
+	if err != nil || ms <= 0 {
+		return
+	}
+	left := time.Duration(ms * float64(time.Millisecond))
+	x.deadline = x.start.Add(left)
+	if x.deadline.Before(x.end) {
+		x.end = x.deadline
+	}
+	x.returned = x.route.Kind == routing.Streaming && left < timeout-returnedLess
+}
+
+// returnedLess is how much shorter than the route's time-out a deadline is
+// when it is taken for that of a caller that was refused before.
+const returnedLess = 200 * time.Millisecond
+
+// connectionHeaders concern one connection only.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+func (x *exchange) setHeader(workspace string) {
+	names := &x.server.settings.Headers
+	h := x.request.Header.Clone()
+	for _, name := range strings.Split(h.Get("Connection"), ",") {
+		if name = strings.TrimSpace(name); name != "" && !strings.EqualFold(name, names.RequestID) {
+			h.Del(name)
+		}
+	}
+	for _, name := range connectionHeaders {
+		h.Del(name)
+	}
+	h.Del(names.ExpectEndpoint)
+	h.Del(names.ExpectVersion)
+	h.Del(names.Workspace)
+	h.Del(names.Priority)
+	if x.config.Authenticated() && !x.route.Public {
+		h.Del("Authorization")
+		h.Set(names.Workspace, workspace)
+	}
+	x.header = h
+	if engine := engineOf(x.config, x.service); engine != nil {
+		x.model = h.Get(names.Model)
+		if x.model == "" {
+			x.model = engine.Model
+		}
+		h.Set(names.Priority, strconv.Itoa(min(max(x.priority, 0), maxPriority)))
+	}
+}
+
+func (x *exchange) readBody() bool {
+	if x.request.Body == nil || x.request.Body == http.NoBody {
+		return true
+	}
+	limit := x.config.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.request.ContentLength > limit {
+		x.deny(http.StatusRequestEntityTooLarge, "body too large")
+		return false
+	}
+	control := http.NewResponseController(x.writer)
+	_ = control.SetReadDeadline(x.start.Add(bodyReadTime)) // real connections support it
+	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			x.deny(http.StatusRequestEntityTooLarge, "body too large")
+		} else {
+			x.deny(http.StatusRequestTimeout, "body did not arrive")
+		}
+		return false
+	}
+	x.body = body
+	return true
+}
+
+// send makes one attempt at e and reads the head of the answer.
+func (x *exchange) send(ctx context.Context, e *fleet.Endpoint, lastEvent string) (*upstream.Response, error) {
+	names := &x.server.settings.Headers
+	h := x.header.Clone()
+	h.Set(names.ExpectEndpoint, e.ID)
+	if !x.deadline.IsZero() {
+		left := max(x.end.Sub(time.Now()).Milliseconds(), 1)
+		h.Set(names.Deadline, strconv.FormatInt(left, 10))
+	}
+	if lastEvent != "" {
+		h.Set("Last-Event-Id", lastEvent)
+	}
+	if x.request.Header.Get("User-Agent") == "" {
+		h.Del("User-Agent")
+	}
+	return x.server.pool.Do(ctx, e.Address, &upstream.Request{
+		Method: x.request.Method,
+		URI:    x.target(),
+		Host:   x.request.Host,
+		Header: h,
+		Body:   x.body,
+		Fresh:  !x.route.Idempotent(),
+		Accept: func(answer http.Header) bool {
+			id := answer.Get(names.RequestID)
+			return id == x.id
+		},
+	})
+}
+
+// verdict is what the head of an answer means.
+type verdict int
+
+const (
+	good     verdict = iota // success, as far as the head tells
+	notRun                  // the endpoint did not run the request
+	answered                // a failure of the endpoint's own
+	spoilt                  // no answer to this request
+)
+
+func (x *exchange) judge(r *upstream.Response) verdict {
+	names := &x.server.settings.Headers
+	switch {
+	case r.Status == http.StatusMisdirectedRequest, r.Header.Get(names.NotRun) != "":
+		return notRun
+	case r.Status >= 200 && r.Status < 300:
+		if r.Header.Get(names.Seal) == "" || r.Header.Get("Content-Encoding") != "" {
+			return spoilt
+		}
+		return good
+	default:
+		return answered
+	}
+}
+
+// mayRepeat asks for one more attempt after one that reached an endpoint.
+func (x *exchange) mayRepeat(now time.Time) bool {
+	if x.attempts >= max(x.route.MaxAttempts, 1) || now.After(x.end) {
+		return false
+	}
+	s := x.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget(x.service, now).Take(now)
+}
+
+// countRequest tells the service's budget of a new request.
+func (x *exchange) countRequest() {
+	s := x.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget(x.service, x.start).Request(x.start)
+}
+
+// finish tells the fleet how an attempt ended.
+func (x *exchange) finish(e *fleet.Endpoint, result fleet.Result) {
+	s := x.server
+	now := time.Now()
+	s.mu.Lock()
+	s.fleet.End(e, result, now)
+	s.dispatch(x.service, now)
+	s.mu.Unlock()
+}
+
+// note logs the choice of an endpoint.
+func (x *exchange) note(e *fleet.Endpoint) {
+	s := x.server
+	now := time.Now()
+	s.mu.Lock()
+	load, age, holds, lowest := e.Load(now), e.ReportAge(now), e.Holds(x.model, now), s.minVersion(x.model, now)
+	s.mu.Unlock()
+	s.log.Info("attempt", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "service", x.service,
+		"load", load, "report_ms", age.Milliseconds(), "holds", holds, "min_version", lowest, "at_ms", now.Sub(x.start).Milliseconds())
+}
+
+// close ends the request in logs and metrics.
+func (x *exchange) close(outcome, cause string, status int) {
+	s := x.server
+	took := time.Since(x.start)
+	route, version := "", int64(0)
+	if x.route != nil {
+		route = x.route.Name
+	}
+	if x.config != nil {
+		version = x.config.Version
+	}
+	s.log.Info("request", "request", x.id, "outcome", outcome, "cause", cause, "status", status, "route", route,
+		"service", x.service, "config", version, "attempts", x.attempts, "priority", x.priority, "returned", x.returned, "ms", took.Milliseconds())
+	s.metrics.Counter("mintlift_ingress_requests_total", "service", x.service, "outcome", outcome).Inc()
+	s.metrics.Histogram("mintlift_ingress_request_seconds", "service", x.service, "outcome", outcome).Update(took.Seconds())
+}
+
+// refuse answers that the request has not run and when to come back.
+func (x *exchange) refuse(cause string, after time.Duration) {
+	h := x.writer.Header()
+	h.Set("Retry-After", fmt.Sprintf("%.2f", after.Seconds()))
+	x.fail(http.StatusServiceUnavailable, outcomeRefused, cause)
+}
+
+func (x *exchange) deny(status int, cause string) { x.fail(status, outcomeDenied, cause) }
+
+// fail gives an answer of the gateway's own.
+func (x *exchange) fail(status int, outcome, cause string) {
+	h := x.writer.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	body := cause + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.writer.WriteHeader(status)
+	_, _ = io.WriteString(x.writer, body) // a caller that has left is told nothing
+	x.close(outcome, cause, status)
+}
+
+// giveUp answers a request for which no attempt brought an answer.
+func (x *exchange) giveUp(ctx context.Context) {
+	switch {
+	case x.request.Context().Err() != nil:
+		x.close(outcomeLeft, "caller left", 0)
+		panic(http.ErrAbortHandler)
+	case !x.mayRun:
+		x.refuse(x.causeOr("no endpoint has room"), x.server.comeBack(x))
+	case ctx.Err() != nil:
+		x.fail(http.StatusGatewayTimeout, outcomeLate, x.causeOr("timed out"))
+	default:
+		x.fail(http.StatusBadGateway, outcomeFailed, x.causeOr("no answer"))
+	}
+}
+
+func (x *exchange) causeOr(other string) string {
+	if x.lastCause != "" {
+		return x.lastCause
+	}
+	return other
+}
+
+// copyHeader passes an endpoint's headers on.
+func (x *exchange) copyHeader(from http.Header) {
+	to := x.writer.Header()
+	for name, values := range from {
+		to[name] = values
+	}
+	for _, name := range connectionHeaders {
+		to.Del(name)
+	}
+	if _, ok := to["Content-Type"]; !ok {
+		to["Content-Type"] = nil // do not guess one
+	}
+	to.Set(x.server.settings.Headers.RequestID, x.id)
+}
--- /dev/null
+++ b/ingress/ingress.go
@@ -0,0 +1,264 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package ingress serves callers on an entry box: it matches a request to
+// its route, checks the key, waits for an endpoint with room, sends the
+// request there, and passes the answer on.
+//
+// All tables (fleet, waiting requests, retry budgets, named versions) are
+// under Server.mu; nothing blocks while it is held, and no other lock is
+// taken under it but those inside telemetry. The configuration is read
+// without a lock.
+package ingress
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/retrybudget"
+	"github.com/mintlift/mintlift/routing"
+	"github.com/mintlift/mintlift/telemetry"
+	"github.com/mintlift/mintlift/upstream"
+)
+
+// Headers are the names of the headers by which callers, gateways and
+// endpoints speak. The deployment's adapter sets them.
+type Headers struct {
+	RequestID      string
+	Deadline       string // milliseconds that the sender will wait
+	Seal           string // the endpoint's signature
+	NotRun         string // the endpoint did not run the request
+	ExpectEndpoint string
+	ExpectVersion  string
+	Workspace      string
+	Priority       string
+	Model          string
+	TokenUsage     string // "IN,OUT", the prompt's and the most of the answer
+}
+
+// Settings of a Server.
+type Settings struct {
+	Zone    string
+	Headers Headers
+	Budget  retrybudget.Params
+	// VersionDeadline is how long after a version was named older ones may
+	// still start requests.
+	VersionDeadline time.Duration
+	// LocalIP is the address that connections to endpoints leave from.
+	LocalIP string
+}
+
+// Server is the request path of one gateway. It is an http.Handler.
+type Server struct {
+	settings Settings
+	log      logr.Logger // lines about single requests
+	events   logr.Logger // lines about what the process believes
+	metrics  *telemetry.Metrics
+	routes   routing.Table
+	pool     *upstream.Pool
+	stopping atomic.Bool
+	inFlight atomic.Int64
+
+	mu       sync.Mutex
+	fleet    *fleet.Fleet
+	waiting  map[string]*queue
+	budgets  map[string]*retrybudget.Budget
+	versions map[string][]naming
+	listed   bool // the list of endpoints is known
+}
+
+// naming is a version of a model and when it was learned of.
+type naming struct {
+	version int
+	due     time.Time
+}
+
+// New returns a server that knows nothing yet.
+func New(s Settings, log, events logr.Logger, m *telemetry.Metrics) *Server {
+	return &Server{
+		settings: s,
+		log:      log,
+		events:   events,
+		metrics:  m,
+		pool: upstream.NewPool(upstream.Options{
+			DialTimeout: dialTimeout,
+			IdleTimeout: idleTimeout,
+			MaxIdle:     maxIdle,
+			LocalIP:     s.LocalIP,
+		}),
+		fleet:    fleet.New(s.Zone),
+		waiting:  make(map[string]*queue),
+		budgets:  make(map[string]*retrybudget.Budget),
+		versions: make(map[string][]naming),
+	}
+}
+
+// Connections to endpoints.
+const (
+	dialTimeout = 350 * time.Millisecond
+	idleTimeout = 5 * time.Second
+	maxIdle     = 24
+)
+
+// Apply takes a configuration; an older one than held is left alone.
+func (s *Server) Apply(c *routing.Configuration) {
+	if !s.routes.Apply(c) {
+		return
+	}
+	s.events.Info("configuration applied", "version", c.Version, "services", len(c.Services))
+}
+
+// Configuration returns the configuration in force, or nil.
+func (s *Server) Configuration() *routing.Configuration { return s.routes.Get() }
+
+// NameVersion takes a model's newest named version. first says that the
+// version was found when the process started, so that its age is unknown.
+func (s *Server) NameVersion(model string, version int, first bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.versions[model]
+	if len(list) > 0 && list[len(list)-1].version >= version {
+		return
+	}
+	due := now.Add(s.settings.VersionDeadline - versionMargin)
+	if first && s.anyHolds(model, version, now) {
+		due = now
+	}
+	s.versions[model] = append(list, naming{version: version, due: due})
+	s.events.Info("version named", "model", model, "version", version, "age_unknown", first, "due", due)
+}
+
+// versionMargin is how long before the deadline older versions are left.
+const versionMargin = 2500 * time.Millisecond
+
+func (s *Server) anyHolds(model string, version int, now time.Time) bool {
+	c := s.routes.Get()
+	if c == nil {
+		return false
+	}
+	for name := range c.Services {
+		for _, e := range s.fleet.Endpoints(name) {
+			if e.Holds(model, now) >= version {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// minVersion is the lowest version of model that may start a request.
+func (s *Server) minVersion(model string, now time.Time) int {
+	lowest := 0
+	for _, n := range s.versions[model] {
+		if now.After(n.due) {
+			lowest = n.version
+		}
+	}
+	return lowest
+}
+
+// SetEndpoints replaces the list of endpoints.
+func (s *Server) SetEndpoints(records []fleet.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Replace(records)
+	s.listed = true
+	s.events.Info("endpoints listed", "count", len(records))
+	s.dispatchAll(time.Now())
+}
+
+// PutEndpoint adds or changes an endpoint.
+func (s *Server) PutEndpoint(r fleet.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.fleet.Put(r) {
+		return
+	}
+	s.events.Info("endpoint changed", "endpoint", r.ID, "address", r.Address, "service", r.Service, "draining", r.Draining, "models", r.Models)
+	s.dispatch(r.Service, time.Now())
+}
+
+// RemoveEndpoint forgets an endpoint.
+func (s *Server) RemoveEndpoint(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fleet.Remove(id) {
+		s.events.Info("endpoint gone", "endpoint", id)
+	}
+}
+
+// Heard takes an engine's report.
+func (s *Server) Heard(r fleet.Report) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, changed := s.fleet.Heard(r, now)
+	if e == nil {
+		return
+	}
+	if changed {
+		s.events.Info("engine reported", "endpoint", e.ID, "model", r.Model, "version", r.Version, "busy", r.Busy)
+	}
+	s.dispatch(e.Service, now)
+}
+
+// EngineAddresses returns the addresses of all endpoints of services that
+// have engines.
+func (s *Server) EngineAddresses() []string {
+	c := s.routes.Get()
+	if c == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for name, service := range c.Services {
+		if service.Engine != nil {
+			out = append(out, s.fleet.Addresses(name)...)
+		}
+	}
+	return out
+}
+
+// Ready reports whether the gateway can serve new connections.
+func (s *Server) Ready() bool {
+	if s.stopping.Load() || s.routes.Get() == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listed && s.fleet.Len() > 0
+}
+
+// ServeReady answers the readiness probe.
+func (s *Server) ServeReady(w http.ResponseWriter, _ *http.Request) {
+	if s.Ready() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// StartStopping makes the gateway unready; it goes on serving.
+func (s *Server) StartStopping() { s.stopping.Store(true) }
+
+// InFlight is the number of requests in progress.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Maintain closes connections that have rested too long; call it every
+// second or so.
+func (s *Server) Maintain(now time.Time) { s.pool.Sweep(now) }
+
+// budget returns the account of a service.
+func (s *Server) budget(service string, now time.Time) *retrybudget.Budget {
+	b := s.budgets[service]
+	if b == nil {
+		b = retrybudget.New(s.settings.Budget, now)
+		s.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/ingress/plain.go
@@ -0,0 +1,175 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/upstream"
+)
+
+// maxAnswer bounds an answer that is held until it is whole.
+const maxAnswer = 8 << 20
+
+// errLarge says that an answer is larger than maxAnswer.
+const errLarge = errors.ConstError("the answer is too large")
+
+// reply is a whole answer of an endpoint.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// plain serves a request that is answered at once. The answer is read to
+// its end before the caller gets any of it, so that one that breaks off is
+// never taken for whole and can be asked for again where that is allowed.
+func (x *exchange) plain(ctx context.Context) {
+	x.countRequest()
+	var failure *reply
+	for {
+		e := x.next(ctx)
+		if e == nil {
+			break
+		}
+		answer, verdict := x.attempt(ctx, e)
+		if verdict == good {
+			x.pass(answer, outcomeAnswered)
+			return
+		}
+		if verdict == answered {
+			failure = answer
+		}
+		x.mayRun = x.mayRun || verdict != notRun
+		if x.mayRun && !x.route.Idempotent() {
+			break
+		}
+		if ctx.Err() != nil || !x.mayRepeat(time.Now()) {
+			break
+		}
+	}
+	if failure != nil && x.request.Context().Err() == nil {
+		x.pass(failure, outcomeFailed)
+		return
+	}
+	x.giveUp(ctx)
+}
+
+// next waits for the endpoint of the next attempt and counts the attempt.
+func (x *exchange) next(ctx context.Context) *fleet.Endpoint {
+	now := time.Now()
+	e := x.server.admit(ctx, x, holdFor(x, now))
+	if e == nil {
+		return nil
+	}
+	if x.tried == nil {
+		x.tried = make(map[string]bool, 2)
+	}
+	x.tried[e.ID] = true
+	x.attempts++
+	x.note(e)
+	return e
+}
+
+// attempt sends the request to e and reads the whole answer.
+func (x *exchange) attempt(ctx context.Context, e *fleet.Endpoint) (*reply, verdict) {
+	response, err := x.send(ctx, e, "")
+	if err != nil {
+		return nil, x.broken(ctx, e, err)
+	}
+	defer response.Close()
+	v := x.judge(response)
+	switch v {
+	case notRun:
+		x.lastCause = "endpoint refused"
+		x.drop(response)
+		x.finish(e, fleet.Rejected)
+		return nil, notRun
+	case spoilt:
+		x.lastCause = "answer without seal"
+		x.finish(e, fleet.Failed)
+		return nil, spoilt
+	}
+	body, err := readWhole(response)
+	if err != nil {
+		x.lastCause = "answer broke off: " + err.Error()
+		if ctx.Err() != nil {
+			x.finish(e, fleet.Abandoned)
+		} else {
+			x.finish(e, fleet.Failed)
+		}
+		return nil, spoilt
+	}
+	response.Whole()
+	if v == good {
+		x.finish(e, fleet.Answered)
+	} else {
+		x.lastCause = "endpoint failed"
+		x.finish(e, fleet.Failed)
+	}
+	return &reply{status: response.Status, header: response.Header, body: body}, v
+}
+
+// broken takes an attempt without an answer.
+func (x *exchange) broken(ctx context.Context, e *fleet.Endpoint, err error) verdict {
+	x.lastCause = err.Error()
+	var failure *upstream.Error
+	sent := !errors.As(err, &failure) || failure.Sent
+	switch {
+	case ctx.Err() != nil:
+		x.finish(e, fleet.Abandoned)
+	case errors.Is(err, upstream.ErrFull):
+		x.finish(e, fleet.Rejected)
+	default:
+		x.finish(e, fleet.Broken)
+	}
+	x.server.log.Info("attempt broken", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "sent", sent, "error", err.Error())
+	if !sent {
+		x.attempts-- // no endpoint saw it
+		return notRun
+	}
+	return spoilt
+}
+
+// drop reads a refusal to its end, so that the connection can be kept.
+func (x *exchange) drop(response *upstream.Response) {
+	const small = 4 << 10
+	if response.Length < 0 || response.Length > small {
+		return
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err == nil {
+		response.Whole()
+	}
+}
+
+func readWhole(response *upstream.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxAnswer {
+		return nil, errLarge
+	}
+	return body, nil
+}
+
+// pass gives the caller an endpoint's whole answer.
+func (x *exchange) pass(r *reply, outcome string) {
+	x.copyHeader(r.header)
+	h := x.writer.Header()
+	h.Set("Content-Length", strconv.Itoa(len(r.body)))
+	x.writer.WriteHeader(r.status)
+	_, err := x.writer.Write(r.body)
+	cause := x.lastCause
+	if err != nil {
+		cause = "caller left: " + err.Error()
+	}
+	x.close(outcome, cause, r.status)
+}
--- /dev/null
+++ b/ingress/stream.go
@@ -0,0 +1,255 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ingress
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/eventstream"
+	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/upstream"
+)
+
+// Silence of a stream.
+const (
+	// silentBox is how long nothing may come from an endpoint's box before
+	// its streams go on elsewhere.
+	silentBox = 900 * time.Millisecond
+	// silentStream is the same for one stream of a box that is heard.
+	silentStream = 2200 * time.Millisecond
+	// watchEvery is how often that is looked at.
+	watchEvery = 300 * time.Millisecond
+)
+
+// errSilent ends an attempt whose endpoint has been silent for too long.
+const errSilent = errors.ConstError("the endpoint has fallen silent")
+
+// errOrder says that an endpoint's events do not follow the last one.
+const errOrder = errors.ConstError("events do not follow")
+
+// streaming is the state of a stream's answer.
+type streaming struct {
+	*exchange
+	control *http.ResponseController
+	// started says that the head and an event have gone to the caller.
+	started bool
+	// last is the number of the last event that went to the caller, or what
+	// the caller had before; none is -1.
+	last int64
+	// lastSent is last in the caller's own words.
+	lastSent string
+	events   int
+}
+
+// stream serves a request that is answered by events. They are passed on as
+// they come; where the route allows it, a stream that breaks off goes on at
+// another endpoint within the same answer.
+func (x *exchange) stream(ctx context.Context) {
+	x.countRequest()
+	t := &streaming{exchange: x, control: http.NewResponseController(x.writer), last: -1, lastSent: x.request.Header.Get("Last-Event-Id")}
+	if id, err := strconv.ParseInt(t.lastSent, 10, 64); err == nil {
+		t.last = id
+	}
+	var failure *reply
+	for {
+		e := x.next(ctx)
+		if e == nil {
+			break
+		}
+		answer, v := t.attempt(ctx, e)
+		if v == good {
+			x.close(outcomeAnswered, x.lastCause, http.StatusOK)
+			return
+		}
+		if v == answered {
+			failure = answer
+		}
+		x.mayRun = x.mayRun || v != notRun
+		if x.mayRun && !x.route.Idempotent() {
+			break
+		}
+		if ctx.Err() != nil || !x.mayRepeat(time.Now()) {
+			break
+		}
+	}
+	t.end(ctx, failure)
+}
+
+// end closes a stream that could not be completed.
+func (t *streaming) end(ctx context.Context, failure *reply) {
+	if t.started {
+		outcome := outcomeBroken
+		if t.request.Context().Err() != nil {
+			outcome = outcomeLeft
+		}
+		t.close(outcome, t.lastCause, http.StatusOK)
+		panic(http.ErrAbortHandler)
+	}
+	if failure != nil && t.request.Context().Err() == nil {
+		t.pass(failure, outcomeFailed)
+		return
+	}
+	t.giveUp(ctx)
+}
+
+// attempt sends the request to e and passes its events on.
+func (t *streaming) attempt(ctx context.Context, e *fleet.Endpoint) (*reply, verdict) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := t.watch(e, cancel)
+	defer watch.stop()
+	response, err := t.send(ctx, e, t.lastSent)
+	if err != nil {
+		if errors.Is(context.Cause(ctx), errSilent) {
+			return nil, t.silent(e)
+		}
+		return nil, t.broken(ctx, e, err)
+	}
+	defer response.Close()
+	v := t.judge(response)
+	switch v {
+	case notRun:
+		t.lastCause = "endpoint refused"
+		t.drop(response)
+		t.finish(e, fleet.Rejected)
+		return nil, notRun
+	case spoilt:
+		t.lastCause = "answer without seal"
+		t.finish(e, fleet.Failed)
+		return nil, spoilt
+	case answered:
+		t.lastCause = "endpoint failed"
+		t.finish(e, fleet.Failed)
+		body, err := readWhole(response)
+		if err != nil {
+			return nil, spoilt
+		}
+		response.Whole()
+		return &reply{status: response.Status, header: response.Header, body: body}, answered
+	}
+	return nil, t.pump(ctx, e, response, watch)
+}
+
+// silent takes an attempt whose endpoint fell silent.
+func (t *streaming) silent(e *fleet.Endpoint) verdict {
+	t.lastCause = errSilent.Error()
+	t.finish(e, fleet.Broken)
+	t.server.log.Info("attempt silent", "request", t.id, "attempt", t.attempts, "endpoint", e.ID, "events", t.events)
+	return spoilt
+}
+
+// pump passes events on until the stream ends.
+func (t *streaming) pump(ctx context.Context, e *fleet.Endpoint, response *upstream.Response, watch *watch) verdict {
+	events := eventstream.NewReader(response.Body)
+	for {
+		event, err := events.Next()
+		if err == io.EOF && t.started {
+			response.Whole()
+			t.finish(e, fleet.Answered)
+			return good
+		}
+		if err == nil {
+			watch.alive()
+			err = t.passOn(response, event)
+		}
+		if err == nil {
+			continue
+		}
+		if errors.Is(context.Cause(ctx), errSilent) {
+			return t.silent(e)
+		}
+		t.lastCause = "stream broke off: " + err.Error()
+		if ctx.Err() != nil {
+			t.finish(e, fleet.Abandoned)
+			return spoilt
+		}
+		t.finish(e, fleet.Failed)
+		t.server.log.Info("stream broken", "request", t.id, "attempt", t.attempts, "endpoint", e.ID, "events", t.events, "error", err.Error())
+		return spoilt
+	}
+}
+
+// passOn gives the caller one event; one that it has is left out.
+func (t *streaming) passOn(response *upstream.Response, event eventstream.Event) error {
+	if event.HasID {
+		if event.ID <= t.last {
+			return nil
+		}
+		if t.last >= 0 && event.ID != t.last+1 {
+			return errOrder
+		}
+	}
+	if !t.started {
+		t.copyHeader(response.Header)
+		t.writer.WriteHeader(response.Status)
+		t.started = true
+	}
+	if _, err := t.writer.Write(event.Raw); err != nil {
+		return err
+	}
+	if event.HasID {
+		t.last = event.ID
+		t.lastSent = strconv.FormatInt(event.ID, 10)
+	}
+	t.events++
+	return t.control.Flush()
+}
+
+// watch ends an attempt whose endpoint has been silent for too long, but
+// only where another endpoint may go on with it.
+type watch struct {
+	heard chan struct{}
+	done  chan struct{}
+}
+
+func (w *watch) alive() {
+	select {
+	case w.heard <- struct{}{}:
+	default:
+	}
+}
+
+func (w *watch) stop() { close(w.done) }
+
+func (t *streaming) watch(e *fleet.Endpoint, cancel context.CancelCauseFunc) *watch {
+	w := &watch{heard: make(chan struct{}, 1), done: make(chan struct{})}
+	if !t.route.Idempotent() || t.attempts >= max(t.route.MaxAttempts, 1) {
+		return w
+	}
+	go func() {
+		ticker := time.NewTicker(watchEvery)
+		defer ticker.Stop()
+		last := time.Now()
+		for {
+			select {
+			case <-w.done:
+				return
+			case <-w.heard:
+				last = time.Now()
+			case now := <-ticker.C:
+				if t.server.fellSilent(e, now.Sub(last), now) {
+					cancel(errSilent)
+					return
+				}
+			}
+		}
+	}()
+	return w
+}
+
+// fellSilent reports whether a stream that has been silent for some time
+// should go on elsewhere.
+func (s *Server) fellSilent(e *fleet.Endpoint, silent time.Duration, now time.Time) bool {
+	if silent < silentBox {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return silent >= silentStream || e.SilentFor(now) >= silentBox
+}
--- /dev/null
+++ b/installer/fetch.go
@@ -0,0 +1,232 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package installer
+
+import (
+	"context"
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/transfer"
+)
+
+// errSpoilt says that a chunk did not fit its digest.
+const errSpoilt = errors.ConstError("chunk does not fit its digest")
+
+// badManifest is how many chunks must not fit, with none that does, before
+// the manifest itself is doubted.
+const badManifest = 4
+
+// fetch pulls chunks until the copy is whole; it returns false if that did
+// not succeed in this round.
+func (i *Installer) fetch(ctx context.Context, g goal, r *replica) bool {
+	if i.complete(r) {
+		return true
+	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, fetchRound)
+	defer cancel()
+	i.join(ctx, g, r)
+	ended := make(chan struct{}, 1)
+	for ctx.Err() == nil && !i.complete(r) {
+		if i.doubtful(r) {
+			i.forget(r)
+			return false
+		}
+		i.mu.Lock()
+		p := r.swarm.Next(time.Now())
+		has := r.swarm.Wants()
+		i.mu.Unlock()
+		if p.Kind != transfer.None {
+			go func() {
+				i.pull(ctx, r, p, has)
+				select {
+				case ended <- struct{}{}:
+				default:
+				}
+			}()
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-ended:
+		case <-time.After(p.Wait):
+		}
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	done := int(r.held.Count()) == len(r.chunks)
+	i.log.Info("fetch ended", "version", g.version, "whole", done, "held", r.held.Count(), "origin", r.fromSrc, "far", r.fromFar,
+		"peers", r.fromPeers, "spoilt", r.bad, "ms", time.Since(began).Milliseconds())
+	return done
+}
+
+func (i *Installer) complete(r *replica) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return int(r.held.Count()) == len(r.chunks)
+}
+
+func (i *Installer) doubtful(r *replica) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return r.held.Count() == 0 && r.bad >= badManifest
+}
+
+// forget drops a copy whose manifest is doubted.
+func (i *Installer) forget(r *replica) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for at, other := range i.copies {
+		if other == r {
+			i.copies = append(i.copies[:at:at], i.copies[at+1:]...)
+			break
+		}
+	}
+	i.log.Info("manifest dropped", "version", r.manifest.Version, "spoilt", r.bad)
+}
+
+// join reads the list of peers, asks them what they hold, and begins a
+// swarm.
+func (i *Installer) join(ctx context.Context, g goal, r *replica) {
+	peers, err := i.peers(ctx)
+	i.mu.Lock()
+	if err != nil {
+		i.log.Info("list of sidecars not had", "error", err.Error(), "last", len(i.known))
+		peers = i.known
+	}
+	i.known = peers
+	i.mu.Unlock()
+	params := transfer.Params{
+		Chunks:        len(r.manifest.Digests),
+		OriginRegions: []string{i.originRegion(g, peers)},
+		ChunkTurn:     chunkTurn(g.params),
+	}
+	addresses := make(map[string]string, len(peers))
+	self := false
+	for _, p := range peers {
+		params.Peers = append(params.Peers, transfer.Peer{Box: p.Box, Region: p.Region, Zone: p.Zone})
+		addresses[p.Box] = p.Address
+		self = self || p.Box == i.settings.Box
+	}
+	if !self {
+		params.Peers = append(params.Peers, transfer.Peer{Box: i.settings.Box, Region: i.settings.Region, Zone: i.settings.Zone})
+	}
+	params.TakeOver = takeOver
+	known := i.client.held(ctx, peers, i.settings.Box, r.manifest)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	r.swarm = transfer.NewSwarm(params, transfer.NewOrder(params), i.settings.Box, r.held, time.Now())
+	r.addresses = addresses
+	for box, k := range known {
+		r.swarm.Known(box, k)
+	}
+}
+
+// takeOver is how long each further rank waits for a silent one.
+const takeOver = 700 * time.Millisecond
+
+// defaultTurn is the time of a chunk at the origin where its rate is not
+// known.
+const defaultTurn = 20 * time.Millisecond
+
+func chunkTurn(p Params) time.Duration {
+	if p.OriginRate <= 0 {
+		return defaultTurn
+	}
+	return time.Duration(float64(p.ChunkBytes) / p.OriginRate * float64(time.Second))
+}
+
+// originRegion is the region that reads from the origin: the origin's own
+// if a sidecar is there.
+func (i *Installer) originRegion(g goal, peers []Peer) string {
+	lowest := i.settings.Region
+	for _, p := range peers {
+		if p.Region == g.params.OriginRegion {
+			return p.Region
+		}
+		lowest = min(lowest, p.Region)
+	}
+	return lowest
+}
+
+// pull carries out one decision and reports its end to the swarm.
+func (i *Installer) pull(ctx context.Context, r *replica, p transfer.Pull, has *bitset.BitSet) {
+	began := time.Now()
+	know, data, err := i.transfer(ctx, r, &p, has)
+	if err == nil {
+		err = i.take(ctx, r, p, data)
+	}
+	now := time.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch {
+	case err == nil:
+		r.swarm.Arrived(p, know, now.Sub(began), now)
+		i.count(r, p)
+	case errors.Is(err, errNothing):
+		r.swarm.Nothing(p, know, now)
+	case errors.Is(err, errTaken):
+		r.swarm.Drop(p)
+	case errors.Is(err, errBusy):
+		r.swarm.Busy(p, 0, now)
+	case errors.Is(err, errStalled):
+		r.swarm.Stalled(p, now)
+	default:
+		r.swarm.Bad(p, now)
+		i.log.Info("chunk not had", "version", r.manifest.Version, "peer", p.Peer, "chunk", p.Chunk, "error", err.Error())
+	}
+}
+
+func (i *Installer) count(r *replica, p transfer.Pull) {
+	source := "peer"
+	switch p.Kind {
+	case transfer.FromOrigin:
+		source = "origin"
+		r.fromSrc++
+	case transfer.FromFar:
+		source = "far"
+		r.fromFar++
+	default:
+		r.fromPeers++
+	}
+	i.metrics.Counter("mintlift_installer_chunks_total", "source", source).Inc()
+}
+
+// transfer asks the sender for a chunk.
+func (i *Installer) transfer(ctx context.Context, r *replica, p *transfer.Pull, has *bitset.BitSet) (transfer.Knowledge, []byte, error) {
+	i.mu.Lock()
+	limit := r.swarm.StallLimit()
+	address := r.addresses[p.Peer]
+	i.mu.Unlock()
+	if p.Kind == transfer.FromOrigin {
+		data, err := i.origin.Chunk(ctx, r.manifest.Model, r.manifest.Version, p.Chunk)
+		return transfer.Knowledge{}, data, err
+	}
+	offered := func(chunk int) bool {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		return r.swarm.Offered(p, chunk)
+	}
+	return i.client.pull(ctx, address, i.settings.Box, r.manifest, p.Chunk, has, limit, offered)
+}
+
+// take checks a chunk, keeps it, and lays it ready beside the engine.
+func (i *Installer) take(ctx context.Context, r *replica, p transfer.Pull, data []byte) error {
+	if !r.manifest.Fits(p.Chunk, data) {
+		i.mu.Lock()
+		r.bad++
+		i.mu.Unlock()
+		i.metrics.Counter("mintlift_installer_spoilt_total").Inc()
+		return errSpoilt
+	}
+	// What does not lie ready in the end is laid again before the start.
+	_ = i.engine.Put(ctx, r.manifest.Model, p.Chunk, data)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	r.chunks[p.Chunk] = data
+	r.held.Set(uint(p.Chunk))
+	return nil
+}
--- /dev/null
+++ b/installer/peers.go
@@ -0,0 +1,298 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package installer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/peer"
+	"github.com/mintlift/mintlift/transfer"
+)
+
+// Errors of a pull from another sidecar.
+const (
+	errNothing = errors.ConstError("peer has nothing of use")
+	errBusy    = errors.ConstError("peer is busy")
+	errTaken   = errors.ConstError("chunk is held or on its way already")
+	errStalled = errors.ConstError("no byte came for too long")
+)
+
+// Paths between sidecars: model and version follow.
+const (
+	pathPull     = "/weights/{model}/{version}/pull"
+	pathHeld     = "/weights/{model}/{version}/held"
+	pathManifest = "/weights/{model}/{version}/manifest"
+)
+
+func pathOf(model string, version int, call string) string {
+	return fmt.Sprintf("/weights/%s/%d/%s", model, version, call)
+}
+
+// Bounds of calls between sidecars.
+const (
+	peerDial      = 400 * time.Millisecond
+	peerIdle      = 5 * time.Second
+	heldTimeout   = 400 * time.Millisecond
+	smallTimeout  = time.Second
+	maxManifest   = 4 << 20
+	maxChunkBytes = 16 << 20
+	// uploadsWaiting may wait for one of transfer.UploadSlots.
+	uploadsWaiting = 3
+)
+
+// peerClient calls other sidecars.
+type peerClient struct{ client *http.Client }
+
+func newPeerClient() *peerClient {
+	dialer := &net.Dialer{Timeout: peerDial, KeepAlive: -1}
+	return &peerClient{client: &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, IdleConnTimeout: peerIdle, MaxIdleConnsPerHost: 2, DisableCompression: true,
+	}}}
+}
+
+// manifest asks a peer for a version's digests.
+func (c *peerClient) manifest(ctx context.Context, p Peer, model string, version int) (*Manifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, smallTimeout)
+	defer cancel()
+	body, _, err := c.get(ctx, p.Address, pathOf(model, version, "manifest"))
+	if err != nil {
+		return nil, err
+	}
+	var m Manifest
+	if err := json.Unmarshal(body, &m); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if m.Model != model || m.Version != version {
+		return nil, errors.NotValidf("manifest of %s %d", m.Model, m.Version)
+	}
+	return &m, nil
+}
+
+func (c *peerClient) get(ctx context.Context, address, path string) ([]byte, http.Header, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxManifest))
+	if err != nil {
+		return nil, nil, errors.Trace(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, nil, errors.Errorf("%s: status %d", path, response.StatusCode)
+	}
+	return body, response.Header, nil
+}
+
+// held asks all peers at once what they hold of a version; those that do
+// not answer soon are left out.
+func (c *peerClient) held(ctx context.Context, peers []Peer, self string, m *Manifest) map[string]transfer.Knowledge {
+	ctx, cancel := context.WithTimeout(ctx, heldTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	out := make(map[string]transfer.Knowledge, len(peers))
+	var group sync.WaitGroup
+	for _, p := range peers {
+		if p.Box == self {
+			continue
+		}
+		group.Go(func() {
+			_, header, err := c.get(ctx, p.Address, pathOf(m.Model, m.Version, "held"))
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[p.Box] = peer.KnowledgeOf(header, len(m.Digests))
+		})
+	}
+	group.Wait()
+	return out
+}
+
+// pull asks a peer for a chunk, or for any if chunk is -1. offered is asked
+// whether the chunk is still wanted before its bytes are read.
+func (c *peerClient) pull(ctx context.Context, address, self string, m *Manifest, chunk int, has *bitset.BitSet, stall time.Duration, offered func(int) bool) (transfer.Knowledge, []byte, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(stall, func() { cancel(errStalled) })
+	defer timer.Stop()
+	know, data, err := c.pullOnce(ctx, address, self, m, chunk, has, offered, func() { timer.Reset(stall) })
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		err = errStalled
+	}
+	return know, data, err
+}
+
+func (c *peerClient) pullOnce(ctx context.Context, address, self string, m *Manifest, chunk int, has *bitset.BitSet, offered func(int) bool, alive func()) (transfer.Knowledge, []byte, error) {
+	var know transfer.Knowledge
+	body, err := json.Marshal(peer.PullRequest{Box: self, Chunk: chunk, Has: peer.EncodeBits(has)})
+	if err != nil {
+		return know, nil, errors.Trace(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+pathOf(m.Model, m.Version, "pull"), bytes.NewReader(body))
+	if err != nil {
+		return know, nil, errors.Trace(err)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return know, nil, errors.Trace(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	know = peer.KnowledgeOf(response.Header, len(m.Digests))
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNoContent, http.StatusNotFound:
+		return know, nil, errNothing
+	case http.StatusTooManyRequests:
+		return know, nil, errBusy
+	default:
+		return know, nil, errors.Errorf("pull: status %d", response.StatusCode)
+	}
+	number, err := strconv.Atoi(response.Header.Get(peer.HeaderChunk))
+	if err != nil {
+		return know, nil, errors.Annotate(err, "answer names no chunk")
+	}
+	if !offered(number) {
+		return know, nil, errTaken
+	}
+	data, err := io.ReadAll(io.LimitReader(&aliveReader{response.Body, alive}, maxChunkBytes))
+	return know, data, err
+}
+
+// aliveReader tells of every read that brought bytes.
+type aliveReader struct {
+	from  io.Reader
+	alive func()
+}
+
+// Read implements io.Reader.
+func (r *aliveReader) Read(b []byte) (int, error) {
+	n, err := r.from.Read(b)
+	if n > 0 {
+		r.alive()
+	}
+	return n, err
+}
+
+// Handler serves other sidecars.
+func (i *Installer) Handler() http.Handler {
+	uploads := make(chan struct{}, transfer.UploadSlots)
+	waiting := make(chan struct{}, transfer.UploadSlots+uploadsWaiting)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathManifest, i.serveManifest)
+	mux.HandleFunc("GET "+pathHeld, i.serveHeld)
+	mux.HandleFunc("POST "+pathPull, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case waiting <- struct{}{}:
+			defer func() { <-waiting }()
+		default:
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		select {
+		case uploads <- struct{}{}:
+			defer func() { <-uploads }()
+		case <-r.Context().Done():
+			return
+		}
+		i.servePull(w, r)
+	})
+	return mux
+}
+
+func (i *Installer) replicaOf(r *http.Request) *replica {
+	version, err := strconv.Atoi(r.PathValue("version"))
+	if err != nil {
+		return nil
+	}
+	found := i.replica(version)
+	if found == nil || found.manifest.Model != r.PathValue("model") {
+		return nil
+	}
+	return found
+}
+
+func (i *Installer) serveManifest(w http.ResponseWriter, r *http.Request) {
+	found := i.replicaOf(r)
+	if found == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(found.manifest) // a peer that left asks again
+}
+
+// knowledge is what is told with each answer; Installer.mu is held.
+func (r *replica) knowledge() transfer.Knowledge {
+	if r.swarm != nil {
+		return r.swarm.Knows()
+	}
+	return transfer.Knowledge{Held: r.held.Clone(), Exists: r.held.Clone()}
+}
+
+func (i *Installer) serveHeld(w http.ResponseWriter, r *http.Request) {
+	found := i.replicaOf(r)
+	if found == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	i.mu.Lock()
+	know := found.knowledge()
+	i.mu.Unlock()
+	peer.SetKnowledge(w.Header(), know)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (i *Installer) servePull(w http.ResponseWriter, r *http.Request) {
+	var ask peer.PullRequest
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxManifest)).Decode(&ask); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	found := i.replicaOf(r)
+	if found == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	has, err := peer.DecodeBits(ask.Has, len(found.chunks))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	i.mu.Lock()
+	know := found.knowledge()
+	chunk := ask.Chunk
+	if chunk < 0 {
+		chunk = found.picker.Pick(found.held, has)
+	}
+	var data []byte
+	if chunk >= 0 && chunk < len(found.chunks) {
+		data = found.chunks[chunk]
+	}
+	i.mu.Unlock()
+	peer.SetKnowledge(w.Header(), know)
+	if data == nil {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	w.Header().Set(peer.HeaderChunk, strconv.Itoa(chunk))
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data) // the receiver checks the digest and sees a cut
+}
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -66,7 +66,7 @@
 	return out
 }
 
-// NotRun checks that no refused request is in a journal.
+// NotRun checks that no refused request is in a eventlog.
 func NotRun(refused []string, runs []standin.Run) []Violation {
 	ran := make(map[string]bool, len(runs))
 	for _, r := range runs {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -62,7 +62,7 @@
 	ready    chan struct{}
 }
 
-// Run is an entry of the engine's own journal.
+// Run is an entry of the engine's own eventlog.
 type Run struct {
 	Request   string `json:"request"`
 	Version   string `json:"version"`
@@ -96,7 +96,7 @@
 	return &Engine{Slots: 64, staged: make(map[weights.Ref]*staging), runs: make(map[string]*run)}
 }
 
-// Journal returns a copy of the engine's journal.
+// Journal returns a copy of the engine's eventlog.
 func (e *Engine) Journal() []Run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/mintlift/mintlift/journal"
+	"github.com/mintlift/mintlift/eventlog"
 )
 
 // appendsPerSecond is the rate that the platform's log service bears.
@@ -34,7 +34,7 @@
 
 type stream struct {
 	first   int64
-	entries []journal.Entry
+	entries []eventlog.Entry
 	times   []time.Time
 	changed chan struct{}
 }
@@ -61,10 +61,10 @@
 }
 
 // Entries returns a copy of a stream's kept entries.
-func (l *Log) Entries(name string) []journal.Entry {
+func (l *Log) Entries(name string) []eventlog.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]journal.Entry(nil), l.stream(name).entries...)
+	return append([]eventlog.Entry(nil), l.stream(name).entries...)
 }
 
 func (l *Log) stream(name string) *stream {
@@ -94,7 +94,7 @@
 	if l.Faults.lose() {
 		cut()
 	}
-	answerJSON(w, http.StatusOK, journal.Appended{Offset: offset})
+	answerJSON(w, http.StatusOK, eventlog.Appended{Offset: offset})
 }
 
 // Add appends data, past the rate and the faults.
@@ -104,7 +104,7 @@
 	l.appends++
 	s := l.stream(name)
 	offset := s.first + int64(len(s.entries))
-	s.entries = append(s.entries, journal.Entry{Offset: offset, Data: data})
+	s.entries = append(s.entries, eventlog.Entry{Offset: offset, Data: data})
 	s.times = append(s.times, time.Now())
 	if extra := len(s.entries) - l.Keep; l.Keep > 0 && extra > 0 {
 		s.entries, s.times = s.entries[extra:], s.times[extra:]
@@ -144,13 +144,13 @@
 	}
 }
 
-func (l *Log) page(name string, from int64, limit int) (journal.Page, <-chan struct{}) {
+func (l *Log) page(name string, from int64, limit int) (eventlog.Page, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
 	s := l.stream(name)
 	f := l.Faults.Get()
-	p := journal.Page{First: s.first, Next: s.first + int64(len(s.entries)), Records: []journal.Entry{}}
+	p := eventlog.Page{First: s.first, Next: s.first + int64(len(s.entries)), Records: []eventlog.Entry{}}
 	if f.ShowOffset > 0 {
 		p.Next = min(p.Next, f.ShowOffset)
 	}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -14,7 +14,7 @@
 )
 
 // Service is a plain service. It answers each call with what it received
-// and keeps a journal. The zero value is ready for use.
+// and keeps a eventlog. The zero value is ready for use.
 type Service struct {
 	Faults Faults
 	// Time is how long a call takes.
@@ -31,7 +31,7 @@
 	Body    string `json:"body"`
 }
 
-// Journal returns a copy of the service's journal.
+// Journal returns a copy of the service's eventlog.
 func (s *Service) Journal() []Run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/process/process.go
+++ b/process/process.go
@@ -16,10 +16,10 @@
 
 	"github.com/mintlift/mintlift/dedup"
 	"github.com/mintlift/mintlift/drain"
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/internal/call"
 	"github.com/mintlift/mintlift/internal/meter"
-	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/keys"
 	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/relay"
@@ -51,7 +51,7 @@
 	Replica     *state.Replica
 	Directory   *relay.Directory
 	// Journal is the log service itself.
-	Journal *journal.Client
+	Journal *eventlog.Client
 	// Platform and Peers are the clients towards the platform and towards
 	// other processes of mintlift.
 	Platform *call.Client
@@ -89,7 +89,7 @@
 	p.peerTLS = call.Options{TLS: peerTLS, Meter: p.Meter}
 	p.Platform = call.New("platform", call.Options{Meter: p.Meter})
 	p.Peers = peer.NewClient(p.peerTLS, p.token)
-	p.Journal = &journal.Client{Call: p.Platform, Address: c.Platform.Log}
+	p.Journal = &eventlog.Client{Call: p.Platform, Address: c.Platform.Log}
 	p.Directory = &relay.Directory{
 		Self:     c.Node.Box,
 		Platform: p.Platform,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,10 +19,10 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/internal/call"
 	"github.com/mintlift/mintlift/internal/clock"
-	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/membership"
 	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/state"
@@ -58,7 +58,7 @@
 	Platform *call.Client
 	Peers    *call.Client
 	BoxList  string
-	Log      *journal.Client
+	Log      *eventlog.Client
 	Logger   logr.Logger
 	// Direct makes the process read the platform itself, as gateways do.
 	Direct bool
@@ -249,13 +249,13 @@
 
 // relayed is a gateway as a source.
 type relayed struct {
-	*journal.Client
+	*eventlog.Client
 	d   *Directory
 	box string
 }
 
 // Read implements state.Source; on the way it hears of a new box list.
-func (r relayed) Read(ctx context.Context, stream string, from int64, wait time.Duration) (journal.Page, error) {
+func (r relayed) Read(ctx context.Context, stream string, from int64, wait time.Duration) (eventlog.Page, error) {
 	p, err := r.Client.Read(ctx, stream, from, wait)
 	r.d.saw(p.BoxesTag)
 	return p, err
@@ -270,7 +270,7 @@
 	if !ok {
 		return s.d.Log
 	}
-	return relayed{Client: &journal.Client{Call: s.d.Peers, Address: g.Address}, d: s.d, box: g.ID}
+	return relayed{Client: &eventlog.Client{Call: s.d.Peers, Address: g.Address}, d: s.d, box: g.ID}
 }
 
 // Failed implements state.Sources.
--- a/relay/scale_test.go
+++ b/relay/scale_test.go
@@ -15,7 +15,7 @@
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/mintlift/mintlift/journal"
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/membership"
 	"github.com/mintlift/mintlift/state"
 	"github.com/mintlift/mintlift/workspace"
@@ -34,7 +34,7 @@
 // fakeLog is the log service in virtual time.
 type fakeLog struct {
 	mu          sync.Mutex
-	entries     []journal.Entry
+	entries     []eventlog.Entry
 	changed     chan struct{}
 	down        bool
 	reads       int
@@ -47,7 +47,7 @@
 }
 
 func (l *fakeLog) append(body any) {
-	r, err := journal.NewRecord(state.KindWorkspaceSet, "test", time.Now(), body)
+	r, err := eventlog.NewRecord(state.KindWorkspaceSet, "test", time.Now(), body)
 	if err != nil {
 		panic(err)
 	}
@@ -57,7 +57,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entries = append(l.entries, journal.Entry{Offset: int64(len(l.entries)), Data: b})
+	l.entries = append(l.entries, eventlog.Entry{Offset: int64(len(l.entries)), Data: b})
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -69,31 +69,31 @@
 }
 
 // Read implements state.Source.
-func (l *fakeLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (journal.Page, error) {
+func (l *fakeLog) Read(ctx context.Context, stream string, from int64, wait time.Duration) (eventlog.Page, error) {
 	time.Sleep(hop)
 	l.mu.Lock()
 	l.reads++
 	l.perSecond[time.Now().Unix()]++
-	if stream == journal.CheckpointStream {
+	if stream == eventlog.CheckpointStream {
 		l.checkpoints++
 		defer l.mu.Unlock()
 		if l.down {
-			return journal.Page{}, errDown
+			return eventlog.Page{}, errDown
 		}
-		return journal.Page{}, nil
+		return eventlog.Page{}, nil
 	}
 	l.mu.Unlock()
 	deadline := time.After(wait)
 	for {
 		l.mu.Lock()
 		changed, down := l.changed, l.down
-		p := journal.Page{Next: int64(len(l.entries))}
+		p := eventlog.Page{Next: int64(len(l.entries))}
 		if from < p.Next {
 			p.Records = l.entries[from:]
 		}
 		l.mu.Unlock()
 		if down {
-			return journal.Page{}, errDown
+			return eventlog.Page{}, errDown
 		}
 		if len(p.Records) > 0 {
 			return p, nil
@@ -103,7 +103,7 @@
 		case <-deadline:
 			return p, nil
 		case <-ctx.Done():
-			return journal.Page{}, ctx.Err()
+			return eventlog.Page{}, ctx.Err()
 		}
 	}
 }
@@ -127,7 +127,7 @@
 }
 
 // Read implements state.Source.
-func (g *fakeGateway) Read(ctx context.Context, _ string, from int64, wait time.Duration) (journal.Page, error) {
+func (g *fakeGateway) Read(ctx context.Context, _ string, from int64, wait time.Duration) (eventlog.Page, error) {
 	time.Sleep(hop)
 	g.mu.Lock()
 	g.reads++
@@ -135,7 +135,7 @@
 	g.mu.Unlock()
 	if frozen {
 		<-ctx.Done()
-		return journal.Page{}, ctx.Err()
+		return eventlog.Page{}, ctx.Err()
 	}
 	deadline := time.After(wait)
 	for {
@@ -150,7 +150,7 @@
 			p.AgeMS = time.Since(g.replica.Contact()).Milliseconds()
 			return p, nil
 		case <-ctx.Done():
-			return journal.Page{}, ctx.Err()
+			return eventlog.Page{}, ctx.Err()
 		}
 	}
 }
--- a/state/follower.go
+++ b/state/follower.go
@@ -11,14 +11,14 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/internal/clock"
-	"github.com/mintlift/mintlift/journal"
 )
 
 // Source is where a Follower reads: the log service, or a gateway that
-// relays it. journal.Client is one.
+// relays it. eventlog.Client is one.
 type Source interface {
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) (journal.Page, error)
+	Read(ctx context.Context, stream string, from int64, wait time.Duration) (eventlog.Page, error)
 }
 
 // Sources chooses where to read next. The follower calls Next before each
@@ -111,8 +111,8 @@
 	defer cancel()
 	asked := time.Now()
 	from := f.Replica.Offset()
-	page, err := src.Read(ctx, journal.ConfigStream, from, f.patience())
-	if errors.Is(err, journal.ErrGone) {
+	page, err := src.Read(ctx, eventlog.ConfigStream, from, f.patience())
+	if errors.Is(err, eventlog.ErrGone) {
 		return f.catchUp(ctx, page)
 	}
 	if err != nil {
@@ -144,7 +144,7 @@
 }
 
 // catchUp loads a checkpoint when the records to be read next are gone.
-func (f *Follower) catchUp(ctx context.Context, page journal.Page) error {
+func (f *Follower) catchUp(ctx context.Context, page eventlog.Page) error {
 	f.Logger.Info("records are gone, loading a checkpoint", "offset", f.Replica.Offset(), "first", page.First)
 	if err := f.restoreFromLog(ctx); err != nil {
 		f.restoreFromPeers(ctx)
@@ -172,9 +172,9 @@
 func (f *Follower) restoreFromLog(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	page, err := f.Log.Read(ctx, journal.CheckpointStream, 0, 0)
-	if errors.Is(err, journal.ErrGone) {
-		page, err = f.Log.Read(ctx, journal.CheckpointStream, page.First, 0)
+	page, err := f.Log.Read(ctx, eventlog.CheckpointStream, 0, 0)
+	if errors.Is(err, eventlog.ErrGone) {
+		page, err = f.Log.Read(ctx, eventlog.CheckpointStream, page.First, 0)
 	}
 	if err != nil {
 		return err
@@ -205,7 +205,7 @@
 // and a random wait makes them rare.
 type Checkpointer struct {
 	Replica *Replica
-	Log     *journal.Client
+	Log     *eventlog.Client
 	Logger  logr.Logger
 	// Every overrides CheckpointEvery.
 	Every int64
@@ -241,7 +241,7 @@
 		return
 	}
 	cp := c.Replica.Checkpoint()
-	if _, err := c.Log.Append(ctx, journal.CheckpointStream, cp); err != nil {
+	if _, err := c.Log.Append(ctx, eventlog.CheckpointStream, cp); err != nil {
 		c.Logger.Info("checkpoint not written", "offset", cp.Offset, "error", err.Error())
 		clock.Sleep(ctx, pauseMax)
 		return
@@ -252,9 +252,9 @@
 
 // newest is the offset of the newest checkpoint that stands in the log.
 func (c *Checkpointer) newest(ctx context.Context) (int64, error) {
-	page, err := c.Log.Read(ctx, journal.CheckpointStream, 0, 0)
-	if errors.Is(err, journal.ErrGone) {
-		page, err = c.Log.Read(ctx, journal.CheckpointStream, page.First, 0)
+	page, err := c.Log.Read(ctx, eventlog.CheckpointStream, 0, 0)
+	if errors.Is(err, eventlog.ErrGone) {
+		page, err = c.Log.Read(ctx, eventlog.CheckpointStream, page.First, 0)
 	}
 	if err != nil || len(page.Records) == 0 {
 		return 0, err
--- a/state/record.go
+++ b/state/record.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package state folds the journal's records into what every process must
+// Package state folds the event log's records into what every process must
 // agree on: workspaces, operators, plans and the homes of requests that run
 // at most once.
 //
@@ -12,23 +12,23 @@
 package state
 
 import (
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/intent"
-	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/workspace"
 )
 
 // The kinds of records.
 const (
-	KindOperatorSet     journal.Kind = "operator.set"
-	KindOperatorRemove  journal.Kind = "operator.remove"
-	KindWorkspaceSet    journal.Kind = "workspace.set"
-	KindWorkspaceRemove journal.Kind = "workspace.remove"
-	KindPlanProposed    journal.Kind = "plan.proposed"
-	KindPlanConfirmed   journal.Kind = "plan.confirmed"
-	KindPlanRejected    journal.Kind = "plan.rejected"
-	KindPlanCancelled   journal.Kind = "plan.cancelled"
-	KindPlanAdvanced    journal.Kind = "plan.advanced"
-	KindHomesChanged    journal.Kind = "homes.changed"
+	KindOperatorSet     eventlog.Kind = "operator.set"
+	KindOperatorRemove  eventlog.Kind = "operator.remove"
+	KindWorkspaceSet    eventlog.Kind = "workspace.set"
+	KindWorkspaceRemove eventlog.Kind = "workspace.remove"
+	KindPlanProposed    eventlog.Kind = "plan.proposed"
+	KindPlanConfirmed   eventlog.Kind = "plan.confirmed"
+	KindPlanRejected    eventlog.Kind = "plan.rejected"
+	KindPlanCancelled   eventlog.Kind = "plan.cancelled"
+	KindPlanAdvanced    eventlog.Kind = "plan.advanced"
+	KindHomesChanged    eventlog.Kind = "homes.changed"
 )
 
 // OperatorSet adds or changes an operator.
--- a/state/replica.go
+++ b/state/replica.go
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/mintlift/mintlift/journal"
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/weights"
 )
 
@@ -31,7 +31,7 @@
 type Replica struct {
 	mu      sync.RWMutex
 	state   *State
-	records []journal.Entry
+	records []eventlog.Entry
 	changed chan struct{}
 	contact time.Time
 }
@@ -55,7 +55,7 @@
 	return r.state.Offset
 }
 
-// Applied implements journal.Settler.
+// Applied implements eventlog.Settler.
 func (r *Replica) Applied(id string) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -89,7 +89,7 @@
 // Apply folds entries in order. Entries below the replica's offset are
 // passed over, whatever the log answers; an entry above it is ErrOffset,
 // since a gap is never skipped.
-func (r *Replica) Apply(entries []journal.Entry) error {
+func (r *Replica) Apply(entries []eventlog.Entry) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.state.Offset
@@ -113,27 +113,27 @@
 
 // record decodes an entry. One that is not a record at all takes its place
 // in the order under an id of its own and changes nothing.
-func record(e journal.Entry) journal.Record {
-	var rec journal.Record
+func record(e eventlog.Entry) eventlog.Record {
+	var rec eventlog.Record
 	if err := json.Unmarshal(e.Data, &rec); err != nil || rec.ID == "" {
-		rec = journal.Record{ID: "not-a-record"}
+		rec = eventlog.Record{ID: "not-a-record"}
 	}
 	rec.Offset = e.Offset
 	return rec
 }
 
-func (r *Replica) keep(e journal.Entry) {
+func (r *Replica) keep(e eventlog.Entry) {
 	r.records = append(r.records, e)
 	if len(r.records) > 2*keptRecords {
-		r.records = append([]journal.Entry(nil), r.records[len(r.records)-keptRecords:]...)
+		r.records = append([]eventlog.Entry(nil), r.records[len(r.records)-keptRecords:]...)
 	}
 }
 
 // Page answers a relayed read: the kept records from offset on.
-func (r *Replica) Page(from int64, limit int) journal.Page {
+func (r *Replica) Page(from int64, limit int) eventlog.Page {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	p := journal.Page{First: r.state.Offset, Next: r.state.Offset, Records: []journal.Entry{}}
+	p := eventlog.Page{First: r.state.Offset, Next: r.state.Offset, Records: []eventlog.Entry{}}
 	if len(r.records) > 0 {
 		p.First = r.records[0].Offset
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -12,8 +12,8 @@
 
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/intent"
-	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/weights"
 	"github.com/mintlift/mintlift/workspace"
 )
@@ -91,7 +91,7 @@
 // Apply folds r into s. It returns ErrOffset, and changes nothing, unless r
 // is the very next record. A record that the rules refuse moves the offset
 // and nothing else.
-func (s *State) Apply(r journal.Record) error {
+func (s *State) Apply(r eventlog.Record) error {
 	if r.Offset != s.Offset {
 		return errors.WithType(errors.Errorf("record at %d, state at %d", r.Offset, s.Offset), ErrOffset)
 	}
@@ -101,7 +101,7 @@
 		return nil
 	}
 	s.remember(r.ID)
-	if r.Schema > journal.Schema {
+	if r.Schema > eventlog.Schema {
 		return nil // written by a later release; that release's rules do not bind this one
 	}
 	s.fold(r)
@@ -120,7 +120,7 @@
 // Applied reports whether the record with this id is among the last ones.
 func (s *State) Applied(id string) bool { return s.seen[id] }
 
-func (s *State) fold(r journal.Record) {
+func (s *State) fold(r eventlog.Record) {
 	switch r.Kind {
 	case KindOperatorSet:
 		decode(r, func(b OperatorSet) { s.Operators[b.Operator.Name] = b.Operator })
@@ -147,14 +147,14 @@
 
 // decode calls apply with the record's body; a body that does not decode
 // changes nothing, in every process alike.
-func decode[T any](r journal.Record, apply func(T)) {
+func decode[T any](r eventlog.Record, apply func(T)) {
 	var body T
 	if err := json.Unmarshal(r.Body, &body); err == nil {
 		apply(body)
 	}
 }
 
-func (s *State) setWorkspace(r journal.Record, w workspace.Workspace) {
+func (s *State) setWorkspace(r eventlog.Record, w workspace.Workspace) {
 	if w.Validate() != nil {
 		return
 	}
@@ -162,7 +162,7 @@
 	s.Touched.Workspaces[w.Name] = r.Offset + 1
 }
 
-func (s *State) removeWorkspace(r journal.Record, name string) {
+func (s *State) removeWorkspace(r eventlog.Record, name string) {
 	delete(s.Workspaces, name)
 	s.Touched.Workspaces[name] = r.Offset + 1
 }
@@ -229,7 +229,7 @@
 }
 
 // confirm decides by the log's order alone whether the plan takes effect.
-func (s *State) confirm(r journal.Record, id string) {
+func (s *State) confirm(r eventlog.Record, id string) {
 	p, ok := s.Plans[id]
 	if !ok || p.Status != intent.Proposed {
 		return
@@ -280,7 +280,7 @@
 
 // cancel takes a confirmed plan back: its boxes and workspaces return to
 // the plan before it, where there is one.
-func (s *State) cancel(r journal.Record, id string) {
+func (s *State) cancel(r eventlog.Record, id string) {
 	p, ok := s.Plans[id]
 	if !ok || p.Status != intent.Confirmed {
 		return
@@ -335,7 +335,7 @@
 
 // changeHomes folds a change; what is so already changes nothing, so that
 // two gateways that write the same change do no harm.
-func (s *State) changeHomes(r journal.Record, b HomesChanged) {
+func (s *State) changeHomes(r eventlog.Record, b HomesChanged) {
 	changes := make(map[string]*Change)
 	of := func(service string) *Change {
 		if changes[service] == nil {
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -13,16 +13,16 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/mintlift/mintlift/eventlog"
 	"github.com/mintlift/mintlift/intent"
-	"github.com/mintlift/mintlift/journal"
 	"github.com/mintlift/mintlift/weights"
 	"github.com/mintlift/mintlift/workspace"
 )
 
 var epoch = time.UnixMilli(1_000_000)
 
-func rec(t interface{ Fatalf(string, ...any) }, kind journal.Kind, id string, at time.Time, body any) journal.Entry {
-	r, err := journal.NewRecord(kind, "test", at, body)
+func rec(t interface{ Fatalf(string, ...any) }, kind eventlog.Kind, id string, at time.Time, body any) eventlog.Entry {
+	r, err := eventlog.NewRecord(kind, "test", at, body)
 	if err != nil {
 		t.Fatalf("%v", err)
 	}
@@ -31,10 +31,10 @@
 	if err != nil {
 		t.Fatalf("%v", err)
 	}
-	return journal.Entry{Data: b}
+	return eventlog.Entry{Data: b}
 }
 
-func number(entries []journal.Entry) []journal.Entry {
+func number(entries []eventlog.Entry) []eventlog.Entry {
 	for i := range entries {
 		entries[i].Offset = int64(i)
 	}
@@ -57,7 +57,7 @@
 // order alone decides.
 func TestTwoOperatorsOneWinner(t *testing.T) {
 	r := NewReplica()
-	assert.NilError(t, r.Apply(number([]journal.Entry{
+	assert.NilError(t, r.Apply(number([]eventlog.Entry{
 		rec(t, KindWorkspaceSet, "w", epoch, set("a")),
 		rec(t, KindPlanProposed, "p1", epoch, PlanProposed{Plan: plan("1", 1, []string{"b1", "b2"}, "a")}),
 		rec(t, KindPlanProposed, "p2", epoch, PlanProposed{Plan: plan("2", 1, []string{"b2", "b3"}, "a")}),
@@ -75,7 +75,7 @@
 
 func TestWorkspaceChangeConflicts(t *testing.T) {
 	r := NewReplica()
-	assert.NilError(t, r.Apply(number([]journal.Entry{
+	assert.NilError(t, r.Apply(number([]eventlog.Entry{
 		rec(t, KindWorkspaceSet, "w", epoch, set("a")),
 		rec(t, KindPlanProposed, "p1", epoch, PlanProposed{Plan: plan("1", 1, []string{"b1"}, "a")}),
 		rec(t, KindWorkspaceSet, "w2", epoch, set("a")),
@@ -86,7 +86,7 @@
 
 func TestExpiredPlanIsNotConfirmed(t *testing.T) {
 	r := NewReplica()
-	assert.NilError(t, r.Apply(number([]journal.Entry{
+	assert.NilError(t, r.Apply(number([]eventlog.Entry{
 		rec(t, KindPlanProposed, "p1", epoch, PlanProposed{Plan: plan("1", 1, []string{"b1"}, "a")}),
 		rec(t, KindPlanConfirmed, "c1", epoch.Add(2*time.Hour), PlanRef{Plan: "1"}),
 	})))
@@ -96,7 +96,7 @@
 // TestCancelRestoresFormer rolls back to the plan before.
 func TestCancelRestoresFormer(t *testing.T) {
 	r := NewReplica()
-	assert.NilError(t, r.Apply(number([]journal.Entry{
+	assert.NilError(t, r.Apply(number([]eventlog.Entry{
 		rec(t, KindPlanProposed, "p1", epoch, PlanProposed{Plan: plan("1", 0, []string{"b1"}, "a")}),
 		rec(t, KindPlanConfirmed, "c1", epoch, PlanRef{Plan: "1"}),
 		rec(t, KindPlanProposed, "p2", epoch, PlanProposed{Plan: plan("2", 2, []string{"b1"}, "a")}),
@@ -108,7 +108,7 @@
 	})
 	e := rec(t, KindPlanCancelled, "x", epoch, PlanRef{Plan: "2"})
 	e.Offset = 4
-	assert.NilError(t, r.Apply([]journal.Entry{e}))
+	assert.NilError(t, r.Apply([]eventlog.Entry{e}))
 	r.View(func(s *State) {
 		assert.Equal(t, s.Plans["1"].Status, intent.Confirmed)
 		assert.Equal(t, s.Desired("b1")[0].ID, "1")
@@ -118,7 +118,7 @@
 
 func TestOffsetsNeverFallAndGapsAreNotSkipped(t *testing.T) {
 	r := NewReplica()
-	entries := number([]journal.Entry{
+	entries := number([]eventlog.Entry{
 		rec(t, KindWorkspaceSet, "1", epoch, set("a")),
 		rec(t, KindWorkspaceRemove, "2", epoch, Name{Name: "a"}),
 		rec(t, KindWorkspaceSet, "3", epoch, set("b")),
@@ -129,13 +129,13 @@
 	assert.Equal(t, r.Offset(), int64(2))
 	gap := entries[2]
 	gap.Offset = 5
-	assert.Assert(t, errors.Is(r.Apply([]journal.Entry{gap}), ErrOffset))
+	assert.Assert(t, errors.Is(r.Apply([]eventlog.Entry{gap}), ErrOffset))
 	assert.Equal(t, r.Offset(), int64(2))
 }
 
 func TestCheckpoint(t *testing.T) {
 	r := NewReplica()
-	assert.NilError(t, r.Apply(number([]journal.Entry{rec(t, KindWorkspaceSet, "1", epoch, set("a")), rec(t, KindWorkspaceSet, "2", epoch, set("b"))})))
+	assert.NilError(t, r.Apply(number([]eventlog.Entry{rec(t, KindWorkspaceSet, "1", epoch, set("a")), rec(t, KindWorkspaceSet, "2", epoch, set("b"))})))
 	c := r.Checkpoint()
 	fresh := NewReplica()
 	torn := c
@@ -150,13 +150,13 @@
 	assert.Assert(t, fresh.Applied("2"))
 	assert.Equal(t, fresh.Checkpoint().Digest, c.Digest)
 	older := NewReplica()
-	assert.NilError(t, older.Apply(number([]journal.Entry{rec(t, KindWorkspaceSet, "1", epoch, set("a"))})))
+	assert.NilError(t, older.Apply(number([]eventlog.Entry{rec(t, KindWorkspaceSet, "1", epoch, set("a"))})))
 	assert.NilError(t, fresh.Restore(older.Checkpoint()), "an older checkpoint is no error")
 	assert.Equal(t, fresh.Offset(), int64(2), "an older checkpoint took the state back")
 }
 
 // draw makes a random record out of a small world, so that records collide.
-func draw(t *rapid.T, i int) journal.Entry {
+func draw(t *rapid.T, i int) eventlog.Entry {
 	id := fmt.Sprintf("id-%d", rapid.IntRange(0, i).Draw(t, "id"))
 	pick := func(what string, n int) string { return fmt.Sprintf("%s%d", what, rapid.IntRange(0, n).Draw(t, what)) }
 	at := epoch.Add(time.Duration(rapid.IntRange(0, 7200).Draw(t, "at")) * time.Second)
@@ -175,7 +175,7 @@
 	case 7:
 		return rec(t, KindHomesChanged, id, at, HomesChanged{Add: []Home{{Box: pick("b", 3), Incarnation: pick("n", 3)}}, Remove: []string{pick("b", 3)}})
 	default:
-		return journal.Entry{Data: json.RawMessage(`"not a record"`)}
+		return eventlog.Entry{Data: json.RawMessage(`"not a record"`)}
 	}
 }
 
@@ -185,7 +185,7 @@
 func TestFoldIsPure(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 40).Draw(t, "records")
-		var entries []journal.Entry
+		var entries []eventlog.Entry
 		for i := range n {
 			entries = append(entries, draw(t, i))
 		}
@@ -233,7 +233,7 @@
 		for i := range n {
 			e := draw(t, i)
 			e.Offset = int64(i)
-			if err := r.Apply([]journal.Entry{e}); err != nil {
+			if err := r.Apply([]eventlog.Entry{e}); err != nil {
 				t.Fatal(err)
 			}
 			kind := record(e).Kind
