--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -303,7 +303,7 @@
 }
 
 // reportEvery is how often the engine's report is read.
-const reportEvery = 80 * time.Millisecond
+const reportEvery = 40 * time.Millisecond
 
 func startPlatformSidecar(ctx context.Context, p *platformProcess) (stopper, error) {
 	s := p.settings
@@ -315,7 +315,7 @@
 		}
 		return ""
 	})
-	view.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone}, engine, origin,
+	view.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone, LinkRate: s.LinkRate()}, engine, origin,
 		func(ctx context.Context) ([]installer.Peer, error) { return view.peers(ctx, p.watcher) }, p.events, p.metrics)
 	listener, err := net.Listen("tcp4", s.Internal(s.IP, portSidecars))
 	if err != nil {
@@ -342,7 +342,7 @@
 		if state, err := engine.State(ctx); err == nil {
 			i.Heard(state)
 			publisher.Publish(fleet.Report{
-				Address: address, Model: state.Model, Version: state.Version, Busy: state.Busy,
+				Address: address, Model: state.Model, Version: state.Version, Busy: state.Busy || i.Leaving(),
 				Running: state.Running, Queued: state.Queued, Pace: state.Pace,
 			}, time.Now())
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -53,10 +53,21 @@
 	failureWeight = 0.12
 )
 
-// Costs of choosing an endpoint, in requests of load.
+// Costs of choosing an endpoint, in milliseconds until the caller hears.
 const (
-	zoneCost    = 0.7
-	failureCost = 10
+	// zoneCost stands for another availability zone: its delay, and the
+	// price of the bytes.
+	zoneCost = 20.0
+	// failureCost is that of an endpoint whose attempts all fail.
+	failureCost = 800.0
+	// loadCost is that of one more request beside this one.
+	loadCost = 4.0
+	// plainCost is the same at an endpoint that is no engine.
+	plainCost = 20.0
+	// fullCost is added for each request beyond the slots.
+	fullCost = 90.0
+	// noise keeps gateways that know the same from choosing the same.
+	noise = 15.0
 )
 
 // Endpoint is one endpoint and what is believed of it.
@@ -65,13 +76,19 @@
 	// own are the attempts of this gateway in progress there.
 	own int
 	// others estimates what everybody else has there.
-	others   float64
-	report   Report
-	reportAt time.Time
-	heardAt  time.Time
-	failures float64 // share of attempts that failed, smoothed
-	strikes  int     // broken connections in a row
-	openTill time.Time
+	others float64
+	// unread is the work, in milliseconds of the engine, of own attempts
+	// that have brought nothing yet, and unreadCount their number.
+	unread      float64
+	unreadCount int
+	// othersUnread is the same number for everybody else.
+	othersUnread float64
+	report       Report
+	reportAt     time.Time
+	heardAt      time.Time
+	failures     float64 // share of attempts that failed, smoothed
+	strikes      int     // broken connections in a row
+	openTill     time.Time
 	// probing says that one request tries an endpoint that was left alone.
 	probing bool
 }
@@ -190,6 +207,7 @@
 	e.reportAt = now
 	e.heardAt = now
 	e.others = math.Max(0, float64(r.Running+r.Queued-e.own))
+	e.othersUnread = math.Max(0, float64(r.Queued-e.unreadCount))
 	return e, changed
 }
 
@@ -244,6 +262,11 @@
 	MinVersion int
 	// Limit is the load up to which an endpoint takes more, or 0 for none.
 	Limit float64
+	// Work is how long an engine reads the request, and UsualWork a usual
+	// one, in milliseconds; both are 0 for plain services.
+	Work, UsualWork float64
+	// Slots is how many requests an engine works on at once.
+	Slots float64
 	// Exclude are the ids of endpoints that have been tried.
 	Exclude map[string]bool
 }
@@ -278,7 +301,7 @@
 		if q.Limit > 0 && load >= f.limit(e, q.Limit, now) {
 			continue
 		}
-		if cost := f.cost(e, load, now); cost < bestCost {
+		if cost := f.cost(e, &q, load, now); cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
@@ -286,6 +309,8 @@
 		return nil
 	}
 	best.own++
+	best.unread += q.Work
+	best.unreadCount++
 	if best.strikes > 0 {
 		best.probing = true
 	}
@@ -297,12 +322,39 @@
 	return math.Max(1, limit/e.pace(now))
 }
 
-func (f *Fleet) cost(e *Endpoint, load float64, now time.Time) float64 {
-	cost := (load+1)*e.pace(now) + failureCost*e.failures + rand.Float64()
+func (f *Fleet) cost(e *Endpoint, q *Query, load float64, now time.Time) float64 {
+	cost := failureCost*e.failures + noise*rand.Float64()
 	if e.Zone != f.zone {
 		cost += zoneCost
 	}
-	return cost
+	if q.Model == "" {
+		return cost + plainCost*load
+	}
+	busy := loadCost*load + e.Backlog(q.UsualWork, now) + q.Work
+	if load >= q.Slots {
+		busy += fullCost * (load - q.Slots + 1)
+	}
+	return cost + busy*e.pace(now)
+}
+
+// Backlog estimates how long the engine reads what it has been sent and has
+// not begun to answer, in milliseconds.
+func (e *Endpoint) Backlog(usual float64, now time.Time) float64 {
+	others := e.othersUnread * usual
+	if e.fresh(now) {
+		others -= float64(now.Sub(e.reportAt).Milliseconds())
+	}
+	return e.unread + math.Max(0, others)
+}
+
+// Begun notes that an attempt of so much work has brought its first bytes.
+func (f *Fleet) Begun(e *Endpoint, work float64, now time.Time) {
+	e.heardAt = now
+	e.unreadCount--
+	e.unread = math.Max(0, e.unread-work)
+	if e.unreadCount == 0 {
+		e.unread = 0
+	}
 }
 
 // Usable counts the endpoints that could take a request, whatever their
@@ -336,7 +388,8 @@
 	Abandoned
 )
 
-// End takes the result of an attempt that Choose counted.
+// End takes the result of an attempt that Choose counted; Begun must have
+// been called for it.
 func (f *Fleet) End(e *Endpoint, result Result, now time.Time) {
 	e.own--
 	e.probing = false
@@ -355,7 +408,7 @@
 		pause := openMin << min(e.strikes-1, 4)
 		e.openTill = now.Add(min(pause, openMax))
 	case Rejected:
-		e.others = math.Max(e.others, e.others+1)
+		e.others++
 		e.heardAt = now
 	}
 }
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -99,6 +99,9 @@
 		return q
 	}
 	q.Model = x.model
+	q.Slots = float64(service.Engine.Slots)
+	q.Work = x.work
+	q.UsualWork = readMillis(service.Engine, service.Engine.UsualPrompt)
 	q.Limit = float64(service.Engine.Slots + engineExtra)
 	if x.returned || x.attempts > 0 {
 		q.Limit += returnedExtra
@@ -147,6 +150,7 @@
 		if ctx.Err() == nil {
 			return e
 		}
+		s.fleet.Begun(e, x.work, time.Now())
 		s.fleet.End(e, fleet.Abandoned, time.Now())
 		s.dispatch(x.service, time.Now())
 	default:
@@ -204,6 +208,14 @@
 	return after
 }
 
+// readMillis is how long an engine reads so many prompt tokens.
+func readMillis(e *routing.Engine, tokens int) float64 {
+	if e.ReadRate <= 0 {
+		return 0
+	}
+	return float64(tokens) / e.ReadRate * 1000
+}
+
 // engineOf returns the engine figures of a service, or nil.
 func engineOf(c *routing.Configuration, service string) *routing.Engine {
 	if s := c.Services[service]; s != nil {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -41,6 +41,11 @@
 	// returned says that the caller was refused before.
 	returned bool
 
+	// work is how long an engine reads the prompt, in milliseconds.
+	work float64
+	// begun says that the attempt in progress has brought bytes.
+	begun bool
+
 	attempts  int             // sent to an endpoint
 	tried     map[string]bool // ids of endpoints
 	mayRun    bool            // an endpoint may have run, or may yet run it
@@ -179,6 +184,12 @@
 		if x.model == "" {
 			x.model = engine.Model
 		}
+		prompt, _, _ := strings.Cut(h.Get(names.TokenUsage), ",")
+		tokens, err := strconv.Atoi(prompt)
+		if err != nil || tokens < 0 {
+			tokens = engine.UsualPrompt
+		}
+		x.work = readMillis(engine, tokens)
 		h.Set(names.Priority, strconv.Itoa(min(max(x.priority, 0), maxPriority)))
 	}
 }
@@ -290,20 +301,36 @@
 	s := x.server
 	now := time.Now()
 	s.mu.Lock()
+	if !x.begun {
+		s.fleet.Begun(e, x.work, now)
+	}
 	s.fleet.End(e, result, now)
 	s.dispatch(x.service, now)
 	s.mu.Unlock()
 }
 
+// begin tells the fleet that the attempt at e has brought bytes.
+func (x *exchange) begin(e *fleet.Endpoint) {
+	if x.begun {
+		return
+	}
+	x.begun = true
+	s := x.server
+	s.mu.Lock()
+	s.fleet.Begun(e, x.work, time.Now())
+	s.mu.Unlock()
+}
+
 // note logs the choice of an endpoint.
 func (x *exchange) note(e *fleet.Endpoint) {
 	s := x.server
 	now := time.Now()
 	s.mu.Lock()
+	backlog := e.Backlog(0, now)
 	load, age, holds, lowest := e.Load(now), e.ReportAge(now), e.Holds(x.model, now), s.minVersion(x.model, now)
 	s.mu.Unlock()
 	s.log.Info("attempt", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "service", x.service,
-		"load", load, "report_ms", age.Milliseconds(), "holds", holds, "min_version", lowest, "at_ms", now.Sub(x.start).Milliseconds())
+		"load", load, "backlog_ms", int(backlog), "work_ms", int(x.work), "report_ms", age.Milliseconds(), "holds", holds, "min_version", lowest, "at_ms", now.Sub(x.start).Milliseconds())
 }
 
 // close ends the request in logs and metrics.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -133,7 +133,7 @@
 }
 
 // versionMargin is how long before the deadline older versions are left.
-const versionMargin = 2500 * time.Millisecond
+const versionMargin = 2000 * time.Millisecond
 
 func (s *Server) anyHolds(model string, version int, now time.Time) bool {
 	c := s.routes.Get()
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -74,6 +74,7 @@
 	}
 	x.tried[e.ID] = true
 	x.attempts++
+	x.begun = false
 	x.note(e)
 	return e
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -45,6 +45,10 @@
 	// lastSent is last in the caller's own words.
 	lastSent string
 	events   int
+	// first is when the first event went to the caller, lastAt the last, and
+	// gap the longest pause between two.
+	first, lastAt time.Time
+	gap           time.Duration
 }
 
 // stream serves a request that is answered by events. They are passed on as
@@ -64,7 +68,7 @@
 		}
 		answer, v := t.attempt(ctx, e)
 		if v == good {
-			x.close(outcomeAnswered, x.lastCause, http.StatusOK)
+			t.ended(outcomeAnswered, http.StatusOK)
 			return
 		}
 		if v == answered {
@@ -88,7 +92,7 @@
 		if t.request.Context().Err() != nil {
 			outcome = outcomeLeft
 		}
-		t.close(outcome, t.lastCause, http.StatusOK)
+		t.ended(outcome, http.StatusOK)
 		panic(http.ErrAbortHandler)
 	}
 	if failure != nil && t.request.Context().Err() == nil {
@@ -156,6 +160,7 @@
 		}
 		if err == nil {
 			watch.alive()
+			t.begin(e)
 			err = t.passOn(response, event)
 		}
 		if err == nil {
@@ -197,10 +202,31 @@
 		t.last = event.ID
 		t.lastSent = strconv.FormatInt(event.ID, 10)
 	}
-	t.events++
+	t.pace(time.Now())
 	return t.control.Flush()
 }
 
+// pace notes that an event goes to the caller.
+func (t *streaming) pace(now time.Time) {
+	if t.events == 0 {
+		t.first = now
+	} else {
+		t.gap = max(t.gap, now.Sub(t.lastAt))
+	}
+	t.lastAt = now
+	t.events++
+}
+
+// ended logs the stream's times and ends the request.
+func (t *streaming) ended(outcome string, status int) {
+	first := time.Duration(-1)
+	if t.events > 0 {
+		first = t.first.Sub(t.start)
+	}
+	t.server.log.Info("stream", "request", t.id, "first_ms", first.Milliseconds(), "gap_ms", t.gap.Milliseconds(), "events", t.events, "usage", t.request.Header.Get(t.server.settings.Headers.TokenUsage))
+	t.close(outcome, t.lastCause, status)
+}
+
 // watch ends an attempt whose endpoint has been silent for too long, but
 // only where another endpoint may go on with it.
 type watch struct {
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -64,7 +64,9 @@
 	Put(ctx context.Context, model string, chunk int, data []byte) error
 	// Get returns nil for a chunk that does not lie ready.
 	Get(ctx context.Context, model string, chunk int) ([]byte, error)
-	Start(ctx context.Context, model string, version int) error
+	// Start orders the engine to take what lies ready. With cut, requests
+	// that run are broken off; otherwise the engine waits for their end.
+	Start(ctx context.Context, model string, version int, cut bool) error
 }
 
 // Origin is where weights come from.
@@ -101,6 +103,8 @@
 	Box    string
 	Region string
 	Zone   string
+	// LinkRate is the box's link in bytes a second, or zero if unknown.
+	LinkRate float64
 }
 
 // Installer is the work of one sidecar. Run it with Run.
@@ -109,20 +113,23 @@
 	engine   Engine
 	origin   Origin
 	// peers reads the list of the service's sidecars, this one included.
-	peers   func(ctx context.Context) ([]Peer, error)
-	client  *peerClient
-	log     logr.Logger
-	metrics *telemetry.Metrics
-
-	mu     sync.Mutex
-	params Params
-	target int
-	named  time.Time // zero if the target was there at the start
-	state  EngineState
-	heard  time.Time // when the engine was heard last
-	copies []*replica
-	known  []Peer // the last list
-	change chan struct{}
+	peers  func(ctx context.Context) ([]Peer, error)
+	client *peerClient
+	// up and down keep transfers below the link's rate.
+	up, down *pacer
+	log      logr.Logger
+	metrics  *telemetry.Metrics
+
+	mu      sync.Mutex
+	params  Params
+	target  int
+	named   time.Time // zero if the target was there at the start
+	state   EngineState
+	heard   time.Time // when the engine was heard last
+	leaving bool      // nothing new should be sent to the engine
+	copies  []*replica
+	known   []Peer // the last list
+	change  chan struct{}
 }
 
 // replica is this box's copy of a version.
@@ -145,8 +152,10 @@
 
 // New returns an Installer; peers reads the list of the service's sidecars.
 func New(s Settings, e Engine, o Origin, peers func(context.Context) ([]Peer, error), log logr.Logger, m *telemetry.Metrics) *Installer {
+	down := newPacer(s.LinkRate)
 	return &Installer{
-		settings: s, engine: e, origin: o, peers: peers, client: newPeerClient(), log: log, metrics: m,
+		settings: s, engine: e, origin: o, peers: peers, log: log, metrics: m,
+		client: newPeerClient(down), up: newPacer(s.LinkRate), down: down,
 		change: make(chan struct{}),
 	}
 }
@@ -196,10 +205,10 @@
 func (i *Installer) Heard(s EngineState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	old := i.state
+	old, first := i.state, i.heard.IsZero()
 	i.state = s
 	i.heard = time.Now()
-	if old.Version != s.Version || old.Busy != s.Busy || old.Orders != s.Orders {
+	if first || old.Version != s.Version || old.Busy != s.Busy || old.Orders != s.Orders {
 		i.log.Info("engine changed", "model", s.Model, "version", s.Version, "busy", s.Busy, "orders", s.Orders)
 		i.wakeLocked()
 	}
@@ -233,6 +242,9 @@
 
 // Timing of an Installer.
 const (
+	// keepEvery is how often an idle installer looks whether it has what
+	// other sidecars may ask for.
+	keepEvery = time.Second
 	// retryPause is slept after a step that failed.
 	retryPause = 250 * time.Millisecond
 	// fetchRound bounds one look at the list of peers; after it the list is
@@ -252,6 +264,7 @@
 			}
 			select {
 			case <-g.change:
+			case <-time.After(keepEvery):
 			case <-ctx.Done():
 			}
 			continue
@@ -317,9 +330,47 @@
 		pause(ctx, retryPause)
 		return
 	}
+	if !g.empty {
+		i.drain(ctx)
+		defer i.setLeaving(false)
+	}
 	i.start(ctx, g)
 }
 
+// Leaving reports whether nothing new should be sent to the engine, because
+// it is about to take another version.
+func (i *Installer) Leaving() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.leaving
+}
+
+func (i *Installer) setLeaving(leaving bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.leaving = leaving
+}
+
+// drainTime is how long an engine works on without new requests before it
+// takes another version. What runs longer is broken off, and goes on
+// elsewhere where it may.
+const drainTime = 1100 * time.Millisecond
+
+// drain keeps new requests away until the engine is empty or drainTime has
+// passed.
+func (i *Installer) drain(ctx context.Context) {
+	i.setLeaving(true)
+	const look = 50 * time.Millisecond
+	deadline := time.Now().Add(drainTime)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		state, _ := i.State()
+		if state.Running+state.Queued == 0 && time.Until(deadline) < drainTime-4*look {
+			return
+		}
+		pause(ctx, look)
+	}
+}
+
 // replica returns the copy of a version, or nil.
 func (i *Installer) replica(version int) *replica {
 	i.mu.Lock()
@@ -439,15 +490,14 @@
 	if at < 0 {
 		return time.Now()
 	}
-	wave := at % waves
-	return g.named.Add(time.Duration(float64(g.params.Deadline) * (firstWave + waveGap*float64(wave))))
+	share := float64(at) / float64(len(order))
+	return g.named.Add(time.Duration(float64(g.params.Deadline) * (firstTurn + turnsSpan*share)))
 }
 
-// Waves of a rollout, as shares of the version's deadline.
+// Turns of a rollout, as shares of the version's deadline.
 const (
-	waves     = 3
-	firstWave = 0.36
-	waveGap   = 0.1
+	firstTurn = 0.38
+	turnsSpan = 0.34
 )
 
 // lay makes sure that every chunk lies ready beside the engine and fits.
@@ -471,7 +521,7 @@
 
 // start orders the engine to take the version and waits until it has.
 func (i *Installer) start(ctx context.Context, g goal) {
-	err := i.engine.Start(ctx, g.params.Model, g.version)
+	err := i.engine.Start(ctx, g.params.Model, g.version, !g.empty)
 	if err != nil {
 		i.log.Info("start refused", "version", g.version, "error", err.Error())
 		pause(ctx, retryPause)
--- a/installer/peers.go
+++ b/installer/peers.go
@@ -53,11 +53,14 @@
 )
 
 // peerClient calls other sidecars.
-type peerClient struct{ client *http.Client }
+type peerClient struct {
+	client *http.Client
+	down   *pacer
+}
 
-func newPeerClient() *peerClient {
+func newPeerClient(down *pacer) *peerClient {
 	dialer := &net.Dialer{Timeout: peerDial, KeepAlive: -1}
-	return &peerClient{client: &http.Client{Transport: &http.Transport{
+	return &peerClient{down: down, client: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: peerIdle, MaxIdleConnsPerHost: 2, DisableCompression: true,
 	}}}
 }
@@ -172,7 +175,8 @@
 	if !offered(number) {
 		return know, nil, errTaken
 	}
-	data, err := io.ReadAll(io.LimitReader(&aliveReader{response.Body, alive}, maxChunkBytes))
+	paced := &pacedReader{ctx: ctx, from: &aliveReader{response.Body, alive}, pacer: c.down}
+	data, err := io.ReadAll(io.LimitReader(paced, maxChunkBytes))
 	return know, data, err
 }
 
@@ -294,5 +298,5 @@
 	}
 	w.Header().Set(peer.HeaderChunk, strconv.Itoa(chunk))
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	_, _ = w.Write(data) // the receiver checks the digest and sees a cut
+	_ = i.up.write(r.Context(), w, data) // the receiver checks the digest and sees a cut
 }
