--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -176,7 +176,7 @@
 	p.serveMetrics()
 
 	view := gatewayView{server}
-	go p.watcher.WatchOperator(ctx, view)
+	go p.watcher.WatchOperator(ctx, view, gatewayWait)
 	go p.watchEndpoints(ctx, server)
 	go subscriber.Run(ctx, func() []string {
 		out := server.EngineAddresses()
@@ -184,7 +184,7 @@
 			out[i] = s.Internal(address, portPublish)
 		}
 		return out
-	}, server.Heard)
+	}, server.Named, server.Heard)
 	go func() {
 		for range time.Tick(maintainEvery) {
 			server.Maintain(time.Now())
@@ -302,6 +302,13 @@
 	return out, nil
 }
 
+// How long one read of the operator's records waits. Each read is a call
+// that costs; a sidecar also hears of versions from the gateways.
+const (
+	gatewayWait = 10 * time.Second
+	sidecarWait = 25 * time.Second
+)
+
 // reportEvery is how often the engine's report is read.
 const reportEvery = 40 * time.Millisecond
 
@@ -321,14 +328,16 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	publisher, err := loadreport.NewPublisher(s.Internal(s.IP, portPublish))
+	publisher, err := loadreport.NewPublisher(s.Internal(s.IP, portPublish), func(model string, version int) {
+		view.installer.Name(model, version, false)
+	})
 	if err != nil {
 		return nil, err
 	}
 	peers := &http.Server{Handler: view.installer.Handler(), ReadHeaderTimeout: headerTimeout}
 	go func() { _ = peers.Serve(listener) }()
 	p.serveMetrics()
-	go p.watcher.WatchOperator(ctx, view)
+	go p.watcher.WatchOperator(ctx, view, sidecarWait)
 	go view.installer.Run(ctx)
 	go reportLoad(ctx, s.App, engine, view.installer, publisher)
 	return func(context.Context) { _ = peers.Close() }, nil
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -133,7 +133,7 @@
 }
 
 // versionMargin is how long before the deadline older versions are left.
-const versionMargin = 2000 * time.Millisecond
+const versionMargin = 1100 * time.Millisecond
 
 func (s *Server) anyHolds(model string, version int, now time.Time) bool {
 	c := s.routes.Get()
@@ -206,6 +206,17 @@
 	s.dispatch(e.Service, now)
 }
 
+// Named returns the newest named version of each model.
+func (s *Server) Named() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.versions))
+	for model, list := range s.versions {
+		out[model] = list[len(list)-1].version
+	}
+	return out
+}
+
 // EngineAddresses returns the addresses of all endpoints of services that
 // have engines.
 func (s *Server) EngineAddresses() []string {
--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -21,14 +21,14 @@
 
 // fetch pulls chunks until the copy is whole; it returns false if that did
 // not succeed in this round.
-func (i *Installer) fetch(ctx context.Context, g goal, r *replica) bool {
+func (i *Installer) fetch(ctx context.Context, w want, r *replica) bool {
 	if i.complete(r) {
 		return true
 	}
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, fetchRound)
 	defer cancel()
-	i.join(ctx, g, r)
+	i.join(ctx, w, r)
 	ended := make(chan struct{}, 1)
 	for ctx.Err() == nil && !i.complete(r) {
 		if i.doubtful(r) {
@@ -57,8 +57,8 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	done := int(r.held.Count()) == len(r.chunks)
-	i.log.Info("fetch ended", "version", g.version, "whole", done, "held", r.held.Count(), "origin", r.fromSrc, "far", r.fromFar,
+	done := r.whole()
+	i.log.Info("fetch ended", "version", w.version, "whole", done, "held", r.held.Count(), "origin", r.fromSrc, "far", r.fromFar,
 		"peers", r.fromPeers, "spoilt", r.bad, "ms", time.Since(began).Milliseconds())
 	return done
 }
@@ -66,7 +66,7 @@
 func (i *Installer) complete(r *replica) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return int(r.held.Count()) == len(r.chunks)
+	return r.whole()
 }
 
 func (i *Installer) doubtful(r *replica) bool {
@@ -90,7 +90,7 @@
 
 // join reads the list of peers, asks them what they hold, and begins a
 // swarm.
-func (i *Installer) join(ctx context.Context, g goal, r *replica) {
+func (i *Installer) join(ctx context.Context, w want, r *replica) {
 	peers, err := i.peers(ctx)
 	i.mu.Lock()
 	if err != nil {
@@ -101,8 +101,8 @@
 	i.mu.Unlock()
 	params := transfer.Params{
 		Chunks:        len(r.manifest.Digests),
-		OriginRegions: []string{i.originRegion(g, peers)},
-		ChunkTurn:     chunkTurn(g.params),
+		OriginRegions: []string{i.originRegion(w, peers)},
+		ChunkTurn:     chunkTurn(w.params),
 	}
 	addresses := make(map[string]string, len(peers))
 	self := false
@@ -126,7 +126,7 @@
 }
 
 // takeOver is how long each further rank waits for a silent one.
-const takeOver = 700 * time.Millisecond
+const takeOver = 1000 * time.Millisecond
 
 // defaultTurn is the time of a chunk at the origin where its rate is not
 // known.
@@ -141,10 +141,10 @@
 
 // originRegion is the region that reads from the origin: the origin's own
 // if a sidecar is there.
-func (i *Installer) originRegion(g goal, peers []Peer) string {
+func (i *Installer) originRegion(w want, peers []Peer) string {
 	lowest := i.settings.Region
 	for _, p := range peers {
-		if p.Region == g.params.OriginRegion {
+		if p.Region == w.params.OriginRegion {
 			return p.Region
 		}
 		lowest = min(lowest, p.Region)
@@ -157,7 +157,7 @@
 	began := time.Now()
 	know, data, err := i.transfer(ctx, r, &p, has)
 	if err == nil {
-		err = i.take(ctx, r, p, data)
+		err = i.take(r, p, data)
 	}
 	now := time.Now()
 	i.mu.Lock()
@@ -213,8 +213,8 @@
 	return i.client.pull(ctx, address, i.settings.Box, r.manifest, p.Chunk, has, limit, offered)
 }
 
-// take checks a chunk, keeps it, and lays it ready beside the engine.
-func (i *Installer) take(ctx context.Context, r *replica, p transfer.Pull, data []byte) error {
+// take checks a chunk and keeps it.
+func (i *Installer) take(r *replica, p transfer.Pull, data []byte) error {
 	if !r.manifest.Fits(p.Chunk, data) {
 		i.mu.Lock()
 		r.bad++
@@ -222,8 +222,6 @@
 		i.metrics.Counter("mintlift_installer_spoilt_total").Inc()
 		return errSpoilt
 	}
-	// What does not lie ready in the end is laid again before the start.
-	_ = i.engine.Put(ctx, r.manifest.Model, p.Chunk, data)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	r.chunks[p.Chunk] = data
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -122,8 +122,7 @@
 
 	mu      sync.Mutex
 	params  Params
-	target  int
-	named   time.Time // zero if the target was there at the start
+	targets []target // by version, the newest last
 	state   EngineState
 	heard   time.Time // when the engine was heard last
 	leaving bool      // nothing new should be sent to the engine
@@ -132,6 +131,15 @@
 	change  chan struct{}
 }
 
+// target is a named version.
+type target struct {
+	version int
+	named   time.Time // zero if it was there at the start
+}
+
+// keptTargets is how many named versions are remembered.
+const keptTargets = 3
+
 // replica is this box's copy of a version.
 type replica struct {
 	manifest *Manifest
@@ -148,7 +156,7 @@
 }
 
 // keptCopies is how many versions are kept for other sidecars.
-const keptCopies = 2
+const keptCopies = 3
 
 // New returns an Installer; peers reads the list of the service's sidecars.
 func New(s Settings, e Engine, o Origin, peers func(context.Context) ([]Peer, error), log logr.Logger, m *telemetry.Metrics) *Installer {
@@ -171,23 +179,35 @@
 	i.wakeLocked()
 }
 
-// Name takes the newest named version of the model; first says that it was
-// named before the process started.
+// Name takes a named version of the model; first says that it was named
+// before the process started.
 func (i *Installer) Name(model string, version int, first bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.params.Model != "" && model != i.params.Model || version <= i.target {
+	if i.params.Model != "" && model != i.params.Model || version <= i.newest().version {
 		return
 	}
-	i.target = version
-	i.named = time.Time{}
+	t := target{version: version}
 	if !first {
-		i.named = time.Now()
+		t.named = time.Now()
+	}
+	i.targets = append(i.targets, t)
+	if len(i.targets) > keptTargets {
+		i.targets = i.targets[1:]
 	}
 	i.log.Info("version named", "model", model, "version", version, "age_unknown", first)
 	i.wakeLocked()
 }
 
+// newest is the version named last; versions begin at 1, which nobody
+// names. Installer.mu is held.
+func (i *Installer) newest() target {
+	if len(i.targets) == 0 {
+		return target{version: 1}
+	}
+	return i.targets[len(i.targets)-1]
+}
+
 // wakeLocked wakes who waits for a change; Installer.mu is held.
 func (i *Installer) wakeLocked() {
 	close(i.change)
@@ -214,32 +234,6 @@
 	}
 }
 
-// goal is what is to be done now.
-type goal struct {
-	params  Params
-	version int
-	named   time.Time
-	change  <-chan struct{}
-	// idle says that the engine has the version.
-	idle bool
-	// empty says that the engine holds nothing whole.
-	empty bool
-}
-
-func (i *Installer) goal() goal {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	version := max(i.target, 1) // versions begin at 1, which nobody names
-	return goal{
-		params:  i.params,
-		version: version,
-		named:   i.named,
-		change:  i.change,
-		idle:    i.heard.IsZero() || i.state.Version >= version,
-		empty:   i.state.Version == 0,
-	}
-}
-
 // Timing of an Installer.
 const (
 	// keepEvery is how often an idle installer looks whether it has what
@@ -256,118 +250,104 @@
 
 // Run works until ctx ends.
 func (i *Installer) Run(ctx context.Context) {
+	go i.starts(ctx)
 	for ctx.Err() == nil {
-		g := i.goal()
-		if g.params.Chunks == 0 || g.idle {
-			if g.params.Chunks > 0 && g.idle {
-				i.keep(ctx, g)
-			}
+		w, change := i.wanted()
+		if w.version == 0 || !i.obtain(ctx, w) {
 			select {
-			case <-g.change:
+			case <-change:
 			case <-time.After(keepEvery):
 			case <-ctx.Done():
 			}
-			continue
 		}
-		i.install(ctx, g)
 	}
 }
 
-// keep makes what the engine took available to other sidecars.
-func (i *Installer) keep(ctx context.Context, g goal) {
+// want is a version to be fetched.
+type want struct {
+	params  Params
+	version int
+	// only says that the engine has the version: what lies ready is kept for
+	// others, and nothing is fetched.
+	only bool
+}
+
+// nearlyWhole is the share of an older version's chunks from which on it is
+// fetched to the end before a newer one is begun.
+const nearlyWhole = 0.6
+
+// wanted returns what is to be fetched now, with version 0 for nothing.
+func (i *Installer) wanted() (want, <-chan struct{}) {
 	i.mu.Lock()
-	known := !i.heard.IsZero() && i.state.Version == g.version
-	i.mu.Unlock()
-	if !known || i.replica(g.version) != nil {
-		return
+	defer i.mu.Unlock()
+	if i.params.Chunks == 0 || i.heard.IsZero() {
+		return want{}, i.change
 	}
-	ctx, cancel := i.untilSuperseded(ctx, g)
-	defer cancel()
-	if r := i.open(ctx, g); r != nil {
-		i.log.Info("copy kept", "version", g.version, "held", r.held.Count())
+	w := want{params: i.params, version: i.newest().version}
+	for _, t := range i.targets {
+		r := i.copyOf(t.version)
+		if r == nil || t.version <= i.state.Version || r.whole() {
+			continue
+		}
+		if float64(r.held.Count()) >= nearlyWhole*float64(len(r.chunks)) {
+			w.version = t.version
+			break
+		}
 	}
+	w.only = i.state.Version >= w.version
+	if r := i.copyOf(w.version); r != nil && (w.only || r.whole()) {
+		return want{}, i.change
+	}
+	return w, i.change
 }
 
-// untilSuperseded returns a context that ends when a newer version is
-// named.
-func (i *Installer) untilSuperseded(ctx context.Context, g goal) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	go func() {
-		for change := g.change; ctx.Err() == nil; {
-			select {
-			case <-change:
-				now := i.goal()
-				change = now.change
-				if now.version != g.version {
-					cancel()
-				}
-			case <-ctx.Done():
-			}
+// whole reports whether all chunks are held; Installer.mu is held.
+func (r *replica) whole() bool { return int(r.held.Count()) == len(r.chunks) }
+
+// copyOf returns the copy of a version, or nil; Installer.mu is held.
+func (i *Installer) copyOf(version int) *replica {
+	for _, r := range i.copies {
+		if r.manifest.Version == version {
+			return r
 		}
-	}()
-	return ctx, cancel
+	}
+	return nil
 }
 
-// install brings the engine to the version of g.
-func (i *Installer) install(ctx context.Context, g goal) {
-	ctx, cancel := i.untilSuperseded(ctx, g)
+// obtain fetches w until it is whole or something else is wanted.
+func (i *Installer) obtain(ctx context.Context, w want) bool {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := i.open(ctx, g)
+	go i.whileWanted(ctx, cancel, w)
+	r := i.open(ctx, w)
 	if r == nil {
 		pause(ctx, retryPause)
-		return
+		return false
 	}
-	if !i.fetch(ctx, g, r) {
-		return
-	}
-	if !g.empty {
-		pause(ctx, time.Until(i.turn(g)))
+	if w.only {
+		return true
 	}
-	if ctx.Err() != nil {
-		return
+	if !i.fetch(ctx, w, r) {
+		return false
 	}
-	if !i.lay(ctx, g, r) {
-		pause(ctx, retryPause)
-		return
-	}
-	if !g.empty {
-		i.drain(ctx)
-		defer i.setLeaving(false)
-	}
-	i.start(ctx, g)
-}
-
-// Leaving reports whether nothing new should be sent to the engine, because
-// it is about to take another version.
-func (i *Installer) Leaving() bool {
 	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.leaving
-}
-
-func (i *Installer) setLeaving(leaving bool) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.leaving = leaving
+	i.wakeLocked()
+	i.mu.Unlock()
+	return true
 }
 
-// drainTime is how long an engine works on without new requests before it
-// takes another version. What runs longer is broken off, and goes on
-// elsewhere where it may.
-const drainTime = 1100 * time.Millisecond
-
-// drain keeps new requests away until the engine is empty or drainTime has
-// passed.
-func (i *Installer) drain(ctx context.Context) {
-	i.setLeaving(true)
-	const look = 50 * time.Millisecond
-	deadline := time.Now().Add(drainTime)
-	for ctx.Err() == nil && time.Now().Before(deadline) {
-		state, _ := i.State()
-		if state.Running+state.Queued == 0 && time.Until(deadline) < drainTime-4*look {
+// whileWanted cancels when w is no longer wanted.
+func (i *Installer) whileWanted(ctx context.Context, cancel context.CancelFunc, w want) {
+	for ctx.Err() == nil {
+		now, change := i.wanted()
+		if now.version != w.version || now.only != w.only {
+			cancel()
 			return
 		}
-		pause(ctx, look)
+		select {
+		case <-change:
+		case <-ctx.Done():
+		}
 	}
 }
 
@@ -375,21 +355,16 @@
 func (i *Installer) replica(version int) *replica {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for _, r := range i.copies {
-		if r.manifest.Version == version {
-			return r
-		}
-	}
-	return nil
+	return i.copyOf(version)
 }
 
-// open returns the copy of g's version, with what lies ready beside the
+// open returns the copy of w's version, with what lies ready beside the
 // engine already.
-func (i *Installer) open(ctx context.Context, g goal) *replica {
-	if r := i.replica(g.version); r != nil {
+func (i *Installer) open(ctx context.Context, w want) *replica {
+	if r := i.replica(w.version); r != nil {
 		return r
 	}
-	m := i.manifest(ctx, g)
+	m := i.manifest(ctx, w)
 	if m == nil {
 		return nil
 	}
@@ -428,22 +403,22 @@
 }
 
 // manifest asks the peers of the own region first, then the origin.
-func (i *Installer) manifest(ctx context.Context, g goal) *Manifest {
+func (i *Installer) manifest(ctx context.Context, w want) *Manifest {
 	i.mu.Lock()
 	peers := slices.Clone(i.known)
 	i.mu.Unlock()
 	for _, p := range nearest(peers, i.settings, manifestPeers) {
-		if m, err := i.client.manifest(ctx, p, g.params.Model, g.version); err == nil && len(m.Digests) == g.params.Chunks {
+		if m, err := i.client.manifest(ctx, p, w.params.Model, w.version); err == nil && len(m.Digests) == w.params.Chunks {
 			return m
 		}
 	}
-	m, err := i.origin.Manifest(ctx, g.params.Model, g.version)
+	m, err := i.origin.Manifest(ctx, w.params.Model, w.version)
 	if err != nil {
-		i.log.Info("manifest not had", "version", g.version, "error", err.Error())
+		i.log.Info("manifest not had", "version", w.version, "error", err.Error())
 		return nil
 	}
-	if len(m.Digests) != g.params.Chunks {
-		i.log.Info("manifest does not fit", "version", g.version, "digests", len(m.Digests), "chunks", g.params.Chunks)
+	if len(m.Digests) != w.params.Chunks {
+		i.log.Info("manifest does not fit", "version", w.version, "digests", len(m.Digests), "chunks", w.params.Chunks)
 		return nil
 	}
 	return m
@@ -470,84 +445,6 @@
 	return out[:min(n, len(out))]
 }
 
-// turn is when this engine may begin to change: not all at once, so that
-// the others serve meanwhile, and all before the version's deadline.
-func (i *Installer) turn(g goal) time.Time {
-	if g.named.IsZero() {
-		return time.Now()
-	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	order := slices.Clone(i.known)
-	slices.SortFunc(order, func(a, b Peer) int {
-		x, y := xxhash.Sum64String(a.Box), xxhash.Sum64String(b.Box)
-		if x < y {
-			return -1
-		}
-		return 1
-	})
-	at := slices.IndexFunc(order, func(p Peer) bool { return p.Box == i.settings.Box })
-	if at < 0 {
-		return time.Now()
-	}
-	share := float64(at) / float64(len(order))
-	return g.named.Add(time.Duration(float64(g.params.Deadline) * (firstTurn + turnsSpan*share)))
-}
-
-// Turns of a rollout, as shares of the version's deadline.
-const (
-	firstTurn = 0.38
-	turnsSpan = 0.34
-)
-
-// lay makes sure that every chunk lies ready beside the engine and fits.
-func (i *Installer) lay(ctx context.Context, g goal, r *replica) bool {
-	for n, data := range r.chunks {
-		lying, err := i.engine.Get(ctx, g.params.Model, n)
-		if err == nil && r.manifest.Fits(n, lying) {
-			continue
-		}
-		if err == nil {
-			i.log.Info("chunk laid again", "version", g.version, "chunk", n, "missing", lying == nil)
-			err = i.engine.Put(ctx, g.params.Model, n, data)
-		}
-		if err != nil {
-			i.log.Info("chunk not laid", "version", g.version, "chunk", n, "error", err.Error())
-			return false
-		}
-	}
-	return true
-}
-
-// start orders the engine to take the version and waits until it has.
-func (i *Installer) start(ctx context.Context, g goal) {
-	err := i.engine.Start(ctx, g.params.Model, g.version, !g.empty)
-	if err != nil {
-		i.log.Info("start refused", "version", g.version, "error", err.Error())
-		pause(ctx, retryPause)
-		return
-	}
-	since := time.Duration(-1)
-	if !g.named.IsZero() {
-		since = time.Since(g.named)
-	}
-	i.log.Info("start ordered", "version", g.version, "since_named_ms", since.Milliseconds())
-	i.metrics.Counter("mintlift_installer_starts_total").Inc()
-	deadline := time.Now().Add(startWait)
-	for ctx.Err() == nil {
-		now := i.goal()
-		state, _ := i.State()
-		if now.idle || time.Now().After(deadline) && !state.Busy {
-			return
-		}
-		select {
-		case <-now.change:
-		case <-time.After(retryPause):
-		case <-ctx.Done():
-		}
-	}
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- /dev/null
+++ b/installer/start.go
@@ -0,0 +1,211 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package installer
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Turns of a rollout, as shares of the version's deadline: not all engines
+// change at once, so that the others serve meanwhile, and all change before
+// the deadline.
+const (
+	firstTurn = 0.38
+	turnsSpan = 0.34
+)
+
+// Times of a change of version.
+const (
+	// drainTime is how long an engine works on without new requests before
+	// it takes another version. What runs longer is broken off, and goes on
+	// elsewhere where it may.
+	drainTime = 1100 * time.Millisecond
+	// changeTime is a drain with the taking of the version.
+	changeTime = drainTime + 400*time.Millisecond
+	// dueMargin is how long before its deadline a version should be served.
+	dueMargin = time.Second
+)
+
+// step is a start that can be made.
+type step struct {
+	params Params
+	copy   *replica
+	named  time.Time
+	at     time.Time
+	// empty says that the engine holds nothing whole.
+	empty bool
+}
+
+// starts brings the engine to what has been fetched until ctx ends.
+func (i *Installer) starts(ctx context.Context) {
+	for ctx.Err() == nil {
+		s, change := i.nextStart(time.Now())
+		wait := keepEvery
+		if s != nil {
+			wait = time.Until(s.at)
+		}
+		if s == nil || wait > 0 {
+			select {
+			case <-change:
+			case <-time.After(wait):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		i.begin(ctx, s)
+	}
+}
+
+// nextStart chooses the version to start next, and when.
+func (i *Installer) nextStart(now time.Time) (*step, <-chan struct{}) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.params.Chunks == 0 || i.heard.IsZero() || i.state.Busy {
+		return nil, i.change
+	}
+	share := i.shareLocked()
+	targets := i.targets
+	if len(targets) == 0 {
+		targets = []target{i.newest()}
+	}
+	for at, t := range targets {
+		r := i.copyOf(t.version)
+		if t.version <= i.state.Version || r == nil || !r.whole() {
+			continue
+		}
+		if at+1 < len(targets) && i.skips(t, targets[at+1], share) {
+			continue
+		}
+		s := &step{params: i.params, copy: r, named: t.named, at: now, empty: i.state.Version == 0}
+		if !s.empty && !t.named.IsZero() {
+			s.at = i.turnOf(t, share)
+		}
+		return s, i.change
+	}
+	return nil, i.change
+}
+
+// shareLocked is this engine's place among all, in [0, 1).
+func (i *Installer) shareLocked() float64 {
+	order := slices.Clone(i.known)
+	slices.SortFunc(order, func(a, b Peer) int { return cmp.Compare(xxhash.Sum64String(a.Box), xxhash.Sum64String(b.Box)) })
+	at := slices.IndexFunc(order, func(p Peer) bool { return p.Box == i.settings.Box })
+	if at < 0 {
+		return 0
+	}
+	return float64(at) / float64(len(order))
+}
+
+func (i *Installer) turnOf(t target, share float64) time.Time {
+	return t.named.Add(time.Duration(float64(i.params.Deadline) * (firstTurn + turnsSpan*share)))
+}
+
+// skips reports whether a version need not be started because the next one
+// will be served before its deadline.
+func (i *Installer) skips(t, next target, share float64) bool {
+	if t.named.IsZero() || next.named.IsZero() {
+		return true
+	}
+	if r := i.copyOf(next.version); r != nil && r.whole() {
+		return true
+	}
+	return i.turnOf(next, share).Add(changeTime).Before(t.named.Add(i.params.Deadline - dueMargin))
+}
+
+// begin brings the engine to the version of s.
+func (i *Installer) begin(ctx context.Context, s *step) {
+	if !s.empty {
+		i.drain(ctx)
+		defer i.setLeaving(false)
+	}
+	if !i.lay(ctx, s) {
+		pause(ctx, retryPause)
+		return
+	}
+	i.start(ctx, s)
+}
+
+// Leaving reports whether nothing new should be sent to the engine, because
+// it is about to take another version.
+func (i *Installer) Leaving() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.leaving
+}
+
+func (i *Installer) setLeaving(leaving bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.leaving = leaving
+}
+
+// drain keeps new requests away until the engine is empty or drainTime has
+// passed.
+func (i *Installer) drain(ctx context.Context) {
+	i.setLeaving(true)
+	const look = 50 * time.Millisecond
+	// told is how long it may take until all gateways know.
+	const told = 4 * look
+	began := time.Now()
+	for ctx.Err() == nil && time.Since(began) < drainTime {
+		state, _ := i.State()
+		if state.Running+state.Queued == 0 && time.Since(began) > told {
+			return
+		}
+		pause(ctx, look)
+	}
+}
+
+// lay makes sure that every chunk lies ready beside the engine and fits.
+func (i *Installer) lay(ctx context.Context, s *step) bool {
+	m := s.copy.manifest
+	for n, data := range s.copy.chunks {
+		lying, err := i.engine.Get(ctx, m.Model, n)
+		if err == nil && m.Fits(n, lying) {
+			continue
+		}
+		if err == nil {
+			err = i.engine.Put(ctx, m.Model, n, data)
+		}
+		if err != nil {
+			i.log.Info("chunk not laid", "version", m.Version, "chunk", n, "error", err.Error())
+			return false
+		}
+	}
+	return true
+}
+
+// start orders the engine to take the version and waits until it has.
+func (i *Installer) start(ctx context.Context, s *step) {
+	m := s.copy.manifest
+	if err := i.engine.Start(ctx, m.Model, m.Version, !s.empty); err != nil {
+		i.log.Info("start refused", "version", m.Version, "error", err.Error())
+		pause(ctx, retryPause)
+		return
+	}
+	since := time.Duration(-1)
+	if !s.named.IsZero() {
+		since = time.Since(s.named)
+	}
+	i.log.Info("start ordered", "version", m.Version, "empty", s.empty, "since_named_ms", since.Milliseconds())
+	i.metrics.Counter("mintlift_installer_starts_total").Inc()
+	began := time.Now()
+	for ctx.Err() == nil {
+		i.mu.Lock()
+		state, change := i.state, i.change
+		i.mu.Unlock()
+		if state.Version >= m.Version || time.Since(began) > startWait && !state.Busy {
+			return
+		}
+		select {
+		case <-change:
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+		}
+	}
+}
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -33,8 +33,11 @@
 	maxDatagram = 2048
 )
 
-// subscribeText is the datagram of a subscription.
-const subscribeText = `{"subscribe":true}`
+// subscribe is the datagram of a subscription. It tells the newest named
+// versions along, for a sidecar that the store does not reach.
+type subscribe struct {
+	Named map[string]int `json:"named"`
+}
 
 // Publisher sends reports from a sidecar.
 type Publisher struct {
@@ -45,14 +48,15 @@
 	sent time.Time
 }
 
-// NewPublisher listens for subscriptions at address.
-func NewPublisher(address string) (*Publisher, error) {
+// NewPublisher listens for subscriptions at address; named is told of each
+// version that a gateway knows.
+func NewPublisher(address string, named func(model string, version int)) (*Publisher, error) {
 	conn, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
 	p := &Publisher{conn: conn, subs: make(map[netip.AddrPort]time.Time)}
-	go p.receive()
+	go p.receive(named)
 	return p, nil
 }
 
@@ -65,16 +69,20 @@
 	return conn, errors.Trace(err)
 }
 
-func (p *Publisher) receive() {
+func (p *Publisher) receive(named func(string, int)) {
 	buffer := make([]byte, maxDatagram)
 	for {
-		_, from, err := p.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
+		var message subscribe
+		if err != nil || json.Unmarshal(buffer[:n], &message) != nil {
 			continue
 		}
+		for model, version := range message.Named {
+			named(model, version)
+		}
 		p.mu.Lock()
 		if _, known := p.subs[from]; !known {
 			p.sent = time.Time{}
@@ -121,17 +129,21 @@
 	return &Subscriber{conn: conn}, nil
 }
 
-// Run subscribes at the sidecars, whose addresses it asks for, and tells
-// each report, until ctx ends.
-func (s *Subscriber) Run(ctx context.Context, sidecars func() []string, heard func(fleet.Report)) {
+// Run subscribes at the sidecars, whose addresses it asks for, tells them
+// the named versions, and hands on each report, until ctx ends.
+func (s *Subscriber) Run(ctx context.Context, sidecars func() []string, named func() map[string]int, heard func(fleet.Report)) {
 	context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	go s.receive(heard)
 	ticker := time.NewTicker(SubscribeEvery)
 	defer ticker.Stop()
 	for {
+		text, err := json.Marshal(subscribe{Named: named()})
+		if err != nil {
+			panic("loadreport: a subscription does not marshal: " + err.Error())
+		}
 		for _, address := range sidecars() {
 			if to, err := netip.ParseAddrPort(address); err == nil {
-				_, _ = s.conn.WriteToUDPAddrPort([]byte(subscribeText), to) // asked again soon
+				_, _ = s.conn.WriteToUDPAddrPort(text, to) // asked again soon
 			}
 		}
 		select {
