--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -190,7 +190,7 @@
 			server.Maintain(time.Now())
 		}
 	}()
-	return func(ending context.Context) { stopGateway(ending, p, server, callers) }, nil
+	return func(ending context.Context) { stopGateway(ending, p, server, front) }, nil
 }
 
 // watchEndpoints reads the list once the configuration, which says how many
@@ -212,20 +212,38 @@
 	})
 }
 
-// stopGateway lets requests in progress end.
-func stopGateway(ending context.Context, p *platformProcess, server *ingress.Server, callers *http.Server) {
+// stopGateway lets requests in progress end. Resting connections are left
+// to the end of the process: net/http's Shutdown closes them also while a
+// request on one of them is being read, and so loses the request.
+func stopGateway(ending context.Context, p *platformProcess, server *ingress.Server, front net.Listener) {
 	server.StartStopping()
-	select {
-	case <-time.After(drainLead):
-	case <-ending.Done():
+	began := time.Now()
+	quiet := 0
+	for ending.Err() == nil && quiet < quietLooks {
+		time.Sleep(quietLook)
+		if time.Since(began) < drainLead || server.InFlight() > 0 {
+			quiet = 0
+			continue
+		}
+		if quiet == 0 {
+			_ = front.Close()
+		}
+		quiet++
 	}
-	callers.SetKeepAlivesEnabled(false)
-	if err := callers.Shutdown(ending); err != nil {
-		p.events.Info("requests cut off at the end of the grace", "in_flight", server.InFlight())
-		_ = callers.Close()
+	server.Refuse()
+	if n := server.InFlight(); n > 0 {
+		p.events.Info("requests cut off at the end of the grace", "in_flight", n)
 	}
+	time.Sleep(quietLook)
 }
 
+// A stopping gateway ends once quietLooks looks in a row, quietLook apart,
+// have found no request in progress.
+const (
+	quietLook  = 30 * time.Millisecond
+	quietLooks = 8
+)
+
 func (p *platformProcess) serveMetrics() {
 	listener, err := net.Listen("tcp4", p.settings.Internal(p.settings.IP, portMetrics))
 	if err != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -260,6 +260,9 @@
 	Model string
 	// MinVersion is the lowest version that may answer.
 	MinVersion int
+	// SoonVersion is the lowest version that may answer a little later; an
+	// engine below it gets only what it can begin at once.
+	SoonVersion int
 	// Limit is the load up to which an endpoint takes more, or 0 for none.
 	Limit float64
 	// Work is how long an engine reads the request, and UsualWork a usual
@@ -280,9 +283,17 @@
 		return true
 	}
 	holds := e.Holds(q.Model, now)
+	if holds < q.SoonVersion && !e.atOnce(q, now) {
+		return false
+	}
 	return holds > 0 && holds >= q.MinVersion && !(e.fresh(now) && e.report.Busy)
 }
 
+// atOnce reports whether an engine begins a new request without a wait.
+func (e *Endpoint) atOnce(q *Query, now time.Time) bool {
+	return e.fresh(now) && e.report.Queued == 0 && e.unreadCount == 0 && e.Load(now) < q.Slots-2
+}
+
 // open reports whether the endpoint is being left alone.
 func (e *Endpoint) open(now time.Time) bool {
 	return e.strikes > 0 && (now.Before(e.openTill) || e.probing)
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -107,6 +107,7 @@
 		q.Limit += returnedExtra
 	}
 	q.MinVersion = s.minVersion(x.model, now)
+	q.SoonVersion = s.minVersion(x.model, now.Add(cautionLead))
 	return q
 }
 
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -78,6 +78,13 @@
 	if x.id != "" {
 		w.Header().Set(s.settings.Headers.RequestID, x.id)
 	}
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if s.closed.Load() {
+		x.refuse("stopping", comeBackMin)
+		return
+	}
 	if !x.accept() {
 		return
 	}
@@ -401,6 +408,9 @@
 	for _, name := range connectionHeaders {
 		to.Del(name)
 	}
+	if x.server.stopping.Load() {
+		to.Set("Connection", "close")
+	}
 	if _, ok := to["Content-Type"]; !ok {
 		to["Content-Type"] = nil // do not guess one
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -61,6 +61,7 @@
 	routes   routing.Table
 	pool     *upstream.Pool
 	stopping atomic.Bool
+	closed   atomic.Bool
 	inFlight atomic.Int64
 
 	mu       sync.Mutex
@@ -150,11 +151,16 @@
 	return false
 }
 
-// minVersion is the lowest version of model that may start a request.
-func (s *Server) minVersion(model string, now time.Time) int {
+// cautionLead is how long before a version is due older ones get only what
+// they can begin at once.
+const cautionLead = 1500 * time.Millisecond
+
+// minVersion is the lowest version of model that may start a request at a
+// time.
+func (s *Server) minVersion(model string, at time.Time) int {
 	lowest := 0
 	for _, n := range s.versions[model] {
-		if now.After(n.due) {
+		if at.After(n.due) {
 			lowest = n.version
 		}
 	}
@@ -254,9 +260,13 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// StartStopping makes the gateway unready; it goes on serving.
+// StartStopping makes the gateway unready. It goes on serving; each answer
+// asks the caller to use another connection.
 func (s *Server) StartStopping() { s.stopping.Store(true) }
 
+// Refuse turns away every request from now on.
+func (s *Server) Refuse() { s.closed.Store(true) }
+
 // InFlight is the number of requests in progress.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
--- a/installer/pace.go
+++ b/installer/pace.go
@@ -13,7 +13,7 @@
 // Bounds of pacing. A transfer that fills a box's link delays the answers
 // that the engine sends over it, so transfers leave a part of it free.
 const (
-	linkShare = 0.8
+	linkShare = 0.88
 	// paceStep is how much is sent at once, in bytes.
 	paceStep = 4 << 10
 )
--- a/installer/start.go
+++ b/installer/start.go
@@ -15,8 +15,8 @@
 // change at once, so that the others serve meanwhile, and all change before
 // the deadline.
 const (
-	firstTurn = 0.38
-	turnsSpan = 0.34
+	firstTurn = 0.3
+	turnsSpan = 0.32
 )
 
 // Times of a change of version.
@@ -24,7 +24,7 @@
 	// drainTime is how long an engine works on without new requests before
 	// it takes another version. What runs longer is broken off, and goes on
 	// elsewhere where it may.
-	drainTime = 1100 * time.Millisecond
+	drainTime = 1000 * time.Millisecond
 	// changeTime is a drain with the taking of the version.
 	changeTime = drainTime + 400*time.Millisecond
 	// dueMargin is how long before its deadline a version should be served.
