--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -139,8 +139,8 @@
 	headerTimeout  = 10 * time.Second
 	callerIdle     = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
-	// drainLead is how long a stopping gateway takes new connections, until
-	// the platform has seen that it is not ready.
+	// drainLead is how long a stopping gateway takes new requests, until the
+	// platform has seen that it is not ready.
 	drainLead     = 2500 * time.Millisecond
 	maintainEvery = time.Second
 )
@@ -217,24 +217,21 @@
 // request on one of them is being read, and so loses the request.
 func stopGateway(ending context.Context, p *platformProcess, server *ingress.Server, front net.Listener) {
 	server.StartStopping()
-	began := time.Now()
-	quiet := 0
-	for ending.Err() == nil && quiet < quietLooks {
-		time.Sleep(quietLook)
-		if time.Since(began) < drainLead || server.InFlight() > 0 {
+	select {
+	case <-time.After(drainLead):
+	case <-ending.Done():
+	}
+	server.Refuse()
+	_ = front.Close()
+	for quiet := 0; ending.Err() == nil && quiet < quietLooks; quiet++ {
+		if server.InFlight() > 0 {
 			quiet = 0
-			continue
 		}
-		if quiet == 0 {
-			_ = front.Close()
-		}
-		quiet++
+		time.Sleep(quietLook)
 	}
-	server.Refuse()
 	if n := server.InFlight(); n > 0 {
 		p.events.Info("requests cut off at the end of the grace", "in_flight", n)
 	}
-	time.Sleep(quietLook)
 }
 
 // A stopping gateway ends once quietLooks looks in a row, quietLook apart,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -47,7 +47,7 @@
 	reportLife = 900 * time.Millisecond
 	// openMin and openMax bound how long an endpoint that failed is left
 	// alone; the time doubles with each failure in a row.
-	openMin = 300 * time.Millisecond
+	openMin = 400 * time.Millisecond
 	openMax = 4 * time.Second
 	// failureWeight is the share of the newest attempt in failures.
 	failureWeight = 0.12
@@ -85,10 +85,15 @@
 	othersUnread float64
 	report       Report
 	reportAt     time.Time
-	heardAt      time.Time
-	failures     float64 // share of attempts that failed, smoothed
-	strikes      int     // broken connections in a row
-	openTill     time.Time
+	// roundTrip is the last that was measured, to the sidecar and back.
+	roundTrip time.Duration
+	roundAt   time.Time
+	heardAt   time.Time
+	// lag is how much later than expected first bytes came, smoothed.
+	lag      time.Duration
+	failures float64 // share of attempts that failed, smoothed
+	strikes  int     // broken connections in a row
+	openTill time.Time
 	// probing says that one request tries an endpoint that was left alone.
 	probing bool
 }
@@ -196,8 +201,9 @@
 }
 
 // Heard takes a report and returns its endpoint, or nil if the endpoint is
-// not on the list. changed says that version or readiness changed.
-func (f *Fleet) Heard(r Report, now time.Time) (e *Endpoint, changed bool) {
+// not on the list. roundTrip is negative if none was measured. changed says
+// that version or readiness changed.
+func (f *Fleet) Heard(r Report, roundTrip time.Duration, now time.Time) (e *Endpoint, changed bool) {
 	e = f.byAddress[r.Address]
 	if e == nil {
 		return nil, false
@@ -206,6 +212,9 @@
 	e.report = r
 	e.reportAt = now
 	e.heardAt = now
+	if roundTrip >= 0 {
+		e.roundTrip, e.roundAt = roundTrip, now
+	}
 	e.others = math.Max(0, float64(r.Running+r.Queued-e.own))
 	e.othersUnread = math.Max(0, float64(r.Queued-e.unreadCount))
 	return e, changed
@@ -234,6 +243,30 @@
 // SilentFor is how long nothing at all came from the endpoint's box.
 func (e *Endpoint) SilentFor(now time.Time) time.Duration { return now.Sub(e.heardAt) }
 
+// Bounds of what a slow link to an endpoint costs.
+const (
+	roundEvery = 700 * time.Millisecond
+	delayMax   = 400 * time.Millisecond
+	// delayOften is a delay that a working link may show.
+	delayOften = 25 * time.Millisecond
+	// delayHigh is one that a request must not meet near a deadline.
+	delayHigh = 100 * time.Millisecond
+	// lagWeight is the share of the newest attempt in lag, and lagOften what
+	// a working engine may show.
+	lagWeight = 0.3
+	lagOften  = 150 * time.Millisecond
+)
+
+// Delay is what is known of the delay to the endpoint and back, at most
+// delayMax: a link whose answers stay away counts as slow.
+func (e *Endpoint) Delay(now time.Time) time.Duration {
+	if e.roundAt.IsZero() {
+		return 0
+	}
+	missing := now.Sub(e.roundAt) - roundEvery
+	return min(max(e.roundTrip, missing, 0), delayMax)
+}
+
 // Own is the number of attempts of this gateway in progress.
 func (e *Endpoint) Own() int { return e.own }
 
@@ -291,7 +324,7 @@
 
 // atOnce reports whether an engine begins a new request without a wait.
 func (e *Endpoint) atOnce(q *Query, now time.Time) bool {
-	return e.fresh(now) && e.report.Queued == 0 && e.unreadCount == 0 && e.Load(now) < q.Slots-2
+	return e.fresh(now) && e.Delay(now) < delayHigh && e.lag < delayHigh && e.strikes == 0 && e.report.Queued == 0 && e.unreadCount == 0 && e.Load(now) < q.Slots-2
 }
 
 // open reports whether the endpoint is being left alone.
@@ -341,6 +374,12 @@
 	if q.Model == "" {
 		return cost + plainCost*load
 	}
+	if delay := e.Delay(now); delay > delayOften {
+		cost += float64(delay.Milliseconds())
+	}
+	if e.lag > lagOften {
+		cost += float64(min(e.lag, delayMax).Milliseconds())
+	}
 	busy := loadCost*load + e.Backlog(q.UsualWork, now) + q.Work
 	if load >= q.Slots {
 		busy += fullCost * (load - q.Slots + 1)
@@ -358,28 +397,32 @@
 	return e.unread + math.Max(0, others)
 }
 
-// Begun notes that an attempt of so much work has brought its first bytes.
-func (f *Fleet) Begun(e *Endpoint, work float64, now time.Time) {
-	e.heardAt = now
+// Begun notes that an attempt of so much work has brought its first bytes,
+// or that it ended without; late is by how much they came later than
+// expected, or negative if that is not known.
+func (f *Fleet) Begun(e *Endpoint, work float64, late time.Duration, now time.Time) {
 	e.unreadCount--
 	e.unread = math.Max(0, e.unread-work)
 	if e.unreadCount == 0 {
 		e.unread = 0
 	}
+	if late < 0 {
+		return
+	}
+	e.heardAt = now
+	e.lag += time.Duration(lagWeight * float64(late-e.lag))
 }
 
 // Usable counts the endpoints that could take a request, whatever their
-// load, and sums their load and places.
-func (f *Fleet) Usable(q Query, now time.Time) (count int, load, places float64) {
+// load.
+func (f *Fleet) Usable(q Query, now time.Time) int {
+	count := 0
 	for _, e := range f.byService[q.Service] {
-		if !e.usable(&q, now) || e.open(now) {
-			continue
+		if e.usable(&q, now) && !e.open(now) {
+			count++
 		}
-		count++
-		load += e.Load(now)
-		places += q.Limit
 	}
-	return count, load, places
+	return count
 }
 
 // Result is how an attempt ended, for what it says of the endpoint.
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -101,7 +101,7 @@
 	q.Model = x.model
 	q.Slots = float64(service.Engine.Slots)
 	q.Work = x.work
-	q.UsualWork = readMillis(service.Engine, service.Engine.UsualPrompt)
+	q.UsualWork = x.usual
 	q.Limit = float64(service.Engine.Slots + engineExtra)
 	if x.returned || x.attempts > 0 {
 		q.Limit += returnedExtra
@@ -151,7 +151,7 @@
 		if ctx.Err() == nil {
 			return e
 		}
-		s.fleet.Begun(e, x.work, time.Now())
+		s.fleet.Begun(e, x.work, unknownLate, time.Now())
 		s.fleet.End(e, fleet.Abandoned, time.Now())
 		s.dispatch(x.service, time.Now())
 	default:
@@ -200,7 +200,7 @@
 // comeBack is when a refused caller should try again.
 func (s *Server) comeBack(x *exchange) time.Duration {
 	s.mu.Lock()
-	usable, _, _ := s.fleet.Usable(s.query(x, time.Now()), time.Now())
+	usable := s.fleet.Usable(s.query(x, time.Now()), time.Now())
 	s.mu.Unlock()
 	after := comeBackMin + time.Duration(rand.Float64()*float64(comeBackRange))
 	if usable == 0 {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -43,6 +43,12 @@
 
 	// work is how long an engine reads the prompt, in milliseconds.
 	work float64
+	// usual is the same of a usual prompt.
+	usual float64
+	// sent is when the attempt in progress was sent, and expected how long it
+	// should take to its first bytes.
+	sent     time.Time
+	expected time.Duration
 	// begun says that the attempt in progress has brought bytes.
 	begun bool
 
@@ -197,6 +203,7 @@
 			tokens = engine.UsualPrompt
 		}
 		x.work = readMillis(engine, tokens)
+		x.usual = readMillis(engine, engine.UsualPrompt)
 		h.Set(names.Priority, strconv.Itoa(min(max(x.priority, 0), maxPriority)))
 	}
 }
@@ -309,13 +316,19 @@
 	now := time.Now()
 	s.mu.Lock()
 	if !x.begun {
-		s.fleet.Begun(e, x.work, now)
+		s.fleet.Begun(e, x.work, unknownLate, now)
 	}
 	s.fleet.End(e, result, now)
 	s.dispatch(x.service, now)
 	s.mu.Unlock()
 }
 
+// unknownLate says that an attempt brought no bytes.
+const unknownLate = time.Duration(-1)
+
+// usualPass is what an engine takes for a pass beside reading prompts.
+const usualPass = 120 * time.Millisecond
+
 // begin tells the fleet that the attempt at e has brought bytes.
 func (x *exchange) begin(e *fleet.Endpoint) {
 	if x.begun {
@@ -324,7 +337,9 @@
 	x.begun = true
 	s := x.server
 	s.mu.Lock()
-	s.fleet.Begun(e, x.work, time.Now())
+	now := time.Now()
+	late := now.Sub(x.sent) - x.expected
+	s.fleet.Begun(e, x.work, max(late, 0), now)
 	s.mu.Unlock()
 }
 
@@ -333,11 +348,13 @@
 	s := x.server
 	now := time.Now()
 	s.mu.Lock()
-	backlog := e.Backlog(0, now)
+	backlog, delay := e.Backlog(x.usual, now), e.Delay(now)
+	x.sent = now
+	x.expected = usualPass + time.Duration((backlog+x.work)*float64(time.Millisecond))
 	load, age, holds, lowest := e.Load(now), e.ReportAge(now), e.Holds(x.model, now), s.minVersion(x.model, now)
 	s.mu.Unlock()
 	s.log.Info("attempt", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "service", x.service,
-		"load", load, "backlog_ms", int(backlog), "work_ms", int(x.work), "report_ms", age.Milliseconds(), "holds", holds, "min_version", lowest, "at_ms", now.Sub(x.start).Milliseconds())
+		"load", load, "backlog_ms", int(backlog), "work_ms", int(x.work), "report_ms", age.Milliseconds(), "delay_ms", delay.Milliseconds(), "holds", holds, "min_version", lowest, "at_ms", now.Sub(x.start).Milliseconds())
 }
 
 // close ends the request in logs and metrics.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -153,7 +153,7 @@
 
 // cautionLead is how long before a version is due older ones get only what
 // they can begin at once.
-const cautionLead = 1500 * time.Millisecond
+const cautionLead = 2500 * time.Millisecond
 
 // minVersion is the lowest version of model that may start a request at a
 // time.
@@ -197,12 +197,12 @@
 	}
 }
 
-// Heard takes an engine's report.
-func (s *Server) Heard(r fleet.Report) {
+// Heard takes an engine's report; roundTrip is as for fleet.Fleet.
+func (s *Server) Heard(r fleet.Report, roundTrip time.Duration) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, changed := s.fleet.Heard(r, now)
+	e, changed := s.fleet.Heard(r, roundTrip, now)
 	if e == nil {
 		return
 	}
--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -30,18 +30,28 @@
 	defer cancel()
 	i.join(ctx, w, r)
 	ended := make(chan struct{}, 1)
+	flying := 0 // under Installer.mu
 	for ctx.Err() == nil && !i.complete(r) {
 		if i.doubtful(r) {
 			i.forget(r)
 			return false
 		}
 		i.mu.Lock()
-		p := r.swarm.Next(time.Now())
+		p := transfer.Pull{Wait: busyWait}
+		if flying < i.parallel(r) {
+			p = r.swarm.Next(time.Now())
+		}
 		has := r.swarm.Wants()
+		if p.Kind != transfer.None {
+			flying++
+		}
 		i.mu.Unlock()
 		if p.Kind != transfer.None {
 			go func() {
 				i.pull(ctx, r, p, has)
+				i.mu.Lock()
+				flying--
+				i.mu.Unlock()
 				select {
 				case ended <- struct{}{}:
 				default:
@@ -125,6 +135,27 @@
 	}
 }
 
+// Bounds of the pulls under way at once. What is under way queues at a
+// narrow link ahead of the requests and answers of the engine, so that a
+// link that turns out narrow gets a single one.
+const (
+	pullsAtOnce = 3
+	narrow      = 5
+	busyWait    = 15 * time.Millisecond
+)
+
+// parallel is how many pulls may be under way; Installer.mu is held.
+func (i *Installer) parallel(r *replica) int {
+	if i.settings.LinkRate <= 0 {
+		return pullsAtOnce
+	}
+	usual := time.Duration(pullsAtOnce * float64(r.manifest.ChunkBytes) / i.settings.LinkRate * float64(time.Second))
+	if r.swarm.ChunkTime() > narrow*usual {
+		return 1
+	}
+	return pullsAtOnce
+}
+
 // takeOver is how long each further rank waits for a silent one.
 const takeOver = 1000 * time.Millisecond
 
--- a/installer/peers.go
+++ b/installer/peers.go
@@ -48,8 +48,11 @@
 	smallTimeout  = time.Second
 	maxManifest   = 4 << 20
 	maxChunkBytes = 16 << 20
-	// uploadsWaiting may wait for one of transfer.UploadSlots.
+	// uploadsWaiting may wait for one of uploadsAtOnce.
 	uploadsWaiting = 3
+	// uploadsAtOnce bounds the chunks that are sent at once, for the same
+	// reason as pullsAtOnce.
+	uploadsAtOnce = 3
 )
 
 // peerClient calls other sidecars.
@@ -197,8 +200,8 @@
 
 // Handler serves other sidecars.
 func (i *Installer) Handler() http.Handler {
-	uploads := make(chan struct{}, transfer.UploadSlots)
-	waiting := make(chan struct{}, transfer.UploadSlots+uploadsWaiting)
+	uploads := make(chan struct{}, uploadsAtOnce)
+	waiting := make(chan struct{}, uploadsAtOnce+uploadsWaiting)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathManifest, i.serveManifest)
 	mux.HandleFunc("GET "+pathHeld, i.serveHeld)
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -25,7 +25,7 @@
 // Timing.
 const (
 	// SubscribeEvery is how often a gateway subscribes.
-	SubscribeEvery = time.Second
+	SubscribeEvery = 500 * time.Millisecond
 	// subscription is how long one subscription lasts.
 	subscription = 3500 * time.Millisecond
 	// repeatEvery is how often an unchanged report is sent.
@@ -37,6 +37,15 @@
 // versions along, for a sidecar that the store does not reach.
 type subscribe struct {
 	Named map[string]int `json:"named"`
+	// Stamp is the sender's own time, in microseconds; the answer echoes it.
+	Stamp int64 `json:"stamp"`
+}
+
+// message is the datagram of a report.
+type message struct {
+	fleet.Report
+	// Echo is the stamp of the subscription that is answered, or 0.
+	Echo int64 `json:"e,omitempty"`
 }
 
 // Publisher sends reports from a sidecar.
@@ -76,19 +85,20 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		var message subscribe
-		if err != nil || json.Unmarshal(buffer[:n], &message) != nil {
+		var asked subscribe
+		if err != nil || json.Unmarshal(buffer[:n], &asked) != nil {
 			continue
 		}
-		for model, version := range message.Named {
+		for model, version := range asked.Named {
 			named(model, version)
 		}
 		p.mu.Lock()
-		if _, known := p.subs[from]; !known {
-			p.sent = time.Time{}
-		}
 		p.subs[from] = time.Now()
+		last := p.last
 		p.mu.Unlock()
+		if last.Address != "" {
+			p.send(message{Report: last, Echo: asked.Stamp}, from)
+		}
 	}
 }
 
@@ -101,24 +111,38 @@
 	}
 	p.last = r
 	p.sent = now
-	data, err := json.Marshal(r)
-	if err != nil {
-		panic("loadreport: a report does not marshal: " + err.Error())
-	}
 	for to, since := range p.subs {
 		if now.Sub(since) > subscription {
 			delete(p.subs, to)
 			continue
 		}
-		_, _ = p.conn.WriteToUDPAddrPort(data, to) // a lost report is followed by another
+		p.send(message{Report: r}, to)
+	}
+}
+
+func (p *Publisher) send(m message, to netip.AddrPort) {
+	data, err := json.Marshal(m)
+	if err != nil {
+		panic("loadreport: a report does not marshal: " + err.Error())
 	}
+	_, _ = p.conn.WriteToUDPAddrPort(data, to) // a lost report is followed by another
 }
 
 // Close ends the publisher.
 func (p *Publisher) Close() error { return p.conn.Close() }
 
 // Subscriber receives reports at a gateway.
-type Subscriber struct{ conn *net.UDPConn }
+type Subscriber struct {
+	conn  *net.UDPConn
+	began time.Time
+}
+
+// stamp is the subscriber's own time, in microseconds.
+func (s *Subscriber) stamp() int64 { return time.Since(s.began).Microseconds() }
+
+// Heard takes a report. roundTrip is the time from a subscription to this
+// answer, or negative if the report answers none.
+type Heard func(r fleet.Report, roundTrip time.Duration)
 
 // NewSubscriber listens for reports at address.
 func NewSubscriber(address string) (*Subscriber, error) {
@@ -126,18 +150,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Subscriber{conn: conn}, nil
+	return &Subscriber{conn: conn, began: time.Now()}, nil
 }
 
 // Run subscribes at the sidecars, whose addresses it asks for, tells them
 // the named versions, and hands on each report, until ctx ends.
-func (s *Subscriber) Run(ctx context.Context, sidecars func() []string, named func() map[string]int, heard func(fleet.Report)) {
+func (s *Subscriber) Run(ctx context.Context, sidecars func() []string, named func() map[string]int, heard Heard) {
 	context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	go s.receive(heard)
 	ticker := time.NewTicker(SubscribeEvery)
 	defer ticker.Stop()
 	for {
-		text, err := json.Marshal(subscribe{Named: named()})
+		text, err := json.Marshal(subscribe{Named: named(), Stamp: s.stamp()})
 		if err != nil {
 			panic("loadreport: a subscription does not marshal: " + err.Error())
 		}
@@ -154,17 +178,21 @@
 	}
 }
 
-func (s *Subscriber) receive(heard func(fleet.Report)) {
+func (s *Subscriber) receive(heard Heard) {
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		var r fleet.Report
-		if err != nil || json.Unmarshal(buffer[:n], &r) != nil || r.Address == "" {
+		var m message
+		if err != nil || json.Unmarshal(buffer[:n], &m) != nil || m.Address == "" {
 			continue
 		}
-		heard(r)
+		roundTrip := time.Duration(-1)
+		if m.Echo > 0 {
+			roundTrip = time.Duration(s.stamp()-m.Echo) * time.Microsecond
+		}
+		heard(m.Report, roundTrip)
 	}
 }
--- a/transfer/results.go
+++ b/transfer/results.go
@@ -61,6 +61,9 @@
 	return min(max(stallFactor*s.chunkTime, stallMin), stallMax)
 }
 
+// ChunkTime is the smoothed time that a chunk takes, or 0 before the first.
+func (s *Swarm) ChunkTime() time.Duration { return s.chunkTime }
+
 // Nothing says that the peer held nothing of use.
 func (s *Swarm) Nothing(p Pull, k Knowledge, now time.Time) {
 	s.end(p)
