--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,180 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+const model = "m"
+
+func engines(n int) *Fleet {
+	f := New("z")
+	for i := range n {
+		id := string(rune('a' + i))
+		f.Put(Record{ID: id, Service: "s", Address: id + ":1", Zone: "z", Models: map[string]int{model: 1}})
+	}
+	return f
+}
+
+func query() Query {
+	return Query{Service: "s", Model: model, Slots: 4, Limit: 5, Work: 50, UsualWork: 50}
+}
+
+func report(id string, version, running, queued int) Report {
+	return Report{Address: id + ":1", Model: model, Version: version, Running: running, Queued: queued}
+}
+
+func chosen(f *Fleet, q Query, now time.Time) string {
+	e := f.Choose(q, now)
+	if e == nil {
+		return ""
+	}
+	return e.ID
+}
+
+func TestChooseSpreadsUnreadPrompts(t *testing.T) {
+	f := engines(3)
+	seen := map[string]int{}
+	for range 6 {
+		seen[chosen(f, query(), start)]++
+	}
+	assert.DeepEqual(t, seen, map[string]int{"a": 2, "b": 2, "c": 2})
+}
+
+func TestChooseHeedsOthersBacklog(t *testing.T) {
+	f := engines(2)
+	f.Heard(report("a", 1, 0, 3), 0, start)
+	f.Heard(report("b", 1, 2, 0), 0, start)
+	assert.Equal(t, chosen(f, query(), start), "b")
+}
+
+func TestChooseStopsAtLimit(t *testing.T) {
+	f := engines(1)
+	f.Heard(report("a", 1, 5, 0), 0, start)
+	assert.Equal(t, chosen(f, query(), start), "")
+	f.Heard(report("a", 1, 4, 0), 0, start)
+	assert.Equal(t, chosen(f, query(), start), "a")
+	assert.Equal(t, chosen(f, query(), start), "", "own attempts count at once")
+}
+
+func TestDrainingAndGoneGetNothing(t *testing.T) {
+	f := engines(2)
+	f.Put(Record{ID: "a", Service: "s", Address: "a:1", Draining: true, Models: map[string]int{model: 1}})
+	f.Remove("b")
+	assert.Equal(t, chosen(f, query(), start), "")
+}
+
+func TestBusyEngineGetsNothing(t *testing.T) {
+	f := engines(1)
+	r := report("a", 1, 0, 0)
+	r.Busy = true
+	f.Heard(r, 0, start)
+	assert.Equal(t, chosen(f, query(), start), "")
+}
+
+func TestEmptyEngineGetsNothing(t *testing.T) {
+	f := New("z")
+	f.Put(Record{ID: "a", Service: "s", Address: "a:1"})
+	assert.Equal(t, chosen(f, query(), start), "")
+	f.Heard(report("a", 1, 0, 0), 0, start)
+	assert.Equal(t, chosen(f, query(), start), "a")
+}
+
+func TestVersionThatIsDue(t *testing.T) {
+	f := engines(2)
+	f.Heard(report("b", 2, 4, 0), 0, start)
+	q := query()
+	q.MinVersion = 2
+	assert.Equal(t, chosen(f, q, start), "b")
+	assert.Equal(t, chosen(f, q, start), "", "b is full, and a holds version 1")
+}
+
+// Near a deadline an older engine gets only what it can begin at once.
+func TestVersionThatIsDueSoon(t *testing.T) {
+	q := query()
+	q.SoonVersion = 2
+	for _, test := range []struct {
+		name      string
+		report    Report
+		roundTrip time.Duration
+		want      string
+	}{
+		{"idle", report("a", 1, 0, 0), time.Millisecond, "a"},
+		{"queue", report("a", 1, 0, 1), time.Millisecond, ""},
+		{"nearly full", report("a", 1, 3, 0), time.Millisecond, ""},
+		{"slow link", report("a", 1, 0, 0), 200 * time.Millisecond, ""},
+		{"new version", report("a", 2, 3, 1), 200 * time.Millisecond, "a"},
+	} {
+		f := engines(1)
+		f.Heard(test.report, test.roundTrip, start)
+		assert.Equal(t, chosen(f, q, start), test.want, test.name)
+	}
+	f := engines(1)
+	assert.Equal(t, chosen(f, q, start), "", "an engine that was not heard lately")
+	f.Heard(report("a", 1, 0, 0), time.Millisecond, start)
+	e := f.Choose(q, start)
+	f.Begun(e, q.Work, time.Second, start)
+	f.End(e, Answered, start)
+	assert.Equal(t, chosen(f, q, start), "", "its last first bytes came late")
+}
+
+func TestBrokenEndpointIsLeftAloneThenTried(t *testing.T) {
+	f := engines(1)
+	e := f.Choose(query(), start)
+	f.Begun(e, 50, -1, start)
+	f.End(e, Broken, start)
+	assert.Equal(t, chosen(f, query(), start.Add(openMin/2)), "")
+	later := start.Add(openMin + time.Millisecond)
+	e = f.Choose(query(), later)
+	assert.Assert(t, e != nil, "one request tries it")
+	assert.Equal(t, chosen(f, query(), later), "", "and only one")
+	f.Begun(e, 50, 0, later)
+	f.End(e, Answered, later)
+	assert.Equal(t, chosen(f, query(), later), "a")
+}
+
+func TestFailingEndpointIsAvoided(t *testing.T) {
+	f := engines(2)
+	for range 10 {
+		e := f.byID["a"]
+		e.own++
+		f.End(e, Failed, start)
+	}
+	for range 3 {
+		assert.Equal(t, chosen(f, query(), start), "b")
+	}
+}
+
+func TestAddressReuse(t *testing.T) {
+	f := engines(1)
+	f.Put(Record{ID: "new", Service: "other", Address: "a:1"})
+	assert.Equal(t, chosen(f, query(), start), "")
+	assert.Equal(t, len(f.Endpoints("s")), 0)
+	f.Remove("a") // the old one's removal comes late
+	e, _ := f.Heard(report("a", 1, 0, 0), 0, start)
+	assert.Equal(t, e.ID, "new")
+}
+
+func TestSlowLinkIsAvoided(t *testing.T) {
+	f := engines(2)
+	f.Heard(report("a", 1, 0, 0), 300*time.Millisecond, start)
+	f.Heard(report("b", 1, 2, 0), time.Millisecond, start)
+	assert.Equal(t, chosen(f, query(), start), "b")
+	assert.Assert(t, f.byID["b"].Delay(start.Add(2*time.Second)) >= 400*time.Millisecond, "answers that stay away")
+}
+
+func TestReplace(t *testing.T) {
+	f := engines(2)
+	e := f.Choose(Query{Service: "s", Model: model, Exclude: map[string]bool{"b": true}}, start)
+	f.Replace([]Record{{ID: "a", Service: "s", Address: "a:1", Models: map[string]int{model: 1}}, {ID: "c", Service: "s", Address: "c:1"}})
+	assert.Equal(t, f.Len(), 2)
+	assert.Equal(t, f.byID["a"].Own(), 1, "what is known of an endpoint stays")
+	f.Remove("a")
+	f.End(e, Answered, start) // an attempt may end after its endpoint is gone
+}
--- /dev/null
+++ b/ingress/stream_test.go
@@ -0,0 +1,198 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/fleet"
+)
+
+const last = 6
+
+// resumes serves the first request by one handler, and later ones by
+// another, whichever endpoint they reach.
+func resumes(w *world, first, later handler) {
+	h := func(rw http.ResponseWriter, r *http.Request) {
+		if len(w.requests()) == 1 {
+			first(rw, r)
+			return
+		}
+		later(rw, r)
+	}
+	w.endpoint("a", "engine", h)
+	w.endpoint("b", "engine", h)
+}
+
+func TestStreamPasses(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.endpoint("a", "engine", events(last, last))
+	r, body := w.get("POST", "/stream/1", "x", with(names.TokenUsage, "1000,50"))
+	assert.Equal(t, r.StatusCode, http.StatusOK)
+	assert.Equal(t, r.Header.Get(names.Seal), "seal-a")
+	assert.Equal(t, body, wholeStream(last))
+	assert.Equal(t, w.requests()[0].header.Get(names.Priority), "1")
+}
+
+// Events are passed on as they come.
+func TestEventsAreNotHeld(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	release := make(chan struct{})
+	w.endpoint("a", "engine", func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set(names.Seal, "s")
+		_, _ = io.WriteString(rw, "id: 1\ndata: x\n\n")
+		rw.(http.Flusher).Flush()
+		<-release
+	})
+	response, err := w.ask(context.Background(), "POST", "/stream/1", "x")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	line, err := bufio.NewReader(response.Body).ReadString('\n')
+	assert.NilError(t, err)
+	assert.Equal(t, line, "id: 1\n")
+	close(release)
+}
+
+// A stream that breaks off, within an event or between two, goes on at
+// another endpoint: whole, once, and under the head of the first.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	for _, upTo := range []int{0, 1, 3, last - 1} {
+		w := newWorld(t)
+		w.configure(1)
+		resumes(w, events(upTo, last), events(last, last))
+		r, body := w.get("POST", "/stream/1", "x")
+		assert.Equal(t, body, wholeStream(last))
+		got := w.requests()
+		assert.Equal(t, len(got), 2)
+		assert.Assert(t, got[0].endpoint != got[1].endpoint)
+		if upTo > 0 {
+			assert.Equal(t, r.Header.Get(names.Seal), "seal-"+got[0].endpoint)
+			assert.Equal(t, got[1].header.Get("Last-Event-Id"), string(rune('0'+upTo)))
+		}
+	}
+}
+
+func TestCallerResumes(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.endpoint("a", "engine", events(last, last))
+	_, body := w.get("POST", "/stream/1", "x", with("Last-Event-Id", "4"))
+	assert.Equal(t, w.requests()[0].header.Get("Last-Event-Id"), "4")
+	assert.Equal(t, body, "id: 5\ndata: token 5\n\nid: 6\ndata: token 6\n\n")
+}
+
+// A stream that cannot go on must not look complete.
+func TestBrokenStreamLooksBroken(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.endpoint("a", "engine", events(3, last))
+	response, err := w.ask(context.Background(), "POST", "/stream/1", "x")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	assert.Equal(t, err, io.ErrUnexpectedEOF)
+}
+
+// Events that do not follow the last one are not passed on.
+func TestGapIsNotPassedOn(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	resumes(w, func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set(names.Seal, "s")
+		_, _ = io.WriteString(rw, "id: 1\ndata: token 1\n\nid: 3\ndata: token 3\n\n")
+	}, events(last, last))
+	_, body := w.get("POST", "/stream/1", "x")
+	assert.Equal(t, body, wholeStream(last))
+}
+
+// An endpoint that sends again what the caller has does not double it.
+func TestRepeatedEventsAreLeftOut(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	resumes(w, events(3, last), func(rw http.ResponseWriter, r *http.Request) {
+		r.Header.Del("Last-Event-Id")
+		events(last, last)(rw, r)
+	})
+	_, body := w.get("POST", "/stream/1", "x")
+	assert.Equal(t, body, wholeStream(last))
+}
+
+// A stream whose endpoint is not heard of any more goes on elsewhere before
+// the caller gives it up.
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	resumes(w, func(rw http.ResponseWriter, r *http.Request) {
+		events(3, 3)(rw, r)
+		<-r.Context().Done()
+	}, events(last, last))
+	began := time.Now()
+	_, body := w.get("POST", "/stream/1", "x")
+	assert.Equal(t, body, wholeStream(last))
+	assert.Assert(t, time.Since(began) < 1900*time.Millisecond, "took %s", time.Since(began))
+}
+
+func TestVersionDeadline(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.endpoint("a", "engine", events(last, last))
+	now := time.Now()
+	w.server.NameVersion(model, 2, false, now.Add(-w.server.settings.VersionDeadline))
+	r, _ := w.get("POST", "/stream/1", "x")
+	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable, "the only engine holds an older version")
+	newer := w.records["a"]
+	newer.Models = map[string]int{model: 2}
+	w.server.PutEndpoint(newer)
+	r, _ = w.get("POST", "/stream/1", "x")
+	assert.Equal(t, r.StatusCode, http.StatusOK)
+}
+
+// A gateway that starts amid a rollout does not know how old the naming
+// is: where an engine holds the version, only such engines may start.
+func TestVersionOfUnknownAge(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.endpoint("a", "engine", events(last, last))
+	w.server.NameVersion(model, 2, true, time.Now())
+	r, _ := w.get("POST", "/stream/1", "x")
+	assert.Equal(t, r.StatusCode, http.StatusOK, "no engine holds it yet")
+
+	w = newWorld(t)
+	w.configure(1)
+	w.endpoint("a", "engine", events(last, last))
+	w.server.Heard(fleet.Report{Address: w.records["a"].Address, Model: model, Version: 1}, 0)
+	w.endpoint("b", "engine", events(last, last))
+	w.server.Heard(fleet.Report{Address: w.records["b"].Address, Model: model, Version: 2}, 0)
+	w.server.NameVersion(model, 2, true, time.Now().Add(-time.Millisecond))
+	for range 5 {
+		w.get("POST", "/stream/1", "x")
+	}
+	for _, got := range w.requests() {
+		assert.Equal(t, got.endpoint, "b")
+	}
+}
+
+// Waiting requests are served by rank as soon as there is room.
+func TestWaitingRequestGetsRoom(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.endpoint("a", "engine", events(last, last))
+	full := fleet.Report{Address: w.records["a"].Address, Model: model, Version: 1, Running: 5}
+	w.server.Heard(full, 0)
+	time.AfterFunc(40*time.Millisecond, func() {
+		full.Running = 1
+		w.server.Heard(full, 0)
+	})
+	r, body := w.get("POST", "/stream/1", "x")
+	assert.Equal(t, r.StatusCode, http.StatusOK)
+	assert.Equal(t, body, wholeStream(last))
+}
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -368,12 +368,7 @@
 	if m == nil {
 		return nil
 	}
-	r := &replica{
-		manifest: m,
-		chunks:   make([][]byte, len(m.Digests)),
-		held:     bitset.New(uint(len(m.Digests))),
-		picker:   transfer.NewPicker(len(m.Digests), xxhash.Sum64String(i.settings.Box)),
-	}
+	r := newReplica(m, i.settings.Box)
 	i.readStage(ctx, r)
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -384,6 +379,16 @@
 	return r
 }
 
+// newReplica returns an empty copy at box.
+func newReplica(m *Manifest, box string) *replica {
+	return &replica{
+		manifest: m,
+		chunks:   make([][]byte, len(m.Digests)),
+		held:     bitset.New(uint(len(m.Digests))),
+		picker:   transfer.NewPicker(len(m.Digests), xxhash.Sum64String(box)),
+	}
+}
+
 // readStage takes the chunks that lie ready and fit.
 func (i *Installer) readStage(ctx context.Context, r *replica) {
 	for n := range r.chunks {
--- /dev/null
+++ b/installer/installer_test.go
@@ -0,0 +1,350 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package installer
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/telemetry"
+)
+
+const (
+	testModel  = "m"
+	testChunks = 16
+	testBytes  = 4096
+)
+
+func chunkOf(version, n int) []byte {
+	out := make([]byte, testBytes)
+	for at := 0; at < len(out); at += 8 {
+		binary.BigEndian.PutUint64(out[at:], uint64(version)<<32|uint64(n)<<16|uint64(at))
+	}
+	return out
+}
+
+func manifestOf(version int) *Manifest {
+	m := &Manifest{Model: testModel, Version: version, ChunkBytes: testBytes}
+	for n := range testChunks {
+		m.Digests = append(m.Digests, sha256.Sum256(chunkOf(version, n)))
+	}
+	return m
+}
+
+// fakeEngine takes what lies ready, and notes when that was not whole.
+type fakeEngine struct {
+	mu      sync.Mutex
+	state   EngineState
+	stage   [testChunks][]byte
+	started []int
+	mixed   bool
+	running int
+	cut     int
+}
+
+func (e *fakeEngine) State(context.Context) (EngineState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.state
+	s.Running = e.running
+	return s, nil
+}
+
+func (e *fakeEngine) Put(_ context.Context, _ string, chunk int, data []byte) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stage[chunk] = bytes.Clone(data)
+	return nil
+}
+
+func (e *fakeEngine) Get(_ context.Context, _ string, chunk int) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return bytes.Clone(e.stage[chunk]), nil
+}
+
+func (e *fakeEngine) Start(_ context.Context, _ string, version int, cut bool) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for n := range testChunks {
+		e.mixed = e.mixed || !bytes.Equal(e.stage[n], chunkOf(version, n))
+	}
+	e.started = append(e.started, version)
+	e.state.Version, e.state.Model = version, testModel
+	e.state.Orders++
+	if cut {
+		e.cut += e.running
+		e.running = 0
+	}
+	return nil
+}
+
+// holds lays a version ready and loads it.
+func (e *fakeEngine) holds(version int) {
+	for n := range testChunks {
+		e.stage[n] = chunkOf(version, n)
+	}
+	e.state = EngineState{Model: testModel, Version: version}
+}
+
+// fakeOrigin counts what it sends, and may spoil it.
+type fakeOrigin struct {
+	mu    sync.Mutex
+	sent  int
+	down  bool
+	spoil func(sent int) bool
+	// badManifests are the first so many manifests that come spoilt.
+	badManifests int
+	delay        time.Duration
+}
+
+func (o *fakeOrigin) Manifest(_ context.Context, _ string, version int) (*Manifest, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return nil, errors.New("down")
+	}
+	m := manifestOf(version)
+	if o.badManifests > 0 {
+		o.badManifests--
+		for n := range m.Digests {
+			m.Digests[n][0] ^= 1
+		}
+	}
+	return m, nil
+}
+
+func (o *fakeOrigin) Chunk(_ context.Context, _ string, version, n int) ([]byte, error) {
+	time.Sleep(o.delay)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return nil, errors.New("down")
+	}
+	o.sent++
+	data := chunkOf(version, n)
+	if o.spoil != nil && o.spoil(o.sent) {
+		data[7] ^= 1
+	}
+	return data, nil
+}
+
+// cluster are installers that know each other.
+type cluster struct {
+	t          *testing.T
+	origin     *fakeOrigin
+	engines    []*fakeEngine
+	installers []*Installer
+	peers      []Peer
+	cancels    []context.CancelFunc
+}
+
+func newCluster(t *testing.T, n, regions int, deadline time.Duration, prepare func(i int, e *fakeEngine)) *cluster {
+	t.Helper()
+	c := &cluster{t: t, origin: &fakeOrigin{}}
+	for k := range n {
+		e := &fakeEngine{}
+		if prepare != nil {
+			prepare(k, e)
+		}
+		region := fmt.Sprint("r", k%regions)
+		box := fmt.Sprint("box", k)
+		i := New(Settings{Box: box, Region: region, Zone: region}, e, c.origin,
+			func(context.Context) ([]Peer, error) { return c.peers, nil }, logr.Discard(), telemetry.NewMetrics())
+		s := httptest.NewServer(i.Handler())
+		t.Cleanup(s.Close)
+		c.engines = append(c.engines, e)
+		c.installers = append(c.installers, i)
+		c.peers = append(c.peers, Peer{Box: box, Address: strings.TrimPrefix(s.URL, "http://"), Region: region, Zone: region})
+	}
+	for k := range n {
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		c.cancels = append(c.cancels, cancel)
+		c.installers[k].Configure(Params{Model: testModel, Chunks: testChunks, ChunkBytes: testBytes, OriginRate: 1 << 20, OriginRegion: "r0", Deadline: deadline})
+		go c.installers[k].Run(ctx)
+		go func() {
+			for ctx.Err() == nil {
+				s, _ := c.engines[k].State(ctx)
+				c.installers[k].Heard(s)
+				time.Sleep(5 * time.Millisecond)
+			}
+		}()
+	}
+	return c
+}
+
+func (c *cluster) name(version int) {
+	for _, i := range c.installers {
+		i.Name(testModel, version, false)
+	}
+}
+
+func (c *cluster) await(version int, among ...int) {
+	c.t.Helper()
+	if len(among) == 0 {
+		for k := range c.engines {
+			among = append(among, k)
+		}
+	}
+	deadline := time.Now().Add(20 * time.Second)
+	for _, k := range among {
+		for {
+			s, _ := c.engines[k].State(context.Background())
+			if s.Version == version {
+				break
+			}
+			assert.Assert(c.t, time.Now().Before(deadline), "engine %d holds %d", k, s.Version)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+func (c *cluster) check() {
+	c.t.Helper()
+	for k, e := range c.engines {
+		e.mu.Lock()
+		assert.Assert(c.t, !e.mixed, "engine %d took chunks that are not its version's", k)
+		e.mu.Unlock()
+	}
+}
+
+func holding(version int) func(int, *fakeEngine) {
+	return func(_ int, e *fakeEngine) { e.holds(version) }
+}
+
+func TestNamedVersionReachesAll(t *testing.T) {
+	c := newCluster(t, 6, 3, 500*time.Millisecond, holding(1))
+	c.name(2)
+	c.await(2)
+	c.check()
+	assert.Assert(t, c.origin.sent <= testChunks*3/2, "the origin sent %d chunks for %d", c.origin.sent, testChunks)
+}
+
+func TestEmptyEngineIsFilledByPeers(t *testing.T) {
+	c := newCluster(t, 4, 1, 500*time.Millisecond, func(k int, e *fakeEngine) {
+		if k > 0 {
+			e.holds(1)
+		}
+	})
+	c.await(1)
+	c.check()
+	assert.Assert(t, c.origin.sent <= testChunks/2, "the origin sent %d chunks", c.origin.sent)
+}
+
+func TestSpoiltChunksAreNotTaken(t *testing.T) {
+	c := newCluster(t, 3, 1, 300*time.Millisecond, holding(1))
+	c.origin.spoil = func(sent int) bool { return sent%3 == 0 }
+	c.name(2)
+	c.await(2)
+	c.check()
+}
+
+func TestSpoiltManifestIsFetchedAgain(t *testing.T) {
+	c := newCluster(t, 1, 1, 300*time.Millisecond, holding(1))
+	time.Sleep(50 * time.Millisecond)
+	c.origin.mu.Lock()
+	c.origin.badManifests = 1
+	c.origin.mu.Unlock()
+	c.name(2)
+	c.await(2)
+	c.check()
+}
+
+// What lies beside the engine may turn bad until the very start.
+func TestRottenChunkIsLaidAgain(t *testing.T) {
+	c := newCluster(t, 1, 1, 900*time.Millisecond, holding(1))
+	c.name(2)
+	time.Sleep(100 * time.Millisecond)
+	e := c.engines[0]
+	e.mu.Lock()
+	e.stage[3] = []byte("rotten")
+	e.stage[4] = nil
+	e.mu.Unlock()
+	c.await(2)
+	c.check()
+}
+
+func TestOriginDownForAWhile(t *testing.T) {
+	c := newCluster(t, 2, 1, 300*time.Millisecond, holding(1))
+	c.origin.down = true
+	c.name(2)
+	time.Sleep(300 * time.Millisecond)
+	c.origin.mu.Lock()
+	c.origin.down = false
+	c.origin.mu.Unlock()
+	c.await(2)
+	c.check()
+}
+
+func TestNewerVersionSupersedes(t *testing.T) {
+	c := newCluster(t, 4, 2, 600*time.Millisecond, holding(1))
+	c.origin.delay = 5 * time.Millisecond
+	c.name(2)
+	time.Sleep(20 * time.Millisecond)
+	c.name(3)
+	c.await(3)
+	c.check()
+	for k, e := range c.engines {
+		e.mu.Lock()
+		for at := 1; at < len(e.started); at++ {
+			assert.Assert(t, e.started[at] > e.started[at-1], "engine %d started %v", k, e.started)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// A box that dies amid a transfer does not keep the others from the
+// version.
+func TestPeerDies(t *testing.T) {
+	c := newCluster(t, 4, 1, 300*time.Millisecond, holding(1))
+	c.origin.delay = 3 * time.Millisecond
+	c.name(2)
+	time.Sleep(15 * time.Millisecond)
+	c.cancels[0]()
+	c.await(2, 1, 2, 3)
+	c.check()
+}
+
+// An engine is drained before it changes its version, and what runs longer
+// is broken off rather than waited for.
+func TestDrainThenCut(t *testing.T) {
+	c := newCluster(t, 1, 1, 300*time.Millisecond, func(_ int, e *fakeEngine) {
+		e.holds(1)
+		e.running = 3
+	})
+	c.name(2)
+	left := false
+	for began := time.Now(); time.Since(began) < 3*time.Second && !left; time.Sleep(5 * time.Millisecond) {
+		left = c.installers[0].Leaving()
+	}
+	assert.Assert(t, left)
+	c.await(2)
+	assert.Equal(t, c.engines[0].cut, 3)
+	for began := time.Now(); c.installers[0].Leaving(); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Since(began) < 3*time.Second, "it takes nothing new any more")
+	}
+}
+
+func TestOlderNamingIsLeftAlone(t *testing.T) {
+	i := New(Settings{}, nil, nil, nil, logr.Discard(), telemetry.NewMetrics())
+	i.Name(testModel, 3, false)
+	i.Name(testModel, 2, false)
+	i.Name(testModel, 3, false)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	assert.Equal(t, len(i.targets), 1)
+	assert.Equal(t, i.newest().version, 3)
+}
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,310 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+)
+
+// endpoint serves connections by a script; the script gets the number of
+// the connection and the reader and writer of it.
+func endpoint(t *testing.T, script func(n int, r *bufio.Reader, c *net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				script(n, bufio.NewReader(c), c.(*net.TCPConn))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func readRequest(r *bufio.Reader) *http.Request {
+	q, err := http.ReadRequest(r)
+	if err != nil {
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, q.Body)
+	return q
+}
+
+func write(c net.Conn, text string) { _, _ = io.WriteString(c, text) }
+
+func pool() *Pool {
+	return NewPool(Options{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxIdle: 4})
+}
+
+func request(id string) *Request {
+	return &Request{
+		Method: http.MethodPost, URI: "/a//b/%2F?q=1", Host: "h.example", Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Accept: func(h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string([]byte{byte('0' + n/10), byte('0' + n%10)}) }
+
+// ask makes an exchange and returns the body.
+func ask(t *testing.T, p *Pool, address string, q *Request) (string, error) {
+	t.Helper()
+	r, err := p.Do(context.Background(), address, q)
+	if err != nil {
+		return "", err
+	}
+	defer r.Close()
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		r.Whole()
+	}
+	return string(body), err
+}
+
+func TestRequestIsUnaltered(t *testing.T) {
+	heads := make(chan string, 1)
+	address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+		line, _ := r.ReadString('\n')
+		q, _ := http.ReadRequest(bufio.NewReader(io.MultiReader(strings.NewReader(line), r)))
+		body, _ := io.ReadAll(q.Body)
+		heads <- line + q.Host + " " + string(body)
+		write(c, answer("1", "ok"))
+	})
+	body, err := ask(t, pool(), address, request("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+	assert.Equal(t, <-heads, "POST /a//b/%2F?q=1 HTTP/1.1\r\nh.example body")
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	var connections atomic.Int32
+	address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+		connections.Add(1)
+		for q := readRequest(r); q != nil; q = readRequest(r) {
+			write(c, answer(q.Header.Get("Id"), "ok"))
+		}
+	})
+	p := pool()
+	for range 5 {
+		_, err := ask(t, p, address, request("1"))
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, connections.Load(), int32(1))
+}
+
+// A surplus answer that comes in the place of the next one is left out.
+func TestForeignAnswerIsSkipped(t *testing.T) {
+	address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+		for q := readRequest(r); q != nil; q = readRequest(r) {
+			write(c, answer("old", "wrong")+answer(q.Header.Get("Id"), "right"))
+		}
+	})
+	body, err := ask(t, pool(), address, request("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "right")
+}
+
+// Bytes that lie on a resting connection belong to no request.
+func TestSurplusOnRestingConnection(t *testing.T) {
+	var connections atomic.Int32
+	address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+		connections.Add(1)
+		for q := readRequest(r); q != nil; q = readRequest(r) {
+			write(c, answer(q.Header.Get("Id"), "ok"))
+			time.Sleep(20 * time.Millisecond)
+			write(c, answer(q.Header.Get("Id"), "surplus"))
+		}
+	})
+	p := pool()
+	for range 2 {
+		body, err := ask(t, p, address, request("1"))
+		assert.NilError(t, err)
+		assert.Equal(t, body, "ok")
+		time.Sleep(60 * time.Millisecond)
+	}
+	assert.Equal(t, connections.Load(), int32(2))
+}
+
+// A request that went out on a connection that the endpoint then closes is
+// not sent again.
+func TestNoReplay(t *testing.T) {
+	var requests atomic.Int32
+	address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+		if q := readRequest(r); q != nil {
+			requests.Add(1)
+			write(c, answer("1", "ok"))
+		}
+		if readRequest(r) != nil {
+			requests.Add(1)
+		}
+	})
+	p := pool()
+	_, err := ask(t, p, address, request("1"))
+	assert.NilError(t, err)
+	_, err = ask(t, p, address, request("2"))
+	var failure *Error
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Assert(t, failure.Sent)
+	assert.Equal(t, requests.Load(), int32(2))
+}
+
+func TestDeadAddressIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	_ = l.Close()
+	_, err = ask(t, pool(), address, request("1"))
+	var failure *Error
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Assert(t, !failure.Sent)
+}
+
+func TestLengthlessAnswer(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		reset bool
+	}{{"closed", false}, {"reset", true}} {
+		address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+			readRequest(r)
+			write(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole")
+			if test.reset {
+				time.Sleep(30 * time.Millisecond)
+				_ = c.SetLinger(0)
+			}
+		})
+		body, err := ask(t, pool(), address, request("1"))
+		assert.Equal(t, err != nil, test.reset, test.name)
+		assert.Equal(t, body, "whole")
+	}
+}
+
+func TestShortAnswerIsAnError(t *testing.T) {
+	address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+		readRequest(r)
+		write(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nshort")
+	})
+	_, err := ask(t, pool(), address, request("1"))
+	assert.Equal(t, err, io.ErrUnexpectedEOF)
+}
+
+// An endpoint that answers before it has read a long body leaves bytes of
+// it on the way: the connection must not serve another request.
+func TestEarlyAnswerToLongBody(t *testing.T) {
+	var connections atomic.Int32
+	address := endpoint(t, func(n int, r *bufio.Reader, c *net.TCPConn) {
+		connections.Add(1)
+		if n > 0 {
+			readRequest(r)
+			write(c, answer("2", "ok"))
+			return
+		}
+		_, _ = r.ReadString('\n')
+		write(c, answer("1", "no"))
+		time.Sleep(time.Second)
+	})
+	p := pool()
+	long := request("1")
+	long.Body = make([]byte, 16<<20)
+	_, err := ask(t, p, address, long)
+	assert.NilError(t, err)
+	body, err := ask(t, p, address, request("2"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+	assert.Equal(t, connections.Load(), int32(2))
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+		readRequest(r)
+		write(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nfirst")
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := pool().Do(ctx, address, request("1"))
+	assert.NilError(t, err)
+	defer r.Close()
+	cancel()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the endpoint works on")
+	}
+}
+
+func TestKeepAliveAndCloseAreHeeded(t *testing.T) {
+	for _, head := range []string{"Connection: close", "Keep-Alive: timeout=0", "Keep-Alive: max=5, timeout=0"} {
+		var connections atomic.Int32
+		address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+			connections.Add(1)
+			for q := readRequest(r); q != nil; q = readRequest(r) {
+				write(c, "HTTP/1.1 200 OK\r\nId: 1\r\n"+head+"\r\nContent-Length: 2\r\n\r\nok")
+			}
+		})
+		p := pool()
+		for range 2 {
+			_, err := ask(t, p, address, request("1"))
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, connections.Load(), int32(2), head)
+	}
+}
+
+func TestLimitOfConnections(t *testing.T) {
+	release := make(chan struct{})
+	address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+		readRequest(r)
+		<-release
+		write(c, answer("1", "ok"))
+	})
+	defer close(release)
+	p := pool()
+	p.SetLimit(address, 1)
+	go func() { _, _ = ask(t, p, address, request("1")) }()
+	for p.Opened() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := ask(t, p, address, request("2"))
+	assert.Assert(t, errors.Is(err, ErrFull))
+}
+
+func TestSweepAndForget(t *testing.T) {
+	address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+		for q := readRequest(r); q != nil; q = readRequest(r) {
+			write(c, answer("1", "ok"))
+		}
+	})
+	p := pool()
+	_, err := ask(t, p, address, request("1"))
+	assert.NilError(t, err)
+	p.Sweep(time.Now().Add(2 * time.Minute))
+	_, err = ask(t, p, address, request("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, p.Opened(), uint64(2))
+	p.Forget(address)
+	_, err = ask(t, p, address, request("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, p.Opened(), uint64(3))
+}
