--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -135,8 +135,10 @@
 	s.events.Info("version named", "model", model, "version", version, "age_unknown", first, "due", due)
 }
 
-// versionMargin is how long before the deadline older versions are left.
-const versionMargin = 1100 * time.Millisecond
+// versionMargin is how long before the deadline older versions are left: a
+// request may be on its way for more than a second when a packet is lost,
+// and waits at the engine then.
+const versionMargin = 1900 * time.Millisecond
 
 func (s *Server) anyHolds(model string, version int, now time.Time) bool {
 	c := s.routes.Get()
@@ -155,7 +157,7 @@
 
 // cautionLead is how long before a version is due older ones get only what
 // they can begin at once.
-const cautionLead = 2500 * time.Millisecond
+const cautionLead = 1700 * time.Millisecond
 
 // minVersion is the lowest version of model that may start a request at a
 // time.
--- a/installer/start.go
+++ b/installer/start.go
@@ -16,7 +16,7 @@
 // the deadline.
 const (
 	firstTurn = 0.3
-	turnsSpan = 0.32
+	turnsSpan = 0.28
 )
 
 // Times of a change of version.
@@ -28,7 +28,7 @@
 	// changeTime is a drain with the taking of the version.
 	changeTime = drainTime + 400*time.Millisecond
 	// dueMargin is how long before its deadline a version should be served.
-	dueMargin = time.Second
+	dueMargin = 1900 * time.Millisecond
 )
 
 // step is a start that can be made.
--- a/transfer/results.go
+++ b/transfer/results.go
@@ -33,6 +33,9 @@
 	s.end(p)
 	s.held.Set(uint(p.Chunk))
 	s.exists.Set(uint(p.Chunk))
+	if gap := now.Sub(s.lastNew); gap > stallGap {
+		s.stalled += gap
+	}
 	s.lastNew = now
 	s.ownStall = false
 	s.chunkTime = smooth(s.chunkTime, took)
@@ -86,7 +89,12 @@
 }
 
 // Bad says that the pull failed: a wrong digest, a broken connection.
-func (s *Swarm) Bad(p Pull, now time.Time) { s.blame(p, penaltyMin, now) }
+func (s *Swarm) Bad(p Pull, now time.Time) {
+	if p.Kind == FromOrigin {
+		s.originRetry = now.Add(originPause)
+	}
+	s.blame(p, penaltyMin, now)
+}
 
 // blame leaves a peer alone, for at least a while, doubling.
 func (s *Swarm) blame(p Pull, least time.Duration, now time.Time) {
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -126,6 +126,11 @@
 	stallFactor = 3
 	stallMin    = 500 * time.Millisecond
 	stallMax    = 10 * time.Second
+	// stallGap is how long nothing must have come for a transfer to count as
+	// stalled meanwhile.
+	stallGap = 400 * time.Millisecond
+	// originPause is how long the origin is left alone after a failure.
+	originPause = 250 * time.Millisecond
 	// DefaultQuiet is the Quiet of plans that last for minutes.
 	DefaultQuiet = 2 * time.Second
 )
@@ -160,6 +165,11 @@
 	extra   int    // reads of the extra share so far
 	pulls   int    // all pulls under way
 	lastNew time.Time
+	// stalled is the time in which nothing came; turns wait that much longer,
+	// so that not all ranks read at once when a sender is back.
+	stalled time.Duration
+	// originRetry is when the origin may be asked again.
+	originRetry time.Time
 	// chunkTime is the smoothed time that a chunk takes.
 	chunkTime time.Duration
 	// ownStall says that pulls from all sides stalled together.
@@ -276,7 +286,7 @@
 		return Pull{Wait: idleRetry}
 	}
 	since := now.Sub(s.start)
-	if p, ok := s.firstTurn(since); ok {
+	if p, ok := s.firstTurn(now); ok {
 		return p
 	}
 	if p, ok := s.nearPeer(since); ok {
@@ -319,10 +329,11 @@
 }
 
 // firstTurn fetches a chunk that is due and that nobody is known to hold.
-func (s *Swarm) firstTurn(since time.Duration) (Pull, bool) {
-	if s.origin >= originSlots {
+func (s *Swarm) firstTurn(now time.Time) (Pull, bool) {
+	if s.origin >= originSlots || s.readsOrigin() && now.Before(s.originRetry) {
 		return Pull{}, false
 	}
+	since := now.Sub(s.start) - s.stalled
 	for i := s.firstly; i < len(s.turns); i++ {
 		t := s.turns[i]
 		if t.at > since {
@@ -338,7 +349,7 @@
 		if s.flying.Test(c) {
 			continue
 		}
-		return s.first(t.chunk, since)
+		return s.first(t.chunk, now.Sub(s.start))
 	}
 	return Pull{}, false
 }
@@ -426,6 +437,9 @@
 // goes, and each further one waits another TakeOver.
 func (s *Swarm) lastResort(now time.Time) (Pull, bool) {
 	quiet := now.Sub(s.lastNew)
+	if s.readsOrigin() && now.Before(s.originRetry) {
+		return Pull{}, false
+	}
 	if quiet < s.params.Quiet || s.origin >= originSlots {
 		return Pull{}, false
 	}
--- a/transfer/swarm_test.go
+++ b/transfer/swarm_test.go
@@ -218,3 +218,44 @@
 	assert.Equal(t, len(seen), 10, "a chunk was sent twice before another was sent once")
 	assert.Equal(t, p.Pick(held, held), -1)
 }
+
+// While the origin is down nobody hammers it; when it is back, the boxes do
+// not all read the same chunks.
+func TestOriginBackAfterAnOutage(t *testing.T) {
+	const chunks, boxes = 32, 6
+	params := Params{Chunks: chunks, OriginRegions: []string{"r"}, ChunkTurn: 10 * time.Millisecond, TakeOver: 200 * time.Millisecond, Quiet: 400 * time.Millisecond}
+	for b := range boxes {
+		params.Peers = append(params.Peers, Peer{Box: string(rune('a' + b)), Region: "r"})
+	}
+	order := NewOrder(params)
+	now := time.Unix(1000, 0)
+	const outage = 5 * time.Second
+	var swarms []*Swarm
+	for _, p := range params.Peers {
+		swarms = append(swarms, NewSwarm(params, order, p.Box, bitset.New(chunks), now))
+	}
+	begin, tried, read := now, 0, 0
+	for now.Sub(begin) < outage+3*time.Second {
+		for _, s := range swarms {
+			p := s.Next(now)
+			switch p.Kind {
+			case FromOrigin:
+				if now.Sub(begin) < outage {
+					tried++
+					s.Bad(p, now)
+					continue
+				}
+				read++
+				s.Arrived(p, Knowledge{}, time.Millisecond, now)
+				for _, other := range swarms {
+					other.Known(s.self.Box, s.Knows())
+				}
+			case FromPeer:
+				s.Nothing(p, Knowledge{}, now)
+			}
+		}
+		now = now.Add(5 * time.Millisecond)
+	}
+	assert.Assert(t, tried <= boxes*int(outage/originPause+2), "tried %d times", tried)
+	assert.Assert(t, read >= chunks && read <= chunks*5/4, "read %d chunks of %d", read, chunks)
+}
