--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -126,6 +126,7 @@
 	}
 	params.TakeOver = takeOver
 	params.Quiet = lostAfter
+	params.Patient = true
 	known := i.client.held(ctx, peers, i.settings.Box, r.manifest)
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -213,8 +214,10 @@
 		r.swarm.Busy(p, 0, now)
 	case errors.Is(err, errStalled):
 		r.swarm.Stalled(p, now)
-	default:
+	case errors.Is(err, errSpoilt):
 		r.swarm.Bad(p, now)
+	default:
+		r.swarm.Unreachable(p, now)
 		i.log.Info("chunk not had", "version", r.manifest.Version, "peer", p.Peer, "chunk", p.Chunk, "error", err.Error())
 	}
 }
--- a/transfer/results.go
+++ b/transfer/results.go
@@ -33,7 +33,7 @@
 	s.end(p)
 	s.held.Set(uint(p.Chunk))
 	s.exists.Set(uint(p.Chunk))
-	if gap := now.Sub(s.lastNew); gap > stallGap {
+	if gap := now.Sub(s.lastNew); s.params.Patient && gap > s.params.Quiet {
 		s.stalled += gap
 	}
 	s.lastNew = now
@@ -89,11 +89,15 @@
 }
 
 // Bad says that the pull failed: a wrong digest, a broken connection.
-func (s *Swarm) Bad(p Pull, now time.Time) {
+func (s *Swarm) Bad(p Pull, now time.Time) { s.blame(p, penaltyMin, now) }
+
+// Unreachable says that the sender did not answer at all; the origin, too,
+// is then left alone for a while.
+func (s *Swarm) Unreachable(p Pull, now time.Time) {
 	if p.Kind == FromOrigin {
 		s.originRetry = now.Add(originPause)
 	}
-	s.blame(p, penaltyMin, now)
+	s.Bad(p, now)
 }
 
 // blame leaves a peer alone, for at least a while, doubling.
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -61,9 +61,14 @@
 	ExtraOrigin int
 	// Downloads bounds the pulls under way at once.
 	Downloads int
-	// Quiet is how long nothing new must have come before a box looks for
-	// chunks that have been lost; 0 stands for DefaultQuiet.
+	// Quiet is how long nothing new must have come before a transfer counts
+	// as stalled and a box looks for chunks that have been lost; 0 stands for DefaultQuiet.
 	Quiet time.Duration
+	// Patient lets turns stand still while nothing comes, so that not all
+	// ranks read at once when a sender is back. It suits plans that last for
+	// seconds; in one that lasts for minutes a far region's first wait is
+	// long without a fault.
+	Patient bool
 }
 
 // ExtraOrigin is the share of each of n boxes in extra copies, in chunks.
@@ -126,9 +131,6 @@
 	stallFactor = 3
 	stallMin    = 500 * time.Millisecond
 	stallMax    = 10 * time.Second
-	// stallGap is how long nothing must have come for a transfer to count as
-	// stalled meanwhile.
-	stallGap = 400 * time.Millisecond
 	// originPause is how long the origin is left alone after a failure.
 	originPause = 250 * time.Millisecond
 	// DefaultQuiet is the Quiet of plans that last for minutes.
@@ -165,8 +167,8 @@
 	extra   int    // reads of the extra share so far
 	pulls   int    // all pulls under way
 	lastNew time.Time
-	// stalled is the time in which nothing came; turns wait that much longer,
-	// so that not all ranks read at once when a sender is back.
+	// stalled is the time in which nothing came, by which the turns of a
+	// Patient plan are late.
 	stalled time.Duration
 	// originRetry is when the origin may be asked again.
 	originRetry time.Time
