--- /dev/null
+++ b/cmd/mintlift/explain.go
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mintlift/mintlift/explain"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "explain",
+		Usage:       "tell from log files what became of a request, an endpoint or a version",
+		ArgsUsage:   "[ID] FILE...",
+		Description: "Examples: mintlift explain 9c41d07be2a35f68 gateway-*.log\n          mintlift explain --endpoint i-7f3a91c2 *.log",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "endpoint", Usage: "lines about the endpoint with this `ID`"},
+			&cli.StringFlag{Name: "version", Usage: "lines about this `VERSION` of the weights"},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON lines"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			filter, files, err := explainArguments(c)
+			if err != nil {
+				return err
+			}
+			lines, err := readLogs(files, filter)
+			if err != nil {
+				return err
+			}
+			if len(lines) == 0 {
+				return errors.NotFoundf("%q in %d files", filter.Value, len(files))
+			}
+			if !c.Bool("json") {
+				return explain.Write(c.Root().Writer, lines)
+			}
+			encoder := json.NewEncoder(c.Root().Writer)
+			for _, line := range lines {
+				if err := encoder.Encode(line); err != nil {
+					return errors.Trace(err)
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// explainArguments returns what is asked for and the files to read.
+func explainArguments(c *cli.Command) (explain.Filter, []string, error) {
+	files := c.Args().Slice()
+	var filter explain.Filter
+	switch {
+	case c.String("endpoint") != "":
+		filter = explain.Endpoint(c.String("endpoint"))
+	case c.String("version") != "":
+		filter = explain.Version(c.String("version"))
+	case len(files) > 0:
+		filter, files = explain.Request(files[0]), files[1:]
+	}
+	if filter.Value == "" || len(files) == 0 {
+		return filter, nil, errors.WithType(errors.New("say what to explain, and the log files to read"), errUsage)
+	}
+	return filter, files, nil
+}
+
+func readLogs(files []string, filter explain.Filter) ([]explain.Line, error) {
+	var out []explain.Line
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		lines, err := explain.Read(file, name, filter)
+		_ = file.Close()
+		if err != nil {
+			return nil, errors.Annotate(err, name)
+		}
+		out = append(out, lines...)
+	}
+	explain.Sort(out)
+	return out, nil
+}
--- a/cmd/mintlift/main.go
+++ b/cmd/mintlift/main.go
@@ -78,7 +78,7 @@
 		Commands: []*cli.Command{
 			gatewayCommand(), sidecarCommand(), platformCommand(), demoCommand(),
 			intentCommand(), planCommand(), boxesCommand(), workspacesCommand(), operatorsCommand(), statusCommand(),
-			settingsCommand(), loadCommand(), benchCommand(), capacityCommand(), standinCommand(), versionCommand(),
+			settingsCommand(), loadCommand(), explainCommand(), benchCommand(), capacityCommand(), standinCommand(), versionCommand(),
 		},
 	}
 	err := app.Run(ctx, args)
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -54,9 +54,9 @@
 
 // ask is a request that waits for an endpoint.
 type ask struct {
-	query   fleet.Query
-	rank    rank
-	granted chan *fleet.Endpoint // holds one
+	exchange *exchange
+	rank     rank
+	granted  chan *fleet.Endpoint // holds one
 }
 
 // rank orders asks: the lower goes first.
@@ -137,11 +137,11 @@
 func (s *Server) admit(ctx context.Context, x *exchange, hold time.Duration) *fleet.Endpoint {
 	now := time.Now()
 	a := &ask{
-		rank:    rank{priority: x.priority, turn: x.turn(), arrived: x.start},
-		granted: make(chan *fleet.Endpoint, 1),
+		exchange: x,
+		rank:     rank{priority: x.priority, turn: x.turn(), arrived: x.start},
+		granted:  make(chan *fleet.Endpoint, 1),
 	}
 	s.mu.Lock()
-	a.query = s.query(x, now)
 	q := s.waiting[x.service]
 	if q == nil {
 		q = &queue{}
@@ -181,7 +181,8 @@
 }
 
 // dispatch gives room at endpoints to the asks of a service, in their
-// order. Server.mu is held.
+// order. What each may get is worked out anew: while it waited, a version
+// may have come due. Server.mu is held.
 func (s *Server) dispatch(service string, now time.Time) {
 	q := s.waiting[service]
 	if q == nil {
@@ -189,7 +190,7 @@
 	}
 	kept := q.asks[:0]
 	for _, a := range q.asks {
-		e := s.fleet.Choose(a.query, now)
+		e := s.fleet.Choose(s.query(a.exchange, now), now)
 		if e == nil {
 			kept = append(kept, a)
 			continue
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -196,3 +196,22 @@
 	assert.Equal(t, r.StatusCode, http.StatusOK)
 	assert.Equal(t, body, wholeStream(last))
 }
+
+// A version that comes due while a request waits is heeded: the request
+// does not go to an engine that holds an older one.
+func TestVersionComesDueDuringAWait(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.endpoint("a", "engine", events(last, last))
+	full := fleet.Report{Address: w.records["a"].Address, Model: model, Version: 1, Running: 5}
+	w.server.Heard(full, 0)
+	dueSoon := time.Now().Add(150*time.Millisecond + versionMargin - w.server.settings.VersionDeadline)
+	w.server.NameVersion(model, 2, false, dueSoon)
+	time.AfterFunc(250*time.Millisecond, func() {
+		full.Running = 0
+		w.server.Heard(full, 0)
+	})
+	r, _ := w.get("POST", "/stream/1", "x", with(names.Deadline, "1700"))
+	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, len(w.requests()), 0)
+}
