--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -108,7 +108,9 @@
 		if s != syscall.SIGHUP {
 			break
 		}
-		events.Info("reload asked for: settings are read at the start only, and none of those in use change in a life")
+		// Settings are read at the start only: none of those in use changes
+		// within a life.
+		events.Info("reload without effect")
 	}
 	grace := settings.Grace() - stopMargin
 	events.Info("stopping", "grace_ms", grace.Milliseconds())
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -89,17 +89,20 @@
 	switch v {
 	case notRun:
 		x.lastCause = "endpoint refused"
+		x.server.log.Info("attempt refused", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "status", response.Status)
 		x.drop(response)
 		x.finish(e, fleet.Rejected)
 		return nil, notRun
 	case spoilt:
 		x.lastCause = "answer without seal"
+		x.server.log.Info("answer spoilt", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "status", response.Status)
 		x.finish(e, fleet.Failed)
 		return nil, spoilt
 	}
 	body, err := readWhole(response)
 	if err != nil {
 		x.lastCause = "answer broke off: " + err.Error()
+		x.server.log.Info("answer broken", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "error", err.Error())
 		if ctx.Err() != nil {
 			x.finish(e, fleet.Abandoned)
 		} else {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -120,11 +120,13 @@
 	switch v {
 	case notRun:
 		t.lastCause = "endpoint refused"
+		t.server.log.Info("attempt refused", "request", t.id, "attempt", t.attempts, "endpoint", e.ID, "status", response.Status)
 		t.drop(response)
 		t.finish(e, fleet.Rejected)
 		return nil, notRun
 	case spoilt:
 		t.lastCause = "answer without seal"
+		t.server.log.Info("answer spoilt", "request", t.id, "attempt", t.attempts, "endpoint", e.ID, "status", response.Status)
 		t.finish(e, fleet.Failed)
 		return nil, spoilt
 	case answered:
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -370,6 +370,7 @@
 	}
 	r := newReplica(m, i.settings.Box)
 	i.readStage(ctx, r)
+	i.log.Info("copy opened", "version", w.version, "held", r.held.Count(), "chunks", len(r.chunks))
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.copies = append(i.copies, r)
--- a/installer/start.go
+++ b/installer/start.go
@@ -148,12 +148,14 @@
 // passed.
 func (i *Installer) drain(ctx context.Context) {
 	i.setLeaving(true)
+	state, _ := i.State()
+	i.log.Info("drain begun", "running", state.Running, "queued", state.Queued, "version", state.Version)
 	const look = 50 * time.Millisecond
 	// told is how long it may take until all gateways know.
 	const told = 4 * look
 	began := time.Now()
 	for ctx.Err() == nil && time.Since(began) < drainTime {
-		state, _ := i.State()
+		state, _ = i.State()
 		if state.Running+state.Queued == 0 && time.Since(began) > told {
 			return
 		}
--- /dev/null
+++ b/telemetry/pages_test.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package telemetry
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// loggingFolders are the packages whose lines docs/LOGS.md lists.
+var loggingFolders = []string{"../ingress", "../installer", "../platform", "../cmd/mintlift/platform.go"}
+
+// event is a log line as the code or the page has it.
+type event struct{ fields []string }
+
+// codeEvents reads the log calls of the code, and the names of metrics.
+func codeEvents(t *testing.T) (events map[string]event, metrics map[string]bool) {
+	t.Helper()
+	events, metrics = map[string]event{}, map[string]bool{}
+	for _, folder := range loggingFolders {
+		files := []string{folder}
+		if !strings.HasSuffix(folder, ".go") {
+			files, _ = filepath.Glob(folder + "/*.go")
+		}
+		for _, name := range files {
+			if strings.HasSuffix(name, "_test.go") {
+				continue
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+			assert.NilError(t, err)
+			ast.Inspect(file, func(n ast.Node) bool {
+				if call, ok := n.(*ast.CallExpr); ok {
+					addCall(call, events, metrics)
+				}
+				return true
+			})
+		}
+	}
+	return events, metrics
+}
+
+func addCall(call *ast.CallExpr, events map[string]event, metrics map[string]bool) {
+	selector, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok {
+		return
+	}
+	args := call.Args
+	switch selector.Sel.Name {
+	case "Error":
+		if len(args) < 2 {
+			return
+		}
+		args = args[1:]
+	case "Info", "Counter", "Histogram":
+	default:
+		return
+	}
+	if len(args) == 0 || text(args[0]) == "" {
+		return
+	}
+	name := text(args[0])
+	if selector.Sel.Name == "Counter" || selector.Sel.Name == "Histogram" {
+		metrics[name] = true
+		return
+	}
+	e := events[name]
+	for at := 1; at < len(args); at += 2 {
+		if field := text(args[at]); field != "" && !slices.Contains(e.fields, field) {
+			e.fields = append(e.fields, field)
+		}
+	}
+	events[name] = e
+}
+
+// text is the value of a string literal, or empty.
+func text(e ast.Expr) string {
+	literal, ok := e.(*ast.BasicLit)
+	if !ok || literal.Kind != token.STRING {
+		return ""
+	}
+	value, _ := strconv.Unquote(literal.Value)
+	return value
+}
+
+var row = regexp.MustCompile("(?m)^\\| `([^`]+)` \\|([^|]*)\\|")
+
+// page reads a table of docs/LOGS.md: names and what stands beside them.
+func page(t *testing.T) map[string]string {
+	t.Helper()
+	data, err := os.ReadFile("../docs/LOGS.md")
+	assert.NilError(t, err)
+	out := map[string]string{}
+	for _, match := range row.FindAllStringSubmatch(string(data), -1) {
+		out[match[1]] = match[2]
+	}
+	return out
+}
+
+// docs/LOGS.md lists every line and metric that the code writes, with its
+// fields, and no others.
+func TestLogsPage(t *testing.T) {
+	events, metrics := codeEvents(t)
+	listed := page(t)
+	assert.Assert(t, len(events) > 20, "only %d events found in the code", len(events))
+	for name, e := range events {
+		fields, ok := listed[name]
+		assert.Check(t, ok, "event %q is not on the page (fields %s)", name, strings.Join(e.fields, ", "))
+		for _, field := range e.fields {
+			assert.Check(t, strings.Contains(fields, field), "field %q of event %q is not on the page", field, name)
+		}
+	}
+	for name := range metrics {
+		_, ok := listed[name]
+		assert.Check(t, ok, "metric %q is not on the page", name)
+	}
+	for name := range listed {
+		_, ok := events[name]
+		assert.Check(t, ok || metrics[name], "%q is on the page only", name)
+	}
+}
