--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -323,6 +323,9 @@
 	// milliseconds; an engine that cannot keep it gets nothing. 0 is no
 	// bound.
 	Within float64
+	// Connections bounds this gateway's attempts in progress at an endpoint,
+	// each of which has a connection; 0 is no bound.
+	Connections int
 	// Exclude are the ids of endpoints that have been tried.
 	Exclude map[string]bool
 }
@@ -361,6 +364,9 @@
 		if !e.usable(&q, now) || e.open(now) {
 			continue
 		}
+		if q.Connections > 0 && e.own >= q.Connections {
+			continue
+		}
 		load := e.Load(now)
 		if q.Limit > 0 && load >= f.limit(e, q.Limit, now) {
 			continue
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -169,6 +169,16 @@
 	assert.Assert(t, f.byID["b"].Delay(start.Add(2*time.Second)) >= 400*time.Millisecond, "answers that stay away")
 }
 
+func TestConnectionsAreBounded(t *testing.T) {
+	f := engines(2)
+	q := query()
+	q.Limit, q.Connections = 0, 2
+	for range 4 {
+		assert.Assert(t, f.Choose(q, start) != nil)
+	}
+	assert.Equal(t, chosen(f, q, start), "")
+}
+
 func TestReplace(t *testing.T) {
 	f := engines(2)
 	e := f.Choose(Query{Service: "s", Model: model, Exclude: map[string]bool{"b": true}}, start)
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -110,7 +110,11 @@
 func (s *Server) query(x *exchange, now time.Time) fleet.Query {
 	q := fleet.Query{Service: x.service, Exclude: x.tried}
 	service := x.config.Services[x.service]
-	if service == nil || service.Engine == nil {
+	if service == nil {
+		return q
+	}
+	q.Connections = s.connections(service)
+	if service.Engine == nil {
 		q.Limit = plainFactor * defaultSlots
 		return q
 	}
@@ -132,6 +136,19 @@
 	return q
 }
 
+// connectionShare is the part of an endpoint's connections that all gateways
+// together use.
+const connectionShare = 0.9
+
+// connections is this gateway's part of the connections that an endpoint of
+// the service accepts.
+func (s *Server) connections(service *routing.Service) int {
+	if service.MaxConnections <= 0 {
+		return 0
+	}
+	return max(1, int(connectionShare*float64(service.MaxConnections)/float64(s.gateways)))
+}
+
 // admit waits for an endpoint for x, for at most hold. It returns nil if
 // none had room in time, or if ctx ended.
 func (s *Server) admit(ctx context.Context, x *exchange, hold time.Duration) *fleet.Endpoint {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -70,7 +70,9 @@
 	budgets   map[string]*retrybudget.Budget
 	versions  map[string][]naming
 	pressures map[string]*pressure
-	listed    bool // the list of endpoints is known
+	// gateways is the number that shares what all may do together.
+	gateways int
+	listed   bool // the list of endpoints is known
 }
 
 // naming is a version of a model and when it was learned of.
@@ -210,12 +212,26 @@
 	if e == nil {
 		return
 	}
+	s.countGateways(r.Gateways)
 	if changed {
 		s.events.Info("engine reported", "endpoint", e.ID, "model", r.Model, "version", r.Version, "busy", r.Busy)
 	}
 	s.dispatch(e.Service, now)
 }
 
+// countGateways takes the number of gateways that a sidecar knows; what is
+// shared between them is shared by the most that were ever seen.
+func (s *Server) countGateways(n int) {
+	if n <= s.gateways {
+		return
+	}
+	s.gateways = n
+	for _, b := range s.budgets {
+		b.Share(n)
+	}
+	s.events.Info("more gateways seen", "gateways", n)
+}
+
 // Named returns the newest named version of each model.
 func (s *Server) Named() map[string]int {
 	s.mu.Lock()
@@ -283,6 +299,7 @@
 	b := s.budgets[service]
 	if b == nil {
 		b = retrybudget.New(s.settings.Budget, now)
+		b.Share(s.gateways)
 		s.budgets[service] = b
 	}
 	return b
--- a/retrybudget/retrybudget.go
+++ b/retrybudget/retrybudget.go
@@ -46,6 +46,9 @@
 	return b
 }
 
+// Share divides the slack by so many gateways from now on.
+func (b *Budget) Share(gateways int) { b.params.Gateways = gateways }
+
 // share is this gateway's part of the slack.
 func (b *Budget) share() float64 {
 	return slackMargin * b.params.Slack / float64(max(b.params.Gateways, 1))
