--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -186,7 +186,7 @@
 			out[i] = s.Internal(address, portPublish)
 		}
 		return out
-	}, server.Named, server.Heard)
+	}, server.Named, server.NamedSoon(), server.Heard)
 	go func() {
 		for range time.Tick(maintainEvery) {
 			server.Maintain(time.Now())
@@ -319,13 +319,49 @@
 	return out, nil
 }
 
-// How long one read of the operator's records waits. Each read is a call
-// that costs; a sidecar also hears of versions from the gateways.
 const (
+	// gatewayWait is how long one read of the operator's records waits.
 	gatewayWait = 10 * time.Second
-	sidecarWait = 25 * time.Second
+	// rereadEvery is how often a sidecar that gateways speak to reads them,
+	// unheardAfter how long it goes without a gateway's word before it reads
+	// on its own, and rereadPause how often then.
+	rereadEvery  = 2 * time.Minute
+	unheardAfter = 2 * time.Second
+	rereadPause  = 1500 * time.Millisecond
 )
 
+// watchOperatorSparingly reads what the operator wrote at the start, and
+// then only when no gateway tells the named versions: each configuration is
+// large, and a sidecar needs next to nothing of it.
+func (p *platformProcess) watchOperatorSparingly(ctx context.Context, o platform.Operator, publisher *loadreport.Publisher) {
+	const look = 250 * time.Millisecond
+	var read, tried time.Time
+	lost := false
+	for ctx.Err() == nil {
+		now := time.Now()
+		due := read.IsZero() || now.Sub(read) > rereadEvery || now.Sub(publisher.Asked()) > unheardAfter && now.Sub(read) > rereadPause
+		if due && now.Sub(tried) > look {
+			tried = now
+			err := p.watcher.ReadOperator(ctx, o)
+			switch {
+			case err == nil:
+				read = now
+				if lost {
+					p.events.Info("store regained", "topic", "operator")
+				}
+				lost = false
+			case !lost:
+				lost = true
+				p.events.Info("store lost", "topic", "operator", "error", err.Error())
+			}
+		}
+		select {
+		case <-time.After(look):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // reportEvery is how often the engine's report is read.
 const reportEvery = 40 * time.Millisecond
 
@@ -354,7 +390,7 @@
 	peers := &http.Server{Handler: view.installer.Handler(), ReadHeaderTimeout: headerTimeout}
 	go func() { _ = peers.Serve(listener) }()
 	p.serveMetrics()
-	go p.watcher.WatchOperator(ctx, view, sidecarWait)
+	go p.watchOperatorSparingly(ctx, view, publisher)
 	go view.installer.Run(ctx)
 	go reportLoad(ctx, s.App, engine, view.installer, publisher)
 	return func(context.Context) { _ = peers.Close() }, nil
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -54,15 +54,16 @@
 
 // Server is the request path of one gateway. It is an http.Handler.
 type Server struct {
-	settings Settings
-	log      logr.Logger // lines about single requests
-	events   logr.Logger // lines about what the process believes
-	metrics  *telemetry.Metrics
-	routes   routing.Table
-	pool     *upstream.Pool
-	stopping atomic.Bool
-	closed   atomic.Bool
-	inFlight atomic.Int64
+	settings  Settings
+	log       logr.Logger // lines about single requests
+	events    logr.Logger // lines about what the process believes
+	metrics   *telemetry.Metrics
+	routes    routing.Table
+	pool      *upstream.Pool
+	stopping  atomic.Bool
+	closed    atomic.Bool
+	inFlight  atomic.Int64
+	namedSoon chan struct{} // holds one
 
 	mu        sync.Mutex
 	fleet     *fleet.Fleet
@@ -135,6 +136,10 @@
 	}
 	s.versions[model] = append(list, naming{version: version, due: due})
 	s.events.Info("version named", "model", model, "version", version, "age_unknown", first, "due", due)
+	select {
+	case s.namedSoon <- struct{}{}:
+	default:
+	}
 }
 
 // versionMargin is how long before the deadline older versions are left: a
@@ -232,6 +237,9 @@
 	s.events.Info("more gateways seen", "gateways", n)
 }
 
+// NamedSoon tells that a version has just been named.
+func (s *Server) NamedSoon() <-chan struct{} { return s.namedSoon }
+
 // Named returns the newest named version of each model.
 func (s *Server) Named() map[string]int {
 	s.mu.Lock()
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -52,6 +52,8 @@
 type Publisher struct {
 	conn *net.UDPConn
 	mu   sync.Mutex
+	// askedAt is when the last subscription came.
+	askedAt time.Time
 	subs map[netip.AddrPort]time.Time
 	last fleet.Report
 	sent time.Time
@@ -93,7 +95,8 @@
 			named(model, version)
 		}
 		p.mu.Lock()
-		p.subs[from] = time.Now()
+		p.askedAt = time.Now()
+		p.subs[from] = p.askedAt
 		last := p.last
 		p.mu.Unlock()
 		if last.Address != "" {
@@ -129,6 +132,13 @@
 	_, _ = p.conn.WriteToUDPAddrPort(data, to) // a lost report is followed by another
 }
 
+// Asked is when a gateway was heard last; zero if none was.
+func (p *Publisher) Asked() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.askedAt
+}
+
 // Close ends the publisher.
 func (p *Publisher) Close() error { return p.conn.Close() }
 
@@ -155,8 +165,9 @@
 }
 
 // Run subscribes at the sidecars, whose addresses it asks for, tells them
-// the named versions, and hands on each report, until ctx ends.
-func (s *Subscriber) Run(ctx context.Context, sidecars func() []string, named func() map[string]int, heard Heard) {
+// the named versions, and hands on each report, until ctx ends. soon asks
+// for a round ahead of its time.
+func (s *Subscriber) Run(ctx context.Context, sidecars func() []string, named func() map[string]int, soon <-chan struct{}, heard Heard) {
 	context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	go s.receive(heard)
 	ticker := time.NewTicker(SubscribeEvery)
@@ -173,6 +184,7 @@
 		}
 		select {
 		case <-ticker.C:
+		case <-soon:
 		case <-ctx.Done():
 			return
 		}
--- /dev/null
+++ b/loadreport/loadreport_test.go
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package loadreport
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/fleet"
+)
+
+// heard collects reports.
+type heard struct {
+	mu      sync.Mutex
+	reports []fleet.Report
+	echoes  int
+}
+
+func (h *heard) take(r fleet.Report, roundTrip time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reports = append(h.reports, r)
+	if roundTrip >= 0 {
+		h.echoes++
+	}
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for began := time.Now(); !ok(); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Since(began) < 10*time.Second, what)
+	}
+}
+
+func pair(t *testing.T, named func(string, int)) (*Publisher, *Subscriber) {
+	t.Helper()
+	publisher, err := NewPublisher("127.0.0.1:0", named)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = publisher.Close() })
+	subscriber, err := NewSubscriber("127.0.0.1:0")
+	assert.NilError(t, err)
+	return publisher, subscriber
+}
+
+func TestReportsReachSubscribers(t *testing.T) {
+	var mu sync.Mutex
+	versions := map[string]int{}
+	publisher, subscriber := pair(t, func(model string, version int) {
+		mu.Lock()
+		defer mu.Unlock()
+		versions[model] = version
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var got heard
+	go subscriber.Run(ctx, func() []string { return []string{publisher.conn.LocalAddr().String(), "nonsense"} },
+		func() map[string]int { return map[string]int{"m": 3} }, nil, got.take)
+	report := fleet.Report{Address: "a:1", Model: "m", Version: 2, Running: 3}
+	await(t, "a report and an echo", func() bool {
+		publisher.Publish(report, time.Now())
+		got.mu.Lock()
+		defer got.mu.Unlock()
+		return len(got.reports) > 1 && got.echoes > 0
+	})
+	got.mu.Lock()
+	last := got.reports[len(got.reports)-1]
+	got.mu.Unlock()
+	assert.Equal(t, last.Running, 3)
+	assert.Equal(t, last.Gateways, 1)
+	mu.Lock()
+	assert.Equal(t, versions["m"], 3, "gateways tell the named versions")
+	mu.Unlock()
+	assert.Assert(t, time.Since(publisher.Asked()) < 2*time.Second)
+}
+
+func TestUnchangedReportIsSentNowAndThen(t *testing.T) {
+	publisher, _ := pair(t, func(string, int) {})
+	now := time.Now()
+	report := fleet.Report{Address: "a:1"}
+	publisher.Publish(report, now)
+	first := publisher.sent
+	publisher.Publish(report, now.Add(repeatEvery/2))
+	assert.Equal(t, publisher.sent, first)
+	publisher.Publish(report, now.Add(repeatEvery))
+	assert.Assert(t, publisher.sent.After(first))
+	report.Running = 1
+	publisher.Publish(report, now.Add(repeatEvery+time.Millisecond))
+	assert.Equal(t, publisher.sent, now.Add(repeatEvery+time.Millisecond), "a change is sent at once")
+}
+
+// A gateway that is gone gets nothing after its subscription has ended.
+func TestSubscriptionEnds(t *testing.T) {
+	publisher, subscriber := pair(t, func(string, int) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	go subscriber.Run(ctx, func() []string { return []string{publisher.conn.LocalAddr().String()} },
+		func() map[string]int { return nil }, nil, func(fleet.Report, time.Duration) {})
+	subscribed := func() int {
+		publisher.mu.Lock()
+		defer publisher.mu.Unlock()
+		return len(publisher.subs)
+	}
+	await(t, "a subscription", func() bool { return subscribed() == 1 })
+	cancel()
+	publisher.Publish(fleet.Report{Address: "a:1"}, time.Now().Add(subscription+time.Second))
+	assert.Equal(t, subscribed(), 0)
+}
