--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -406,7 +406,7 @@
 			publisher.Publish(fleet.Report{
 				Address: address, Model: state.Model, Version: state.Version, Busy: state.Busy || i.Leaving(),
 				Running: state.Running, Queued: state.Queued, Pace: state.Pace,
-			}, time.Now())
+			}, i.Changing(), time.Now())
 		}
 		select {
 		case <-ticker.C:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -47,6 +47,9 @@
 const (
 	// reportLife is how long a report counts.
 	reportLife = 900 * time.Millisecond
+	// justNow is how old the report may be of an engine that must begin a
+	// request at once: one that stands still sends none.
+	justNow = 150 * time.Millisecond
 	// openMin and openMax bound how long an endpoint that failed is left
 	// alone; the time doubles with each failure in a row.
 	openMin = 400 * time.Millisecond
@@ -347,7 +350,7 @@
 
 // atOnce reports whether an engine begins a new request without a wait.
 func (e *Endpoint) atOnce(q *Query, now time.Time) bool {
-	return e.fresh(now) && e.Delay(now) < delayHigh && e.lag < delayHigh && e.strikes == 0 && e.report.Queued == 0 && e.unreadCount == 0 && e.Load(now) < q.Slots-2
+	return e.fresh(now) && now.Sub(e.reportAt) < justNow && e.Delay(now) < delayHigh && e.lag < delayHigh && e.strikes == 0 && e.report.Queued == 0 && e.unreadCount == 0 && e.Load(now) < q.Slots-2
 }
 
 // open reports whether the endpoint is being left alone.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -116,7 +116,9 @@
 		assert.Equal(t, chosen(f, q, start), test.want, test.name)
 	}
 	f := engines(1)
-	assert.Equal(t, chosen(f, q, start), "", "an engine that was not heard lately")
+	assert.Equal(t, chosen(f, q, start), "", "an engine that was never heard")
+	f.Heard(report("a", 1, 0, 0), time.Millisecond, start)
+	assert.Equal(t, chosen(f, q, start.Add(justNow)), "", "an engine that was not heard just now")
 	f.Heard(report("a", 1, 0, 0), time.Millisecond, start)
 	e := f.Choose(q, start)
 	f.Begun(e, q.Work, time.Second, start)
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -221,6 +221,13 @@
 	return i.state, i.heard
 }
 
+// Changing reports whether a newer version than the engine's is named.
+func (i *Installer) Changing() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.state.Version > 0 && i.state.Version < i.newest().version
+}
+
 // Heard takes the engine's state.
 func (i *Installer) Heard(s EngineState) {
 	i.mu.Lock()
--- a/installer/start.go
+++ b/installer/start.go
@@ -25,6 +25,11 @@
 	// it takes another version. What runs longer is broken off, and goes on
 	// elsewhere where it may.
 	drainTime = 1000 * time.Millisecond
+	// firstDrain is that of the first of a rollout, in firstPart of the
+	// turns: the sooner some serve the version, the sooner others have
+	// somewhere to go on.
+	firstDrain = 500 * time.Millisecond
+	firstPart  = 0.15
 	// changeTime is a drain with the taking of the version.
 	changeTime = drainTime + 400*time.Millisecond
 	// dueMargin is how long before its deadline a version should be served.
@@ -37,6 +42,7 @@
 	copy   *replica
 	named  time.Time
 	at     time.Time
+	drain  time.Duration
 	// empty says that the engine holds nothing whole.
 	empty bool
 }
@@ -81,7 +87,10 @@
 		if at+1 < len(targets) && i.skips(t, targets[at+1], share) {
 			continue
 		}
-		s := &step{params: i.params, copy: r, named: t.named, at: now, empty: i.state.Version == 0}
+		s := &step{params: i.params, copy: r, named: t.named, at: now, drain: drainTime, empty: i.state.Version == 0}
+		if share < firstPart {
+			s.drain = firstDrain
+		}
 		if !s.empty && !t.named.IsZero() {
 			s.at = i.turnOf(t, share)
 		}
@@ -120,7 +129,7 @@
 // begin brings the engine to the version of s.
 func (i *Installer) begin(ctx context.Context, s *step) {
 	if !s.empty {
-		i.drain(ctx)
+		i.drain(ctx, s.drain)
 		defer i.setLeaving(false)
 	}
 	if !i.lay(ctx, s) {
@@ -144,9 +153,9 @@
 	i.leaving = leaving
 }
 
-// drain keeps new requests away until the engine is empty or drainTime has
+// drain keeps new requests away until the engine is empty or limit has
 // passed.
-func (i *Installer) drain(ctx context.Context) {
+func (i *Installer) drain(ctx context.Context, limit time.Duration) {
 	i.setLeaving(true)
 	state, _ := i.State()
 	i.log.Info("drain begun", "running", state.Running, "queued", state.Queued, "version", state.Version)
@@ -154,7 +163,7 @@
 	// told is how long it may take until all gateways know.
 	const told = 4 * look
 	began := time.Now()
-	for ctx.Err() == nil && time.Since(began) < drainTime {
+	for ctx.Err() == nil && time.Since(began) < limit {
 		state, _ = i.State()
 		if state.Running+state.Queued == 0 && time.Since(began) > told {
 			return
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -30,6 +30,9 @@
 	subscription = 3500 * time.Millisecond
 	// repeatEvery is how often an unchanged report is sent.
 	repeatEvery = 300 * time.Millisecond
+	// eagerEvery is the same while a version changes, when a gateway must
+	// know at once that an engine stands still.
+	eagerEvery  = 80 * time.Millisecond
 	maxDatagram = 2048
 )
 
@@ -54,9 +57,9 @@
 	mu   sync.Mutex
 	// askedAt is when the last subscription came.
 	askedAt time.Time
-	subs map[netip.AddrPort]time.Time
-	last fleet.Report
-	sent time.Time
+	subs    map[netip.AddrPort]time.Time
+	last    fleet.Report
+	sent    time.Time
 }
 
 // NewPublisher listens for subscriptions at address; named is told of each
@@ -105,12 +108,17 @@
 	}
 }
 
-// Publish sends r to the subscribers if it is due.
-func (p *Publisher) Publish(r fleet.Report, now time.Time) {
+// Publish sends r to the subscribers if it is due; eager says that a version
+// is changing.
+func (p *Publisher) Publish(r fleet.Report, eager bool, now time.Time) {
+	every := repeatEvery
+	if eager {
+		every = eagerEvery
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r.Gateways = len(p.subs)
-	if r == p.last && now.Sub(p.sent) < repeatEvery {
+	if r == p.last && now.Sub(p.sent) < every {
 		return
 	}
 	p.last = r
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -61,7 +61,7 @@
 		func() map[string]int { return map[string]int{"m": 3} }, nil, got.take)
 	report := fleet.Report{Address: "a:1", Model: "m", Version: 2, Running: 3}
 	await(t, "a report and an echo", func() bool {
-		publisher.Publish(report, time.Now())
+		publisher.Publish(report, false, time.Now())
 		got.mu.Lock()
 		defer got.mu.Unlock()
 		return len(got.reports) > 1 && got.echoes > 0
@@ -81,15 +81,17 @@
 	publisher, _ := pair(t, func(string, int) {})
 	now := time.Now()
 	report := fleet.Report{Address: "a:1"}
-	publisher.Publish(report, now)
+	publisher.Publish(report, false, now)
 	first := publisher.sent
-	publisher.Publish(report, now.Add(repeatEvery/2))
+	publisher.Publish(report, false, now.Add(repeatEvery/2))
 	assert.Equal(t, publisher.sent, first)
-	publisher.Publish(report, now.Add(repeatEvery))
+	publisher.Publish(report, false, now.Add(repeatEvery))
 	assert.Assert(t, publisher.sent.After(first))
+	publisher.Publish(report, true, now.Add(repeatEvery+eagerEvery))
+	assert.Equal(t, publisher.sent, now.Add(repeatEvery+eagerEvery), "more often while a version changes")
 	report.Running = 1
-	publisher.Publish(report, now.Add(repeatEvery+time.Millisecond))
-	assert.Equal(t, publisher.sent, now.Add(repeatEvery+time.Millisecond), "a change is sent at once")
+	publisher.Publish(report, false, now.Add(repeatEvery+eagerEvery+time.Millisecond))
+	assert.Equal(t, publisher.sent, now.Add(repeatEvery+eagerEvery+time.Millisecond), "a change is sent at once")
 }
 
 // A gateway that is gone gets nothing after its subscription has ended.
@@ -105,6 +107,6 @@
 	}
 	await(t, "a subscription", func() bool { return subscribed() == 1 })
 	cancel()
-	publisher.Publish(fleet.Report{Address: "a:1"}, time.Now().Add(subscription+time.Second))
+	publisher.Publish(fleet.Report{Address: "a:1"}, false, time.Now().Add(subscription+time.Second))
 	assert.Equal(t, subscribed(), 0)
 }
