--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -156,7 +156,6 @@
 		Headers:         platform.Headers(),
 		Budget:          budget,
 		VersionDeadline: s.VersionDeadline(),
-		LocalIP:         s.IP,
 	}, p.requests, p.events, p.metrics)
 	front, err := net.Listen("tcp4", s.Listen.Front)
 	if err != nil {
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -36,6 +36,9 @@
 	// the caller will wait.
 	relaxedHold  = 1200 * time.Millisecond
 	relaxedShare = 0.3
+	// goingOnHold is how long a stream that goes on waits for an engine that
+	// takes it up in time, before it takes what there is.
+	goingOnHold = 120 * time.Millisecond
 	// aimShare is the part of the target latency in which an engine must be
 	// expected to answer for a request to be sent there; the rest is for
 	// what cannot be foreseen.
@@ -127,15 +130,30 @@
 	if x.attempts > 0 {
 		q.Limit += goingOnExtra
 	}
-	if !x.relaxed && x.route.TargetLatency > 0 {
-		left := aimShare*float64(x.route.TargetLatency) - float64(now.Sub(x.start))
-		q.Within = max(left/float64(time.Millisecond), 1)
-	}
+	q.Within = x.within(now)
 	q.MinVersion = s.minVersion(x.model, now)
 	q.SoonVersion = s.minVersion(x.model, now.Add(cautionLead))
 	return q
 }
 
+// within is the time in which an engine's first bytes should come for the
+// next attempt of x, in milliseconds, or 0 for no bound.
+func (x *exchange) within(now time.Time) float64 {
+	left := float64(0)
+	switch {
+	case x.relaxed:
+		return 0
+	case x.attempts > 0:
+		left = aimShare * float64(x.route.TargetGap)
+	default:
+		left = aimShare*float64(x.route.TargetLatency) - float64(now.Sub(x.start))
+	}
+	if x.route.TargetLatency <= 0 {
+		return 0
+	}
+	return max(left/float64(time.Millisecond), 1)
+}
+
 // connectionShare is the part of an endpoint's connections that all gateways
 // together use.
 const connectionShare = 0.9
@@ -228,6 +246,11 @@
 // is to be refused. One that was refused before, or has begun, gets a second
 // wait in which it takes what there is.
 func (s *Server) place(ctx context.Context, x *exchange) *fleet.Endpoint {
+	if x.attempts > 0 && !x.relaxed {
+		if e := s.admit(ctx, x, min(goingOnHold, time.Until(x.end))); e != nil {
+			return e
+		}
+	}
 	if x.attempts == 0 {
 		if e := s.admit(ctx, x, holdFor(x, time.Now())); e != nil || !x.returned {
 			s.pressureOf(x.service).count(e == nil, time.Now())
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -245,7 +245,7 @@
 	h := x.header.Clone()
 	h.Set(names.ExpectEndpoint, e.ID)
 	if !x.deadline.IsZero() {
-		left := max(x.end.Sub(time.Now()).Milliseconds(), 1)
+		left := max(time.Until(x.end).Milliseconds(), 1)
 		h.Set(names.Deadline, strconv.FormatInt(left, 10))
 	}
 	if lastEvent != "" {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -48,8 +48,6 @@
 	// VersionDeadline is how long after a version was named older ones may
 	// still start requests.
 	VersionDeadline time.Duration
-	// LocalIP is the address that connections to endpoints leave from.
-	LocalIP string
 }
 
 // Server is the request path of one gateway. It is an http.Handler.
@@ -93,7 +91,6 @@
 			DialTimeout: dialTimeout,
 			IdleTimeout: idleTimeout,
 			MaxIdle:     maxIdle,
-			LocalIP:     s.LocalIP,
 		}),
 		fleet:     fleet.New(s.Zone),
 		waiting:   make(map[string]*queue),
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -128,8 +128,6 @@
 	switch {
 	case ctx.Err() != nil:
 		x.finish(e, fleet.Abandoned)
-	case errors.Is(err, upstream.ErrFull):
-		x.finish(e, fleet.Rejected)
 	default:
 		x.finish(e, fleet.Broken)
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -26,8 +26,6 @@
 
 // Errors of this package.
 const (
-	// ErrFull says that the endpoint's connections are all in use.
-	ErrFull = errors.ConstError("all connections to the endpoint are in use")
 	// ErrForeign says that only answers to other requests came.
 	ErrForeign = errors.ConstError("the endpoint answered another request")
 )
@@ -69,8 +67,6 @@
 	IdleTimeout time.Duration
 	// MaxIdle bounds the resting connections of an endpoint.
 	MaxIdle int
-	// LocalIP is the address that connections leave from, or empty.
-	LocalIP string
 }
 
 // freshIdle is how long a connection may have rested for Request.Fresh.
@@ -96,8 +92,6 @@
 	dialer  net.Dialer
 	mu      sync.Mutex
 	idle    map[string][]*conn
-	open    map[string]int
-	limit   map[string]int
 	opened  uint64
 }
 
@@ -117,8 +111,6 @@
 	p := &Pool{
 		options: o,
 		idle:    make(map[string][]*conn),
-		open:    make(map[string]int),
-		limit:   make(map[string]int),
 	}
 	p.dialer = net.Dialer{
 		Timeout:   o.DialTimeout,
@@ -138,27 +130,6 @@
 	})
 }
 
-// SetLimit bounds the connections to an endpoint; 0 is no bound.
-func (p *Pool) SetLimit(address string, n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.limit[address] != n {
-		p.limit[address] = n
-	}
-}
-
-// Forget closes the resting connections to an endpoint.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	list := p.idle[address]
-	delete(p.idle, address)
-	delete(p.limit, address)
-	p.mu.Unlock()
-	for _, c := range list {
-		c.end()
-	}
-}
-
 // Opened is the number of connections opened so far.
 func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
@@ -211,35 +182,18 @@
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	p.mu.Lock()
-	if limit := p.limit[address]; limit > 0 && p.open[address] >= limit {
-		p.mu.Unlock()
-		return nil, ErrFull
-	}
-	p.open[address]++
 	p.opened++
 	p.mu.Unlock()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		p.closedOne(address)
 		return nil, err
 	}
 	c := &conn{Conn: raw, pool: p, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}
 	return c, nil
 }
 
-func (p *Pool) closedOne(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.open[address]--; p.open[address] <= 0 {
-		delete(p.open, address)
-	}
-}
-
 func (c *conn) end() {
-	c.closed.Do(func() {
-		_ = c.Close()
-		c.pool.closedOne(c.address)
-	})
+	c.closed.Do(func() { _ = c.Close() })
 }
 
 // rest puts a connection back.
