--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -100,6 +100,9 @@
 	failures float64 // share of attempts that failed, smoothed
 	strikes  int     // broken connections in a row
 	openTill time.Time
+	// misdirected says that the endpoint denied being this one, or holding
+	// the weights; it gets nothing until the list tells something new of it.
+	misdirected bool
 	// probing says that one request tries an endpoint that was left alone.
 	probing bool
 }
@@ -139,6 +142,7 @@
 	changed := e.Draining != r.Draining || !sameModels(e.Models, r.Models)
 	if changed {
 		e.Record = r
+		e.misdirected = false
 	}
 	return changed
 }
@@ -239,10 +243,10 @@
 	return !e.reportAt.IsZero() && now.Sub(e.reportAt) < reportLife
 }
 
-// ReportAge is the age of the newest report, or a negative value.
+// ReportAge is the age of the newest report, or -1 ms if there is none.
 func (e *Endpoint) ReportAge(now time.Time) time.Duration {
 	if e.reportAt.IsZero() {
-		return -1
+		return -time.Millisecond
 	}
 	return now.Sub(e.reportAt)
 }
@@ -335,7 +339,7 @@
 
 // usable reports whether the endpoint may get the attempt at all.
 func (e *Endpoint) usable(q *Query, now time.Time) bool {
-	if e.Draining || q.Exclude[e.ID] {
+	if e.Draining || e.misdirected || q.Exclude[e.ID] {
 		return false
 	}
 	if q.Model == "" {
@@ -482,6 +486,9 @@
 	Broken
 	// Rejected: the endpoint turned the request away.
 	Rejected
+	// Misdirected: another endpoint has the address, or it holds other
+	// weights than the list says.
+	Misdirected
 	// Abandoned: the caller left, or time ran out; it says nothing.
 	Abandoned
 )
@@ -505,6 +512,8 @@
 		e.strikes++
 		pause := openMin << min(e.strikes-1, 4)
 		e.openTill = now.Add(min(pause, openMax))
+	case Misdirected:
+		e.misdirected = true
 	case Rejected:
 		e.others++
 		e.heardAt = now
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -153,6 +153,20 @@
 	}
 }
 
+// An endpoint that says it is another gets nothing more, until the list
+// tells something new of it.
+func TestMisdirected(t *testing.T) {
+	f := engines(1)
+	e := f.Choose(query(), start)
+	f.Begun(e, 50, -1, start)
+	f.End(e, Misdirected, start)
+	assert.Equal(t, chosen(f, query(), start.Add(time.Minute)), "")
+	f.Put(Record{ID: "a", Service: "s", Address: "a:1", Zone: "z", Models: map[string]int{model: 1}})
+	assert.Equal(t, chosen(f, query(), start), "", "a heartbeat is nothing new")
+	f.Put(Record{ID: "a", Service: "s", Address: "a:1", Zone: "z", Models: map[string]int{model: 2}})
+	assert.Equal(t, chosen(f, query(), start), "a")
+}
+
 func TestAddressReuse(t *testing.T) {
 	f := engines(1)
 	f.Put(Record{ID: "new", Service: "other", Address: "a:1"})
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -251,3 +251,23 @@
 	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, len(w.requests()), 1)
 }
+
+// After a restart the list may still name what was there before: it costs
+// one attempt, not one of each request.
+func TestReplacedEndpointIsLeftAlone(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.endpoint("a", "plain", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusMisdirectedRequest) })
+	w.endpoint("b", "plain", ok("b"))
+	for range 8 {
+		r, _ := w.get("GET", "/safe/1", "")
+		assert.Equal(t, r.StatusCode, http.StatusOK)
+	}
+	misdirected := 0
+	for _, got := range w.requests() {
+		if got.endpoint == "a" {
+			misdirected++
+		}
+	}
+	assert.Assert(t, misdirected <= 1, "%d attempts at an endpoint that is another", misdirected)
+}
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -91,7 +91,7 @@
 		x.lastCause = "endpoint refused"
 		x.server.log.Info("attempt refused", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "status", response.Status)
 		x.drop(response)
-		x.finish(e, fleet.Rejected)
+		x.finish(e, rejection(response.Status))
 		return nil, notRun
 	case spoilt:
 		x.lastCause = "answer without seal"
@@ -120,6 +120,14 @@
 	return &reply{status: response.Status, header: response.Header, body: body}, v
 }
 
+// rejection is what a refusal says of the endpoint.
+func rejection(status int) fleet.Result {
+	if status == http.StatusMisdirectedRequest {
+		return fleet.Misdirected
+	}
+	return fleet.Rejected
+}
+
 // broken takes an attempt without an answer.
 func (x *exchange) broken(ctx context.Context, e *fleet.Endpoint, err error) verdict {
 	x.lastCause = err.Error()
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -122,7 +122,7 @@
 		t.lastCause = "endpoint refused"
 		t.server.log.Info("attempt refused", "request", t.id, "attempt", t.attempts, "endpoint", e.ID, "status", response.Status)
 		t.drop(response)
-		t.finish(e, fleet.Rejected)
+		t.finish(e, rejection(response.Status))
 		return nil, notRun
 	case spoilt:
 		t.lastCause = "answer without seal"
