--- a/installer/start.go
+++ b/installer/start.go
@@ -16,7 +16,7 @@
 // the deadline.
 const (
 	firstTurn = 0.3
-	turnsSpan = 0.28
+	turnsSpan = 0.30
 )
 
 // Times of a change of version.
