--- /dev/null
+++ b/deploy/days/play.py
@@ -0,0 +1,71 @@
+#!/usr/bin/env python3
+# SPDX-License-Identifier: Apache-2.0
+"""Plays the days of this folder on a site and prints a table.
+
+    deploy/days/play.py BENCH SITE [--why TEXT] [--jobs N] [--logs DIR] [DAY...]
+
+SERVICE and ORIGIN in the days stand for the site's service of engines and
+its origin of weights. With --logs, each day's whole output is kept there.
+"""
+import argparse
+import concurrent.futures
+import pathlib
+import re
+import subprocess
+import sys
+import tempfile
+
+HERE = pathlib.Path(__file__).parent
+
+
+def service(site, model):
+    found = re.search(r'name = "([\w-]+)", model = "%s"' % model, site)
+    return found.group(1) if found else ""
+
+
+def play(arguments, site, day, folder):
+    text = day.read_text().replace("SERVICE", service(site, "llm")).replace("ORIGIN", service(site, "weights"))
+    path = pathlib.Path(folder) / day.name
+    path.write_text(text)
+    command = [arguments.bench, "run", arguments.site, str(path), "--why", f"{arguments.why} ({day.stem})"]
+    if arguments.logs:
+        command += ["--log", "all"]
+    done = subprocess.run(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, errors="replace", check=False)
+    if arguments.logs:
+        (pathlib.Path(arguments.logs) / (day.stem + ".log")).write_text(done.stdout)
+    return done.stdout
+
+
+def summary(name, output):
+    row = re.search(r"^%s .*$" % re.escape(name), output, re.M)
+    broken = re.search(r"^rules broken: .*$", output, re.M)
+    fault = re.search(r"^fleetbench: .*$", output, re.M)
+    state = broken.group(0) if broken else "kept" if row else "not played: " + (fault.group(0) if fault else output[-200:])
+    return row.group(0)[:78] if row else name, state
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("bench")
+    parser.add_argument("site")
+    parser.add_argument("days", nargs="*")
+    parser.add_argument("--why", default="our own days")
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--logs")
+    arguments = parser.parse_args()
+    site = pathlib.Path(arguments.site).read_text()
+    days = sorted(HERE.glob("*.toml"))
+    if arguments.days:
+        days = [d for d in days if d.stem in arguments.days]
+    failed = 0
+    with tempfile.TemporaryDirectory() as folder, concurrent.futures.ThreadPoolExecutor(arguments.jobs) as pool:
+        for day, output in zip(days, pool.map(lambda d: play(arguments, site, d, folder), days)):
+            row, state = summary(day.stem, output)
+            failed += not state.startswith("kept")
+            print(f"{row:80} {state}", flush=True)
+    print(f"{len(days)} days, {failed} broken or not played")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -39,6 +39,8 @@
 	Running int     `json:"r"`
 	Queued  int     `json:"q"`
 	Pace    float64 `json:"p,omitempty"`
+	// Gateways is how many gateways hear these reports.
+	Gateways int `json:"g,omitempty"`
 }
 
 // Timing of what a Fleet believes.
@@ -61,11 +63,9 @@
 	// failureCost is that of an endpoint whose attempts all fail.
 	failureCost = 800.0
 	// loadCost is that of one more request beside this one.
-	loadCost = 4.0
+	loadCost = 8.0
 	// plainCost is the same at an endpoint that is no engine.
 	plainCost = 20.0
-	// fullCost is added for each request beyond the slots.
-	fullCost = 90.0
 	// noise keeps gateways that know the same from choosing the same.
 	noise = 15.0
 )
@@ -83,8 +83,11 @@
 	unreadCount int
 	// othersUnread is the same number for everybody else.
 	othersUnread float64
-	report       Report
-	reportAt     time.Time
+	// sentCount and sentWork are own attempts since the last report.
+	sentCount int
+	sentWork  float64
+	report    Report
+	reportAt  time.Time
 	// roundTrip is the last that was measured, to the sidecar and back.
 	roundTrip time.Duration
 	roundAt   time.Time
@@ -217,6 +220,7 @@
 	}
 	e.others = math.Max(0, float64(r.Running+r.Queued-e.own))
 	e.othersUnread = math.Max(0, float64(r.Queued-e.unreadCount))
+	e.sentCount, e.sentWork = 0, 0
 	return e, changed
 }
 
@@ -275,7 +279,18 @@
 	if !e.fresh(now) {
 		return float64(e.own) + e.others*0.5
 	}
-	return float64(e.own) + e.others
+	return float64(e.own) + e.others + e.likewise()*float64(e.sentCount)
+}
+
+// likewiseShare is how much of what this gateway has sent since the last
+// report each other gateway is taken to have sent too: they see the same
+// room and have the same requests waiting.
+const likewiseShare = 0.5
+
+// likewise is what all other gateways are taken to have sent for each own
+// attempt since the last report.
+func (e *Endpoint) likewise() float64 {
+	return likewiseShare * math.Max(0, float64(e.report.Gateways-1))
 }
 
 // pace is how many times slower than usual the endpoint works.
@@ -301,8 +316,13 @@
 	// Work is how long an engine reads the request, and UsualWork a usual
 	// one, in milliseconds; both are 0 for plain services.
 	Work, UsualWork float64
-	// Slots is how many requests an engine works on at once.
-	Slots float64
+	// Slots is how many requests an engine works on at once, and SlotEvery
+	// how often a full engine has a slot free, in milliseconds.
+	Slots, SlotEvery float64
+	// Within is the time in which the first bytes should come, in
+	// milliseconds; an engine that cannot keep it gets nothing. 0 is no
+	// bound.
+	Within float64
 	// Exclude are the ids of endpoints that have been tried.
 	Exclude map[string]bool
 }
@@ -345,6 +365,9 @@
 		if q.Limit > 0 && load >= f.limit(e, q.Limit, now) {
 			continue
 		}
+		if q.Within > 0 && e.firstBytes(&q, load, now) > q.Within {
+			continue
+		}
 		if cost := f.cost(e, &q, load, now); cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -355,6 +378,8 @@
 	best.own++
 	best.unread += q.Work
 	best.unreadCount++
+	best.sentCount++
+	best.sentWork += q.Work
 	if best.strikes > 0 {
 		best.probing = true
 	}
@@ -380,11 +405,21 @@
 	if e.lag > lagOften {
 		cost += float64(min(e.lag, delayMax).Milliseconds())
 	}
-	busy := loadCost*load + e.Backlog(q.UsualWork, now) + q.Work
+	return cost + e.firstBytes(q, load, now)
+}
+
+// halfPass is what a new request waits for the pass under way, in
+// milliseconds.
+const halfPass = 60.0
+
+// firstBytes estimates the time until the first bytes of a new request, in
+// milliseconds.
+func (e *Endpoint) firstBytes(q *Query, load float64, now time.Time) float64 {
+	busy := halfPass + loadCost*load + e.Backlog(q.UsualWork, now) + q.Work
 	if load >= q.Slots {
-		busy += fullCost * (load - q.Slots + 1)
+		busy += q.SlotEvery * (load - q.Slots + 1)
 	}
-	return cost + busy*e.pace(now)
+	return busy * e.pace(now)
 }
 
 // Backlog estimates how long the engine reads what it has been sent and has
@@ -394,7 +429,7 @@
 	if e.fresh(now) {
 		others -= float64(now.Sub(e.reportAt).Milliseconds())
 	}
-	return e.unread + math.Max(0, others)
+	return e.unread + math.Max(0, others) + e.likewise()*e.sentWork
 }
 
 // Begun notes that an attempt of so much work has brought its first bytes,
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -15,12 +15,9 @@
 
 // Bounds of how much an endpoint is given.
 const (
-	// engineExtra is how many requests may wait at an engine beyond its
-	// slots: one joins the batch as soon as another leaves it.
-	engineExtra = 1
-	// returnedExtra is added for callers that come back after a refusal,
-	// and for streams that go on.
-	returnedExtra = 4
+	// goingOnExtra is how many streams that go on may wait at an engine
+	// beyond its slots.
+	goingOnExtra = 2
 	// plainFactor bounds a plain endpoint's load, in slots.
 	plainFactor = 3
 	// defaultSlots is assumed where the list tells none.
@@ -34,14 +31,23 @@
 	holdShare = 0.22
 	// holdMax bounds the wait where no target is known.
 	holdMax = 200 * time.Millisecond
-	// returnedHold is the part for callers that come back.
-	returnedHold = 0.22
+	// relaxedHold and relaxedShare bound how long a request waits that would
+	// otherwise be refused again, or broken off: a time, and a part of what
+	// the caller will wait.
+	relaxedHold  = 1200 * time.Millisecond
+	relaxedShare = 0.3
+	// aimShare is the part of the target latency in which an engine must be
+	// expected to answer for a request to be sent there; the rest is for
+	// what cannot be foreseen.
+	aimShare = 0.92
 )
 
-// When to come back after a refusal.
+// When to come back after a refusal: later, and more spread, the more of
+// the service's requests are refused.
 const (
 	comeBackMin   = 350 * time.Millisecond
-	comeBackRange = 900 * time.Millisecond
+	comeBackRange = 500 * time.Millisecond
+	comeBackMore  = 1300 * time.Millisecond
 	// comeBackNone is added when no endpoint could serve at all.
 	comeBackNone = 600 * time.Millisecond
 )
@@ -56,26 +62,36 @@
 // rank orders asks: the lower goes first.
 type rank struct {
 	priority int
-	// returned callers and streams that go on are served before new ones.
-	fresh   bool
-	arrived time.Time
+	turn     turn
+	arrived  time.Time
 }
 
-func compareRank(a, b rank) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), compareBool(a.fresh, b.fresh), a.arrived.Compare(b.arrived))
-}
+// turn orders asks of one priority. A new request that is answered in time
+// is worth more than one that comes back after a refusal, and either may be
+// refused; a stream that goes on has been promised.
+type turn int
+
+const (
+	goingOn turn = iota
+	fresh
+	returned
+)
 
-func compareBool(a, b bool) int {
+func (x *exchange) turn() turn {
 	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
+	case x.attempts > 0:
+		return goingOn
+	case x.returned:
+		return returned
 	default:
-		return 1
+		return fresh
 	}
 }
 
+func compareRank(a, b rank) int {
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.turn, b.turn), a.arrived.Compare(b.arrived))
+}
+
 // queue are the asks of a service, by rank.
 type queue struct{ asks []*ask }
 
@@ -102,9 +118,14 @@
 	q.Slots = float64(service.Engine.Slots)
 	q.Work = x.work
 	q.UsualWork = x.usual
-	q.Limit = float64(service.Engine.Slots + engineExtra)
-	if x.returned || x.attempts > 0 {
-		q.Limit += returnedExtra
+	q.Limit = float64(service.Engine.Slots)
+	q.SlotEvery = slotEvery(service.Engine)
+	if x.attempts > 0 {
+		q.Limit += goingOnExtra
+	}
+	if !x.relaxed && x.route.TargetLatency > 0 {
+		left := aimShare*float64(x.route.TargetLatency) - float64(now.Sub(x.start))
+		q.Within = max(left/float64(time.Millisecond), 1)
 	}
 	q.MinVersion = s.minVersion(x.model, now)
 	q.SoonVersion = s.minVersion(x.model, now.Add(cautionLead))
@@ -116,7 +137,7 @@
 func (s *Server) admit(ctx context.Context, x *exchange, hold time.Duration) *fleet.Endpoint {
 	now := time.Now()
 	a := &ask{
-		rank:    rank{priority: x.priority, fresh: !x.returned && x.attempts == 0, arrived: x.start},
+		rank:    rank{priority: x.priority, turn: x.turn(), arrived: x.start},
 		granted: make(chan *fleet.Endpoint, 1),
 	}
 	s.mu.Lock()
@@ -185,30 +206,53 @@
 	}
 }
 
-// holdFor is how long x may wait for an endpoint.
+// place finds an endpoint for the next attempt of x, or returns nil if it
+// is to be refused. One that was refused before, or has begun, gets a second
+// wait in which it takes what there is.
+func (s *Server) place(ctx context.Context, x *exchange) *fleet.Endpoint {
+	if x.attempts == 0 {
+		if e := s.admit(ctx, x, holdFor(x, time.Now())); e != nil || !x.returned {
+			s.pressureOf(x.service).count(e == nil, time.Now())
+			return e
+		}
+	}
+	x.relaxed = true
+	left := time.Until(x.end)
+	if x.attempts == 0 {
+		left = time.Duration(relaxedShare * float64(left))
+	}
+	return s.admit(ctx, x, min(relaxedHold, left))
+}
+
+// holdFor is how long x may wait for an endpoint that answers in time.
 func holdFor(x *exchange, now time.Time) time.Duration {
 	hold := holdMax
 	if x.route.TargetLatency > 0 {
 		hold = time.Duration(holdShare * float64(x.route.TargetLatency))
 	}
-	if x.attempts > 0 {
-		return min(hold, x.end.Sub(now))
-	}
 	return min(hold-now.Sub(x.start), x.end.Sub(now))
 }
 
 // comeBack is when a refused caller should try again.
 func (s *Server) comeBack(x *exchange) time.Duration {
+	now := time.Now()
 	s.mu.Lock()
-	usable := s.fleet.Usable(s.query(x, time.Now()), time.Now())
+	usable := s.fleet.Usable(s.query(x, now), now)
 	s.mu.Unlock()
-	after := comeBackMin + time.Duration(rand.Float64()*float64(comeBackRange))
+	spread := float64(comeBackRange) + float64(comeBackMore)*s.pressureOf(x.service).share(now)
+	after := comeBackMin + time.Duration(rand.Float64()*spread)
 	if usable == 0 {
 		after += comeBackNone
 	}
 	return after
 }
 
+// slotEvery is how often a full engine has a slot free, in milliseconds.
+func slotEvery(e *routing.Engine) float64 {
+	writing := float64(e.UsualAnswer) * float64(e.Step.Microseconds()) / 1000
+	return writing/float64(max(e.Slots, 1)) + readMillis(e, e.UsualPrompt)
+}
+
 // readMillis is how long an engine reads so many prompt tokens.
 func readMillis(e *routing.Engine, tokens int) float64 {
 	if e.ReadRate <= 0 {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -52,6 +52,8 @@
 	// begun says that the attempt in progress has brought bytes.
 	begun bool
 
+	// relaxed says that the request takes an endpoint that will be late.
+	relaxed   bool
 	attempts  int             // sent to an endpoint
 	tried     map[string]bool // ids of endpoints
 	mayRun    bool            // an endpoint may have run, or may yet run it
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -64,12 +64,13 @@
 	closed   atomic.Bool
 	inFlight atomic.Int64
 
-	mu       sync.Mutex
-	fleet    *fleet.Fleet
-	waiting  map[string]*queue
-	budgets  map[string]*retrybudget.Budget
-	versions map[string][]naming
-	listed   bool // the list of endpoints is known
+	mu        sync.Mutex
+	fleet     *fleet.Fleet
+	waiting   map[string]*queue
+	budgets   map[string]*retrybudget.Budget
+	versions  map[string][]naming
+	pressures map[string]*pressure
+	listed    bool // the list of endpoints is known
 }
 
 // naming is a version of a model and when it was learned of.
@@ -91,10 +92,11 @@
 			MaxIdle:     maxIdle,
 			LocalIP:     s.LocalIP,
 		}),
-		fleet:    fleet.New(s.Zone),
-		waiting:  make(map[string]*queue),
-		budgets:  make(map[string]*retrybudget.Budget),
-		versions: make(map[string][]naming),
+		fleet:     fleet.New(s.Zone),
+		waiting:   make(map[string]*queue),
+		budgets:   make(map[string]*retrybudget.Budget),
+		versions:  make(map[string][]naming),
+		pressures: make(map[string]*pressure),
 	}
 }
 
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -64,8 +64,7 @@
 
 // next waits for the endpoint of the next attempt and counts the attempt.
 func (x *exchange) next(ctx context.Context) *fleet.Endpoint {
-	now := time.Now()
-	e := x.server.admit(ctx, x, holdFor(x, now))
+	e := x.server.place(ctx, x)
 	if e == nil {
 		return nil
 	}
--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -125,6 +125,7 @@
 		params.Peers = append(params.Peers, transfer.Peer{Box: i.settings.Box, Region: i.settings.Region, Zone: i.settings.Zone})
 	}
 	params.TakeOver = takeOver
+	params.Quiet = lostAfter
 	known := i.client.held(ctx, peers, i.settings.Box, r.manifest)
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -156,8 +157,15 @@
 	return pullsAtOnce
 }
 
-// takeOver is how long each further rank waits for a silent one.
-const takeOver = 1000 * time.Millisecond
+// A version has seconds to be everywhere, so that what a dead box had read
+// for all is soon read by another.
+const (
+	// takeOver is how long each further rank waits for a silent one.
+	takeOver = 900 * time.Millisecond
+	// lostAfter is how long nothing new must have come before a chunk is
+	// taken for lost with the box that read it.
+	lostAfter = 400 * time.Millisecond
+)
 
 // defaultTurn is the time of a chunk at the origin where its rate is not
 // known.
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -243,7 +243,7 @@
 	retryPause = 250 * time.Millisecond
 	// fetchRound bounds one look at the list of peers; after it the list is
 	// read again.
-	fetchRound = 4 * time.Second
+	fetchRound = 6 * time.Second
 	// startWait is how long a start may take before it is ordered again.
 	startWait = 3 * time.Second
 )
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -106,6 +106,7 @@
 func (p *Publisher) Publish(r fleet.Report, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	r.Gateways = len(p.subs)
 	if r == p.last && now.Sub(p.sent) < repeatEvery {
 		return
 	}
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -61,6 +61,9 @@
 	ExtraOrigin int
 	// Downloads bounds the pulls under way at once.
 	Downloads int
+	// Quiet is how long nothing new must have come before a box looks for
+	// chunks that have been lost; 0 stands for DefaultQuiet.
+	Quiet time.Duration
 }
 
 // ExtraOrigin is the share of each of n boxes in extra copies, in chunks.
@@ -123,9 +126,8 @@
 	stallFactor = 3
 	stallMin    = 500 * time.Millisecond
 	stallMax    = 10 * time.Second
-	// quietMin is how long nothing new must have come before a box looks
-	// for chunks that have been lost.
-	quietMin = 2 * time.Second
+	// DefaultQuiet is the Quiet of plans that last for minutes.
+	DefaultQuiet = 2 * time.Second
 )
 
 type peerState struct {
@@ -177,6 +179,9 @@
 	if p.Downloads <= 0 {
 		p.Downloads = DefaultDownloads
 	}
+	if p.Quiet <= 0 {
+		p.Quiet = DefaultQuiet
+	}
 	s := &Swarm{
 		params:  p,
 		start:   start,
@@ -421,7 +426,7 @@
 // goes, and each further one waits another TakeOver.
 func (s *Swarm) lastResort(now time.Time) (Pull, bool) {
 	quiet := now.Sub(s.lastNew)
-	if quiet < quietMin || s.origin >= originSlots {
+	if quiet < s.params.Quiet || s.origin >= originSlots {
 		return Pull{}, false
 	}
 	since := now.Sub(s.start)
@@ -431,7 +436,7 @@
 			continue
 		}
 		rank := rankAmong(int(c), s.self.Box, living)
-		if quiet >= quietMin+time.Duration(rank)*s.params.TakeOver {
+		if quiet >= s.params.Quiet+time.Duration(rank)*s.params.TakeOver {
 			return s.first(int(c), since)
 		}
 	}
