sidecars learn from gateways what they need of the operator's records; newest records are read once

Cause: after a loss of power of all boxes 76 sidecars read the operator's configuration at once (hundreds of KB with many routes), and gateways read it again each 1.2 s for 8 s. Ruled out: the origin's rate (1.1 copies sent) and the engines (filled 2 s after their sidecars knew the version).

Now a gateway's subscription tells a sidecar the named versions with their age, and how weights come unless its report shows that it knows; a sidecar reads the store only when no gateway speaks, spread over 2 s, and after the first time only what is new. A read is given up when nothing comes for 1.5 s, not after 1.5 s in all. The round of notices ahead of its time never happened: its channel was nil.

TestSidecarReadsSparingly asks for no read at all now where it allowed one.

--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,6 +21,7 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/installer"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/routing"
@@ -179,13 +182,7 @@
 	view := gatewayView{server}
 	go p.watcher.WatchOperator(ctx, view, gatewayWait)
 	go p.watchEndpoints(ctx, server)
-	go subscriber.Run(ctx, func() []string {
-		out := server.EngineAddresses()
-		for i, address := range out {
-			out[i] = s.Internal(address, portPublish)
-		}
-		return out
-	}, server.Named, server.NamedSoon(), server.Heard)
+	go subscriber.Run(ctx, func() []loadreport.Audience { return audiences(s, server, time.Now()) }, server.TellSoon(), server.Heard)
 	go func() {
 		for range time.Tick(maintainEvery) {
 			server.Maintain(time.Now())
@@ -194,6 +191,52 @@
 	return func(ending context.Context) { stopGateway(ending, p, server, front) }, nil
 }
 
+// audiences are the sidecars of each service of engines, and what they are
+// told.
+func audiences(s *platform.Settings, server *ingress.Server, now time.Time) []loadreport.Audience {
+	c := server.Configuration()
+	if c == nil {
+		return nil
+	}
+	var out []loadreport.Audience
+	for name, service := range c.Services {
+		if service.Engine == nil {
+			continue
+		}
+		notice := loadreport.Notice{Model: service.Engine.Model, Named: named(server, service.Engine.Model, now)}
+		weights, ok := c.Weights(name)
+		knowing, others := server.EngineAddresses(name, weights.Sum(), now)
+		out = append(out, loadreport.Audience{Sidecars: publishers(s, knowing), Notice: notice})
+		if ok {
+			notice.Weights = &weights
+		}
+		out = append(out, loadreport.Audience{Sidecars: publishers(s, others), Notice: notice})
+	}
+	return out
+}
+
+// publishers are the addresses of the sidecars beside engines.
+func publishers(s *platform.Settings, engines []string) []string {
+	out := make([]string, len(engines))
+	for i, address := range engines {
+		out[i] = s.Internal(address, portPublish)
+	}
+	return out
+}
+
+// named are the named versions of a model as sidecars are told.
+func named(server *ingress.Server, model string, now time.Time) []loadreport.Named {
+	var out []loadreport.Named
+	for _, n := range server.Named(model) {
+		told := loadreport.Named{Version: n.Version, AgeMS: loadreport.UnknownAge}
+		if !n.First {
+			told.AgeMS = now.Sub(n.Learned).Milliseconds()
+		}
+		out = append(out, told)
+	}
+	return out
+}
+
 // watchEndpoints reads the list once the configuration, which says how many
 // layers a model has, is known.
 func (p *platformProcess) watchEndpoints(ctx context.Context, server *ingress.Server) {
@@ -253,47 +296,88 @@
 	go func() { _ = http.Serve(listener, mux) }()
 }
 
-// sidecarView gives what the store tells to a sidecar.
+// sidecarView gives what the store or a gateway tells to a sidecar.
 type sidecarView struct {
 	settings  *platform.Settings
 	installer *installer.Installer
-	table     *routing.Table
+
+	mu      sync.Mutex
+	weights routing.Weights
 }
 
 // Configured implements platform.Operator.
 func (v *sidecarView) Configured(c *routing.Configuration) {
-	if !v.table.Apply(c) {
-		return
+	if weights, ok := c.Weights(v.settings.Service); ok {
+		v.apply(weights)
 	}
-	service := c.Services[v.settings.Service]
-	if service == nil || service.Engine == nil || service.Engine.Chunks == 0 {
+}
+
+// apply takes how weights come, unless something newer is known.
+func (v *sidecarView) apply(w routing.Weights) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if w.Chunks == 0 || w.Version <= v.weights.Version {
 		return
 	}
-	params := installer.Params{
-		Model:      service.Engine.Model,
-		Chunks:     service.Engine.Chunks,
-		ChunkBytes: service.Engine.ChunkBytes,
-		Deadline:   v.settings.VersionDeadline(),
-	}
-	if origin := c.Origin(); origin != nil {
-		params.OriginRate = origin.OriginRate
-		params.OriginRegion = v.settings.Regions[origin.Zone]
-	}
-	v.installer.Configure(params)
+	v.weights = w
+	v.installer.Configure(installer.Params{
+		Model:        w.Model,
+		Chunks:       w.Chunks,
+		ChunkBytes:   w.ChunkBytes,
+		Deadline:     v.settings.VersionDeadline(),
+		OriginRate:   w.OriginRate,
+		OriginRegion: v.settings.Regions[w.OriginZone],
+	})
 }
 
 // Named implements platform.Operator.
 func (v *sidecarView) Named(n platform.Naming, first bool) {
-	v.installer.Name(n.Model, n.Version, first)
+	named := time.Time{}
+	if !first {
+		named = time.Now()
+	}
+	v.installer.Name(n.Model, n.Version, named)
+}
+
+// told takes what a gateway tells.
+func (v *sidecarView) told(n loadreport.Notice) {
+	if n.Weights != nil {
+		v.apply(*n.Weights)
+	}
+	// A gateway that does not know since when a version is named says no more
+	// than that it is: all would change at once if they took it for overdue.
+	now := time.Now()
+	for _, named := range n.Named {
+		since := named.Since(now)
+		if since.IsZero() {
+			since = now
+		}
+		v.installer.Name(n.Model, named.Version, since)
+	}
+}
+
+// known returns how weights come, as far as that is known.
+func (v *sidecarView) known() routing.Weights {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.weights
+}
+
+// sum is the checksum of how weights come, or 0 while that is not known.
+func (v *sidecarView) sum() uint32 {
+	w := v.known()
+	if w.Chunks == 0 {
+		return 0
+	}
+	return w.Sum()
 }
 
 // layers is how many layers the service's model has, or 0.
 func (v *sidecarView) layers(service string) int {
-	c := v.table.Get()
-	if c == nil || c.Services[service] == nil || c.Services[service].Engine == nil {
+	if service != v.settings.Service {
 		return 0
 	}
-	return c.Services[service].Engine.Layers
+	return v.known().Layers
 }
 
 // peers reads the sidecars of the service from the list of endpoints.
@@ -321,42 +405,44 @@
 const (
 	// gatewayWait is how long one read of the operator's records waits.
 	gatewayWait = 10 * time.Second
-	// rereadEvery is how often a sidecar that gateways speak to reads them,
-	// unheardAfter how long it goes without a gateway's word before it reads
-	// on its own, and rereadPause how often then.
-	rereadEvery  = 2 * time.Minute
+	// unheardAfter is how long a sidecar goes without a gateway's word before
+	// it reads on its own, longer by up to unheardMore so that not all do so
+	// at once, and rereadPause how often then.
 	unheardAfter = 2 * time.Second
+	unheardMore  = 2 * time.Second
 	rereadPause  = 1500 * time.Millisecond
 )
 
-// watchOperatorSparingly reads what the operator wrote at the start, and
-// then only when no gateway tells the named versions: each configuration is
-// large, and a sidecar needs next to nothing of it.
+// watchOperatorSparingly reads what the operator wrote while no gateway tells
+// it: each configuration is large, a sidecar needs next to nothing of it, and
+// hundreds that read it at once fill the links between regions.
 func (p *platformProcess) watchOperatorSparingly(ctx context.Context, o platform.Operator, publisher *loadreport.Publisher) {
 	const look = 250 * time.Millisecond
-	var read, tried time.Time
+	reader := p.watcher.OperatorReader(o)
+	patience := unheardAfter + rand.N(unheardMore)
+	read, began := time.Time{}, time.Now()
 	lost := false
 	for ctx.Err() == nil {
+		clock.Sleep(ctx, look)
 		now := time.Now()
-		due := read.IsZero() || now.Sub(read) > rereadEvery || now.Sub(publisher.Asked()) > unheardAfter && now.Sub(read) > rereadPause
-		if due && now.Sub(tried) > look {
-			tried = now
-			err := p.watcher.ReadOperator(ctx, o)
-			switch {
-			case err == nil:
-				read = now
-				if lost {
-					p.events.Info("store regained", "topic", "operator")
-				}
-				lost = false
-			case !lost:
-				lost = true
-				p.events.Info("store lost", "topic", "operator", "error", err.Error())
-			}
+		heard := publisher.Asked()
+		if heard.IsZero() {
+			heard = began
 		}
-		select {
-		case <-time.After(look):
-		case <-ctx.Done():
+		if now.Sub(heard) < patience || now.Sub(read) < rereadPause {
+			continue
+		}
+		err := reader.Read(ctx)
+		switch {
+		case err == nil:
+			read = time.Now()
+			if lost {
+				p.events.Info("store regained", "topic", "operator")
+			}
+			lost = false
+		case !lost:
+			lost = true
+			p.events.Info("store lost", "topic", "operator", "error", err.Error())
 		}
 	}
 }
@@ -366,23 +452,16 @@
 
 func startPlatformSidecar(ctx context.Context, p *platformProcess) (stopper, error) {
 	s := p.settings
-	view := &sidecarView{settings: s, table: &routing.Table{}}
+	view := &sidecarView{settings: s}
 	engine := platform.NewEngine(s.App, func() int { return view.layers(s.Service) })
-	origin := platform.NewOrigin(func() string {
-		if c := view.table.Get(); c != nil && c.Origin() != nil {
-			return c.Origin().Origin
-		}
-		return ""
-	})
+	origin := platform.NewOrigin(func() string { return view.known().Origin })
 	view.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone, LinkRate: s.LinkRate()}, engine, origin,
 		func(ctx context.Context) ([]installer.Peer, error) { return view.peers(ctx, p.watcher) }, p.events, p.metrics)
 	listener, err := net.Listen("tcp4", s.Internal(s.IP, portSidecars))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	publisher, err := loadreport.NewPublisher(s.Internal(s.IP, portPublish), func(model string, version int) {
-		view.installer.Name(model, version, false)
-	})
+	publisher, err := loadreport.NewPublisher(s.Internal(s.IP, portPublish), view.told)
 	if err != nil {
 		return nil, err
 	}
@@ -391,20 +470,21 @@
 	p.serveMetrics()
 	go p.watchOperatorSparingly(ctx, view, publisher)
 	go view.installer.Run(ctx)
-	go reportLoad(ctx, s.App, engine, view.installer, publisher)
+	go reportLoad(ctx, view, engine, publisher)
 	return func(context.Context) { _ = peers.Close() }, nil
 }
 
 // reportLoad reads the engine's state and publishes it.
-func reportLoad(ctx context.Context, address string, engine *platform.Engine, i *installer.Installer, publisher *loadreport.Publisher) {
+func reportLoad(ctx context.Context, view *sidecarView, engine *platform.Engine, publisher *loadreport.Publisher) {
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
+	i := view.installer
 	for {
 		if state, err := engine.State(ctx); err == nil {
 			i.Heard(state)
 			publisher.Publish(fleet.Report{
-				Address: address, Model: state.Model, Version: state.Version, Busy: state.Busy || i.Leaving(),
-				Running: state.Running, Queued: state.Queued, Pace: state.Pace,
+				Address: view.settings.App, Model: state.Model, Version: state.Version, Busy: state.Busy || i.Leaving(),
+				Running: state.Running, Queued: state.Queued, Pace: state.Pace, Weights: view.sum(),
 			}, i.Changing(), time.Now())
 		}
 		select {
--- a/cmd/mintlift/platform_test.go
+++ b/cmd/mintlift/platform_test.go
@@ -16,9 +16,12 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/ingress"
+	"github.com/mintlift/mintlift/installer"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/routing"
+	"github.com/mintlift/mintlift/telemetry"
 )
 
 // nobody takes what the operator wrote.
@@ -27,16 +30,21 @@
 func (nobody) Configured(*routing.Configuration) {}
 func (nobody) Named(platform.Naming, bool)       {}
 
-// A sidecar that gateways speak to reads the store once; one that hears
-// none reads on its own.
+// A sidecar that gateways speak to reads nothing from the store; one that
+// hears none reads on its own, all once and then what is new.
 func TestSidecarReadsSparingly(t *testing.T) {
-	var calls atomic.Int32
-	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		calls.Add(1)
-		_, _ = io.WriteString(w, `{"items":[],"more":false,"end":0}`)
+	var newest, reads atomic.Int32
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/log-newest" {
+			newest.Add(1)
+			_, _ = io.WriteString(w, `{"items":[],"more":false,"end":0}`)
+			return
+		}
+		reads.Add(1)
+		_, _ = w.Write(make([]byte, 16))
 	}))
 	defer store.Close()
-	publisher, err := loadreport.NewPublisher("127.0.0.1:17701", func(string, int) {})
+	publisher, err := loadreport.NewPublisher("127.0.0.1:17701", func(loadreport.Notice) {})
 	assert.NilError(t, err)
 	defer publisher.Close()
 	subscriber, err := loadreport.NewSubscriber("127.0.0.1:0")
@@ -44,8 +52,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	speaking, silence := context.WithCancel(ctx)
-	go subscriber.Run(speaking, func() []string { return []string{"127.0.0.1:17701"} },
-		func() map[string]int { return nil }, nil, func(fleet.Report, time.Duration) {})
+	audience := loadreport.Audience{Sidecars: []string{"127.0.0.1:17701"}}
+	go subscriber.Run(speaking, func() []loadreport.Audience { return []loadreport.Audience{audience} }, nil, func(fleet.Report, time.Duration) {})
 	for publisher.Asked().IsZero() {
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -54,10 +62,62 @@
 		watcher: platform.NewWatcher(platform.NewStore(strings.TrimPrefix(store.URL, "http://")), logr.Discard()),
 	}
 	go p.watchOperatorSparingly(ctx, nobody{}, publisher)
-	time.Sleep(4 * time.Second)
-	assert.Equal(t, calls.Load(), int32(1))
+	time.Sleep(unheardAfter + unheardMore + time.Second)
+	assert.Equal(t, newest.Load()+reads.Load(), int32(0))
 	silence()
-	for began := time.Now(); calls.Load() < 3; time.Sleep(20 * time.Millisecond) {
+	for began := time.Now(); reads.Load() < 2; time.Sleep(20 * time.Millisecond) {
 		assert.Assert(t, time.Since(began) < 20*time.Second, "it does not read on its own")
 	}
+	assert.Equal(t, newest.Load(), int32(1))
+}
+
+// A sidecar learns from a gateway all that it needs: how weights come, and
+// the named versions; its reports show that it need not be told again.
+func TestSidecarLearnsFromAGateway(t *testing.T) {
+	settings := &platform.Settings{IP: "127.0.0.1", Service: "s", InternalPorts: [2]int{17710, 17720}}
+	c := routing.New(5, nil, []*routing.Service{
+		{Name: "s", Engine: &routing.Engine{Model: "m", Chunks: 4, ChunkBytes: 64, Layers: 2, Slots: 3}},
+		{Name: "weights", Origin: "127.0.0.1:1", Zone: "z", OriginRate: 1e6},
+		{Name: "plain"},
+	}, nil, routing.Limits{})
+	server := ingress.New(ingress.Settings{VersionDeadline: 8 * time.Second}, logr.Discard(), logr.Discard(), telemetry.NewMetrics())
+	server.Apply(c)
+	server.SetEndpoints([]fleet.Record{{ID: "e", Service: "s", Address: "127.0.0.1:9"}, {ID: "p", Service: "plain", Address: "127.0.0.1:8"}})
+	now := time.Now()
+	server.NameVersion("m", 2, true, now)
+	server.NameVersion("m", 3, false, now.Add(-2*time.Second))
+	select {
+	case <-server.TellSoon():
+	default:
+		t.Fatal("a named version is not told at once")
+	}
+
+	notice := func() loadreport.Notice {
+		for _, a := range audiences(settings, server, now) {
+			if len(a.Sidecars) > 0 {
+				assert.DeepEqual(t, a.Sidecars, []string{"127.0.0.1:17711"})
+				return a.Notice
+			}
+		}
+		t.Fatal("nobody is told")
+		return loadreport.Notice{}
+	}
+	view := &sidecarView{settings: settings}
+	view.installer = installer.New(installer.Settings{Box: "127.0.0.1"}, nil, nil, nil, logr.Discard(), telemetry.NewMetrics())
+	told := notice()
+	assert.DeepEqual(t, told.Named, []loadreport.Named{{Version: 2, AgeMS: loadreport.UnknownAge}, {Version: 3, AgeMS: 2000}})
+	view.told(told)
+	want, _ := c.Weights("s")
+	assert.DeepEqual(t, view.known(), want)
+	assert.Equal(t, view.layers("s"), 2)
+	assert.Equal(t, view.layers("plain"), 0)
+
+	server.Heard(fleet.Report{Address: "127.0.0.1:9", Weights: view.sum()}, -1)
+	assert.Assert(t, notice().Weights == nil, "it knows them")
+	newer := routing.New(6, nil, []*routing.Service{{Name: "s", Engine: &routing.Engine{Model: "m", Chunks: 8, ChunkBytes: 64, Layers: 2}}}, nil, routing.Limits{})
+	server.Apply(newer)
+	assert.Equal(t, notice().Weights.Chunks, 8, "they have changed")
+	view.told(notice())
+	view.told(told)
+	assert.Equal(t, view.known().Chunks, 8, "an older gateway's word takes nothing back")
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -39,6 +39,9 @@
 	Running int     `json:"r"`
 	Queued  int     `json:"q"`
 	Pace    float64 `json:"p,omitempty"`
+	// Weights is the checksum of what the sidecar knows of how weights come,
+	// or 0.
+	Weights uint32 `json:"w,omitempty"`
 	// Gateways is how many gateways hear these reports.
 	Gateways int `json:"g,omitempty"`
 }
@@ -195,19 +198,26 @@
 	}
 }
 
+// Has reports whether an endpoint is on the list.
+func (f *Fleet) Has(id string) bool { return f.byID[id] != nil }
+
 // Endpoints returns the endpoints of a service.
 func (f *Fleet) Endpoints(service string) []*Endpoint { return f.byService[service] }
 
 // Len returns the number of endpoints.
 func (f *Fleet) Len() int { return len(f.byID) }
 
-// Addresses returns the addresses of all endpoints of a service.
-func (f *Fleet) Addresses(service string) []string {
-	var out []string
+// Addresses returns the addresses of a service's endpoints, apart those whose
+// sidecars said lately that they know weights with the checksum sum.
+func (f *Fleet) Addresses(service string, sum uint32, now time.Time) (knowing, others []string) {
 	for _, e := range f.byService[service] {
-		out = append(out, e.Address)
+		if e.fresh(now) && e.report.Weights == sum {
+			knowing = append(knowing, e.Address)
+			continue
+		}
+		others = append(others, e.Address)
 	}
-	return out
+	return knowing, others
 }
 
 // Heard takes a report and returns its endpoint, or nil if the endpoint is
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -12,6 +12,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,32 +53,37 @@
 
 // Server is the request path of one gateway. It is an http.Handler.
 type Server struct {
-	settings  Settings
-	log       logr.Logger // lines about single requests
-	events    logr.Logger // lines about what the process believes
-	metrics   *telemetry.Metrics
-	routes    routing.Table
-	pool      *upstream.Pool
-	stopping  atomic.Bool
-	closed    atomic.Bool
-	inFlight  atomic.Int64
-	namedSoon chan struct{} // holds one
+	settings Settings
+	log      logr.Logger // lines about single requests
+	events   logr.Logger // lines about what the process believes
+	metrics  *telemetry.Metrics
+	routes   routing.Table
+	pool     *upstream.Pool
+	stopping atomic.Bool
+	closed   atomic.Bool
+	inFlight atomic.Int64
+	tellSoon chan struct{} // holds one
 
 	mu        sync.Mutex
 	fleet     *fleet.Fleet
 	waiting   map[string]*queue
 	budgets   map[string]*retrybudget.Budget
-	versions  map[string][]naming
+	versions  map[string][]Naming
 	pressures map[string]*pressure
 	// gateways is the number that shares what all may do together.
 	gateways int
 	listed   bool // the list of endpoints is known
 }
 
-// naming is a version of a model and when it was learned of.
-type naming struct {
-	version int
-	due     time.Time
+// Naming is a version of a model that the operator named.
+type Naming struct {
+	Version int
+	// Learned is when this gateway heard of it. First says that it was named
+	// before, at an unknown time.
+	Learned time.Time
+	First   bool
+	// due is from when on older versions may start no requests.
+	due time.Time
 }
 
 // New returns a server that knows nothing yet.
@@ -95,8 +101,9 @@
 		fleet:     fleet.New(s.Zone),
 		waiting:   make(map[string]*queue),
 		budgets:   make(map[string]*retrybudget.Budget),
-		versions:  make(map[string][]naming),
+		versions:  make(map[string][]Naming),
 		pressures: make(map[string]*pressure),
+		tellSoon:  make(chan struct{}, 1),
 	}
 }
 
@@ -124,17 +131,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.versions[model]
-	if len(list) > 0 && list[len(list)-1].version >= version {
+	if len(list) > 0 && list[len(list)-1].Version >= version {
 		return
 	}
 	due := now.Add(s.settings.VersionDeadline - versionMargin)
 	if first && s.anyHolds(model, version, now) {
 		due = now
 	}
-	s.versions[model] = append(list, naming{version: version, due: due})
+	s.versions[model] = append(list, Naming{Version: version, Learned: now, First: first, due: due})
 	s.events.Info("version named", "model", model, "version", version, "age_unknown", first, "due", due)
+	s.tellSoonLocked()
+}
+
+// tellSoonLocked asks for a round of notices to sidecars; Server.mu is held.
+func (s *Server) tellSoonLocked() {
 	select {
-	case s.namedSoon <- struct{}{}:
+	case s.tellSoon <- struct{}{}:
 	default:
 	}
 }
@@ -169,7 +181,7 @@
 	lowest := 0
 	for _, n := range s.versions[model] {
 		if at.After(n.due) {
-			lowest = n.version
+			lowest = n.Version
 		}
 	}
 	return lowest
@@ -182,6 +194,7 @@
 	s.fleet.Replace(records)
 	s.listed = true
 	s.events.Info("endpoints listed", "count", len(records))
+	s.tellSoonLocked()
 	s.dispatchAll(time.Now())
 }
 
@@ -189,9 +202,13 @@
 func (s *Server) PutEndpoint(r fleet.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	added := !s.fleet.Has(r.ID)
 	if !s.fleet.Put(r) {
 		return
 	}
+	if added {
+		s.tellSoonLocked()
+	}
 	s.events.Info("endpoint changed", "endpoint", r.ID, "address", r.Address, "service", r.Service, "draining", r.Draining, "models", r.Models)
 	s.dispatch(r.Service, time.Now())
 }
@@ -234,36 +251,28 @@
 	s.events.Info("more gateways seen", "gateways", n)
 }
 
-// NamedSoon tells that a version has just been named.
-func (s *Server) NamedSoon() <-chan struct{} { return s.namedSoon }
+// TellSoon tells that sidecars should hear something at once: a version has
+// been named, or an engine was added.
+func (s *Server) TellSoon() <-chan struct{} { return s.tellSoon }
 
-// Named returns the newest named version of each model.
-func (s *Server) Named() map[string]int {
+// Named returns the last named versions of a model, the newest last.
+func (s *Server) Named(model string) []Naming {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]int, len(s.versions))
-	for model, list := range s.versions {
-		out[model] = list[len(list)-1].version
-	}
-	return out
+	list := s.versions[model]
+	return slices.Clone(list[max(0, len(list)-namedTold):])
 }
 
-// EngineAddresses returns the addresses of all endpoints of services that
-// have engines.
-func (s *Server) EngineAddresses() []string {
-	c := s.routes.Get()
-	if c == nil {
-		return nil
-	}
+// namedTold is how many named versions are told: the deadline of one may
+// come before the next is served.
+const namedTold = 2
+
+// EngineAddresses returns the addresses of a service's endpoints, apart those
+// whose sidecars know weights with the checksum sum.
+func (s *Server) EngineAddresses(service string, sum uint32, now time.Time) (knowing, others []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []string
-	for name, service := range c.Services {
-		if service.Engine != nil {
-			out = append(out, s.fleet.Addresses(name)...)
-		}
-	}
-	return out
+	return s.fleet.Addresses(service, sum, now)
 }
 
 // Ready reports whether the gateway can serve new connections.
--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -9,6 +9,7 @@
 	"github.com/bits-and-blooms/bitset"
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/internal/stall"
 	"github.com/mintlift/mintlift/transfer"
 )
 
@@ -212,7 +213,7 @@
 		r.swarm.Drop(p)
 	case errors.Is(err, errBusy):
 		r.swarm.Busy(p, 0, now)
-	case errors.Is(err, errStalled):
+	case errors.Is(err, stall.Err):
 		r.swarm.Stalled(p, now)
 	case errors.Is(err, errSpoilt):
 		r.swarm.Bad(p, now)
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -134,7 +134,7 @@
 // target is a named version.
 type target struct {
 	version int
-	named   time.Time // zero if it was there at the start
+	named   time.Time // zero if that is not known
 }
 
 // keptTargets is how many named versions are remembered.
@@ -179,26 +179,44 @@
 	i.wakeLocked()
 }
 
-// Name takes a named version of the model; first says that it was named
-// before the process started.
-func (i *Installer) Name(model string, version int, first bool) {
+// Name takes a named version of the model; named is when, or zero if that is
+// not known. The earliest time that is known counts.
+func (i *Installer) Name(model string, version int, named time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.params.Model != "" && model != i.params.Model || version <= i.newest().version {
+	if i.params.Model != "" && model != i.params.Model {
 		return
 	}
-	t := target{version: version}
-	if !first {
-		t.named = time.Now()
+	for at := range i.targets {
+		if t := &i.targets[at]; t.version == version && t.known(named) {
+			i.wakeLocked()
+		}
+	}
+	if version <= i.newest().version {
+		return
 	}
-	i.targets = append(i.targets, t)
+	i.targets = append(i.targets, target{version: version, named: named})
 	if len(i.targets) > keptTargets {
 		i.targets = i.targets[1:]
 	}
-	i.log.Info("version named", "model", model, "version", version, "age_unknown", first)
+	i.log.Info("version named", "model", model, "version", version, "age_unknown", named.IsZero())
 	i.wakeLocked()
 }
 
+// earlier is by how much two gateways' words of one naming differ without
+// saying anything: when they heard of it, and the way of their datagrams.
+const earlier = 100 * time.Millisecond
+
+// known takes another word of when the version was named, and reports
+// whether that changes anything.
+func (t *target) known(named time.Time) bool {
+	if named.IsZero() || !t.named.IsZero() && named.After(t.named.Add(-earlier)) {
+		return false
+	}
+	t.named = named
+	return true
+}
+
 // newest is the version named last; versions begin at 1, which nobody
 // names. Installer.mu is held.
 func (i *Installer) newest() target {
--- a/installer/installer_test.go
+++ b/installer/installer_test.go
@@ -188,7 +188,7 @@
 
 func (c *cluster) name(version int) {
 	for _, i := range c.installers {
-		i.Name(testModel, version, false)
+		i.Name(testModel, version, time.Now())
 	}
 }
 
@@ -340,11 +340,26 @@
 
 func TestOlderNamingIsLeftAlone(t *testing.T) {
 	i := New(Settings{}, nil, nil, nil, logr.Discard(), telemetry.NewMetrics())
-	i.Name(testModel, 3, false)
-	i.Name(testModel, 2, false)
-	i.Name(testModel, 3, false)
+	i.Name(testModel, 3, time.Now())
+	i.Name(testModel, 2, time.Now())
+	i.Name(testModel, 3, time.Now())
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	assert.Equal(t, len(i.targets), 1)
 	assert.Equal(t, i.newest().version, 3)
 }
+
+// The earliest known time of a naming counts: an engine's turn is the same
+// whichever gateway told its sidecar first.
+func TestEarliestNamingCounts(t *testing.T) {
+	i := New(Settings{Box: "a"}, nil, nil, nil, logr.Discard(), telemetry.NewMetrics())
+	now := time.Now()
+	i.Name(testModel, 2, time.Time{})
+	i.Name(testModel, 2, now)
+	assert.Equal(t, i.newest().named, now, "a known time replaces an unknown one")
+	i.Name(testModel, 2, now.Add(-time.Second))
+	i.Name(testModel, 2, now.Add(-earlier/2))
+	i.Name(testModel, 2, time.Time{})
+	assert.Equal(t, i.newest().named, now.Add(-time.Second))
+	assert.Equal(t, len(i.targets), 1)
+}
--- a/installer/peers.go
+++ b/installer/peers.go
@@ -17,6 +17,7 @@
 	"github.com/bits-and-blooms/bitset"
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/internal/stall"
 	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/transfer"
 )
@@ -26,7 +27,6 @@
 	errNothing = errors.ConstError("peer has nothing of use")
 	errBusy    = errors.ConstError("peer is busy")
 	errTaken   = errors.ConstError("chunk is held or on its way already")
-	errStalled = errors.ConstError("no byte came for too long")
 )
 
 // Paths between sidecars: model and version follow.
@@ -134,19 +134,14 @@
 
 // pull asks a peer for a chunk, or for any if chunk is -1. offered is asked
 // whether the chunk is still wanted before its bytes are read.
-func (c *peerClient) pull(ctx context.Context, address, self string, m *Manifest, chunk int, has *bitset.BitSet, stall time.Duration, offered func(int) bool) (transfer.Knowledge, []byte, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := time.AfterFunc(stall, func() { cancel(errStalled) })
-	defer timer.Stop()
-	know, data, err := c.pullOnce(ctx, address, self, m, chunk, has, offered, func() { timer.Reset(stall) })
-	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
-		err = errStalled
-	}
-	return know, data, err
+func (c *peerClient) pull(ctx context.Context, address, self string, m *Manifest, chunk int, has *bitset.BitSet, limit time.Duration, offered func(int) bool) (transfer.Knowledge, []byte, error) {
+	ctx, guard := stall.New(ctx, limit, limit)
+	defer guard.Stop()
+	know, data, err := c.pullOnce(ctx, address, self, m, chunk, has, offered, guard)
+	return know, data, stall.Cause(ctx, err)
 }
 
-func (c *peerClient) pullOnce(ctx context.Context, address, self string, m *Manifest, chunk int, has *bitset.BitSet, offered func(int) bool, alive func()) (transfer.Knowledge, []byte, error) {
+func (c *peerClient) pullOnce(ctx context.Context, address, self string, m *Manifest, chunk int, has *bitset.BitSet, offered func(int) bool, guard *stall.Guard) (transfer.Knowledge, []byte, error) {
 	var know transfer.Knowledge
 	body, err := json.Marshal(peer.PullRequest{Box: self, Chunk: chunk, Has: peer.EncodeBits(has)})
 	if err != nil {
@@ -178,26 +173,11 @@
 	if !offered(number) {
 		return know, nil, errTaken
 	}
-	paced := &pacedReader{ctx: ctx, from: &aliveReader{response.Body, alive}, pacer: c.down}
+	paced := &pacedReader{ctx: ctx, from: guard.Reader(response.Body), pacer: c.down}
 	data, err := io.ReadAll(io.LimitReader(paced, maxChunkBytes))
 	return know, data, err
 }
 
-// aliveReader tells of every read that brought bytes.
-type aliveReader struct {
-	from  io.Reader
-	alive func()
-}
-
-// Read implements io.Reader.
-func (r *aliveReader) Read(b []byte) (int, error) {
-	n, err := r.from.Read(b)
-	if n > 0 {
-		r.alive()
-	}
-	return n, err
-}
-
 // Handler serves other sidecars.
 func (i *Installer) Handler() http.Handler {
 	uploads := make(chan struct{}, uploadsAtOnce)
--- /dev/null
+++ b/internal/stall/stall_test.go
@@ -0,0 +1,48 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package stall
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+)
+
+const limit = 60 * time.Millisecond
+
+func TestSilenceEndsTheContext(t *testing.T) {
+	ctx, guard := New(context.Background(), limit, time.Hour)
+	defer guard.Stop()
+	<-ctx.Done()
+	assert.Assert(t, errors.Is(Cause(ctx, ctx.Err()), Err))
+}
+
+// What goes on coming is not ended, however long the whole takes.
+func TestSlowAnswerGoesOn(t *testing.T) {
+	ctx, guard := New(context.Background(), limit, limit)
+	defer guard.Stop()
+	from, to := io.Pipe()
+	go func() {
+		for range 30 {
+			_, _ = to.Write([]byte("x"))
+			time.Sleep(limit / 6)
+		}
+		_ = to.Close()
+	}()
+	body, err := io.ReadAll(guard.Reader(from))
+	assert.NilError(t, err)
+	assert.Equal(t, len(body), 30)
+	assert.NilError(t, ctx.Err())
+}
+
+func TestStopEndsTheContext(t *testing.T) {
+	ctx, guard := New(context.Background(), time.Hour, time.Hour)
+	guard.Stop()
+	assert.Assert(t, ctx.Err() != nil)
+	assert.Assert(t, !errors.Is(Cause(ctx, ctx.Err()), Err))
+	assert.NilError(t, Cause(ctx, nil))
+}
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -3,10 +3,13 @@
 // Package loadreport carries engines' load from the sidecars beside them to
 // the gateways, by datagrams.
 //
-// A gateway subscribes at each sidecar once a second; a sidecar sends its
+// A gateway subscribes at each sidecar now and then; a sidecar sends its
 // report to those that did so lately, when it changes and now and then
 // otherwise. A lost datagram costs one report's age, a restart on either
-// side one second.
+// side SubscribeEvery.
+//
+// A subscription carries a Notice: what a sidecar needs to know of the
+// operator's records, so that it need not read them from the store.
 package loadreport
 
 import (
@@ -20,6 +23,8 @@
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/routing"
 )
 
 // Timing.
@@ -32,14 +37,51 @@
 	repeatEvery = 300 * time.Millisecond
 	// eagerEvery is the same while a version changes, when a gateway must
 	// know at once that an engine stands still.
-	eagerEvery  = 80 * time.Millisecond
+	eagerEvery = 80 * time.Millisecond
+	// soonPause is the least time between two rounds of subscriptions.
+	soonPause   = 100 * time.Millisecond
 	maxDatagram = 2048
 )
 
-// subscribe is the datagram of a subscription. It tells the newest named
-// versions along, for a sidecar that the store does not reach.
+// Notice is what a gateway tells the sidecars of a service.
+type Notice struct {
+	Model string `json:"model,omitempty"`
+	// Named are the newest named versions of the model, the newest last.
+	Named []Named `json:"named,omitempty"`
+	// Weights are left out for sidecars whose reports show that they know
+	// them.
+	Weights *routing.Weights `json:"weights,omitempty"`
+}
+
+// Named is a version that the operator named.
+type Named struct {
+	Version int `json:"version"`
+	// AgeMS is how long ago the gateway learned of it, in milliseconds, or
+	// UnknownAge if it was named before the gateway started.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// UnknownAge is the age of a version that was named at an unknown time.
+const UnknownAge = -1
+
+// Since returns when the version was named, seen from now; zero if that is
+// not known.
+func (n Named) Since(now time.Time) time.Time {
+	if n.AgeMS < 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(n.AgeMS) * time.Millisecond)
+}
+
+// Audience are sidecars of one service and what they are told.
+type Audience struct {
+	Sidecars []string // IP:PORT of their publishers
+	Notice   Notice
+}
+
+// subscribe is the datagram of a subscription.
 type subscribe struct {
-	Named map[string]int `json:"named"`
+	Notice
 	// Stamp is the sender's own time, in microseconds; the answer echoes it.
 	Stamp int64 `json:"stamp"`
 }
@@ -62,15 +104,15 @@
 	sent    time.Time
 }
 
-// NewPublisher listens for subscriptions at address; named is told of each
-// version that a gateway knows.
-func NewPublisher(address string, named func(model string, version int)) (*Publisher, error) {
+// NewPublisher listens for subscriptions at address; told takes what each
+// gateway tells.
+func NewPublisher(address string, told func(Notice)) (*Publisher, error) {
 	conn, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
 	p := &Publisher{conn: conn, subs: make(map[netip.AddrPort]time.Time)}
-	go p.receive(named)
+	go p.receive(told)
 	return p, nil
 }
 
@@ -83,7 +125,7 @@
 	return conn, errors.Trace(err)
 }
 
-func (p *Publisher) receive(named func(string, int)) {
+func (p *Publisher) receive(told func(Notice)) {
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(buffer)
@@ -94,9 +136,7 @@
 		if err != nil || json.Unmarshal(buffer[:n], &asked) != nil {
 			continue
 		}
-		for model, version := range asked.Named {
-			named(model, version)
-		}
+		told(asked.Notice)
 		p.mu.Lock()
 		p.askedAt = time.Now()
 		p.subs[from] = p.askedAt
@@ -172,24 +212,18 @@
 	return &Subscriber{conn: conn, began: time.Now()}, nil
 }
 
-// Run subscribes at the sidecars, whose addresses it asks for, tells them
-// the named versions, and hands on each report, until ctx ends. soon asks
-// for a round ahead of its time.
-func (s *Subscriber) Run(ctx context.Context, sidecars func() []string, named func() map[string]int, soon <-chan struct{}, heard Heard) {
+// Run subscribes at the sidecars that audiences tells, and hands on each
+// report, until ctx ends. soon asks for a round ahead of its time.
+func (s *Subscriber) Run(ctx context.Context, audiences func() []Audience, soon <-chan struct{}, heard Heard) {
 	context.AfterFunc(ctx, func() { _ = s.conn.Close() })
 	go s.receive(heard)
 	ticker := time.NewTicker(SubscribeEvery)
 	defer ticker.Stop()
 	for {
-		text, err := json.Marshal(subscribe{Named: named(), Stamp: s.stamp()})
-		if err != nil {
-			panic("loadreport: a subscription does not marshal: " + err.Error())
-		}
-		for _, address := range sidecars() {
-			if to, err := netip.ParseAddrPort(address); err == nil {
-				_, _ = s.conn.WriteToUDPAddrPort(text, to) // asked again soon
-			}
+		for _, a := range audiences() {
+			s.subscribe(a)
 		}
+		clock.Sleep(ctx, soonPause)
 		select {
 		case <-ticker.C:
 		case <-soon:
@@ -199,6 +233,18 @@
 	}
 }
 
+func (s *Subscriber) subscribe(a Audience) {
+	text, err := json.Marshal(subscribe{Notice: a.Notice, Stamp: s.stamp()})
+	if err != nil {
+		panic("loadreport: a subscription does not marshal: " + err.Error())
+	}
+	for _, address := range a.Sidecars {
+		if to, err := netip.ParseAddrPort(address); err == nil {
+			_, _ = s.conn.WriteToUDPAddrPort(text, to) // asked again soon
+		}
+	}
+}
+
 func (s *Subscriber) receive(heard Heard) {
 	buffer := make([]byte, maxDatagram)
 	for {
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/routing"
 )
 
 // heard collects reports.
@@ -36,9 +37,9 @@
 	}
 }
 
-func pair(t *testing.T, named func(string, int)) (*Publisher, *Subscriber) {
+func pair(t *testing.T, told func(Notice)) (*Publisher, *Subscriber) {
 	t.Helper()
-	publisher, err := NewPublisher("127.0.0.1:0", named)
+	publisher, err := NewPublisher("127.0.0.1:0", told)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = publisher.Close() })
 	subscriber, err := NewSubscriber("127.0.0.1:0")
@@ -48,17 +49,22 @@
 
 func TestReportsReachSubscribers(t *testing.T) {
 	var mu sync.Mutex
-	versions := map[string]int{}
-	publisher, subscriber := pair(t, func(model string, version int) {
+	var told Notice
+	publisher, subscriber := pair(t, func(n Notice) {
 		mu.Lock()
 		defer mu.Unlock()
-		versions[model] = version
+		told = n
 	})
+	notice := Notice{
+		Model:   "m",
+		Weights: &routing.Weights{Version: 7, Model: "m", Layers: 4, Chunks: 64, ChunkBytes: 4096, Origin: "127.0.0.1:9", OriginZone: "z", OriginRate: 1e6},
+		Named:   []Named{{Version: 2, AgeMS: UnknownAge}, {Version: 3, AgeMS: 1500}},
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var got heard
-	go subscriber.Run(ctx, func() []string { return []string{publisher.conn.LocalAddr().String(), "nonsense"} },
-		func() map[string]int { return map[string]int{"m": 3} }, nil, got.take)
+	audience := Audience{Sidecars: []string{publisher.conn.LocalAddr().String(), "nonsense"}, Notice: notice}
+	go subscriber.Run(ctx, func() []Audience { return []Audience{audience} }, nil, got.take)
 	report := fleet.Report{Address: "a:1", Model: "m", Version: 2, Running: 3}
 	await(t, "a report and an echo", func() bool {
 		publisher.Publish(report, false, time.Now())
@@ -72,13 +78,13 @@
 	assert.Equal(t, last.Running, 3)
 	assert.Equal(t, last.Gateways, 1)
 	mu.Lock()
-	assert.Equal(t, versions["m"], 3, "gateways tell the named versions")
+	assert.DeepEqual(t, told, notice)
 	mu.Unlock()
 	assert.Assert(t, time.Since(publisher.Asked()) < 2*time.Second)
 }
 
 func TestUnchangedReportIsSentNowAndThen(t *testing.T) {
-	publisher, _ := pair(t, func(string, int) {})
+	publisher, _ := pair(t, func(Notice) {})
 	now := time.Now()
 	report := fleet.Report{Address: "a:1"}
 	publisher.Publish(report, false, now)
@@ -96,10 +102,10 @@
 
 // A gateway that is gone gets nothing after its subscription has ended.
 func TestSubscriptionEnds(t *testing.T) {
-	publisher, subscriber := pair(t, func(string, int) {})
+	publisher, subscriber := pair(t, func(Notice) {})
 	ctx, cancel := context.WithCancel(context.Background())
-	go subscriber.Run(ctx, func() []string { return []string{publisher.conn.LocalAddr().String()} },
-		func() map[string]int { return nil }, nil, func(fleet.Report, time.Duration) {})
+	audience := Audience{Sidecars: []string{publisher.conn.LocalAddr().String()}}
+	go subscriber.Run(ctx, func() []Audience { return []Audience{audience} }, nil, func(fleet.Report, time.Duration) {})
 	subscribed := func() int {
 		publisher.mu.Lock()
 		defer publisher.mu.Unlock()
@@ -110,3 +116,9 @@
 	publisher.Publish(fleet.Report{Address: "a:1"}, false, time.Now().Add(subscription+time.Second))
 	assert.Equal(t, subscribed(), 0)
 }
+
+func TestAgeOfANamedVersion(t *testing.T) {
+	now := time.Now()
+	assert.Assert(t, Named{AgeMS: UnknownAge}.Since(now).IsZero())
+	assert.Equal(t, Named{AgeMS: 1500}.Since(now), now.Add(-1500*time.Millisecond))
+}
