--- a/installer/installer.go
+++ b/installer/installer.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -264,7 +265,8 @@
 	// keepEvery is how often an idle installer looks whether it has what
 	// other sidecars may ask for.
 	keepEvery = time.Second
-	// retryPause is slept after a step that failed.
+	// retryPause is slept after a step that failed; between two tries to
+	// obtain a version it is longer by up to as much.
 	retryPause = 250 * time.Millisecond
 	// fetchRound bounds one look at the list of peers; after it the list is
 	// read again.
@@ -278,12 +280,17 @@
 	go i.starts(ctx)
 	for ctx.Err() == nil {
 		w, change := i.wanted()
-		if w.version == 0 || !i.obtain(ctx, w) {
-			select {
-			case <-change:
-			case <-time.After(keepEvery):
-			case <-ctx.Done():
+		wait := keepEvery
+		if w.version != 0 {
+			if i.obtain(ctx, w) {
+				continue
 			}
+			wait = retryPause + rand.N(retryPause)
+		}
+		select {
+		case <-change:
+		case <-time.After(wait):
+		case <-ctx.Done():
 		}
 	}
 }
@@ -346,7 +353,6 @@
 	go i.whileWanted(ctx, cancel, w)
 	r := i.open(ctx, w)
 	if r == nil {
-		pause(ctx, retryPause)
 		return false
 	}
 	if w.only {
--- a/installer/installer_test.go
+++ b/installer/installer_test.go
@@ -363,3 +363,47 @@
 	assert.Equal(t, i.newest().named, now.Add(-time.Second))
 	assert.Equal(t, len(i.targets), 1)
 }
+
+// A version is not left out for a newer one whose chunks do not come.
+func TestNewerVersionDoesNotCome(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		since time.Duration // since the newer version was named
+		held  uint          // chunks of it, or none opened if 0
+		want  int
+	}{
+		{"just named", slowStart / 2, 0, 0},
+		{"not even its manifest", slowStart + time.Second, 0, 2},
+		{"comes along", slowStart + time.Second, testChunks / 2, 0},
+		{"has come to a stop", slowStart + 2*time.Second, 1, 2},
+		{"whole", slowStart + 2*time.Second, testChunks, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			const linkRate = testChunks * testBytes // a copy a second
+			i := New(Settings{Box: "a", LinkRate: linkRate}, nil, nil, nil, logr.Discard(), telemetry.NewMetrics())
+			i.Configure(Params{Model: testModel, Chunks: testChunks, ChunkBytes: testBytes, Deadline: 8 * time.Second})
+			i.Heard(EngineState{Model: testModel, Version: 1})
+			now := time.Now()
+			i.Name(testModel, 2, now.Add(-c.since-2*time.Second))
+			i.Name(testModel, 3, now.Add(-c.since))
+			older := newReplica(manifestOf(2), "a")
+			for n := range uint(testChunks) {
+				older.held.Set(n)
+			}
+			i.copies = append(i.copies, older)
+			if c.held > 0 {
+				newer := newReplica(manifestOf(3), "a")
+				for n := range c.held {
+					newer.held.Set(n)
+				}
+				i.copies = append(i.copies, newer)
+			}
+			s, _ := i.nextStart(now)
+			got := 0
+			if s != nil {
+				got = s.copy.manifest.Version
+			}
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
--- a/installer/start.go
+++ b/installer/start.go
@@ -84,7 +84,7 @@
 		if t.version <= i.state.Version || r == nil || !r.whole() {
 			continue
 		}
-		if at+1 < len(targets) && i.skips(t, targets[at+1], share) {
+		if at+1 < len(targets) && i.skips(t, targets[at+1], share, now) {
 			continue
 		}
 		s := &step{params: i.params, copy: r, named: t.named, at: now, drain: drainTime, empty: i.state.Version == 0}
@@ -116,16 +116,46 @@
 
 // skips reports whether a version need not be started because the next one
 // will be served before its deadline.
-func (i *Installer) skips(t, next target, share float64) bool {
-	if t.named.IsZero() || next.named.IsZero() {
+func (i *Installer) skips(t, next target, share float64, now time.Time) bool {
+	if r := i.copyOf(next.version); r != nil && r.whole() {
 		return true
 	}
-	if r := i.copyOf(next.version); r != nil && r.whole() {
+	if !i.comesAlong(next, now) {
+		return false
+	}
+	if t.named.IsZero() || next.named.IsZero() {
 		return true
 	}
 	return i.turnOf(next, share).Add(changeTime).Before(t.named.Add(i.params.Deadline - dueMargin))
 }
 
+// Pace at which a copy is taken to come along.
+const (
+	// slowStart is how long it may take until the first chunks come.
+	slowStart = 800 * time.Millisecond
+	// usualCopies is how many times the time of a copy over the box's own
+	// link a copy may take.
+	usualCopies = 2
+)
+
+// comesAlong reports whether a version's chunks come at the pace at which
+// they usually do. They don't while the origin is away.
+func (i *Installer) comesAlong(t target, now time.Time) bool {
+	if t.named.IsZero() || i.settings.LinkRate <= 0 {
+		return true
+	}
+	late := now.Sub(t.named) - slowStart
+	if late < 0 {
+		return true
+	}
+	r := i.copyOf(t.version)
+	if r == nil {
+		return false
+	}
+	whole := usualCopies * float64(i.params.Chunks) * float64(i.params.ChunkBytes) / i.settings.LinkRate
+	return float64(r.held.Count()) >= float64(len(r.chunks))*late.Seconds()/whole
+}
+
 // begin brings the engine to the version of s.
 func (i *Installer) begin(ctx context.Context, s *step) {
 	if !s.empty {
