gateways take turns at the room that a report shows

Ruled out: returned requests ahead of new ones (0 before new in rank), wrong reading times, old reports (median 16 ms).

Each report now carries its reader's turn, drawn anew; a gateway takes half of those with earlier turns to send first, for 100 ms, since a change is reported at once. What was sent while a report was on its way is counted beside it. Tests seen failing before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,6 +11,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -42,8 +43,11 @@
 	// Weights is the checksum of what the sidecar knows of how weights come,
 	// or 0.
 	Weights uint32 `json:"w,omitempty"`
-	// Gateways is how many gateways hear these reports.
+	// Gateways is how many gateways hear these reports, and Turn the place of
+	// the one that gets this one among them, from 0, drawn for each report:
+	// all see the same room, and those with earlier turns may take it first.
 	Gateways int `json:"g,omitempty"`
+	Turn     int `json:"u,omitempty"`
 }
 
 // Timing of what a Fleet believes.
@@ -89,11 +93,12 @@
 	unreadCount int
 	// othersUnread is the same number for everybody else.
 	othersUnread float64
-	// sentCount and sentWork are own attempts since the last report.
+	// sentCount are own attempts since the last report.
 	sentCount int
-	sentWork  float64
-	report    Report
-	reportAt  time.Time
+	// sentAt are the times of own attempts of the last unsettled.
+	sentAt   []time.Time
+	report   Report
+	reportAt time.Time
 	// roundTrip is the last that was measured, to the sidecar and back.
 	roundTrip time.Duration
 	roundAt   time.Time
@@ -235,9 +240,10 @@
 	if roundTrip >= 0 {
 		e.roundTrip, e.roundAt = roundTrip, now
 	}
-	e.others = math.Max(0, float64(r.Running+r.Queued-e.own))
-	e.othersUnread = math.Max(0, float64(r.Queued-e.unreadCount))
-	e.sentCount, e.sentWork = 0, 0
+	unseen := e.unseen(now)
+	e.others = math.Max(0, float64(r.Running+r.Queued-(e.own-unseen)))
+	e.othersUnread = math.Max(0, float64(r.Queued-max(0, e.unreadCount-unseen)))
+	e.sentCount = 0
 	return e, changed
 }
 
@@ -291,23 +297,44 @@
 // Own is the number of attempts of this gateway in progress.
 func (e *Endpoint) Own() int { return e.own }
 
+// unsettled is how long an own attempt may be missing in a report that comes
+// in: it was on its way, or the report was.
+const unsettled = 40 * time.Millisecond
+
+// unseen counts own attempts that a report which comes in now does not count
+// yet.
+func (e *Endpoint) unseen(now time.Time) int {
+	since := now.Add(-unsettled - e.Delay(now))
+	e.sentAt = slices.DeleteFunc(e.sentAt, func(at time.Time) bool { return at.Before(since) })
+	return min(len(e.sentAt), e.own)
+}
+
 // Load estimates the requests that the endpoint has, running and queued.
 func (e *Endpoint) Load(now time.Time) float64 {
 	if !e.fresh(now) {
 		return float64(e.own) + e.others*0.5
 	}
-	return float64(e.own) + e.others + e.likewise()*float64(e.sentCount)
+	return float64(e.own) + e.others + e.ahead(now)
 }
 
-// likewiseShare is how much of what this gateway has sent since the last
-// report each other gateway is taken to have sent too: they see the same
-// room and have the same requests waiting.
-const likewiseShare = 0.5
+// What other gateways are taken to send after a report that all of them got.
+const (
+	// takenShare is the part of them that has a request waiting.
+	takenShare = 0.5
+	// taken is how long a report may be unchanged before it shows that they
+	// have sent nothing: a change is reported at once.
+	takenFor = 100 * time.Millisecond
+)
 
-// likewise is what all other gateways are taken to have sent for each own
-// attempt since the last report.
-func (e *Endpoint) likewise() float64 {
-	return likewiseShare * math.Max(0, float64(e.report.Gateways-1))
+// ahead estimates the attempts that other gateways have sent since the last
+// report, ahead of the next one of this gateway.
+func (e *Endpoint) ahead(now time.Time) float64 {
+	age := now.Sub(e.reportAt)
+	if age >= takenFor {
+		return 0
+	}
+	turn := float64(e.report.Turn + e.sentCount*max(0, e.report.Gateways-1))
+	return takenShare * turn * (1 - float64(age)/float64(takenFor))
 }
 
 // pace is how many times slower than usual the endpoint works.
@@ -402,7 +429,7 @@
 	best.unread += q.Work
 	best.unreadCount++
 	best.sentCount++
-	best.sentWork += q.Work
+	best.sentAt = append(best.sentAt, now)
 	if best.strikes > 0 {
 		best.probing = true
 	}
@@ -451,8 +478,9 @@
 	others := e.othersUnread * usual
 	if e.fresh(now) {
 		others -= float64(now.Sub(e.reportAt).Milliseconds())
+		others = math.Max(0, others) + e.ahead(now)*usual
 	}
-	return e.unread + math.Max(0, others) + e.likewise()*e.sentWork
+	return e.unread + math.Max(0, others)
 }
 
 // Begun notes that an attempt of so much work has brought its first bytes,
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -204,3 +204,43 @@
 	f.Remove("a")
 	f.End(e, Answered, start) // an attempt may end after its endpoint is gone
 }
+
+// Gateways that see the same room take it in the order of their turns: many
+// that each send one request at once fill an engine's queue.
+func TestGatewaysTakeTurns(t *testing.T) {
+	const gateways, slots = 20, 12
+	now := time.Now()
+	sends := 0
+	for turn := range gateways {
+		f := New("z")
+		f.Put(Record{ID: "e", Service: "s", Address: "a:1", Zone: "z", Models: map[string]int{"m": 1}})
+		f.Heard(Report{Address: "a:1", Model: "m", Version: 1, Running: slots - 2, Gateways: gateways, Turn: turn}, -1, now)
+		q := Query{Service: "s", Model: "m", MinVersion: 1, Slots: slots, Limit: slots}
+		if f.Choose(q, now.Add(time.Millisecond)) != nil {
+			sends++
+		}
+		if f.Choose(q, now.Add(time.Millisecond)) != nil {
+			sends++
+		}
+		if turn == gateways-1 {
+			assert.Assert(t, f.Choose(q, now.Add(takenFor)) != nil, "an unchanged report shows that nobody took the room")
+		}
+	}
+	assert.Assert(t, sends >= 2 && sends <= 5, "%d requests for 2 places", sends)
+}
+
+// A report does not count what was sent while it was on its way.
+func TestReportMissesWhatIsOnItsWay(t *testing.T) {
+	now := time.Now()
+	f := New("z")
+	f.Put(Record{ID: "e", Service: "s", Address: "a:1", Zone: "z", Models: map[string]int{"m": 1}})
+	f.Heard(Report{Address: "a:1", Model: "m", Version: 1, Running: 5}, -1, now)
+	e := f.Choose(Query{Service: "s", Model: "m", MinVersion: 1}, now)
+	assert.Assert(t, e != nil)
+	later := now.Add(unsettled / 2)
+	f.Heard(Report{Address: "a:1", Model: "m", Version: 1, Running: 5}, -1, later)
+	assert.Equal(t, e.Load(later), 6.0)
+	later = now.Add(2 * unsettled)
+	f.Heard(Report{Address: "a:1", Model: "m", Version: 1, Running: 6}, -1, later)
+	assert.Equal(t, e.Load(later), 6.0)
+}
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -141,6 +142,7 @@
 		p.askedAt = time.Now()
 		p.subs[from] = p.askedAt
 		last := p.last
+		last.Turn = rand.IntN(len(p.subs))
 		p.mu.Unlock()
 		if last.Address != "" {
 			p.send(message{Report: last, Echo: asked.Stamp}, from)
@@ -163,11 +165,13 @@
 	}
 	p.last = r
 	p.sent = now
+	turns := rand.Perm(len(p.subs))
 	for to, since := range p.subs {
 		if now.Sub(since) > subscription {
 			delete(p.subs, to)
 			continue
 		}
+		r.Turn, turns = turns[0], turns[1:]
 		p.send(message{Report: r}, to)
 	}
 }
