--- /dev/null
+++ b/cmd/mintlift/platform_gateway.go
@@ -0,0 +1,178 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/ingress"
+	"github.com/mintlift/mintlift/loadreport"
+	"github.com/mintlift/mintlift/platform"
+	"github.com/mintlift/mintlift/routing"
+)
+
+// gatewayView gives what the store tells to a gateway.
+type gatewayView struct{ *ingress.Server }
+
+// Configured implements platform.Operator.
+func (v gatewayView) Configured(c *routing.Configuration) { v.Apply(c) }
+
+// Named implements platform.Operator.
+func (v gatewayView) Named(n platform.Naming, first bool) {
+	v.NameVersion(n.Model, n.Version, first, time.Now())
+}
+
+// assumedGateways divides what all gateways may do together; the settings
+// do not tell how many there are.
+const assumedGateways = 8
+
+// Limits of the callers' server.
+const (
+	headerTimeout  = 10 * time.Second
+	callerIdle     = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	// drainLead is how long a stopping gateway takes new requests, until the
+	// platform has seen that it is not ready.
+	drainLead     = 2500 * time.Millisecond
+	maintainEvery = time.Second
+)
+
+func startPlatformGateway(ctx context.Context, p *platformProcess) (stopper, error) {
+	s := p.settings
+	budget := s.RetryBudget()
+	budget.Gateways = assumedGateways
+	server := ingress.New(ingress.Settings{
+		Zone:            s.Zone,
+		Headers:         platform.Headers(),
+		Budget:          budget,
+		VersionDeadline: s.VersionDeadline(),
+	}, p.requests, p.events, p.metrics)
+	front, err := net.Listen("tcp4", s.Listen.Front)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	ready, err := net.Listen("tcp4", s.Listen.Ready)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	subscriber, err := loadreport.NewSubscriber(s.Internal(s.IP, portSubscribe))
+	if err != nil {
+		return nil, err
+	}
+	callers := &http.Server{Handler: server, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes}
+	probes := http.NewServeMux()
+	probes.HandleFunc("/ready", server.ServeReady)
+	go func() { _ = callers.Serve(front) }()
+	go func() { _ = http.Serve(ready, probes) }()
+	p.serveMetrics()
+
+	view := gatewayView{server}
+	go p.watcher.WatchOperator(ctx, view, gatewayWait)
+	go p.watchEndpoints(ctx, server)
+	go subscriber.Run(ctx, func() []loadreport.Audience { return audiences(s, server, time.Now()) }, server.TellSoon(), server.Heard)
+	go func() {
+		for range time.Tick(maintainEvery) {
+			server.Maintain(time.Now())
+		}
+	}()
+	return func(ending context.Context) { stopGateway(ending, p, server, front) }, nil
+}
+
+// audiences are the sidecars of each service of engines, and what they are
+// told.
+func audiences(s *platform.Settings, server *ingress.Server, now time.Time) []loadreport.Audience {
+	c := server.Configuration()
+	if c == nil {
+		return nil
+	}
+	var out []loadreport.Audience
+	for name, service := range c.Services {
+		if service.Engine == nil {
+			continue
+		}
+		notice := loadreport.Notice{Model: service.Engine.Model, Named: named(server, service.Engine.Model, now)}
+		weights, ok := c.Weights(name)
+		knowing, others := server.EngineAddresses(name, weights.Sum(), now)
+		out = append(out, loadreport.Audience{Sidecars: publishers(s, knowing), Notice: notice})
+		if ok {
+			notice.Weights = &weights
+		}
+		out = append(out, loadreport.Audience{Sidecars: publishers(s, others), Notice: notice})
+	}
+	return out
+}
+
+// publishers are the addresses of the sidecars beside engines.
+func publishers(s *platform.Settings, engines []string) []string {
+	out := make([]string, len(engines))
+	for i, address := range engines {
+		out[i] = s.Internal(address, portPublish)
+	}
+	return out
+}
+
+// named are the named versions of a model as sidecars are told.
+func named(server *ingress.Server, model string, now time.Time) []loadreport.Named {
+	var out []loadreport.Named
+	for _, n := range server.Named(model) {
+		told := loadreport.Named{Version: n.Version, AgeMS: loadreport.UnknownAge}
+		if !n.First {
+			told.AgeMS = now.Sub(n.Learned).Milliseconds()
+		}
+		out = append(out, told)
+	}
+	return out
+}
+
+// watchEndpoints reads the list once the configuration, which says how many
+// layers a model has, is known.
+func (p *platformProcess) watchEndpoints(ctx context.Context, server *ingress.Server) {
+	const look = 20 * time.Millisecond
+	for server.Configuration() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(look):
+		}
+	}
+	p.watcher.WatchEndpoints(ctx, server, func(service string) int {
+		if named := server.Configuration().Services[service]; named != nil && named.Engine != nil {
+			return named.Engine.Layers
+		}
+		return 0
+	})
+}
+
+// stopGateway lets requests in progress end. Resting connections are left
+// to the end of the process: net/http's Shutdown closes them also while a
+// request on one of them is being read, and so loses the request.
+func stopGateway(ending context.Context, p *platformProcess, server *ingress.Server, front net.Listener) {
+	server.StartStopping()
+	select {
+	case <-time.After(drainLead):
+	case <-ending.Done():
+	}
+	server.Refuse()
+	_ = front.Close()
+	for quiet := 0; ending.Err() == nil && quiet < quietLooks; quiet++ {
+		if server.InFlight() > 0 {
+			quiet = 0
+		}
+		time.Sleep(quietLook)
+	}
+	if n := server.InFlight(); n > 0 {
+		p.events.Info("requests cut off at the end of the grace", "in_flight", n)
+	}
+}
+
+// A stopping gateway ends once quietLooks looks in a row, quietLook apart,
+// have found no request in progress.
+const (
+	quietLook  = 30 * time.Millisecond
+	quietLooks = 8
+)
--- /dev/null
+++ b/cmd/mintlift/platform_sidecar.go
@@ -0,0 +1,220 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/installer"
+	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/loadreport"
+	"github.com/mintlift/mintlift/platform"
+	"github.com/mintlift/mintlift/routing"
+)
+
+// sidecarView gives what the store or a gateway tells to a sidecar.
+type sidecarView struct {
+	settings  *platform.Settings
+	installer *installer.Installer
+
+	mu      sync.Mutex
+	weights routing.Weights
+}
+
+// Configured implements platform.Operator.
+func (v *sidecarView) Configured(c *routing.Configuration) {
+	if weights, ok := c.Weights(v.settings.Service); ok {
+		v.apply(weights)
+	}
+}
+
+// apply takes how weights come, unless something newer is known.
+func (v *sidecarView) apply(w routing.Weights) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if w.Chunks == 0 || w.Version <= v.weights.Version {
+		return
+	}
+	v.weights = w
+	v.installer.Configure(installer.Params{
+		Model:        w.Model,
+		Chunks:       w.Chunks,
+		ChunkBytes:   w.ChunkBytes,
+		Deadline:     v.settings.VersionDeadline(),
+		OriginRate:   w.OriginRate,
+		OriginRegion: v.settings.Regions[w.OriginZone],
+	})
+}
+
+// Named implements platform.Operator.
+func (v *sidecarView) Named(n platform.Naming, first bool) {
+	named := time.Time{}
+	if !first {
+		named = time.Now()
+	}
+	v.installer.Name(n.Model, n.Version, named)
+}
+
+// told takes what a gateway tells.
+func (v *sidecarView) told(n loadreport.Notice) {
+	if n.Weights != nil {
+		v.apply(*n.Weights)
+	}
+	// A gateway that does not know since when a version is named says no more
+	// than that it is: all would change at once if they took it for overdue.
+	now := time.Now()
+	for _, named := range n.Named {
+		since := named.Since(now)
+		if since.IsZero() {
+			since = now
+		}
+		v.installer.Name(n.Model, named.Version, since)
+	}
+}
+
+// known returns how weights come, as far as that is known.
+func (v *sidecarView) known() routing.Weights {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.weights
+}
+
+// sum is the checksum of how weights come, or 0 while that is not known.
+func (v *sidecarView) sum() uint32 {
+	w := v.known()
+	if w.Chunks == 0 {
+		return 0
+	}
+	return w.Sum()
+}
+
+// layers is how many layers the service's model has, or 0.
+func (v *sidecarView) layers(service string) int {
+	if service != v.settings.Service {
+		return 0
+	}
+	return v.known().Layers
+}
+
+// peers reads the sidecars of the service from the list of endpoints.
+func (v *sidecarView) peers(ctx context.Context, w *platform.Watcher) ([]installer.Peer, error) {
+	list, err := w.List(ctx, v.layers)
+	if err != nil {
+		return nil, err
+	}
+	var out []installer.Peer
+	for _, e := range list {
+		if e.Service != v.settings.Service {
+			continue
+		}
+		box, _, err := net.SplitHostPort(e.Address)
+		if err != nil {
+			continue
+		}
+		out = append(out, installer.Peer{
+			Box: box, Address: v.settings.Internal(e.Address, portSidecars), Zone: e.Zone, Region: v.settings.Regions[e.Zone],
+		})
+	}
+	return out, nil
+}
+
+const (
+	// gatewayWait is how long one read of the operator's records waits.
+	gatewayWait = 10 * time.Second
+	// unheardAfter is how long a sidecar goes without a gateway's word before
+	// it reads on its own, longer by up to unheardMore so that not all do so
+	// at once, and rereadPause how often then.
+	unheardAfter = 2 * time.Second
+	unheardMore  = 2 * time.Second
+	rereadPause  = 1500 * time.Millisecond
+)
+
+// watchOperatorSparingly reads what the operator wrote while no gateway tells
+// it: each configuration is large, a sidecar needs next to nothing of it, and
+// hundreds that read it at once fill the links between regions.
+func (p *platformProcess) watchOperatorSparingly(ctx context.Context, o platform.Operator, publisher *loadreport.Publisher) {
+	const look = 250 * time.Millisecond
+	reader := p.watcher.OperatorReader(o)
+	patience := unheardAfter + rand.N(unheardMore)
+	read, began := time.Time{}, time.Now()
+	lost := false
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, look)
+		now := time.Now()
+		heard := publisher.Asked()
+		if heard.IsZero() {
+			heard = began
+		}
+		if now.Sub(heard) < patience || now.Sub(read) < rereadPause {
+			continue
+		}
+		err := reader.Read(ctx)
+		switch {
+		case err == nil:
+			read = time.Now()
+			if lost {
+				p.events.Info("store regained", "topic", "operator")
+			}
+			lost = false
+		case !lost:
+			lost = true
+			p.events.Info("store lost", "topic", "operator", "error", err.Error())
+		}
+	}
+}
+
+// reportEvery is how often the engine's report is read.
+const reportEvery = 40 * time.Millisecond
+
+func startPlatformSidecar(ctx context.Context, p *platformProcess) (stopper, error) {
+	s := p.settings
+	view := &sidecarView{settings: s}
+	engine := platform.NewEngine(s.App, func() int { return view.layers(s.Service) })
+	origin := platform.NewOrigin(func() string { return view.known().Origin })
+	view.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone, LinkRate: s.LinkRate()}, engine, origin,
+		func(ctx context.Context) ([]installer.Peer, error) { return view.peers(ctx, p.watcher) }, p.events, p.metrics)
+	listener, err := net.Listen("tcp4", s.Internal(s.IP, portSidecars))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	publisher, err := loadreport.NewPublisher(s.Internal(s.IP, portPublish), view.told)
+	if err != nil {
+		return nil, err
+	}
+	peers := &http.Server{Handler: view.installer.Handler(), ReadHeaderTimeout: headerTimeout}
+	go func() { _ = peers.Serve(listener) }()
+	p.serveMetrics()
+	go p.watchOperatorSparingly(ctx, view, publisher)
+	go view.installer.Run(ctx)
+	go reportLoad(ctx, view, engine, publisher)
+	return func(context.Context) { _ = peers.Close() }, nil
+}
+
+// reportLoad reads the engine's state and publishes it.
+func reportLoad(ctx context.Context, view *sidecarView, engine *platform.Engine, publisher *loadreport.Publisher) {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	i := view.installer
+	for {
+		if state, err := engine.State(ctx); err == nil {
+			i.Heard(state)
+			publisher.Publish(fleet.Report{
+				Address: view.settings.App, Model: state.Model, Version: state.Version, Busy: state.Busy || i.Leaving(),
+				Running: state.Running, Queued: state.Queued, Pace: state.Pace, Weights: view.sum(),
+			}, i.Changing(), time.Now())
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/fleet/choose.go
@@ -0,0 +1,174 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Costs of choosing an endpoint, in milliseconds until the caller hears.
+const (
+	// zoneCost stands for another availability zone: its delay, and the
+	// price of the bytes.
+	zoneCost = 20.0
+	// failureCost is that of an endpoint whose attempts all fail.
+	failureCost = 800.0
+	// loadCost is that of one more request beside this one.
+	loadCost = 8.0
+	// plainCost is the same at an endpoint that is no engine.
+	plainCost = 20.0
+	// noise keeps gateways that know the same from choosing the same.
+	noise = 15.0
+)
+
+// Query describes the attempt that an endpoint is chosen for.
+type Query struct {
+	Service string
+	// Model is empty for plain services.
+	Model string
+	// MinVersion is the lowest version that may answer.
+	MinVersion int
+	// SoonVersion is the lowest version that may answer a little later; an
+	// engine below it gets only what it can begin at once.
+	SoonVersion int
+	// Limit is the load up to which an endpoint takes more, or 0 for none.
+	Limit float64
+	// Work is how long an engine reads the request, and UsualWork a usual
+	// one, in milliseconds; both are 0 for plain services.
+	Work, UsualWork float64
+	// Slots is how many requests an engine works on at once, and SlotEvery
+	// how often a full engine has a slot free, in milliseconds.
+	Slots, SlotEvery float64
+	// Within is the time in which the first bytes should come, in
+	// milliseconds; an engine that cannot keep it gets nothing. 0 is no
+	// bound.
+	Within float64
+	// Connections bounds this gateway's attempts in progress at an endpoint,
+	// each of which has a connection; 0 is no bound.
+	Connections int
+	// Exclude are the ids of endpoints that have been tried.
+	Exclude map[string]bool
+}
+
+// usable reports whether the endpoint may get the attempt at all.
+func (e *Endpoint) usable(q *Query, now time.Time) bool {
+	if e.Draining || e.misdirected || q.Exclude[e.ID] {
+		return false
+	}
+	if q.Model == "" {
+		return true
+	}
+	holds := e.Holds(q.Model, now)
+	if holds < q.SoonVersion && !e.atOnce(q, now) {
+		return false
+	}
+	return holds > 0 && holds >= q.MinVersion && !(e.fresh(now) && e.report.Busy)
+}
+
+// atOnce reports whether an engine begins a new request without a wait.
+func (e *Endpoint) atOnce(q *Query, now time.Time) bool {
+	return e.fresh(now) && now.Sub(e.reportAt) < justNow && e.Delay(now) < delayHigh && e.lag < delayHigh && e.strikes == 0 && e.report.Queued == 0 && e.unreadCount == 0 && e.Load(now) < q.Slots-2
+}
+
+// open reports whether the endpoint is being left alone.
+func (e *Endpoint) open(now time.Time) bool {
+	return e.strikes > 0 && (now.Before(e.openTill) || e.probing)
+}
+
+// Choose returns the endpoint for an attempt and counts the attempt there,
+// or nil if none has room. End must follow.
+func (f *Fleet) Choose(q Query, now time.Time) *Endpoint {
+	var best *Endpoint
+	bestCost := math.Inf(1)
+	for _, e := range f.byService[q.Service] {
+		if !e.usable(&q, now) || e.open(now) {
+			continue
+		}
+		if q.Connections > 0 && e.own >= q.Connections {
+			continue
+		}
+		load := e.Load(now)
+		if q.Limit > 0 && load >= f.limit(e, q.Limit, now) {
+			continue
+		}
+		if q.Within > 0 && e.firstBytes(&q, load, now) > q.Within {
+			continue
+		}
+		if cost := f.cost(e, &q, load, now); cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.own++
+	best.unread += q.Work
+	best.unreadCount++
+	best.sentCount++
+	best.sentAt = append(best.sentAt, now)
+	if best.strikes > 0 {
+		best.probing = true
+	}
+	return best
+}
+
+// limit lowers a slow endpoint's limit by its pace.
+func (f *Fleet) limit(e *Endpoint, limit float64, now time.Time) float64 {
+	return math.Max(1, limit/e.pace(now))
+}
+
+func (f *Fleet) cost(e *Endpoint, q *Query, load float64, now time.Time) float64 {
+	cost := failureCost*e.failures + noise*rand.Float64()
+	if e.Zone != f.zone {
+		cost += zoneCost
+	}
+	if q.Model == "" {
+		return cost + plainCost*load
+	}
+	if delay := e.Delay(now); delay > delayOften {
+		cost += float64(delay.Milliseconds())
+	}
+	if e.lag > lagOften {
+		cost += float64(min(e.lag, delayMax).Milliseconds())
+	}
+	return cost + e.firstBytes(q, load, now)
+}
+
+// halfPass is what a new request waits for the pass under way, in
+// milliseconds.
+const halfPass = 60.0
+
+// firstBytes estimates the time until the first bytes of a new request, in
+// milliseconds.
+func (e *Endpoint) firstBytes(q *Query, load float64, now time.Time) float64 {
+	busy := halfPass + loadCost*load + e.Backlog(q.UsualWork, now) + q.Work
+	if load >= q.Slots {
+		busy += q.SlotEvery * (load - q.Slots + 1)
+	}
+	return busy * e.pace(now)
+}
+
+// Backlog estimates how long the engine reads what it has been sent and has
+// not begun to answer, in milliseconds.
+func (e *Endpoint) Backlog(usual float64, now time.Time) float64 {
+	others := e.othersUnread * usual
+	if e.fresh(now) {
+		others -= float64(now.Sub(e.reportAt).Milliseconds())
+		others = math.Max(0, others) + e.ahead(now)*usual
+	}
+	return e.unread + math.Max(0, others)
+}
+
+// Usable counts the endpoints that could take a request, whatever their
+// load.
+func (f *Fleet) Usable(q Query, now time.Time) int {
+	count := 0
+	for _, e := range f.byService[q.Service] {
+		if e.usable(&q, now) && !e.open(now) {
+			count++
+		}
+	}
+	return count
+}
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -481,15 +481,3 @@
 	})
 	return out[:min(n, len(out))]
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/installer/start.go
+++ b/installer/start.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/mintlift/mintlift/internal/clock"
 )
 
 // Turns of a rollout, as shares of the version's deadline: not all engines
@@ -163,7 +165,7 @@
 		defer i.setLeaving(false)
 	}
 	if !i.lay(ctx, s) {
-		pause(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 		return
 	}
 	i.start(ctx, s)
@@ -198,7 +200,7 @@
 		if state.Running+state.Queued == 0 && time.Since(began) > told {
 			return
 		}
-		pause(ctx, look)
+		clock.Sleep(ctx, look)
 	}
 }
 
@@ -226,7 +228,7 @@
 	m := s.copy.manifest
 	if err := i.engine.Start(ctx, m.Model, m.Version, !s.empty); err != nil {
 		i.log.Info("start refused", "version", m.Version, "error", err.Error())
-		pause(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 		return
 	}
 	since := time.Duration(-1)
