--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -134,6 +134,57 @@
 	}
 }
 
+// The same where attempts are left: only a refusal that is certain is
+// followed by another endpoint.
+func TestUnsafeIsNotRepeatedWhileAttemptsAreLeft(t *testing.T) {
+	const attempts = 3
+	for _, test := range []struct {
+		name string
+		path string
+		h    handler
+		want int // requests that endpoints got
+	}{
+		{"breaks", "/several/1", breaks, 1},
+		{"fails", "/several/1", status(500), 1},
+		{"short", "/several/1", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			ok("x")(w, r)
+		}, 1},
+		{"rejects", "/several/1", rejects, 2},
+		{"stream breaks before its first event", "/once/1", breaks, 1},
+		{"stream fails", "/once/1", status(500), 1},
+		{"stream is rejected", "/once/1", rejects, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t)
+			once := route(routing.Streaming, "/once/", "engine", attempts)
+			once.Resumable = false
+			w.configure(1, route(routing.Unsafe, "/several/", "plain", attempts), once)
+			for _, id := range []string{"a", "b"} {
+				w.endpoint(id, "plain", test.h)
+				w.endpoint(id+"-engine", "engine", test.h)
+			}
+			_, _ = w.get("POST", test.path, "x")
+			assert.Equal(t, len(w.requests()), test.want)
+		})
+	}
+}
+
+// A request that no engine can begin in time is refused once, and served
+// when it comes back.
+func TestLargeRequestIsServed(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.endpoint("a", "engine", events(3, 3))
+	large := with(names.TokenUsage, "60000,10") // read in 3 s
+	r, _ := w.get("POST", "/stream/1", "x", large)
+	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, r.Header.Get("Retry-After") != "")
+	r, body := w.get("POST", "/stream/1", "x", large, with(names.Deadline, "1500"))
+	assert.Equal(t, r.StatusCode, http.StatusOK)
+	assert.Equal(t, body, wholeStream(3))
+}
+
 func TestSafeIsRepeatedElsewhere(t *testing.T) {
 	for name, h := range map[string]handler{"breaks": breaks, "fails": status(500), "rejects": rejects} {
 		t.Run(name, func(t *testing.T) {
