--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -151,6 +151,21 @@
 	}
 }
 
+// overdue leaves older versions at once where a version of unknown age is
+// seen to be served: by then it has been named for seconds, and for how many
+// nobody here knows. Server.mu is held.
+func (s *Server) overdue(model string, served int, now time.Time) {
+	list := s.versions[model]
+	for i := range list {
+		n := &list[i]
+		if !n.First || n.Version > served || !n.due.After(now) {
+			continue
+		}
+		n.due = now
+		s.events.Info("version overdue", "model", model, "version", n.Version, "served", served)
+	}
+}
+
 // versionMargin is how long before the deadline older versions are left: a
 // request may be on its way for more than a second when a packet is lost,
 // and waits at the engine then.
@@ -233,6 +248,7 @@
 	}
 	s.countGateways(r.Gateways)
 	if changed {
+		s.overdue(r.Model, r.Version, now)
 		s.events.Info("engine reported", "endpoint", e.ID, "model", r.Model, "version", r.Version, "busy", r.Busy)
 	}
 	s.dispatch(e.Service, now)
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -216,3 +216,31 @@
 	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, len(w.requests()), 0)
 }
+
+// A gateway that started after a version was named does not know for how
+// long older ones may go on: as soon as an engine serves it they may not.
+func TestVersionOfUnknownAgeIsServed(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.endpoint("old", "engine", events(2, 2))
+	w.endpoint("new", "engine", events(2, 2))
+	report := func(id string, version int) {
+		w.server.Heard(fleet.Report{Address: w.records[id].Address, Model: model, Version: version}, -1)
+	}
+	w.server.NameVersion(model, 2, true, time.Now())
+	report("old", 1)
+	report("new", 1)
+	r, _ := w.get("POST", "/stream/1", "x")
+	assert.Equal(t, r.StatusCode, http.StatusOK, "nobody serves the version yet")
+	report("new", 2)
+	time.Sleep(2 * time.Millisecond)
+	for range 8 {
+		report("old", 1)
+		report("new", 2)
+		r, _ = w.get("POST", "/stream/1", "x")
+		assert.Equal(t, r.StatusCode, http.StatusOK)
+	}
+	for _, s := range w.requests()[1:] {
+		assert.Equal(t, s.endpoint, "new")
+	}
+}
