--- a/cmd/mintlift/process_test.go
+++ b/cmd/mintlift/process_test.go
@@ -416,11 +416,14 @@
 // load.
 func (s *system) testPlannedStop(t *testing.T) {
 	const streams, tokens = 12, 400
-	ends := make(chan error, streams)
+	ends, begun := make(chan error, streams), make(chan struct{}, streams)
 	for i := range streams {
-		go func() { ends <- s.wholeStream(i%2, tokens) }()
+		go func() { ends <- s.wholeStream(i%2, tokens, begun) }()
 	}
-	time.Sleep(300 * time.Millisecond)
+	for range streams {
+		<-begun
+	}
+	assert.Assert(t, len(ends) <= streams/2, "%d streams have ended before the stop", len(ends))
 	for _, name := range []string{"entry-1", "engine-2"} {
 		assert.NilError(t, s.procs[name].cmd.Process.Signal(syscall.SIGTERM))
 	}
@@ -432,8 +435,11 @@
 	}
 }
 
-func (s *system) wholeStream(gateway, tokens int) error {
+// wholeStream reads a stream to its end, and tells begun when its head has
+// come.
+func (s *system) wholeStream(gateway, tokens int, begun chan<- struct{}) error {
 	resp, err := s.chat(gateway, tokens, nil)
+	begun <- struct{}{}
 	if err != nil {
 		return err
 	}
