a gateway that missed a configuration learns so from others, and denies nothing meanwhile

Ten seconds is how long a gateway's read of the operator's records waits: a read that waits and is not told of a new record is the only way found to be that late in a calm store. Ruled out: records skipped by a truncated answer (the next offset counts records), a cut (gateways that were cut knew 0.4 s after it ended). Change: gateways tell sidecars how far they have read, sidecars tell all gateways the furthest; one that is behind ends its wait and reads anew. A read waits 4 s instead of 10. A 404 or 401 becomes a refusal while the configuration is not known to be the newest.

--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
@@ -27,6 +28,25 @@
 	v.NameVersion(n.Model, n.Version, first, time.Now())
 }
 
+// gatewayWait is how long one read of the operator's records waits. A record
+// whose notice is lost is found after it at the latest, where no other gateway
+// has read it.
+const gatewayWait = 4 * time.Second
+
+// confirmedFor is how long a configuration counts as the newest after the
+// store said so: a read that waits takes gatewayWait, and a lost answer to it
+// is noticed readSlack later.
+const confirmedFor = gatewayWait + readSlack
+
+// readSlack is how long an answer of the store may be late.
+const readSlack = 2 * time.Second
+
+// current reports whether the configuration in force is known to be the
+// newest.
+func current(p platform.Progress, now time.Time) bool {
+	return !p.Behind && now.Sub(p.Confirmed) < confirmedFor
+}
+
 // assumedGateways divides what all gateways may do together; the settings
 // do not tell how many there are.
 const assumedGateways = 8
@@ -51,6 +71,7 @@
 		Headers:         platform.Headers(),
 		Budget:          budget,
 		VersionDeadline: s.VersionDeadline(),
+		Current:         func() bool { return current(p.watcher.Progress(), time.Now()) },
 	}, p.requests, p.events, p.metrics)
 	front, err := net.Listen("tcp4", s.Listen.Front)
 	if err != nil {
@@ -74,7 +95,14 @@
 	view := gatewayView{server}
 	go p.watcher.WatchOperator(ctx, view, gatewayWait)
 	go p.watchEndpoints(ctx, server)
-	go subscriber.Run(ctx, func() []loadreport.Audience { return audiences(s, server, time.Now()) }, server.TellSoon(), server.Heard)
+	told := func() []loadreport.Audience {
+		return audiences(s, server, p.watcher.Progress().Offset, time.Now())
+	}
+	heard := func(r fleet.Report, roundTrip time.Duration, read int64) {
+		p.watcher.OthersRead(read, time.Now())
+		server.Heard(r, roundTrip)
+	}
+	go subscriber.Run(ctx, told, server.TellSoon(), heard)
 	go func() {
 		for range time.Tick(maintainEvery) {
 			server.Maintain(time.Now())
@@ -84,8 +112,8 @@
 }
 
 // audiences are the sidecars of each service of engines, and what they are
-// told.
-func audiences(s *platform.Settings, server *ingress.Server, now time.Time) []loadreport.Audience {
+// told; read is how far the operator's records have been read.
+func audiences(s *platform.Settings, server *ingress.Server, read int64, now time.Time) []loadreport.Audience {
 	c := server.Configuration()
 	if c == nil {
 		return nil
@@ -95,7 +123,7 @@
 		if service.Engine == nil {
 			continue
 		}
-		notice := loadreport.Notice{Model: service.Engine.Model, Named: named(server, service.Engine.Model, now)}
+		notice := loadreport.Notice{Model: service.Engine.Model, Read: read, Named: named(server, service.Engine.Model, now)}
 		weights, ok := c.Weights(name)
 		knowing, others := server.EngineAddresses(name, weights.Sum(), now)
 		out = append(out, loadreport.Audience{Sidecars: publishers(s, knowing), Notice: notice})
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -120,15 +120,13 @@
 			continue
 		}
 		out = append(out, installer.Peer{
-			Box: box, Address: v.settings.Internal(e.Address, portSidecars), Zone: e.Zone, Region: v.settings.Regions[e.Zone],
+			Box: box, Address: v.settings.Internal(e.Address, portSidecars), Zone: e.Zone, Region: v.settings.Regions[e.Zone], Leaving: e.Draining,
 		})
 	}
 	return out, nil
 }
 
 const (
-	// gatewayWait is how long one read of the operator's records waits.
-	gatewayWait = 10 * time.Second
 	// unheardAfter is how long a sidecar goes without a gateway's word before
 	// it reads on its own, longer by up to unheardMore so that not all do so
 	// at once, and rereadPause how often then.
--- a/cmd/mintlift/platform_test.go
+++ b/cmd/mintlift/platform_test.go
@@ -53,7 +53,7 @@
 	defer cancel()
 	speaking, silence := context.WithCancel(ctx)
 	audience := loadreport.Audience{Sidecars: []string{"127.0.0.1:17701"}}
-	go subscriber.Run(speaking, func() []loadreport.Audience { return []loadreport.Audience{audience} }, nil, func(fleet.Report, time.Duration) {})
+	go subscriber.Run(speaking, func() []loadreport.Audience { return []loadreport.Audience{audience} }, nil, func(fleet.Report, time.Duration, int64) {})
 	for publisher.Asked().IsZero() {
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -93,7 +93,7 @@
 	}
 
 	notice := func() loadreport.Notice {
-		for _, a := range audiences(settings, server, now) {
+		for _, a := range audiences(settings, server, -1, now) {
 			if len(a.Sidecars) > 0 {
 				assert.DeepEqual(t, a.Sidecars, []string{"127.0.0.1:17711"})
 				return a.Notice
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -110,13 +110,13 @@
 func (x *exchange) accept() bool {
 	x.config = x.server.routes.Get()
 	if x.config == nil {
-		x.refuse("no configuration yet", comeBackMin+comeBackNone)
+		x.refuse("no configuration yet", comeBackLater())
 		return false
 	}
 	path, _, _ := strings.Cut(x.target(), "?")
 	x.route = x.config.Match(x.request.Host, path)
 	if x.route == nil {
-		x.deny(http.StatusNotFound, "no route")
+		x.denyIfCurrent(http.StatusNotFound, "no route")
 		return false
 	}
 	x.priority = x.route.Priority
@@ -125,7 +125,7 @@
 		key, _ := strings.CutPrefix(x.request.Header.Get("Authorization"), "Bearer ")
 		holder := x.config.Workspace(key)
 		if holder == nil {
-			x.deny(http.StatusUnauthorized, "unknown key")
+			x.denyIfCurrent(http.StatusUnauthorized, "unknown key")
 			return false
 		}
 		workspace = holder.Name
@@ -385,6 +385,16 @@
 
 func (x *exchange) deny(status int, cause string) { x.fail(status, outcomeDenied, cause) }
 
+// denyIfCurrent denies what the configuration does not know, unless there may
+// be a newer one that does.
+func (x *exchange) denyIfCurrent(status int, cause string) {
+	if current := x.server.settings.Current; current != nil && !current() {
+		x.refuse("configuration may be old: "+cause, comeBackMin)
+		return
+	}
+	x.deny(status, cause)
+}
+
 // fail gives an answer of the gateway's own.
 func (x *exchange) fail(status int, outcome, cause string) {
 	h := x.writer.Header()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -49,6 +49,10 @@
 	// VersionDeadline is how long after a version was named older ones may
 	// still start requests.
 	VersionDeadline time.Duration
+	// Current reports whether the configuration in force is known to be the
+	// newest; nil stands for always. While it is not, what the configuration
+	// does not know is not denied but refused: the caller may be right.
+	Current func() bool
 }
 
 // Server is the request path of one gateway. It is an http.Handler.
@@ -134,7 +138,7 @@
 	if len(list) > 0 && list[len(list)-1].Version >= version {
 		return
 	}
-	due := now.Add(s.settings.VersionDeadline - versionMargin)
+	due := now.Add(s.settings.VersionDeadline - s.versionMargin())
 	if first && s.anyHolds(model, version, now) {
 		due = now
 	}
@@ -167,9 +171,17 @@
 }
 
 // versionMargin is how long before the deadline older versions are left: a
-// request may be on its way for more than a second when a packet is lost,
-// and waits at the engine then.
-const versionMargin = 1900 * time.Millisecond
+// request that an engine begins at once, which is all that it gets then, is
+// begun within half of that, also where a packet is lost on the way.
+// versionMarginShare bounds it for short deadlines.
+const (
+	versionMargin      = 700 * time.Millisecond
+	versionMarginShare = 0.25
+)
+
+func (s *Server) versionMargin() time.Duration {
+	return min(versionMargin, time.Duration(versionMarginShare*float64(s.settings.VersionDeadline)))
+}
 
 func (s *Server) anyHolds(model string, version int, now time.Time) bool {
 	c := s.routes.Get()
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -48,6 +48,26 @@
 	}
 }
 
+// While there may be a newer configuration, what this one does not know is
+// refused as not run, not denied: it may be allowed.
+func TestUnknownIsNotDeniedByAnOldConfiguration(t *testing.T) {
+	w := newWorld(t)
+	current := false
+	w.server.settings.Current = func() bool { return current }
+	w.configure(1)
+	w.endpoint("a", "plain", ok("body"))
+	r, _ := w.get("GET", "/none/", "")
+	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, r.Header.Get("Retry-After") != "")
+	r, _ = w.get("GET", "/safe/1", "", with("Authorization", "Bearer other"))
+	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+	r, _ = w.get("GET", "/safe/1", "")
+	assert.Equal(t, r.StatusCode, http.StatusOK, "what it knows is served")
+	current = true
+	r, _ = w.get("GET", "/none/", "")
+	assert.Equal(t, r.StatusCode, http.StatusNotFound)
+}
+
 // A key that is taken away is refused, a new route is served, and an older
 // configuration that comes late changes nothing.
 func TestConfigurationIsInForceAtOnce(t *testing.T) {
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -49,6 +49,8 @@
 	Model string `json:"model,omitempty"`
 	// Named are the newest named versions of the model, the newest last.
 	Named []Named `json:"named,omitempty"`
+	// Read is how far the gateway has read the operator's records, or -1.
+	Read int64 `json:"read"`
 	// Weights are left out for sidecars whose reports show that they know
 	// them.
 	Weights *routing.Weights `json:"weights,omitempty"`
@@ -92,6 +94,9 @@
 	fleet.Report
 	// Echo is the stamp of the subscription that is answered, or 0.
 	Echo int64 `json:"e,omitempty"`
+	// Read is, in such an answer, how far any gateway has read the operator's
+	// records.
+	Read int64 `json:"o,omitempty"`
 }
 
 // Publisher sends reports from a sidecar.
@@ -100,9 +105,11 @@
 	mu   sync.Mutex
 	// askedAt is when the last subscription came.
 	askedAt time.Time
-	subs    map[netip.AddrPort]time.Time
-	last    fleet.Report
-	sent    time.Time
+	// read is how far any gateway has read the operator's records.
+	read int64
+	subs map[netip.AddrPort]time.Time
+	last fleet.Report
+	sent time.Time
 }
 
 // NewPublisher listens for subscriptions at address; told takes what each
@@ -141,11 +148,13 @@
 		p.mu.Lock()
 		p.askedAt = time.Now()
 		p.subs[from] = p.askedAt
+		p.read = max(p.read, asked.Read)
+		read := p.read
 		last := p.last
 		last.Turn = rand.IntN(len(p.subs))
 		p.mu.Unlock()
 		if last.Address != "" {
-			p.send(message{Report: last, Echo: asked.Stamp}, from)
+			p.send(message{Report: last, Echo: asked.Stamp, Read: read}, from)
 		}
 	}
 }
@@ -204,8 +213,9 @@
 func (s *Subscriber) stamp() int64 { return time.Since(s.began).Microseconds() }
 
 // Heard takes a report. roundTrip is the time from a subscription to this
-// answer, or negative if the report answers none.
-type Heard func(r fleet.Report, roundTrip time.Duration)
+// answer, or negative if the report answers none. read is then how far any
+// gateway that subscribed there has read the operator's records.
+type Heard func(r fleet.Report, roundTrip time.Duration, read int64)
 
 // NewSubscriber listens for reports at address.
 func NewSubscriber(address string) (*Subscriber, error) {
@@ -264,6 +274,6 @@
 		if m.Echo > 0 {
 			roundTrip = time.Duration(s.stamp()-m.Echo) * time.Microsecond
 		}
-		heard(m.Report, roundTrip)
+		heard(m.Report, roundTrip, m.Read)
 	}
 }
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -19,14 +19,16 @@
 	mu      sync.Mutex
 	reports []fleet.Report
 	echoes  int
+	read    int64
 }
 
-func (h *heard) take(r fleet.Report, roundTrip time.Duration) {
+func (h *heard) take(r fleet.Report, roundTrip time.Duration, read int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.reports = append(h.reports, r)
 	if roundTrip >= 0 {
 		h.echoes++
+		h.read = max(h.read, read)
 	}
 }
 
@@ -105,7 +107,7 @@
 	publisher, subscriber := pair(t, func(Notice) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	audience := Audience{Sidecars: []string{publisher.conn.LocalAddr().String()}}
-	go subscriber.Run(ctx, func() []Audience { return []Audience{audience} }, nil, func(fleet.Report, time.Duration) {})
+	go subscriber.Run(ctx, func() []Audience { return []Audience{audience} }, nil, func(fleet.Report, time.Duration, int64) {})
 	subscribed := func() int {
 		publisher.mu.Lock()
 		defer publisher.mu.Unlock()
@@ -122,3 +124,26 @@
 	assert.Assert(t, Named{AgeMS: UnknownAge}.Since(now).IsZero())
 	assert.Equal(t, Named{AgeMS: 1500}.Since(now), now.Add(-1500*time.Millisecond))
 }
+
+// A gateway hears from a sidecar how far another has read what the operator
+// wrote.
+func TestGatewaysHearHowFarOthersHaveRead(t *testing.T) {
+	publisher, behind := pair(t, func(Notice) {})
+	ahead, err := NewSubscriber("127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	publisher.Publish(fleet.Report{Address: "a:1"}, false, time.Now())
+	run := func(s *Subscriber, read int64, take Heard) {
+		audience := Audience{Sidecars: []string{publisher.conn.LocalAddr().String()}, Notice: Notice{Read: read}}
+		go s.Run(ctx, func() []Audience { return []Audience{audience} }, nil, take)
+	}
+	var got heard
+	run(behind, 3, got.take)
+	run(ahead, 7, func(fleet.Report, time.Duration, int64) {})
+	await(t, "what the other has read", func() bool {
+		got.mu.Lock()
+		defer got.mu.Unlock()
+		return got.read == 7
+	})
+}
