rollouts spread over what is left of the deadline; an older version that is nearly whole is completed

Change: turns run from when the own copy is whole to 0.85 of the deadline, for the deadline of the oldest version that the engine lacks; no drain where gateways have left the old version already; a version of which 0.6 is within reach (here or at peers) is fetched beside the newer one, each by a job of its own; first reads at the origin wait for no slot of peers, and not for the standstill after its return; boxes that leave or do not answer read nothing first.

--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -29,7 +29,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, fetchRound)
 	defer cancel()
-	i.join(ctx, w, r)
+	swarm := i.join(ctx, w, r)
 	ended := make(chan struct{}, 1)
 	flying := 0 // under Installer.mu
 	for ctx.Err() == nil && !i.complete(r) {
@@ -39,17 +39,20 @@
 		}
 		i.mu.Lock()
 		p := transfer.Pull{Wait: busyWait}
-		if flying < i.parallel(r) {
-			p = r.swarm.Next(time.Now())
+		switch limit := i.parallel(r, w); {
+		case flying < limit:
+			p = swarm.Next(time.Now())
+		case limit > 1 && flying < limit+firstExtra:
+			p = swarm.NextFirst(time.Now())
 		}
-		has := r.swarm.Wants()
+		has := swarm.Wants()
 		if p.Kind != transfer.None {
 			flying++
 		}
 		i.mu.Unlock()
 		if p.Kind != transfer.None {
 			go func() {
-				i.pull(ctx, r, p, has)
+				i.pull(ctx, r, swarm, p, has)
 				i.mu.Lock()
 				flying--
 				i.mu.Unlock()
@@ -100,8 +103,9 @@
 }
 
 // join reads the list of peers, asks them what they hold, and begins a
-// swarm.
-func (i *Installer) join(ctx context.Context, w want, r *replica) {
+// swarm. Pulls that an earlier swarm of the copy has under way report to that
+// one.
+func (i *Installer) join(ctx context.Context, w want, r *replica) *transfer.Swarm {
 	peers, err := i.peers(ctx)
 	i.mu.Lock()
 	if err != nil {
@@ -115,12 +119,15 @@
 		OriginRegions: []string{i.originRegion(w, peers)},
 		ChunkTurn:     chunkTurn(w.params),
 	}
+	known := i.client.held(ctx, peers, i.settings.Box, r.manifest)
 	addresses := make(map[string]string, len(peers))
 	self := false
 	for _, p := range peers {
-		params.Peers = append(params.Peers, transfer.Peer{Box: p.Box, Region: p.Region, Zone: p.Zone})
+		_, answered := known[p.Box]
+		own := p.Box == i.settings.Box
+		params.Peers = append(params.Peers, transfer.Peer{Box: p.Box, Region: p.Region, Zone: p.Zone, Passive: p.Leaving || !answered && !own})
 		addresses[p.Box] = p.Address
-		self = self || p.Box == i.settings.Box
+		self = self || own
 	}
 	if !self {
 		params.Peers = append(params.Peers, transfer.Peer{Box: i.settings.Box, Region: i.settings.Region, Zone: i.settings.Zone})
@@ -128,7 +135,6 @@
 	params.TakeOver = takeOver
 	params.Quiet = lostAfter
 	params.Patient = true
-	known := i.client.held(ctx, peers, i.settings.Box, r.manifest)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	r.swarm = transfer.NewSwarm(params, transfer.NewOrder(params), i.settings.Box, r.held, time.Now())
@@ -136,6 +142,7 @@
 	for box, k := range known {
 		r.swarm.Known(box, k)
 	}
+	return r.swarm
 }
 
 // Bounds of the pulls under way at once. What is under way queues at a
@@ -143,12 +150,21 @@
 // link that turns out narrow gets a single one.
 const (
 	pullsAtOnce = 3
-	narrow      = 5
-	busyWait    = 15 * time.Millisecond
+	// firstExtra are pulls beyond these of chunks that nobody else has.
+	firstExtra = 1
+	narrow     = 5
+	busyWait   = 15 * time.Millisecond
 )
 
-// parallel is how many pulls may be under way; Installer.mu is held.
-func (i *Installer) parallel(r *replica) int {
+// parallel is how many pulls may be under way; Installer.mu is held. While
+// an older version that is nearly whole is completed, the newer one gets a
+// single pull, which keeps the origin busy.
+func (i *Installer) parallel(r *replica, w want) int {
+	for _, t := range i.targets {
+		if t.version < w.version && i.completes(t, time.Now()) {
+			return 1
+		}
+	}
 	if i.settings.LinkRate <= 0 {
 		return pullsAtOnce
 	}
@@ -194,9 +210,9 @@
 }
 
 // pull carries out one decision and reports its end to the swarm.
-func (i *Installer) pull(ctx context.Context, r *replica, p transfer.Pull, has *bitset.BitSet) {
+func (i *Installer) pull(ctx context.Context, r *replica, swarm *transfer.Swarm, p transfer.Pull, has *bitset.BitSet) {
 	began := time.Now()
-	know, data, err := i.transfer(ctx, r, &p, has)
+	know, data, err := i.transfer(ctx, r, swarm, &p, has)
 	if err == nil {
 		err = i.take(r, p, data)
 	}
@@ -205,20 +221,20 @@
 	defer i.mu.Unlock()
 	switch {
 	case err == nil:
-		r.swarm.Arrived(p, know, now.Sub(began), now)
+		swarm.Arrived(p, know, now.Sub(began), now)
 		i.count(r, p)
 	case errors.Is(err, errNothing):
-		r.swarm.Nothing(p, know, now)
+		swarm.Nothing(p, know, now)
 	case errors.Is(err, errTaken):
-		r.swarm.Drop(p)
+		swarm.Drop(p)
 	case errors.Is(err, errBusy):
-		r.swarm.Busy(p, 0, now)
+		swarm.Busy(p, 0, now)
 	case errors.Is(err, stall.Err):
-		r.swarm.Stalled(p, now)
+		swarm.Stalled(p, now)
 	case errors.Is(err, errSpoilt):
-		r.swarm.Bad(p, now)
+		swarm.Bad(p, now)
 	default:
-		r.swarm.Unreachable(p, now)
+		swarm.Unreachable(p, now)
 		i.log.Info("chunk not had", "version", r.manifest.Version, "peer", p.Peer, "chunk", p.Chunk, "error", err.Error())
 	}
 }
@@ -239,9 +255,9 @@
 }
 
 // transfer asks the sender for a chunk.
-func (i *Installer) transfer(ctx context.Context, r *replica, p *transfer.Pull, has *bitset.BitSet) (transfer.Knowledge, []byte, error) {
+func (i *Installer) transfer(ctx context.Context, r *replica, swarm *transfer.Swarm, p *transfer.Pull, has *bitset.BitSet) (transfer.Knowledge, []byte, error) {
 	i.mu.Lock()
-	limit := r.swarm.StallLimit()
+	limit := swarm.StallLimit()
 	address := r.addresses[p.Peer]
 	i.mu.Unlock()
 	if p.Kind == transfer.FromOrigin {
@@ -251,7 +267,7 @@
 	offered := func(chunk int) bool {
 		i.mu.Lock()
 		defer i.mu.Unlock()
-		return r.swarm.Offered(p, chunk)
+		return swarm.Offered(p, chunk)
 	}
 	return i.client.pull(ctx, address, i.settings.Box, r.manifest, p.Chunk, has, limit, offered)
 }
@@ -269,5 +285,8 @@
 	defer i.mu.Unlock()
 	r.chunks[p.Chunk] = data
 	r.held.Set(uint(p.Chunk))
+	if r.whole() {
+		r.wholeAt = time.Now()
+	}
 	return nil
 }
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -16,13 +16,10 @@
 import (
 	"context"
 	"crypto/sha256"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/bits-and-blooms/bitset"
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/mintlift/mintlift/telemetry"
@@ -84,6 +81,8 @@
 	Address string
 	Region  string
 	Zone    string
+	// Leaving says that the endpoint beside it is being drained.
+	Leaving bool
 }
 
 // Params are the figures of the service.
@@ -146,6 +145,8 @@
 	manifest *Manifest
 	chunks   [][]byte
 	held     *bitset.BitSet
+	// wholeAt is when the last chunk came.
+	wholeAt time.Time
 	// swarm is nil while nothing is fetched.
 	swarm     *transfer.Swarm
 	addresses map[string]string
@@ -259,225 +260,3 @@
 		i.wakeLocked()
 	}
 }
-
-// Timing of an Installer.
-const (
-	// keepEvery is how often an idle installer looks whether it has what
-	// other sidecars may ask for.
-	keepEvery = time.Second
-	// retryPause is slept after a step that failed; between two tries to
-	// obtain a version it is longer by up to as much.
-	retryPause = 250 * time.Millisecond
-	// fetchRound bounds one look at the list of peers; after it the list is
-	// read again.
-	fetchRound = 6 * time.Second
-	// startWait is how long a start may take before it is ordered again.
-	startWait = 3 * time.Second
-)
-
-// Run works until ctx ends.
-func (i *Installer) Run(ctx context.Context) {
-	go i.starts(ctx)
-	for ctx.Err() == nil {
-		w, change := i.wanted()
-		wait := keepEvery
-		if w.version != 0 {
-			if i.obtain(ctx, w) {
-				continue
-			}
-			wait = retryPause + rand.N(retryPause)
-		}
-		select {
-		case <-change:
-		case <-time.After(wait):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// want is a version to be fetched.
-type want struct {
-	params  Params
-	version int
-	// only says that the engine has the version: what lies ready is kept for
-	// others, and nothing is fetched.
-	only bool
-}
-
-// nearlyWhole is the share of an older version's chunks from which on it is
-// fetched to the end before a newer one is begun.
-const nearlyWhole = 0.6
-
-// wanted returns what is to be fetched now, with version 0 for nothing.
-func (i *Installer) wanted() (want, <-chan struct{}) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.params.Chunks == 0 || i.heard.IsZero() {
-		return want{}, i.change
-	}
-	w := want{params: i.params, version: i.newest().version}
-	for _, t := range i.targets {
-		r := i.copyOf(t.version)
-		if r == nil || t.version <= i.state.Version || r.whole() {
-			continue
-		}
-		if float64(r.held.Count()) >= nearlyWhole*float64(len(r.chunks)) {
-			w.version = t.version
-			break
-		}
-	}
-	w.only = i.state.Version >= w.version
-	if r := i.copyOf(w.version); r != nil && (w.only || r.whole()) {
-		return want{}, i.change
-	}
-	return w, i.change
-}
-
-// whole reports whether all chunks are held; Installer.mu is held.
-func (r *replica) whole() bool { return int(r.held.Count()) == len(r.chunks) }
-
-// copyOf returns the copy of a version, or nil; Installer.mu is held.
-func (i *Installer) copyOf(version int) *replica {
-	for _, r := range i.copies {
-		if r.manifest.Version == version {
-			return r
-		}
-	}
-	return nil
-}
-
-// obtain fetches w until it is whole or something else is wanted.
-func (i *Installer) obtain(ctx context.Context, w want) bool {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go i.whileWanted(ctx, cancel, w)
-	r := i.open(ctx, w)
-	if r == nil {
-		return false
-	}
-	if w.only {
-		return true
-	}
-	if !i.fetch(ctx, w, r) {
-		return false
-	}
-	i.mu.Lock()
-	i.wakeLocked()
-	i.mu.Unlock()
-	return true
-}
-
-// whileWanted cancels when w is no longer wanted.
-func (i *Installer) whileWanted(ctx context.Context, cancel context.CancelFunc, w want) {
-	for ctx.Err() == nil {
-		now, change := i.wanted()
-		if now.version != w.version || now.only != w.only {
-			cancel()
-			return
-		}
-		select {
-		case <-change:
-		case <-ctx.Done():
-		}
-	}
-}
-
-// replica returns the copy of a version, or nil.
-func (i *Installer) replica(version int) *replica {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.copyOf(version)
-}
-
-// open returns the copy of w's version, with what lies ready beside the
-// engine already.
-func (i *Installer) open(ctx context.Context, w want) *replica {
-	if r := i.replica(w.version); r != nil {
-		return r
-	}
-	m := i.manifest(ctx, w)
-	if m == nil {
-		return nil
-	}
-	r := newReplica(m, i.settings.Box)
-	i.readStage(ctx, r)
-	i.log.Info("copy opened", "version", w.version, "held", r.held.Count(), "chunks", len(r.chunks))
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.copies = append(i.copies, r)
-	if len(i.copies) > keptCopies {
-		i.copies = slices.Delete(i.copies, 0, len(i.copies)-keptCopies)
-	}
-	return r
-}
-
-// newReplica returns an empty copy at box.
-func newReplica(m *Manifest, box string) *replica {
-	return &replica{
-		manifest: m,
-		chunks:   make([][]byte, len(m.Digests)),
-		held:     bitset.New(uint(len(m.Digests))),
-		picker:   transfer.NewPicker(len(m.Digests), xxhash.Sum64String(box)),
-	}
-}
-
-// readStage takes the chunks that lie ready and fit.
-func (i *Installer) readStage(ctx context.Context, r *replica) {
-	for n := range r.chunks {
-		data, err := i.engine.Get(ctx, r.manifest.Model, n)
-		if err != nil {
-			return
-		}
-		if r.manifest.Fits(n, data) {
-			r.chunks[n] = data
-			r.held.Set(uint(n))
-			continue
-		}
-		if n == 0 && data != nil {
-			return // another version lies there
-		}
-	}
-}
-
-// manifest asks the peers of the own region first, then the origin.
-func (i *Installer) manifest(ctx context.Context, w want) *Manifest {
-	i.mu.Lock()
-	peers := slices.Clone(i.known)
-	i.mu.Unlock()
-	for _, p := range nearest(peers, i.settings, manifestPeers) {
-		if m, err := i.client.manifest(ctx, p, w.params.Model, w.version); err == nil && len(m.Digests) == w.params.Chunks {
-			return m
-		}
-	}
-	m, err := i.origin.Manifest(ctx, w.params.Model, w.version)
-	if err != nil {
-		i.log.Info("manifest not had", "version", w.version, "error", err.Error())
-		return nil
-	}
-	if len(m.Digests) != w.params.Chunks {
-		i.log.Info("manifest does not fit", "version", w.version, "digests", len(m.Digests), "chunks", w.params.Chunks)
-		return nil
-	}
-	return m
-}
-
-// manifestPeers is how many peers are asked for a manifest.
-const manifestPeers = 2
-
-// nearest returns up to n peers of the own region, other than this box.
-func nearest(peers []Peer, s Settings, n int) []Peer {
-	var out []Peer
-	for _, p := range peers {
-		if p.Box != s.Box && p.Region == s.Region {
-			out = append(out, p)
-		}
-	}
-	slices.SortFunc(out, func(a, b Peer) int {
-		x, y := xxhash.Sum64String(s.Box+a.Box), xxhash.Sum64String(s.Box+b.Box)
-		if x < y {
-			return -1
-		}
-		return 1
-	})
-	return out[:min(n, len(out))]
-}
--- /dev/null
+++ b/installer/obtain.go
@@ -0,0 +1,276 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package installer
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/bits-and-blooms/bitset"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/transfer"
+)
+
+// Timing of an Installer.
+const (
+	// keepEvery is how often an idle installer looks whether it has what
+	// other sidecars may ask for.
+	keepEvery = time.Second
+	// retryPause is slept after a step that failed; between two tries to
+	// obtain a version it is longer by up to as much.
+	retryPause = 250 * time.Millisecond
+	// fetchRound bounds one look at the list of peers; after it the list is
+	// read again.
+	fetchRound = 6 * time.Second
+	// startWait is how long a start may take before it is ordered again.
+	startWait = 3 * time.Second
+)
+
+// job is the fetch of one version, under way.
+type job struct {
+	want   want
+	cancel context.CancelFunc
+}
+
+// Run works until ctx ends. Each version that is wanted has a job of its own.
+func (i *Installer) Run(ctx context.Context) {
+	go i.starts(ctx)
+	jobs := make(map[int]job)
+	ended := make(chan int)
+	for ctx.Err() == nil {
+		wants, change := i.wanted()
+		for version, j := range jobs {
+			if !slices.Contains(wants, j.want) {
+				j.cancel()
+				delete(jobs, version)
+			}
+		}
+		for _, w := range wants {
+			if _, running := jobs[w.version]; !running {
+				jobs[w.version] = i.begin(ctx, w, ended)
+			}
+		}
+		select {
+		case <-change:
+		case version := <-ended:
+			delete(jobs, version)
+		case <-time.After(keepEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// begin starts a job that sends its version to ended unless it is cancelled.
+func (i *Installer) begin(ctx context.Context, w want, ended chan<- int) job {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		if !i.obtain(ctx, w) {
+			clock.Sleep(ctx, retryPause+rand.N(retryPause))
+		}
+		select {
+		case ended <- w.version:
+		case <-ctx.Done():
+		}
+	}()
+	return job{want: w, cancel: cancel}
+}
+
+// want is a version to be fetched.
+type want struct {
+	params  Params
+	version int
+	// only says that the engine has the version: what lies ready is kept for
+	// others, and nothing is fetched.
+	only bool
+}
+
+// nearlyWhole is the share of an older version's chunks that must be within
+// reach, here or at other sidecars, for it to be fetched to the end beside a
+// newer one: it then costs the origin little, and bridges the time until the
+// newer one is whole.
+const nearlyWhole = 0.6
+
+// wanted returns what is to be fetched now, the older version first.
+func (i *Installer) wanted() ([]want, <-chan struct{}) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.params.Chunks == 0 || i.heard.IsZero() {
+		return nil, i.change
+	}
+	var out []want
+	now := time.Now()
+	for _, t := range i.targets {
+		if i.completes(t, now) {
+			out = append(out, want{params: i.params, version: t.version})
+		}
+	}
+	newest := want{params: i.params, version: i.newest().version}
+	newest.only = i.state.Version >= newest.version
+	if r := i.copyOf(newest.version); r == nil || !newest.only && !r.whole() {
+		out = append(out, newest)
+	}
+	return out, i.change
+}
+
+// completes reports whether t, a version older than the newest, is worth
+// fetching to its end: it is nearly whole, and there is time left in which
+// it may be served. Installer.mu is held.
+func (i *Installer) completes(t target, now time.Time) bool {
+	newest := i.newest()
+	r := i.copyOf(t.version)
+	if t.version >= newest.version || t.version <= i.state.Version || r == nil || r.whole() {
+		return false
+	}
+	if n := i.copyOf(newest.version); n != nil && n.whole() {
+		return false
+	}
+	if due := i.due(newest); !due.IsZero() && !now.Before(due) {
+		return false
+	}
+	return float64(r.reachable()) >= nearlyWhole*float64(len(r.chunks))
+}
+
+// whole reports whether all chunks are held; Installer.mu is held.
+func (r *replica) whole() bool { return int(r.held.Count()) == len(r.chunks) }
+
+// copyOf returns the copy of a version, or nil; Installer.mu is held.
+func (i *Installer) copyOf(version int) *replica {
+	for _, r := range i.copies {
+		if r.manifest.Version == version {
+			return r
+		}
+	}
+	return nil
+}
+
+// reachable counts the chunks that are held here or known to be held by other
+// sidecars; Installer.mu is held.
+func (r *replica) reachable() int {
+	if r.swarm == nil {
+		return int(r.held.Count())
+	}
+	return r.swarm.Reachable()
+}
+
+// obtain fetches w until it is whole; it returns false if that failed.
+func (i *Installer) obtain(ctx context.Context, w want) bool {
+	r := i.open(ctx, w)
+	if r == nil {
+		return false
+	}
+	if w.only {
+		return true
+	}
+	if !i.fetch(ctx, w, r) {
+		return false
+	}
+	i.mu.Lock()
+	i.wakeLocked()
+	i.mu.Unlock()
+	return true
+}
+
+// replica returns the copy of a version, or nil.
+func (i *Installer) replica(version int) *replica {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.copyOf(version)
+}
+
+// open returns the copy of w's version, with what lies ready beside the
+// engine already.
+func (i *Installer) open(ctx context.Context, w want) *replica {
+	if r := i.replica(w.version); r != nil {
+		return r
+	}
+	m := i.manifest(ctx, w)
+	if m == nil {
+		return nil
+	}
+	r := newReplica(m, i.settings.Box)
+	i.readStage(ctx, r)
+	i.log.Info("copy opened", "version", w.version, "held", r.held.Count(), "chunks", len(r.chunks))
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.copies = append(i.copies, r)
+	if len(i.copies) > keptCopies {
+		i.copies = slices.Delete(i.copies, 0, len(i.copies)-keptCopies)
+	}
+	return r
+}
+
+// newReplica returns an empty copy at box.
+func newReplica(m *Manifest, box string) *replica {
+	return &replica{
+		manifest: m,
+		chunks:   make([][]byte, len(m.Digests)),
+		held:     bitset.New(uint(len(m.Digests))),
+		picker:   transfer.NewPicker(len(m.Digests), xxhash.Sum64String(box)),
+	}
+}
+
+// readStage takes the chunks that lie ready and fit.
+func (i *Installer) readStage(ctx context.Context, r *replica) {
+	for n := range r.chunks {
+		data, err := i.engine.Get(ctx, r.manifest.Model, n)
+		if err != nil {
+			return
+		}
+		if r.manifest.Fits(n, data) {
+			r.chunks[n] = data
+			r.held.Set(uint(n))
+			continue
+		}
+		if n == 0 && data != nil {
+			return // another version lies there
+		}
+	}
+}
+
+// manifest asks the peers of the own region first, then the origin.
+func (i *Installer) manifest(ctx context.Context, w want) *Manifest {
+	i.mu.Lock()
+	peers := slices.Clone(i.known)
+	i.mu.Unlock()
+	for _, p := range nearest(peers, i.settings, manifestPeers) {
+		if m, err := i.client.manifest(ctx, p, w.params.Model, w.version); err == nil && len(m.Digests) == w.params.Chunks {
+			return m
+		}
+	}
+	m, err := i.origin.Manifest(ctx, w.params.Model, w.version)
+	if err != nil {
+		i.log.Info("manifest not had", "version", w.version, "error", err.Error())
+		return nil
+	}
+	if len(m.Digests) != w.params.Chunks {
+		i.log.Info("manifest does not fit", "version", w.version, "digests", len(m.Digests), "chunks", w.params.Chunks)
+		return nil
+	}
+	return m
+}
+
+// manifestPeers is how many peers are asked for a manifest.
+const manifestPeers = 2
+
+// nearest returns up to n peers of the own region, other than this box.
+func nearest(peers []Peer, s Settings, n int) []Peer {
+	var out []Peer
+	for _, p := range peers {
+		if p.Box != s.Box && p.Region == s.Region {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int {
+		x, y := xxhash.Sum64String(s.Box+a.Box), xxhash.Sum64String(s.Box+b.Box)
+		if x < y {
+			return -1
+		}
+		return 1
+	})
+	return out[:min(n, len(out))]
+}
--- a/installer/peers.go
+++ b/installer/peers.go
@@ -27,6 +27,7 @@
 	errNothing = errors.ConstError("peer has nothing of use")
 	errBusy    = errors.ConstError("peer is busy")
 	errTaken   = errors.ConstError("chunk is held or on its way already")
+	errNotHeld = errors.ConstError("peer has no copy of the version")
 )
 
 // Paths between sidecars: model and version follow.
@@ -44,7 +45,7 @@
 const (
 	peerDial      = 400 * time.Millisecond
 	peerIdle      = 5 * time.Second
-	heldTimeout   = 400 * time.Millisecond
+	heldTimeout   = 200 * time.Millisecond
 	smallTimeout  = time.Second
 	maxManifest   = 4 << 20
 	maxChunkBytes = 16 << 20
@@ -100,14 +101,18 @@
 	if err != nil {
 		return nil, nil, errors.Trace(err)
 	}
-	if response.StatusCode != http.StatusOK {
+	switch response.StatusCode {
+	case http.StatusOK:
+		return body, response.Header, nil
+	case http.StatusNotFound:
+		return nil, response.Header, errNotHeld
+	default:
 		return nil, nil, errors.Errorf("%s: status %d", path, response.StatusCode)
 	}
-	return body, response.Header, nil
 }
 
-// held asks all peers at once what they hold of a version; those that do
-// not answer soon are left out.
+// held asks all peers at once what they hold of a version. Those that do not
+// answer soon are left out; those without a copy hold nothing.
 func (c *peerClient) held(ctx context.Context, peers []Peer, self string, m *Manifest) map[string]transfer.Knowledge {
 	ctx, cancel := context.WithTimeout(ctx, heldTimeout)
 	defer cancel()
@@ -120,7 +125,7 @@
 		}
 		group.Go(func() {
 			_, header, err := c.get(ctx, p.Address, pathOf(m.Model, m.Version, "held"))
-			if err != nil {
+			if err != nil && !errors.Is(err, errNotHeld) {
 				return
 			}
 			mu.Lock()
--- a/installer/start.go
+++ b/installer/start.go
@@ -14,11 +14,14 @@
 )
 
 // Turns of a rollout, as shares of the version's deadline: not all engines
-// change at once, so that the others serve meanwhile, and all change before
-// the deadline.
+// change at once, so that the others serve meanwhile. The first turn is when
+// this box's copy is whole, but not before firstTurn; the last is at
+// lastTurn. A drain begins there, after which the engine starts no request on
+// its old version, so that the rest of the deadline is for the drain's word
+// to reach all gateways.
 const (
 	firstTurn = 0.3
-	turnsSpan = 0.30
+	lastTurn  = 0.85
 )
 
 // Times of a change of version.
@@ -32,10 +35,15 @@
 	// somewhere to go on.
 	firstDrain = 500 * time.Millisecond
 	firstPart  = 0.15
+	// drainTold is how long it may take until all gateways know of a drain.
+	drainTold = 200 * time.Millisecond
 	// changeTime is a drain with the taking of the version.
 	changeTime = drainTime + 400*time.Millisecond
-	// dueMargin is how long before its deadline a version should be served.
-	dueMargin = 1900 * time.Millisecond
+	// dueMargin is how long before a version's deadline gateways send nothing
+	// more to engines with older ones, and dueShare its largest part of the
+	// deadline.
+	dueMargin = 700 * time.Millisecond
+	dueShare  = 0.25
 )
 
 // step is a start that can be made.
@@ -65,7 +73,7 @@
 			}
 			continue
 		}
-		i.begin(ctx, s)
+		i.carryOut(ctx, s)
 	}
 }
 
@@ -89,18 +97,50 @@
 		if at+1 < len(targets) && i.skips(t, targets[at+1], share, now) {
 			continue
 		}
-		s := &step{params: i.params, copy: r, named: t.named, at: now, drain: drainTime, empty: i.state.Version == 0}
-		if share < firstPart {
-			s.drain = firstDrain
-		}
-		if !s.empty && !t.named.IsZero() {
-			s.at = i.turnOf(t, share)
-		}
-		return s, i.change
+		return i.stepTo(t, r, share, now), i.change
 	}
 	return nil, i.change
 }
 
+// stepTo plans the change of the engine to t, whose copy r is whole.
+// Installer.mu is held.
+func (i *Installer) stepTo(t target, r *replica, share float64, now time.Time) *step {
+	s := &step{params: i.params, copy: r, named: t.named, at: now, drain: drainTime, empty: i.state.Version == 0}
+	if share < firstPart {
+		s.drain = firstDrain
+	}
+	overdue := i.overdue()
+	if due := i.due(overdue); !due.IsZero() && !now.Before(due) {
+		s.drain = 0 // gateways have sent nothing since
+		return s
+	}
+	if !s.empty && !overdue.named.IsZero() {
+		s.at = i.turnOf(r, overdue.named, share)
+	}
+	return s
+}
+
+// overdue is the oldest named version that is newer than the engine's: its
+// deadline is the first that the engine must meet. Installer.mu is held.
+func (i *Installer) overdue() target {
+	for _, t := range i.targets {
+		if t.version > i.state.Version {
+			return t
+		}
+	}
+	return i.newest()
+}
+
+// due is when gateways leave engines with versions older than t; zero if that
+// is not known.
+func (i *Installer) due(t target) time.Time {
+	if t.named.IsZero() {
+		return time.Time{}
+	}
+	d := i.params.Deadline
+	return t.named.Add(d - min(dueMargin, time.Duration(dueShare*float64(d))))
+}
+
 // shareLocked is this engine's place among all, in [0, 1).
 func (i *Installer) shareLocked() float64 {
 	order := slices.Clone(i.known)
@@ -112,8 +152,18 @@
 	return float64(at) / float64(len(order))
 }
 
-func (i *Installer) turnOf(t target, share float64) time.Time {
-	return t.named.Add(time.Duration(float64(i.params.Deadline) * (firstTurn + turnsSpan*share)))
+// turnOf is when this engine begins to change to the copy r, for a deadline
+// that began at named.
+func (i *Installer) turnOf(r *replica, named time.Time, share float64) time.Time {
+	first := named.Add(time.Duration(firstTurn * float64(i.params.Deadline)))
+	last := named.Add(time.Duration(lastTurn * float64(i.params.Deadline)))
+	if r.wholeAt.After(first) {
+		first = r.wholeAt
+	}
+	if last.Before(first) {
+		return first
+	}
+	return first.Add(time.Duration(share * float64(last.Sub(first))))
 }
 
 // skips reports whether a version need not be started because the next one
@@ -128,7 +178,8 @@
 	if t.named.IsZero() || next.named.IsZero() {
 		return true
 	}
-	return i.turnOf(next, share).Add(changeTime).Before(t.named.Add(i.params.Deadline - dueMargin))
+	expected := next.named.Add(time.Duration((firstTurn + (lastTurn-firstTurn)*share) * float64(i.params.Deadline)))
+	return expected.Add(changeTime).Before(i.due(t))
 }
 
 // Pace at which a copy is taken to come along.
@@ -155,12 +206,12 @@
 		return false
 	}
 	whole := usualCopies * float64(i.params.Chunks) * float64(i.params.ChunkBytes) / i.settings.LinkRate
-	return float64(r.held.Count()) >= float64(len(r.chunks))*late.Seconds()/whole
+	return float64(r.reachable()) >= float64(len(r.chunks))*late.Seconds()/whole
 }
 
-// begin brings the engine to the version of s.
-func (i *Installer) begin(ctx context.Context, s *step) {
-	if !s.empty {
+// carryOut brings the engine to the version of s.
+func (i *Installer) carryOut(ctx context.Context, s *step) {
+	if !s.empty && s.drain > 0 {
 		i.drain(ctx, s.drain)
 		defer i.setLeaving(false)
 	}
@@ -192,12 +243,10 @@
 	state, _ := i.State()
 	i.log.Info("drain begun", "running", state.Running, "queued", state.Queued, "version", state.Version)
 	const look = 50 * time.Millisecond
-	// told is how long it may take until all gateways know.
-	const told = 4 * look
 	began := time.Now()
 	for ctx.Err() == nil && time.Since(began) < limit {
 		state, _ = i.State()
-		if state.Running+state.Queued == 0 && time.Since(began) > told {
+		if state.Running+state.Queued == 0 && time.Since(began) > drainTold {
 			return
 		}
 		clock.Sleep(ctx, look)
--- a/installer/start_test.go
+++ b/installer/start_test.go
@@ -7,10 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/bits-and-blooms/bitset"
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/telemetry"
+	"github.com/mintlift/mintlift/transfer"
 )
 
 const testDeadline = 8 * time.Second
@@ -54,7 +56,8 @@
 	assert.Equal(t, next(busy, now), 0, "an order is under way")
 }
 
-// Turns are spread, and all end before the deadline.
+// Turns are spread, and all engines stop to start requests on the older
+// version, which is when their drains begin, before gateways leave them.
 func TestTurnsAreSpread(t *testing.T) {
 	now := time.Now()
 	var first, latest time.Time
@@ -73,7 +76,7 @@
 		}
 	}
 	assert.Assert(t, latest.Sub(first) > 2*time.Second, "spread over %s", latest.Sub(first))
-	assert.Assert(t, latest.Add(changeTime).Before(now.Add(testDeadline-dueMargin)))
+	assert.Assert(t, latest.Add(drainTold).Before(now.Add(testDeadline-dueMargin)))
 }
 
 func TestEmptyEngineStartsAtOnce(t *testing.T) {
@@ -85,7 +88,19 @@
 	assert.Assert(t, !s.at.After(now))
 }
 
-func TestNearlyWholeCopyIsFinishedFirst(t *testing.T) {
+// wantedVersions are the versions that i fetches.
+func wantedVersions(i *Installer) []int {
+	var out []int
+	wants, _ := i.wanted()
+	for _, w := range wants {
+		out = append(out, w.version)
+	}
+	return out
+}
+
+// An older version that is nearly whole is fetched to its end, and the newer
+// one beside it, with few pulls at once.
+func TestNearlyWholeCopyIsFinishedBesideTheNewer(t *testing.T) {
 	now := time.Now()
 	i := decided([]target{{2, now}, {3, now}}, 2)
 	part := i.copies[0]
@@ -93,11 +108,64 @@
 	for n := range testChunks * 3 / 4 {
 		part.held.Set(uint(n))
 	}
-	w, _ := i.wanted()
-	assert.Equal(t, w.version, 2)
+	assert.DeepEqual(t, wantedVersions(i), []int{2, 3})
+	assert.Equal(t, i.parallel(part, want{version: 3}), 1)
+	assert.Equal(t, i.parallel(part, want{version: 2}), pullsAtOnce)
 	for n := range testChunks / 2 {
 		part.held.Clear(uint(n))
 	}
-	w, _ = i.wanted()
-	assert.Equal(t, w.version, 3)
+	assert.DeepEqual(t, wantedVersions(i), []int{3})
+	assert.Equal(t, i.parallel(part, want{version: 3}), pullsAtOnce)
+}
+
+// What other sidecars hold counts, too: it can be had while the origin is
+// away.
+func TestChunksWithinReachAreFetched(t *testing.T) {
+	now := time.Now()
+	i := decided([]target{{2, now}, {3, now}}, 2)
+	part := i.copies[0]
+	part.held.ClearAll()
+	part.held.Set(0)
+	params := transfer.Params{Chunks: testChunks, Peers: []transfer.Peer{{Box: "box0", Region: "r"}, {Box: "box1", Region: "far"}}, OriginRegions: []string{"far"}}
+	part.swarm = transfer.NewSwarm(params, transfer.NewOrder(params), "box0", part.held, now)
+	assert.DeepEqual(t, wantedVersions(i), []int{3})
+	theirs := bitset.New(testChunks).Complement()
+	part.swarm.Known("box1", transfer.Knowledge{Held: theirs})
+	assert.DeepEqual(t, wantedVersions(i), []int{2, 3})
+}
+
+// A version that gateways send nothing to any more is not fetched.
+func TestVersionPastItsTimeIsNotFetched(t *testing.T) {
+	now := time.Now()
+	i := decided([]target{{2, now.Add(-2 * testDeadline)}, {3, now.Add(-testDeadline)}}, 2)
+	part := i.copies[0]
+	part.held.Clear(0)
+	assert.DeepEqual(t, wantedVersions(i), []int{3})
+}
+
+// An engine whose version gateways have left changes without a drain: it has
+// got nothing since.
+func TestNoDrainPastTheDeadline(t *testing.T) {
+	now := time.Now()
+	s, _ := decided([]target{{2, now}}, 2).nextStart(now)
+	assert.Equal(t, s.drain, firstDrain)
+	s, _ = decided([]target{{2, now.Add(-testDeadline)}}, 2).nextStart(now)
+	assert.Equal(t, s.drain, time.Duration(0))
+	assert.Assert(t, !s.at.After(now))
+}
+
+// The deadline of the oldest version that an engine lacks binds also when it
+// takes a newer one.
+func TestSkippedVersionsDeadlineBinds(t *testing.T) {
+	now := time.Now()
+	i := decided([]target{{2, now.Add(-5 * time.Second)}, {3, now}}, 2, 3)
+	for n := range 4 {
+		i.known = append(i.known, Peer{Box: fmt.Sprint("box", n)})
+	}
+	for k := range 4 {
+		i.settings.Box = fmt.Sprint("box", k)
+		s, _ := i.nextStart(now)
+		assert.Equal(t, s.copy.manifest.Version, 3)
+		assert.Assert(t, s.at.Before(now.Add(testDeadline-5*time.Second-dueMargin)), "box %d begins after %s", k, s.at.Sub(now))
+	}
 }
--- a/transfer/order.go
+++ b/transfer/order.go
@@ -24,9 +24,19 @@
 func NewOrder(p Params) *Order {
 	o := &Order{first: make(map[string][][]string)}
 	byRegion := make(map[string][]string)
+	passive := make(map[string][]string)
 	for _, peer := range p.Peers {
+		if peer.Passive {
+			passive[peer.Region] = append(passive[peer.Region], peer.Box)
+			continue
+		}
 		byRegion[peer.Region] = append(byRegion[peer.Region], peer.Box)
 	}
+	for region, boxes := range passive {
+		if len(byRegion[region]) == 0 {
+			byRegion[region] = boxes // there is nobody else
+		}
+	}
 	for region, boxes := range byRegion {
 		o.first[region] = make([][]string, p.Chunks)
 		for c := range p.Chunks {
--- a/transfer/results.go
+++ b/transfer/results.go
@@ -33,9 +33,7 @@
 	s.end(p)
 	s.held.Set(uint(p.Chunk))
 	s.exists.Set(uint(p.Chunk))
-	if gap := now.Sub(s.lastNew); s.params.Patient && gap > s.params.Quiet {
-		s.stalled += gap
-	}
+	s.stalled = s.standstill(now)
 	s.lastNew = now
 	s.ownStall = false
 	s.chunkTime = smooth(s.chunkTime, took)
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -41,6 +41,10 @@
 	Region string
 	// Zone is the availability zone, for the preference of near peers.
 	Zone string
+	// Passive boxes fetch no chunk first for others: they are about to leave,
+	// or did not answer when the swarm began. They still pass on what they
+	// hold.
+	Passive bool
 }
 
 // Params are what all boxes of a plan know alike.
@@ -64,10 +68,10 @@
 	// Quiet is how long nothing new must have come before a transfer counts
 	// as stalled and a box looks for chunks that have been lost; 0 stands for DefaultQuiet.
 	Quiet time.Duration
-	// Patient lets turns stand still while nothing comes, so that not all
-	// ranks read at once when a sender is back. It suits plans that last for
-	// seconds; in one that lasts for minutes a far region's first wait is
-	// long without a fault.
+	// Patient lets the waits of ranks behind the first stand still while
+	// nothing comes, so that not all ranks read at once when a sender is back.
+	// It suits plans that last for seconds; in one that lasts for minutes a
+	// far region's first wait is long without a fault.
 	Patient bool
 }
 
@@ -167,8 +171,8 @@
 	extra   int    // reads of the extra share so far
 	pulls   int    // all pulls under way
 	lastNew time.Time
-	// stalled is the time in which nothing came, by which the turns of a
-	// Patient plan are late.
+	// stalled is the time in which nothing came, by which the turns of later
+	// ranks are late in a Patient plan.
 	stalled time.Duration
 	// originRetry is when the origin may be asked again.
 	originRetry time.Time
@@ -181,6 +185,7 @@
 // turn is a chunk whose rendezvous order names this box early.
 type turn struct {
 	chunk int
+	rank  int
 	at    time.Duration
 }
 
@@ -249,7 +254,7 @@
 		if !s.readsOrigin() {
 			at += s.params.ChunkTurn
 		}
-		s.turns = append(s.turns, turn{chunk: c, at: at})
+		s.turns = append(s.turns, turn{chunk: c, rank: rank, at: at})
 	}
 	slices.SortFunc(s.turns, func(a, b turn) int {
 		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.chunk, b.chunk))
@@ -263,6 +268,15 @@
 // way, and so is not wanted.
 func (s *Swarm) Wants() *bitset.BitSet { return s.held.Union(s.flying) }
 
+// Reachable counts the chunks that this box or a peer is known to hold.
+func (s *Swarm) Reachable() int {
+	all := s.held.Union(s.exists)
+	for _, ps := range s.byBox {
+		all.InPlaceUnion(ps.held)
+	}
+	return int(all.Count())
+}
+
 // Held returns a copy of the bitmap of verified chunks.
 func (s *Swarm) Held() *bitset.BitSet { return s.held.Clone() }
 
@@ -335,12 +349,16 @@
 	if s.origin >= originSlots || s.readsOrigin() && now.Before(s.originRetry) {
 		return Pull{}, false
 	}
-	since := now.Sub(s.start) - s.stalled
+	since := now.Sub(s.start)
+	waited := since - s.standstill(now)
 	for i := s.firstly; i < len(s.turns); i++ {
 		t := s.turns[i]
 		if t.at > since {
 			return Pull{}, false
 		}
+		if t.rank > 0 && t.at > waited {
+			continue
+		}
 		c := uint(t.chunk)
 		if s.held.Test(c) || s.exists.Test(c) {
 			if i == s.firstly {
@@ -351,11 +369,32 @@
 		if s.flying.Test(c) {
 			continue
 		}
-		return s.first(t.chunk, now.Sub(s.start))
+		return s.first(t.chunk, since)
 	}
 	return Pull{}, false
 }
 
+// standstill is by how much the turns of later ranks are late: the time in
+// which nothing came, up to now.
+func (s *Swarm) standstill(now time.Time) time.Duration {
+	if gap := now.Sub(s.lastNew); s.params.Patient && gap > s.params.Quiet {
+		return s.stalled + gap
+	}
+	return s.stalled
+}
+
+// NextFirst is Next for the chunks that this box fetches for others alone: a
+// box whose pulls are all taken by its peers still keeps the origin busy.
+func (s *Swarm) NextFirst(now time.Time) Pull {
+	if s.Done() || s.pulls >= s.downloads() {
+		return Pull{Wait: idleRetry}
+	}
+	if p, ok := s.firstTurn(now); ok {
+		return p
+	}
+	return Pull{Wait: idleRetry}
+}
+
 // first starts the fetch of a chunk new to the region.
 func (s *Swarm) first(chunk int, since time.Duration) (Pull, bool) {
 	if s.readsOrigin() {
--- a/transfer/swarm_test.go
+++ b/transfer/swarm_test.go
@@ -265,3 +265,48 @@
 	assert.Assert(t, tried <= boxes*int(outage/originPause+2), "tried %d times", tried)
 	assert.Assert(t, read >= chunks && read <= chunks*5/4, "read %d chunks of %d", read, chunks)
 }
+
+// TestPassiveBoxesReadNothingFirst leaves the first reads to boxes that
+// answer, unless a region has no such box.
+func TestPassiveBoxesReadNothingFirst(t *testing.T) {
+	p := params(8, 16)
+	for i := range p.Peers {
+		p.Peers[i].Passive = p.Peers[i].Region == "A" && i > 0 || p.Peers[i].Region == "B"
+	}
+	o := NewOrder(p)
+	for c := range p.Chunks {
+		assert.DeepEqual(t, o.first["A"][c], []string{"b0"})
+		assert.Equal(t, len(o.first["B"][c]), 4)
+	}
+}
+
+// TestOwnTurnsDoNotWaitAfterAStandstill lets the origin come back: what this
+// box reads first it reads at once, and only the turns of later ranks are
+// moved.
+func TestOwnTurnsDoNotWaitAfterAStandstill(t *testing.T) {
+	p := params(8, 64)
+	p.Patient, p.Quiet = true, 400*time.Millisecond
+	s := swarm(p, "b0")
+	back := epoch.Add(6 * time.Second)
+	got := s.NextFirst(back)
+	assert.Equal(t, got.Kind, FromOrigin)
+	s.Arrived(got, Knowledge{}, time.Millisecond, back)
+	for {
+		next := s.NextFirst(back)
+		if next.Kind == None {
+			break
+		}
+		assert.Equal(t, next.Kind, FromOrigin)
+		rank := slices.Index(NewOrder(p).first["A"][next.Chunk], "b0")
+		assert.Equal(t, rank, 0, "chunk %d is another box's for now", next.Chunk)
+		s.Arrived(next, Knowledge{}, time.Millisecond, back)
+	}
+	own := 0
+	for _, turn := range s.turns {
+		if turn.rank == 0 {
+			own++
+			assert.Assert(t, s.held.Test(uint(turn.chunk)), "chunk %d waits", turn.chunk)
+		}
+	}
+	assert.Assert(t, own > 0)
+}
