--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -12,7 +12,7 @@
 const (
 	// zoneCost stands for another availability zone: its delay, and the
 	// price of the bytes.
-	zoneCost = 20.0
+	zoneCost = 80.0
 	// failureCost is that of an endpoint whose attempts all fail.
 	failureCost = 800.0
 	// loadCost is that of one more request beside this one.
@@ -45,6 +45,9 @@
 	// milliseconds; an engine that cannot keep it gets nothing. 0 is no
 	// bound.
 	Within float64
+	// Backlog is how long the engine may have to read what it has before this
+	// request, in milliseconds; 0 is no bound.
+	Backlog float64
 	// Connections bounds this gateway's attempts in progress at an endpoint,
 	// each of which has a connection; 0 is no bound.
 	Connections int
@@ -67,11 +70,27 @@
 	return holds > 0 && holds >= q.MinVersion && !(e.fresh(now) && e.report.Busy)
 }
 
-// atOnce reports whether an engine begins a new request without a wait.
+// atOnce reports whether an engine begins a new request without a wait to
+// speak of.
 func (e *Endpoint) atOnce(q *Query, now time.Time) bool {
-	return e.fresh(now) && now.Sub(e.reportAt) < justNow && e.Delay(now) < delayHigh && e.lag < delayHigh && e.strikes == 0 && e.report.Queued == 0 && e.unreadCount == 0 && e.Load(now) < q.Slots-2
+	switch {
+	case !e.fresh(now), now.Sub(e.reportAt) >= justNow, e.strikes > 0:
+		return false
+	case e.Delay(now) >= delayHigh, e.lag >= delayHigh:
+		return false
+	default:
+		return e.report.Queued == 0 && e.Load(now) < q.Slots-atOnceSlots && e.Backlog(q.UsualWork, now) <= atOnceBacklog*q.UsualWork
+	}
 }
 
+// What an engine may have at most that begins a request at once.
+const (
+	// atOnceSlots stay free, for requests that other gateways send meanwhile.
+	atOnceSlots = 2
+	// atOnceBacklog is in usual prompts; a few are read within one pass.
+	atOnceBacklog = 2.5
+)
+
 // open reports whether the endpoint is being left alone.
 func (e *Endpoint) open(now time.Time) bool {
 	return e.strikes > 0 && (now.Before(e.openTill) || e.probing)
@@ -93,6 +112,9 @@
 		if q.Limit > 0 && load >= f.limit(e, q.Limit, now) {
 			continue
 		}
+		if q.Backlog > 0 && e.Backlog(q.UsualWork, now) > q.Backlog {
+			continue
+		}
 		if q.Within > 0 && e.firstBytes(&q, load, now) > q.Within {
 			continue
 		}
@@ -130,6 +152,9 @@
 	if delay := e.Delay(now); delay > delayOften {
 		cost += float64(delay.Milliseconds())
 	}
+	if silent := e.silence(now); silent > 0 {
+		cost += float64(silent.Milliseconds())
+	}
 	if e.lag > lagOften {
 		cost += float64(min(e.lag, delayMax).Milliseconds())
 	}
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -65,6 +65,26 @@
 // SilentFor is how long nothing at all came from the endpoint's box.
 func (e *Endpoint) SilentFor(now time.Time) time.Duration { return now.Sub(e.heardAt) }
 
+// silence is for how long the reports of an engine that used to report are
+// overdue while nothing else comes from its box either, at most silenceMax:
+// a box that stands still shows in nothing else at first.
+func (e *Endpoint) silence(now time.Time) time.Duration {
+	if e.reportAt.IsZero() {
+		return 0
+	}
+	return min(max(e.SilentFor(now)-reportOverdue, 0)*silenceWeight, silenceMax)
+}
+
+// Bounds of what silence costs.
+const (
+	// reportOverdue is longer than the time between two reports, also when
+	// nothing changes and one of them is lost.
+	reportOverdue = 350 * time.Millisecond
+	// silenceWeight is the cost of each millisecond beyond that.
+	silenceWeight = 4
+	silenceMax    = 800 * time.Millisecond
+)
+
 // Bounds of what a slow link to an endpoint costs.
 const (
 	roundEvery = 700 * time.Millisecond
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -107,6 +107,7 @@
 	}{
 		{"idle", report("a", 1, 0, 0), time.Millisecond, "a"},
 		{"queue", report("a", 1, 0, 1), time.Millisecond, ""},
+		{"one slot free", report("a", 1, 2, 0), time.Millisecond, ""},
 		{"nearly full", report("a", 1, 3, 0), time.Millisecond, ""},
 		{"slow link", report("a", 1, 0, 0), 200 * time.Millisecond, ""},
 		{"new version", report("a", 2, 3, 1), 200 * time.Millisecond, "a"},
@@ -116,6 +117,13 @@
 		assert.Equal(t, chosen(f, q, start), test.want, test.name)
 	}
 	f := engines(1)
+	f.Heard(report("a", 1, 0, 0), time.Millisecond, start)
+	large := q
+	large.Slots, large.Limit, large.Work = 16, 16, (atOnceBacklog+1)*q.UsualWork
+	assert.Equal(t, chosen(f, large, start), "a")
+	assert.Equal(t, chosen(f, q, start), "", "much is to be read there")
+
+	f = engines(1)
 	assert.Equal(t, chosen(f, q, start), "", "an engine that was never heard")
 	f.Heard(report("a", 1, 0, 0), time.Millisecond, start)
 	assert.Equal(t, chosen(f, q, start.Add(justNow)), "", "an engine that was not heard just now")
@@ -244,3 +252,27 @@
 	f.Heard(Report{Address: "a:1", Model: "m", Version: 1, Running: 6}, -1, later)
 	assert.Equal(t, e.Load(later), 6.0)
 }
+
+// A request with a bound on what the engine has to read waits for less.
+func TestBacklogIsBounded(t *testing.T) {
+	f := engines(1)
+	f.Heard(report("a", 1, 0, 2), 0, start)
+	q := query()
+	q.Backlog = q.UsualWork
+	assert.Equal(t, chosen(f, q, start), "")
+	f.Heard(report("a", 1, 2, 0), 0, start)
+	assert.Equal(t, chosen(f, q, start), "a")
+}
+
+// An engine whose reports stay away is the last choice, since its box may
+// stand still, but it is one: its sidecar alone may be gone.
+func TestSilentBoxIsTheLastChoice(t *testing.T) {
+	f := engines(2)
+	f.Heard(report("a", 1, 0, 0), 0, start)
+	f.Heard(report("b", 1, 3, 0), 0, start)
+	later := start.Add(reportOverdue + 200*time.Millisecond)
+	f.Heard(report("b", 1, 3, 0), 0, later)
+	assert.Equal(t, chosen(f, query(), later), "b")
+	f.Heard(report("b", 1, 4, 4), 0, later)
+	assert.Equal(t, chosen(f, query(), later), "a")
+}
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -39,6 +39,12 @@
 	// goingOnHold is how long a stream that goes on waits for an engine that
 	// takes it up in time, before it takes what there is.
 	goingOnHold = 120 * time.Millisecond
+	// lateShare is the part of an engine's slots up to which it takes
+	// requests that will be answered late, and lateBacklog how much it may
+	// have to read before one, in usual prompts: what is late already must not
+	// make late what can still be in time.
+	lateShare   = 0.8
+	lateBacklog = 1.0
 	// aimShare is the part of the target latency in which an engine must be
 	// expected to answer for a request to be sent there; the rest is for
 	// what cannot be foreseen.
@@ -53,6 +59,11 @@
 	comeBackMore  = 1300 * time.Millisecond
 	// comeBackNone is added when no endpoint could serve at all.
 	comeBackNone = 600 * time.Millisecond
+	// comeBackUnready and its range are for a gateway without a configuration:
+	// it may be seconds until the store answers. Callers wait no longer than a
+	// third of their time.
+	comeBackUnready      = 1200 * time.Millisecond
+	comeBackUnreadyRange = 800 * time.Millisecond
 )
 
 // ask is a request that waits for an endpoint.
@@ -127,8 +138,12 @@
 	q.UsualWork = x.usual
 	q.Limit = float64(service.Engine.Slots)
 	q.SlotEvery = slotEvery(service.Engine)
-	if x.attempts > 0 {
+	switch {
+	case x.attempts > 0:
 		q.Limit += goingOnExtra
+	case x.relaxed:
+		q.Limit *= lateShare
+		q.Backlog = lateBacklog * x.usual
 	}
 	q.Within = x.within(now)
 	q.MinVersion = s.minVersion(x.model, now)
@@ -288,6 +303,12 @@
 	return after
 }
 
+// comeBackLater is when a caller should try again whom this gateway can
+// tell nothing yet.
+func comeBackLater() time.Duration {
+	return comeBackUnready + rand.N(comeBackUnreadyRange)
+}
+
 // slotEvery is how often a full engine has a slot free, in milliseconds.
 func slotEvery(e *routing.Engine) float64 {
 	writing := float64(e.UsualAnswer) * float64(e.Step.Microseconds()) / 1000
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -244,3 +244,34 @@
 		assert.Equal(t, s.endpoint, "new")
 	}
 }
+
+// A request that will be late does not join a queue ahead of requests that
+// can still be in time.
+func TestLateRequestDoesNotQueueAhead(t *testing.T) {
+	w := newWorld(t)
+	quick := route(routing.Streaming, "/quick/", "engine", 2)
+	quick.TargetLatency = 150 * time.Millisecond
+	w.configure(1, quick)
+	w.endpoint("a", "engine", events(last, last))
+	report := func(queued int) {
+		w.server.Heard(fleet.Report{Address: w.records["a"].Address, Model: model, Version: 1, Queued: queued}, 0)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		for ctx.Err() == nil {
+			report(2)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	report(2)
+	returned := with(names.Deadline, "1700")
+	r, _ := w.get("POST", "/quick/1", "x", returned)
+	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, len(w.requests()), 0)
+	stop()
+	time.Sleep(40 * time.Millisecond)
+	report(0)
+	r, _ = w.get("POST", "/quick/1", "x", returned)
+	assert.Equal(t, r.StatusCode, http.StatusOK, "nothing waits there")
+}
