--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"time"
@@ -123,7 +124,7 @@
 		if service.Engine == nil {
 			continue
 		}
-		notice := loadreport.Notice{Model: service.Engine.Model, Read: read, Named: named(server, service.Engine.Model, now)}
+		notice := loadreport.Notice{Model: service.Engine.Model, Read: read, Demand: math.Round(server.Demand(name, now)), Named: named(server, service.Engine.Model, now)}
 		weights, ok := c.Weights(name)
 		knowing, others := server.EngineAddresses(name, weights.Sum(), now)
 		out = append(out, loadreport.Audience{Sidecars: publishers(s, knowing), Notice: notice})
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -135,7 +135,7 @@
 // What other gateways are taken to send after a report that all of them got.
 const (
 	// takenShare is the part of them that has a request waiting.
-	takenShare = 0.5
+	takenShare = 0.85
 	// taken is how long a report may be unchanged before it shows that they
 	// have sent nothing: a change is reported at once.
 	takenFor = 100 * time.Millisecond
@@ -148,8 +148,16 @@
 	if age >= takenFor {
 		return 0
 	}
-	turn := float64(e.report.Turn + e.sentCount*max(0, e.report.Gateways-1))
-	return takenShare * turn * (1 - float64(age)/float64(takenFor))
+	taken := e.report.Turn + float64(e.sentCount)*e.report.others()
+	return takenShare * taken * (1 - float64(age)/float64(takenFor))
+}
+
+// others is how many requests all other gateways send for each of this one.
+func (r *Report) others() float64 {
+	if r.Share <= 0 {
+		return float64(max(0, r.Gateways-1))
+	}
+	return (1 - r.Share) / r.Share
 }
 
 // pace is how many times slower than usual the endpoint works.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -41,11 +41,13 @@
 	// Weights is the checksum of what the sidecar knows of how weights come,
 	// or 0.
 	Weights uint32 `json:"w,omitempty"`
-	// Gateways is how many gateways hear these reports, and Turn the place of
-	// the one that gets this one among them, from 0, drawn for each report:
-	// all see the same room, and those with earlier turns may take it first.
-	Gateways int `json:"g,omitempty"`
-	Turn     int `json:"u,omitempty"`
+	// Gateways is how many gateways hear these reports. All see the same room;
+	// Turn is how much of their demand may take it ahead of the gateway that
+	// gets this report, in average gateways, drawn for each report, and Share
+	// the gateway's own part of the demand.
+	Gateways int     `json:"g,omitempty"`
+	Turn     float64 `json:"u,omitempty"`
+	Share    float64 `json:"s,omitempty"`
 }
 
 // Timing of what a Fleet believes.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -222,7 +222,7 @@
 	for turn := range gateways {
 		f := New("z")
 		f.Put(Record{ID: "e", Service: "s", Address: "a:1", Zone: "z", Models: map[string]int{"m": 1}})
-		f.Heard(Report{Address: "a:1", Model: "m", Version: 1, Running: slots - 2, Gateways: gateways, Turn: turn}, -1, now)
+		f.Heard(Report{Address: "a:1", Model: "m", Version: 1, Running: slots - 2, Gateways: gateways, Turn: float64(turn)}, -1, now)
 		q := Query{Service: "s", Model: "m", MinVersion: 1, Slots: slots, Limit: slots}
 		if f.Choose(q, now.Add(time.Millisecond)) != nil {
 			sends++
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -77,7 +77,8 @@
 type rank struct {
 	priority int
 	turn     turn
-	arrived  time.Time
+	// due is when the answer should begin: who has less time left goes first.
+	due time.Time
 }
 
 // turn orders asks of one priority. A new request that is answered in time
@@ -103,7 +104,7 @@
 }
 
 func compareRank(a, b rank) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.turn, b.turn), a.arrived.Compare(b.arrived))
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.turn, b.turn), a.due.Compare(b.due))
 }
 
 // queue are the asks of a service, by rank.
@@ -188,7 +189,7 @@
 	now := time.Now()
 	a := &ask{
 		exchange: x,
-		rank:     rank{priority: x.priority, turn: x.turn(), arrived: x.start},
+		rank:     rank{priority: x.priority, turn: x.turn(), due: x.start.Add(x.route.TargetLatency)},
 		granted:  make(chan *fleet.Endpoint, 1),
 	}
 	s.mu.Lock()
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -255,12 +255,13 @@
 		h.Del("User-Agent")
 	}
 	return x.server.pool.Do(ctx, e.Address, &upstream.Request{
-		Method: x.request.Method,
-		URI:    x.target(),
-		Host:   x.request.Host,
-		Header: h,
-		Body:   x.body,
-		Fresh:  !x.route.Idempotent(),
+		Method:  x.request.Method,
+		URI:     x.target(),
+		Host:    x.request.Host,
+		Header:  h,
+		Body:    x.body,
+		Fresh:   !x.route.Idempotent(),
+		Proceed: func() bool { return x.server.mayStill(x, e) },
 		Accept: func(answer http.Header) bool {
 			id := answer.Get(names.RequestID)
 			return id == x.id
@@ -268,6 +269,15 @@
 	})
 }
 
+// mayStill reports whether e may get the request that it was chosen for: on a
+// busy box, a version may have come due or e have begun to leave meanwhile.
+func (s *Server) mayStill(x *exchange, e *fleet.Endpoint) bool {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !e.Draining && (x.model == "" || e.Holds(x.model, now) >= s.minVersion(x.model, now))
+}
+
 // verdict is what the head of an answer means.
 type verdict int
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -175,7 +175,7 @@
 // begun within half of that, also where a packet is lost on the way.
 // versionMarginShare bounds it for short deadlines.
 const (
-	versionMargin      = 700 * time.Millisecond
+	versionMargin      = time.Second
 	versionMarginShare = 0.25
 )
 
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -134,7 +134,7 @@
 	var failure *upstream.Error
 	sent := !errors.As(err, &failure) || failure.Sent
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, upstream.ErrWithheld):
 		x.finish(e, fleet.Abandoned)
 	default:
 		x.finish(e, fleet.Broken)
--- a/ingress/pressure.go
+++ b/ingress/pressure.go
@@ -49,6 +49,19 @@
 	return p.refused / p.asked
 }
 
+// demand is how many requests a second came lately.
+func (p *pressure) demand(now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.decay(now)
+	return p.asked / pressureLife.Seconds()
+}
+
+// Demand is how many requests a second for a service came lately.
+func (s *Server) Demand(service string, now time.Time) float64 {
+	return s.pressureOf(service).demand(now)
+}
+
 // pressureOf returns the pressure of a service.
 func (s *Server) pressureOf(service string) *pressure {
 	s.mu.Lock()
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -275,3 +275,23 @@
 	r, _ = w.get("POST", "/quick/1", "x", returned)
 	assert.Equal(t, r.StatusCode, http.StatusOK, "nothing waits there")
 }
+
+// A version that comes due between the choice of an engine and the moment at
+// which the request would be written is heeded: the request goes elsewhere.
+func TestVersionComesDueBeforeTheRequestIsWritten(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	w.endpoint("old", "engine", events(last, last))
+	x := &exchange{server: w.server, model: model}
+	w.server.mu.Lock()
+	e := w.server.fleet.Choose(fleet.Query{Service: "engine", Model: model}, time.Now())
+	w.server.mu.Unlock()
+	assert.Assert(t, w.server.mayStill(x, e))
+	w.server.NameVersion(model, 2, false, time.Now().Add(-w.server.settings.VersionDeadline))
+	assert.Assert(t, !w.server.mayStill(x, e))
+	leaving := w.records["old"]
+	leaving.Draining = true
+	leaving.Models = map[string]int{model: 2}
+	w.server.PutEndpoint(leaving)
+	assert.Assert(t, !w.server.mayStill(x, e), "it leaves")
+}
--- a/installer/start.go
+++ b/installer/start.go
@@ -21,7 +21,7 @@
 // to reach all gateways.
 const (
 	firstTurn = 0.3
-	lastTurn  = 0.85
+	lastTurn  = 0.82
 )
 
 // Times of a change of version.
@@ -42,7 +42,7 @@
 	// dueMargin is how long before a version's deadline gateways send nothing
 	// more to engines with older ones, and dueShare its largest part of the
 	// deadline.
-	dueMargin = 700 * time.Millisecond
+	dueMargin = time.Second
 	dueShare  = 0.25
 )
 
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -13,11 +13,14 @@
 package loadreport
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +54,9 @@
 	Named []Named `json:"named,omitempty"`
 	// Read is how far the gateway has read the operator's records, or -1.
 	Read int64 `json:"read"`
+	// Demand is how many requests a second for the service the gateway got
+	// lately.
+	Demand float64 `json:"demand"`
 	// Weights are left out for sidecars whose reports show that they know
 	// them.
 	Weights *routing.Weights `json:"weights,omitempty"`
@@ -107,11 +113,66 @@
 	askedAt time.Time
 	// read is how far any gateway has read the operator's records.
 	read int64
-	subs map[netip.AddrPort]time.Time
+	subs map[netip.AddrPort]subscriber
 	last fleet.Report
 	sent time.Time
 }
 
+// subscriber is a gateway that gets reports.
+type subscriber struct {
+	since  time.Time
+	demand float64 // requests a second
+}
+
+// weight is the subscriber's part of what is shared by demand; one that has
+// none yet gets a little.
+func (s subscriber) weight() float64 { return s.demand + minDemand }
+
+// minDemand is the least weight of a gateway, in requests a second.
+const minDemand = 1.0
+
+// turn is a gateway's place at the room that a report shows.
+type turn struct {
+	// share is its part of the demand, and ahead how much of the demand goes
+	// before it, in average gateways.
+	share, ahead float64
+}
+
+// turnsLocked draws the turns for one report: who has more demand is more
+// often ahead. Publisher.mu is held.
+func (p *Publisher) turnsLocked() map[netip.AddrPort]turn {
+	type entry struct {
+		to     netip.AddrPort
+		weight float64
+		key    float64
+	}
+	total := 0.0
+	entries := make([]entry, 0, len(p.subs))
+	for to, s := range p.subs {
+		w := s.weight()
+		total += w
+		entries = append(entries, entry{to, w, rand.ExpFloat64() / w})
+	}
+	slices.SortFunc(entries, func(a, b entry) int { return cmp.Compare(a.key, b.key) })
+	out := make(map[netip.AddrPort]turn, len(entries))
+	ahead := 0.0
+	for _, e := range entries {
+		share := e.weight / total
+		out[e.to] = turn{share: share, ahead: ahead * float64(len(entries))}
+		ahead += share
+	}
+	return out
+}
+
+// withTurn is the report for one gateway.
+func withTurn(r fleet.Report, t turn) fleet.Report {
+	r.Share, r.Turn = round2(t.share), round2(t.ahead)
+	return r
+}
+
+// round2 keeps datagrams short.
+func round2(v float64) float64 { return math.Round(v*100) / 100 }
+
 // NewPublisher listens for subscriptions at address; told takes what each
 // gateway tells.
 func NewPublisher(address string, told func(Notice)) (*Publisher, error) {
@@ -119,7 +180,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Publisher{conn: conn, subs: make(map[netip.AddrPort]time.Time)}
+	p := &Publisher{conn: conn, subs: make(map[netip.AddrPort]subscriber)}
 	go p.receive(told)
 	return p, nil
 }
@@ -147,11 +208,10 @@
 		told(asked.Notice)
 		p.mu.Lock()
 		p.askedAt = time.Now()
-		p.subs[from] = p.askedAt
+		p.subs[from] = subscriber{since: p.askedAt, demand: asked.Demand}
 		p.read = max(p.read, asked.Read)
 		read := p.read
-		last := p.last
-		last.Turn = rand.IntN(len(p.subs))
+		last := withTurn(p.last, p.turnsLocked()[from])
 		p.mu.Unlock()
 		if last.Address != "" {
 			p.send(message{Report: last, Echo: asked.Stamp, Read: read}, from)
@@ -174,14 +234,13 @@
 	}
 	p.last = r
 	p.sent = now
-	turns := rand.Perm(len(p.subs))
-	for to, since := range p.subs {
-		if now.Sub(since) > subscription {
+	for to, s := range p.subs {
+		if now.Sub(s.since) > subscription {
 			delete(p.subs, to)
-			continue
 		}
-		r.Turn, turns = turns[0], turns[1:]
-		p.send(message{Report: r}, to)
+	}
+	for to, t := range p.turnsLocked() {
+		p.send(message{Report: withTurn(r, t)}, to)
 	}
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -28,6 +28,8 @@
 const (
 	// ErrForeign says that only answers to other requests came.
 	ErrForeign = errors.ConstError("the endpoint answered another request")
+	// ErrWithheld says that Request.Proceed forbade to send the request.
+	ErrWithheld = errors.ConstError("the endpoint may not get the request any more")
 )
 
 // Error is an attempt that brought no answer.
@@ -58,6 +60,9 @@
 	// Fresh asks for a connection that has hardly rested, because the
 	// request must not be lost to one that is being closed.
 	Fresh bool
+	// Proceed is asked once there is a connection, right before the request is
+	// written: time has passed since the endpoint was chosen. Nil is yes.
+	Proceed func() bool
 }
 
 // Options of a Pool.
@@ -306,6 +311,10 @@
 			return nil, &Error{Err: err}
 		}
 	}
+	if q.Proceed != nil && !q.Proceed() {
+		c.end()
+		return nil, &Error{Err: ErrWithheld}
+	}
 	stop := context.AfterFunc(ctx, c.end)
 	r, err := c.exchange(q)
 	if err != nil {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -183,6 +183,26 @@
 	assert.Assert(t, !failure.Sent)
 }
 
+// A request that may not go out any more once there is a connection is not
+// sent.
+func TestWithheldRequestIsNotSent(t *testing.T) {
+	var requests atomic.Int32
+	address := endpoint(t, func(_ int, r *bufio.Reader, _ *net.TCPConn) {
+		if readRequest(r) != nil {
+			requests.Add(1)
+		}
+	})
+	q := request("1")
+	q.Proceed = func() bool { return false }
+	_, err := ask(t, pool(), address, q)
+	var failure *Error
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Assert(t, !failure.Sent)
+	assert.Assert(t, errors.Is(err, ErrWithheld))
+	time.Sleep(20 * time.Millisecond)
+	assert.Equal(t, requests.Load(), int32(0))
+}
+
 func TestLengthlessAnswer(t *testing.T) {
 	for _, test := range []struct {
 		name  string
