a version that the origin has had the time to send is completed; the origin sends what it lacks first

Change: a version is completed also where a fifth is within reach and the origin has had the time to send it; for a second the newer one leaves the origin to it.

--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -39,7 +39,7 @@
 		}
 		i.mu.Lock()
 		p := transfer.Pull{Wait: busyWait}
-		switch limit := i.parallel(r, w); {
+		switch limit := i.parallel(r, w, time.Now()); {
 		case flying < limit:
 			p = swarm.Next(time.Now())
 		case limit > 1 && flying < limit+firstExtra:
@@ -153,17 +153,27 @@
 	// firstExtra are pulls beyond these of chunks that nobody else has.
 	firstExtra = 1
 	narrow     = 5
+	// olderFirst is for how long after its naming a version leaves the origin
+	// to an older one: what that lacks then is at most 1 - nearlyWhole of a
+	// copy, which the origin sends in less.
+	olderFirst = time.Second
 	busyWait   = 15 * time.Millisecond
 )
 
 // parallel is how many pulls may be under way; Installer.mu is held. While
 // an older version that is nearly whole is completed, the newer one gets a
-// single pull, which keeps the origin busy.
-func (i *Installer) parallel(r *replica, w want) int {
+// single pull; for the first olderFirst it gets none, so that the origin sends
+// what the older one lacks before anything else.
+func (i *Installer) parallel(r *replica, w want, now time.Time) int {
 	for _, t := range i.targets {
-		if t.version < w.version && i.completes(t, time.Now()) {
-			return 1
+		if t.version >= w.version || !i.completes(t, now) {
+			continue
+		}
+		older := i.copyOf(t.version)
+		if older.reachable() < len(older.chunks) && now.Sub(i.newest().named) < olderFirst {
+			return 0
 		}
+		return 1
 	}
 	if i.settings.LinkRate <= 0 {
 		return pullsAtOnce
--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -89,11 +89,17 @@
 	only bool
 }
 
-// nearlyWhole is the share of an older version's chunks that must be within
-// reach, here or at other sidecars, for it to be fetched to the end beside a
-// newer one: it then costs the origin little, and bridges the time until the
-// newer one is whole.
-const nearlyWhole = 0.6
+// Shares of an older version's chunks that must be within reach, here or at
+// other sidecars, for it to be fetched to the end beside a newer one: it then
+// costs the origin little, and bridges the time until the newer one is whole.
+const (
+	nearlyWhole = 0.6
+	// underWay is enough once the origin has had the time to send the whole
+	// version: a box far from its readers hears late of what they hold.
+	underWay = 0.2
+	// readSlack is how much longer than its link takes the origin may need.
+	readSlack = 200 * time.Millisecond
+)
 
 // wanted returns what is to be fetched now, the older version first.
 func (i *Installer) wanted() ([]want, <-chan struct{}) {
@@ -132,7 +138,9 @@
 	if due := i.due(newest); !due.IsZero() && !now.Before(due) {
 		return false
 	}
-	return float64(r.reachable()) >= nearlyWhole*float64(len(r.chunks))
+	share := float64(r.reachable()) / float64(len(r.chunks))
+	sent := !t.named.IsZero() && now.Sub(t.named) >= time.Duration(i.params.Chunks)*chunkTurn(i.params)+readSlack
+	return share >= nearlyWhole || sent && share >= underWay
 }
 
 // whole reports whether all chunks are held; Installer.mu is held.
--- a/installer/start_test.go
+++ b/installer/start_test.go
@@ -109,13 +109,14 @@
 		part.held.Set(uint(n))
 	}
 	assert.DeepEqual(t, wantedVersions(i), []int{2, 3})
-	assert.Equal(t, i.parallel(part, want{version: 3}), 1)
-	assert.Equal(t, i.parallel(part, want{version: 2}), pullsAtOnce)
+	assert.Equal(t, i.parallel(part, want{version: 3}, now), 0, "the origin sends what version 2 lacks first")
+	assert.Equal(t, i.parallel(part, want{version: 3}, now.Add(olderFirst)), 1, "but not for ever")
+	assert.Equal(t, i.parallel(part, want{version: 2}, now), pullsAtOnce)
 	for n := range testChunks / 2 {
 		part.held.Clear(uint(n))
 	}
 	assert.DeepEqual(t, wantedVersions(i), []int{3})
-	assert.Equal(t, i.parallel(part, want{version: 3}), pullsAtOnce)
+	assert.Equal(t, i.parallel(part, want{version: 3}, now), pullsAtOnce)
 }
 
 // What other sidecars hold counts, too: it can be had while the origin is
@@ -134,6 +135,29 @@
 	assert.DeepEqual(t, wantedVersions(i), []int{2, 3})
 }
 
+// Once the origin has had the time to send a version, a box completes it also
+// if it has heard of few chunks yet.
+func TestVersionThatTheOriginHasSentIsCompleted(t *testing.T) {
+	now := time.Now()
+	sent := testChunks*defaultTurn + readSlack
+	for _, c := range []struct {
+		held uint
+		ago  time.Duration
+		want []int
+	}{
+		{testChunks / 4, sent + time.Millisecond, []int{2, 3}},
+		{testChunks / 4, sent - 50*time.Millisecond, []int{3}},
+		{1, sent + time.Millisecond, []int{3}},
+	} {
+		i := decided([]target{{2, now.Add(-c.ago)}, {3, now}}, 2)
+		i.copies[0].held.ClearAll()
+		for n := range c.held {
+			i.copies[0].held.Set(n)
+		}
+		assert.DeepEqual(t, wantedVersions(i), c.want)
+	}
+}
+
 // A version that gateways send nothing to any more is not fetched.
 func TestVersionPastItsTimeIsNotFetched(t *testing.T) {
 	now := time.Now()
