--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -15,9 +15,9 @@
 
 // Bounds of how much an endpoint is given.
 const (
-	// goingOnExtra is how many streams that go on may wait at an engine
+	// resumeExtra is how many streams that go on may wait at an engine
 	// beyond its slots.
-	goingOnExtra = 2
+	resumeExtra = 2
 	// plainFactor bounds a plain endpoint's load, in slots.
 	plainFactor = 3
 	// defaultSlots is assumed where the list tells none.
@@ -31,14 +31,14 @@
 	holdShare = 0.22
 	// holdMax bounds the wait where no target is known.
 	holdMax = 200 * time.Millisecond
-	// relaxedHold and relaxedShare bound how long a request waits that would
+	// lateWait and lateWaitShare bound how long a request waits that would
 	// otherwise be refused again, or broken off: a time, and a part of what
 	// the caller will wait.
-	relaxedHold  = 1200 * time.Millisecond
-	relaxedShare = 0.3
-	// goingOnHold is how long a stream that goes on waits for an engine that
+	lateWait      = 1200 * time.Millisecond
+	lateWaitShare = 0.3
+	// resumeWait is how long a stream that goes on waits for an engine that
 	// takes it up in time, before it takes what there is.
-	goingOnHold = 120 * time.Millisecond
+	resumeWait = 120 * time.Millisecond
 	// lateShare is the part of an engine's slots up to which it takes
 	// requests that will be answered late, and lateBacklog how much it may
 	// have to read before one, in usual prompts: what is late already must not
@@ -54,48 +54,48 @@
 // When to come back after a refusal: later, and more spread, the more of
 // the service's requests are refused.
 const (
-	comeBackMin   = 350 * time.Millisecond
-	comeBackRange = 500 * time.Millisecond
-	comeBackMore  = 1300 * time.Millisecond
-	// comeBackNone is added when no endpoint could serve at all.
-	comeBackNone = 600 * time.Millisecond
-	// comeBackUnready and its range are for a gateway without a configuration:
+	retryAfterMin   = 350 * time.Millisecond
+	retryAfterRange = 500 * time.Millisecond
+	retryAfterMore  = 1300 * time.Millisecond
+	// retryAfterNone is added when no endpoint could serve at all.
+	retryAfterNone = 600 * time.Millisecond
+	// retryAfterUnready and its range are for a gateway without a configuration:
 	// it may be seconds until the store answers. Callers wait no longer than a
 	// third of their time.
-	comeBackUnready      = 1200 * time.Millisecond
-	comeBackUnreadyRange = 800 * time.Millisecond
+	retryAfterUnready      = 1200 * time.Millisecond
+	retryAfterUnreadyRange = 800 * time.Millisecond
 )
 
-// ask is a request that waits for an endpoint.
-type ask struct {
+// waiter is a request that waits for an endpoint.
+type waiter struct {
 	exchange *exchange
 	rank     rank
 	granted  chan *fleet.Endpoint // holds one
 }
 
-// rank orders asks: the lower goes first.
+// rank orders waiters: the lower goes first.
 type rank struct {
 	priority int
-	turn     turn
+	stage    stage
 	// due is when the answer should begin: who has less time left goes first.
 	due time.Time
 }
 
-// turn orders asks of one priority. A new request that is answered in time
+// stage orders waiters of one priority. A new request that is answered in time
 // is worth more than one that comes back after a refusal, and either may be
 // refused; a stream that goes on has been promised.
-type turn int
+type stage int
 
 const (
-	goingOn turn = iota
+	resumed stage = iota
 	fresh
 	returned
 )
 
-func (x *exchange) turn() turn {
+func (x *exchange) stage() stage {
 	switch {
 	case x.attempts > 0:
-		return goingOn
+		return resumed
 	case x.returned:
 		return returned
 	default:
@@ -104,20 +104,20 @@
 }
 
 func compareRank(a, b rank) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.turn, b.turn), a.due.Compare(b.due))
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.stage, b.stage), a.due.Compare(b.due))
 }
 
-// queue are the asks of a service, by rank.
-type queue struct{ asks []*ask }
+// queue are the waiters of a service, by rank.
+type queue struct{ waiters []*waiter }
 
-func (q *queue) add(a *ask) {
-	at, _ := slices.BinarySearchFunc(q.asks, a, func(x, y *ask) int { return compareRank(x.rank, y.rank) })
-	q.asks = slices.Insert(q.asks, at, a)
+func (q *queue) add(a *waiter) {
+	at, _ := slices.BinarySearchFunc(q.waiters, a, func(x, y *waiter) int { return compareRank(x.rank, y.rank) })
+	q.waiters = slices.Insert(q.waiters, at, a)
 }
 
-func (q *queue) remove(a *ask) {
-	if at := slices.Index(q.asks, a); at >= 0 {
-		q.asks = slices.Delete(q.asks, at, at+1)
+func (q *queue) remove(a *waiter) {
+	if at := slices.Index(q.waiters, a); at >= 0 {
+		q.waiters = slices.Delete(q.waiters, at, at+1)
 	}
 }
 
@@ -141,8 +141,8 @@
 	q.SlotEvery = slotEvery(service.Engine)
 	switch {
 	case x.attempts > 0:
-		q.Limit += goingOnExtra
-	case x.relaxed:
+		q.Limit += resumeExtra
+	case x.late:
 		q.Limit *= lateShare
 		q.Backlog = lateBacklog * x.usual
 	}
@@ -157,7 +157,7 @@
 func (x *exchange) within(now time.Time) float64 {
 	left := float64(0)
 	switch {
-	case x.relaxed:
+	case x.late:
 		return 0
 	case x.attempts > 0:
 		left = aimShare * float64(x.route.TargetGap)
@@ -187,9 +187,9 @@
 // none had room in time, or if ctx ended.
 func (s *Server) admit(ctx context.Context, x *exchange, hold time.Duration) *fleet.Endpoint {
 	now := time.Now()
-	a := &ask{
+	w := &waiter{
 		exchange: x,
-		rank:     rank{priority: x.priority, turn: x.turn(), due: x.start.Add(x.route.TargetLatency)},
+		rank:     rank{priority: x.priority, stage: x.stage(), due: x.start.Add(x.route.TargetLatency)},
 		granted:  make(chan *fleet.Endpoint, 1),
 	}
 	s.mu.Lock()
@@ -198,28 +198,28 @@
 		q = &queue{}
 		s.waiting[x.service] = q
 	}
-	q.add(a)
+	q.add(w)
 	s.dispatch(x.service, now)
 	s.mu.Unlock()
 
 	select {
-	case e := <-a.granted:
+	case e := <-w.granted:
 		return e
 	default:
 	}
 	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	select {
-	case e := <-a.granted:
+	case e := <-w.granted:
 		return e
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	q.remove(a)
+	q.remove(w)
 	select {
-	case e := <-a.granted:
+	case e := <-w.granted:
 		if ctx.Err() == nil {
 			return e
 		}
@@ -231,7 +231,7 @@
 	return nil
 }
 
-// dispatch gives room at endpoints to the asks of a service, in their
+// dispatch gives room at endpoints to the waiters of a service, in their
 // order. What each may get is worked out anew: while it waited, a version
 // may have come due. Server.mu is held.
 func (s *Server) dispatch(service string, now time.Time) {
@@ -239,17 +239,17 @@
 	if q == nil {
 		return
 	}
-	kept := q.asks[:0]
-	for _, a := range q.asks {
-		e := s.fleet.Choose(s.query(a.exchange, now), now)
+	kept := q.waiters[:0]
+	for _, w := range q.waiters {
+		e := s.fleet.Choose(s.query(w.exchange, now), now)
 		if e == nil {
-			kept = append(kept, a)
+			kept = append(kept, w)
 			continue
 		}
-		a.granted <- e
+		w.granted <- e
 	}
-	clear(q.asks[len(kept):])
-	q.asks = kept
+	clear(q.waiters[len(kept):])
+	q.waiters = kept
 }
 
 func (s *Server) dispatchAll(now time.Time) {
@@ -258,31 +258,31 @@
 	}
 }
 
-// place finds an endpoint for the next attempt of x, or returns nil if it
+// acquire finds an endpoint for the next attempt of x, or returns nil if it
 // is to be refused. One that was refused before, or has begun, gets a second
 // wait in which it takes what there is.
-func (s *Server) place(ctx context.Context, x *exchange) *fleet.Endpoint {
-	if x.attempts > 0 && !x.relaxed {
-		if e := s.admit(ctx, x, min(goingOnHold, time.Until(x.end))); e != nil {
+func (s *Server) acquire(ctx context.Context, x *exchange) *fleet.Endpoint {
+	if x.attempts > 0 && !x.late {
+		if e := s.admit(ctx, x, min(resumeWait, time.Until(x.end))); e != nil {
 			return e
 		}
 	}
 	if x.attempts == 0 {
-		if e := s.admit(ctx, x, holdFor(x, time.Now())); e != nil || !x.returned {
+		if e := s.admit(ctx, x, queueTime(x, time.Now())); e != nil || !x.returned {
 			s.pressureOf(x.service).count(e == nil, time.Now())
 			return e
 		}
 	}
-	x.relaxed = true
+	x.late = true
 	left := time.Until(x.end)
 	if x.attempts == 0 {
-		left = time.Duration(relaxedShare * float64(left))
+		left = time.Duration(lateWaitShare * float64(left))
 	}
-	return s.admit(ctx, x, min(relaxedHold, left))
+	return s.admit(ctx, x, min(lateWait, left))
 }
 
-// holdFor is how long x may wait for an endpoint that answers in time.
-func holdFor(x *exchange, now time.Time) time.Duration {
+// queueTime is how long x may wait for an endpoint that answers in time.
+func queueTime(x *exchange, now time.Time) time.Duration {
 	hold := holdMax
 	if x.route.TargetLatency > 0 {
 		hold = time.Duration(holdShare * float64(x.route.TargetLatency))
@@ -290,24 +290,24 @@
 	return min(hold-now.Sub(x.start), x.end.Sub(now))
 }
 
-// comeBack is when a refused caller should try again.
-func (s *Server) comeBack(x *exchange) time.Duration {
+// retryAfter is when a refused caller should try again.
+func (s *Server) retryAfter(x *exchange) time.Duration {
 	now := time.Now()
 	s.mu.Lock()
 	usable := s.fleet.Usable(s.query(x, now), now)
 	s.mu.Unlock()
-	spread := float64(comeBackRange) + float64(comeBackMore)*s.pressureOf(x.service).share(now)
-	after := comeBackMin + time.Duration(rand.Float64()*spread)
+	spread := float64(retryAfterRange) + float64(retryAfterMore)*s.pressureOf(x.service).share(now)
+	after := retryAfterMin + time.Duration(rand.Float64()*spread)
 	if usable == 0 {
-		after += comeBackNone
+		after += retryAfterNone
 	}
 	return after
 }
 
-// comeBackLater is when a caller should try again whom this gateway can
+// retryAfterUnknown is when a caller should try again whom this gateway can
 // tell nothing yet.
-func comeBackLater() time.Duration {
-	return comeBackUnready + rand.N(comeBackUnreadyRange)
+func retryAfterUnknown() time.Duration {
+	return retryAfterUnready + rand.N(retryAfterUnreadyRange)
 }
 
 // slotEvery is how often a full engine has a slot free, in milliseconds.
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -52,8 +52,8 @@
 	// begun says that the attempt in progress has brought bytes.
 	begun bool
 
-	// relaxed says that the request takes an endpoint that will be late.
-	relaxed   bool
+	// late says that the request takes an endpoint that will be late.
+	late      bool
 	attempts  int             // sent to an endpoint
 	tried     map[string]bool // ids of endpoints
 	mayRun    bool            // an endpoint may have run, or may yet run it
@@ -90,7 +90,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if s.closed.Load() {
-		x.refuse("stopping", comeBackMin)
+		x.refuse("stopping", retryAfterMin)
 		return
 	}
 	if !x.accept() {
@@ -110,7 +110,7 @@
 func (x *exchange) accept() bool {
 	x.config = x.server.routes.Get()
 	if x.config == nil {
-		x.refuse("no configuration yet", comeBackLater())
+		x.refuse("no configuration yet", retryAfterUnknown())
 		return false
 	}
 	path, _, _ := strings.Cut(x.target(), "?")
@@ -399,7 +399,7 @@
 // be a newer one that does.
 func (x *exchange) denyIfCurrent(status int, cause string) {
 	if current := x.server.settings.Current; current != nil && !current() {
-		x.refuse("configuration may be old: "+cause, comeBackMin)
+		x.refuse("configuration may be old: "+cause, retryAfterMin)
 		return
 	}
 	x.deny(status, cause)
@@ -423,7 +423,7 @@
 		x.close(outcomeLeft, "caller left", 0)
 		panic(http.ErrAbortHandler)
 	case !x.mayRun:
-		x.refuse(x.causeOr("no endpoint has room"), x.server.comeBack(x))
+		x.refuse(x.causeOr("no endpoint has room"), x.server.retryAfter(x))
 	case ctx.Err() != nil:
 		x.fail(http.StatusGatewayTimeout, outcomeLate, x.causeOr("timed out"))
 	default:
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -64,7 +64,7 @@
 
 // next waits for the endpoint of the next attempt and counts the attempt.
 func (x *exchange) next(ctx context.Context) *fleet.Endpoint {
-	e := x.server.place(ctx, x)
+	e := x.server.acquire(ctx, x)
 	if e == nil {
 		return nil
 	}
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -13,14 +13,10 @@
 package loadreport
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"math"
-	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -118,61 +114,6 @@
 	sent time.Time
 }
 
-// subscriber is a gateway that gets reports.
-type subscriber struct {
-	since  time.Time
-	demand float64 // requests a second
-}
-
-// weight is the subscriber's part of what is shared by demand; one that has
-// none yet gets a little.
-func (s subscriber) weight() float64 { return s.demand + minDemand }
-
-// minDemand is the least weight of a gateway, in requests a second.
-const minDemand = 1.0
-
-// turn is a gateway's place at the room that a report shows.
-type turn struct {
-	// share is its part of the demand, and ahead how much of the demand goes
-	// before it, in average gateways.
-	share, ahead float64
-}
-
-// turnsLocked draws the turns for one report: who has more demand is more
-// often ahead. Publisher.mu is held.
-func (p *Publisher) turnsLocked() map[netip.AddrPort]turn {
-	type entry struct {
-		to     netip.AddrPort
-		weight float64
-		key    float64
-	}
-	total := 0.0
-	entries := make([]entry, 0, len(p.subs))
-	for to, s := range p.subs {
-		w := s.weight()
-		total += w
-		entries = append(entries, entry{to, w, rand.ExpFloat64() / w})
-	}
-	slices.SortFunc(entries, func(a, b entry) int { return cmp.Compare(a.key, b.key) })
-	out := make(map[netip.AddrPort]turn, len(entries))
-	ahead := 0.0
-	for _, e := range entries {
-		share := e.weight / total
-		out[e.to] = turn{share: share, ahead: ahead * float64(len(entries))}
-		ahead += share
-	}
-	return out
-}
-
-// withTurn is the report for one gateway.
-func withTurn(r fleet.Report, t turn) fleet.Report {
-	r.Share, r.Turn = round2(t.share), round2(t.ahead)
-	return r
-}
-
-// round2 keeps datagrams short.
-func round2(v float64) float64 { return math.Round(v*100) / 100 }
-
 // NewPublisher listens for subscriptions at address; told takes what each
 // gateway tells.
 func NewPublisher(address string, told func(Notice)) (*Publisher, error) {
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -147,3 +148,27 @@
 		return got.read == 7
 	})
 }
+
+// Gateways with more demand are more often ahead at the room that a report
+// shows, and know their part of the demand.
+func TestTurnsGoByDemand(t *testing.T) {
+	publisher, _ := pair(t, func(Notice) {})
+	small, large := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
+	publisher.subs[small] = subscriber{since: time.Now(), demand: 9}
+	publisher.subs[large] = subscriber{since: time.Now(), demand: 29}
+	const rounds = 4000
+	ahead := 0
+	for range rounds {
+		turns := publisher.turnsLocked()
+		assert.Equal(t, turns[small].share, 0.25)
+		assert.Equal(t, turns[large].share, 0.75)
+		if turns[large].ahead == 0 {
+			ahead++
+			assert.Equal(t, turns[small].ahead, 1.5, "three quarters of the demand of two gateways")
+		} else {
+			assert.Equal(t, turns[small].ahead, 0.0)
+			assert.Equal(t, turns[large].ahead, 0.5)
+		}
+	}
+	assert.Assert(t, ahead > rounds*70/100 && ahead < rounds*80/100, "%d of %d", ahead, rounds)
+}
