--- a/cmd/mintlift/explain.go
+++ b/cmd/mintlift/explain.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"os"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
@@ -18,13 +20,17 @@
 		Name:        "explain",
 		Usage:       "tell from log files what became of a request, an endpoint or a version",
 		ArgsUsage:   "[ID] FILE...",
-		Description: "Examples: mintlift explain 9c41d07be2a35f68 gateway-*.log\n          mintlift explain --endpoint i-7f3a91c2 *.log",
+		Description: "Examples: mintlift explain 9c41d07be2a35f68 gateway-*.log\n          mintlift explain --endpoint i-7f3a91c2 *.log\n          mintlift explain --causes 2s gateway-*.log",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "endpoint", Usage: "lines about the endpoint with this `ID`"},
 			&cli.StringFlag{Name: "version", Usage: "lines about this `VERSION` of the weights"},
+			&cli.DurationFlag{Name: "causes", Usage: "count how requests ended and why, by windows of this `LENGTH`"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON lines"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
+			if window := c.Duration("causes"); window > 0 {
+				return explainCauses(c, window)
+			}
 			filter, files, err := explainArguments(c)
 			if err != nil {
 				return err
@@ -39,17 +45,50 @@
 			if !c.Bool("json") {
 				return explain.Write(c.Root().Writer, lines)
 			}
-			encoder := json.NewEncoder(c.Root().Writer)
-			for _, line := range lines {
-				if err := encoder.Encode(line); err != nil {
-					return errors.Trace(err)
-				}
-			}
-			return nil
+			return writeJSONLines(c.Root().Writer, lines)
 		},
 	}
 }
 
+// explainCauses counts how the requests in the log files ended.
+func explainCauses(c *cli.Command, window time.Duration) error {
+	files := c.Args().Slice()
+	if len(files) == 0 {
+		return errors.WithType(errors.New("say which log files to read"), errUsage)
+	}
+	causes := explain.NewCauses(window)
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		err = causes.Add(file)
+		_ = file.Close() // it was only read
+		if err != nil {
+			return errors.Annotate(err, name)
+		}
+	}
+	list := causes.List()
+	if len(list) == 0 {
+		return errors.NotFoundf("ends of requests in %d files", len(files))
+	}
+	if !c.Bool("json") {
+		return explain.WriteCauses(c.Root().Writer, list)
+	}
+	return writeJSONLines(c.Root().Writer, list)
+}
+
+// writeJSONLines prints each item as a line of JSON.
+func writeJSONLines[T any](w io.Writer, items []T) error {
+	encoder := json.NewEncoder(w)
+	for _, item := range items {
+		if err := encoder.Encode(item); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
 // explainArguments returns what is asked for and the files to read.
 func explainArguments(c *cli.Command) (explain.Filter, []string, error) {
 	files := c.Args().Slice()
