older versions are left 1.6 s before the deadline: a lost packet takes a second

The margin of 1 s left nothing for it. Change: the margin is the first retransmission and 0.6 s for the engine; turns end at 0.77 of the deadline; engines are asked to begin at once for 1.1 s before that, so that this lasts as long as before. Test: a request that arrives a retransmission late, seen failing with 1 s.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -171,11 +171,14 @@
 }
 
 // versionMargin is how long before the deadline older versions are left: a
-// request that an engine begins at once, which is all that it gets then, is
-// begun within half of that, also where a packet is lost on the way.
-// versionMarginShare bounds it for short deadlines.
+// request of which a packet is lost arrives after firstRetransmit, and an
+// engine that begins it at once, which is all that it gets then, has begun it
+// after beginTime. versionMarginShare bounds it for short deadlines.
 const (
-	versionMargin      = time.Second
+	// firstRetransmit is the initial retransmission time of TCP (RFC 6298).
+	firstRetransmit    = time.Second
+	beginTime          = 600 * time.Millisecond
+	versionMargin      = firstRetransmit + beginTime
 	versionMarginShare = 0.25
 )
 
@@ -200,7 +203,7 @@
 
 // cautionLead is how long before a version is due older ones get only what
 // they can begin at once.
-const cautionLead = 1700 * time.Millisecond
+const cautionLead = 1100 * time.Millisecond
 
 // minVersion is the lowest version of model that may start a request at a
 // time.
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -295,3 +295,25 @@
 	w.server.PutEndpoint(leaving)
 	assert.Assert(t, !w.server.mayStill(x, e), "it leaves")
 }
+
+// A request of which a packet is lost on its way to an engine with an older
+// version, and that therefore arrives a second later, still begins there
+// before that version's time is over.
+func TestLostPacketNearADeadline(t *testing.T) {
+	const lost = firstRetransmit + 200*time.Millisecond
+	for _, before := range []time.Duration{1100 * time.Millisecond, 1300 * time.Millisecond, 1700 * time.Millisecond} {
+		w := newWorld(t)
+		w.configure(1)
+		deadline := time.Now().Add(before)
+		var began time.Time
+		w.endpoint("old", "engine", func(rw http.ResponseWriter, r *http.Request) {
+			time.Sleep(lost)
+			began = time.Now()
+			events(last, last)(rw, r)
+		})
+		w.server.Heard(fleet.Report{Address: w.records["old"].Address, Model: model, Version: 1}, 0)
+		w.server.NameVersion(model, 2, false, deadline.Add(-w.server.settings.VersionDeadline))
+		w.get("POST", "/stream/1", "x", with(names.Deadline, "3000"))
+		assert.Assert(t, began.IsZero() || began.Before(deadline), "sent %s before the deadline, begun %s after it", before, began.Sub(deadline))
+	}
+}
--- a/installer/start.go
+++ b/installer/start.go
@@ -21,7 +21,7 @@
 // to reach all gateways. 0.60 measured worse (docs/POLICY.md).
 const (
 	firstTurn = 0.3
-	lastTurn  = 0.82
+	lastTurn  = 0.77
 )
 
 // Times of a change of version.
@@ -42,7 +42,7 @@
 	// dueMargin is how long before a version's deadline gateways send nothing
 	// more to engines with older ones, and dueShare its largest part of the
 	// deadline.
-	dueMargin = time.Second
+	dueMargin = 1600 * time.Millisecond
 	dueShare  = 0.25
 )
 
