older versions are left 1.9 s before the deadline again, and get only what begins at once for 1.7 s before that

Change: the former bounds of the gateways; turns end at 0.73 of the deadline, when the drain's word still comes before gateways leave the version.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -79,17 +79,13 @@
 	case e.Delay(now) >= delayHigh, e.lag >= delayHigh:
 		return false
 	default:
-		return e.report.Queued == 0 && e.Load(now) < q.Slots-atOnceSlots && e.Backlog(q.UsualWork, now) <= atOnceBacklog*q.UsualWork
+		return e.report.Queued == 0 && e.unreadCount == 0 && e.Load(now) < q.Slots-atOnceSlots
 	}
 }
 
-// What an engine may have at most that begins a request at once.
-const (
-	// atOnceSlots stay free, for requests that other gateways send meanwhile.
-	atOnceSlots = 2
-	// atOnceBacklog is in usual prompts; a few are read within one pass.
-	atOnceBacklog = 2.5
-)
+// atOnceSlots stay free at an engine that begins a request at once, for
+// requests that other gateways send meanwhile.
+const atOnceSlots = 2
 
 // open reports whether the endpoint is being left alone.
 func (e *Endpoint) open(now time.Time) bool {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -119,9 +119,9 @@
 	f := engines(1)
 	f.Heard(report("a", 1, 0, 0), time.Millisecond, start)
 	large := q
-	large.Slots, large.Limit, large.Work = 16, 16, (atOnceBacklog+1)*q.UsualWork
+	large.Slots, large.Limit = 16, 16
 	assert.Equal(t, chosen(f, large, start), "a")
-	assert.Equal(t, chosen(f, q, start), "", "much is to be read there")
+	assert.Equal(t, chosen(f, large, start), "", "a prompt is to be read there")
 
 	f = engines(1)
 	assert.Equal(t, chosen(f, q, start), "", "an engine that was never heard")
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -177,7 +177,7 @@
 const (
 	// firstRetransmit is the initial retransmission time of TCP (RFC 6298).
 	firstRetransmit    = time.Second
-	beginTime          = 600 * time.Millisecond
+	beginTime          = 900 * time.Millisecond
 	versionMargin      = firstRetransmit + beginTime
 	versionMarginShare = 0.25
 )
@@ -203,7 +203,7 @@
 
 // cautionLead is how long before a version is due older ones get only what
 // they can begin at once.
-const cautionLead = 1100 * time.Millisecond
+const cautionLead = 1700 * time.Millisecond
 
 // minVersion is the lowest version of model that may start a request at a
 // time.
--- a/installer/start.go
+++ b/installer/start.go
@@ -18,10 +18,10 @@
 // this box's copy is whole, but not before firstTurn; the last is at
 // lastTurn. A drain begins there, after which the engine starts no request on
 // its old version, so that the rest of the deadline is for the drain's word
-// to reach all gateways. 0.60 measured worse (docs/POLICY.md).
+// to reach all gateways.
 const (
 	firstTurn = 0.3
-	lastTurn  = 0.77
+	lastTurn  = 0.73
 )
 
 // Times of a change of version.
@@ -42,7 +42,7 @@
 	// dueMargin is how long before a version's deadline gateways send nothing
 	// more to engines with older ones, and dueShare its largest part of the
 	// deadline.
-	dueMargin = 1600 * time.Millisecond
+	dueMargin = 1900 * time.Millisecond
 	dueShare  = 0.25
 )
 
