--- a/installer/scale_test.go
+++ b/installer/scale_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/telemetry"
+	"github.com/mintlift/mintlift/transfer"
 )
 
 // narrowOrigin resets calls beyond the connections that it accepts.
@@ -115,3 +116,97 @@
 	assert.Assert(t, held.Load() <= boxes*boxes/regions, "%d calls for what others hold", held.Load())
 	assert.Assert(t, origin.sent <= testChunks*13/10, "the origin sent %d chunks for %d", origin.sent, testChunks)
 }
+
+// The manifest comes down a tree of the region's boxes.
+func TestManifestTree(t *testing.T) {
+	var peers []Peer
+	for k := range 40 {
+		peers = append(peers, Peer{Box: fmt.Sprint("box", k), Region: fmt.Sprint("r", k%2)})
+	}
+	roots := 0
+	children := make(map[string]int)
+	for _, p := range peers {
+		above := ancestors(peers, Settings{Box: p.Box, Region: p.Region}, 2)
+		assert.Assert(t, len(above) <= 3, "%d hops", len(above))
+		if len(above) == 0 {
+			roots++
+			continue
+		}
+		assert.Equal(t, above[len(above)-1].Region, p.Region)
+		children[above[0].Box]++
+	}
+	assert.Equal(t, roots, 2, "one box a region asks the origin")
+	for box, n := range children {
+		assert.Assert(t, n <= manifestFan, "%d boxes ask %s", n, box)
+	}
+	assert.Equal(t, len(ancestors(peers, Settings{Box: "unlisted", Region: "r0"}, 2)), 0)
+}
+
+// A box that stands still does not keep those below it from the manifest.
+func TestManifestPassesASilentBox(t *testing.T) {
+	still := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-still:
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(s.Close)
+	t.Cleanup(func() { close(still) })
+	origin := &fakeOrigin{}
+	var peers []Peer
+	for k := range 8 {
+		peers = append(peers, Peer{Box: fmt.Sprint("box", k), Address: strings.TrimPrefix(s.URL, "http://"), Region: "r"})
+	}
+	for _, p := range peers {
+		i := New(Settings{Box: p.Box, Region: p.Region}, &fakeEngine{}, origin, func(context.Context) ([]Peer, error) { return peers, nil }, logr.Discard(), telemetry.NewMetrics())
+		began := time.Now()
+		m := i.manifest(context.Background(), want{params: Params{Model: testModel, Chunks: testChunks}, version: 2})
+		assert.Assert(t, m != nil)
+		assert.DeepEqual(t, m, manifestOf(2))
+		assert.Assert(t, time.Since(began) < 4*manifestHop+time.Second)
+	}
+}
+
+// A pull for one chunk waits until that comes, without a place among the
+// uploads; what does not come is refused.
+func TestPullWaitsForAChunk(t *testing.T) {
+	i := New(Settings{Box: "a"}, &fakeEngine{}, &fakeOrigin{}, nil, logr.Discard(), telemetry.NewMetrics())
+	r := newReplica(manifestOf(2), "a")
+	i.copies = append(i.copies, r)
+	s := httptest.NewServer(i.Handler())
+	t.Cleanup(s.Close)
+	client := newPeerClient(newPacer(0))
+	pull := func(chunk int) ([]byte, error) {
+		has := newReplica(manifestOf(2), "b").held
+		_, data, err := client.pull(context.Background(), strings.TrimPrefix(s.URL, "http://"), "b", r.manifest, chunk, has, time.Second, time.Second, func(int) bool { return true })
+		return data, err
+	}
+	type answer struct {
+		data []byte
+		err  error
+	}
+	const waiting = uploadsAtOnce + uploadsWaiting + 2
+	answers := make(chan answer, waiting)
+	for range waiting {
+		go func() {
+			data, err := pull(5)
+			answers <- answer{data, err}
+		}()
+	}
+	time.Sleep(chunkHold / 3)
+	_, err := pull(-1)
+	assert.ErrorIs(t, err, errNothing, "who asks for any chunk is answered meanwhile")
+	assert.NilError(t, i.take(r, transfer.Pull{Chunk: 5}, chunkOf(2, 5)))
+	served := 0
+	for range waiting {
+		a := <-answers
+		if a.err == nil {
+			assert.DeepEqual(t, a.data, chunkOf(2, 5))
+			served++
+		}
+	}
+	assert.Assert(t, served >= uploadsAtOnce, "%d of %d pulls got the chunk", served, waiting)
+	_, err = pull(6)
+	assert.ErrorIs(t, err, errNothing)
+}
--- a/transfer/swarm_test.go
+++ b/transfer/swarm_test.go
@@ -310,3 +310,51 @@
 	}
 	assert.Assert(t, own > 0)
 }
+
+// TestSilentBoxIsPassedOver lets the box of the next rank read at once what a
+// box that does not answer should have read, and no other box.
+func TestSilentBoxIsPassedOver(t *testing.T) {
+	p := params(12, 48)
+	p.TakeOver = time.Second
+	o := NewOrder(p)
+	first := o.first["A"][0][0]
+	for rank, box := range o.first["A"][0] {
+		if rank == 0 {
+			continue
+		}
+		s := swarm(p, box)
+		s.Silent(first)
+		s.Silent(first) // said twice is said once
+		reads := false
+		now := epoch.Add(time.Duration(p.Chunks) * p.ChunkTurn)
+		for {
+			next := s.NextFirst(now)
+			if next.Kind == None {
+				break
+			}
+			reads = reads || next.Chunk == 0
+			s.Arrived(next, Knowledge{}, time.Millisecond, now)
+		}
+		assert.Equal(t, reads, rank == 1, "the box of rank %d", rank)
+	}
+}
+
+// TestPartnersAreFew bounds whom a box asks before it reads: in a large region
+// a few boxes a chunk, in a small one all.
+func TestPartnersAreFew(t *testing.T) {
+	for _, n := range []int{8, 240, 1220} {
+		p := params(n, 64)
+		o := NewOrder(p)
+		asked := 0
+		for _, peer := range p.Peers {
+			partners := o.Partners(peer.Region, peer.Box)
+			assert.Assert(t, !slices.Contains(partners, peer.Box))
+			asked += len(partners)
+			if n == 8 {
+				assert.Equal(t, len(partners), 3, "all others of its region")
+			}
+		}
+		regions := 2
+		assert.Assert(t, asked <= regions*p.Chunks*closePartners*(closePartners-1), "%d boxes ask %d", n, asked)
+	}
+}
