--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -49,6 +49,9 @@
 	return !p.Behind && now.Sub(p.Confirmed) < confirmedFor
 }
 
+// noRoundTrip says that a report measured none.
+const noRoundTrip = time.Duration(-1)
+
 // assumedGateways divides what all gateways may do together; the settings
 // do not tell how many there are.
 const assumedGateways = 8
@@ -96,18 +99,25 @@
 	probes.HandleFunc("/ready", server.ServeReady)
 	go func() { _ = callers.Serve(front) }()
 	go func() { _ = http.Serve(ready, probes) }()
-	go func() { _ = http.Serve(lists, peerlist.Handler(endpointLists(server))) }()
+	go func() { _ = http.Serve(lists, peerlist.Handler(server)) }()
 	p.serveMetrics()
 
 	view := gatewayView{server}
 	go p.watcher.WatchOperator(ctx, view, gatewayWait)
-	go p.watchEndpoints(ctx, server)
+	follower := peerlist.NewFollower(s.IP, func(ip string) string { return s.Internal(ip, portLists) }, server, p.events)
+	go p.watchEndpoints(ctx, server, follower)
 	told := func() []loadreport.Audience {
 		return audiences(s, server, p.watcher.Progress().Offset, time.Now())
 	}
-	heard := func(r fleet.Report, roundTrip time.Duration, read int64) {
-		p.watcher.OthersRead(read, time.Now())
-		server.Heard(r, roundTrip)
+	heard := func(r fleet.Report, e *loadreport.Echo) {
+		if e == nil {
+			server.Heard(r, noRoundTrip)
+			return
+		}
+		now := time.Now()
+		p.watcher.OthersRead(e.Read, now)
+		follower.Readers(e.Readers, now)
+		server.Heard(r, e.RoundTrip)
 	}
 	go subscriber.Run(ctx, told, server.TellSoon(), heard)
 	go func() {
@@ -118,17 +128,6 @@
 	return func(ending context.Context) { stopGateway(ending, p, server, front) }, nil
 }
 
-// endpointLists returns the lists that sidecars are told.
-func endpointLists(server *ingress.Server) func(service string) []peerlist.Endpoint {
-	return func(service string) []peerlist.Endpoint {
-		records, known := server.Records(service)
-		if !known {
-			return nil
-		}
-		return listed(records, service)
-	}
-}
-
 // audiences are the sidecars of each service of engines, and what they are
 // told; read is how far the operator's records have been read.
 func audiences(s *platform.Settings, server *ingress.Server, read int64, now time.Time) []loadreport.Audience {
@@ -177,7 +176,7 @@
 
 // watchEndpoints reads the list once the configuration, which says how many
 // layers a model has, is known.
-func (p *platformProcess) watchEndpoints(ctx context.Context, server *ingress.Server) {
+func (p *platformProcess) watchEndpoints(ctx context.Context, server *ingress.Server, follower *peerlist.Follower) {
 	const look = 20 * time.Millisecond
 	for server.Configuration() == nil {
 		select {
@@ -186,7 +185,7 @@
 		case <-time.After(look):
 		}
 	}
-	p.watcher.WatchEndpoints(ctx, server, func(service string) int {
+	p.watcher.WatchEndpoints(ctx, server, follower.Follow, func(service string) int {
 		if named := server.Configuration().Services[service]; named != nil && named.Engine != nil {
 			return named.Engine.Layers
 		}
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -115,7 +115,7 @@
 	for at, ip := range gateways {
 		gateways[at] = v.settings.Internal(ip, portLists)
 	}
-	list, err := lists.Get(ctx, gateways, v.settings.Service)
+	list, err := lists.Service(ctx, gateways, v.settings.Service)
 	if err != nil {
 		p.events.Info("list of gateways not had", "asked", len(gateways), "error", err.Error())
 		if list, err = v.storedList(ctx, p.watcher); err != nil {
@@ -142,18 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return listed(list, v.settings.Service), nil
-}
-
-// listed are the endpoints of a service as sidecars are told them.
-func listed(records []fleet.Record, service string) []peerlist.Endpoint {
-	out := []peerlist.Endpoint{}
-	for _, r := range records {
-		if r.Service == service {
-			out = append(out, peerlist.Endpoint{Address: r.Address, Zone: r.Zone, Draining: r.Draining})
-		}
-	}
-	return out
+	return peerlist.Of(list, v.settings.Service), nil
 }
 
 const (
--- a/cmd/mintlift/platform_test.go
+++ b/cmd/mintlift/platform_test.go
@@ -54,7 +54,7 @@
 	defer cancel()
 	speaking, silence := context.WithCancel(ctx)
 	audience := loadreport.Audience{Sidecars: []string{"127.0.0.1:17701"}}
-	go subscriber.Run(speaking, func() []loadreport.Audience { return []loadreport.Audience{audience} }, nil, func(fleet.Report, time.Duration, int64) {})
+	go subscriber.Run(speaking, func() []loadreport.Audience { return []loadreport.Audience{audience} }, nil, func(fleet.Report, *loadreport.Echo) {})
 	for publisher.Asked().IsZero() {
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,7 +9,9 @@
 package fleet
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -165,6 +167,9 @@
 // Endpoints returns the endpoints of a service.
 func (f *Fleet) Endpoints(service string) []*Endpoint { return f.byService[service] }
 
+// All returns the endpoints of all services, in no order.
+func (f *Fleet) All() []*Endpoint { return slices.Collect(maps.Values(f.byID)) }
+
 // Len returns the number of endpoints.
 func (f *Fleet) Len() int { return len(f.byID) }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -78,6 +78,7 @@
 	// gateways is the number that shares what all may do together.
 	gateways int
 	listed   bool // the list of endpoints is known
+	list     listState
 }
 
 // Naming is a version of a model that the operator named.
@@ -109,6 +110,7 @@
 		versions:  make(map[string][]Naming),
 		pressures: make(map[string]*pressure),
 		tellSoon:  make(chan struct{}, 1),
+		list:      newListState(),
 	}
 }
 
@@ -224,6 +226,7 @@
 	defer s.mu.Unlock()
 	s.fleet.Replace(records)
 	s.listed = true
+	s.list.change()
 	s.events.Info("endpoints listed", "count", len(records))
 	s.tellSoonLocked()
 	s.dispatchAll(time.Now())
@@ -237,6 +240,7 @@
 	if !s.fleet.Put(r) {
 		return
 	}
+	s.list.change()
 	if added {
 		s.tellSoonLocked()
 	}
@@ -249,6 +253,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.fleet.Remove(id) {
+		s.list.change()
 		s.events.Info("endpoint gone", "endpoint", id)
 	}
 }
@@ -307,18 +312,6 @@
 	return s.fleet.Addresses(service, sum, now)
 }
 
-// Records returns the endpoints of a service as the list tells them, and
-// whether the list has been read.
-func (s *Server) Records(service string) ([]fleet.Record, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []fleet.Record
-	for _, e := range s.fleet.Endpoints(service) {
-		out = append(out, e.Record)
-	}
-	return out, s.listed
-}
-
 // Ready reports whether the gateway can serve new connections.
 func (s *Server) Ready() bool {
 	if s.stopping.Load() || s.routes.Get() == nil {
--- /dev/null
+++ b/ingress/list.go
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ingress
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/mintlift/mintlift/fleet"
+)
+
+// listState says which state of the list of endpoints a gateway has.
+type listState struct {
+	// life tells the states of one process from those of another.
+	life       uint64
+	generation int64
+	// changed is closed, and made anew, when the list changes.
+	changed chan struct{}
+	// confirmed is when the store was read last, by this gateway or by the
+	// one from which it has the list.
+	confirmed time.Time
+}
+
+func newListState() listState {
+	return listState{life: rand.Uint64(), changed: make(chan struct{})}
+}
+
+// change notes that the list has changed; Server.mu is held.
+func (l *listState) change() {
+	l.generation++
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// List is the list of endpoints as a gateway knows it.
+type List struct {
+	// State differs from that of any other list, also of another gateway.
+	State     string
+	Records   []fleet.Record
+	Confirmed time.Time
+	// Changed is closed when the gateway knows another list.
+	Changed <-chan struct{}
+}
+
+// Listed notes that the list was read at now.
+func (s *Server) Listed(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.confirmed = now
+}
+
+// List returns the list of endpoints, and whether it has been read.
+func (s *Server) List() (List, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := List{
+		State:     strconv.FormatUint(s.list.life, 16) + "." + strconv.FormatInt(s.list.generation, 10),
+		Confirmed: s.list.confirmed,
+		Changed:   s.list.changed,
+	}
+	for _, e := range s.fleet.All() {
+		l.Records = append(l.Records, e.Record)
+	}
+	return l, s.listed
+}
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -15,7 +15,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -99,9 +98,9 @@
 	fleet.Report
 	// Echo is the stamp of the subscription that is answered, or 0.
 	Echo int64 `json:"e,omitempty"`
-	// Read is, in such an answer, how far any gateway has read the operator's
-	// records.
-	Read int64 `json:"o,omitempty"`
+	// Read and Readers are, in such an answer, those of an Echo.
+	Read    int64    `json:"o,omitempty"`
+	Readers []string `json:"l,omitempty"`
 }
 
 // Publisher sends reports from a sidecar.
@@ -152,11 +151,10 @@
 		p.askedAt = time.Now()
 		p.subs[from] = subscriber{since: p.askedAt, region: asked.Region, demand: asked.Demand}
 		p.read = max(p.read, asked.Read)
-		read := p.read
-		last := withTurn(p.last, p.turnsLocked()[from])
+		answer := message{Report: withTurn(p.last, p.turnsLocked()[from]), Echo: asked.Stamp, Read: p.read, Readers: p.readersLocked(asked.Region)}
 		p.mu.Unlock()
-		if last.Address != "" {
-			p.send(message{Report: last, Echo: asked.Stamp, Read: read}, from)
+		if answer.Address != "" {
+			p.send(answer, from)
 		}
 	}
 }
@@ -201,29 +199,6 @@
 	return p.askedAt
 }
 
-// Gateways returns the IP numbers of up to n gateways that subscribed lately, drawn
-// at random, those of the region first.
-func (p *Publisher) Gateways(region string, n int, now time.Time) []string {
-	p.mu.Lock()
-	var near, far []string
-	for from, s := range p.subs {
-		switch {
-		case now.Sub(s.since) > subscription:
-		case s.region == region:
-			near = append(near, from.Addr().String())
-		default:
-			far = append(far, from.Addr().String())
-		}
-	}
-	p.mu.Unlock()
-	shuffle(near)
-	shuffle(far)
-	all := append(near, far...)
-	return all[:min(n, len(all))]
-}
-
-func shuffle(s []string) { rand.Shuffle(len(s), func(i, j int) { s[i], s[j] = s[j], s[i] }) }
-
 // Close ends the publisher.
 func (p *Publisher) Close() error { return p.conn.Close() }
 
@@ -236,10 +211,21 @@
 // stamp is the subscriber's own time, in microseconds.
 func (s *Subscriber) stamp() int64 { return time.Since(s.began).Microseconds() }
 
-// Heard takes a report. roundTrip is the time from a subscription to this
-// answer, or negative if the report answers none. read is then how far any
-// gateway that subscribed there has read the operator's records.
-type Heard func(r fleet.Report, roundTrip time.Duration, read int64)
+// Echo is what a sidecar tells in answer to a subscription.
+type Echo struct {
+	// RoundTrip is the time from the subscription to the answer.
+	RoundTrip time.Duration
+	// Read is how far any gateway that subscribed there has read the
+	// operator's records.
+	Read int64
+	// Readers are the IP numbers of the first gateways of the subscriber's
+	// region, in an order that all compute alike, of those that subscribed
+	// there: they read the list of endpoints for the others.
+	Readers []string
+}
+
+// Heard takes a report; e is nil if it answers no subscription.
+type Heard func(r fleet.Report, e *Echo)
 
 // NewSubscriber listens for reports at address.
 func NewSubscriber(address string) (*Subscriber, error) {
@@ -294,10 +280,10 @@
 		if err != nil || json.Unmarshal(buffer[:n], &m) != nil || m.Address == "" {
 			continue
 		}
-		roundTrip := time.Duration(-1)
-		if m.Echo > 0 {
-			roundTrip = time.Duration(s.stamp()-m.Echo) * time.Microsecond
+		if m.Echo <= 0 {
+			heard(m.Report, nil)
+			continue
 		}
-		heard(m.Report, roundTrip, m.Read)
+		heard(m.Report, &Echo{RoundTrip: time.Duration(s.stamp()-m.Echo) * time.Microsecond, Read: m.Read, Readers: m.Readers})
 	}
 }
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -21,15 +21,17 @@
 	reports []fleet.Report
 	echoes  int
 	read    int64
+	readers []string
 }
 
-func (h *heard) take(r fleet.Report, roundTrip time.Duration, read int64) {
+func (h *heard) take(r fleet.Report, e *Echo) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.reports = append(h.reports, r)
-	if roundTrip >= 0 {
+	if e != nil {
 		h.echoes++
-		h.read = max(h.read, read)
+		h.read = max(h.read, e.Read)
+		h.readers = e.Readers
 	}
 }
 
@@ -109,7 +111,7 @@
 	publisher, subscriber := pair(t, func(Notice) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	audience := Audience{Sidecars: []string{publisher.conn.LocalAddr().String()}}
-	go subscriber.Run(ctx, func() []Audience { return []Audience{audience} }, nil, func(fleet.Report, time.Duration, int64) {})
+	go subscriber.Run(ctx, func() []Audience { return []Audience{audience} }, nil, func(fleet.Report, *Echo) {})
 	subscribed := func() int {
 		publisher.mu.Lock()
 		defer publisher.mu.Unlock()
@@ -142,7 +144,7 @@
 	}
 	var got heard
 	run(behind, 3, got.take)
-	run(ahead, 7, func(fleet.Report, time.Duration, int64) {})
+	run(ahead, 7, func(fleet.Report, *Echo) {})
 	await(t, "what the other has read", func() bool {
 		got.mu.Lock()
 		defer got.mu.Unlock()
--- a/peerlist/peerlist.go
+++ b/peerlist/peerlist.go
@@ -1,12 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package peerlist carries the list of a service's endpoints from gateways to
-// sidecars.
+// Package peerlist carries the list of endpoints from the gateways that read
+// it from the store to the other processes of their region.
 //
 // A sidecar needs the list when a version is named, and so do all others at
-// the same moment. Gateways have it, a second or two old, and one is near: read
-// from the store instead, some hundred lists cross the links between regions
-// just when the version must.
+// the same moment: read from the store, some hundred lists would cross the
+// links between regions just when the version must. A gateway needs each
+// change within a second; read by each of fifty, the list would be most of
+// what the store is asked for.
 package peerlist
 
 import (
@@ -19,16 +20,23 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/ingress"
 )
 
-// path of the list; the service is in the query.
-const path = "/endpoints"
+// Paths of the endpoints of the service in the query, and of the whole list.
+const (
+	pathService = "/endpoints"
+	pathList    = "/list"
+)
 
 // Bounds of a call.
 const (
-	// callTimeout is how long a gateway may take; the next one, or the store,
-	// is asked after it.
+	// callTimeout is how long a gateway may take beyond what it is asked to
+	// wait; the next one, or the store, is asked after it.
 	callTimeout = 250 * time.Millisecond
+	idleTimeout = 5 * time.Second
 	maxAnswer   = 4 << 20
 )
 
@@ -40,22 +48,42 @@
 	Draining bool `json:"draining,omitempty"`
 }
 
-// Handler serves the lists that list returns; nil stands for a list that is
-// not known yet.
-func Handler(list func(service string) []Endpoint) http.Handler {
+// Source is a gateway that has the list; it returns false while it has none.
+type Source interface {
+	List() (ingress.List, bool)
+}
+
+// Handler serves the list of source.
+func Handler(source Source) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
-		endpoints := list(r.URL.Query().Get("service"))
-		if endpoints == nil {
+	mux.HandleFunc("GET "+pathService, func(w http.ResponseWriter, r *http.Request) {
+		list, known := source.List()
+		if !known {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(endpoints) // a sidecar that left asks again
+		answer(w, Of(list.Records, r.URL.Query().Get("service")))
 	})
+	mux.HandleFunc("GET "+pathList, func(w http.ResponseWriter, r *http.Request) { serveList(w, r, source) })
 	return mux
 }
 
+// Of returns the endpoints of a service.
+func Of(records []fleet.Record, service string) []Endpoint {
+	out := []Endpoint{}
+	for _, r := range records {
+		if r.Service == service {
+			out = append(out, Endpoint{Address: r.Address, Zone: r.Zone, Draining: r.Draining})
+		}
+	}
+	return out
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // a process that left asks again
+}
+
 // Client asks gateways.
 type Client struct{ client *http.Client }
 
@@ -63,42 +91,41 @@
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: callTimeout, KeepAlive: -1}
 	return &Client{client: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}}}
 }
 
-// Get returns the list of a service from the first of the gateways, given by
-// IP:PORT, that answers.
-func (c *Client) Get(ctx context.Context, gateways []string, service string) ([]Endpoint, error) {
+// Service returns the endpoints of a service from the first of the gateways,
+// given by IP:PORT, that answers.
+func (c *Client) Service(ctx context.Context, gateways []string, service string) ([]Endpoint, error) {
 	err := error(errors.NotFoundf("gateway"))
 	for _, address := range gateways {
 		var out []Endpoint
-		if out, err = c.get(ctx, address, service); err == nil {
+		err = c.get(ctx, address, pathService, url.Values{"service": {service}}, callTimeout, &out)
+		if err == nil {
 			return out, nil
 		}
 	}
 	return nil, err
 }
 
-func (c *Client) get(ctx context.Context, address, service string) ([]Endpoint, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// get decodes a gateway's answer into out.
+func (c *Client) get(ctx context.Context, address, path string, query url.Values, timeout time.Duration, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	target := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: url.Values{"service": {service}}.Encode()}
+	target := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return errors.Trace(err)
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return errors.Trace(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("gateway %s: status %d", address, response.StatusCode)
-	}
-	var out []Endpoint
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&out); err != nil {
-		return nil, errors.Annotatef(err, "list of gateway %s", address)
+		return errors.Errorf("gateway %s: status %d", address, response.StatusCode)
 	}
-	return out, nil
+	err = json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(out)
+	return errors.Annotatef(err, "list of gateway %s", address)
 }
--- a/peerlist/peerlist_test.go
+++ b/peerlist/peerlist_test.go
@@ -6,32 +6,156 @@
 	"context"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/ingress"
+	"github.com/mintlift/mintlift/telemetry"
 )
 
-func TestList(t *testing.T) {
-	want := []Endpoint{{Address: "127.0.0.1:9", Zone: "a"}, {Address: "127.0.0.2:9", Zone: "b", Draining: true}}
-	serve := func(known bool) string {
-		s := httptest.NewServer(Handler(func(service string) []Endpoint {
-			if !known {
-				return nil
-			}
-			assert.Equal(t, service, "models & more")
-			return want
-		}))
-		t.Cleanup(s.Close)
-		return strings.TrimPrefix(s.URL, "http://")
+// gateway is a server and its handler's address.
+func gateway(t *testing.T, records []fleet.Record) (*ingress.Server, string) {
+	t.Helper()
+	server := ingress.New(ingress.Settings{}, logr.Discard(), logr.Discard(), telemetry.NewMetrics())
+	if records != nil {
+		server.SetEndpoints(records)
+		server.Listed(time.Now())
 	}
+	s := httptest.NewServer(Handler(server))
+	t.Cleanup(s.Close)
+	return server, strings.TrimPrefix(s.URL, "http://")
+}
+
+var records = []fleet.Record{
+	{ID: "a", Service: "models & more", Address: "127.0.0.1:9", Zone: "a", Slots: 3, Models: map[string]int{"m": 2}},
+	{ID: "b", Service: "models & more", Address: "127.0.0.2:9", Zone: "b", Draining: true},
+	{ID: "c", Service: "plain", Address: "127.0.0.3:9", Zone: "b"},
+}
+
+// A sidecar gets its service's endpoints from the first gateway that knows
+// them.
+func TestEndpointsOfAService(t *testing.T) {
 	gone := httptest.NewServer(nil)
 	gone.Close()
+	_, empty := gateway(t, nil)
+	_, full := gateway(t, records)
 	c := NewClient()
-	got, err := c.Get(context.Background(), []string{strings.TrimPrefix(gone.URL, "http://"), serve(false), serve(true)}, "models & more")
+	got, err := c.Service(context.Background(), []string{strings.TrimPrefix(gone.URL, "http://"), empty, full}, "models & more")
 	assert.NilError(t, err)
-	assert.DeepEqual(t, got, want)
-	_, err = c.Get(context.Background(), []string{serve(false)}, "models & more")
+	byAddress := make(map[string]Endpoint)
+	for _, e := range got {
+		byAddress[e.Address] = e
+	}
+	assert.DeepEqual(t, byAddress, map[string]Endpoint{
+		"127.0.0.1:9": {Address: "127.0.0.1:9", Zone: "a"},
+		"127.0.0.2:9": {Address: "127.0.0.2:9", Zone: "b", Draining: true},
+	})
+	_, err = c.Service(context.Background(), []string{empty}, "plain")
 	assert.ErrorContains(t, err, "status 503")
-	_, err = c.Get(context.Background(), nil, "models & more")
+	_, err = c.Service(context.Background(), nil, "plain")
 	assert.ErrorContains(t, err, "not found")
 }
+
+// taken collects what a follower hands on.
+type taken struct {
+	mu    sync.Mutex
+	lists [][]fleet.Record
+	at    time.Time
+}
+
+func (l *taken) SetEndpoints(records []fleet.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lists = append(l.lists, records)
+}
+
+func (l *taken) Listed(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.at = now
+}
+
+func (l *taken) last() map[string]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]bool)
+	if len(l.lists) > 0 {
+		for _, r := range l.lists[len(l.lists)-1] {
+			out[r.ID] = r.Draining
+		}
+	}
+	return out
+}
+
+// A change reaches a follower as soon as the gateway that reads has it, and
+// the list is told again only when it has changed.
+func TestFollowerHearsOfChangesAtOnce(t *testing.T) {
+	leader, address := gateway(t, records)
+	var list taken
+	f := NewFollower("self", func(string) string { return address }, &list, logr.Discard())
+	assert.Assert(t, !f.Follow(context.Background()), "nobody is known to read")
+	f.Readers([]string{"leader"}, time.Now())
+	assert.Assert(t, f.Follow(context.Background()))
+	assert.DeepEqual(t, list.last(), map[string]bool{"a": false, "b": true, "c": false})
+	changed := make(chan time.Time, 1)
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		draining := records[0]
+		draining.Draining = true
+		leader.PutEndpoint(draining)
+		changed <- time.Now()
+	}()
+	assert.Assert(t, f.Follow(context.Background()))
+	assert.Assert(t, time.Since(<-changed) < hold/2)
+	assert.Equal(t, list.last()["a"], true)
+	leader.Listed(time.Now())
+	began := time.Now()
+	assert.Assert(t, f.Follow(context.Background()))
+	assert.Assert(t, time.Since(began) >= hold-100*time.Millisecond, "it waits for a change")
+	assert.Equal(t, len(list.lists), 2)
+}
+
+// A follower reads the store itself when the gateway that reads has not done
+// so for too long, or does not answer; that is noticed within maxAge.
+func TestFollowerDoesNotTrustAnOldList(t *testing.T) {
+	leader, address := gateway(t, records)
+	var list taken
+	f := NewFollower("self", func(string) string { return address }, &list, logr.Discard())
+	f.Readers([]string{"leader"}, time.Now())
+	leader.Listed(time.Now().Add(-maxAge + 100*time.Millisecond))
+	assert.Assert(t, f.Follow(context.Background()))
+	began := time.Now()
+	assert.Assert(t, !f.Follow(context.Background()))
+	assert.Assert(t, time.Since(began) < 400*time.Millisecond, "it ends when the list is too old")
+	assert.Assert(t, !f.Follow(context.Background()), "it is left alone for a while")
+
+	_, empty := gateway(t, nil)
+	f = NewFollower("self", func(string) string { return empty }, &list, logr.Discard())
+	f.Readers([]string{"leader"}, time.Now())
+	assert.Assert(t, !f.Follow(context.Background()), "it knows no list")
+}
+
+// Who is among the first of the region reads the store itself; what few
+// sidecars tell does not make others the first, and readers that are named no
+// longer are forgotten.
+func TestFirstGatewaysReadTheStore(t *testing.T) {
+	all := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5"}
+	now := time.Now()
+	reading := 0
+	for _, own := range all {
+		f := NewFollower(own, nil, nil, logr.Discard())
+		f.Readers([]string{all[2], all[4]}, now)
+		f.Readers([]string{all[0], all[1]}, now)
+		f.Readers([]string{all[3]}, now)
+		if f.readers(now) == nil {
+			reading++
+		}
+		assert.Assert(t, len(f.readers(now.Add(readersLife+time.Millisecond))) == 0)
+	}
+	assert.Equal(t, reading, 2)
+}
