a turn of a rollout that is promised outlasts the gateways' margin

Engines changed within 1.9 s, three quarters of them out at a time, because gateways leave older versions 1.9 s before the deadline. That margin is for engines that may not change in time. A sidecar whose copy is whole promises its turn, up to 1.2 s before the deadline, and until then its engine gets what it begins at once; a promise counts for 150 ms.

--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -226,7 +226,7 @@
 		if state, err := engine.State(ctx); err == nil {
 			i.Heard(state)
 			publisher.Publish(fleet.Report{
-				Address: view.settings.App, Model: state.Model, Version: state.Version, Busy: state.Busy || i.Leaving(),
+				Address: view.settings.App, Model: state.Model, Version: state.Version, Busy: state.Busy || i.Leaving(), Promised: i.Promised(),
 				Running: state.Running, Queued: state.Queued, Pace: state.Pace, Weights: view.sum(),
 			}, i.Changing(), time.Now())
 		}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -30,6 +30,10 @@
 	Model string
 	// MinVersion is the lowest version that may answer.
 	MinVersion int
+	// PromisedVersion is the same, and lower near a deadline, for engines that
+	// promise to be brought to a newer version in time; one below MinVersion
+	// gets only what it can begin at once.
+	PromisedVersion int
 	// SoonVersion is the lowest version that may answer a little later; an
 	// engine below it gets only what it can begin at once.
 	SoonVersion int
@@ -67,7 +71,17 @@
 	if holds < q.SoonVersion && !e.atOnce(q, now) {
 		return false
 	}
-	return holds > 0 && holds >= q.MinVersion && !(e.fresh(now) && e.report.Busy)
+	return holds > 0 && e.MayServe(holds, q.MinVersion, q.PromisedVersion, now) && !(e.fresh(now) && e.report.Busy)
+}
+
+// MayServe reports whether the endpoint, which holds a version, may begin
+// requests on it; lowest and promised are as MinVersion and PromisedVersion of a
+// Query. A promise counts for justNow: a sidecar that has gone may not keep it.
+func (e *Endpoint) MayServe(holds, lowest, promised int, now time.Time) bool {
+	if holds >= lowest {
+		return true
+	}
+	return holds >= promised && e.report.Promised && !e.report.Busy && now.Sub(e.reportAt) < justNow
 }
 
 // atOnce reports whether an engine begins a new request without a wait to
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,7 +36,11 @@
 	Model   string `json:"m"`
 	Version int    `json:"v"`
 	// Busy says that an order is under way and that nothing new is taken.
-	Busy    bool    `json:"b,omitempty"`
+	Busy bool `json:"b,omitempty"`
+	// Promised says that the engine will be drained, and brought to a newer
+	// version, in time for that version's deadline.
+	Promised bool `json:"c,omitempty"`
+
 	Running int     `json:"r"`
 	Queued  int     `json:"q"`
 	Pace    float64 `json:"p,omitempty"`
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -134,6 +134,38 @@
 	assert.Equal(t, chosen(f, q, start), "", "its last first bytes came late")
 }
 
+// Past the time of its version an engine gets only what it begins at once, and
+// only while its sidecar says that it will change in time.
+func TestPromiseExtendsAnOlderVersion(t *testing.T) {
+	q := query()
+	q.SoonVersion, q.MinVersion, q.PromisedVersion = 2, 2, 1
+	promised := func(running, queued int, busy bool) Report {
+		r := report("a", 1, running, queued)
+		r.Promised, r.Busy = true, busy
+		return r
+	}
+	for _, test := range []struct {
+		name   string
+		report Report
+		after  time.Duration
+		want   string
+	}{
+		{"promised", promised(0, 0, false), 0, "a"},
+		{"not promised", report("a", 1, 0, 0), 0, ""},
+		{"the drain has begun", promised(0, 0, true), 0, ""},
+		{"a queue there", promised(0, 1, false), 0, ""},
+		{"not heard just now", promised(0, 0, false), justNow, ""},
+	} {
+		f := engines(1)
+		f.Heard(test.report, time.Millisecond, start)
+		assert.Equal(t, chosen(f, q, start.Add(test.after)), test.want, test.name)
+	}
+	q.PromisedVersion = 2
+	f := engines(1)
+	f.Heard(promised(0, 0, false), time.Millisecond, start)
+	assert.Equal(t, chosen(f, q, start), "", "the gateway's own bound")
+}
+
 func TestBrokenEndpointIsLeftAloneThenTried(t *testing.T) {
 	f := engines(1)
 	e := f.Choose(query(), start)
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -149,6 +149,7 @@
 	}
 	q.Within = x.within(now)
 	q.MinVersion = s.minVersion(x.model, now)
+	q.PromisedVersion = s.minVersion(x.model, now.Add(-promiseLead))
 	q.SoonVersion = s.minVersion(x.model, now.Add(cautionLead))
 	return q
 }
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -275,7 +275,10 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !e.Draining && (x.model == "" || e.Holds(x.model, now) >= s.minVersion(x.model, now))
+	if e.Draining {
+		return false
+	}
+	return x.model == "" || e.MayServe(e.Holds(x.model, now), s.minVersion(x.model, now), s.minVersion(x.model, now.Add(-promiseLead)), now)
 }
 
 // verdict is what the head of an answer means.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -208,6 +208,13 @@
 // they can begin at once.
 const cautionLead = 1700 * time.Millisecond
 
+// promiseLead is for how much longer an engine with an older version gets what
+// it begins at once, if its sidecar promises to drain it in time. The sidecar
+// does so 1.2 s before the deadline; the gateway's own bound holds also if its
+// word of that is late, and leaves an engine that is not drained after all
+// beginTime and 100 ms more.
+const promiseLead = versionMargin - beginTime - 100*time.Millisecond
+
 // minVersion is the lowest version of model that may start a request at a
 // time.
 func (s *Server) minVersion(model string, at time.Time) int {
--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -130,6 +130,9 @@
 	order := transfer.NewOrder(params)
 	i.mu.Lock()
 	swarm := transfer.NewSwarm(params, order, i.settings.Box, r.held, time.Now())
+	if r.swarm != nil {
+		swarm.Continue(r.swarm)
+	}
 	r.swarm = swarm
 	r.addresses = addresses
 	i.mu.Unlock()
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -141,10 +141,12 @@
 	state   EngineState
 	heard   time.Time // when the engine was heard last
 	leaving bool      // nothing new should be sent to the engine
-	copies  []*replica
-	known   []Peer // the last list of sidecars, and when it was read
-	knownAt time.Time
-	change  chan struct{}
+	// promised says that the engine will take its turn of a rollout.
+	promised bool
+	copies   []*replica
+	known    []Peer // the last list of sidecars, and when it was read
+	knownAt  time.Time
+	change   chan struct{}
 }
 
 // target is a named version.
--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -213,6 +213,9 @@
 	}
 	r := newReplica(m, i.settings.Box)
 	i.readStage(ctx, r)
+	if r.whole() {
+		r.wholeAt = time.Now()
+	}
 	i.log.Info("copy opened", "version", w.version, "held", r.held.Count(), "chunks", len(r.chunks))
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/installer/start.go
+++ b/installer/start.go
@@ -13,17 +13,28 @@
 	"github.com/mintlift/mintlift/internal/clock"
 )
 
-// Turns of a rollout, as shares of the version's deadline: not all engines
-// change at once, so that the others serve meanwhile. The first turn is when
-// this box's copy is whole, but not before firstTurn; the last is at
-// lastTurn. A drain begins there, after which the engine starts no request on
-// its old version, so that the rest of the deadline is for the drain's word
-// to reach all gateways.
+// Turns of a rollout: not all engines change at once, so that the others serve
+// meanwhile. The first turn is when this box's copy is whole, but not before
+// firstTurn, a share of the version's deadline; the last is turnMargin, or
+// turnMarginShare of a short deadline, before it. A drain begins there, after
+// which the engine starts no request on its old version.
+//
+// A box whose copy is whole in time promises in its reports that it will take
+// its turn, and gateways go on with its older version until then. Other engines
+// with an older version they leave dueMargin before the deadline, which is
+// 0.7 s sooner: so much longer is a rollout in which fewer engines are out at a
+// time.
 const (
-	firstTurn = 0.3
-	lastTurn  = 0.73
+	firstTurn       = 0.3
+	turnMargin      = 1200 * time.Millisecond
+	turnMarginShare = 0.15
 )
 
+// lastTurn is how long after its naming a version's last turn is.
+func lastTurn(deadline time.Duration) time.Duration {
+	return deadline - min(turnMargin, time.Duration(turnMarginShare*float64(deadline)))
+}
+
 // Times of a change of version.
 const (
 	// drainTime is how long an engine works on without new requests before
@@ -40,8 +51,8 @@
 	// changeTime is a drain with the taking of the version.
 	changeTime = drainTime + 400*time.Millisecond
 	// dueMargin is how long before a version's deadline gateways send nothing
-	// more to engines with older ones, and dueShare its largest part of the
-	// deadline.
+	// more to engines with older ones that promise no turn, and dueShare its
+	// largest part of the deadline.
 	dueMargin = 1900 * time.Millisecond
 	dueShare  = 0.25
 )
@@ -61,6 +72,7 @@
 func (i *Installer) starts(ctx context.Context) {
 	for ctx.Err() == nil {
 		s, change := i.nextStart(time.Now())
+		i.promise(s)
 		wait := keepEvery
 		if s != nil {
 			wait = time.Until(s.at)
@@ -110,8 +122,8 @@
 		s.drain = firstDrain
 	}
 	overdue := i.overdue()
-	if due := i.due(overdue); !due.IsZero() && !now.Before(due) {
-		s.drain = 0 // gateways have sent nothing since
+	if due := i.due(overdue); !due.IsZero() && !now.Before(due) && !r.wholeAt.Before(due) {
+		s.drain = 0 // no turn was promised, and gateways have sent nothing since
 		return s
 	}
 	if !s.empty && !overdue.named.IsZero() {
@@ -156,7 +168,7 @@
 // that began at named.
 func (i *Installer) turnOf(r *replica, named time.Time, share float64) time.Time {
 	first := named.Add(time.Duration(firstTurn * float64(i.params.Deadline)))
-	last := named.Add(time.Duration(lastTurn * float64(i.params.Deadline)))
+	last := named.Add(lastTurn(i.params.Deadline))
 	if r.wholeAt.After(first) {
 		first = r.wholeAt
 	}
@@ -178,7 +190,8 @@
 	if t.named.IsZero() || next.named.IsZero() {
 		return true
 	}
-	expected := next.named.Add(time.Duration((firstTurn + (lastTurn-firstTurn)*share) * float64(i.params.Deadline)))
+	first := time.Duration(firstTurn * float64(i.params.Deadline))
+	expected := next.named.Add(first + time.Duration(share*float64(lastTurn(i.params.Deadline)-first)))
 	return expected.Add(changeTime).Before(i.due(t))
 }
 
@@ -222,6 +235,22 @@
 	i.start(ctx, s)
 }
 
+// promise notes that s will be carried out in its turn, or that nothing is
+// promised.
+func (i *Installer) promise(s *step) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.promised = s != nil && !s.empty && s.drain > 0
+}
+
+// Promised reports whether the engine will be drained, and brought to a newer
+// version, in time for that version's deadline.
+func (i *Installer) Promised() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.promised && !i.leaving
+}
+
 // Leaving reports whether nothing new should be sent to the engine, because
 // it is about to take another version.
 func (i *Installer) Leaving() bool {
--- a/internal/linksim/linksim_test.go
+++ b/internal/linksim/linksim_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -94,3 +95,22 @@
 		})
 	}
 }
+
+// TestRegionsAtSize spreads a version of few chunks over boxes in five regions
+// that send three chunks at once, as on boxes with narrow links. The last box
+// has it in 1.7 times the time of its own link, the origin sends one copy, and
+// each chunk crosses to each other region once.
+func TestRegionsAtSize(t *testing.T) {
+	const regions, atOnce = 5, 3
+	for _, n := range []int{120, 288} {
+		r := Run(Config{
+			Boxes: n, Chunks: 64, Regions: regions, Zones: regions, Window: 5 * time.Second, OriginRegions: 1,
+			InZone: time.Millisecond, InRegion: time.Millisecond, CrossRegion: 2 * time.Millisecond,
+			Downloads: atOnce, Slots: atOnce, Waiting: atOnce, Seed: 1,
+		})
+		assert.Assert(t, r.Half <= 1.55, "%d boxes: half after %.2f T*", n, r.Half)
+		assert.Assert(t, r.All <= 1.7, "%d boxes: all after %.2f T*", n, r.All)
+		assert.Assert(t, r.OriginCopies <= 1.1, "%d boxes: %.2f copies", n, r.OriginCopies)
+		assert.Assert(t, r.CrossCopies <= 1.05*(regions-1), "%d boxes: %.2f copies between regions", n, r.CrossCopies)
+	}
+}
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -247,6 +247,16 @@
 	return slices.Contains(s.params.OriginRegions, s.self.Region)
 }
 
+// Continue takes over the times of an earlier swarm of the same copy: turns go
+// on where they stood, and a wait that has begun is not begun anew.
+func (s *Swarm) Continue(earlier *Swarm) {
+	s.start = earlier.start
+	s.lastNew = earlier.lastNew
+	s.stalled = earlier.stalled
+	s.originRetry = earlier.originRetry
+	s.chunkTime = earlier.chunkTime
+}
+
 // addTurns computes the chunks for which this box has one of the first
 // ranks in its region.
 func (s *Swarm) addTurns(o *Order) {
--- a/transfer/swarm_test.go
+++ b/transfer/swarm_test.go
@@ -379,3 +379,29 @@
 	assert.Equal(t, asked((*Swarm).Unreachable), 2)
 	assert.Assert(t, asked((*Swarm).Broken) >= 4)
 }
+
+// TestContinuedSwarmKeepsItsTurns reads what is due at once after the list has
+// been read again, and does not let later ranks read it, too, after a
+// standstill.
+func TestContinuedSwarmKeepsItsTurns(t *testing.T) {
+	p := params(8, 64)
+	p.Patient, p.Quiet = true, 400*time.Millisecond
+	o := NewOrder(p)
+	const outage = 6 * time.Second
+	begun := swarm(p, "b0")
+	now := epoch.Add(outage)
+	s := NewSwarm(p, o, "b0", begun.held, now)
+	s.Continue(begun)
+	read := make(map[int]bool)
+	for {
+		next := s.Next(now)
+		if next.Kind != FromOrigin {
+			break
+		}
+		read[next.Chunk] = true
+		s.Arrived(next, Knowledge{}, time.Millisecond, now)
+	}
+	for c, ranked := range o.first["A"] {
+		assert.Equal(t, read[c], ranked[0] == "b0", "chunk %d", c)
+	}
+}
