--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -22,7 +22,7 @@
 // Internal ports of our processes, counted from the first of the settings.
 const (
 	portSidecars  = 0 // TCP: between sidecars
-	portLists     = 0 // TCP: sidecars ask a gateway for the list of endpoints
+	portRelay     = 0 // TCP: what a gateway has read from the store
 	portPublish   = 1 // UDP: subscriptions at a sidecar
 	portSubscribe = 2 // UDP: reports to a gateway
 	portMetrics   = 3 // TCP: metrics
--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,9 +15,9 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/loadreport"
-	"github.com/mintlift/mintlift/peerlist"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/routing"
+	"github.com/mintlift/mintlift/storerelay"
 )
 
 // gatewayView gives what the store tells to a gateway.
@@ -32,8 +33,17 @@
 
 // gatewayWait is how long one read of the operator's records waits. A record
 // whose notice is lost is found after it at the latest, where no other gateway
-// has read it.
-const gatewayWait = 4 * time.Second
+// has read it. A gateway that others follow waits relayWait: what they have is
+// as old as its last read.
+const (
+	gatewayWait = 4 * time.Second
+	relayWait   = time.Second
+	// relayMaxAge is how long ago the store may have confirmed the records of a
+	// gateway that is followed: a read, and its answer late by half a second.
+	relayMaxAge = relayWait + 500*time.Millisecond
+	// followedFor is how long a gateway counts as followed that was asked.
+	followedFor = 3 * time.Second
+)
 
 // confirmedFor is how long a configuration counts as the newest after the
 // store said so: a read that waits takes gatewayWait, and a lost answer to it
@@ -86,7 +96,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	lists, err := net.Listen("tcp4", s.Internal(s.IP, portLists))
+	relays, err := net.Listen("tcp4", s.Internal(s.IP, portRelay))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -99,12 +109,14 @@
 	probes.HandleFunc("/ready", server.ServeReady)
 	go func() { _ = callers.Serve(front) }()
 	go func() { _ = http.Serve(ready, probes) }()
-	go func() { _ = http.Serve(lists, peerlist.Handler(server)) }()
+	operator := &operatorRecords{watcher: p.watcher}
+	go func() { _ = http.Serve(relays, storerelay.Handler(server, operator)) }()
 	p.serveMetrics()
 
 	view := gatewayView{server}
-	go p.watcher.WatchOperator(ctx, view, gatewayWait)
-	follower := peerlist.NewFollower(s.IP, func(ip string) string { return s.Internal(ip, portLists) }, server, p.events)
+	readers := storerelay.NewReaders(s.IP, func(ip string) string { return s.Internal(ip, portRelay) }, p.events)
+	go p.watcher.WatchOperator(ctx, view, relay(storerelay.NewRecordFollower(readers, relayMaxAge, p.events)), operator.wait)
+	follower := storerelay.NewFollower(readers, server, p.events)
 	go p.watchEndpoints(ctx, server, follower)
 	told := func() []loadreport.Audience {
 		return audiences(s, server, p.watcher.Progress().Offset, time.Now())
@@ -116,7 +128,7 @@
 		}
 		now := time.Now()
 		p.watcher.OthersRead(e.Read, now)
-		follower.Readers(e.Readers, now)
+		readers.Heard(e.Readers, now)
 		server.Heard(r, e.RoundTrip)
 	}
 	go subscriber.Run(ctx, told, server.TellSoon(), heard)
@@ -128,6 +140,47 @@
 	return func(ending context.Context) { stopGateway(ending, p, server, front) }, nil
 }
 
+// operatorRecords gives what a watcher has read to other gateways.
+type operatorRecords struct {
+	watcher *platform.Watcher
+	// asked is when another gateway asked last, in Unix milliseconds.
+	asked atomic.Int64
+}
+
+// wait is how long a read of the store waits.
+func (o *operatorRecords) wait() time.Duration {
+	if time.Since(time.UnixMilli(o.asked.Load())) < followedFor {
+		return relayWait
+	}
+	return gatewayWait
+}
+
+// Since implements storerelay.RecordSource.
+func (o *operatorRecords) Since(offset int64) (storerelay.Records, bool) {
+	o.asked.Store(time.Now().UnixMilli())
+	records, progress, changed, known := o.watcher.Since(offset)
+	out := storerelay.Records{Next: progress.Offset, Confirmed: progress.Confirmed, Behind: progress.Behind, Changed: changed}
+	for _, r := range records {
+		out.Newest = append(out.Newest, storerelay.Record(r))
+	}
+	return out, known
+}
+
+// relay gives what another gateway has read to a watcher.
+func relay(f *storerelay.RecordFollower) platform.Relay {
+	return func(ctx context.Context, offset int64) *platform.Relayed {
+		got, ok := f.Since(ctx, offset)
+		if !ok {
+			return nil
+		}
+		out := &platform.Relayed{Next: got.Next, Confirmed: got.Confirmed}
+		for _, r := range got.Newest {
+			out.Records = append(out.Records, platform.Record(r))
+		}
+		return out
+	}
+}
+
 // audiences are the sidecars of each service of engines, and what they are
 // told; read is how far the operator's records have been read.
 func audiences(s *platform.Settings, server *ingress.Server, read int64, now time.Time) []loadreport.Audience {
@@ -176,7 +229,7 @@
 
 // watchEndpoints reads the list once the configuration, which says how many
 // layers a model has, is known.
-func (p *platformProcess) watchEndpoints(ctx context.Context, server *ingress.Server, follower *peerlist.Follower) {
+func (p *platformProcess) watchEndpoints(ctx context.Context, server *ingress.Server, follower *storerelay.Follower) {
 	const look = 20 * time.Millisecond
 	for server.Configuration() == nil {
 		select {
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -16,9 +16,9 @@
 	"github.com/mintlift/mintlift/installer"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/loadreport"
-	"github.com/mintlift/mintlift/peerlist"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/routing"
+	"github.com/mintlift/mintlift/storerelay"
 )
 
 // sidecarView gives what the store or a gateway tells to a sidecar.
@@ -110,10 +110,10 @@
 
 // peers returns the sidecars of the service as a gateway lists them, or the
 // store if no gateway answers.
-func (v *sidecarView) peers(ctx context.Context, p *platformProcess, lists *peerlist.Client, publisher *loadreport.Publisher) ([]installer.Peer, error) {
+func (v *sidecarView) peers(ctx context.Context, p *platformProcess, lists *storerelay.Client, publisher *loadreport.Publisher) ([]installer.Peer, error) {
 	gateways := publisher.Gateways(v.settings.Region, gatewaysAsked, time.Now())
 	for at, ip := range gateways {
-		gateways[at] = v.settings.Internal(ip, portLists)
+		gateways[at] = v.settings.Internal(ip, portRelay)
 	}
 	list, err := lists.Service(ctx, gateways, v.settings.Service)
 	if err != nil {
@@ -137,12 +137,12 @@
 }
 
 // storedList reads the list from the store.
-func (v *sidecarView) storedList(ctx context.Context, w *platform.Watcher) ([]peerlist.Endpoint, error) {
+func (v *sidecarView) storedList(ctx context.Context, w *platform.Watcher) ([]storerelay.Endpoint, error) {
 	list, err := w.List(ctx, v.layers)
 	if err != nil {
 		return nil, err
 	}
-	return peerlist.Of(list, v.settings.Service), nil
+	return storerelay.Of(list, v.settings.Service), nil
 }
 
 const (
@@ -204,7 +204,7 @@
 	if err != nil {
 		return nil, err
 	}
-	lists := peerlist.NewClient()
+	lists := storerelay.NewClient()
 	view.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone, LinkRate: s.LinkRate()}, engine, origin,
 		func(ctx context.Context) ([]installer.Peer, error) { return view.peers(ctx, p, lists, publisher) }, p.events, p.metrics)
 	go publisher.Run(view.told)
--- a/peerlist/follow.go
+++ b/storerelay/follow.go
@@ -1,20 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package peerlist
+package storerelay
 
 import (
 	"context"
 	"net/http"
 	"net/url"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/ingress"
-	"github.com/mintlift/mintlift/loadreport"
 )
 
 // Timing of following another gateway.
@@ -26,11 +23,6 @@
 	// Beyond it the follower reads the store itself, so that it is never much
 	// further behind than one that always does.
 	maxAge = 1300 * time.Millisecond
-	// avoidFor is how long a gateway is not asked that did not answer.
-	avoidFor = 2 * time.Second
-	// readersLife is how long what sidecars tell of the gateways that read
-	// counts.
-	readersLife = 2 * time.Second
 )
 
 // shared is the list as one gateway tells it to another.
@@ -84,70 +76,23 @@
 // Follower takes the list from a gateway of the region that reads it for the
 // others.
 type Follower struct {
-	// own is this gateway's IP number; address gives another's IP:PORT.
-	own     string
-	address func(ip string) string
-	client  *Client
+	readers *Readers
 	target  Target
 	log     logr.Logger
-
 	// had is the state that was taken last, and from the IP number of the
 	// gateway that told it, or empty.
 	had, from string
-	// avoid are gateways that did not answer, until when.
-	avoid map[string]time.Time
-
-	mu    sync.Mutex
-	heard map[string]time.Time // gateways that sidecars name as readers
-}
-
-// NewFollower returns a follower for the gateway with the IP number own;
-// address gives the IP:PORT of another's Handler.
-func NewFollower(own string, address func(ip string) string, target Target, log logr.Logger) *Follower {
-	return &Follower{
-		own: own, address: address, client: NewClient(), target: target, log: log,
-		avoid: make(map[string]time.Time), heard: make(map[string]time.Time),
-	}
-}
-
-// Readers notes which gateways a sidecar takes for the first of the region. A
-// sidecar that few gateways watch names others than most do; the first of all
-// that are named count.
-func (f *Follower) Readers(ips []string, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, ip := range ips {
-		f.heard[ip] = now
-	}
 }
 
-// readers are the gateways to follow now; none if this one is among the first
-// itself.
-func (f *Follower) readers(now time.Time) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var all []string
-	for ip, at := range f.heard {
-		if now.Sub(at) > readersLife {
-			delete(f.heard, ip)
-			continue
-		}
-		all = append(all, ip)
-	}
-	first := loadreport.FirstReaders(all)
-	if slices.Contains(first, f.own) {
-		return nil
-	}
-	return first
+// NewFollower returns a follower of readers that hands on to target.
+func NewFollower(readers *Readers, target Target, log logr.Logger) *Follower {
+	return &Follower{readers: readers, target: target, log: log}
 }
 
 // Follow asks a gateway for the list, and waits there for a change. It
 // returns false if this gateway must read the store itself.
 func (f *Follower) Follow(ctx context.Context) bool {
-	for _, ip := range f.readers(time.Now()) {
-		if time.Now().Before(f.avoid[ip]) {
-			continue
-		}
+	for _, ip := range f.readers.follow(time.Now()) {
 		if f.ask(ctx, ip) {
 			return true
 		}
@@ -162,15 +107,12 @@
 // ask takes the list from the gateway ip.
 func (f *Follower) ask(ctx context.Context, ip string) bool {
 	var got shared
-	err := f.client.get(ctx, f.address(ip), pathList, url.Values{"had": {f.had}}, hold+callTimeout, &got)
-	if err != nil {
-		f.avoid[ip] = time.Now().Add(avoidFor)
-		f.log.Info("list not had from a gateway", "gateway", ip, "error", err.Error())
+	if !f.readers.ask(ctx, ip, pathList, url.Values{"had": {f.had}}, &got) {
 		return false
 	}
 	age := time.Duration(got.AgeMS) * time.Millisecond
 	if age >= maxAge {
-		f.avoid[ip] = time.Now().Add(maxAge)
+		f.readers.leave(ip, time.Now().Add(maxAge))
 		f.log.Info("list of a gateway too old", "gateway", ip, "age_ms", got.AgeMS)
 		return false
 	}
--- a/peerlist/peerlist.go
+++ b/storerelay/list.go
@@ -1,14 +1,18 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package peerlist carries the list of endpoints from the gateways that read
-// it from the store to the other processes of their region.
+// Package storerelay lets the processes of a region share what two of its
+// gateways read from the store: the list of endpoints, and the operator's
+// records.
 //
 // A sidecar needs the list when a version is named, and so do all others at
 // the same moment: read from the store, some hundred lists would cross the
 // links between regions just when the version must. A gateway needs each
-// change within a second; read by each of fifty, the list would be most of
-// what the store is asked for.
-package peerlist
+// change within a second; read by each of fifty, list and configurations would
+// be most of what the store is asked for, and a series of large configurations
+// would fill the links for seconds.
+//
+// Who does not get an answer, or one that is too old, reads the store itself.
+package storerelay
 
 import (
 	"context"
@@ -25,10 +29,12 @@
 	"github.com/mintlift/mintlift/ingress"
 )
 
-// Paths of the endpoints of the service in the query, and of the whole list.
+// Paths of the endpoints of the service in the query, of the whole list, and
+// of the operator's records.
 const (
 	pathService = "/endpoints"
 	pathList    = "/list"
+	pathRecords = "/records"
 )
 
 // Bounds of a call.
@@ -53,8 +59,8 @@
 	List() (ingress.List, bool)
 }
 
-// Handler serves the list of source.
-func Handler(source Source) http.Handler {
+// Handler serves the list and the operator's records.
+func Handler(source Source, operator RecordSource) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathService, func(w http.ResponseWriter, r *http.Request) {
 		list, known := source.List()
@@ -65,6 +71,7 @@
 		answer(w, Of(list.Records, r.URL.Query().Get("service")))
 	})
 	mux.HandleFunc("GET "+pathList, func(w http.ResponseWriter, r *http.Request) { serveList(w, r, source) })
+	mux.HandleFunc("GET "+pathRecords, func(w http.ResponseWriter, r *http.Request) { serveRecords(w, r, operator) })
 	return mux
 }
 
--- a/peerlist/peerlist_test.go
+++ b/storerelay/list_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package peerlist
+package storerelay
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 		server.SetEndpoints(records)
 		server.Listed(time.Now())
 	}
-	s := httptest.NewServer(Handler(server))
+	s := httptest.NewServer(Handler(server, &log{}))
 	t.Cleanup(s.Close)
 	return server, strings.TrimPrefix(s.URL, "http://")
 }
@@ -61,6 +61,12 @@
 	assert.ErrorContains(t, err, "not found")
 }
 
+// follower follows the gateway at address.
+func follower(address string, list *taken) (*Readers, *Follower) {
+	readers := NewReaders("self", func(string) string { return address }, logr.Discard())
+	return readers, NewFollower(readers, list, logr.Discard())
+}
+
 // taken collects what a follower hands on.
 type taken struct {
 	mu    sync.Mutex
@@ -97,9 +103,9 @@
 func TestFollowerHearsOfChangesAtOnce(t *testing.T) {
 	leader, address := gateway(t, records)
 	var list taken
-	f := NewFollower("self", func(string) string { return address }, &list, logr.Discard())
+	readers, f := follower(address, &list)
 	assert.Assert(t, !f.Follow(context.Background()), "nobody is known to read")
-	f.Readers([]string{"leader"}, time.Now())
+	readers.Heard([]string{"leader"}, time.Now())
 	assert.Assert(t, f.Follow(context.Background()))
 	assert.DeepEqual(t, list.last(), map[string]bool{"a": false, "b": true, "c": false})
 	changed := make(chan time.Time, 1)
@@ -125,8 +131,8 @@
 func TestFollowerDoesNotTrustAnOldList(t *testing.T) {
 	leader, address := gateway(t, records)
 	var list taken
-	f := NewFollower("self", func(string) string { return address }, &list, logr.Discard())
-	f.Readers([]string{"leader"}, time.Now())
+	readers, f := follower(address, &list)
+	readers.Heard([]string{"leader"}, time.Now())
 	leader.Listed(time.Now().Add(-maxAge + 100*time.Millisecond))
 	assert.Assert(t, f.Follow(context.Background()))
 	began := time.Now()
@@ -135,8 +141,8 @@
 	assert.Assert(t, !f.Follow(context.Background()), "it is left alone for a while")
 
 	_, empty := gateway(t, nil)
-	f = NewFollower("self", func(string) string { return empty }, &list, logr.Discard())
-	f.Readers([]string{"leader"}, time.Now())
+	readers, f = follower(empty, &list)
+	readers.Heard([]string{"leader"}, time.Now())
 	assert.Assert(t, !f.Follow(context.Background()), "it knows no list")
 }
 
@@ -148,14 +154,14 @@
 	now := time.Now()
 	reading := 0
 	for _, own := range all {
-		f := NewFollower(own, nil, nil, logr.Discard())
-		f.Readers([]string{all[2], all[4]}, now)
-		f.Readers([]string{all[0], all[1]}, now)
-		f.Readers([]string{all[3]}, now)
-		if f.readers(now) == nil {
+		r := NewReaders(own, nil, logr.Discard())
+		r.Heard([]string{all[2], all[4]}, now)
+		r.Heard([]string{all[0], all[1]}, now)
+		r.Heard([]string{all[3]}, now)
+		if r.follow(now) == nil {
 			reading++
 		}
-		assert.Assert(t, len(f.readers(now.Add(readersLife+time.Millisecond))) == 0)
+		assert.Assert(t, len(r.follow(now.Add(readersLife+time.Millisecond))) == 0)
 	}
 	assert.Equal(t, reading, 2)
 }
--- /dev/null
+++ b/storerelay/readers.go
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package storerelay
+
+import (
+	"context"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/mintlift/mintlift/loadreport"
+)
+
+const (
+	// avoidFor is how long a gateway is not asked that did not answer.
+	avoidFor = 2 * time.Second
+	// readersLife is how long what sidecars tell of the gateways that read
+	// counts.
+	readersLife = 2 * time.Second
+)
+
+// Readers are the gateways of a region that read the store for the others, as
+// one of these sees them. It is safe for concurrent use.
+type Readers struct {
+	// own is this gateway's IP number; address gives another's IP:PORT.
+	own     string
+	address func(ip string) string
+	client  *Client
+	log     logr.Logger
+
+	mu    sync.Mutex
+	heard map[string]time.Time // gateways that sidecars name, and when
+	avoid map[string]time.Time // gateways that did not answer, until when
+}
+
+// NewReaders returns the readers as the gateway with the IP number own sees
+// them; address gives the IP:PORT of another's Handler.
+func NewReaders(own string, address func(ip string) string, log logr.Logger) *Readers {
+	return &Readers{
+		own: own, address: address, client: NewClient(), log: log,
+		heard: make(map[string]time.Time), avoid: make(map[string]time.Time),
+	}
+}
+
+// Heard notes which gateways a sidecar takes for the first of the region. A
+// sidecar that few gateways watch names others than most do; the first of all
+// that are named count.
+func (r *Readers) Heard(ips []string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, ip := range ips {
+		r.heard[ip] = now
+	}
+}
+
+// follow returns the gateways to ask now; none if this one is among the first
+// itself.
+func (r *Readers) follow(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []string
+	for ip, at := range r.heard {
+		if now.Sub(at) > readersLife {
+			delete(r.heard, ip)
+			continue
+		}
+		all = append(all, ip)
+	}
+	first := loadreport.FirstReaders(all)
+	if slices.Contains(first, r.own) {
+		return nil
+	}
+	return slices.DeleteFunc(first, func(ip string) bool { return now.Before(r.avoid[ip]) })
+}
+
+// leave keeps a gateway from being asked until a time.
+func (r *Readers) leave(ip string, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoid[ip] = until
+}
+
+// ask decodes a gateway's answer, which may take hold, into out.
+func (r *Readers) ask(ctx context.Context, ip, path string, query url.Values, out any) bool {
+	err := r.client.get(ctx, r.address(ip), path, query, hold+callTimeout, out)
+	if err != nil && ctx.Err() == nil {
+		r.leave(ip, time.Now().Add(avoidFor))
+		r.log.Info("gateway did not tell", "gateway", ip, "path", path, "error", err.Error())
+	}
+	return err == nil
+}
