--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -521,7 +521,9 @@
 // lastResort fetches what has been seen at some peer but cannot be had any
 // more, because the peers that held it died. When nothing new has come for
 // a while, the first in the chunk's order among the peers that still answer
-// goes, and each further one waits another TakeOver.
+// goes, and each further one waits another TakeOver. In a Patient plan what
+// nobody has seen is left to the boxes of its order for as long as these have
+// turns: they wait for a sender that is away, and one copy is enough.
 func (s *Swarm) lastResort(now time.Time) (Pull, bool) {
 	quiet := now.Sub(s.lastNew)
 	if s.readsOrigin() && now.Before(s.originRetry) {
@@ -537,6 +539,9 @@
 			continue
 		}
 		rank := rankAmong(int(c), s.self.Box, living)
+		if s.params.Patient && !s.exists.Test(c) {
+			rank += orderRanks // the boxes of its order come first
+		}
 		if quiet >= s.params.Quiet+time.Duration(rank)*s.params.TakeOver {
 			return s.first(int(c), since)
 		}
--- a/transfer/swarm_test.go
+++ b/transfer/swarm_test.go
@@ -405,3 +405,38 @@
 		assert.Equal(t, read[c], ranked[0] == "b0", "chunk %d", c)
 	}
 }
+
+// TestOneBoxCrossesForAChunkAfterAStandstill lets the origin be away for
+// seconds: then each chunk that nobody in the region has seen is still asked
+// for across the border by the first box of its order alone. If all waited
+// there, all would get it at once when it comes, over the same narrow link.
+func TestOneBoxCrossesForAChunkAfterAStandstill(t *testing.T) {
+	p := params(24, 32)
+	p.Patient, p.Quiet = true, 400*time.Millisecond
+	o := NewOrder(p)
+	const outage = 6 * time.Second
+	asking := make(map[int]int)
+	for _, peer := range p.Peers {
+		if peer.Region != "B" {
+			continue
+		}
+		s := NewSwarm(p, o, peer.Box, bitset.New(uint(p.Chunks)), epoch)
+		asked := make(map[int]bool)
+		for at := time.Duration(0); at < outage; at += 20 * time.Millisecond {
+			now := epoch.Add(at)
+			for pull := s.Next(now); pull.Kind != None; pull = s.Next(now) {
+				if pull.Kind == FromFar {
+					asked[pull.Chunk] = true
+				}
+				s.Nothing(pull, Knowledge{}, now)
+			}
+		}
+		for c := range asked {
+			asking[c]++
+		}
+	}
+	assert.Assert(t, len(asking) > 0)
+	for c, boxes := range asking {
+		assert.Equal(t, boxes, 1, "boxes ask for chunk %d", c)
+	}
+}
