--- a/transfer/swarm_test.go
+++ b/transfer/swarm_test.go
@@ -406,29 +406,49 @@
 	}
 }
 
-// TestOneCopyCrossesAfterAStandstill lets the far sender be away for seconds
-// and then have everything: a box of a later rank leaves each chunk to the first
-// one for a TakeOver after all could have come, and crosses for none meanwhile.
+// TestOneCopyCrossesAfterAStandstill lets the far sender go away amid a
+// transfer and come back seconds later, when chunks come one by one. A box of a
+// later rank leaves each chunk to the first one until all that was lacking
+// could have come, and a TakeOver longer.
 func TestOneCopyCrossesAfterAStandstill(t *testing.T) {
-	p := params(24, 64)
+	const (
+		chunks = 64
+		had    = 20 // chunks that came before the sender went
+		away   = 700 * time.Millisecond
+		back   = 6 * time.Second
+		every  = 40 * time.Millisecond // a chunk comes from a peer
+	)
+	p := params(24, chunks)
 	p.Patient, p.Quiet = true, 400*time.Millisecond
 	o := NewOrder(p)
-	const outage = 6 * time.Second
+	until := back + (chunks-had)*p.ChunkTurn + p.TakeOver
 	for _, peer := range p.Peers {
 		if peer.Region != "B" {
 			continue
 		}
-		s := NewSwarm(p, o, peer.Box, bitset.New(uint(p.Chunks)), epoch)
-		back := epoch.Add(outage)
-		all := time.Duration(p.Chunks) * p.ChunkTurn
-		for at := time.Duration(0); at < outage+all+p.TakeOver/2; at += 20 * time.Millisecond {
+		s := NewSwarm(p, o, peer.Box, bitset.New(chunks), epoch)
+		come := func(chunk int, now time.Time) {
+			s.begin(chunk)
+			s.Arrived(Pull{Kind: FromPeer, Chunk: chunk}, Knowledge{}, time.Millisecond, now)
+		}
+		for c := range had {
+			come(c, epoch.Add(time.Duration(c)*away/had))
+		}
+		next := had
+		for at := away; at < until; at += every {
 			now := epoch.Add(at)
+			if at >= back && next < chunks {
+				if o.first["B"][next][0] != peer.Box {
+					come(next, now)
+				}
+				next++
+			}
 			for pull := s.Next(now); pull.Kind != None; pull = s.Next(now) {
 				if pull.Kind == FromFar {
 					rank := slices.Index(o.first["B"][pull.Chunk], peer.Box)
 					assert.Equal(t, rank, 0, "%s asks for chunk %d after %s", peer.Box, pull.Chunk, at)
 				}
-				if pull.Kind == FromFar && !now.Before(back) {
+				if pull.Kind == FromFar && at >= back {
 					s.Arrived(pull, Knowledge{}, time.Millisecond, now)
 					continue
 				}
