callers that left, connections that went silent, and a ready gateway that takes connections

Change: the caller's connection is looked at before each send; one dialer and listener with probes and an unacknowledged-bytes bound (internal/tcpconn); an idempotent plain attempt ends after half of the time left, if the budget allows another; connections resting beside a silent one are forgotten; a gateway that cannot accept gives up resting connections and is not ready.

--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/ingress"
+	"github.com/mintlift/mintlift/internal/tcpconn"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/routing"
@@ -73,7 +74,7 @@
 		VersionDeadline: s.VersionDeadline(),
 		Current:         func() bool { return current(p.watcher.Progress(), time.Now()) },
 	}, p.requests, p.events, p.metrics)
-	front, err := net.Listen("tcp4", s.Listen.Front)
+	front, err := tcpconn.Listen(ctx, s.Listen.Front, tcpconn.ProbeLater)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -89,10 +90,13 @@
 	if err != nil {
 		return nil, err
 	}
-	callers := &http.Server{Handler: server, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes}
+	callers := &http.Server{
+		Handler: server, ConnContext: ingress.ConnContext,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes,
+	}
 	probes := http.NewServeMux()
 	probes.HandleFunc("/ready", server.ServeReady)
-	go func() { _ = callers.Serve(front) }()
+	go func() { _ = callers.Serve(server.Accepting(front)) }()
 	go func() { _ = http.Serve(ready, probes) }()
 	operator := &operatorRecords{watcher: p.watcher}
 	go func() { _ = http.Serve(relays, storerelay.Handler(server, operator)) }()
--- /dev/null
+++ b/ingress/accept.go
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ingress
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// acceptPause is how long a gateway calls itself unready after it could not
+// take a connection: as long as the platform needs for its two misses, so that
+// new callers go elsewhere until there are descriptors again.
+const acceptPause = 2500 * time.Millisecond
+
+// accepts is whether callers' connections can be taken.
+type accepts struct {
+	// failed is when one could not be taken last, in Unix nanoseconds.
+	failed atomic.Int64
+}
+
+func (a *accepts) failing(now time.Time) bool {
+	return now.UnixNano()-a.failed.Load() < int64(acceptPause)
+}
+
+// Accepting watches the listener for callers: a gateway that cannot take a
+// connection, for want of descriptors, gives up the connections to endpoints
+// that rest, and calls itself unready.
+func (s *Server) Accepting(l net.Listener) net.Listener {
+	return &watchedListener{Listener: l, server: s}
+}
+
+type watchedListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l *watchedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		l.server.accepts.failed.Store(time.Now().UnixNano())
+		l.server.pool.ForgetAll()
+		l.server.events.Error(err, "connection of a caller not taken")
+	}
+	return c, err
+}
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -57,6 +57,7 @@
 	attempts  int             // sent to an endpoint
 	tried     map[string]bool // ids of endpoints
 	mayRun    bool            // an endpoint may have run, or may yet run it
+	granted   bool            // one more attempt is allowed already
 	lastCause string
 }
 
@@ -261,7 +262,7 @@
 		Header:  h,
 		Body:    x.body,
 		Fresh:   !x.route.Idempotent(),
-		Proceed: func() bool { return x.server.mayStill(x, e) },
+		Proceed: func() bool { return !x.callerLeft() && x.server.mayStill(x, e) },
 		Accept: func(answer http.Header) bool {
 			id := answer.Get(names.RequestID)
 			return id == x.id
@@ -308,6 +309,22 @@
 
 // mayRepeat asks for one more attempt after one that reached an endpoint.
 func (x *exchange) mayRepeat(now time.Time) bool {
+	if x.granted {
+		x.granted = false
+		return true
+	}
+	return x.askRepeat(now)
+}
+
+// grantRepeat asks for the attempt that follows one in progress, and keeps it
+// for mayRepeat: an attempt is broken off only if another may be made. It is
+// called beside the attempt, which ends before anything else is asked.
+func (x *exchange) grantRepeat(now time.Time) bool {
+	x.granted = x.askRepeat(now)
+	return x.granted
+}
+
+func (x *exchange) askRepeat(now time.Time) bool {
 	if x.attempts >= max(x.route.MaxAttempts, 1) || now.After(x.end) {
 		return false
 	}
@@ -422,7 +439,7 @@
 // giveUp answers a request for which no attempt brought an answer.
 func (x *exchange) giveUp(ctx context.Context) {
 	switch {
-	case x.request.Context().Err() != nil:
+	case x.callerLeft():
 		x.close(outcomeLeft, "caller left", 0)
 		panic(http.ErrAbortHandler)
 	case !x.mayRun:
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -68,6 +68,7 @@
 	closed   atomic.Bool
 	inFlight atomic.Int64
 	tellSoon chan struct{} // holds one
+	accepts  accepts
 
 	mu        sync.Mutex
 	fleet     *fleet.Fleet
@@ -321,7 +322,7 @@
 
 // Ready reports whether the gateway can serve new connections.
 func (s *Server) Ready() bool {
-	if s.stopping.Load() || s.routes.Get() == nil {
+	if s.stopping.Load() || s.routes.Get() == nil || s.accepts.failing(time.Now()) {
 		return false
 	}
 	s.mu.Lock()
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -18,6 +18,14 @@
 // maxAnswer bounds an answer that is held until it is whole.
 const maxAnswer = 8 << 20
 
+// errSilent ends an attempt whose endpoint has been silent for too long.
+const errSilent = errors.ConstError("the endpoint has fallen silent")
+
+// attemptShare is the part of the time left that an attempt may take while
+// another endpoint could still answer: one that hangs, or whose connection went
+// silent, would else take all of it, and the caller get nothing.
+const attemptShare = 0.5
+
 // errLarge says that an answer is larger than maxAnswer.
 const errLarge = errors.ConstError("the answer is too large")
 
@@ -51,11 +59,11 @@
 		if x.mayRun && !x.route.Idempotent() {
 			break
 		}
-		if ctx.Err() != nil || !x.mayRepeat(time.Now()) {
+		if x.over(ctx) || !x.mayRepeat(time.Now()) {
 			break
 		}
 	}
-	if failure != nil && x.request.Context().Err() == nil {
+	if failure != nil && !x.callerLeft() {
 		x.pass(failure, outcomeFailed)
 		return
 	}
@@ -78,8 +86,38 @@
 	return e
 }
 
+// limitAttempt bounds an attempt that may be repeated elsewhere.
+func (x *exchange) limitAttempt(ctx context.Context) (context.Context, context.CancelFunc) {
+	if !x.route.Idempotent() || x.attempts >= max(x.route.MaxAttempts, 1) {
+		return context.WithCancel(ctx)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	limit := time.Duration(attemptShare * float64(time.Until(x.end)))
+	timer := time.AfterFunc(limit, func() {
+		if x.grantRepeat(time.Now()) {
+			cancel(errSilent)
+		}
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
+// silent takes an attempt whose endpoint fell silent. Its other connections
+// may have done so too.
+func (x *exchange) silent(e *fleet.Endpoint) verdict {
+	x.lastCause = errSilent.Error()
+	x.server.pool.Forget(e.Address)
+	x.finish(e, fleet.Broken)
+	x.server.log.Info("attempt silent", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "begun", x.begun, "ms", time.Since(x.sent).Milliseconds())
+	return spoilt
+}
+
 // attempt sends the request to e and reads the whole answer.
 func (x *exchange) attempt(ctx context.Context, e *fleet.Endpoint) (*reply, verdict) {
+	ctx, cancel := x.limitAttempt(ctx)
+	defer cancel()
 	response, err := x.send(ctx, e, "")
 	if err != nil {
 		return nil, x.broken(ctx, e, err)
@@ -100,6 +138,9 @@
 		return nil, spoilt
 	}
 	body, err := readWhole(response)
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return nil, x.silent(e)
+	}
 	if err != nil {
 		x.lastCause = "answer broke off: " + err.Error()
 		x.server.log.Info("answer broken", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "error", err.Error())
@@ -130,6 +171,9 @@
 
 // broken takes an attempt without an answer.
 func (x *exchange) broken(ctx context.Context, e *fleet.Endpoint, err error) verdict {
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return x.silent(e)
+	}
 	x.lastCause = err.Error()
 	var failure *upstream.Error
 	sent := !errors.As(err, &failure) || failure.Sent
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -27,9 +27,6 @@
 	watchEvery = 300 * time.Millisecond
 )
 
-// errSilent ends an attempt whose endpoint has been silent for too long.
-const errSilent = errors.ConstError("the endpoint has fallen silent")
-
 // errOrder says that an endpoint's events do not follow the last one.
 const errOrder = errors.ConstError("events do not follow")
 
@@ -78,7 +75,7 @@
 		if x.mayRun && !x.route.Idempotent() {
 			break
 		}
-		if ctx.Err() != nil || !x.mayRepeat(time.Now()) {
+		if x.over(ctx) || !x.mayRepeat(time.Now()) {
 			break
 		}
 	}
@@ -89,13 +86,13 @@
 func (t *streaming) end(ctx context.Context, failure *reply) {
 	if t.started {
 		outcome := outcomeBroken
-		if t.request.Context().Err() != nil {
+		if t.callerLeft() {
 			outcome = outcomeLeft
 		}
 		t.ended(outcome, http.StatusOK)
 		panic(http.ErrAbortHandler)
 	}
-	if failure != nil && t.request.Context().Err() == nil {
+	if failure != nil && !t.callerLeft() {
 		t.pass(failure, outcomeFailed)
 		return
 	}
@@ -110,9 +107,6 @@
 	defer watch.stop()
 	response, err := t.send(ctx, e, t.lastSent)
 	if err != nil {
-		if errors.Is(context.Cause(ctx), errSilent) {
-			return nil, t.silent(e)
-		}
 		return nil, t.broken(ctx, e, err)
 	}
 	defer response.Close()
@@ -142,14 +136,6 @@
 	return nil, t.pump(ctx, e, response, watch)
 }
 
-// silent takes an attempt whose endpoint fell silent.
-func (t *streaming) silent(e *fleet.Endpoint) verdict {
-	t.lastCause = errSilent.Error()
-	t.finish(e, fleet.Broken)
-	t.server.log.Info("attempt silent", "request", t.id, "attempt", t.attempts, "endpoint", e.ID, "events", t.events)
-	return spoilt
-}
-
 // pump passes events on until the stream ends.
 func (t *streaming) pump(ctx context.Context, e *fleet.Endpoint, response *upstream.Response, watch *watch) verdict {
 	events := eventstream.NewReader(response.Body)
@@ -261,7 +247,7 @@
 			case <-w.heard:
 				last = time.Now()
 			case now := <-ticker.C:
-				if t.server.fellSilent(e, now.Sub(last), now) {
+				if t.server.fellSilent(e, now.Sub(last), now) && t.grantRepeat(now) {
 					cancel(errSilent)
 					return
 				}
--- a/installer/peers.go
+++ b/installer/peers.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/internal/stall"
+	"github.com/mintlift/mintlift/internal/tcpconn"
 	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/transfer"
 )
@@ -61,7 +61,7 @@
 }
 
 func newPeerClient(down *pacer) *peerClient {
-	dialer := &net.Dialer{Timeout: peerDial, KeepAlive: -1}
+	dialer := tcpconn.Dialer(peerDial, tcpconn.ProbeLater)
 	return &peerClient{down: down, client: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: peerIdle, MaxIdleConnsPerHost: 2, DisableCompression: true,
 	}}}
--- a/storerelay/list.go
+++ b/storerelay/list.go
@@ -18,7 +18,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -27,6 +26,7 @@
 
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/ingress"
+	"github.com/mintlift/mintlift/internal/tcpconn"
 )
 
 // Paths of the endpoints of the service in the query, of the whole list, and
@@ -96,7 +96,7 @@
 
 // NewClient returns a client.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: callTimeout, KeepAlive: -1}
+	dialer := tcpconn.Dialer(callTimeout, tcpconn.ProbeLater)
 	return &Client{client: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}}}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -18,10 +18,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/internal/tcpconn"
 )
 
 // Errors of this package.
@@ -77,9 +78,6 @@
 // freshIdle is how long a connection may have rested for Request.Fresh.
 const freshIdle = 700 * time.Millisecond
 
-// userTimeout bounds how long sent bytes may stay without acknowledgement.
-const userTimeout = 1500 * time.Millisecond
-
 const (
 	readBuffer = 4 << 10
 	// inlineBody is the largest body that is written before the answer is
@@ -94,7 +92,7 @@
 // Pool keeps connections to endpoints. It is safe for concurrent use.
 type Pool struct {
 	options Options
-	dialer  net.Dialer
+	dialer  *net.Dialer
 	mu      sync.Mutex
 	idle    map[string][]*conn
 	opened  uint64
@@ -115,26 +113,12 @@
 func NewPool(o Options) *Pool {
 	p := &Pool{
 		options: o,
+		dialer:  tcpconn.Dialer(o.DialTimeout, tcpconn.ProbeLater),
 		idle:    make(map[string][]*conn),
 	}
-	p.dialer = net.Dialer{
-		Timeout:   o.DialTimeout,
-		KeepAlive: -1,
-		Control:   control,
-	}
 	return p
 }
 
-// tcpUserTimeout is TCP_USER_TIMEOUT of Linux.
-const tcpUserTimeout = 18
-
-func control(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		// Best effort: without it a dead endpoint is found by time-outs.
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout/time.Millisecond))
-	})
-}
-
 // Opened is the number of connections opened so far.
 func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
@@ -163,27 +147,7 @@
 }
 
 // quiet reports whether a resting connection is open and has sent nothing.
-func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	var one [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = e == syscall.EAGAIN
-		return true
-	})
-	return err == nil && quiet
-}
+func (c *conn) quiet() bool { return c.reader.Buffered() == 0 && tcpconn.Quiet(c.Conn) }
 
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	p.mu.Lock()
@@ -216,6 +180,31 @@
 	p.mu.Unlock()
 }
 
+// Forget closes the resting connections to an address: one of its connections
+// went silent, and those that rest would, each, hold up a request for as long.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	resting := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range resting {
+		c.end()
+	}
+}
+
+// ForgetAll closes all resting connections, for the sake of their descriptors.
+func (p *Pool) ForgetAll() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = make(map[string][]*conn)
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			c.end()
+		}
+	}
+}
+
 // Sweep closes connections that have rested too long.
 func (p *Pool) Sweep(now time.Time) {
 	var old []*conn
@@ -320,6 +309,9 @@
 	if err != nil {
 		stop()
 		c.end()
+		if timedOut(err) {
+			p.Forget(address)
+		}
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -329,6 +321,12 @@
 	return r, nil
 }
 
+// timedOut reports whether a connection was found to have gone silent.
+func timedOut(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
+}
+
 func (c *conn) exchange(q *Request) (*Response, error) {
 	written := make(chan error, 1)
 	if len(q.Body) <= inlineBody {
