versions: older ones completed by what is left, overdue ones taken at once, chunks laid as they come

Cause: two versions named 2 s apart, the origin away 0.5 s later: boxes dropped 42 in 100 of the older, and after the return fetched both beside each other (newer served from 31.8 s, origin needed 29.4). After a kill of all processes no gateway knew the version's age: gateways left the older one at once, the sidecars took turns over 9 s (half of the engines 41 s, restart 34.8 s), after 2.9 s in which copies were fetched again.

--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -166,7 +166,7 @@
 func named(server *ingress.Server, model string, now time.Time) []loadreport.Named {
 	var out []loadreport.Named
 	for _, n := range server.Named(model) {
-		told := loadreport.Named{Version: n.Version, AgeMS: loadreport.UnknownAge}
+		told := loadreport.Named{Version: n.Version, AgeMS: loadreport.UnknownAge, Overdue: n.Overdue(now)}
 		if !n.First {
 			told.AgeMS = now.Sub(n.Learned).Milliseconds()
 		}
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -69,15 +69,13 @@
 	if n.Weights != nil {
 		v.apply(*n.Weights)
 	}
-	// A gateway that does not know since when a version is named says no more
-	// than that it is: all would change at once if they took it for overdue.
 	now := time.Now()
 	for _, named := range n.Named {
-		since := named.Since(now)
-		if since.IsZero() {
-			since = now
+		if since := named.Since(now); !since.IsZero() {
+			v.installer.Name(n.Model, named.Version, since)
+			continue
 		}
-		v.installer.Name(n.Model, named.Version, since)
+		v.installer.NameAssumed(n.Model, named.Version, named.Overdue, now)
 	}
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -93,6 +93,9 @@
 	due time.Time
 }
 
+// Overdue reports whether older versions get no requests any more.
+func (n Naming) Overdue(now time.Time) bool { return !now.Before(n.due) }
+
 // New returns a server that knows nothing yet.
 func New(s Settings, log, events logr.Logger, m *telemetry.Metrics) *Server {
 	return &Server{
--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -208,24 +208,19 @@
 	// firstExtra are pulls beyond these of chunks that nobody else has.
 	firstExtra = 1
 	narrow     = 5
-	// olderFirst is for how long after its naming a version leaves the origin
-	// to an older one: what that lacks then is at most 1 - nearlyWhole of a
-	// copy, which the origin sends in less.
-	olderFirst = time.Second
 	busyWait   = 15 * time.Millisecond
 )
 
 // parallel is how many pulls may be under way; Installer.mu is held. While
-// an older version that is nearly whole is completed, the newer one gets a
-// single pull; for the first olderFirst it gets none, so that the origin sends
-// what the older one lacks before anything else.
+// an older version is completed, the newer one gets none until the origin has
+// sent what the older one lacks, and a single one until that has come.
 func (i *Installer) parallel(r *replica, w want, now time.Time) int {
 	for _, t := range i.targets {
 		if t.version >= w.version || !i.completes(t, now) {
 			continue
 		}
 		older := i.copyOf(t.version)
-		if older.reachable() < len(older.chunks) && now.Sub(i.newest().named) < olderFirst {
+		if older.reachable() < len(older.chunks) {
 			return 0
 		}
 		return 1
@@ -288,6 +283,7 @@
 	case err == nil:
 		swarm.Arrived(p, know, now.Sub(began), now)
 		i.count(r, p)
+		go i.layEarly(r, p.Chunk)
 	case ctx.Err() != nil:
 		swarm.Drop(p) // the copy is whole, or no longer wanted
 	case errors.Is(err, errNothing):
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -10,7 +10,7 @@
 // none waits for another.
 //
 // Installer.mu covers all tables; no call to another process is made while
-// it is held.
+// it is held. Installer.staging is for what lies ready beside the engine.
 package installer
 
 import (
@@ -138,6 +138,9 @@
 	log         logr.Logger
 	metrics     *telemetry.Metrics
 
+	// staging is taken before mu.
+	staging sync.Mutex
+
 	mu      sync.Mutex
 	params  Params
 	targets []target // by version, the newest last
@@ -156,6 +159,8 @@
 type target struct {
 	version int
 	named   time.Time // zero if that is not known
+	// assumed says that named is only when this process heard of it.
+	assumed bool
 }
 
 // keptTargets is how many named versions are remembered.
@@ -209,22 +214,52 @@
 func (i *Installer) Name(model string, version int, named time.Time) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.nameLocked(model, target{version: version, named: named})
+}
+
+// assumedFor is how long a sidecar waits for a gateway that knows a version's
+// age before it believes others that the version is overdue: a gateway that has
+// just started says so amid a rollout, too.
+const assumedFor = 1200 * time.Millisecond
+
+// NameAssumed takes a named version whose age the gateway that tells of it does
+// not know. Overdue says that it has left older versions: it saw the version
+// served, and serves nothing older. Where no gateway knows better, as after all
+// have started anew, the engine then changes at once, since it gets no
+// requests until it has; its turn would come seconds later.
+func (i *Installer) NameAssumed(model string, version int, overdue bool, now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.nameLocked(model, target{version: version, named: now, assumed: true})
+	for at := range i.targets {
+		t := &i.targets[at]
+		if t.version != version || !t.assumed || !overdue || now.Sub(t.named) < assumedFor || now.Sub(t.named) >= i.params.Deadline {
+			continue
+		}
+		t.named = now.Add(-i.params.Deadline)
+		i.log.Info("version overdue", "version", version)
+		i.wakeLocked()
+	}
+}
+
+// nameLocked takes a word of a named version; Installer.mu is held.
+func (i *Installer) nameLocked(model string, word target) {
 	if i.params.Model != "" && model != i.params.Model {
 		return
 	}
 	for at := range i.targets {
-		if t := &i.targets[at]; t.version == version && t.known(named) {
+		if t := &i.targets[at]; t.version == word.version && t.learn(word) {
 			i.wakeLocked()
 		}
 	}
-	if version <= i.newest().version {
+	if word.version <= i.newest().version {
 		return
 	}
-	i.targets = append(i.targets, target{version: version, named: named})
+	i.targets = append(i.targets, word)
 	if len(i.targets) > keptTargets {
 		i.targets = i.targets[1:]
 	}
-	i.log.Info("version named", "model", model, "version", version, "age_unknown", named.IsZero())
+	i.log.Info("version named", "model", model, "version", word.version, "age_unknown", word.named.IsZero() || word.assumed)
 	i.wakeLocked()
 }
 
@@ -232,13 +267,20 @@
 // saying anything: when they heard of it, and the way of their datagrams.
 const earlier = 100 * time.Millisecond
 
-// known takes another word of when the version was named, and reports
-// whether that changes anything.
-func (t *target) known(named time.Time) bool {
-	if named.IsZero() || !t.named.IsZero() && named.After(t.named.Add(-earlier)) {
+// learn takes another word of the same version, and reports whether that
+// changes anything: a known time goes before an assumed one, and the earlier
+// before the later.
+func (t *target) learn(word target) bool {
+	switch {
+	case word.named.IsZero(), word.assumed && !t.named.IsZero():
+		return false
+	case t.assumed:
+		// What was assumed is never earlier than the time itself.
+		t.assumed = false
+	case !t.named.IsZero() && word.named.After(t.named.Add(-earlier)):
 		return false
 	}
-	t.named = named
+	t.named, t.assumed = word.named, word.assumed
 	return true
 }
 
--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -91,17 +91,10 @@
 	only bool
 }
 
-// Shares of an older version's chunks that must be within reach, here or at
-// other sidecars, for it to be fetched to the end beside a newer one: it then
-// costs the origin little, and bridges the time until the newer one is whole.
-const (
-	nearlyWhole = 0.6
-	// underWay is enough once the origin has had the time to send the whole
-	// version: a box far from its readers hears late of what they hold.
-	underWay = 0.2
-	// readSlack is how much longer than its link takes the origin may need.
-	readSlack = 200 * time.Millisecond
-)
+// nearlyWhole is the share of an older version's chunks that must be within
+// reach, here or at other sidecars, for it to be fetched to its end where the
+// ages of the versions are not known.
+const nearlyWhole = 0.6
 
 // wanted returns what is to be fetched now, the older version first.
 func (i *Installer) wanted() ([]want, <-chan struct{}) {
@@ -125,26 +118,6 @@
 	return out, i.change
 }
 
-// completes reports whether t, a version older than the newest, is worth
-// fetching to its end: it is nearly whole, and there is time left in which
-// it may be served. Installer.mu is held.
-func (i *Installer) completes(t target, now time.Time) bool {
-	newest := i.newest()
-	r := i.copyOf(t.version)
-	if t.version >= newest.version || t.version <= i.state.Version || r == nil || r.whole() {
-		return false
-	}
-	if n := i.copyOf(newest.version); n != nil && n.whole() {
-		return false
-	}
-	if due := i.due(newest); !due.IsZero() && !now.Before(due) {
-		return false
-	}
-	share := float64(r.reachable()) / float64(len(r.chunks))
-	sent := !t.named.IsZero() && now.Sub(t.named) >= time.Duration(i.params.Chunks)*chunkTurn(i.params)+readSlack
-	return share >= nearlyWhole || sent && share >= underWay
-}
-
 // whole reports whether all chunks are held; Installer.mu is held.
 func (r *replica) whole() bool { return int(r.held.Count()) == len(r.chunks) }
 
@@ -237,21 +210,3 @@
 		picker:   transfer.NewPicker(len(m.Digests), xxhash.Sum64String(box)),
 	}
 }
-
-// readStage takes the chunks that lie ready and fit.
-func (i *Installer) readStage(ctx context.Context, r *replica) {
-	for n := range r.chunks {
-		data, err := i.engine.Get(ctx, r.manifest.Model, n)
-		if err != nil {
-			return
-		}
-		if r.manifest.Fits(n, data) {
-			r.chunks[n] = data
-			r.held.Set(uint(n))
-			continue
-		}
-		if n == 0 && data != nil {
-			return // another version lies there
-		}
-	}
-}
--- a/installer/start.go
+++ b/installer/start.go
@@ -228,11 +228,11 @@
 		i.drain(ctx, s.drain)
 		defer i.setLeaving(false)
 	}
-	if !i.lay(ctx, s) {
+	if !i.layAndOrder(ctx, s) {
 		clock.Sleep(ctx, retryPause)
 		return
 	}
-	i.start(ctx, s)
+	i.await(ctx, s)
 }
 
 // promise notes that s will be carried out in its turn, or that nothing is
@@ -282,45 +282,14 @@
 	}
 }
 
-// lay makes sure that every chunk lies ready beside the engine and fits.
-func (i *Installer) lay(ctx context.Context, s *step) bool {
-	m := s.copy.manifest
-	for n, data := range s.copy.chunks {
-		lying, err := i.engine.Get(ctx, m.Model, n)
-		if err == nil && m.Fits(n, lying) {
-			continue
-		}
-		if err == nil {
-			err = i.engine.Put(ctx, m.Model, n, data)
-		}
-		if err != nil {
-			i.log.Info("chunk not laid", "version", m.Version, "chunk", n, "error", err.Error())
-			return false
-		}
-	}
-	return true
-}
-
-// start orders the engine to take the version and waits until it has.
-func (i *Installer) start(ctx context.Context, s *step) {
-	m := s.copy.manifest
-	if err := i.engine.Start(ctx, m.Model, m.Version, !s.empty); err != nil {
-		i.log.Info("start refused", "version", m.Version, "error", err.Error())
-		clock.Sleep(ctx, retryPause)
-		return
-	}
-	since := time.Duration(-1)
-	if !s.named.IsZero() {
-		since = time.Since(s.named)
-	}
-	i.log.Info("start ordered", "version", m.Version, "empty", s.empty, "since_named_ms", since.Milliseconds())
-	i.metrics.Counter("mintlift_installer_starts_total").Inc()
+// await waits until the engine has taken the version that it was ordered to.
+func (i *Installer) await(ctx context.Context, s *step) {
 	began := time.Now()
 	for ctx.Err() == nil {
 		i.mu.Lock()
 		state, change := i.state, i.change
 		i.mu.Unlock()
-		if state.Version >= m.Version || time.Since(began) > startWait && !state.Busy {
+		if state.Version >= s.copy.manifest.Version || time.Since(began) > startWait && !state.Busy {
 			return
 		}
 		select {
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -66,6 +66,8 @@
 	// AgeMS is how long ago the gateway learned of it, in milliseconds, or
 	// UnknownAge if it was named before the gateway started.
 	AgeMS int64 `json:"age_ms"`
+	// Overdue says that the gateway sends nothing to older versions any more.
+	Overdue bool `json:"overdue,omitempty"`
 }
 
 // UnknownAge is the age of a version that was named at an unknown time.
