what lacks after an outage is read about once

Change: that time does not count in the last resort of a patient plan. Test: TestLackingChunksAreReadOnceAfterAnOutage, seen failing (20 reads of 13).

--- a/transfer/results.go
+++ b/transfer/results.go
@@ -70,6 +70,9 @@
 // Nothing says that the peer held nothing of use.
 func (s *Swarm) Nothing(p Pull, k Knowledge, now time.Time) {
 	s.end(p)
+	if p.Kind == FromFar {
+		s.senderFailed = now
+	}
 	ps := s.byBox[p.Peer]
 	if ps == nil {
 		return
@@ -109,6 +112,7 @@
 func (s *Swarm) pauseOrigin(p Pull, now time.Time) {
 	if p.Kind == FromOrigin {
 		s.originRetry = now.Add(originPause)
+		s.senderFailed = now
 	}
 }
 
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -179,6 +179,9 @@
 	resumed time.Duration
 	// originRetry is when the origin may be asked again.
 	originRetry time.Time
+	// senderFailed is when the origin, or the far region, last failed to give
+	// this box a chunk.
+	senderFailed time.Time
 	// chunkTime is the smoothed time that a chunk takes.
 	chunkTime time.Duration
 	// ownStall says that pulls from all sides stalled together.
@@ -257,6 +260,7 @@
 	s.lastNew = earlier.lastNew
 	s.resumed = earlier.resumed
 	s.originRetry = earlier.originRetry
+	s.senderFailed = earlier.senderFailed
 	s.chunkTime = earlier.chunkTime
 }
 
@@ -560,9 +564,13 @@
 // goes, and each further one waits another TakeOver. In a Patient plan of which
 // much has not been seen, the sender is away and not a few boxes dead: that is
 // left to the boxes of its order for as long as these have turns, since one
-// copy is enough when the sender is back.
+// copy is enough when the sender is back. Nor does the time count in which the
+// sender fails: after an outage of seconds all would read what lacks at once.
 func (s *Swarm) lastResort(now time.Time) (Pull, bool) {
 	quiet := now.Sub(s.lastNew)
+	if s.params.Patient && s.senderFailed.After(s.lastNew) {
+		quiet = now.Sub(s.senderFailed)
+	}
 	if s.readsOrigin() && now.Before(s.originRetry) {
 		return Pull{}, false
 	}
--- a/transfer/swarm_test.go
+++ b/transfer/swarm_test.go
@@ -390,6 +390,72 @@
 	assert.Assert(t, asked((*Swarm).Broken) >= 4)
 }
 
+// TestLackingChunksAreReadOnceAfterAnOutage lets the origin go away when most
+// chunks have come, and come back seconds later: each box of the region asks,
+// and what lacks is read about once.
+func TestLackingChunksAreReadOnceAfterAnOutage(t *testing.T) {
+	const (
+		boxes, chunks, had = 24, 64, 51
+		outage             = 6 * time.Second
+		readTime           = 40 * time.Millisecond // of a chunk, at a time
+	)
+	p := Params{Chunks: chunks, OriginRegions: []string{"r"}, ChunkTurn: readTime, TakeOver: 900 * time.Millisecond, Quiet: 400 * time.Millisecond, Patient: true}
+	for b := range boxes {
+		p.Peers = append(p.Peers, Peer{Box: fmt.Sprint("b", b), Region: "r"})
+	}
+	o := NewOrder(p)
+	held := bitset.New(chunks)
+	for c := range uint(had) {
+		held.Set(c)
+	}
+	var swarms []*Swarm
+	for _, peer := range p.Peers {
+		s := NewSwarm(p, o, peer.Box, held, epoch)
+		s.lastNew = epoch.Add(had * readTime)
+		swarms = append(swarms, s)
+	}
+	type reading struct {
+		by   *Swarm
+		pull Pull
+	}
+	var queue []reading // at the origin, which sends one chunk after the other
+	read, sent := 0, time.Duration(0)
+	for at := had * readTime; at < outage+4*time.Second; at += 10 * time.Millisecond {
+		now := epoch.Add(at)
+		if len(queue) > 0 && at >= sent {
+			first := queue[0]
+			queue = queue[1:]
+			first.by.Arrived(first.pull, Knowledge{}, readTime, now)
+			sent = at + readTime
+		}
+		for _, s := range swarms {
+			next := s.Next(now)
+			switch next.Kind {
+			case FromOrigin:
+				if at < outage {
+					s.Broken(next, now)
+					continue
+				}
+				read++
+				queue = append(queue, reading{s, next})
+			case FromPeer:
+				sender := swarms[slices.IndexFunc(swarms, func(o *Swarm) bool { return o.self.Box == next.Peer })]
+				chunk, ok := sender.held.Difference(s.Wants()).NextSet(0)
+				if !ok {
+					s.Nothing(next, sender.Knows(), now)
+					continue
+				}
+				assert.Assert(t, s.Offered(&next, int(chunk)))
+				s.Arrived(next, sender.Knows(), time.Millisecond, now)
+			}
+		}
+	}
+	for _, s := range swarms {
+		assert.Assert(t, s.Done())
+	}
+	assert.Assert(t, read <= (chunks-had)*3/2, "%d reads of %d chunks", read, chunks-had)
+}
+
 // TestContinuedSwarmKeepsItsTurns reads what is due at once after the list has
 // been read again, and does not let later ranks read it, too, after a
 // standstill.
