callers that come back are told by what callers usually give; what cannot be in time is served late at once

Cause: a caller with 200 ms less than the route's time-out was taken for one that was refused before; on the shifted deployment first callers give 0.85 to 1 of it, so that two thirds of all counted as returned and ranked behind. Change: the usual part is learned per route, in calm only (ingress/patience.go); a request that even an idle engine would answer late does not need a refusal to be served late. TestLargeRequestIsServed held that such a request is refused once; it is now served at its first try, which the test asks for.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -250,6 +250,10 @@
 	return busy * e.pace(now)
 }
 
+// AtBest is the time until the first bytes at an engine that has nothing else
+// to do, in milliseconds.
+func (q *Query) AtBest() float64 { return halfPass + q.Work }
+
 // Backlog estimates how long the engine reads what it has been sent and has
 // not begun to answer, in milliseconds.
 func (e *Endpoint) Backlog(usual float64, now time.Time) float64 {
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -300,7 +300,7 @@
 			return e
 		}
 	}
-	if x.attempts == 0 {
+	if x.attempts == 0 && !x.cannotBeInTime() {
 		if e := s.admit(ctx, x, queueTime(x, time.Now())); e != nil || !x.returned {
 			s.pressureOf(x.service).count(e == nil, time.Now())
 			return e
@@ -314,6 +314,17 @@
 	return s.admit(ctx, x, min(lateWait, left))
 }
 
+// cannotBeInTime reports whether no engine could answer x in time, even one that
+// has nothing else to do: a refusal would only cost the caller a second try.
+func (x *exchange) cannotBeInTime() bool {
+	s := x.server
+	now := time.Now()
+	s.mu.Lock()
+	q := s.query(x, now)
+	s.mu.Unlock()
+	return q.Within > 0 && q.Work > 0 && q.AtBest() > q.Within
+}
+
 // queueTime is how long x may wait for an endpoint that answers in time.
 func queueTime(x *exchange, now time.Time) time.Duration {
 	hold := holdMax
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -162,13 +162,9 @@
 	if x.deadline.Before(x.end) {
 		x.end = x.deadline
 	}
-	x.returned = x.route.Kind == routing.Streaming && left < timeout-returnedLess
+	x.returned = x.server.hasReturned(x.route, x.service, left, timeout, x.start)
 }
 
-// returnedLess is how much shorter than the route's time-out a deadline is
-// when it is taken for that of a caller that was refused before.
-const returnedLess = 200 * time.Millisecond
-
 // connectionHeaders concern one connection only.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -76,6 +76,7 @@
 	budgets   map[string]*retrybudget.Budget
 	versions  map[string][]Naming
 	pressures map[string]*pressure
+	patience  map[string]*patience // by route
 	// gateways is the number that shares what all may do together.
 	gateways int
 	listed   bool // the list of endpoints is known
@@ -113,6 +114,7 @@
 		budgets:   make(map[string]*retrybudget.Budget),
 		versions:  make(map[string][]Naming),
 		pressures: make(map[string]*pressure),
+		patience:  make(map[string]*patience),
 		tellSoon:  make(chan struct{}, 1),
 		list:      newListState(),
 	}
