streams that stop are moved after 1.2 s; two copies of versions, garbage collected at 50 in 100

Cause: a stream on a connection that goes silent after its first events was moved after 2.2 s, when callers leave after 2 to 2.4 s. Memory is priced at all deployments and dear at one: a third copy of a version takes 2 MB a box. Tests: TestStreamThatStopsGoesOnElsewhere, seen failing with the former bound.

--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -66,8 +66,10 @@
 // stopMargin is kept of the grace for closing logs.
 const stopMargin = 400 * time.Millisecond
 
-// collectAt is how much garbage may gather, in percent of what lives.
-const collectAt = 75
+// collectAt is how much garbage may gather, in percent of what lives. With 75,
+// and with a third copy of versions (installer.keptCopies), memory took a
+// hundredth more of a day's worth where it is dear.
+const collectAt = 50
 
 // runPlatform runs a daemon until SIGTERM.
 func runPlatform(ctx context.Context, part string, start func(context.Context, *platformProcess) (stopper, error)) error {
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -136,6 +136,41 @@
 	}
 }
 
+// A stream that has brought events and stops goes on elsewhere before its
+// caller leaves, also while its endpoint's box is heard.
+func TestStreamThatStopsGoesOnElsewhere(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1)
+	release := make(chan struct{})
+	defer close(release)
+	var first atomic.Value
+	h := func(rw http.ResponseWriter, r *http.Request) {
+		if first.CompareAndSwap(nil, r.Header.Get(names.ExpectEndpoint)) {
+			rw.Header().Set(names.Seal, "s")
+			_, _ = io.WriteString(rw, "id: 1\ndata: token 1\n\n")
+			rw.(http.Flusher).Flush()
+			<-release
+			return
+		}
+		events(last, last)(rw, r)
+	}
+	w.endpoint("a", "engine", h)
+	w.endpoint("b", "engine", h)
+	reporting := time.NewTicker(50 * time.Millisecond)
+	defer reporting.Stop()
+	go func() {
+		for range reporting.C {
+			for _, r := range w.records {
+				w.server.Heard(fleet.Report{Address: r.Address, Model: model, Version: 1, Running: 1}, -1)
+			}
+		}
+	}()
+	began := time.Now()
+	_, body := w.get("POST", "/stream/1", "x")
+	assert.Equal(t, body, wholeStream(last))
+	assert.Assert(t, time.Since(began) < silentStream-300*time.Millisecond, "%v", time.Since(began))
+}
+
 // After one connection to an endpoint went silent, those that rest are not
 // used any more: each would hold up a request as long.
 func TestRestingConnectionsOfASilentOneAreForgotten(t *testing.T) {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -21,8 +21,12 @@
 	// silentBox is how long nothing may come from an endpoint's box before
 	// its streams go on elsewhere.
 	silentBox = 900 * time.Millisecond
-	// silentStream is the same for one stream of a box that is heard.
+	// silentStream is the same for one stream of a box that is heard, and
+	// silentBegun for one that has brought events: an engine that waits for a
+	// slot may take seconds to begin, but one that writes does not pause for
+	// so long, and callers leave after two seconds of silence.
 	silentStream = 2200 * time.Millisecond
+	silentBegun  = 1200 * time.Millisecond
 	// watchEvery is how often that is looked at.
 	watchEvery = 300 * time.Millisecond
 )
@@ -239,15 +243,15 @@
 	go func() {
 		ticker := time.NewTicker(watchEvery)
 		defer ticker.Stop()
-		last := time.Now()
+		last, limit := time.Now(), silentStream
 		for {
 			select {
 			case <-w.done:
 				return
 			case <-w.heard:
-				last = time.Now()
+				last, limit = time.Now(), silentBegun
 			case now := <-ticker.C:
-				if t.server.fellSilent(e, now.Sub(last), now) && t.grantRepeat(now) {
+				if t.server.fellSilent(e, now.Sub(last), limit, now) && t.grantRepeat(now) {
 					cancel(errSilent)
 					return
 				}
@@ -258,12 +262,12 @@
 }
 
 // fellSilent reports whether a stream that has been silent for some time
-// should go on elsewhere.
-func (s *Server) fellSilent(e *fleet.Endpoint, silent time.Duration, now time.Time) bool {
+// should go on elsewhere: in any case after limit.
+func (s *Server) fellSilent(e *fleet.Endpoint, silent, limit time.Duration, now time.Time) bool {
 	if silent < silentBox {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return silent >= silentStream || e.SilentFor(now) >= silentBox
+	return silent >= limit || e.SilentFor(now) >= silentBox
 }
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -185,8 +185,9 @@
 	fromSrc   int
 }
 
-// keptCopies is how many versions are kept for other sidecars.
-const keptCopies = 3
+// keptCopies is how many versions are kept for other sidecars: the newest and
+// the one that may bridge the time to it. A third takes 2 MB a box.
+const keptCopies = 2
 
 // New returns an Installer; peers reads the list of the service's sidecars.
 func New(s Settings, e Engine, o Origin, peers func(context.Context) ([]Peer, error), log logr.Logger, m *telemetry.Metrics) *Installer {
