an attempt is broken off under a lock with its end

Cause: the timer of an attempt, and the watch of a stream, asked for the next attempt while the attempt could end beside them, and wrote what the request's goroutine reads. Change: a breaker per attempt, which does nothing once the attempt has ended. go test -race ./ingress: clean.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -313,8 +313,8 @@
 }
 
 // grantRepeat asks for the attempt that follows one in progress, and keeps it
-// for mayRepeat: an attempt is broken off only if another may be made. It is
-// called beside the attempt, which ends before anything else is asked.
+// for mayRepeat: an attempt is broken off only if another may be made. A
+// breaker calls it beside the attempt, but not after its end.
 func (x *exchange) grantRepeat(now time.Time) bool {
 	x.granted = x.askRepeat(now)
 	return x.granted
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -86,21 +87,61 @@
 	return e
 }
 
+// movable reports whether the attempt in progress may be broken off and made
+// elsewhere.
+func (x *exchange) movable() bool {
+	return x.route.Idempotent() && x.attempts < max(x.route.MaxAttempts, 1)
+}
+
+// breaker breaks off an attempt in favour of another one, unless it has ended.
+type breaker struct {
+	exchange *exchange
+	cancel   context.CancelCauseFunc
+	mu       sync.Mutex
+	ended    bool
+}
+
+// breakable returns a context for an attempt that its breaker ends.
+func (x *exchange) breakable(ctx context.Context) (context.Context, *breaker) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	return ctx, &breaker{exchange: x, cancel: cancel}
+}
+
+// breakOff ends the attempt if the budget allows another; it reports whether
+// that is all there is to do.
+func (b *breaker) breakOff(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return true
+	}
+	if !b.exchange.grantRepeat(now) {
+		return false
+	}
+	b.ended = true
+	b.cancel(errSilent)
+	return true
+}
+
+// end says that the attempt has ended.
+func (b *breaker) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	b.cancel(nil)
+}
+
 // limitAttempt bounds an attempt that may be repeated elsewhere.
 func (x *exchange) limitAttempt(ctx context.Context) (context.Context, context.CancelFunc) {
-	if !x.route.Idempotent() || x.attempts >= max(x.route.MaxAttempts, 1) {
-		return context.WithCancel(ctx)
+	ctx, b := x.breakable(ctx)
+	if !x.movable() {
+		return ctx, b.end
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
 	limit := time.Duration(attemptShare * float64(time.Until(x.end)))
-	timer := time.AfterFunc(limit, func() {
-		if x.grantRepeat(time.Now()) {
-			cancel(errSilent)
-		}
-	})
+	timer := time.AfterFunc(limit, func() { b.breakOff(time.Now()) })
 	return ctx, func() {
 		timer.Stop()
-		cancel(nil)
+		b.end()
 	}
 }
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -105,9 +105,9 @@
 
 // attempt sends the request to e and passes its events on.
 func (t *streaming) attempt(ctx context.Context, e *fleet.Endpoint) (*reply, verdict) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watch := t.watch(e, cancel)
+	ctx, b := t.breakable(ctx)
+	defer b.end()
+	watch := t.watch(e, b)
 	defer watch.stop()
 	response, err := t.send(ctx, e, t.lastSent)
 	if err != nil {
@@ -235,9 +235,9 @@
 
 func (w *watch) stop() { close(w.done) }
 
-func (t *streaming) watch(e *fleet.Endpoint, cancel context.CancelCauseFunc) *watch {
+func (t *streaming) watch(e *fleet.Endpoint, b *breaker) *watch {
 	w := &watch{heard: make(chan struct{}, 1), done: make(chan struct{})}
-	if !t.route.Idempotent() || t.attempts >= max(t.route.MaxAttempts, 1) {
+	if !t.movable() {
 		return w
 	}
 	go func() {
@@ -251,8 +251,7 @@
 			case <-w.heard:
 				last, limit = time.Now(), silentBegun
 			case now := <-ticker.C:
-				if t.server.fellSilent(e, now.Sub(last), limit, now) && t.grantRepeat(now) {
-					cancel(errSilent)
+				if t.server.fellSilent(e, now.Sub(last), limit, now) && b.breakOff(now) {
 					return
 				}
 			}
