--- a/ingress/dispatch_test.go
+++ b/ingress/dispatch_test.go
@@ -4,9 +4,12 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/mintlift/mintlift/fleet"
 )
 
@@ -51,3 +54,18 @@
 		})
 	}
 }
+
+// BenchmarkStream is what a stream of 21 events costs, endpoint and caller
+// included.
+func BenchmarkStream(b *testing.B) {
+	w := newWorld(b)
+	w.configure(1)
+	w.endpoint("a", "engine", events(21, 21))
+	for b.Loop() {
+		response, err := w.ask(b.Context(), "POST", "/stream/1", "x")
+		assert.NilError(b, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(b, err)
+		assert.NilError(b, response.Body.Close())
+	}
+}
