--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -25,6 +25,47 @@
 	assert.Assert(t, strings.Contains(string(b), want.String()), "docs/CAPACITY.md is not what `go run ./cmd/mintlift capacity` prints:\n%s", want.String())
 }
 
+// TestPageAgreesWithSweeps fails when the page's tables and the reports in
+// docs/sweeps disagree.
+func TestPageAgreesWithSweeps(t *testing.T) {
+	sweeps, err := Sweeps(docs.Sweeps)
+	assert.NilError(t, err)
+	assert.Assert(t, len(sweeps) > 0)
+	b, err := os.ReadFile(page)
+	assert.NilError(t, err)
+	for _, s := range sweeps {
+		var want strings.Builder
+		s.Markdown(&want)
+		assert.Assert(t, strings.Contains(string(b), want.String()), "docs/CAPACITY.md is not what `go run ./cmd/mintlift capacity` prints:\n%s", want.String())
+	}
+}
+
+func TestParseSweep(t *testing.T) {
+	const report = `
+day                  own/srv  score  worth served refused failed  weakest part
+sweep-30              31/301   0.79  0.786  0.994   0.000  0.002  worst class 0.95; prices 0.198
+sweep-100           102/1002   0.00  0.401  0.984   0.000  0.004  worst class 0.98  BROKEN: GONE 1 (else 0.4)
+
+middle / busiest or longest, by own machines
+                                        30             100  power  at 345
+gateway: processor %             3.3 / 4.0       3.9 / 6.0   -0.0  6.0
+config acked, ms                 128 / 129       141 / 141   0.05  150
+power: the busiest grows as machines to this power
+`
+	s, err := ParseSweep("site", report)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s, Sweep{
+		Site: "site", Sizes: []int{30, 100}, Target: 345,
+		Days: []SweepDay{{Name: "sweep-30", Worth: 0.786, Served: 0.994}, {Name: "sweep-100", Worth: 0.401, Served: 0.984, Broken: "GONE 1 (else 0.4)"}},
+		Rows: []SweepRow{
+			{Name: "gateway: processor %", Busiest: []string{"4.0", "6.0"}, Power: "-0.0", AtTarget: "6.0"},
+			{Name: "config acked, ms", Busiest: []string{"129", "141"}, Power: "0.05", AtTarget: "150"},
+		},
+	})
+	_, err = ParseSweep("site", strings.Replace(report, "sweep-100 ", "other-100 ", 1))
+	assert.ErrorContains(t, err, "1 days")
+}
+
 // TestStateSlopes measures the state's sizes anew: they are the same every
 // run.
 func TestStateSlopes(t *testing.T) {
--- /dev/null
+++ b/capacity/sweep.go
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"io/fs"
+	"path"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Sweep is a report of the same day at several sizes of a deployment, as the
+// users' bench prints it.
+type Sweep struct {
+	// Site is the deployment's name.
+	Site string
+	// Sizes are the numbers of our machines, and Target the one to which each
+	// figure is carried on.
+	Sizes  []int
+	Target int
+	Days   []SweepDay
+	Rows   []SweepRow
+}
+
+// SweepDay is how the day ended at one size.
+type SweepDay struct {
+	Name          string
+	Worth, Served float64
+	// Broken are the rules that were broken, or empty.
+	Broken string
+}
+
+// SweepRow is one figure at each size.
+type SweepRow struct {
+	Name string
+	// Busiest is the figure of the busiest machine, or the longest time, as the
+	// report gives it.
+	Busiest []string
+	// Power is that of machines with which the figure grows, and AtTarget what
+	// that leads to, as the report gives them.
+	Power, AtTarget string
+}
+
+var (
+	sweepHead = regexp.MustCompile(`^((?:\s+\d+)+)\s+power\s+at (\d+)\s*$`)
+	sweepDay  = regexp.MustCompile(`^(sweep-\d+)\s+\d+/\d+\s+-?[\d.]+\s+(-?[\d.]+)\s+([\d.]+)\s`)
+	cells     = regexp.MustCompile(`\s{2,}`)
+)
+
+// ParseSweep reads a report.
+func ParseSweep(site, report string) (Sweep, error) {
+	s := Sweep{Site: site}
+	for _, line := range strings.Split(report, "\n") {
+		switch {
+		case sweepDay.MatchString(line):
+			if err := s.addDay(line); err != nil {
+				return s, err
+			}
+		case sweepHead.MatchString(line):
+			if err := s.addHead(line); err != nil {
+				return s, err
+			}
+		case len(s.Sizes) > 0:
+			s.addRow(line)
+		}
+	}
+	if len(s.Sizes) == 0 || len(s.Rows) == 0 || len(s.Days) != len(s.Sizes) {
+		return s, errors.NotValidf("sweep of %s with %d sizes, %d days and %d figures", site, len(s.Sizes), len(s.Days), len(s.Rows))
+	}
+	return s, nil
+}
+
+func (s *Sweep) addDay(line string) error {
+	m := sweepDay.FindStringSubmatch(line)
+	worth, err := strconv.ParseFloat(m[2], 64)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	served, err := strconv.ParseFloat(m[3], 64)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, broken, _ := strings.Cut(line, "BROKEN: ")
+	s.Days = append(s.Days, SweepDay{Name: m[1], Worth: worth, Served: served, Broken: strings.TrimSpace(broken)})
+	return nil
+}
+
+func (s *Sweep) addHead(line string) error {
+	m := sweepHead.FindStringSubmatch(line)
+	for _, field := range strings.Fields(m[1]) {
+		size, err := strconv.Atoi(field)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		s.Sizes = append(s.Sizes, size)
+	}
+	target, err := strconv.Atoi(m[2])
+	s.Target = target
+	return errors.Trace(err)
+}
+
+// addRow takes a line of the table; others have another number of cells.
+func (s *Sweep) addRow(line string) {
+	parts := cells.Split(strings.TrimSpace(line), -1)
+	if len(parts) != len(s.Sizes)+3 {
+		return
+	}
+	row := SweepRow{Name: parts[0], Power: parts[len(parts)-2], AtTarget: parts[len(parts)-1]}
+	for _, cell := range parts[1 : len(parts)-2] {
+		if _, busiest, ok := strings.Cut(cell, " / "); ok {
+			cell = busiest
+		}
+		row.Busiest = append(row.Busiest, cell)
+	}
+	s.Rows = append(s.Rows, row)
+}
+
+// Markdown writes the sweep as the page has it.
+func (s *Sweep) Markdown(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "### %s\n\n|", s.Site)
+	for _, size := range s.Sizes {
+		_, _ = fmt.Fprintf(w, " | %d machines", size)
+	}
+	_, _ = fmt.Fprintf(w, " | power | at %d |\n|---|%s\n", s.Target, strings.Repeat("---:|", len(s.Sizes)+2))
+	_, _ = fmt.Fprint(w, "| served, worth, rules broken")
+	for _, d := range s.Days {
+		broken := d.Broken
+		if broken == "" {
+			broken = "none"
+		}
+		_, _ = fmt.Fprintf(w, " | %.3f, %.3f, %s", d.Served, d.Worth, broken)
+	}
+	_, _ = fmt.Fprint(w, " | | |\n")
+	for _, r := range s.Rows {
+		_, _ = fmt.Fprintf(w, "| %s | %s | %s | %s |\n", r.Name, strings.Join(r.Busiest, " | "), r.Power, r.AtTarget)
+	}
+	_, _ = fmt.Fprintln(w)
+}
+
+// Sweeps reads the reports of a folder sweeps, by name.
+func Sweeps(files fs.FS) ([]Sweep, error) {
+	names, err := fs.Glob(files, "sweeps/*.txt")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var out []Sweep
+	for _, name := range names {
+		report, err := fs.ReadFile(files, name)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		s, err := ParseSweep(strings.TrimSuffix(path.Base(name), ".txt"), string(report))
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
--- a/cmd/mintlift/capacity.go
+++ b/cmd/mintlift/capacity.go
@@ -23,13 +23,23 @@
 			if err != nil {
 				return err
 			}
+			sweeps, err := capacity.Sweeps(docs.Sweeps)
+			if err != nil {
+				return err
+			}
 			if !c.Bool("json") {
 				capacity.Markdown(c.Root().Writer, rows)
+				for _, s := range sweeps {
+					s.Markdown(c.Root().Writer)
+				}
 				return nil
 			}
 			enc := json.NewEncoder(c.Root().Writer)
 			enc.SetIndent("", "  ")
-			return enc.Encode(rows)
+			return enc.Encode(struct {
+				Rows   []capacity.Row
+				Sweeps []capacity.Sweep
+			}{rows, sweeps})
 		},
 	}
 }
--- a/docs/docs.go
+++ b/docs/docs.go
@@ -4,7 +4,7 @@
 // docs/CAPACITY.md and docs/TRANSFER.md are made from.
 package docs
 
-import _ "embed"
+import "embed"
 
 // Capacity is docs/capacity.json.
 //
@@ -15,3 +15,8 @@
 //
 //go:embed transfer.json
 var Transfer []byte
+
+// Sweeps are the reports of docs/sweeps, NAME.txt for the deployment NAME.
+//
+//go:embed sweeps/*.txt
+var Sweeps embed.FS
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -243,13 +243,13 @@
 	go func() {
 		ticker := time.NewTicker(watchEvery)
 		defer ticker.Stop()
-		last, limit := time.Now(), silentStream
+		last, limit := time.Now(), silenceLimit(false)
 		for {
 			select {
 			case <-w.done:
 				return
 			case <-w.heard:
-				last, limit = time.Now(), silentBegun
+				last, limit = time.Now(), silenceLimit(true)
 			case now := <-ticker.C:
 				if t.server.fellSilent(e, now.Sub(last), limit, now) && b.breakOff(now) {
 					return
@@ -260,6 +260,15 @@
 	return w
 }
 
+// silenceLimit is how long one stream of a box that is heard may be silent;
+// begun says that it has brought events.
+func silenceLimit(begun bool) time.Duration {
+	if begun {
+		return silentBegun
+	}
+	return silentStream
+}
+
 // fellSilent reports whether a stream that has been silent for some time
 // should go on elsewhere: in any case after limit.
 func (s *Server) fellSilent(e *fleet.Endpoint, silent, limit time.Duration, now time.Time) bool {
