--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -42,33 +42,38 @@
 // never taken for whole and can be asked for again where that is allowed.
 func (x *exchange) plain(ctx context.Context) {
 	x.countRequest()
+	answer, v := x.try(ctx, x.attempt)
+	switch {
+	case v == good:
+		x.pass(answer, outcomeAnswered)
+	case answer != nil && !x.callerLeft():
+		x.pass(answer, outcomeFailed)
+	default:
+		x.giveUp(ctx)
+	}
+}
+
+// try makes attempts until one is good or no more may be made. It returns the
+// answer of the good one, or the last failure of an endpoint's own, if any.
+func (x *exchange) try(ctx context.Context, attempt func(context.Context, *fleet.Endpoint) (*reply, verdict)) (*reply, verdict) {
 	var failure *reply
 	for {
 		e := x.next(ctx)
 		if e == nil {
-			break
+			return failure, notRun
 		}
-		answer, verdict := x.attempt(ctx, e)
-		if verdict == good {
-			x.pass(answer, outcomeAnswered)
-			return
+		answer, v := attempt(ctx, e)
+		if v == good {
+			return answer, good
 		}
-		if verdict == answered {
+		if v == answered {
 			failure = answer
 		}
-		x.mayRun = x.mayRun || verdict != notRun
-		if x.mayRun && !x.route.Idempotent() {
-			break
-		}
-		if x.over(ctx) || !x.mayRepeat(time.Now()) {
-			break
+		x.mayRun = x.mayRun || v != notRun
+		if x.mayRun && !x.route.Idempotent() || x.over(ctx) || !x.mayRepeat(time.Now()) {
+			return failure, v
 		}
 	}
-	if failure != nil && !x.callerLeft() {
-		x.pass(failure, outcomeFailed)
-		return
-	}
-	x.giveUp(ctx)
 }
 
 // next waits for the endpoint of the next attempt and counts the attempt.
@@ -165,18 +170,9 @@
 	}
 	defer response.Close()
 	v := x.judge(response)
-	switch v {
-	case notRun:
-		x.lastCause = "endpoint refused"
-		x.server.log.Info("attempt refused", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "status", response.Status)
-		x.drop(response)
-		x.finish(e, rejection(response.Status))
-		return nil, notRun
-	case spoilt:
-		x.lastCause = "answer without seal"
-		x.server.log.Info("answer spoilt", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "status", response.Status)
-		x.finish(e, fleet.Failed)
-		return nil, spoilt
+	if v == notRun || v == spoilt {
+		x.discard(e, response, v)
+		return nil, v
 	}
 	body, err := readWhole(response)
 	if errors.Is(context.Cause(ctx), errSilent) {
@@ -202,6 +198,21 @@
 	return &reply{status: response.Status, header: response.Header, body: body}, v
 }
 
+// discard takes an answer that the caller does not get: a refusal of the
+// endpoint, or one that is no answer to the request.
+func (x *exchange) discard(e *fleet.Endpoint, response *upstream.Response, v verdict) {
+	if v == notRun {
+		x.lastCause = "endpoint refused"
+		x.server.log.Info("attempt refused", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "status", response.Status)
+		x.drop(response)
+		x.finish(e, rejection(response.Status))
+		return
+	}
+	x.lastCause = "answer without seal"
+	x.server.log.Info("answer spoilt", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "status", response.Status)
+	x.finish(e, fleet.Failed)
+}
+
 // rejection is what a refusal says of the endpoint.
 func rejection(status int) fleet.Result {
 	if status == http.StatusMisdirectedRequest {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -61,27 +61,10 @@
 	if id, err := strconv.ParseInt(t.lastSent, 10, 64); err == nil {
 		t.last = id
 	}
-	var failure *reply
-	for {
-		e := x.next(ctx)
-		if e == nil {
-			break
-		}
-		answer, v := t.attempt(ctx, e)
-		if v == good {
-			t.ended(outcomeAnswered, http.StatusOK)
-			return
-		}
-		if v == answered {
-			failure = answer
-		}
-		x.mayRun = x.mayRun || v != notRun
-		if x.mayRun && !x.route.Idempotent() {
-			break
-		}
-		if x.over(ctx) || !x.mayRepeat(time.Now()) {
-			break
-		}
+	failure, v := x.try(ctx, t.attempt)
+	if v == good {
+		t.ended(outcomeAnswered, http.StatusOK)
+		return
 	}
 	t.end(ctx, failure)
 }
@@ -116,17 +99,9 @@
 	defer response.Close()
 	v := t.judge(response)
 	switch v {
-	case notRun:
-		t.lastCause = "endpoint refused"
-		t.server.log.Info("attempt refused", "request", t.id, "attempt", t.attempts, "endpoint", e.ID, "status", response.Status)
-		t.drop(response)
-		t.finish(e, rejection(response.Status))
-		return nil, notRun
-	case spoilt:
-		t.lastCause = "answer without seal"
-		t.server.log.Info("answer spoilt", "request", t.id, "attempt", t.attempts, "endpoint", e.ID, "status", response.Status)
-		t.finish(e, fleet.Failed)
-		return nil, spoilt
+	case notRun, spoilt:
+		t.discard(e, response, v)
+		return nil, v
 	case answered:
 		t.lastCause = "endpoint failed"
 		t.finish(e, fleet.Failed)
