--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -62,6 +62,9 @@
 			{Name: "config acked, ms", Busiest: []string{"129", "141"}, Power: "0.05", AtTarget: "150"},
 		},
 	})
+	s, err = ParseSweep("site", strings.Replace(report, "at 345", "at null", 1))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Target, 0)
 	_, err = ParseSweep("site", strings.Replace(report, "sweep-100 ", "other-100 ", 1))
 	assert.ErrorContains(t, err, "1 days")
 }
--- a/capacity/sweep.go
+++ b/capacity/sweep.go
@@ -20,7 +20,7 @@
 	// Site is the deployment's name.
 	Site string
 	// Sizes are the numbers of our machines, and Target the one to which each
-	// figure is carried on.
+	// figure is carried on, or 0 if the deployment names none.
 	Sizes  []int
 	Target int
 	Days   []SweepDay
@@ -47,7 +47,7 @@
 }
 
 var (
-	sweepHead = regexp.MustCompile(`^((?:\s+\d+)+)\s+power\s+at (\d+)\s*$`)
+	sweepHead = regexp.MustCompile(`^((?:\s+\d+)+)\s+power\s+at (\d+|null)\s*$`)
 	sweepDay  = regexp.MustCompile(`^(sweep-\d+)\s+\d+/\d+\s+-?[\d.]+\s+(-?[\d.]+)\s+([\d.]+)\s`)
 	cells     = regexp.MustCompile(`\s{2,}`)
 )
@@ -99,6 +99,9 @@
 		}
 		s.Sizes = append(s.Sizes, size)
 	}
+	if m[2] == "null" {
+		return nil
+	}
 	target, err := strconv.Atoi(m[2])
 	s.Target = target
 	return errors.Trace(err)
@@ -126,7 +129,11 @@
 	for _, size := range s.Sizes {
 		_, _ = fmt.Fprintf(w, " | %d machines", size)
 	}
-	_, _ = fmt.Fprintf(w, " | power | at %d |\n|---|%s\n", s.Target, strings.Repeat("---:|", len(s.Sizes)+2))
+	target := "no target"
+	if s.Target > 0 {
+		target = fmt.Sprintf("at %d", s.Target)
+	}
+	_, _ = fmt.Fprintf(w, " | power | %s |\n|---|%s\n", target, strings.Repeat("---:|", len(s.Sizes)+2))
 	_, _ = fmt.Fprint(w, "| served, worth, rules broken")
 	for _, d := range s.Days {
 		broken := d.Broken
