--- a/storerelay/follow.go
+++ b/storerelay/follow.go
@@ -30,14 +30,13 @@
 	State string `json:"state"`
 	// AgeMS is how long ago the store was read.
 	AgeMS int64 `json:"age_ms"`
-	// Records are packed []fleet.Record, left out where the asker has this state
-	// already.
-	Records []byte `json:"records,omitempty"`
+	// Records are left out where the asker has this state already.
+	Records []fleet.Record `json:"records,omitempty"`
 }
 
 // serveList answers as soon as the list differs from the one that the asker
 // has, or is too old, or hold has passed.
-func serveList(w http.ResponseWriter, r *http.Request, source Source, packs *packer) {
+func serveList(w http.ResponseWriter, r *http.Request, source Source) {
 	had := r.URL.Query().Get("had")
 	end := time.Now().Add(hold)
 	for {
@@ -50,11 +49,7 @@
 		age := now.Sub(list.Confirmed)
 		out := shared{State: list.State, AgeMS: age.Milliseconds()}
 		if list.State != had {
-			packed, err := packs.pack(list.State, list.Records)
-			if err != nil {
-				panic("storerelay: a list does not marshal: " + err.Error())
-			}
-			out.Records = packed
+			out.Records = list.Records
 		}
 		wait := min(end.Sub(now), maxAge-age)
 		if list.State != had || wait <= 0 {
@@ -122,13 +117,7 @@
 		return false
 	}
 	if got.State != f.had {
-		var records []fleet.Record
-		if err := unpack(got.Records, &records); err != nil {
-			f.readers.leave(ip, time.Now().Add(avoidFor))
-			f.log.Error(err, "list of a gateway not understood", "gateway", ip)
-			return false
-		}
-		f.target.SetEndpoints(records)
+		f.target.SetEndpoints(got.Records)
 	}
 	f.target.Listed(time.Now().Add(-age))
 	if f.from != ip {
--- a/storerelay/list.go
+++ b/storerelay/list.go
@@ -62,7 +62,6 @@
 // Handler serves the list and the operator's records.
 func Handler(source Source, operator RecordSource) http.Handler {
 	mux := http.NewServeMux()
-	lists, records := &packer{}, &packer{}
 	mux.HandleFunc("GET "+pathService, func(w http.ResponseWriter, r *http.Request) {
 		list, known := source.List()
 		if !known {
@@ -71,8 +70,8 @@
 		}
 		answer(w, Of(list.Records, r.URL.Query().Get("service")))
 	})
-	mux.HandleFunc("GET "+pathList, func(w http.ResponseWriter, r *http.Request) { serveList(w, r, source, lists) })
-	mux.HandleFunc("GET "+pathRecords, func(w http.ResponseWriter, r *http.Request) { serveRecords(w, r, operator, records) })
+	mux.HandleFunc("GET "+pathList, func(w http.ResponseWriter, r *http.Request) { serveList(w, r, source) })
+	mux.HandleFunc("GET "+pathRecords, func(w http.ResponseWriter, r *http.Request) { serveRecords(w, r, operator) })
 	return mux
 }
 
--- a/storerelay/readers.go
+++ b/storerelay/readers.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/mintlift/mintlift/loadreport"
@@ -74,9 +73,6 @@
 	if slices.Contains(first, r.own) {
 		return nil
 	}
-	if xxhash.Sum64String(r.own)%2 == 1 {
-		slices.Reverse(first) // half of the gateways ask each first
-	}
 	return slices.DeleteFunc(first, func(ip string) bool { return now.Before(r.avoid[ip]) })
 }
 
--- a/storerelay/records.go
+++ b/storerelay/records.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -42,16 +41,15 @@
 
 // sharedRecords are Records as one gateway tells them to another.
 type sharedRecords struct {
-	// Newest are packed []Record.
-	Newest []byte `json:"newest,omitempty"`
-	Next   int64  `json:"next"`
-	AgeMS  int64  `json:"age_ms"`
-	Behind bool   `json:"behind,omitempty"`
+	Newest []Record `json:"newest,omitempty"`
+	Next   int64    `json:"next"`
+	AgeMS  int64    `json:"age_ms"`
+	Behind bool     `json:"behind,omitempty"`
 }
 
 // serveRecords answers as soon as there are records from the offset that the
 // asker names, or hold has passed.
-func serveRecords(w http.ResponseWriter, r *http.Request, source RecordSource, packs *packer) {
+func serveRecords(w http.ResponseWriter, r *http.Request, source RecordSource) {
 	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -64,12 +62,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		out := sharedRecords{Next: records.Next, AgeMS: time.Since(records.Confirmed).Milliseconds(), Behind: records.Behind}
+		out := sharedRecords{Newest: records.Newest, Next: records.Next, AgeMS: time.Since(records.Confirmed).Milliseconds(), Behind: records.Behind}
 		wait := time.Until(end)
 		if records.Next != from || records.Behind || wait <= 0 {
-			if len(records.Newest) > 0 {
-				out.Newest = packRecords(packs, from, records)
-			}
 			answer(w, out)
 			return
 		}
@@ -82,14 +77,6 @@
 	}
 }
 
-func packRecords(packs *packer, from int64, records Records) []byte {
-	packed, err := packs.pack(fmt.Sprintf("%d-%d", from, records.Next), records.Newest)
-	if err != nil {
-		panic("storerelay: records do not marshal: " + err.Error())
-	}
-	return packed
-}
-
 // RecordFollower takes the operator's records from a gateway that reads them
 // for the others.
 type RecordFollower struct {
@@ -132,15 +119,9 @@
 		f.log.Info("records of a gateway too old", "gateway", ip, "age_ms", got.AgeMS, "offset", offset, "theirs", got.Next)
 		return Records{}, false
 	}
-	var newest []Record
-	if err := unpack(got.Newest, &newest); err != nil {
-		f.readers.leave(ip, time.Now().Add(avoidFor))
-		f.log.Error(err, "records of a gateway not understood", "gateway", ip)
-		return Records{}, false
-	}
 	if f.from != ip {
 		f.log.Info("records taken from a gateway", "gateway", ip, "age_ms", got.AgeMS, "offset", offset)
 	}
 	f.from = ip
-	return Records{Newest: newest, Next: got.Next, Confirmed: time.Now().Add(-age)}, true
+	return Records{Newest: got.Newest, Next: got.Next, Confirmed: time.Now().Add(-age)}, true
 }
