--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -252,6 +252,11 @@
 	quick := route(routing.Streaming, "/quick/", "engine", 2)
 	quick.TargetLatency = 150 * time.Millisecond
 	w.configure(1, quick)
+	// A prompt is read in 5 s, so that reports which a busy machine sends late
+	// do not look like prompts that have been read.
+	w.server.Apply(routing.New(2, []*routing.Route{quick},
+		[]*routing.Service{{Name: "engine", Engine: &routing.Engine{Slots: 4, Model: model, ReadRate: 200, UsualPrompt: 1000}}},
+		[]*routing.Workspace{{Name: "w", Keys: []string{key}, Priority: 1}}, routing.Limits{BodyBytes: 1 << 20}))
 	w.endpoint("a", "engine", events(last, last))
 	report := func(queued int) {
 		w.server.Heard(fleet.Report{Address: w.records["a"].Address, Model: model, Version: 1, Queued: queued}, 0)
