one walk for choosing an endpoint

Choose and Free each walked a service's candidates and fell back to those that are not watched; Choose is Free and ChooseAmong now.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -109,17 +109,7 @@
 // Choose returns the endpoint for an attempt and counts the attempt there,
 // or nil if none has room. End must follow.
 func (f *Fleet) Choose(q Query, now time.Time) *Endpoint {
-	all := f.byService[q.Service]
-	candidates := all
-	if q.Model != "" {
-		candidates = f.watched(q.Service)
-	}
-	best, able := f.cheapest(candidates, &q, now)
-	if !able && len(candidates) < len(all) {
-		best, _ = f.cheapest(all, &q, now)
-	}
-	best.count(&q, now)
-	return best
+	return f.ChooseAmong(f.Free(q, now), q, now)
 }
 
 // Free returns the endpoints that have room for the attempt that q describes,
@@ -140,7 +130,7 @@
 // ChooseAmong is Choose for endpoints that Free has found for an attempt that
 // asks no more.
 func (f *Fleet) ChooseAmong(free []*Endpoint, q Query, now time.Time) *Endpoint {
-	best, _ := f.cheapest(free, &q, now)
+	best := f.cheapest(free, &q, now)
 	best.count(&q, now)
 	return best
 }
@@ -160,7 +150,8 @@
 	}
 }
 
-// free returns the candidates with room; able is as for cheapest.
+// free returns the candidates with room; able says that there is one that could
+// take the attempt, whatever its load.
 func (f *Fleet) free(candidates []*Endpoint, q *Query, now time.Time) (free []*Endpoint, able bool) {
 	for _, e := range candidates {
 		if !e.usable(q, now) || e.open(now) {
@@ -174,24 +165,17 @@
 	return free, able
 }
 
-// cheapest returns the candidate with room that costs least, or nil; able
-// says that there is one that could take the attempt, whatever its load.
-func (f *Fleet) cheapest(candidates []*Endpoint, q *Query, now time.Time) (best *Endpoint, able bool) {
+// cheapest returns the one that costs least of the endpoints that have room, or
+// nil.
+func (f *Fleet) cheapest(endpoints []*Endpoint, q *Query, now time.Time) (best *Endpoint) {
+	free, _ := f.free(endpoints, q, now)
 	bestCost := math.Inf(1)
-	for _, e := range candidates {
-		if !e.usable(q, now) || e.open(now) {
-			continue
-		}
-		able = true
-		load, room := f.room(e, q, now)
-		if !room {
-			continue
-		}
-		if cost := f.cost(e, q, load, now); cost < bestCost {
+	for _, e := range free {
+		if cost := f.cost(e, q, e.Load(now), now); cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
-	return best, able
+	return best
 }
 
 // room returns an endpoint's load, and whether it may take the attempt on
--- a/fleet/free_test.go
+++ b/fleet/free_test.go
@@ -35,7 +35,7 @@
 			narrow.Exclude = map[string]bool{"a": true}
 		}
 		free := f.Free(wide, now)
-		direct, _ := f.cheapest(f.Endpoints("s"), &narrow, now)
+		direct := f.cheapest(f.Endpoints("s"), &narrow, now)
 		among := f.ChooseAmong(free, narrow, now)
 		assert.Equal(t, among != nil, direct != nil)
 		if among != nil {
