--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -83,12 +83,13 @@
 		events.Error(err, "settings not usable")
 		return err
 	}
+	metrics := telemetry.NewMetrics()
 	p := &platformProcess{
 		settings: settings,
 		requests: telemetry.Part(telemetry.NewLogger(sink, level), part),
 		events:   events,
-		metrics:  telemetry.NewMetrics(),
-		watcher:  platform.NewWatcher(platform.NewStore(settings.Store.Address), events),
+		metrics:  metrics,
+		watcher:  platform.NewWatcher(platform.NewStore(settings.Store.Address), events, metrics),
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -73,6 +73,7 @@
 		Budget:          budget,
 		VersionDeadline: s.VersionDeadline(),
 		Current:         func() bool { return current(p.watcher.Progress(), time.Now()) },
+		ConfigAge:       func() time.Duration { return p.watcher.Progress().Age(time.Now()) },
 	}, p.requests, p.events, p.metrics)
 	front, err := tcpconn.Listen(ctx, s.Listen.Front, tcpconn.ProbeLater)
 	if err != nil {
--- a/cmd/mintlift/platform_test.go
+++ b/cmd/mintlift/platform_test.go
@@ -60,7 +60,7 @@
 	}
 	p := &platformProcess{
 		events:  logr.Discard(),
-		watcher: platform.NewWatcher(platform.NewStore(strings.TrimPrefix(store.URL, "http://")), logr.Discard()),
+		watcher: platform.NewWatcher(platform.NewStore(strings.TrimPrefix(store.URL, "http://")), logr.Discard(), telemetry.NewMetrics()),
 	}
 	go p.watchOperatorSparingly(ctx, nobody{}, publisher)
 	time.Sleep(unheardAfter + unheardMore + time.Second)
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -32,6 +32,9 @@
 	body    []byte
 	header  http.Header // for the endpoint, without what each attempt adds
 	start   time.Time
+	// configAge is how long before start config was last known to be the
+	// newest.
+	configAge time.Duration
 	// end is when the request is given up: the caller's deadline or the
 	// route's time-out, whichever is first.
 	end time.Time
@@ -110,6 +113,9 @@
 // its body; if it returns false, the answer has been given.
 func (x *exchange) accept() bool {
 	x.config = x.server.routes.Get()
+	if age := x.server.settings.ConfigAge; age != nil {
+		x.configAge = age()
+	}
 	if x.config == nil {
 		x.refuse("no configuration yet", retryAfterUnknown())
 		return false
@@ -397,7 +403,7 @@
 		version = x.config.Version
 	}
 	s.log.Info("request", "request", x.id, "outcome", outcome, "cause", cause, "status", status, "route", route,
-		"service", x.service, "config", version, "attempts", x.attempts, "priority", x.priority, "returned", x.returned, "ms", took.Milliseconds())
+		"service", x.service, "config", version, "config_age_ms", x.configAge.Milliseconds(), "attempts", x.attempts, "priority", x.priority, "returned", x.returned, "ms", took.Milliseconds())
 	s.metrics.Counter("mintlift_ingress_requests_total", "service", x.service, "outcome", outcome).Inc()
 	s.metrics.Histogram("mintlift_ingress_request_seconds", "service", x.service, "outcome", outcome).Update(took.Seconds())
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -54,6 +54,9 @@
 	// newest; nil stands for always. While it is not, what the configuration
 	// does not know is not denied but refused: the caller may be right.
 	Current func() bool
+	// ConfigAge is how long ago the configuration in force was last known to
+	// be the newest; nil if nobody knows.
+	ConfigAge func() time.Duration
 }
 
 // Server is the request path of one gateway. It is an http.Handler.
--- a/telemetry/pages_test.go
+++ b/telemetry/pages_test.go
@@ -65,7 +65,7 @@
 			return
 		}
 		args = args[1:]
-	case "Info", "Counter", "Histogram":
+	case "Info", "Counter", "Histogram", "Gauge":
 	default:
 		return
 	}
@@ -73,7 +73,7 @@
 		return
 	}
 	name := text(args[0])
-	if selector.Sel.Name == "Counter" || selector.Sel.Name == "Histogram" {
+	if selector.Sel.Name != "Info" && selector.Sel.Name != "Error" {
 		metrics[name] = true
 		return
 	}
