changes are in force within their bound: one budget for every step from the store to a gateway

Cause: the bound of a change (2 s) had no owner. A read waited 4 s at the store and 1.5 s more for its answer, also right after one that had failed; a gateway that follows another asked each reader for 1.05 s, whatever the age of what it knew, and then read with 5.5 s. A call that falls into an outage of its topic is never answered, its connection stands and other gateways are no further, so nothing cut the wait short: 5.3 s and 6 s late with two such reads.

Mend: package freshness divides the bound; knowledge has an age, counted from when the store last confirmed it; waits, questions to other gateways and the first read after an outage take what the age leaves. The list of endpoints and both kinds of followers hold the same rule, with the bound for endpoints that leave.

Tests changed: what bounded a follower by fixed times is bounded by the budget now; the read after a wake must end within the bound of changes, not some time.

--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/internal/tcpconn"
 	"github.com/mintlift/mintlift/loadreport"
@@ -31,18 +32,10 @@
 	v.NameVersion(n.Model, n.Version, first, time.Now())
 }
 
-// confirmedFor is how long a configuration counts as the newest after the
-// store said so: a read that waits takes gatewayWait, and a lost answer to it
-// is noticed readSlack later.
-const confirmedFor = gatewayWait + readSlack
-
-// readSlack is how long an answer of the store may be late.
-const readSlack = 2 * time.Second
-
 // current reports whether the configuration in force is known to be the
 // newest.
-func current(p platform.Progress, now time.Time) bool {
-	return !p.Behind && now.Sub(p.Confirmed) < confirmedFor
+func current(p platform.Progress, budget freshness.Budget, now time.Time) bool {
+	return !p.Behind && !p.Confirmed.IsZero() && budget.Current(p.Age(now))
 }
 
 // noRoundTrip says that a report measured none.
@@ -72,7 +65,7 @@
 		Headers:         platform.Headers(),
 		Budget:          budget,
 		VersionDeadline: s.VersionDeadline(),
-		Current:         func() bool { return current(p.watcher.Progress(), time.Now()) },
+		Current:         func() bool { return current(p.watcher.Progress(), s.ConfigBudget(), time.Now()) },
 		ConfigAge:       func() time.Duration { return p.watcher.Progress().Age(time.Now()) },
 	}, p.requests, p.events, p.metrics)
 	front, err := tcpconn.Listen(ctx, s.Listen.Front, tcpconn.ProbeLater)
@@ -99,14 +92,13 @@
 	probes.HandleFunc("/ready", server.ServeReady)
 	go func() { _ = callers.Serve(server.Accepting(front)) }()
 	go func() { _ = http.Serve(ready, probes) }()
-	operator := &operatorRecords{watcher: p.watcher}
-	go func() { _ = http.Serve(relays, storerelay.Handler(server, operator)) }()
+	go func() { _ = http.Serve(relays, storerelay.Handler(server, operatorRecords{p.watcher})) }()
 	p.serveMetrics()
 
 	view := gatewayView{server}
 	readers := storerelay.NewReaders(s.IP, func(ip string) string { return s.Internal(ip, portRelay) }, p.events)
-	go p.watcher.WatchOperator(ctx, view, relay(storerelay.NewRecordFollower(readers, relayMaxAge, p.events)), operator.wait)
-	follower := storerelay.NewFollower(readers, server, p.events)
+	go p.watcher.WatchOperator(ctx, view, relay(storerelay.NewRecordFollower(readers, s.ConfigBudget(), p.events)), s.ConfigBudget())
+	follower := storerelay.NewFollower(readers, server, s.DrainBudget(), p.events)
 	go p.watchEndpoints(ctx, server, follower)
 	told := func() []loadreport.Audience {
 		return audiences(s, server, p.watcher.Progress().Offset, time.Now())
@@ -187,7 +179,7 @@
 		case <-time.After(look):
 		}
 	}
-	p.watcher.WatchEndpoints(ctx, server, follower.Follow, func(service string) int {
+	p.watcher.WatchEndpoints(ctx, server, follower.Follow, p.settings.DrainBudget(), func(service string) int {
 		if named := server.Configuration().Services[service]; named != nil && named.Engine != nil {
 			return named.Engine.Layers
 		}
--- a/storerelay/follow.go
+++ b/storerelay/follow.go
@@ -6,24 +6,32 @@
 	"context"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/ingress"
 )
 
-// Timing of following another gateway.
-const (
-	// hold is how long a gateway lets a question wait for a change.
-	hold = 800 * time.Millisecond
-	// maxAge is how long ago the store may have been read by the gateway that
-	// is followed: it does so each second, and a read may take a little.
-	// Beyond it the follower reads the store itself, so that it is never much
-	// further behind than one that always does.
-	maxAge = 1300 * time.Millisecond
-)
+// maxHold bounds how long a gateway lets a question wait for a change.
+const maxHold = 2 * time.Second
+
+// holdField names, in milliseconds, how long the asker can wait for a change:
+// what it knows must be confirmed, or the store read, before it is too old.
+const holdField = "hold_ms"
+
+// holdAsked is how long the answer to a question may wait; a question that
+// does not say is answered at once.
+func holdAsked(r *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(r.URL.Query().Get(holdField), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return min(time.Duration(ms)*time.Millisecond, maxHold)
+}
 
 // shared is the list as one gateway tells it to another.
 type shared struct {
@@ -35,23 +43,21 @@
 }
 
 // serveList answers as soon as the list differs from the one that the asker
-// has, or is too old, or hold has passed.
+// has, or the time has passed for which it can wait.
 func serveList(w http.ResponseWriter, r *http.Request, source Source) {
 	had := r.URL.Query().Get("had")
-	end := time.Now().Add(hold)
+	end := time.Now().Add(holdAsked(r))
 	for {
 		list, known := source.List()
 		if !known {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		now := time.Now()
-		age := now.Sub(list.Confirmed)
-		out := shared{State: list.State, AgeMS: age.Milliseconds()}
+		out := shared{State: list.State, AgeMS: time.Since(list.Confirmed).Milliseconds()}
 		if list.State != had {
 			out.Records = list.Records
 		}
-		wait := min(end.Sub(now), maxAge-age)
+		wait := time.Until(end)
 		if list.State != had || wait <= 0 {
 			answer(w, out)
 			return
@@ -78,22 +84,34 @@
 type Follower struct {
 	readers *Readers
 	target  Target
+	budget  freshness.Budget
 	log     logr.Logger
+	// confirmed is as of when the list that was taken last holds.
+	confirmed time.Time
 	// had is the state that was taken last, and from the IP number of the
 	// gateway that told it, or empty.
 	had, from string
 }
 
-// NewFollower returns a follower of readers that hands on to target.
-func NewFollower(readers *Readers, target Target, log logr.Logger) *Follower {
-	return &Follower{readers: readers, target: target, log: log}
+// NewFollower returns a follower of readers that hands on to target; budget
+// is within what changes of the list must be in force.
+func NewFollower(readers *Readers, target Target, budget freshness.Budget, log logr.Logger) *Follower {
+	return &Follower{readers: readers, target: target, budget: budget, log: log}
 }
 
-// Follow asks a gateway for the list, and waits there for a change. It
-// returns false if this gateway must read the store itself.
+// Follow asks a gateway for the list, and waits there for a change for as long
+// as the age of the list allows. It returns false if this gateway must read
+// the store itself.
 func (f *Follower) Follow(ctx context.Context) bool {
+	if f.had == "" {
+		f.confirmed = time.Now() // nothing is known that could be too old
+	}
 	for _, ip := range f.readers.follow(time.Now()) {
-		if f.ask(ctx, ip) {
+		hold := f.budget.Hold(time.Since(f.confirmed))
+		if hold <= 0 {
+			break
+		}
+		if f.ask(ctx, ip, hold) {
 			return true
 		}
 	}
@@ -105,21 +123,22 @@
 }
 
 // ask takes the list from the gateway ip.
-func (f *Follower) ask(ctx context.Context, ip string) bool {
+func (f *Follower) ask(ctx context.Context, ip string, hold time.Duration) bool {
 	var got shared
-	if !f.readers.ask(ctx, ip, pathList, url.Values{"had": {f.had}}, &got) {
+	if !f.readers.ask(ctx, ip, pathList, url.Values{"had": {f.had}}, hold, f.budget.Answer(), &got) {
 		return false
 	}
 	age := time.Duration(got.AgeMS) * time.Millisecond
-	if age >= maxAge {
-		f.readers.leave(ip, time.Now().Add(maxAge))
+	if f.budget.Hold(age) <= 0 {
+		f.readers.leave(ip, time.Now().Add(avoidFor))
 		f.log.Info("list of a gateway too old", "gateway", ip, "age_ms", got.AgeMS)
 		return false
 	}
 	if got.State != f.had {
 		f.target.SetEndpoints(got.Records)
 	}
-	f.target.Listed(time.Now().Add(-age))
+	f.confirmed = time.Now().Add(-age)
+	f.target.Listed(f.confirmed)
 	if f.from != ip {
 		f.log.Info("list taken from a gateway", "gateway", ip, "age_ms", got.AgeMS)
 	}
--- a/storerelay/list_test.go
+++ b/storerelay/list_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -14,10 +15,17 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/telemetry"
 )
 
+// budget is the bound of changes in tests.
+var budget = freshness.New(2 * time.Second)
+
+// atOnce bounds what must not wait, and is less than what may.
+const atOnce = 700 * time.Millisecond
+
 // gateway is a server and its handler's address.
 func gateway(t *testing.T, records []fleet.Record) (*ingress.Server, string) {
 	t.Helper()
@@ -64,7 +72,7 @@
 // follower follows the gateway at address.
 func follower(address string, list *taken) (*Readers, *Follower) {
 	readers := NewReaders("self", func(string) string { return address }, logr.Discard())
-	return readers, NewFollower(readers, list, logr.Discard())
+	return readers, NewFollower(readers, list, budget, logr.Discard())
 }
 
 // taken collects what a follower hands on.
@@ -117,27 +125,27 @@
 		changed <- time.Now()
 	}()
 	assert.Assert(t, f.Follow(context.Background()))
-	assert.Assert(t, time.Since(<-changed) < hold-100*time.Millisecond)
+	assert.Assert(t, time.Since(<-changed) < atOnce)
 	assert.Equal(t, list.last()["a"], true)
 	leader.Listed(time.Now())
 	began := time.Now()
 	assert.Assert(t, f.Follow(context.Background()))
-	assert.Assert(t, time.Since(began) >= hold-100*time.Millisecond, "it waits for a change")
+	assert.Assert(t, time.Since(began) >= atOnce, "it waits for a change")
 	assert.Equal(t, len(list.lists), 2)
 }
 
 // A follower reads the store itself when the gateway that reads has not done
-// so for too long, or does not answer; that is noticed within maxAge.
+// so for too long, or does not answer; that is noticed before the list is too old.
 func TestFollowerDoesNotTrustAnOldList(t *testing.T) {
 	leader, address := gateway(t, records)
 	var list taken
 	readers, f := follower(address, &list)
 	readers.Heard([]string{"leader"}, time.Now())
-	leader.Listed(time.Now().Add(-maxAge + 100*time.Millisecond))
+	leader.Listed(time.Now().Add(-budget.Hold(0) + 100*time.Millisecond))
 	assert.Assert(t, f.Follow(context.Background()))
 	began := time.Now()
 	assert.Assert(t, !f.Follow(context.Background()))
-	assert.Assert(t, time.Since(began) < hold-100*time.Millisecond, "it ends when the list is too old")
+	assert.Assert(t, time.Since(began) < atOnce, "it ends when the list is too old")
 	assert.Assert(t, !f.Follow(context.Background()), "it is left alone for a while")
 
 	_, empty := gateway(t, nil)
@@ -165,3 +173,38 @@
 	}
 	assert.Equal(t, reading, 2)
 }
+
+// Gateways that say nothing are left before the list is too old, however many
+// there are: the store is read within the bound.
+func TestSilentGatewaysAreLeftInTime(t *testing.T) {
+	leader, address := gateway(t, records)
+	silent := silentGateway(t)
+	var list taken
+	at := address
+	readers := NewReaders("self", func(string) string { return at }, logr.Discard())
+	f := NewFollower(readers, &list, budget, logr.Discard())
+	readers.Heard([]string{"one", "two"}, time.Now())
+	leader.Listed(time.Now())
+	confirmed := time.Now()
+	assert.Assert(t, f.Follow(context.Background()))
+	at = silent
+	assert.Assert(t, !f.Follow(context.Background()))
+	assert.Assert(t, time.Since(confirmed) < budget.StaleAfter()+100*time.Millisecond, "left after %s", time.Since(confirmed))
+}
+
+// silentGateway takes questions and answers none.
+func silentGateway(t *testing.T) (address string) {
+	t.Helper()
+	done := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-done:
+		}
+	}))
+	t.Cleanup(func() {
+		close(done)
+		s.Close()
+	})
+	return strings.TrimPrefix(s.URL, "http://")
+}
--- a/storerelay/readers.go
+++ b/storerelay/readers.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/url"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -83,9 +84,11 @@
 	r.avoid[ip] = until
 }
 
-// ask decodes a gateway's answer, which may take hold, into out.
-func (r *Readers) ask(ctx context.Context, ip, path string, query url.Values, out any) bool {
-	err := r.client.get(ctx, r.address(ip), path, query, hold+callTimeout, out)
+// ask decodes a gateway's answer into out. The gateway may keep it back for
+// hold, and it may take slack more to come.
+func (r *Readers) ask(ctx context.Context, ip, path string, query url.Values, hold, slack time.Duration, out any) bool {
+	query.Set(holdField, strconv.FormatInt(hold.Milliseconds(), 10))
+	err := r.client.get(ctx, r.address(ip), path, query, hold+slack, out)
 	if err != nil && ctx.Err() == nil {
 		r.leave(ip, time.Now().Add(avoidFor))
 		r.log.Info("gateway did not tell", "gateway", ip, "path", path, "error", err.Error())
--- a/storerelay/records.go
+++ b/storerelay/records.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"github.com/mintlift/mintlift/freshness"
 )
 
 // Record is the newest of the operator's records of a key.
@@ -48,14 +50,14 @@
 }
 
 // serveRecords answers as soon as there are records from the offset that the
-// asker names, or hold has passed.
+// asker names, or the time has passed for which it can wait.
 func serveRecords(w http.ResponseWriter, r *http.Request, source RecordSource) {
 	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	end := time.Now().Add(hold)
+	end := time.Now().Add(holdAsked(r))
 	for {
 		records, known := source.Since(from)
 		if !known {
@@ -81,23 +83,28 @@
 // for the others.
 type RecordFollower struct {
 	readers *Readers
-	// maxAge is how long ago the store may have confirmed the records of a
-	// gateway that is followed.
-	maxAge time.Duration
-	log    logr.Logger
-	from   string // the IP number of the gateway that told last, or empty
+	budget  freshness.Budget
+	log     logr.Logger
+	from    string // the IP number of the gateway that told last, or empty
 }
 
-// NewRecordFollower returns a follower of readers.
-func NewRecordFollower(readers *Readers, maxAge time.Duration, log logr.Logger) *RecordFollower {
-	return &RecordFollower{readers: readers, maxAge: maxAge, log: log}
+// NewRecordFollower returns a follower of readers; budget is within what the
+// records must be in force.
+func NewRecordFollower(readers *Readers, budget freshness.Budget, log logr.Logger) *RecordFollower {
+	return &RecordFollower{readers: readers, budget: budget, log: log}
 }
 
 // Since asks a gateway for the records from an offset on, -1 for all, and
-// waits there for one. It returns false if the store must be read instead.
-func (f *RecordFollower) Since(ctx context.Context, offset int64) (Records, bool) {
+// waits there for one for as long as the age of what is known allows. It
+// returns false if the store must be read instead.
+func (f *RecordFollower) Since(ctx context.Context, offset int64, age time.Duration) (Records, bool) {
+	confirmed := time.Now().Add(-age)
 	for _, ip := range f.readers.follow(time.Now()) {
-		if got, ok := f.ask(ctx, ip, offset); ok {
+		hold := f.budget.Hold(time.Since(confirmed))
+		if hold <= 0 {
+			break
+		}
+		if got, ok := f.ask(ctx, ip, offset, hold); ok {
 			return got, true
 		}
 	}
@@ -108,13 +115,14 @@
 	return Records{}, false
 }
 
-func (f *RecordFollower) ask(ctx context.Context, ip string, offset int64) (Records, bool) {
+func (f *RecordFollower) ask(ctx context.Context, ip string, offset int64, hold time.Duration) (Records, bool) {
 	var got sharedRecords
-	if !f.readers.ask(ctx, ip, pathRecords, url.Values{"from": {strconv.FormatInt(offset, 10)}}, &got) {
+	query := url.Values{"from": {strconv.FormatInt(offset, 10)}}
+	if !f.readers.ask(ctx, ip, pathRecords, query, hold, f.budget.Answer(), &got) {
 		return Records{}, false
 	}
 	age := time.Duration(got.AgeMS) * time.Millisecond
-	if got.Behind || got.Next < offset || age >= f.maxAge {
+	if got.Behind || got.Next < offset || f.budget.Hold(age) <= 0 {
 		f.readers.leave(ip, time.Now().Add(avoidFor))
 		f.log.Info("records of a gateway too old", "gateway", ip, "age_ms", got.AgeMS, "offset", offset, "theirs", got.Next)
 		return Records{}, false
