--- a/cmd/mintlift/outage_test.go
+++ b/cmd/mintlift/outage_test.go
@@ -45,9 +45,9 @@
 	t.Parallel()
 	d := startDeployment(t, "127.77.1")
 	time.Sleep(3500 * time.Millisecond) // into the wait of a read
-	d.silence(true)
+	d.silence(storetest.Operator)
 	time.Sleep(3 * time.Second)
-	d.silence(false)
+	d.silence()
 	time.Sleep(100 * time.Millisecond)
 	d.moveRoute(t)
 }
@@ -58,23 +58,50 @@
 func TestChangeIsInForceThoughOneReadIsNeverAnswered(t *testing.T) {
 	t.Parallel()
 	d := startDeployment(t, "127.77.2")
-	d.silence(true)
+	d.silence(storetest.Operator)
 	d.store.Put(storetest.Operator, "version/none", `{"model":"none","version":2}`) // ends the wait of the read in progress
 	time.Sleep(100 * time.Millisecond)
-	d.silence(false)
+	d.silence()
 	d.moveRoute(t)
 }
 
+// The same cause on the way of an endpoint that leaves: after an outage of the
+// list a read that had fallen into its end was given up after 1.5 s, and the
+// next one came after a pause of 0.9 s.
+func TestEndpointThatLeavesAfterAnOutageOfTheListGetsNothing(t *testing.T) {
+	t.Parallel()
+	d := startDeployment(t, "127.77.3")
+	d.silence(storetest.Endpoints)
+	time.Sleep(6 * time.Second) // pauses between reads have grown
+	for calls := d.store.CallsFor(storetest.Endpoints); d.store.CallsFor(storetest.Endpoints) == calls; {
+		time.Sleep(time.Millisecond) // until the next read has fallen into the outage
+	}
+	time.Sleep(50 * time.Millisecond)
+	d.silence()
+	left := time.Now()
+	d.store.Put(storetest.Endpoints, "before", fmt.Sprintf(`{"service":"before","address":%q,"zone":"z","slots":4,"state":"draining"}`, d.before))
+	for d.ask() == "before" {
+		assert.Assert(t, time.Since(left) < changeInForce, "an endpoint that leaves gets requests %s later", changeInForce)
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Logf("left alone after %s", time.Since(left))
+}
+
 // deployment is a gateway with a stand-in of the store and two services of
 // one endpoint each.
 type deployment struct {
-	store *storetest.Store
-	front string
+	store  *storetest.Store
+	front  string
+	before string // the address of the endpoint of that service
 }
 
-// silence makes the operator's topic answer nothing, or again.
-func (d *deployment) silence(silent bool) {
-	d.store.Change(func(f *storetest.Faults) { f.Silent = map[string]bool{storetest.Operator: silent} })
+// silence makes these topics answer nothing, and all others again.
+func (d *deployment) silence(topics ...string) {
+	silent := make(map[string]bool)
+	for _, topic := range topics {
+		silent[topic] = true
+	}
+	d.store.Change(func(f *storetest.Faults) { f.Silent = silent })
 }
 
 // configure writes a configuration whose only route leads to a service.
@@ -143,8 +170,9 @@
 		server.CloseClientConnections()
 		server.Close()
 	})
-	for _, service := range []string{"before", "after"} {
-		d.store.Put(storetest.Endpoints, service, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","slots":4,"state":"ready"}`, service, endpointOf(t, service)))
+	d.before = endpointOf(t, "before")
+	for service, address := range map[string]string{"before": d.before, "after": endpointOf(t, "after")} {
+		d.store.Put(storetest.Endpoints, service, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","slots":4,"state":"ready"}`, service, address))
 	}
 	d.configure(1, "before")
 	settings, err := platform.ParseSettings(fmt.Appendf(nil, `{"node_name":"gateway","ip":"%[1]s.1","zone":"z","region":"r","zones":{"z":"r"},
