--- a/deploy/days/make.py
+++ b/deploy/days/make.py
@@ -80,12 +80,23 @@
     "pair-power-all": ['{ at = 9.0, kind = "herd_kill", share = 1.0, for_s = 1.5, how = "power taken all", on = "core" }'],
 }
 
+# Outages of half of the store's partitions, with what must be heard right behind them. Their seeds are fixed: whether the
+# topic is among those that fall silent is a matter of luck.
+PARTLY = '{ at = 7.0, kind = "platform_down", how = "silent log", share = 0.5, for_s = 5.65 }'
+FIXED = {
+    "store-partly": (1, [PARTLY, '{ at = 12.7, kind = "config_change", how = "route" }', '{ at = 13.0, kind = "config_change", how = "route" }']),
+    "store-partly-2": (2, [PARTLY, '{ at = 12.7, kind = "config_change", how = "route" }', '{ at = 13.0, kind = "config_change", how = "route" }']),
+    "store-partly-drain": (3, [PARTLY, '{ at = 12.7, kind = "scale_in", share = 0.3 }', '{ at = 13.0, kind = "version_bump", count = 0 }']),
+}
+
 CLOSINGS = {"pair-cut-storm": 'closing = { kind = "power_off_all", down_s = 1.5 }\n', "versions": 'closing = { kind = "kill_all", down_s = 1.2 }\n', "garble-rot": 'closing = { kind = "power_off_all", down_s = 1.5, how = "timed" }\n'}
 
 if __name__ == "__main__":
-    for n, (name, faults) in enumerate(sorted(KINDS.items())):
+    days = [(name, 1000 + n, faults) for n, (name, faults) in enumerate(sorted(KINDS.items()))]
+    days += [(name, seed, faults) for name, (seed, faults) in FIXED.items()]
+    for name, seed, faults in days:
         rows = ",\n  ".join(faults)
         with open(f"{name}.toml", "w") as out:
-            out.write(f'name = "{name}"\nslot = "trouble"\nseed = {1000 + n}\n{CLOSINGS.get(name, "")}')
+            out.write(f'name = "{name}"\nslot = "trouble"\nseed = {seed}\n{CLOSINGS.get(name, "")}')
             out.write("plan = [\n  " + ",\n  ".join(BASE) + ",\n]\n")
             out.write("faults = [\n  " + rows + ",\n]\n")
