--- a/storerelay/follow.go
+++ b/storerelay/follow.go
@@ -33,6 +33,17 @@
 	return min(time.Duration(ms)*time.Millisecond, maxHold)
 }
 
+// await waits for a change until end; it returns false if the asker has left.
+func await(ctx context.Context, changed <-chan struct{}, end time.Time) bool {
+	select {
+	case <-changed:
+	case <-time.After(time.Until(end)):
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // shared is the list as one gateway tells it to another.
 type shared struct {
 	State string `json:"state"`
@@ -57,15 +68,11 @@
 		if list.State != had {
 			out.Records = list.Records
 		}
-		wait := time.Until(end)
-		if list.State != had || wait <= 0 {
+		if list.State != had || !time.Now().Before(end) {
 			answer(w, out)
 			return
 		}
-		select {
-		case <-list.Changed:
-		case <-time.After(wait):
-		case <-r.Context().Done():
+		if !await(r.Context(), list.Changed, end) {
 			return
 		}
 	}
@@ -106,14 +113,9 @@
 	if f.had == "" {
 		f.confirmed = time.Now() // nothing is known that could be too old
 	}
-	for _, ip := range f.readers.follow(time.Now()) {
-		hold := f.budget.Hold(time.Since(f.confirmed))
-		if hold <= 0 {
-			break
-		}
-		if f.ask(ctx, ip, hold) {
-			return true
-		}
+	told := f.readers.tryEach(f.budget, f.confirmed, func(ip string, hold time.Duration) bool { return f.ask(ctx, ip, hold) })
+	if told {
+		return true
 	}
 	if f.from != "" {
 		f.log.Info("list read from the store", "before", f.from)
--- a/storerelay/readers.go
+++ b/storerelay/readers.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/loadreport"
 )
 
@@ -84,6 +85,22 @@
 	r.avoid[ip] = until
 }
 
+// tryEach asks the gateways to follow one after the other, each for as long as
+// what was confirmed then may wait for a change, until one has told. It
+// returns false if the store must be read instead.
+func (r *Readers) tryEach(budget freshness.Budget, confirmed time.Time, ask func(ip string, hold time.Duration) bool) bool {
+	for _, ip := range r.follow(time.Now()) {
+		hold := budget.Hold(time.Since(confirmed))
+		if hold <= 0 {
+			return false
+		}
+		if ask(ip, hold) {
+			return true
+		}
+	}
+	return false
+}
+
 // ask decodes a gateway's answer into out. The gateway may keep it back for
 // hold, and it may take slack more to come.
 func (r *Readers) ask(ctx context.Context, ip, path string, query url.Values, hold, slack time.Duration, out any) bool {
--- a/storerelay/records.go
+++ b/storerelay/records.go
@@ -65,15 +65,11 @@
 			return
 		}
 		out := sharedRecords{Newest: records.Newest, Next: records.Next, AgeMS: time.Since(records.Confirmed).Milliseconds(), Behind: records.Behind}
-		wait := time.Until(end)
-		if records.Next != from || records.Behind || wait <= 0 {
+		if records.Next != from || records.Behind || !time.Now().Before(end) {
 			answer(w, out)
 			return
 		}
-		select {
-		case <-records.Changed:
-		case <-time.After(wait):
-		case <-r.Context().Done():
+		if !await(r.Context(), records.Changed, end) {
 			return
 		}
 	}
@@ -98,15 +94,13 @@
 // waits there for one for as long as the age of what is known allows. It
 // returns false if the store must be read instead.
 func (f *RecordFollower) Since(ctx context.Context, offset int64, age time.Duration) (Records, bool) {
-	confirmed := time.Now().Add(-age)
-	for _, ip := range f.readers.follow(time.Now()) {
-		hold := f.budget.Hold(time.Since(confirmed))
-		if hold <= 0 {
-			break
-		}
-		if got, ok := f.ask(ctx, ip, offset, hold); ok {
-			return got, true
-		}
+	var got Records
+	told := f.readers.tryEach(f.budget, time.Now().Add(-age), func(ip string, hold time.Duration) (ok bool) {
+		got, ok = f.ask(ctx, ip, offset, hold)
+		return ok
+	})
+	if told {
+		return got, true
 	}
 	if f.from != "" {
 		f.log.Info("records read from the store", "before", f.from, "offset", offset)
