--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -179,7 +179,7 @@
 		case <-time.After(look):
 		}
 	}
-	p.watcher.WatchEndpoints(ctx, server, follower.Follow, p.settings.DrainBudget(), func(service string) int {
+	p.watcher.WatchEndpoints(ctx, server, follower.Follow, func(service string) int {
 		if named := server.Configuration().Services[service]; named != nil && named.Engine != nil {
 			return named.Engine.Layers
 		}
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -30,8 +30,13 @@
 	// another read is made beside it. A store sixty times as slow as usual
 	// answers in 240 ms.
 	silenceShare = 30
-	// answerShare is for the answer to that read, or of a process that is asked.
+	// answerShare is for the answer to that read.
 	answerShare = 15
+	// relayShare is for the answer of a process nearby that is asked instead of
+	// the store. The more it takes, the sooner followers leave a reader that is
+	// late, and read the store: 80 of them that do so at once fill the links on
+	// which the reader waits.
+	relayShare = 8
 	// What is left, 10, is for parsing and applying, and for requests that are
 	// under way.
 	percent = 100
@@ -62,17 +67,20 @@
 // read is made beside it.
 func (b Budget) Silence() time.Duration { return b.share(silenceShare) }
 
-// Answer is how long the answer of a process that is asked may take beyond
-// the time that it was given.
+// Answer is how long the store's answer may take that is not waited for.
 func (b Budget) Answer() time.Duration { return b.share(answerShare) }
 
+// Relay is how long the answer of a process that is asked may take beyond the
+// time that it was given.
+func (b Budget) Relay() time.Duration { return b.share(relayShare) }
+
 // StaleAfter is the age from which on a process reads the store itself,
 // whatever else it waits for.
 func (b Budget) StaleAfter() time.Duration { return b.share(waitShare + silenceShare) }
 
 // Hold is how long a process may let another one wait whose knowledge has
 // this age; not positive if that one must read the store itself.
-func (b Budget) Hold(age time.Duration) time.Duration { return b.StaleAfter() - b.Answer() - age }
+func (b Budget) Hold(age time.Duration) time.Duration { return b.StaleAfter() - b.Relay() - age }
 
 // Current reports whether knowledge of this age is within the bound.
 func (b Budget) Current(age time.Duration) bool { return age < b.bound }
--- a/storerelay/follow.go
+++ b/storerelay/follow.go
@@ -127,7 +127,7 @@
 // ask takes the list from the gateway ip.
 func (f *Follower) ask(ctx context.Context, ip string, hold time.Duration) bool {
 	var got shared
-	if !f.readers.ask(ctx, ip, pathList, url.Values{"had": {f.had}}, hold, f.budget.Answer(), &got) {
+	if !f.readers.ask(ctx, ip, pathList, url.Values{"had": {f.had}}, hold, f.budget.Relay(), &got) {
 		return false
 	}
 	age := time.Duration(got.AgeMS) * time.Millisecond
--- a/storerelay/records.go
+++ b/storerelay/records.go
@@ -112,7 +112,7 @@
 func (f *RecordFollower) ask(ctx context.Context, ip string, offset int64, hold time.Duration) (Records, bool) {
 	var got sharedRecords
 	query := url.Values{"from": {strconv.FormatInt(offset, 10)}}
-	if !f.readers.ask(ctx, ip, pathRecords, query, hold, f.budget.Answer(), &got) {
+	if !f.readers.ask(ctx, ip, pathRecords, query, hold, f.budget.Relay(), &got) {
 		return Records{}, false
 	}
 	age := time.Duration(got.AgeMS) * time.Millisecond
