--- a/cmd/mintlift/outage_test.go
+++ b/cmd/mintlift/outage_test.go
@@ -34,9 +34,9 @@
 // and so did the next; both were given up only after 5.5 s, the second one 5 s
 // after the topic answered again.
 //
-// Cause: a read waits 4 s and has 1.5 s more for its answer, also right after
-// one that failed, though a change must be in force in 2 s. Nothing held the
-// sum of the steps under that bound.
+// Cause: a read waited 4 s and had 1.5 s more for its answer, also right after
+// one that had failed, though a change must be in force in 2 s. Nothing held
+// the sum of the steps under that bound.
 //
 // Shown by the calls that the store counted (none for 5.5 s, twice, at each
 // gateway), the lines "store lost" and "store still lost" (ms=5501) of the same
