followers: a gateway that is silent leaves time to ask the next one

With one silent reader a follower used up what the age of its list allowed, and read the store, as did all others: 28 whole lists of 1 MB over one link at 300 machines. Test seen failing before.

--- a/storerelay/list_test.go
+++ b/storerelay/list_test.go
@@ -17,6 +17,7 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/ingress"
+	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/telemetry"
 )
 
@@ -194,6 +195,31 @@
 	assert.Assert(t, time.Since(confirmed) < budget.StaleAfter()+100*time.Millisecond, "left after %s", time.Since(confirmed))
 }
 
+// One silent gateway leaves time for the next one: a reader that loses power
+// does not send all that follow it to the store.
+func TestSecondGatewayIsAskedBehindASilentOne(t *testing.T) {
+	leader, address := gateway(t, records)
+	silent := silentGateway(t)
+	first := loadreport.FirstReaders([]string{"one", "two"})[0]
+	var list taken
+	down := false
+	readers := NewReaders("self", func(ip string) string {
+		if down && ip == first {
+			return silent
+		}
+		return address
+	}, logr.Discard())
+	f := NewFollower(readers, &list, budget, logr.Discard())
+	readers.Heard([]string{"one", "two"}, time.Now())
+	leader.Listed(time.Now())
+	confirmed := time.Now()
+	assert.Assert(t, f.Follow(context.Background()))
+	down = true
+	time.AfterFunc(time.Second, func() { leader.Listed(time.Now()) })
+	assert.Assert(t, f.Follow(context.Background()))
+	assert.Assert(t, time.Since(confirmed) < budget.StaleAfter(), "%s", time.Since(confirmed))
+}
+
 // silentGateway takes questions and answers none.
 func silentGateway(t *testing.T) (address string) {
 	t.Helper()
--- a/storerelay/readers.go
+++ b/storerelay/readers.go
@@ -85,16 +85,23 @@
 	r.avoid[ip] = until
 }
 
-// tryEach asks the gateways to follow one after the other, each for as long as
-// what was confirmed then may wait for a change, until one has told. It
-// returns false if the store must be read instead.
+// minHold is the least time for which a gateway is asked to wait: one whose
+// own list is about to be read anew would be asked over and over.
+const minHold = 50 * time.Millisecond
+
+// tryEach asks the gateways to follow one after the other until one has told.
+// Each may wait for a change for as long as what was confirmed then is not
+// too old, less what asking the others takes. It returns false if the store
+// must be read instead.
 func (r *Readers) tryEach(budget freshness.Budget, confirmed time.Time, ask func(ip string, hold time.Duration) bool) bool {
-	for _, ip := range r.follow(time.Now()) {
-		hold := budget.Hold(time.Since(confirmed))
-		if hold <= 0 {
+	ips := r.follow(time.Now())
+	for n, ip := range ips {
+		left := budget.Hold(time.Since(confirmed))
+		if left <= 0 {
 			return false
 		}
-		if ask(ip, hold) {
+		others := 2 * time.Duration(len(ips)-1-n) * budget.Relay() // a wait, and the answer
+		if ask(ip, max(left-others, min(left, minHold))) {
 			return true
 		}
 	}
