gateway: each request's line names the request, whatever id its try has

Cause for the change: after an incident in which one request ended 45 endpoints, lines could not tell the tries of one request from tries of others, since each has an id of its own; nor a request that ends endpoints from one beside it.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
 	"github.com/mintlift/mintlift/upstream"
 )
@@ -29,9 +30,11 @@
 	service string
 	model   string
 	id      string
-	body    []byte
-	header  http.Header // for the endpoint, without what each attempt adds
-	start   time.Time
+	// identity is the same for each try of one request.
+	identity quarantine.ID
+	body     []byte
+	header   http.Header // for the endpoint, without what each attempt adds
+	start    time.Time
 	// configAge is how long before start config was last known to be the
 	// newest.
 	configAge time.Duration
@@ -141,7 +144,13 @@
 	x.service = x.route.Service(rand.Float64())
 	x.setTimes()
 	x.setHeader(workspace)
-	return x.readBody()
+	if !x.readBody() {
+		return false
+	}
+	x.identity = quarantine.Identify(quarantine.Request{
+		Method: x.request.Method, Host: x.request.Host, Target: x.target(), Workspace: workspace, Body: x.body,
+	})
+	return true
 }
 
 // target is the request target, as the caller wrote it where it is a path.
@@ -402,7 +411,7 @@
 	if x.config != nil {
 		version = x.config.Version
 	}
-	s.log.Info("request", "request", x.id, "outcome", outcome, "cause", cause, "status", status, "route", route,
+	s.log.Info("request", "request", x.id, "identity", x.identity.String(), "body_bytes", len(x.body), "outcome", outcome, "cause", cause, "status", status, "route", route,
 		"service", x.service, "config", version, "config_age_ms", x.configAge.Milliseconds(), "attempts", x.attempts, "priority", x.priority, "returned", x.returned, "ms", took.Milliseconds())
 	s.metrics.Counter("mintlift_ingress_requests_total", "service", x.service, "outcome", outcome).Inc()
 	s.metrics.Histogram("mintlift_ingress_request_seconds", "service", x.service, "outcome", outcome).Update(took.Seconds())
--- /dev/null
+++ b/quarantine/identity_test.go
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestIdentityIsOfCallerAndContent(t *testing.T) {
+	one := Request{Method: "POST", Host: "H.example", Target: "/a/b?c", Workspace: "w", Body: []byte("text")}
+	same := one
+	same.Host = "h.EXAMPLE"
+	assert.Equal(t, Identify(one), Identify(same))
+	for name, change := range map[string]func(*Request){
+		"method":    func(r *Request) { r.Method = "PUT" },
+		"host":      func(r *Request) { r.Host = "i.example" },
+		"query":     func(r *Request) { r.Target = "/a/b?d" },
+		"workspace": func(r *Request) { r.Workspace = "v" },
+		"body":      func(r *Request) { r.Body = []byte("texts") },
+		"boundary":  func(r *Request) { r.Target, r.Workspace = "/a/b?cw", "" },
+	} {
+		other := one
+		change(&other)
+		assert.Assert(t, Identify(one) != Identify(other), name)
+	}
+}
+
+func TestIdentityAsText(t *testing.T) {
+	id := Identify(Request{Target: "/a"})
+	text, err := id.MarshalText()
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), id.String())
+	var back ID
+	assert.NilError(t, back.UnmarshalText(text))
+	assert.Equal(t, back, id)
+	assert.ErrorContains(t, back.UnmarshalText([]byte("12")), "identity")
+}
+
+func BenchmarkIdentify(b *testing.B) {
+	for _, kb := range []int{0, 1, 16} {
+		r := Request{Method: "POST", Host: "h.example", Target: "/a/b/c", Workspace: "w", Body: make([]byte, kb<<10)}
+		b.Run(map[int]string{0: "none", 1: "1KB", 16: "16KB"}[kb], func(b *testing.B) {
+			for b.Loop() {
+				Identify(r)
+			}
+		})
+	}
+}
