requests that crash the endpoints that run them are kept from endpoints

Cause: no part of the system remembered a request beyond its own try. A crash was held against the endpoint alone, for that try and at that gateway; the same request came again as a new one and cost max_attempts endpoints each time. Class: failure feedback keyed by the server only (query of death).

Change: package quarantine remembers requests by identity with the crashes of endpoints under them. A crash is told from a cut by a dial: a process that has ended refuses. One good end anywhere clears; three independent crashes keep the request from all endpoints for ten minutes, and its callers hear 502 at once. After a second crash it is not taken up again within its try; suspects do not run beside each other at one endpoint. Gateways tell each other by the sidecars that all of them watch, at once and with each subscription; the store is not needed.

--- a/cmd/mintlift/crash_test.go
+++ b/cmd/mintlift/crash_test.go
@@ -58,9 +58,33 @@
 			late++
 		}
 	}
+	t.Logf("%d engines have crashed, the last %s after the first", len(crashes), crashes[len(crashes)-1].Sub(crashes[0]))
 	assert.Assert(t, late <= retriesAfterContact, "%d engines have crashed, %d of them later than %s after the third", len(crashes), late, contact)
 }
 
+// The same while the store answers nothing: gateways hear of each other's crashes
+// by the sidecars. Its caller is told nothing that promises that the request has
+// not run, or invites it back; others are served meanwhile and after.
+func TestGatewaysKnowOfCrashesWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	d := startEngines(t, "127.78.2", 2, 6)
+	d.store.Change(func(f *storetest.Faults) { f.Silent = map[string]bool{"": true} })
+	for try := range 3 {
+		status, _ := d.answer(try, crashing)
+		assert.Equal(t, status, http.StatusBadGateway)
+		assert.Equal(t, d.try(try, "text"), http.StatusOK)
+	}
+	for began := time.Now(); time.Since(began) < time.Second; time.Sleep(20 * time.Millisecond) {
+		for gateway := range d.gateways {
+			status, head := d.answer(gateway, crashing)
+			assert.Equal(t, status, http.StatusBadGateway)
+			assert.Equal(t, head.Get("Retry-After"), "")
+			assert.Equal(t, d.try(gateway, "text"), http.StatusOK)
+		}
+	}
+	assert.Assert(t, len(d.crashTimes()) <= crashesNoticed+1, "%d engines have crashed", len(d.crashTimes()))
+}
+
 // crashing is the body of a request that ends each engine that runs it.
 const crashing = "crash"
 
--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -17,6 +17,7 @@
 	"github.com/mintlift/mintlift/internal/tcpconn"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
+	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
 	"github.com/mintlift/mintlift/storerelay"
 )
@@ -32,6 +33,30 @@
 	v.NameVersion(n.Model, n.Version, first, time.Now())
 }
 
+// sidecarsView gives what sidecars tell to a gateway.
+type sidecarsView struct {
+	server  *ingress.Server
+	watcher *platform.Watcher
+	readers *storerelay.Readers
+}
+
+// Heard implements loadreport.Handler.
+func (v sidecarsView) Heard(r fleet.Report, e *loadreport.Echo) {
+	if e == nil {
+		v.server.Heard(r, noRoundTrip)
+		return
+	}
+	now := time.Now()
+	v.watcher.OthersRead(e.Read, now)
+	v.readers.Heard(e.Readers, now)
+	v.server.Heard(r, e.RoundTrip)
+}
+
+// HeardSuspects implements loadreport.Handler.
+func (v sidecarsView) HeardSuspects(suspects []quarantine.Record) {
+	v.server.HeardSuspects(suspects, time.Now())
+}
+
 // current reports whether the configuration in force is known to be the
 // newest.
 func current(p platform.Progress, budget freshness.Budget, now time.Time) bool {
@@ -103,17 +128,7 @@
 	told := func() []loadreport.Audience {
 		return audiences(s, server, p.watcher.Progress().Offset, time.Now())
 	}
-	heard := func(r fleet.Report, e *loadreport.Echo) {
-		if e == nil {
-			server.Heard(r, noRoundTrip)
-			return
-		}
-		now := time.Now()
-		p.watcher.OthersRead(e.Read, now)
-		readers.Heard(e.Readers, now)
-		server.Heard(r, e.RoundTrip)
-	}
-	go subscriber.Run(ctx, told, server.TellSoon(), heard)
+	go subscriber.Run(ctx, told, server.TellSoon(), sidecarsView{server, p.watcher, readers})
 	go func() {
 		for range time.Tick(maintainEvery) {
 			server.Maintain(time.Now())
@@ -130,11 +145,15 @@
 		return nil
 	}
 	var out []loadreport.Audience
+	relays := make(map[string]bool)
 	for name, service := range c.Services {
 		if service.Engine == nil {
 			continue
 		}
 		notice := loadreport.Notice{Model: service.Engine.Model, Region: s.Region, Read: read, Demand: math.Round(server.Demand(name, now)), Named: named(server, service.Engine.Model, now)}
+		for _, relay := range publishers(s, server.Relays(name)) {
+			relays[relay] = true
+		}
 		weights, ok := c.Weights(name)
 		knowing, others := server.EngineAddresses(name, weights.Sum(), now)
 		out = append(out, loadreport.Audience{Sidecars: publishers(s, knowing), Notice: notice})
@@ -143,6 +162,29 @@
 		}
 		out = append(out, loadreport.Audience{Sidecars: publishers(s, others), Notice: notice})
 	}
+	return tellSuspects(out, server.Suspects(now), relays)
+}
+
+// tellSuspects divides audiences into the relays, which are told suspects, and
+// the others.
+func tellSuspects(audiences []loadreport.Audience, suspects []quarantine.Record, relays map[string]bool) []loadreport.Audience {
+	if len(suspects) == 0 {
+		return audiences
+	}
+	var out []loadreport.Audience
+	for _, a := range audiences {
+		told := loadreport.Audience{Notice: a.Notice}
+		told.Notice.Suspects = suspects
+		rest := loadreport.Audience{Notice: a.Notice}
+		for _, sidecar := range a.Sidecars {
+			if relays[sidecar] {
+				told.Sidecars = append(told.Sidecars, sidecar)
+			} else {
+				rest.Sidecars = append(rest.Sidecars, sidecar)
+			}
+		}
+		out = append(out, told, rest)
+	}
 	return out
 }
 
--- a/cmd/mintlift/platform_test.go
+++ b/cmd/mintlift/platform_test.go
@@ -20,6 +20,7 @@
 	"github.com/mintlift/mintlift/installer"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
+	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
 	"github.com/mintlift/mintlift/telemetry"
 )
@@ -30,6 +31,12 @@
 func (nobody) Configured(*routing.Configuration) {}
 func (nobody) Named(platform.Naming, bool)       {}
 
+// deafGateway takes what sidecars send.
+type deafGateway struct{}
+
+func (deafGateway) Heard(fleet.Report, *loadreport.Echo) {}
+func (deafGateway) HeardSuspects([]quarantine.Record)    {}
+
 // A sidecar that gateways speak to reads nothing from the store; one that
 // hears none reads on its own, all once and then what is new.
 func TestSidecarReadsSparingly(t *testing.T) {
@@ -54,7 +61,7 @@
 	defer cancel()
 	speaking, silence := context.WithCancel(ctx)
 	audience := loadreport.Audience{Sidecars: []string{"127.0.0.1:17701"}}
-	go subscriber.Run(speaking, func() []loadreport.Audience { return []loadreport.Audience{audience} }, nil, func(fleet.Report, *loadreport.Echo) {})
+	go subscriber.Run(speaking, func() []loadreport.Audience { return []loadreport.Audience{audience} }, nil, deafGateway{})
 	for publisher.Asked().IsZero() {
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -57,11 +57,14 @@
 	Connections int
 	// Exclude are the ids of endpoints that have been tried.
 	Exclude map[string]bool
+	// Alone asks for an endpoint that has no other attempt of this gateway that
+	// was chosen so: under one crash, only one of those can be to blame.
+	Alone bool
 }
 
 // usable reports whether the endpoint may get the attempt at all.
 func (e *Endpoint) usable(q *Query, now time.Time) bool {
-	if e.Draining || e.misdirected || q.Exclude[e.ID] {
+	if e.Draining || e.misdirected || q.Exclude[e.ID] || q.Alone && e.alone {
 		return false
 	}
 	if q.Model == "" {
@@ -148,6 +151,7 @@
 	if e.strikes > 0 {
 		e.probing = true
 	}
+	e.alone = e.alone || q.Alone
 }
 
 // free returns the candidates with room; able says that there is one that could
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -40,6 +40,8 @@
 	misdirected bool
 	// probing says that one request tries an endpoint that was left alone.
 	probing bool
+	// alone says that an attempt chosen with Query.Alone is in progress.
+	alone bool
 }
 
 // Holds returns the version of model that the endpoint holds whole, or 0.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -276,5 +276,8 @@
 	}
 }
 
+// EndAlone notes that the attempt chosen with Query.Alone has ended.
+func (f *Fleet) EndAlone(e *Endpoint) { e.alone = false }
+
 // Alive notes that bytes came from the endpoint.
 func (f *Fleet) Alive(e *Endpoint, now time.Time) { e.heardAt = now }
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -75,8 +75,7 @@
 	own := func(e *Endpoint) uint64 { return xxhash.Sum64String(f.place.Box + "/" + e.ID) }
 	far = first(far, max(watchedFar, watchedEngines-len(near)), own)
 	out := append(near, far...)
-	common := func(e *Endpoint) uint64 { return xxhash.Sum64String(e.ID) }
-	for _, e := range first(slices.Clone(all), census, common) {
+	for _, e := range commonOf(all) {
 		if !slices.Contains(out, e) {
 			out = append(out, e)
 		}
@@ -84,6 +83,22 @@
 	return out
 }
 
+// commonOf returns the endpoints that all gateways watch. They are chosen by
+// address, which an endpoint that starts again keeps, and its sidecar with it.
+func commonOf(all []*Endpoint) []*Endpoint {
+	return first(slices.Clone(all), census, func(e *Endpoint) uint64 { return xxhash.Sum64String(e.Address) })
+}
+
+// Common returns the addresses of the endpoints of a service that all gateways
+// watch.
+func (f *Fleet) Common(service string) []string {
+	var out []string
+	for _, e := range commonOf(f.byService[service]) {
+		out = append(out, e.Address)
+	}
+	return out
+}
+
 // first returns the n endpoints of the least weight; it reorders list.
 func first(list []*Endpoint, n int, weight func(*Endpoint) uint64) []*Endpoint {
 	slices.SortFunc(list, func(a, b *Endpoint) int { return cmp.Compare(weight(a), weight(b)) })
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -151,6 +151,15 @@
 	q.MinVersion = s.minVersion(x.model, now)
 	q.PromisedVersion = s.minVersion(x.model, now.Add(-promiseLead))
 	q.SoonVersion = s.minVersion(x.model, now.Add(cautionLead))
+	q.Alone = !x.late && x.suspected(now)
+	return q
+}
+
+// servable describes the next attempt of x as far as it is not a matter of time
+// that an endpoint can take it.
+func (s *Server) servable(x *exchange, now time.Time) fleet.Query {
+	q := s.query(x, now)
+	q.Alone = false
 	return q
 }
 
@@ -158,7 +167,7 @@
 // service does, x's among them.
 func (s *Server) widest(x *exchange, now time.Time) fleet.Query {
 	q := s.query(x, now)
-	q.Exclude = nil
+	q.Exclude, q.Alone = nil, false
 	q.Within, q.Backlog = 0, 0
 	if service := x.config.Services[x.service]; service != nil && service.Engine != nil {
 		q.Limit = float64(service.Engine.Slots) + resumeExtra
@@ -216,7 +225,7 @@
 	}
 	q.add(w)
 	s.dispatch(x.service, now)
-	unservable := x.attempts == 0 && !x.returned && len(w.granted) == 0 && s.fleet.Usable(s.query(x, now), now) == 0
+	unservable := x.attempts == 0 && !x.returned && len(w.granted) == 0 && s.fleet.Usable(s.servable(x, now), now) == 0
 	if unservable {
 		q.remove(w)
 	}
@@ -247,7 +256,7 @@
 			return e
 		}
 		s.fleet.Begun(e, x.work, unknownLate, time.Now())
-		s.fleet.End(e, fleet.Abandoned, time.Now())
+		s.endLocked(x, e, fleet.Abandoned, time.Now())
 		s.dispatch(x.service, time.Now())
 	default:
 	}
@@ -274,11 +283,13 @@
 	}
 	kept := q.waiters[:0]
 	for _, w := range q.waiters {
-		e := s.fleet.ChooseAmong(free, s.query(w.exchange, now), now)
+		q := s.query(w.exchange, now)
+		e := s.fleet.ChooseAmong(free, q, now)
 		if e == nil {
 			kept = append(kept, w)
 			continue
 		}
+		w.exchange.alone = q.Alone
 		w.granted <- e
 	}
 	clear(q.waiters[len(kept):])
@@ -338,7 +349,7 @@
 func (s *Server) retryAfter(x *exchange) time.Duration {
 	now := time.Now()
 	s.mu.Lock()
-	usable := s.fleet.Usable(s.query(x, now), now)
+	usable := s.fleet.Usable(s.servable(x, now), now)
 	s.mu.Unlock()
 	spread := float64(retryAfterRange) + float64(retryAfterMore)*s.pressureOf(x.service).share(now)
 	after := retryAfterMin + time.Duration(rand.Float64()*spread)
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -59,11 +59,15 @@
 	begun bool
 
 	// late says that the request takes an endpoint that will be late.
-	late      bool
-	attempts  int             // sent to an endpoint
-	tried     map[string]bool // ids of endpoints
-	mayRun    bool            // an endpoint may have run, or may yet run it
-	granted   bool            // one more attempt is allowed already
+	late     bool
+	attempts int             // sent to an endpoint
+	tried    map[string]bool // ids of endpoints
+	mayRun   bool            // an endpoint may have run, or may yet run it
+	granted  bool            // one more attempt is allowed already
+	// alone says that the attempt in progress was chosen with Query.Alone.
+	alone bool
+	// crashes counts the endpoints that crashed under attempts of this try.
+	crashes   int
 	lastCause string
 }
 
@@ -76,6 +80,9 @@
 	outcomeLate     = "timed_out"
 	outcomeLeft     = "caller_left"
 	outcomeBroken   = "broken_off"
+	// outcomeQuarantined is a request that was kept from endpoints because
+	// others had crashed under it.
+	outcomeQuarantined = "quarantined"
 )
 
 // Bounds of reading a request.
@@ -103,6 +110,10 @@
 	if !x.accept() {
 		return
 	}
+	if x.quarantined(x.start) {
+		x.rejectQuarantined()
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.end)
 	defer cancel()
 	if x.route.Kind == routing.Streaming {
@@ -287,7 +298,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e.Draining {
+	if e.Draining || x.quarantined(now) {
 		return false
 	}
 	return x.model == "" || e.MayServe(e.Holds(x.model, now), s.minVersion(x.model, now), s.minVersion(x.model, now.Add(-promiseLead)), now)
@@ -361,11 +372,20 @@
 	if !x.begun {
 		s.fleet.Begun(e, x.work, unknownLate, now)
 	}
-	s.fleet.End(e, result, now)
+	s.endLocked(x, e, result, now)
 	s.dispatch(x.service, now)
 	s.mu.Unlock()
 }
 
+// endLocked ends the attempt of x at e; Server.mu is held.
+func (s *Server) endLocked(x *exchange, e *fleet.Endpoint, result fleet.Result, now time.Time) {
+	s.fleet.End(e, result, now)
+	if x.alone {
+		x.alone = false
+		s.fleet.EndAlone(e)
+	}
+}
+
 // unknownLate says that an attempt brought no bytes.
 const unknownLate = time.Duration(-1)
 
@@ -453,6 +473,8 @@
 	case x.callerLeft():
 		x.close(outcomeLeft, "caller left", 0)
 		panic(http.ErrAbortHandler)
+	case x.quarantined(time.Now()):
+		x.rejectQuarantined()
 	case !x.mayRun:
 		x.refuse(x.causeOr("no endpoint has room"), x.server.retryAfter(x))
 	case ctx.Err() != nil:
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -6,8 +6,8 @@
 //
 // All tables (fleet, waiting requests, retry budgets, named versions) are
 // under Server.mu; nothing blocks while it is held, and no other lock is
-// taken under it but those inside telemetry. The configuration is read
-// without a lock.
+// taken under it but those inside telemetry and quarantine. The configuration
+// is read without a lock.
 package ingress
 
 import (
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/retrybudget"
 	"github.com/mintlift/mintlift/routing"
 	"github.com/mintlift/mintlift/telemetry"
@@ -72,6 +73,8 @@
 	inFlight atomic.Int64
 	tellSoon chan struct{} // holds one
 	accepts  accepts
+	// suspects are the requests under which endpoints crashed.
+	suspects *quarantine.Table
 
 	mu        sync.Mutex
 	fleet     *fleet.Fleet
@@ -84,6 +87,8 @@
 	gateways int
 	listed   bool // the list of endpoints is known
 	list     listState
+	// crashedAt is when endpoints crashed lately, by id.
+	crashedAt map[string]time.Time
 }
 
 // Naming is a version of a model that the operator named.
@@ -118,6 +123,8 @@
 		versions:  make(map[string][]Naming),
 		pressures: make(map[string]*pressure),
 		patience:  make(map[string]*patience),
+		crashedAt: make(map[string]time.Time),
+		suspects:  quarantine.New(),
 		tellSoon:  make(chan struct{}, 1),
 		list:      newListState(),
 	}
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -64,13 +64,14 @@
 		}
 		answer, v := attempt(ctx, e)
 		if v == good {
+			x.endedWell()
 			return answer, good
 		}
 		if v == answered {
 			failure = answer
 		}
 		x.mayRun = x.mayRun || v != notRun
-		if x.mayRun && !x.route.Idempotent() || x.over(ctx) || !x.mayRepeat(time.Now()) {
+		if x.mayRun && !x.route.Idempotent() || x.over(ctx) || x.mustRest() || !x.mayRepeat(time.Now()) {
 			return failure, v
 		}
 	}
@@ -78,6 +79,9 @@
 
 // next waits for the endpoint of the next attempt and counts the attempt.
 func (x *exchange) next(ctx context.Context) *fleet.Endpoint {
+	if x.quarantined(time.Now()) {
+		return nil
+	}
 	e := x.server.acquire(ctx, x)
 	if e == nil {
 		return nil
@@ -184,6 +188,7 @@
 		if ctx.Err() != nil {
 			x.finish(e, fleet.Abandoned)
 		} else {
+			x.checkCrash(ctx, e, err)
 			x.finish(e, fleet.Failed)
 		}
 		return nil, spoilt
@@ -233,6 +238,9 @@
 	case ctx.Err() != nil, errors.Is(err, upstream.ErrWithheld):
 		x.finish(e, fleet.Abandoned)
 	default:
+		if sent {
+			x.checkCrash(ctx, e, err)
+		}
 		x.finish(e, fleet.Broken)
 	}
 	x.server.log.Info("attempt broken", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "sent", sent, "error", err.Error())
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -141,6 +141,7 @@
 			t.finish(e, fleet.Abandoned)
 			return spoilt
 		}
+		t.checkCrash(ctx, e, err)
 		t.finish(e, fleet.Failed)
 		t.server.log.Info("stream broken", "request", t.id, "attempt", t.attempts, "endpoint", e.ID, "events", t.events, "error", err.Error())
 		return spoilt
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -24,6 +24,7 @@
 
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
 )
 
@@ -58,6 +59,9 @@
 	// Weights are left out for sidecars whose reports show that they know
 	// them.
 	Weights *routing.Weights `json:"weights,omitempty"`
+	// Suspects are requests under which endpoints crashed. They are told to
+	// the sidecars that all gateways watch, which pass them on.
+	Suspects []quarantine.Record `json:"suspects,omitempty"`
 }
 
 // Named is a version that the operator named.
@@ -103,6 +107,9 @@
 	// Read and Readers are, in such an answer, those of an Echo.
 	Read    int64    `json:"o,omitempty"`
 	Readers []string `json:"l,omitempty"`
+	// Suspects are what gateways told. They come in such an answer, and alone
+	// when there is news.
+	Suspects []quarantine.Record `json:"x,omitempty"`
 }
 
 // Publisher sends reports from a sidecar.
@@ -114,8 +121,12 @@
 	// read is how far any gateway has read the operator's records.
 	read int64
 	subs map[netip.AddrPort]subscriber
-	last fleet.Report
-	sent time.Time
+	// suspects is what gateways told of requests.
+	suspects *quarantine.Table
+	// toldAt is when all subscribers were last told of suspects.
+	toldAt time.Time
+	last   fleet.Report
+	sent   time.Time
 }
 
 // NewPublisher listens for subscriptions at address; Run takes them.
@@ -124,7 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Publisher{conn: conn, subs: make(map[netip.AddrPort]subscriber)}, nil
+	return &Publisher{conn: conn, subs: make(map[netip.AddrPort]subscriber), suspects: quarantine.NewRelayed()}, nil
 }
 
 func listen(address string) (*net.UDPConn, error) {
@@ -149,11 +160,15 @@
 			continue
 		}
 		told(asked.Notice)
+		now := time.Now()
+		if p.suspects.Merge(asked.Suspects, now) {
+			p.tellSuspects(now)
+		}
 		p.mu.Lock()
-		p.askedAt = time.Now()
+		p.askedAt = now
 		p.subs[from] = subscriber{since: p.askedAt, region: asked.Region, demand: asked.Demand}
 		p.read = max(p.read, asked.Read)
-		answer := message{Report: withTurn(p.last, p.turnsLocked()[from]), Echo: asked.Stamp, Read: p.read, Readers: p.readersLocked(asked.Region)}
+		answer := message{Report: withTurn(p.last, p.turnsLocked()[from]), Echo: asked.Stamp, Read: p.read, Readers: p.readersLocked(asked.Region), Suspects: p.suspects.Tell(now)}
 		p.mu.Unlock()
 		if answer.Address != "" {
 			p.send(answer, from)
@@ -161,6 +176,27 @@
 	}
 }
 
+// tellPause is the least time between two rounds in which all subscribers are
+// told of suspects; what comes sooner is told with the answers to
+// subscriptions.
+const tellPause = 50 * time.Millisecond
+
+// tellSuspects tells all subscribers of suspects at once. A request tried ten
+// times a second at three gateways crashes 4 endpoints until all know; told with
+// the answers to subscriptions alone it was 5 or 6.
+func (p *Publisher) tellSuspects(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.toldAt) < tellPause {
+		return
+	}
+	p.toldAt = now
+	news := message{Suspects: p.suspects.Tell(now)}
+	for to := range p.subs {
+		p.send(news, to)
+	}
+}
+
 // Publish sends r to the subscribers if it is due; eager says that a version
 // is changing.
 func (p *Publisher) Publish(r fleet.Report, eager bool, now time.Time) {
@@ -226,8 +262,14 @@
 	Readers []string
 }
 
-// Heard takes a report; e is nil if it answers no subscription.
-type Heard func(r fleet.Report, e *Echo)
+// Handler takes what sidecars send. Its methods are called one after the other.
+type Handler interface {
+	// Heard takes a report; e is nil if it answers no subscription.
+	Heard(r fleet.Report, e *Echo)
+	// HeardSuspects takes what gateways told of requests under which endpoints
+	// crashed.
+	HeardSuspects(suspects []quarantine.Record)
+}
 
 // NewSubscriber listens for reports at address.
 func NewSubscriber(address string) (*Subscriber, error) {
@@ -240,9 +282,9 @@
 
 // Run subscribes at the sidecars that audiences tells, and hands on each
 // report, until ctx ends. soon asks for a round ahead of its time.
-func (s *Subscriber) Run(ctx context.Context, audiences func() []Audience, soon <-chan struct{}, heard Heard) {
+func (s *Subscriber) Run(ctx context.Context, audiences func() []Audience, soon <-chan struct{}, h Handler) {
 	context.AfterFunc(ctx, func() { _ = s.conn.Close() })
-	go s.receive(heard)
+	go s.receive(h)
 	ticker := time.NewTicker(SubscribeEvery)
 	defer ticker.Stop()
 	for {
@@ -271,7 +313,7 @@
 	}
 }
 
-func (s *Subscriber) receive(heard Heard) {
+func (s *Subscriber) receive(h Handler) {
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
@@ -279,13 +321,18 @@
 			return
 		}
 		var m message
-		if err != nil || json.Unmarshal(buffer[:n], &m) != nil || m.Address == "" {
+		if err != nil || json.Unmarshal(buffer[:n], &m) != nil {
 			continue
 		}
-		if m.Echo <= 0 {
-			heard(m.Report, nil)
-			continue
+		if len(m.Suspects) > 0 {
+			h.HeardSuspects(m.Suspects)
+		}
+		switch {
+		case m.Address == "":
+		case m.Echo <= 0:
+			h.Heard(m.Report, nil)
+		default:
+			h.Heard(m.Report, &Echo{RoundTrip: time.Duration(s.stamp()-m.Echo) * time.Microsecond, Read: m.Read, Readers: m.Readers})
 		}
-		heard(m.Report, &Echo{RoundTrip: time.Duration(s.stamp()-m.Echo) * time.Microsecond, Read: m.Read, Readers: m.Readers})
 	}
 }
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
 )
 
@@ -22,9 +23,22 @@
 	echoes  int
 	read    int64
 	readers []string
+	// suspects are those that were heard of, by id.
+	suspects map[quarantine.ID]quarantine.Record
 }
 
-func (h *heard) take(r fleet.Report, e *Echo) {
+func (h *heard) HeardSuspects(suspects []quarantine.Record) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.suspects == nil {
+		h.suspects = make(map[quarantine.ID]quarantine.Record)
+	}
+	for _, r := range suspects {
+		h.suspects[r.ID] = r
+	}
+}
+
+func (h *heard) Heard(r fleet.Report, e *Echo) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.reports = append(h.reports, r)
@@ -70,7 +84,7 @@
 	defer cancel()
 	var got heard
 	audience := Audience{Sidecars: []string{publisher.conn.LocalAddr().String(), "nonsense"}, Notice: notice}
-	go subscriber.Run(ctx, func() []Audience { return []Audience{audience} }, nil, got.take)
+	go subscriber.Run(ctx, func() []Audience { return []Audience{audience} }, nil, &got)
 	report := fleet.Report{Address: "a:1", Model: "m", Version: 2, Running: 3}
 	await(t, "a report and an echo", func() bool {
 		publisher.Publish(report, false, time.Now())
@@ -111,7 +125,7 @@
 	publisher, subscriber := pair(t, func(Notice) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	audience := Audience{Sidecars: []string{publisher.conn.LocalAddr().String()}}
-	go subscriber.Run(ctx, func() []Audience { return []Audience{audience} }, nil, func(fleet.Report, *Echo) {})
+	go subscriber.Run(ctx, func() []Audience { return []Audience{audience} }, nil, &heard{})
 	subscribed := func() int {
 		publisher.mu.Lock()
 		defer publisher.mu.Unlock()
@@ -138,13 +152,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	publisher.Publish(fleet.Report{Address: "a:1"}, false, time.Now())
-	run := func(s *Subscriber, read int64, take Heard) {
+	run := func(s *Subscriber, read int64, h Handler) {
 		audience := Audience{Sidecars: []string{publisher.conn.LocalAddr().String()}, Notice: Notice{Read: read}}
-		go s.Run(ctx, func() []Audience { return []Audience{audience} }, nil, take)
+		go s.Run(ctx, func() []Audience { return []Audience{audience} }, nil, h)
 	}
 	var got heard
-	run(behind, 3, got.take)
-	run(ahead, 7, func(fleet.Report, *Echo) {})
+	run(behind, 3, &got)
+	run(ahead, 7, &heard{})
 	await(t, "what the other has read", func() bool {
 		got.mu.Lock()
 		defer got.mu.Unlock()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,5 +1,257 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package quarantine tells requests apart by what they ask for, whatever id
-// their callers give them.
+// Package quarantine keeps a request that crashes the endpoints that run it (a
+// poison pill, or query of death) away from them.
+//
+// A crash says little by itself: a dozen requests run at an endpoint, and all
+// of them break off with it. What tells the request to blame from those beside
+// it is that it never ends well anywhere. So each request under which an
+// endpoint crashed is remembered by its ID with its crashes; one good end
+// clears it; Threshold crashes without one put it in quarantine, in which it is
+// sent to no endpoint for Life.
+//
+// Processes exchange what they know as Records. Merging is idempotent, and does
+// not depend on order or on clocks that agree: a good end begins a new epoch of
+// the request's record, the higher epoch goes before the lower, and crashes of
+// one epoch are united by their keys.
 package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// Threshold is how many crashes put a request in quarantine. It was two of
+	// two before anybody could know; at three a request beside it must have met
+	// it three times without a good end between.
+	Threshold = 3
+	// correlated is the time within which crashes count as one, unless a run
+	// was sent after the crash before it: a rack that loses its power ends many
+	// runs of a common request at once.
+	correlated = 200 * time.Millisecond
+	// Life is how long a crash counts. A request in quarantine gets another
+	// chance after it, and at most Threshold more endpoints in each Life.
+	Life = 10 * time.Minute
+	// relayedLife is how long a process that only relays remembers what no
+	// gateway tells it any more. Gateways tell twice a second.
+	relayedLife = 5 * time.Second
+	// maxRequests bounds the table: 512 requests of at most 250 bytes.
+	maxRequests = 512
+	// maxCrashes bounds the crashes that are kept of a request.
+	maxCrashes = 8
+)
+
+// Standing is what is known of a request.
+type Standing struct {
+	// Crashes is how many endpoints crashed under it since it last ended well,
+	// those at the same moment counted as one.
+	Crashes int
+}
+
+// Suspected reports whether an endpoint crashed under the request.
+func (s Standing) Suspected() bool { return s.Crashes > 0 }
+
+// Quarantined reports whether the request must be sent to no endpoint.
+func (s Standing) Quarantined() bool { return s.Crashes >= Threshold }
+
+// crash is one endpoint's, seen by one gateway.
+type crash struct {
+	key uint32 // drawn by who saw it
+	// sent is when the request was sent to the endpoint.
+	sent, at time.Time
+}
+
+// independent reports whether c counts beside an earlier crash at last.
+func (c crash) independent(last time.Time) bool {
+	return c.sent.After(last) || c.at.Sub(last) >= correlated
+}
+
+// entry is what is known of one request.
+type entry struct {
+	// epoch counts its good ends that followed a crash.
+	epoch uint32
+	// crashes of this epoch, by time.
+	crashes []crash
+	// changed is when the entry last changed here, and told when a process
+	// last told of it.
+	changed, told time.Time
+}
+
+// count returns how many independent crashes there are.
+func (e *entry) count() int {
+	count := 0
+	var last time.Time
+	for _, c := range e.crashes {
+		if count == 0 || c.independent(last) {
+			count++
+			last = c.at
+		}
+	}
+	return count
+}
+
+// add adds a crash; of one that is known the earlier time counts, since each
+// process on the way adds the delay of its message. It reports whether that
+// changed anything.
+func (e *entry) add(c crash) bool {
+	at := slices.IndexFunc(e.crashes, func(known crash) bool { return known.key == c.key })
+	switch {
+	case at >= 0 && !c.at.Before(e.crashes[at].at):
+		return false
+	case at >= 0:
+		e.crashes[at] = c
+		e.sort()
+		return false
+	case len(e.crashes) >= maxCrashes && e.count() >= Threshold:
+		return false
+	case len(e.crashes) >= maxCrashes:
+		e.dropDependent()
+	}
+	e.crashes = append(e.crashes, c)
+	e.sort()
+	return true
+}
+
+func (e *entry) sort() {
+	slices.SortFunc(e.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+}
+
+// dropDependent drops the last crash that does not count beside the one before
+// it.
+func (e *entry) dropDependent() {
+	for at := len(e.crashes) - 1; at > 0; at-- {
+		if !e.crashes[at].independent(e.crashes[at-1].at) {
+			e.crashes = slices.Delete(e.crashes, at, at+1)
+			return
+		}
+	}
+}
+
+// Table is what one process knows of requests under which endpoints crashed.
+// It is safe for concurrent use; its lock is taken last.
+type Table struct {
+	// relayed says that entries live only as long as gateways tell of them.
+	relayed bool
+
+	mu      sync.Mutex
+	entries map[ID]*entry
+	// turn is where the next Tell goes on with entries that are not urgent.
+	turn int
+}
+
+// New returns the table of a gateway.
+func New() *Table { return &Table{entries: make(map[ID]*entry)} }
+
+// NewRelayed returns the table of a process that relays between gateways.
+func NewRelayed() *Table { return &Table{relayed: true, entries: make(map[ID]*entry)} }
+
+// Standing returns what is known of a request.
+func (t *Table) Standing(id ID, now time.Time) Standing {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil || t.dead(e, now) {
+		return Standing{}
+	}
+	return Standing{Crashes: e.count()}
+}
+
+// Crashed notes that an endpoint, to which the request was sent at sent, has
+// crashed.
+func (t *Table) Crashed(id ID, sent, now time.Time) Standing {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil || t.dead(e, now) {
+		e = &entry{}
+		t.put(id, e, now)
+	}
+	e.add(crash{key: rand.Uint32(), sent: sent, at: now})
+	e.changed, e.told = now, now
+	return Standing{Crashes: e.count()}
+}
+
+// EndedWell notes that the request was answered in full. It reports whether that
+// cleared it of anything.
+func (t *Table) EndedWell(id ID, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil || len(e.crashes) == 0 {
+		return false
+	}
+	e.epoch++
+	e.crashes = nil
+	e.changed, e.told = now, now
+	return true
+}
+
+// Len returns how many requests are suspected, and how many of those are in
+// quarantine.
+func (t *Table) Len(now time.Time) (suspected, quarantined int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		s := Standing{Crashes: e.count()}
+		switch {
+		case t.dead(e, now):
+		case s.Quarantined():
+			suspected++
+			quarantined++
+		case s.Suspected():
+			suspected++
+		}
+	}
+	return suspected, quarantined
+}
+
+// dead reports whether an entry counts no more; Table.mu is held.
+func (t *Table) dead(e *entry, now time.Time) bool {
+	if t.relayed {
+		return now.Sub(e.told) > relayedLife
+	}
+	return now.Sub(e.since()) > Life
+}
+
+// since is the time from which an entry lives.
+func (e *entry) since() time.Time {
+	if n := len(e.crashes); n > 0 {
+		return e.crashes[n-1].at
+	}
+	return e.changed
+}
+
+// put adds an entry, in the place of the least important one if the table is
+// full; Table.mu is held.
+func (t *Table) put(id ID, e *entry, now time.Time) {
+	if len(t.entries) >= maxRequests {
+		maps.DeleteFunc(t.entries, func(_ ID, e *entry) bool { return t.dead(e, now) })
+	}
+	if len(t.entries) >= maxRequests {
+		t.dropLeast()
+	}
+	t.entries[id] = e
+}
+
+// dropLeast forgets the entry with the fewest crashes, the oldest of those: a
+// caller that makes many does not free a request in quarantine.
+func (t *Table) dropLeast() {
+	var least ID
+	var lowest *entry
+	for id, e := range t.entries {
+		if lowest == nil || compareImportance(e, lowest) > 0 {
+			least, lowest = id, e
+		}
+	}
+	delete(t.entries, least)
+}
+
+// compareImportance orders entries, the more important first.
+func compareImportance(a, b *entry) int {
+	return cmp.Or(cmp.Compare(b.count(), a.count()), b.changed.Compare(a.changed))
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -321,6 +322,18 @@
 	return r, nil
 }
 
+// Refuses reports whether nothing listens at an address, as after the end of a
+// process; a dial without an answer within timeout does not say that.
+func (p *Pool) Refuses(ctx context.Context, address string, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c, err := p.dial(ctx, address)
+	if err == nil {
+		c.end()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // timedOut reports whether a connection was found to have gone silent.
 func timedOut(err error) bool {
 	var failure net.Error
