an endpoint back under its id is another one; entries of other writers name none

Cause: an id stood for one life of an endpoint, and any JSON object under a key of the list for an endpoint: '{}' was a ready endpoint without address, and an entry that could not be read left the one before in place, unlogged.

Change: a life is an id with its birth (born), in the list, the engine's report and the sidecar's datagrams. A newer one begins at nothing, a word of an older one is passed over. An entry counts only if each field that an endpoint always tells is there with its type, its state is one of two and its address an IP number with a port; another one takes the endpoint off the list, with a line. An entry whose service the configuration does not name is set aside until it does, so that it cannot take the place of an endpoint at its address. internal/pace moves out of platform/: it decides.

Fixtures that lacked fields which every endpoint tells are completed.

--- a/cmd/mintlift/outage_test.go
+++ b/cmd/mintlift/outage_test.go
@@ -148,7 +148,7 @@
 		server.Close()
 	})
 	for _, service := range []string{"before", "after"} {
-		d.store.Put(storetest.Endpoints, service, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","slots":4,"state":"ready"}`, service, endpointOf(t, service)))
+		d.store.Put(storetest.Endpoints, service, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","cold_remaining_ms":0,"sequence":1}`, service, endpointOf(t, service)))
 	}
 	d.configure(1, "before")
 	startGateway(t, network+".1", strings.TrimPrefix(server.URL, "http://"))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,6 +23,9 @@
 	Zone     string
 	Slots    int
 	Draining bool
+	// Born is when the endpoint's process started, in Unix milliseconds, or 0 if
+	// it does not tell. With the ID it names one life of the endpoint.
+	Born int64
 	// Models are the versions of the models that the endpoint holds whole;
 	// nil for endpoints that hold none, or are no engines.
 	Models map[string]int
@@ -35,6 +38,8 @@
 	// it holds nothing whole.
 	Model   string `json:"m"`
 	Version int    `json:"v"`
+	// Born is that of a Record, as the engine itself tells it.
+	Born int64 `json:"n,omitempty"`
 	// Busy says that an order is under way and that nothing new is taken.
 	Busy bool `json:"b,omitempty"`
 	// Promised says that the engine will be drained, and brought to a newer
@@ -97,6 +102,14 @@
 // heartbeat changed.
 func (f *Fleet) Put(r Record) bool {
 	e := f.byID[r.ID]
+	switch {
+	case e == nil || e.Born == 0 || r.Born == 0:
+	case r.Born < e.Born:
+		return false // of the life before
+	case r.Born > e.Born || e.reborn:
+		f.Remove(r.ID)
+		e = nil
+	}
 	if e == nil {
 		if old := f.byAddress[r.Address]; old != nil {
 			f.Remove(old.ID)
@@ -108,7 +121,9 @@
 		f.changedService(r.Service)
 		return true
 	}
+	r.Born = max(r.Born, e.Born)
 	changed := e.Draining != r.Draining || !sameModels(e.Models, r.Models)
+	e.Born = r.Born
 	if changed {
 		e.Record = r
 		e.misdirected = false
@@ -116,6 +131,19 @@
 	return changed
 }
 
+// startAgain takes the word of an endpoint that its process began anew at born:
+// it holds nothing, and nothing that was believed of it holds. The list is yet
+// to tell.
+func (f *Fleet) startAgain(e *Endpoint, born int64) *Endpoint {
+	r := e.Record
+	r.Born, r.Models = born, nil
+	f.Remove(r.ID)
+	f.Put(r)
+	e = f.byID[r.ID]
+	e.reborn = true
+	return e
+}
+
 func sameModels(a, b map[string]int) bool {
 	if len(a) != len(b) {
 		return false
@@ -196,8 +224,16 @@
 // that version or readiness changed.
 func (f *Fleet) Heard(r Report, roundTrip time.Duration, now time.Time) (e *Endpoint, changed bool) {
 	e = f.byAddress[r.Address]
-	if e == nil {
+	switch {
+	case e == nil:
 		return nil, false
+	case r.Born == 0 || r.Born == e.Born:
+	case r.Born < e.Born:
+		return nil, false // late, of the life before
+	case e.Born == 0:
+		e.Born = r.Born
+	default:
+		e = f.startAgain(e, r.Born)
 	}
 	changed = e.reportAt.IsZero() || e.report.Version != r.Version || e.report.Busy != r.Busy
 	e.report = r
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -87,6 +87,9 @@
 	gateways int
 	listed   bool // the list of endpoints is known
 	list     listState
+	// unnamed are endpoints on the list whose service the configuration does
+	// not name, by id.
+	unnamed map[string]fleet.Record
 	// crashedAt is when endpoints crashed lately, by id.
 	crashedAt map[string]time.Time
 }
@@ -124,6 +127,7 @@
 		pressures: make(map[string]*pressure),
 		patience:  make(map[string]*patience),
 		crashedAt: make(map[string]time.Time),
+		unnamed:   make(map[string]fleet.Record),
 		suspects:  quarantine.New(),
 		tellSoon:  make(chan struct{}, 1),
 		list:      newListState(),
@@ -143,6 +147,7 @@
 		return
 	}
 	s.events.Info("configuration applied", "version", c.Version, "services", len(c.Services))
+	s.putNamed()
 }
 
 // Configuration returns the configuration in force, or nil.
@@ -243,44 +248,6 @@
 	return lowest
 }
 
-// SetEndpoints replaces the list of endpoints.
-func (s *Server) SetEndpoints(records []fleet.Record) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.fleet.Replace(records)
-	s.listed = true
-	s.list.change()
-	s.events.Info("endpoints listed", "count", len(records))
-	s.tellSoonLocked()
-	s.dispatchAll(time.Now())
-}
-
-// PutEndpoint adds or changes an endpoint.
-func (s *Server) PutEndpoint(r fleet.Record) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	added := !s.fleet.Has(r.ID)
-	if !s.fleet.Put(r) {
-		return
-	}
-	s.list.change()
-	if added {
-		s.tellSoonLocked()
-	}
-	s.events.Info("endpoint changed", "endpoint", r.ID, "address", r.Address, "service", r.Service, "draining", r.Draining, "models", r.Models)
-	s.dispatch(r.Service, time.Now())
-}
-
-// RemoveEndpoint forgets an endpoint.
-func (s *Server) RemoveEndpoint(id string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.fleet.Remove(id) {
-		s.list.change()
-		s.events.Info("endpoint gone", "endpoint", id)
-	}
-}
-
 // Heard takes an engine's report; roundTrip is as for fleet.Fleet.
 func (s *Server) Heard(r fleet.Report, roundTrip time.Duration) {
 	now := time.Now()
--- a/ingress/list.go
+++ b/ingress/list.go
@@ -62,5 +62,8 @@
 	for _, e := range s.fleet.All() {
 		l.Records = append(l.Records, e.Record)
 	}
+	for _, r := range s.unnamed {
+		l.Records = append(l.Records, r)
+	}
 	return l, s.listed
 }
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -69,6 +69,9 @@
 	// Running requests; Pace above 1 is how many times slower than usual.
 	Running int
 	Pace    float64
+	// Born is when the engine's process started, in Unix milliseconds, or 0 if
+	// it does not tell.
+	Born int64
 }
 
 // Engine is the engine beside the sidecar.
@@ -321,8 +324,8 @@
 	old, first := i.state, i.heard.IsZero()
 	i.state = s
 	i.heard = time.Now()
-	if first || old.Version != s.Version || old.Busy != s.Busy || old.Orders != s.Orders {
-		i.log.Info("engine changed", "model", s.Model, "version", s.Version, "busy", s.Busy, "orders", s.Orders)
+	if first || old.Version != s.Version || old.Busy != s.Busy || old.Orders != s.Orders || old.Born != s.Born {
+		i.log.Info("engine changed", "model", s.Model, "version", s.Version, "busy", s.Busy, "orders", s.Orders, "born", s.Born)
 		i.wakeLocked()
 	}
 }
--- a/platform/pace.go
+++ b/internal/pace/pace.go
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package platform
+// Package pace tells a full link, or a store that is away, from a part of the
+// store that is silent: on the former all topics are late.
+package pace
 
 import (
 	"sync"
@@ -15,44 +17,44 @@
 	lateFor = 3 * time.Second
 )
 
-// pace tells a full link, or a store that is away, from a part of the store
-// that is silent: on the former all topics are late. It is safe for concurrent
-// use.
-type pace struct {
+// Pace is how promptly the topics of a store are answered. It is safe for
+// concurrent use.
+type Pace struct {
 	mu     sync.Mutex
 	topics map[string]*topicPace
 }
 
 // topicPace is how promptly one topic is answered.
 type topicPace struct {
-	due  map[*call]time.Time // of calls in progress: when they begin to be late
+	due  map[*Call]time.Time // of calls in progress: when they begin to be late
 	late time.Time           // when the last answer came late; zero if it did not
 }
 
-// call is a call in progress.
-type call struct {
-	pace  *pace
+// Call is a call in progress.
+type Call struct {
+	pace  *Pace
 	topic string
 }
 
-func newPace() *pace { return &pace{topics: make(map[string]*topicPace)} }
+// New returns a pace without calls.
+func New() *Pace { return &Pace{topics: make(map[string]*topicPace)} }
 
-// begin notes a call that waits at the store.
-func (p *pace) begin(topic string, wait time.Duration, now time.Time) *call {
+// Begin notes a call that waits at the store.
+func (p *Pace) Begin(topic string, wait time.Duration, now time.Time) *Call {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.topics[topic]
 	if t == nil {
-		t = &topicPace{due: make(map[*call]time.Time)}
+		t = &topicPace{due: make(map[*Call]time.Time)}
 		p.topics[topic] = t
 	}
-	c := &call{pace: p, topic: topic}
+	c := &Call{pace: p, topic: topic}
 	t.due[c] = now.Add(wait + promptAnswer)
 	return c
 }
 
-// answered notes that the answer has begun.
-func (c *call) answered(now time.Time) {
+// Answered notes that the answer has begun.
+func (c *Call) Answered(now time.Time) {
 	c.pace.mu.Lock()
 	defer c.pace.mu.Unlock()
 	t := c.pace.topics[c.topic]
@@ -67,9 +69,9 @@
 	}
 }
 
-// end notes that the call has ended; one that had no answer by then and was
+// End notes that the call has ended; one that had no answer by then and was
 // late counts as such.
-func (c *call) end(now time.Time) {
+func (c *Call) End(now time.Time) {
 	c.pace.mu.Lock()
 	defer c.pace.mu.Unlock()
 	t := c.pace.topics[c.topic]
@@ -79,8 +81,8 @@
 	delete(t.due, c)
 }
 
-// othersLate reports whether a topic other than this one is late.
-func (p *pace) othersLate(topic string, now time.Time) bool {
+// OthersLate reports whether a topic other than this one is late.
+func (p *Pace) OthersLate(topic string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, t := range p.topics {
