ages and deadlines count the time in which the machine was suspended

Cause: Go's time counts by CLOCK_MONOTONIC, which stands still meanwhile: after the wake a configuration, a list, a report, a named version and a caller's deadline were too young by seconds, and timers too late.

A request's end, the limit of an attempt and an engine's turn are timers that fire on the wake; a line 'woken' tells it.

--- a/cmd/mintlift/outage_test.go
+++ b/cmd/mintlift/outage_test.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/platform/storetest"
 	"github.com/mintlift/mintlift/telemetry"
@@ -182,3 +183,26 @@
 	_, err := startPlatformGateway(ctx, processAt(t, ip, store, ""))
 	assert.NilError(t, err)
 }
+
+// A configuration that was confirmed before a suspension may be too old: what it
+// does not know is refused as not run, not denied, until the store has answered.
+func TestConfigurationAgesWhileSuspended(t *testing.T) {
+	d := startDeployment(t, "127.77.3")
+	ask := func(path string) int {
+		r, err := http.NewRequest(http.MethodGet, "http://"+d.front+path, nil)
+		assert.NilError(t, err)
+		r.Host = "h.example"
+		response, err := http.DefaultClient.Do(r)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		return response.StatusCode
+	}
+	assert.Equal(t, ask("/none/"), http.StatusNotFound)
+	d.silence("")
+	clock.SuspendForTest(t, changeInForce)
+	assert.Equal(t, ask("/none/"), http.StatusServiceUnavailable)
+	d.silence()
+	for began := time.Now(); ask("/none/") != http.StatusNotFound; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Since(began) < changeInForce+contact, "it is not confirmed again")
+	}
+}
--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 	"github.com/urfave/cli/v3"
 
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/telemetry"
 )
@@ -100,6 +101,9 @@
 		events.Error(err, "start failed")
 		return err
 	}
+	go clock.Watch(ctx, func(suspended time.Duration) {
+		events.Info("woken", "suspended_ms", suspended.Milliseconds())
+	})
 	events.Info("started", "release", version, "node", settings.Node, "zone", settings.Zone, "ip", settings.IP)
 	for {
 		s := <-signals
--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -14,6 +14,7 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/ingress"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/internal/tcpconn"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
@@ -30,7 +31,7 @@
 
 // Named implements platform.Operator.
 func (v gatewayView) Named(n platform.Naming, first bool) {
-	v.NameVersion(n.Model, n.Version, first, time.Now())
+	v.NameVersion(n.Model, n.Version, first, clock.Now())
 }
 
 // sidecarsView gives what sidecars tell to a gateway.
@@ -46,7 +47,7 @@
 		v.server.Heard(r, noRoundTrip)
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	v.watcher.OthersRead(e.Read, now)
 	v.readers.Heard(e.Readers, now)
 	v.server.Heard(r, e.RoundTrip)
@@ -54,7 +55,7 @@
 
 // HeardSuspects implements loadreport.Handler.
 func (v sidecarsView) HeardSuspects(suspects []quarantine.Record) {
-	v.server.HeardSuspects(suspects, time.Now())
+	v.server.HeardSuspects(suspects, clock.Now())
 }
 
 // current reports whether the configuration in force is known to be the
@@ -90,8 +91,8 @@
 		Headers:         platform.Headers(),
 		Budget:          budget,
 		VersionDeadline: s.VersionDeadline(),
-		Current:         func() bool { return current(p.watcher.Progress(), s.ConfigBudget(), time.Now()) },
-		ConfigAge:       func() time.Duration { return p.watcher.Progress().Age(time.Now()) },
+		Current:         func() bool { return current(p.watcher.Progress(), s.ConfigBudget(), clock.Now()) },
+		ConfigAge:       func() time.Duration { return p.watcher.Progress().Age(clock.Now()) },
 	}, p.requests, p.events, p.metrics)
 	front, err := tcpconn.Listen(ctx, s.Listen.Front, tcpconn.ProbeLater)
 	if err != nil {
@@ -126,12 +127,12 @@
 	follower := storerelay.NewFollower(readers, server, s.DrainBudget(), p.events)
 	go p.watchEndpoints(ctx, server, follower)
 	told := func() []loadreport.Audience {
-		return audiences(s, server, p.watcher.Progress().Offset, time.Now())
+		return audiences(s, server, p.watcher.Progress().Offset, clock.Now())
 	}
 	go subscriber.Run(ctx, told, server.TellSoon(), sidecarsView{server, p.watcher, readers})
 	go func() {
 		for range time.Tick(maintainEvery) {
-			server.Maintain(time.Now())
+			server.Maintain(clock.Now())
 		}
 	}()
 	return func(ending context.Context) { stopGateway(ending, p, server, front) }, nil
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -59,7 +59,7 @@
 func (v *sidecarView) Named(n platform.Naming, first bool) {
 	named := time.Time{}
 	if !first {
-		named = time.Now()
+		named = clock.Now()
 	}
 	v.installer.Name(n.Model, n.Version, named)
 }
@@ -69,7 +69,7 @@
 	if n.Weights != nil {
 		v.apply(*n.Weights)
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, named := range n.Named {
 		if since := named.Since(now); !since.IsZero() {
 			v.installer.Name(n.Model, named.Version, since)
@@ -109,7 +109,7 @@
 // peers returns the sidecars of the service as a gateway lists them, or the
 // store if no gateway answers.
 func (v *sidecarView) peers(ctx context.Context, p *platformProcess, lists *storerelay.Client, publisher *loadreport.Publisher) ([]installer.Peer, error) {
-	gateways := publisher.Gateways(v.settings.Region, gatewaysAsked, time.Now())
+	gateways := publisher.Gateways(v.settings.Region, gatewaysAsked, clock.Now())
 	for at, ip := range gateways {
 		gateways[at] = v.settings.Internal(ip, portRelay)
 	}
@@ -159,11 +159,11 @@
 	const look = 250 * time.Millisecond
 	reader := p.watcher.OperatorReader(o)
 	patience := unheardAfter + rand.N(unheardMore)
-	read, began := time.Time{}, time.Now()
+	read, began := time.Time{}, clock.Now()
 	lost := false
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, look)
-		now := time.Now()
+		now := clock.Now()
 		heard := publisher.Asked()
 		if heard.IsZero() {
 			heard = began
@@ -174,7 +174,7 @@
 		err := reader.Read(ctx)
 		switch {
 		case err == nil:
-			read = time.Now()
+			read = clock.Now()
 			if lost {
 				p.events.Info("store regained", "topic", "operator")
 			}
@@ -226,7 +226,7 @@
 			publisher.Publish(fleet.Report{
 				Address: view.settings.App, Model: state.Model, Version: state.Version, Busy: state.Busy || i.Leaving(), Promised: i.Promised(),
 				Running: state.Running, Queued: state.Queued, Pace: state.Pace, Born: state.Born, Weights: view.sum(),
-			}, i.Changing(), time.Now())
+			}, i.Changing(), clock.Now())
 		}
 		select {
 		case <-ticker.C:
--- a/deploy/days/play.py
+++ b/deploy/days/play.py
@@ -58,6 +58,8 @@
     if arguments.days:
         days = [d for d in days if d.stem in arguments.days]
     failed = 0
+    if arguments.logs:
+        pathlib.Path(arguments.logs).mkdir(parents=True, exist_ok=True)
     with tempfile.TemporaryDirectory() as folder, concurrent.futures.ThreadPoolExecutor(arguments.jobs) as pool:
         for day, output in zip(days, pool.map(lambda d: play(arguments, site, d, folder), days)):
             row, state = summary(day.stem, output)
--- a/ingress/accept.go
+++ b/ingress/accept.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/internal/clock"
 )
 
 // acceptPause is how long a gateway calls itself unready after it could not
@@ -41,7 +43,7 @@
 func (l *watchedListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil && !errors.Is(err, net.ErrClosed) {
-		l.server.accepts.failed.Store(time.Now().UnixNano())
+		l.server.accepts.failed.Store(clock.Now().UnixNano())
 		l.server.pool.ForgetAll()
 		l.server.events.Error(err, "connection of a caller not taken")
 	}
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/routing"
 )
 
@@ -211,7 +212,7 @@
 // serve, whatever its load, does not wait: what is missing takes seconds to
 // come, and the caller is told when to come back.
 func (s *Server) admit(ctx context.Context, x *exchange, hold time.Duration) *fleet.Endpoint {
-	now := time.Now()
+	now := clock.Now()
 	w := &waiter{
 		exchange: x,
 		rank:     rank{priority: x.priority, stage: x.stage(), due: x.start.Add(x.route.TargetLatency)},
@@ -255,9 +256,9 @@
 		if ctx.Err() == nil {
 			return e
 		}
-		s.fleet.Begun(e, x.work, unknownLate, time.Now())
-		s.endLocked(x, e, fleet.Abandoned, time.Now())
-		s.dispatch(x.service, time.Now())
+		s.fleet.Begun(e, x.work, unknownLate, clock.Now())
+		s.endLocked(x, e, fleet.Abandoned, clock.Now())
+		s.dispatch(x.service, clock.Now())
 	default:
 	}
 	return nil
@@ -307,18 +308,18 @@
 // wait in which it takes what there is.
 func (s *Server) acquire(ctx context.Context, x *exchange) *fleet.Endpoint {
 	if x.attempts > 0 && !x.late {
-		if e := s.admit(ctx, x, min(resumeWait, time.Until(x.end))); e != nil {
+		if e := s.admit(ctx, x, min(resumeWait, clock.Until(x.end))); e != nil {
 			return e
 		}
 	}
 	if x.attempts == 0 && !x.cannotBeInTime() {
-		if e := s.admit(ctx, x, queueTime(x, time.Now())); e != nil || !x.returned {
-			s.pressureOf(x.service).count(e == nil, time.Now())
+		if e := s.admit(ctx, x, queueTime(x, clock.Now())); e != nil || !x.returned {
+			s.pressureOf(x.service).count(e == nil, clock.Now())
 			return e
 		}
 	}
 	x.late = true
-	left := time.Until(x.end)
+	left := clock.Until(x.end)
 	if x.attempts == 0 {
 		left = time.Duration(lateWaitShare * float64(left))
 	}
@@ -329,7 +330,7 @@
 // has nothing else to do: a refusal would only cost the caller a second try.
 func (x *exchange) cannotBeInTime() bool {
 	s := x.server
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	q := s.query(x, now)
 	s.mu.Unlock()
@@ -347,7 +348,7 @@
 
 // retryAfter is when a refused caller should try again.
 func (s *Server) retryAfter(x *exchange) time.Duration {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	usable := s.fleet.Usable(s.servable(x, now), now)
 	s.mu.Unlock()
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/quarantine"
 )
 
@@ -37,7 +38,7 @@
 	if !brokeOff(cause) || !s.pool.Refuses(ctx, e.Address, crashProbe) {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	if s.crashedBefore(e.ID, x.sent, now) {
 		return
 	}
@@ -82,12 +83,12 @@
 // mustRest reports whether an endpoint has crashed under this try of a request
 // that was suspected before.
 func (x *exchange) mustRest() bool {
-	return x.crashes > 0 && x.standing(time.Now()).Crashes >= restAfter
+	return x.crashes > 0 && x.standing(clock.Now()).Crashes >= restAfter
 }
 
 // endedWell clears the request of crashes that it was suspected of.
 func (x *exchange) endedWell() {
-	if !x.server.suspects.EndedWell(x.identity, time.Now()) {
+	if !x.server.suspects.EndedWell(x.identity, clock.Now()) {
 		return
 	}
 	x.server.events.Info("request cleared", "request", x.id, "identity", x.identity.String())
--- a/ingress/endpoints.go
+++ b/ingress/endpoints.go
@@ -3,9 +3,8 @@
 package ingress
 
 import (
-	"time"
-
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
 )
 
 // SetEndpoints replaces the list of endpoints.
@@ -26,7 +25,7 @@
 	s.list.change()
 	s.events.Info("endpoints listed", "count", len(named), "unnamed", len(s.unnamed))
 	s.tellSoonLocked()
-	s.dispatchAll(time.Now())
+	s.dispatchAll(clock.Now())
 }
 
 // PutEndpoint adds or changes an endpoint.
@@ -53,7 +52,7 @@
 		s.tellSoonLocked()
 	}
 	s.events.Info("endpoint changed", "endpoint", r.ID, "address", r.Address, "service", r.Service, "draining", r.Draining, "models", r.Models, "born", r.Born)
-	s.dispatch(r.Service, time.Now())
+	s.dispatch(r.Service, clock.Now())
 }
 
 // setAside keeps an entry whose service the configuration does not name: it may
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
 	"github.com/mintlift/mintlift/upstream"
@@ -96,7 +97,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	x := &exchange{server: s, writer: w, request: r, start: time.Now(), id: r.Header.Get(s.settings.Headers.RequestID)}
+	x := &exchange{server: s, writer: w, request: r, start: clock.Now(), id: r.Header.Get(s.settings.Headers.RequestID)}
 	if x.id != "" {
 		w.Header().Set(s.settings.Headers.RequestID, x.id)
 	}
@@ -114,7 +115,7 @@
 		x.rejectQuarantined()
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.end)
+	ctx, cancel := clock.WithDeadline(r.Context(), x.end)
 	defer cancel()
 	if x.route.Kind == routing.Streaming {
 		x.stream(ctx)
@@ -246,7 +247,7 @@
 		return false
 	}
 	control := http.NewResponseController(x.writer)
-	_ = control.SetReadDeadline(x.start.Add(bodyReadTime)) // real connections support it
+	_ = control.SetReadDeadline(clock.Steady(x.start.Add(bodyReadTime))) // real connections support it
 	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
 	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
@@ -268,7 +269,7 @@
 	h := x.header.Clone()
 	h.Set(names.ExpectEndpoint, e.ID)
 	if !x.deadline.IsZero() {
-		left := max(time.Until(x.end).Milliseconds(), 1)
+		left := max(clock.Until(x.end).Milliseconds(), 1)
 		h.Set(names.Deadline, strconv.FormatInt(left, 10))
 	}
 	if lastEvent != "" {
@@ -295,7 +296,7 @@
 // mayStill reports whether e may get the request that it was chosen for: on a
 // busy box, a version may have come due or e have begun to leave meanwhile.
 func (s *Server) mayStill(x *exchange, e *fleet.Endpoint) bool {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e.Draining || x.quarantined(now) {
@@ -367,7 +368,7 @@
 // finish tells the fleet how an attempt ended.
 func (x *exchange) finish(e *fleet.Endpoint, result fleet.Result) {
 	s := x.server
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	if !x.begun {
 		s.fleet.Begun(e, x.work, unknownLate, now)
@@ -400,7 +401,7 @@
 	x.begun = true
 	s := x.server
 	s.mu.Lock()
-	now := time.Now()
+	now := clock.Now()
 	late := now.Sub(x.sent) - x.expected
 	s.fleet.Begun(e, x.work, max(late, 0), now)
 	s.mu.Unlock()
@@ -409,7 +410,7 @@
 // note logs the choice of an endpoint.
 func (x *exchange) note(e *fleet.Endpoint) {
 	s := x.server
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	backlog, delay := e.Backlog(x.usual, now), e.Delay(now)
 	x.sent = now
@@ -423,7 +424,7 @@
 // close ends the request in logs and metrics.
 func (x *exchange) close(outcome, cause string, status int) {
 	s := x.server
-	took := time.Since(x.start)
+	took := clock.Since(x.start)
 	route, version := "", int64(0)
 	if x.route != nil {
 		route = x.route.Name
@@ -473,7 +474,7 @@
 	case x.callerLeft():
 		x.close(outcomeLeft, "caller left", 0)
 		panic(http.ErrAbortHandler)
-	case x.quarantined(time.Now()):
+	case x.quarantined(clock.Now()):
 		x.rejectQuarantined()
 	case !x.mayRun:
 		x.refuse(x.causeOr("no endpoint has room"), x.server.retryAfter(x))
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/retrybudget"
 	"github.com/mintlift/mintlift/routing"
@@ -250,7 +251,7 @@
 
 // Heard takes an engine's report; roundTrip is as for fleet.Fleet.
 func (s *Server) Heard(r fleet.Report, roundTrip time.Duration) {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, changed := s.fleet.Heard(r, roundTrip, now)
@@ -304,7 +305,7 @@
 
 // Ready reports whether the gateway can serve new connections.
 func (s *Server) Ready() bool {
-	if s.stopping.Load() || s.routes.Get() == nil || s.accepts.failing(time.Now()) {
+	if s.stopping.Load() || s.routes.Get() == nil || s.accepts.failing(clock.Now()) {
 		return false
 	}
 	s.mu.Lock()
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/upstream"
 )
 
@@ -71,7 +72,7 @@
 			failure = answer
 		}
 		x.mayRun = x.mayRun || v != notRun
-		if x.mayRun && !x.route.Idempotent() || x.over(ctx) || x.mustRest() || !x.mayRepeat(time.Now()) {
+		if x.mayRun && !x.route.Idempotent() || x.over(ctx) || x.mustRest() || !x.mayRepeat(clock.Now()) {
 			return failure, v
 		}
 	}
@@ -79,7 +80,7 @@
 
 // next waits for the endpoint of the next attempt and counts the attempt.
 func (x *exchange) next(ctx context.Context) *fleet.Endpoint {
-	if x.quarantined(time.Now()) {
+	if x.quarantined(clock.Now()) {
 		return nil
 	}
 	e := x.server.acquire(ctx, x)
@@ -146,8 +147,9 @@
 	if !x.movable() {
 		return ctx, b.end
 	}
-	limit := time.Duration(attemptShare * float64(time.Until(x.end)))
-	timer := time.AfterFunc(limit, func() { b.breakOff(time.Now()) })
+	now := clock.Now()
+	limit := now.Add(time.Duration(attemptShare * float64(x.end.Sub(now))))
+	timer := clock.AfterFunc(limit, func() { b.breakOff(clock.Now()) })
 	return ctx, func() {
 		timer.Stop()
 		b.end()
@@ -160,7 +162,7 @@
 	x.lastCause = errSilent.Error()
 	x.server.pool.Forget(e.Address)
 	x.finish(e, fleet.Broken)
-	x.server.log.Info("attempt silent", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "begun", x.begun, "ms", time.Since(x.sent).Milliseconds())
+	x.server.log.Info("attempt silent", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "begun", x.begun, "ms", clock.Since(x.sent).Milliseconds())
 	return spoilt
 }
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/mintlift/mintlift/eventstream"
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/upstream"
 )
 
@@ -170,7 +171,7 @@
 		t.last = event.ID
 		t.lastSent = strconv.FormatInt(event.ID, 10)
 	}
-	t.pace(time.Now())
+	t.pace(clock.Now())
 	return t.control.Flush()
 }
 
@@ -219,14 +220,15 @@
 	go func() {
 		ticker := time.NewTicker(watchEvery)
 		defer ticker.Stop()
-		last, limit := time.Now(), silenceLimit(false)
+		last, limit := clock.Now(), silenceLimit(false)
 		for {
 			select {
 			case <-w.done:
 				return
 			case <-w.heard:
-				last, limit = time.Now(), silenceLimit(true)
-			case now := <-ticker.C:
+				last, limit = clock.Now(), silenceLimit(true)
+			case <-ticker.C:
+				now := clock.Now()
 				if t.server.fellSilent(e, now.Sub(last), limit, now) && b.breakOff(now) {
 					return
 				}
--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -12,6 +12,7 @@
 	"github.com/bits-and-blooms/bitset"
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/internal/stall"
 	"github.com/mintlift/mintlift/transfer"
 )
@@ -29,7 +30,7 @@
 	if i.complete(r) {
 		return true
 	}
-	began := time.Now()
+	began := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, fetchRound+rand.N(fetchRoundMore))
 	defer cancel()
 	swarm := i.join(ctx, w, r)
@@ -42,11 +43,11 @@
 		}
 		i.mu.Lock()
 		p := transfer.Pull{Wait: busyWait}
-		switch limit := i.parallel(r, w, time.Now()); {
+		switch limit := i.parallel(r, w, clock.Now()); {
 		case flying < limit:
-			p = swarm.Next(time.Now())
+			p = swarm.Next(clock.Now())
 		case limit > 1 && flying < limit+firstExtra:
-			p = swarm.NextFirst(time.Now())
+			p = swarm.NextFirst(clock.Now())
 		}
 		has := swarm.Wants()
 		if p.Kind != transfer.None {
@@ -76,7 +77,7 @@
 	defer i.mu.Unlock()
 	done := r.whole()
 	i.log.Info("fetch ended", "version", w.version, "whole", done, "held", r.held.Count(), "origin", r.fromSrc, "far", r.fromFar,
-		"peers", r.fromPeers, "spoilt", r.bad, "ms", time.Since(began).Milliseconds())
+		"peers", r.fromPeers, "spoilt", r.bad, "ms", clock.Since(began).Milliseconds())
 	return done
 }
 
@@ -129,7 +130,7 @@
 	}
 	order := transfer.NewOrder(params)
 	i.mu.Lock()
-	swarm := transfer.NewSwarm(params, order, i.settings.Box, r.held, time.Now())
+	swarm := transfer.NewSwarm(params, order, i.settings.Box, r.held, clock.Now())
 	if r.swarm != nil {
 		swarm.Continue(r.swarm)
 	}
@@ -150,7 +151,7 @@
 	i.mu.Lock()
 	known, at := i.known, i.knownAt
 	i.mu.Unlock()
-	if time.Since(at) < listFresh {
+	if clock.Since(at) < listFresh {
 		return known
 	}
 	peers, err := i.peers(ctx)
@@ -160,7 +161,7 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.known, i.knownAt = peers, time.Now()
+	i.known, i.knownAt = peers, clock.Now()
 	return peers
 }
 
@@ -184,7 +185,7 @@
 			case err == nil:
 				swarm.Known(box, know)
 			case ctx.Err() == nil:
-				swarm.Silent(box, time.Now())
+				swarm.Silent(box, clock.Now())
 				i.log.Info("partner silent", "version", m.Version, "peer", box, "error", err.Error())
 			}
 		})
@@ -271,12 +272,12 @@
 
 // pull carries out one decision and reports its end to the swarm.
 func (i *Installer) pull(ctx context.Context, r *replica, swarm *transfer.Swarm, p transfer.Pull, has *bitset.BitSet) {
-	began := time.Now()
-	know, data, err := i.transfer(ctx, r, swarm, &p, has, func() { began = time.Now() })
+	began := clock.Now()
+	know, data, err := i.transfer(ctx, r, swarm, &p, has, func() { began = clock.Now() })
 	if err == nil {
 		err = i.take(r, p, data)
 	}
-	now := time.Now()
+	now := clock.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	switch {
@@ -369,7 +370,7 @@
 	close(r.arrived)
 	r.arrived = make(chan struct{})
 	if r.whole() {
-		r.wholeAt = time.Now()
+		r.wholeAt = clock.Now()
 	}
 	return nil
 }
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -24,6 +24,7 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/telemetry"
 	"github.com/mintlift/mintlift/transfer"
 )
@@ -323,7 +324,7 @@
 	defer i.mu.Unlock()
 	old, first := i.state, i.heard.IsZero()
 	i.state = s
-	i.heard = time.Now()
+	i.heard = clock.Now()
 	if first || old.Version != s.Version || old.Busy != s.Busy || old.Orders != s.Orders || old.Born != s.Born {
 		i.log.Info("engine changed", "model", s.Model, "version", s.Version, "busy", s.Busy, "orders", s.Orders, "born", s.Born)
 		i.wakeLocked()
--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -104,7 +104,7 @@
 		return nil, i.change
 	}
 	var out []want
-	now := time.Now()
+	now := clock.Now()
 	for _, t := range i.targets {
 		if i.completes(t, now) {
 			out = append(out, want{params: i.params, version: t.version})
@@ -187,7 +187,7 @@
 	r := newReplica(m, i.settings.Box)
 	i.readStage(ctx, r)
 	if r.whole() {
-		r.wholeAt = time.Now()
+		r.wholeAt = clock.Now()
 	}
 	i.log.Info("copy opened", "version", w.version, "held", r.held.Count(), "chunks", len(r.chunks))
 	i.mu.Lock()
--- a/installer/stage.go
+++ b/installer/stage.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/mintlift/mintlift/internal/clock"
 )
 
 // What lies ready beside the engine, one copy of the model, outlasts this
@@ -122,7 +124,7 @@
 	}
 	since := time.Duration(-1)
 	if !s.named.IsZero() {
-		since = time.Since(s.named)
+		since = clock.Since(s.named)
 	}
 	i.log.Info("start ordered", "version", m.Version, "empty", s.empty, "since_named_ms", since.Milliseconds())
 	i.metrics.Counter("mintlift_installer_starts_total").Inc()
--- a/installer/start.go
+++ b/installer/start.go
@@ -71,18 +71,20 @@
 // starts brings the engine to what has been fetched until ctx ends.
 func (i *Installer) starts(ctx context.Context) {
 	for ctx.Err() == nil {
-		s, change := i.nextStart(time.Now())
+		s, change := i.nextStart(clock.Now())
 		i.promise(s)
 		wait := keepEvery
 		if s != nil {
-			wait = time.Until(s.at)
+			wait = clock.Until(s.at)
 		}
 		if s == nil || wait > 0 {
+			due, stop := clock.After(clock.Now().Add(wait))
 			select {
 			case <-change:
-			case <-time.After(wait):
+			case <-due:
 			case <-ctx.Done():
 			}
+			stop()
 			continue
 		}
 		i.carryOut(ctx, s)
@@ -272,10 +274,10 @@
 	state, _ := i.State()
 	i.log.Info("drain begun", "running", state.Running, "queued", state.Queued, "version", state.Version)
 	const look = 50 * time.Millisecond
-	began := time.Now()
-	for ctx.Err() == nil && time.Since(began) < limit {
+	began := clock.Now()
+	for ctx.Err() == nil && clock.Since(began) < limit {
 		state, _ = i.State()
-		if state.Running+state.Queued == 0 && time.Since(began) > drainTold {
+		if state.Running+state.Queued == 0 && clock.Since(began) > drainTold {
 			return
 		}
 		clock.Sleep(ctx, look)
@@ -284,12 +286,12 @@
 
 // await waits until the engine has taken the version that it was ordered to.
 func (i *Installer) await(ctx context.Context, s *step) {
-	began := time.Now()
+	began := clock.Now()
 	for ctx.Err() == nil {
 		i.mu.Lock()
 		state, change := i.state, i.change
 		i.mu.Unlock()
-		if state.Version >= s.copy.manifest.Version || time.Since(began) > startWait && !state.Busy {
+		if state.Version >= s.copy.manifest.Version || clock.Since(began) > startWait && !state.Busy {
 			return
 		}
 		select {
--- a/installer/start_test.go
+++ b/installer/start_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/telemetry"
 	"github.com/mintlift/mintlift/transfer"
 )
@@ -267,3 +268,19 @@
 		assert.Assert(t, s.at.Before(now.Add(testDeadline-5*time.Second-turnMargin)), "box %d begins after %s", k, s.at.Sub(now))
 	}
 }
+
+// An engine's turn that comes while the machine is suspended is taken on the
+// wake.
+func TestTurnIsTakenOnTheWake(t *testing.T) {
+	go clock.Watch(t.Context(), nil)
+	const deadline = time.Minute
+	c := newCluster(t, 1, 1, deadline, holding(1))
+	c.installers[0].Name(testModel, 2, clock.Now())
+	for began := time.Now(); !c.installers[0].Promised(); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Since(began) < 10*time.Second, "it promises its turn")
+	}
+	woken := time.Now()
+	clock.SuspendForTest(t, deadline)
+	c.await(2)
+	assert.Assert(t, time.Since(woken) < 5*time.Second, "%s", time.Since(woken))
+}
--- a/loadreport/gateways.go
+++ b/loadreport/gateways.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/mintlift/mintlift/internal/clock"
 )
 
 // Readers is how many gateways of a region read the list of endpoints from
@@ -28,7 +30,7 @@
 // readersLocked returns the first gateways of a region that subscribed
 // lately. Publisher.mu is held.
 func (p *Publisher) readersLocked(region string) []string {
-	near, _ := p.gatewaysLocked(region, time.Now())
+	near, _ := p.gatewaysLocked(region, clock.Now())
 	return FirstReaders(near)
 }
 
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -160,7 +160,7 @@
 			continue
 		}
 		told(asked.Notice)
-		now := time.Now()
+		now := clock.Now()
 		if p.suspects.Merge(asked.Suspects, now) {
 			p.tellSuspects(now)
 		}
@@ -247,7 +247,7 @@
 }
 
 // stamp is the subscriber's own time, in microseconds.
-func (s *Subscriber) stamp() int64 { return time.Since(s.began).Microseconds() }
+func (s *Subscriber) stamp() int64 { return clock.Since(s.began).Microseconds() }
 
 // Echo is what a sidecar tells in answer to a subscription.
 type Echo struct {
@@ -277,7 +277,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Subscriber{conn: conn, began: time.Now()}, nil
+	return &Subscriber{conn: conn, began: clock.Now()}, nil
 }
 
 // Run subscribes at the sidecars that audiences tells, and hands on each
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
 )
@@ -189,3 +190,17 @@
 	}
 	assert.Assert(t, ahead > rounds*70/100 && ahead < rounds*80/100, "%d of %d", ahead, rounds)
 }
+
+// A gateway that was last heard before a suspension is not heard any more.
+func TestSubscriptionsEndWhileSuspended(t *testing.T) {
+	publisher, subscriber := pair(t, func(Notice) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	audience := Audience{Sidecars: []string{publisher.conn.LocalAddr().String()}, Notice: Notice{Region: "r"}}
+	go subscriber.Run(ctx, func() []Audience { return []Audience{audience} }, nil, &heard{})
+	await(t, "a subscription", func() bool { return len(publisher.Gateways("r", 2, clock.Now())) == 1 })
+	cancel()
+	time.Sleep(50 * time.Millisecond) // what is under way
+	clock.SuspendForTest(t, subscription)
+	assert.Equal(t, len(publisher.Gateways("r", 2, clock.Now())), 0)
+	assert.Assert(t, clock.Since(publisher.Asked()) >= subscription)
+}
--- a/storerelay/follow.go
+++ b/storerelay/follow.go
@@ -14,6 +14,7 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/ingress"
+	"github.com/mintlift/mintlift/internal/clock"
 )
 
 // maxHold bounds how long a gateway lets a question wait for a change.
@@ -37,7 +38,7 @@
 func await(ctx context.Context, changed <-chan struct{}, end time.Time) bool {
 	select {
 	case <-changed:
-	case <-time.After(time.Until(end)):
+	case <-time.After(clock.Until(end)):
 	case <-ctx.Done():
 		return false
 	}
@@ -57,18 +58,18 @@
 // has, or the time has passed for which it can wait.
 func serveList(w http.ResponseWriter, r *http.Request, source Source) {
 	had := r.URL.Query().Get("had")
-	end := time.Now().Add(holdAsked(r))
+	end := clock.Now().Add(holdAsked(r))
 	for {
 		list, known := source.List()
 		if !known {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		out := shared{State: list.State, AgeMS: time.Since(list.Confirmed).Milliseconds()}
+		out := shared{State: list.State, AgeMS: clock.Since(list.Confirmed).Milliseconds()}
 		if list.State != had {
 			out.Records = list.Records
 		}
-		if list.State != had || !time.Now().Before(end) {
+		if list.State != had || !clock.Now().Before(end) {
 			answer(w, out)
 			return
 		}
@@ -111,7 +112,7 @@
 // the store itself.
 func (f *Follower) Follow(ctx context.Context) bool {
 	if f.had == "" {
-		f.confirmed = time.Now() // nothing is known that could be too old
+		f.confirmed = clock.Now() // nothing is known that could be too old
 	}
 	told := f.readers.tryEach(f.budget, f.confirmed, func(ip string, hold time.Duration) bool { return f.ask(ctx, ip, hold) })
 	if told {
@@ -132,14 +133,14 @@
 	}
 	age := time.Duration(got.AgeMS) * time.Millisecond
 	if f.budget.Hold(age) <= 0 {
-		f.readers.leave(ip, time.Now().Add(avoidFor))
+		f.readers.leave(ip, clock.Now().Add(avoidFor))
 		f.log.Info("list of a gateway too old", "gateway", ip, "age_ms", got.AgeMS)
 		return false
 	}
 	if got.State != f.had {
 		f.target.SetEndpoints(got.Records)
 	}
-	f.confirmed = time.Now().Add(-age)
+	f.confirmed = clock.Now().Add(-age)
 	f.target.Listed(f.confirmed)
 	if f.from != ip {
 		f.log.Info("list taken from a gateway", "gateway", ip, "age_ms", got.AgeMS)
--- a/storerelay/list_test.go
+++ b/storerelay/list_test.go
@@ -17,6 +17,7 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/ingress"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/telemetry"
 )
@@ -236,3 +237,18 @@
 	})
 	return strings.TrimPrefix(s.URL, "http://")
 }
+
+// A list that was read before a suspension is too old for those that take it
+// from this gateway, and what they have of it is, too.
+func TestListsAgeWhileSuspended(t *testing.T) {
+	server, address := gateway(t, records)
+	readers := NewReaders("127.0.0.9", func(string) string { return address }, logr.Discard())
+	readers.Heard([]string{"127.0.0.1"}, clock.Now())
+	follower := NewFollower(readers, server, budget, logr.Discard())
+	assert.Assert(t, follower.Follow(context.Background()))
+	clock.SuspendForTest(t, budget.Bound())
+	readers.Heard([]string{"127.0.0.1"}, clock.Now())
+	assert.Assert(t, !follower.Follow(context.Background()), "it reads the store itself")
+	server.Listed(clock.Now())
+	assert.Assert(t, clock.Since(follower.confirmed) >= budget.Bound())
+}
--- a/storerelay/readers.go
+++ b/storerelay/readers.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/mintlift/mintlift/freshness"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/loadreport"
 )
 
@@ -94,9 +95,9 @@
 // too old, less what asking the others takes. It returns false if the store
 // must be read instead.
 func (r *Readers) tryEach(budget freshness.Budget, confirmed time.Time, ask func(ip string, hold time.Duration) bool) bool {
-	ips := r.follow(time.Now())
+	ips := r.follow(clock.Now())
 	for n, ip := range ips {
-		left := budget.Hold(time.Since(confirmed))
+		left := budget.Hold(clock.Since(confirmed))
 		if left <= 0 {
 			return false
 		}
@@ -114,7 +115,7 @@
 	query.Set(holdField, strconv.FormatInt(hold.Milliseconds(), 10))
 	err := r.client.get(ctx, r.address(ip), path, query, hold+slack, out)
 	if err != nil && ctx.Err() == nil {
-		r.leave(ip, time.Now().Add(avoidFor))
+		r.leave(ip, clock.Now().Add(avoidFor))
 		r.log.Info("gateway did not tell", "gateway", ip, "path", path, "error", err.Error())
 	}
 	return err == nil
--- a/storerelay/records.go
+++ b/storerelay/records.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/mintlift/mintlift/freshness"
+	"github.com/mintlift/mintlift/internal/clock"
 )
 
 // Record is the newest of the operator's records of a key.
@@ -57,15 +58,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	end := time.Now().Add(holdAsked(r))
+	end := clock.Now().Add(holdAsked(r))
 	for {
 		records, known := source.Since(from)
 		if !known {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		out := sharedRecords{Newest: records.Newest, Next: records.Next, AgeMS: time.Since(records.Confirmed).Milliseconds(), Behind: records.Behind}
-		if records.Next != from || records.Behind || !time.Now().Before(end) {
+		out := sharedRecords{Newest: records.Newest, Next: records.Next, AgeMS: clock.Since(records.Confirmed).Milliseconds(), Behind: records.Behind}
+		if records.Next != from || records.Behind || !clock.Now().Before(end) {
 			answer(w, out)
 			return
 		}
@@ -95,7 +96,7 @@
 // returns false if the store must be read instead.
 func (f *RecordFollower) Since(ctx context.Context, offset int64, age time.Duration) (Records, bool) {
 	var got Records
-	told := f.readers.tryEach(f.budget, time.Now().Add(-age), func(ip string, hold time.Duration) (ok bool) {
+	told := f.readers.tryEach(f.budget, clock.Now().Add(-age), func(ip string, hold time.Duration) (ok bool) {
 		got, ok = f.ask(ctx, ip, offset, hold)
 		return ok
 	})
@@ -117,7 +118,7 @@
 	}
 	age := time.Duration(got.AgeMS) * time.Millisecond
 	if got.Behind || got.Next < offset || f.budget.Hold(age) <= 0 {
-		f.readers.leave(ip, time.Now().Add(avoidFor))
+		f.readers.leave(ip, clock.Now().Add(avoidFor))
 		f.log.Info("records of a gateway too old", "gateway", ip, "age_ms", got.AgeMS, "offset", offset, "theirs", got.Next)
 		return Records{}, false
 	}
@@ -125,5 +126,5 @@
 		f.log.Info("records taken from a gateway", "gateway", ip, "age_ms", got.AgeMS, "offset", offset)
 	}
 	f.from = ip
-	return Records{Newest: got.Newest, Next: got.Next, Confirmed: time.Now().Add(-age)}, true
+	return Records{Newest: got.Newest, Next: got.Next, Confirmed: clock.Now().Add(-age)}, true
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -23,6 +23,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/internal/tcpconn"
 )
 
@@ -256,7 +257,7 @@
 			r.conn.end()
 			return
 		}
-		r.conn.rest(time.Now(), r.restLife())
+		r.conn.rest(clock.Now(), r.restLife())
 	})
 }
 
@@ -294,7 +295,7 @@
 // Do sends a request and reads the head of its answer. When ctx ends, the
 // connection is closed, also while the body is read. An error is an *Error.
 func (p *Pool) Do(ctx context.Context, address string, q *Request) (*Response, error) {
-	c := p.take(address, q.Fresh, time.Now())
+	c := p.take(address, q.Fresh, clock.Now())
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, address); err != nil {
@@ -314,7 +315,7 @@
 			p.Forget(address)
 		}
 		if ctx.Err() != nil {
-			err = ctx.Err()
+			err = context.Cause(ctx)
 		}
 		return nil, &Error{Sent: true, Err: err}
 	}
