--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -34,6 +34,9 @@
 	// was sent after the crash before it: a rack that loses its power ends many
 	// runs of a common request at once.
 	correlated = 200 * time.Millisecond
+	// unseen is how long an endpoint's end may go unseen elsewhere, a round trip
+	// between regions and some: a run that was moved there meanwhile never began.
+	unseen = 30 * time.Millisecond
 	// Life is how long a crash counts. A request in quarantine gets another
 	// chance after it, and at most Threshold more endpoints in each Life.
 	Life = 10 * time.Minute
@@ -68,7 +71,8 @@
 
 // independent reports whether c counts beside an earlier crash at last.
 func (c crash) independent(last time.Time) bool {
-	return c.sent.After(last) || c.at.Sub(last) >= correlated
+	apart := c.at.Sub(last)
+	return apart >= correlated || c.sent.After(last) && apart >= unseen
 }
 
 // entry is what is known of one request.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -61,6 +61,7 @@
 		s := table.Crashed(nth(1), at(0), at(500+n))
 		assert.Equal(t, s.Crashes, 1)
 	}
+	assert.Equal(t, table.Crashed(nth(1), at(501), at(505)).Crashes, 1, "sent on to one of them before its end was seen")
 	assert.Equal(t, table.Crashed(nth(1), at(600), at(650)).Crashes, 2, "sent after them")
 	assert.Equal(t, table.Crashed(nth(1), at(0), at(900)).Crashes, 3, "long after them")
 }
