quarantine: a common request is not put in it with the one to blame

A request that all callers send stands beside each crash of an outbreak; with three crashes it would have been kept from endpoints for ten minutes, and nothing could have cleared it. Each gateway remembers the last 4096 requests that ended well (0.25 MB, 0.1 us a request); these need nine crashes.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -30,6 +30,14 @@
 	// two before anybody could know; at three a request beside it must have met
 	// it three times without a good end between.
 	Threshold = 3
+	// thresholdProven is the same for one that has ended well here lately, and so
+	// is hardly the one to blame. A common request stands beside each crash of an
+	// outbreak, and with Threshold alone would be kept from endpoints with the one
+	// to blame, and nothing could clear it any more.
+	thresholdProven = 3 * Threshold
+	// maxProven bounds the requests that are known to have ended well, the last
+	// ones: 0.25 MB.
+	maxProven = 4096
 	// correlated is the time within which crashes count as one, unless a run
 	// was sent after the crash before it: a rack that loses its power ends many
 	// runs of a common request at once.
@@ -46,7 +54,7 @@
 	// maxRequests bounds the table: 512 requests of at most 250 bytes.
 	maxRequests = 512
 	// maxCrashes bounds the crashes that are kept of a request.
-	maxCrashes = 8
+	maxCrashes = thresholdProven + 3
 )
 
 // Standing is what is known of a request.
@@ -54,13 +62,20 @@
 	// Crashes is how many endpoints crashed under it since it last ended well,
 	// those at the same moment counted as one.
 	Crashes int
+	// Proven says that it ended well here lately.
+	Proven bool
 }
 
 // Suspected reports whether an endpoint crashed under the request.
 func (s Standing) Suspected() bool { return s.Crashes > 0 }
 
 // Quarantined reports whether the request must be sent to no endpoint.
-func (s Standing) Quarantined() bool { return s.Crashes >= Threshold }
+func (s Standing) Quarantined() bool {
+	if s.Proven {
+		return s.Crashes >= thresholdProven
+	}
+	return s.Crashes >= Threshold
+}
 
 // crash is one endpoint's, seen by one gateway.
 type crash struct {
@@ -111,7 +126,7 @@
 		e.crashes[at] = c
 		e.sort()
 		return false
-	case len(e.crashes) >= maxCrashes && e.count() >= Threshold:
+	case len(e.crashes) >= maxCrashes && e.count() >= thresholdProven:
 		return false
 	case len(e.crashes) >= maxCrashes:
 		e.dropDependent()
@@ -144,6 +159,8 @@
 
 	mu      sync.Mutex
 	entries map[ID]*entry
+	// proven are requests that ended well here lately.
+	proven proven
 	// turn is where the next Tell goes on with entries that are not urgent.
 	turn int
 }
@@ -162,7 +179,12 @@
 	if e == nil || t.dead(e, now) {
 		return Standing{}
 	}
-	return Standing{Crashes: e.count()}
+	return t.standing(id, e)
+}
+
+// standing returns what is known of a request with an entry; Table.mu is held.
+func (t *Table) standing(id ID, e *entry) Standing {
+	return Standing{Crashes: e.count(), Proven: t.proven.has(id)}
 }
 
 // Crashed notes that an endpoint, to which the request was sent at sent, has
@@ -177,7 +199,7 @@
 	}
 	e.add(crash{key: rand.Uint32(), sent: sent, at: now})
 	e.changed, e.told = now, now
-	return Standing{Crashes: e.count()}
+	return t.standing(id, e)
 }
 
 // EndedWell notes that the request was answered in full. It reports whether that
@@ -185,6 +207,7 @@
 func (t *Table) EndedWell(id ID, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.proven.add(id)
 	e := t.entries[id]
 	if e == nil || len(e.crashes) == 0 {
 		return false
@@ -200,8 +223,8 @@
 func (t *Table) Len(now time.Time) (suspected, quarantined int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, e := range t.entries {
-		s := Standing{Crashes: e.count()}
+	for id, e := range t.entries {
+		s := t.standing(id, e)
 		switch {
 		case t.dead(e, now):
 		case s.Quarantined():
