--- a/ingress/crash_test.go
+++ b/ingress/crash_test.go
@@ -53,6 +53,7 @@
 
 func crashes(rw http.ResponseWriter, _ *http.Request, body string, crash func()) {
 	if body == killer {
+		time.Sleep(40 * time.Millisecond) // it has begun to run
 		crash()
 	}
 	_, _ = io.WriteString(rw, "id: 1\ndata: token\n\n")
