--- a/cmd/mintlift/explain.go
+++ b/cmd/mintlift/explain.go
@@ -18,11 +18,12 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "explain",
-		Usage:       "tell from log files what became of a request, an endpoint or a version",
+		Usage:       "tell from log files what became of a request, all its tries, an endpoint or a version",
 		ArgsUsage:   "[ID] FILE...",
 		Description: "Examples: mintlift explain 9c41d07be2a35f68 gateway-*.log\n          mintlift explain --endpoint i-7f3a91c2 *.log\n          mintlift explain --causes 2s gateway-*.log",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "endpoint", Usage: "lines about the endpoint with this `ID`"},
+			&cli.StringFlag{Name: "identity", Usage: "lines about all tries of the request with this `IDENTITY`"},
 			&cli.StringFlag{Name: "version", Usage: "lines about this `VERSION` of the weights"},
 			&cli.DurationFlag{Name: "causes", Usage: "count how requests ended and why, by windows of this `LENGTH`"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON lines"},
@@ -96,6 +97,8 @@
 	switch {
 	case c.String("endpoint") != "":
 		filter = explain.Endpoint(c.String("endpoint"))
+	case c.String("identity") != "":
+		filter = explain.Identity(c.String("identity"))
 	case c.String("version") != "":
 		filter = explain.Version(c.String("version"))
 	case len(files) > 0:
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -39,6 +39,7 @@
 	requestFields  = []string{"request"}
 	endpointFields = []string{"endpoint"}
 	versionFields  = []string{"version", "holds"}
+	identityFields = []string{"identity"}
 )
 
 // Request chooses the lines about a request.
@@ -47,6 +48,9 @@
 // Endpoint chooses the lines about an endpoint.
 func Endpoint(id string) Filter { return Filter{endpointFields, id} }
 
+// Identity chooses the lines about all tries of a request, by its identity.
+func Identity(id string) Filter { return Filter{identityFields, id} }
+
 // Version chooses the lines about a version of the weights.
 func Version(version string) Filter { return Filter{versionFields, version} }
 
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -37,6 +37,18 @@
 	assert.Assert(t, strings.Contains(out.String(), "    0.500s  1.2 gateway-2            gateway: request             outcome=answered request=r1"), out.String())
 }
 
+// All tries of one request, whatever their ids.
+func TestTriesOfARequest(t *testing.T) {
+	const tries = `{"time":"2026-01-01T00:00:02Z","msg":"gateway: request","request":"r1","identity":"1f","outcome":"failed"}
+{"time":"2026-01-01T00:00:01Z","msg":"gateway: endpoint crashed","request":"r1","identity":"1f","crashes":1}
+{"time":"2026-01-01T00:00:03Z","msg":"gateway: request","request":"r2","identity":"1f","outcome":"quarantined"}
+{"time":"2026-01-01T00:00:03Z","msg":"gateway: request","request":"1f","identity":"2e","outcome":"answered"}
+`
+	got, err := Read(strings.NewReader(tries), "file", Identity("1f"))
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), 3)
+}
+
 func TestEndpointAndVersion(t *testing.T) {
 	assert.Equal(t, len(lines(t, Endpoint("e1"))), 2)
 	assert.Equal(t, len(lines(t, Version("2"))), 2)
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -43,6 +43,7 @@
 		return
 	}
 	x.crashes++
+	s.metrics.Counter("mintlift_ingress_crashes_total", "service", x.service).Inc()
 	standing := s.suspects.Crashed(x.identity, x.sent, now)
 	s.events.Info("endpoint crashed", "endpoint", e.ID, "request", x.id, "identity", x.identity.String(), "attempt", x.attempts,
 		"ms", now.Sub(x.sent).Milliseconds(), "crashes", standing.Crashes, "quarantined", standing.Quarantined())
@@ -98,7 +99,7 @@
 // run in another try, so the status promises nothing, and nothing invites the
 // caller back.
 func (x *exchange) rejectQuarantined() {
-	x.fail(http.StatusBadGateway, outcomeQuarantined, "in quarantine: endpoints crashed under this request, and it has ended well at none")
+	x.fail(http.StatusBadGateway, outcomeQuarantined, "in quarantine: endpoints crashed under request "+x.identity.String()+", and it has ended well at none")
 }
 
 // Suspects returns what other gateways are to be told of requests under which
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -111,7 +111,7 @@
 
 // New returns a server that knows nothing yet.
 func New(s Settings, log, events logr.Logger, m *telemetry.Metrics) *Server {
-	return &Server{
+	server := &Server{
 		settings: s,
 		log:      log,
 		events:   events,
@@ -133,6 +133,15 @@
 		tellSoon:  make(chan struct{}, 1),
 		list:      newListState(),
 	}
+	m.Gauge("mintlift_ingress_suspects", func() float64 {
+		suspected, _ := server.suspects.Len(clock.Now())
+		return float64(suspected)
+	})
+	m.Gauge("mintlift_ingress_quarantined", func() float64 {
+		_, quarantined := server.suspects.Len(clock.Now())
+		return float64(quarantined)
+	})
+	return server
 }
 
 // Connections to endpoints.
