--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -146,15 +146,11 @@
 		return nil
 	}
 	var out []loadreport.Audience
-	relays := make(map[string]bool)
 	for name, service := range c.Services {
 		if service.Engine == nil {
 			continue
 		}
 		notice := loadreport.Notice{Model: service.Engine.Model, Region: s.Region, Read: read, Demand: math.Round(server.Demand(name, now)), Named: named(server, service.Engine.Model, now)}
-		for _, relay := range publishers(s, server.Relays(name)) {
-			relays[relay] = true
-		}
 		weights, ok := c.Weights(name)
 		knowing, others := server.EngineAddresses(name, weights.Sum(), now)
 		out = append(out, loadreport.Audience{Sidecars: publishers(s, knowing), Notice: notice})
@@ -163,15 +159,27 @@
 		}
 		out = append(out, loadreport.Audience{Sidecars: publishers(s, others), Notice: notice})
 	}
-	return tellSuspects(out, server.Suspects(now), relays)
+	suspects := server.Suspects(now)
+	if len(suspects) == 0 {
+		return out
+	}
+	return tellSuspects(out, suspects, relaysOf(s, server, c))
+}
+
+// relaysOf are the sidecars that pass on what gateways tell each other.
+func relaysOf(s *platform.Settings, server *ingress.Server, c *routing.Configuration) map[string]bool {
+	out := make(map[string]bool)
+	for name := range c.Services {
+		for _, relay := range publishers(s, server.Relays(name)) {
+			out[relay] = true
+		}
+	}
+	return out
 }
 
 // tellSuspects divides audiences into the relays, which are told suspects, and
 // the others.
 func tellSuspects(audiences []loadreport.Audience, suspects []quarantine.Record, relays map[string]bool) []loadreport.Audience {
-	if len(suspects) == 0 {
-		return audiences
-	}
 	var out []loadreport.Audience
 	for _, a := range audiences {
 		told := loadreport.Audience{Notice: a.Notice}
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -40,9 +40,6 @@
 	misdirected bool
 	// probing says that one request tries an endpoint that was left alone.
 	probing bool
-	// reborn says that the endpoint itself has told that it started again, and
-	// the list has not.
-	reborn bool
 	// alone says that an attempt chosen with Query.Alone is in progress.
 	alone bool
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -106,7 +106,7 @@
 	case e == nil || e.Born == 0 || r.Born == 0:
 	case r.Born < e.Born:
 		return false // of the life before
-	case r.Born > e.Born || e.reborn:
+	case r.Born > e.Born:
 		f.Remove(r.ID)
 		e = nil
 	}
@@ -139,9 +139,7 @@
 	r.Born, r.Models = born, nil
 	f.Remove(r.ID)
 	f.Put(r)
-	e = f.byID[r.ID]
-	e.reborn = true
-	return e
+	return f.byID[r.ID]
 }
 
 func sameModels(a, b map[string]int) bool {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -121,6 +121,7 @@
 	events := eventstream.NewReader(response.Body)
 	for {
 		event, err := events.Next()
+		readErr := err
 		if err == io.EOF && t.started {
 			response.Whole()
 			t.finish(e, fleet.Answered)
@@ -142,7 +143,7 @@
 			t.finish(e, fleet.Abandoned)
 			return spoilt
 		}
-		t.checkCrash(ctx, e, err)
+		t.checkCrash(ctx, e, readErr)
 		t.finish(e, fleet.Failed)
 		t.server.log.Info("stream broken", "request", t.id, "attempt", t.attempts, "endpoint", e.ID, "events", t.events, "error", err.Error())
 		return spoilt
