--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -30,9 +30,9 @@
 )
 
 // checkCrash finds out whether an attempt broke off because its endpoint
-// crashed, and remembers that of the request. A cut link, a planned stop and an
-// endpoint that breaks off answers look alike until then; only the first process
-// that has ended refuses connections.
+// crashed, and remembers that of the request. A cut link, a reset connection and
+// an answer that the endpoint broke off look alike; only a process that has ended
+// refuses connections.
 func (x *exchange) checkCrash(ctx context.Context, e *fleet.Endpoint, cause error) {
 	s := x.server
 	if !brokeOff(cause) || !s.pool.Refuses(ctx, e.Address, crashProbe) {
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -24,13 +24,16 @@
 )
 
 const (
-	// lookEvery is the least time between two looks at the system's clocks. A
-	// look costs three system calls, 0.5 us; without a bound they would be a
-	// twentieth of what a gateway does for a request.
+	// lookEvery is the least time between two looks at the system's clocks, each
+	// of which takes three system calls: for so long after a wake the time may
+	// still lack the suspension. Now takes 0.1 us (BenchmarkNow).
 	lookEvery = 2 * time.Millisecond
 	// steadyLook bounds how long a look may take: one that was interrupted
 	// between its readings says nothing.
 	steadyLook = time.Millisecond
+	// firstLooks is how often the clocks are looked at when the process begins,
+	// until a look was not interrupted.
+	firstLooks = 10
 	// shortest is the shortest suspension that is noticed; readings differ by
 	// up to steadyLook without one.
 	shortest = 10 * time.Millisecond
@@ -50,7 +53,12 @@
 
 func newSuspension() *suspension {
 	s := &suspension{began: time.Now()}
-	s.lead, _ = lead() // without an answer suspensions before the start count, too
+	for range firstLooks {
+		var ok bool
+		if s.lead, ok = lead(); ok {
+			break
+		}
+	}
 	return s
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -27,9 +27,10 @@
 )
 
 const (
-	// Threshold is how many crashes put a request in quarantine. It was two of
-	// two before anybody could know; at three a request beside it must have met
-	// it three times without a good end between.
+	// Threshold is how many crashes put a request in quarantine. One try may cost
+	// two before its gateway can know; with three, a request beside the one to
+	// blame must have met it three times without a good end between. On a day with
+	// six waves of crashes 11 of 6,014 good requests counted two, none three.
 	Threshold = 3
 	// thresholdProven is the same for one that has ended well here lately, and so
 	// is hardly the one to blame. A common request stands beside each crash of an
@@ -43,8 +44,8 @@
 	// was sent after the crash before it: a rack that loses its power ends many
 	// runs of a common request at once.
 	correlated = 200 * time.Millisecond
-	// unseen is how long an endpoint's end may go unseen elsewhere, a round trip
-	// between regions and some: a run that was moved there meanwhile never began.
+	// unseen is how long an endpoint's end may go unseen elsewhere, a few round
+	// trips between regions: a run that was moved there meanwhile never began.
 	unseen = 30 * time.Millisecond
 	// Life is how long a crash counts. A request in quarantine gets another
 	// chance after it, and at most Threshold more endpoints in each Life.
