demo: a progress answer that does not come is asked for again

Beside load (load average 23 on 8 cores) one of five runs ended with exit 3: a dial to the gateway's administration took longer than its 2 s.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -144,32 +144,46 @@
 
 // watch prints a plan's progress until it is done.
 func (d *demo) watch(ctx context.Context, p *intent.Plan, then func(*admin.Progress)) (*admin.Progress, error) {
+	ask := func(ctx context.Context) (*admin.Progress, error) { return d.lab.Admin(0).Progress(ctx, p.ID) }
+	return d.await(ctx, ask, then)
+}
+
+// await asks until what is asked for is done. An answer that does not come is
+// asked for again: beside other work a machine may keep a dial waiting for
+// longer than its time-out.
+func (d *demo) await(ctx context.Context, ask func(context.Context) (*admin.Progress, error), then func(*admin.Progress)) (*admin.Progress, error) {
 	const every = 250 * time.Millisecond
 	last := ""
 	for {
-		now, err := d.lab.Admin(0).Progress(ctx, p.ID)
-		if err != nil {
-			return nil, err
-		}
-		line := fmt.Sprintf("progress: %d/%d serving, %.2f copies from the origin, %.2f from peers, %d bad chunks thrown away", now.Serving, len(now.Boxes), copies(now.OriginBytes), copies(now.PeerBytes), now.BadChunks)
+		now, err := ask(ctx)
+		line := progressLine(now, err)
 		if line != last {
 			d.say("%s", line)
 			last = line
 		}
-		if then != nil {
+		if err == nil && then != nil {
 			then(now)
 		}
-		if now.Done() {
+		if err == nil && now.Done() {
 			return now, nil
 		}
 		select {
 		case <-ctx.Done():
-			return nil, errors.Annotatef(ctx.Err(), "plan %s is not done", p.ID)
+			return nil, errors.Annotatef(ctx.Err(), "not done: %s", line)
 		case <-time.After(every):
 		}
 	}
 }
 
+// progressLine is what is said of an answer, or of one that did not come.
+func progressLine(now *admin.Progress, err error) string {
+	if err != nil {
+		return "progress not known: " + err.Error()
+	}
+	return fmt.Sprintf("progress: %d/%d serving, %.2f copies from the origin, %.2f from peers, %d bad chunks thrown away",
+		now.Serving, len(now.Boxes), copies(now.OriginBytes), copies(now.PeerBytes), now.BadChunks)
+}
+
 func copies(n int64) float64 { return float64(n) / modelBytes }
 
 // first brings the first version to all boxes.
