--- a/cmd/mintlift/crash_test.go
+++ b/cmd/mintlift/crash_test.go
@@ -45,7 +45,24 @@
 // had begun that request), by two engines for each try, and by this test.
 func TestRequestThatCrashesItsEndpointsIsKeptFromThem(t *testing.T) {
 	t.Parallel()
-	d := startEngines(t, 3, 6)
+	keptFromEndpoints(t, 3, 6)
+}
+
+// The same at other sizes.
+func TestRequestThatCrashesItsEndpointsAtOtherSizes(t *testing.T) {
+	for _, size := range []struct{ gateways, engines int }{{1, 3}, {9, 4}, {5, 15}} {
+		t.Run(fmt.Sprintf("%d gateways, %d engines", size.gateways, size.engines), func(t *testing.T) {
+			t.Parallel()
+			keptFromEndpoints(t, size.gateways, size.engines)
+		})
+	}
+}
+
+// keptFromEndpoints tries one request that crashes its endpoints at one gateway
+// after the other, and checks that few crash.
+func keptFromEndpoints(t *testing.T, gateways, count int) {
+	t.Helper()
+	d := startEngines(t, gateways, count)
 	end := time.Now().Add(contact + 2*time.Second)
 	for try := 0; time.Now().Before(end); try++ {
 		go d.try(try, crashing)
