--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -72,20 +71,6 @@
 	lastCause string
 }
 
-// Outcomes of a request, for logs and metrics.
-const (
-	outcomeAnswered = "answered"
-	outcomeRefused  = "refused"
-	outcomeDenied   = "denied"
-	outcomeFailed   = "failed"
-	outcomeLate     = "timed_out"
-	outcomeLeft     = "caller_left"
-	outcomeBroken   = "broken_off"
-	// outcomeQuarantined is a request that was kept from endpoints because
-	// others had crashed under it.
-	outcomeQuarantined = "quarantined"
-)
-
 // Bounds of reading a request.
 const (
 	defaultBodyBytes = 4 << 20
@@ -420,92 +405,3 @@
 	s.log.Info("attempt", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "service", x.service,
 		"load", load, "backlog_ms", int(backlog), "work_ms", int(x.work), "report_ms", age.Milliseconds(), "delay_ms", delay.Milliseconds(), "holds", holds, "min_version", lowest, "at_ms", now.Sub(x.start).Milliseconds())
 }
-
-// close ends the request in logs and metrics.
-func (x *exchange) close(outcome, cause string, status int) {
-	s := x.server
-	took := clock.Since(x.start)
-	route, version := "", int64(0)
-	if x.route != nil {
-		route = x.route.Name
-	}
-	if x.config != nil {
-		version = x.config.Version
-	}
-	s.log.Info("request", "request", x.id, "identity", x.identity.String(), "body_bytes", len(x.body), "outcome", outcome, "cause", cause, "status", status, "route", route,
-		"service", x.service, "config", version, "config_age_ms", x.configAge.Milliseconds(), "attempts", x.attempts, "priority", x.priority, "returned", x.returned, "ms", took.Milliseconds())
-	s.metrics.Counter("mintlift_ingress_requests_total", "service", x.service, "outcome", outcome).Inc()
-	s.metrics.Histogram("mintlift_ingress_request_seconds", "service", x.service, "outcome", outcome).Update(took.Seconds())
-}
-
-// refuse answers that the request has not run and when to come back.
-func (x *exchange) refuse(cause string, after time.Duration) {
-	h := x.writer.Header()
-	h.Set("Retry-After", fmt.Sprintf("%.2f", after.Seconds()))
-	x.fail(http.StatusServiceUnavailable, outcomeRefused, cause)
-}
-
-func (x *exchange) deny(status int, cause string) { x.fail(status, outcomeDenied, cause) }
-
-// denyIfCurrent denies what the configuration does not know, unless there may
-// be a newer one that does.
-func (x *exchange) denyIfCurrent(status int, cause string) {
-	if current := x.server.settings.Current; current != nil && !current() {
-		x.refuse("configuration may be old: "+cause, retryAfterMin)
-		return
-	}
-	x.deny(status, cause)
-}
-
-// fail gives an answer of the gateway's own.
-func (x *exchange) fail(status int, outcome, cause string) {
-	h := x.writer.Header()
-	h.Set("Content-Type", "text/plain; charset=utf-8")
-	body := cause + "\n"
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	x.writer.WriteHeader(status)
-	_, _ = io.WriteString(x.writer, body) // a caller that has left is told nothing
-	x.close(outcome, cause, status)
-}
-
-// giveUp answers a request for which no attempt brought an answer.
-func (x *exchange) giveUp(ctx context.Context) {
-	switch {
-	case x.callerLeft():
-		x.close(outcomeLeft, "caller left", 0)
-		panic(http.ErrAbortHandler)
-	case x.quarantined(clock.Now()):
-		x.rejectQuarantined()
-	case !x.mayRun:
-		x.refuse(x.causeOr("no endpoint has room"), x.server.retryAfter(x))
-	case ctx.Err() != nil:
-		x.fail(http.StatusGatewayTimeout, outcomeLate, x.causeOr("timed out"))
-	default:
-		x.fail(http.StatusBadGateway, outcomeFailed, x.causeOr("no answer"))
-	}
-}
-
-func (x *exchange) causeOr(other string) string {
-	if x.lastCause != "" {
-		return x.lastCause
-	}
-	return other
-}
-
-// copyHeader passes an endpoint's headers on.
-func (x *exchange) copyHeader(from http.Header) {
-	to := x.writer.Header()
-	for name, values := range from {
-		to[name] = values
-	}
-	for _, name := range connectionHeaders {
-		to.Del(name)
-	}
-	if x.server.stopping.Load() {
-		to.Set("Connection", "close")
-	}
-	if _, ok := to["Content-Type"]; !ok {
-		to["Content-Type"] = nil // do not guess one
-	}
-	to.Set(x.server.settings.Headers.RequestID, x.id)
-}
