--- a/ingress/crash_test.go
+++ b/ingress/crash_test.go
@@ -189,6 +189,15 @@
 	for n := range count {
 		w.mortal(fmt.Sprint("e", n), "plain", slow)
 	}
+	// One is so much nearer that all would be sent there.
+	list, _ := w.server.List()
+	for _, r := range list.Records {
+		if r.ID != "e0" {
+			r.Zone = "far"
+			w.server.RemoveEndpoint(r.ID)
+			w.server.PutEndpoint(r)
+		}
+	}
 	var answers sync.WaitGroup
 	for n := range count {
 		target := fmt.Sprint("/slow/", n)
