--- a/installer/installer.go
+++ b/installer/installer.go
@@ -151,6 +151,9 @@
 	state   EngineState
 	heard   time.Time // when the engine was heard last
 	leaving bool      // nothing new should be sent to the engine
+	// expected is the count of orders that the engine tells once it has taken
+	// the last start that was sent, unless that got no answer.
+	expected int64
 	// promised says that the engine will take its turn of a rollout.
 	promised bool
 	copies   []*replica
@@ -326,7 +329,11 @@
 	i.state = s
 	i.heard = clock.Now()
 	if first || old.Version != s.Version || old.Busy != s.Busy || old.Orders != s.Orders || old.Born != s.Born {
-		i.log.Info("engine changed", "model", s.Model, "version", s.Version, "busy", s.Busy, "orders", s.Orders, "born", s.Born)
+		i.log.Info("engine changed", "model", s.Model, "version", s.Version, "was", old.Version, "busy", s.Busy, "orders", s.Orders, "born", s.Born)
 		i.wakeLocked()
 	}
+	if !first && s.Orders > old.Orders && s.Orders > i.expected {
+		i.log.Info("engine took an order that nobody waits for", "orders", s.Orders, "was", old.Version, "busy", s.Busy)
+		go i.logLying(context.Background(), i.params.Model, s.Version)
+	}
 }
