installer: a start is for one count of orders, is settled before anything else lies ready, and is checked after it was taken

Cause: an order without an answer was taken for one that was refused, and the engine takes it when it carries it out, with what lies ready then. Now at most one of the starts that were sent for a count is taken; the place beside the engine is held from the first check to the second, which reads all chunks after the engine has taken them; gateways send requests only to a version that its sidecar vouches for, and one that nobody vouches for is loaded anew by way of another. Ruled out as mends: longer time-outs (the order came up to 11 s late), a check right before the order alone (it is not when the engine takes it).

--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -225,7 +225,7 @@
 			i.Heard(state)
 			publisher.Publish(fleet.Report{
 				Address: view.settings.App, Model: state.Model, Version: state.Version, Busy: state.Busy || i.Leaving(), Promised: i.Promised(),
-				Running: state.Running, Queued: state.Queued, Pace: state.Pace, Born: state.Born, Weights: view.sum(),
+				Doubted: i.Doubted(), Running: state.Running, Queued: state.Queued, Pace: state.Pace, Born: state.Born, Weights: view.sum(),
 			}, i.Changing(), clock.Now())
 		}
 		select {
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -44,8 +44,13 @@
 	alone bool
 }
 
-// Holds returns the version of model that the endpoint holds whole, or 0.
+// Holds returns the version of model that the endpoint holds whole, or 0. One
+// that its sidecar doubted when it was last heard holds none, however long ago
+// that was and whatever the list says: the engine cannot know.
 func (e *Endpoint) Holds(model string, now time.Time) int {
+	if e.report.Doubted {
+		return 0
+	}
 	if e.fresh(now) && e.report.Model == model {
 		return e.report.Version
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,6 +45,9 @@
 	// Promised says that the engine will be drained, and brought to a newer
 	// version, in time for that version's deadline.
 	Promised bool `json:"c,omitempty"`
+	// Doubted says that the engine tells a version of which it is not known
+	// whether its weights are of it.
+	Doubted bool `json:"d,omitempty"`
 
 	Running int     `json:"r"`
 	Queued  int     `json:"q"`
@@ -233,7 +236,7 @@
 	default:
 		e = f.startAgain(e, r.Born)
 	}
-	changed = e.reportAt.IsZero() || e.report.Version != r.Version || e.report.Busy != r.Busy
+	changed = e.reportAt.IsZero() || e.report.Version != r.Version || e.report.Busy != r.Busy || e.report.Doubted != r.Doubted
 	e.report = r
 	e.reportAt = now
 	e.heardAt = now
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -24,7 +24,6 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
-	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/telemetry"
 	"github.com/mintlift/mintlift/transfer"
 )
@@ -81,9 +80,9 @@
 	Put(ctx context.Context, model string, chunk int, data []byte) error
 	// Get returns nil for a chunk that does not lie ready.
 	Get(ctx context.Context, model string, chunk int) ([]byte, error)
-	// Start orders the engine to take what lies ready. With cut, requests
-	// that run are broken off; otherwise the engine waits for their end.
-	Start(ctx context.Context, model string, version int, cut bool) error
+	// Start orders the engine to take what lies ready. The error says why the
+	// outcome is not Taken.
+	Start(ctx context.Context, s Start) (Outcome, error)
 }
 
 // Origin is where weights come from.
@@ -151,9 +150,9 @@
 	state   EngineState
 	heard   time.Time // when the engine was heard last
 	leaving bool      // nothing new should be sent to the engine
-	// expected is the count of orders that the engine tells once it has taken
-	// the last start that was sent, unless that got no answer.
-	expected int64
+	// expected is what the engine tells once it has taken the start that was
+	// sent last, and vouched what was checked after it was taken.
+	expected, vouched loading
 	// promised says that the engine will take its turn of a rollout.
 	promised bool
 	copies   []*replica
@@ -318,22 +317,5 @@
 func (i *Installer) Changing() bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.state.Version > 0 && i.state.Version < i.newest().version
-}
-
-// Heard takes the engine's state.
-func (i *Installer) Heard(s EngineState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	old, first := i.state, i.heard.IsZero()
-	i.state = s
-	i.heard = clock.Now()
-	if first || old.Version != s.Version || old.Busy != s.Busy || old.Orders != s.Orders || old.Born != s.Born {
-		i.log.Info("engine changed", "model", s.Model, "version", s.Version, "was", old.Version, "busy", s.Busy, "orders", s.Orders, "born", s.Born)
-		i.wakeLocked()
-	}
-	if !first && s.Orders > old.Orders && s.Orders > i.expected {
-		i.log.Info("engine took an order that nobody waits for", "orders", s.Orders, "was", old.Version, "busy", s.Busy)
-		go i.logLying(context.Background(), i.params.Model, s.Version)
-	}
+	return i.state.Version > 0 && i.holds() < i.newest().version
 }
--- a/installer/installer_test.go
+++ b/installer/installer_test.go
@@ -75,20 +75,24 @@
 	return bytes.Clone(e.stage[chunk]), nil
 }
 
-func (e *fakeEngine) Start(_ context.Context, _ string, version int, cut bool) error {
+func (e *fakeEngine) Start(_ context.Context, s Start) (Outcome, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	version := s.Version
+	if s.Orders != e.state.Orders {
+		return Refused, errors.Errorf("for %d orders, not %d", s.Orders, e.state.Orders)
+	}
 	for n := range testChunks {
 		e.mixed = e.mixed || !bytes.Equal(e.stage[n], chunkOf(version, n))
 	}
 	e.started = append(e.started, version)
 	e.state.Version, e.state.Model = version, testModel
 	e.state.Orders++
-	if cut {
+	if s.Cut {
 		e.cut += e.running
 		e.running = 0
 	}
-	return nil
+	return Taken, nil
 }
 
 // holds lays a version ready and loads it.
--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -111,10 +111,13 @@
 		}
 	}
 	newest := want{params: i.params, version: i.newest().version}
-	newest.only = i.state.Version >= newest.version
+	newest.only = i.holds() >= newest.version
 	if r := i.copyOf(newest.version); r == nil || !newest.only && !r.whole() {
 		out = append(out, newest)
 	}
+	if version := i.detour(); version > 0 {
+		out = append(out, want{params: i.params, version: version})
+	}
 	return out, i.change
 }
 
--- a/installer/order.go
+++ b/installer/order.go
@@ -68,7 +68,7 @@
 func (i *Installer) completes(t target, now time.Time) bool {
 	newest := i.newest()
 	r := i.copyOf(t.version)
-	if t.version >= newest.version || t.version <= i.state.Version || r == nil || r.whole() {
+	if t.version >= newest.version || t.version <= i.holds() || r == nil || r.whole() {
 		return false
 	}
 	if n := i.copyOf(newest.version); n != nil && n.whole() {
@@ -81,7 +81,7 @@
 	if !now.Before(newer.due) {
 		return false
 	}
-	if i.state.Version == 0 {
+	if i.holds() == 0 {
 		older.due = now // an empty engine waits for either
 	}
 	return olderFirst(older, newer, now).better(newerOnly(older, newer, now))
--- a/installer/start.go
+++ b/installer/start.go
@@ -64,7 +64,7 @@
 	named  time.Time
 	at     time.Time
 	drain  time.Duration
-	// empty says that the engine holds nothing whole.
+	// empty says that the engine holds nothing whole that is vouched for.
 	empty bool
 }
 
@@ -105,7 +105,7 @@
 	}
 	for at, t := range targets {
 		r := i.copyOf(t.version)
-		if t.version <= i.state.Version || r == nil || !r.whole() {
+		if t.version <= i.holds() || t.version == i.state.Version || r == nil || !r.whole() {
 			continue
 		}
 		if at+1 < len(targets) && i.skips(t, targets[at+1], share, now) {
@@ -113,13 +113,16 @@
 		}
 		return i.stepTo(t, r, share, now), i.change
 	}
+	if r := i.other(); r != nil && i.doubted() {
+		return i.stepTo(target{version: r.manifest.Version}, r, share, now), i.change
+	}
 	return nil, i.change
 }
 
 // stepTo plans the change of the engine to t, whose copy r is whole.
 // Installer.mu is held.
 func (i *Installer) stepTo(t target, r *replica, share float64, now time.Time) *step {
-	s := &step{params: i.params, copy: r, named: t.named, at: now, drain: drainTime, empty: i.state.Version == 0}
+	s := &step{params: i.params, copy: r, named: t.named, at: now, drain: drainTime, empty: i.holds() == 0}
 	if share < firstPart {
 		s.drain = firstDrain
 	}
@@ -138,7 +141,7 @@
 // deadline is the first that the engine must meet. Installer.mu is held.
 func (i *Installer) overdue() target {
 	for _, t := range i.targets {
-		if t.version > i.state.Version {
+		if t.version > i.holds() {
 			return t
 		}
 	}
@@ -230,11 +233,9 @@
 		i.drain(ctx, s.drain)
 		defer i.setLeaving(false)
 	}
-	if !i.layAndOrder(ctx, s) {
+	if !i.load(ctx, s) {
 		clock.Sleep(ctx, retryPause)
-		return
 	}
-	i.await(ctx, s)
 }
 
 // promise notes that s will be carried out in its turn, or that nothing is
@@ -283,21 +284,3 @@
 		clock.Sleep(ctx, look)
 	}
 }
-
-// await waits until the engine has taken the version that it was ordered to.
-func (i *Installer) await(ctx context.Context, s *step) {
-	began := clock.Now()
-	for ctx.Err() == nil {
-		i.mu.Lock()
-		state, change := i.state, i.change
-		i.mu.Unlock()
-		if state.Version >= s.copy.manifest.Version || clock.Since(began) > startWait && !state.Busy {
-			return
-		}
-		select {
-		case <-change:
-		case <-time.After(retryPause):
-		case <-ctx.Done():
-		}
-	}
-}
