--- a/cmd/mintlift/weights_test.go
+++ b/cmd/mintlift/weights_test.go
@@ -64,6 +64,82 @@
 	d.check(t, 3)
 }
 
+// A chunk that has turned bad since it was read is taken with the others: its
+// box stood still meanwhile.
+func TestChunkThatTurnsBadAfterItWasRead(t *testing.T) {
+	t.Parallel()
+	d := startWeights(t, 2)
+	d.first(2, func(b *weightsBox) { b.engine.Rot(3, enginetest.RotForgiven+time.Second) })
+	d.name(2)
+	d.askFor(2 * time.Second)
+	d.name(3)
+	d.askFor(9 * time.Second)
+	d.check(t, 3)
+}
+
+// The same when nothing newer is named: the engine says that it holds the
+// version, and takes it only by way of another.
+func TestNewestVersionIsLoadedAnew(t *testing.T) {
+	t.Parallel()
+	d := startWeights(t, 2)
+	for _, b := range d.boxes {
+		b.engine.Hold(1)
+	}
+	d.first(2, func(b *weightsBox) { b.engine.Rot(3, enginetest.RotForgiven+time.Second) })
+	d.name(2)
+	d.askFor(12 * time.Second)
+	d.check(t, 2)
+}
+
+// An engine begins anew between the check and the order, and what lay ready is
+// lost with it: the order fits the new life's count.
+func TestEngineThatBeginsAnewBeforeItsStart(t *testing.T) {
+	t.Parallel()
+	d := startWeights(t, 2)
+	d.first(2, func(b *weightsBox) { b.engine.Restart(true) })
+	d.name(2)
+	d.askFor(9 * time.Second)
+	d.check(t, 2)
+}
+
+// A chunk of an older version is written late, while the newer one is checked
+// and taken, by engines that read at once and by engines that read slowly.
+func TestChunkThatIsWrittenLate(t *testing.T) {
+	t.Parallel()
+	d := startWeights(t, 8)
+	for n, b := range d.boxes {
+		b.engine.Change(func(f *enginetest.Faults) {
+			var puts atomic.Int32
+			f.LoadSlowly = n%2 == 1
+			f.LatePut = func(int) time.Duration {
+				if puts.Add(1) > 1 {
+					return 0
+				}
+				return 2*time.Second + time.Duration(n/2)*150*time.Millisecond
+			}
+		})
+	}
+	d.name(2)
+	time.Sleep(time.Second)
+	d.name(3)
+	d.askFor(9 * time.Second)
+	d.check(t, 3)
+}
+
+// first does something when the first start of a version comes to each engine.
+func (d *weightsDeployment) first(version int, do func(*weightsBox)) {
+	for _, b := range d.boxes {
+		var once sync.Once
+		b.engine.Change(func(f *enginetest.Faults) {
+			f.Before = func(ordered int) {
+				if ordered == version {
+					once.Do(func() { do(b) })
+				}
+			}
+		})
+	}
+}
+
 // weightsModel is small, so that a rollout takes its turns and nothing else.
 var weightsModel = enginetest.Weights{Model: "m", Chunks: 16, ChunkBytes: 4096, Layers: 4}
 
