--- a/installer/load.go
+++ b/installer/load.go
@@ -71,6 +71,8 @@
 			continue
 		case sent && state.Version == m.Version && i.awaited(state):
 			return i.vouch(ctx, s, state)
+		case state.Version == m.Version:
+			return true // it would not take it again
 		}
 		checked := clock.Now()
 		if laid := i.lay(ctx, s); !laid && !sent {
@@ -80,7 +82,7 @@
 		}
 		switch i.order(ctx, s, state, checked) {
 		case Taken:
-			return i.await(ctx, s, state) && i.confirm(ctx, s)
+			return i.await(ctx, s, state)
 		case Refused:
 			if !sent {
 				return false
@@ -137,39 +139,29 @@
 	return outcome
 }
 
-// await waits until the engine, which told state before, has taken the start;
-// it returns false if it has begun anew, or does not get there.
+// await waits until the engine, which told before, has taken the start that it
+// answered, and vouches for what it took. It returns false if the engine has begun
+// anew, or does not get there.
 func (i *Installer) await(ctx context.Context, s *step, before EngineState) bool {
-	began := clock.Now()
-	for ctx.Err() == nil {
-		i.mu.Lock()
-		state, change := i.state, i.change
-		i.mu.Unlock()
+	m := s.copy.manifest
+	for began := clock.Now(); ctx.Err() == nil; clock.Sleep(ctx, settlePause) {
+		state, err := i.engine.State(ctx)
 		switch {
-		case state.Version == s.copy.manifest.Version && !state.Busy:
-			return true
-		case state.Born != before.Born, state.Orders < before.Orders:
-			i.log.Info("engine began anew amid a load", "version", s.copy.manifest.Version)
+		case err != nil && clock.Since(began) > startWait:
+			i.log.Info("engine does not tell its state", "version", m.Version, "error", err.Error())
+			return false
+		case err != nil:
+			continue
+		case !i.awaited(state):
+			// The answer said that the count had risen.
+			i.log.Info("engine began anew amid a load", "version", m.Version, "orders", state.Orders, "expected", before.Orders+1)
 			return false
+		case state.Version == m.Version && !state.Busy:
+			return i.vouch(ctx, s, state)
 		case clock.Since(began) > startWait && !state.Busy:
-			i.log.Info("start without effect", "version", s.copy.manifest.Version, "holds", state.Version, "orders", state.Orders)
+			i.log.Info("start without effect", "version", m.Version, "holds", state.Version, "orders", state.Orders)
 			return false
 		}
-		select {
-		case <-change:
-		case <-time.After(retryPause):
-		case <-ctx.Done():
-		}
 	}
 	return false
 }
-
-// confirm vouches for the version of s if the engine still tells it.
-func (i *Installer) confirm(ctx context.Context, s *step) bool {
-	state, err := i.engine.State(ctx)
-	if err != nil || state.Version != s.copy.manifest.Version {
-		i.log.Info("engine does not tell its version after a load", "version", s.copy.manifest.Version, "holds", state.Version, "error", errorText(err))
-		return false
-	}
-	return i.vouch(ctx, s, state)
-}
--- a/installer/vouch.go
+++ b/installer/vouch.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/mintlift/mintlift/internal/clock"
 )
@@ -75,6 +76,7 @@
 		i.metrics.Counter("mintlift_installer_doubted_total").Inc()
 		return false
 	}
+	i.hearOf(ctx, state)
 	i.log.Info("version vouched for", "version", m.Version, "orders", state.Orders, "ms", clock.Since(began).Milliseconds())
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -83,6 +85,27 @@
 	return true
 }
 
+// hearOf waits until the engine's report shows state, so that what is decided
+// next is decided by it.
+func (i *Installer) hearOf(ctx context.Context, state EngineState) {
+	for began := clock.Now(); ctx.Err() == nil && clock.Since(began) < hearWait; {
+		i.mu.Lock()
+		shown, change := loadingOf(i.state) == loadingOf(state) && i.state.Version == state.Version, i.change
+		i.mu.Unlock()
+		if shown {
+			return
+		}
+		select {
+		case <-change:
+		case <-time.After(hearWait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// hearWait is several times the pause between two reports.
+const hearWait = 500 * time.Millisecond
+
 // other returns a whole copy of another version than the one that the engine
 // tells, the newest if there are several, or nil. An engine takes no version
 // that it says it holds, so one that nobody vouches for is left by way of another.
