--- a/cmd/mintlift/hostile_test.go
+++ b/cmd/mintlift/hostile_test.go
@@ -95,7 +95,7 @@
 		view := &sidecarView{settings: settings}
 		view.installer = installer.New(installer.Settings{Box: "127.0.0.1", LinkRate: 1e6}, nil, nil, nil, logr.Discard(), telemetry.NewMetrics())
 		view.Configured(c)
-		for _, a := range audiences(settings, server, 1, time.Now()) {
+		for _, a := range audiences(settings, server, known{}, time.Now()) {
 			view.told(a.Notice)
 		}
 	})
--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -13,6 +13,7 @@
 
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/freshness"
+	"github.com/mintlift/mintlift/history"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/internal/tcpconn"
@@ -36,9 +37,11 @@
 
 // sidecarsView gives what sidecars tell to a gateway.
 type sidecarsView struct {
+	ctx     context.Context // of the process
 	server  *ingress.Server
 	watcher *platform.Watcher
 	readers *storerelay.Readers
+	learner *learner
 }
 
 // Heard implements loadreport.Handler.
@@ -50,6 +53,7 @@
 	now := clock.Now()
 	v.watcher.OthersRead(e.Read, now)
 	v.readers.Heard(e.Readers, now)
+	v.learner.heard(v.ctx, e, now)
 	v.server.Heard(r, e.RoundTrip)
 }
 
@@ -61,7 +65,7 @@
 // current reports whether the configuration in force is known to be the
 // newest.
 func current(p platform.Progress, budget freshness.Budget, now time.Time) bool {
-	return !p.Behind && !p.Confirmed.IsZero() && budget.Current(p.Age(now))
+	return !p.Behind && !p.Lacks && !p.Confirmed.IsZero() && budget.Current(p.Age(now))
 }
 
 // noRoundTrip says that a report measured none.
@@ -127,9 +131,10 @@
 	follower := storerelay.NewFollower(readers, server, s.DrainBudget(), p.events)
 	go p.watchEndpoints(ctx, server, follower)
 	told := func() []loadreport.Audience {
-		return audiences(s, server, p.watcher.Progress().Offset, clock.Now())
+		return audiences(s, server, knownOf(p.watcher), clock.Now())
 	}
-	go subscriber.Run(ctx, told, server.TellSoon(), sidecarsView{server, p.watcher, readers})
+	learner := &learner{watcher: p.watcher, operator: view, readers: readers, log: p.events}
+	go subscriber.Run(ctx, told, server.TellSoon(), sidecarsView{ctx, server, p.watcher, readers, learner})
 	go func() {
 		for range time.Tick(maintainEvery) {
 			server.Maintain(clock.Now())
@@ -138,9 +143,17 @@
 	return func(ending context.Context) { stopGateway(ending, p, server, front) }, nil
 }
 
+// known is how much a gateway knows of what the operator wrote.
+type known struct {
+	read      history.Position
+	knowledge int64
+}
+
+func knownOf(w *platform.Watcher) known { return known{w.Progress().Read, w.Knowledge()} }
+
 // audiences are the sidecars of each service of engines, and what they are
-// told; read is how far the operator's records have been read.
-func audiences(s *platform.Settings, server *ingress.Server, read int64, now time.Time) []loadreport.Audience {
+// told.
+func audiences(s *platform.Settings, server *ingress.Server, k known, now time.Time) []loadreport.Audience {
 	c := server.Configuration()
 	if c == nil {
 		return nil
@@ -150,7 +163,10 @@
 		if service.Engine == nil {
 			continue
 		}
-		notice := loadreport.Notice{Model: service.Engine.Model, Region: s.Region, Read: read, Demand: math.Round(server.Demand(name, now)), Named: named(server, service.Engine.Model, now)}
+		notice := loadreport.Notice{
+			Model: service.Engine.Model, Region: s.Region, Read: k.read.Offset, Era: k.read.Era, Knowledge: k.knowledge,
+			Demand: math.Round(server.Demand(name, now)), Named: named(server, service.Engine.Model, now),
+		}
 		weights, ok := c.Weights(name)
 		knowing, others := server.EngineAddresses(name, weights.Sum(), now)
 		out = append(out, loadreport.Audience{Sidecars: publishers(s, knowing), Notice: notice})
--- a/cmd/mintlift/platform_relay.go
+++ b/cmd/mintlift/platform_relay.go
@@ -4,8 +4,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
+	"github.com/mintlift/mintlift/history"
+	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/storerelay"
 )
@@ -14,9 +19,9 @@
 type operatorRecords struct{ watcher *platform.Watcher }
 
 // Since implements storerelay.RecordSource.
-func (o operatorRecords) Since(offset int64) (storerelay.Records, bool) {
-	records, progress, changed, known := o.watcher.Since(offset)
-	out := storerelay.Records{Next: progress.Offset, Confirmed: progress.Confirmed, Behind: progress.Behind, Changed: changed}
+func (o operatorRecords) Since(from history.Position) (storerelay.Records, bool) {
+	records, progress, changed, known := o.watcher.Since(from)
+	out := storerelay.Records{Next: progress.Read, Confirmed: progress.Confirmed, Behind: progress.Behind, Changed: changed}
 	for _, r := range records {
 		out.Newest = append(out.Newest, storerelay.Record(r))
 	}
@@ -25,8 +30,8 @@
 
 // relay gives what another gateway has read to a watcher.
 func relay(f *storerelay.RecordFollower) platform.Relay {
-	return func(ctx context.Context, offset int64, age time.Duration) *platform.Relayed {
-		got, ok := f.Since(ctx, offset, age)
+	return func(ctx context.Context, from history.Position, age time.Duration) *platform.Relayed {
+		got, ok := f.Since(ctx, from, age)
 		if !ok {
 			return nil
 		}
@@ -37,3 +42,58 @@
 		return out
 	}
 }
+
+// learnEvery is the least time between two questions for what another gateway
+// knows and this one does not; a change that is on its way comes sooner.
+const learnEvery = time.Second
+
+// learner asks other gateways for operator's records that the store has lost.
+type learner struct {
+	watcher  *platform.Watcher
+	operator platform.Operator
+	readers  *storerelay.Readers
+	log      logr.Logger
+
+	mu sync.Mutex
+	// lacks is since when another gateway has known more, or zero, and asked when
+	// one was asked last.
+	lacks, asked time.Time
+}
+
+// heard takes what a sidecar tells of the gateway that knows most.
+func (l *learner) heard(ctx context.Context, e *loadreport.Echo, now time.Time) {
+	lacks := l.watcher.OthersKnow(e.Knowledge)
+	if !l.due(lacks, now) {
+		return
+	}
+	l.log.Info("another gateway knows more of what the operator wrote", "gateway", e.Knower, "theirs", e.Knowledge, "own", l.watcher.Knowledge())
+	go func() {
+		records, ok := l.readers.All(ctx, e.Knower)
+		if !ok {
+			return // it is logged
+		}
+		known := make([]platform.Record, len(records))
+		for n, r := range records {
+			known[n] = platform.Record(r)
+		}
+		l.watcher.Learn(l.operator, known)
+	}()
+}
+
+// due reports whether a gateway should be asked now.
+func (l *learner) due(lacks bool, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !lacks {
+		l.lacks = time.Time{}
+		return false
+	}
+	if l.lacks.IsZero() {
+		l.lacks = now
+	}
+	if now.Sub(l.lacks) < learnEvery || now.Sub(l.asked) < learnEvery {
+		return false
+	}
+	l.asked = now
+	return true
+}
--- a/cmd/mintlift/platform_test.go
+++ b/cmd/mintlift/platform_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/history"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/installer"
 	"github.com/mintlift/mintlift/loadreport"
@@ -101,7 +102,7 @@
 	}
 
 	notice := func() loadreport.Notice {
-		for _, a := range audiences(settings, server, -1, now) {
+		for _, a := range audiences(settings, server, known{read: history.Unread}, now) {
 			if len(a.Sidecars) > 0 {
 				assert.DeepEqual(t, a.Sidecars, []string{"127.0.0.1:17711"})
 				return a.Notice
--- a/cmd/mintlift/weights_test.go
+++ b/cmd/mintlift/weights_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -145,9 +146,13 @@
 
 // weightsDeployment is a gateway before engines with their sidecars.
 type weightsDeployment struct {
-	store *storetest.Store
-	boxes []*weightsBox
-	front string
+	network string // the first three numbers of all addresses
+	store   *storetest.Store
+	// storeAddress is where the store answers, and config its first
+	// configuration.
+	storeAddress, config string
+	boxes                []*weightsBox
+	fronts               []string // IP:PORT of the gateways' callers' listeners
 
 	mu sync.Mutex
 	// served counts answers by the version that gave them.
@@ -166,18 +171,19 @@
 func startWeights(t *testing.T, count int) *weightsDeployment {
 	t.Helper()
 	network := fmt.Sprintf("127.78.%d", networks.Add(1))
-	d := &weightsDeployment{store: storetest.New(), front: net.JoinHostPort(network+".1", "8005"), served: make(map[int]int)}
-	store := serveAt(t, "127.0.0.1:0", d.store, d.store.End)
+	d := &weightsDeployment{network: network, store: storetest.New(), served: make(map[int]int)}
+	d.storeAddress = serveAt(t, "127.0.0.1:0", d.store, d.store.End)
 	origin := serveAt(t, "127.0.0.1:0", weightsModel, func() {})
-	d.store.Put(storetest.Operator, "config", fmt.Sprintf(`{"version":1,
+	d.config = fmt.Sprintf(`{"version":1,
 		"routes":[{"name":"s","host":"h.example","path_prefix":"/s/","kind":"streaming","timeout_ms":3000,"target_latency_ms":800,"target_gap_ms":400,"service":"e","max_attempts":2,"public":true,"resumable":true}],
 		"services":[{"name":"weights","origin":%q,"zone":"z","link_mbps":80},
 			{"name":"e","max_connections":500,"engine":{"slots":16,"models":[{"name":"m"}],"step_ms":8,"read_per_s":20000,"layers":%d,"chunks":%d,"chunk_bytes":%d,"usual":{"prompt":100,"answer":10}}}],
-		"limits":{"max_body_bytes":1048576,"idle_timeout_ms":15000}}`, origin, weightsModel.Layers, weightsModel.Chunks, weightsModel.ChunkBytes))
+		"limits":{"max_body_bytes":1048576,"idle_timeout_ms":15000}}`, origin, weightsModel.Layers, weightsModel.Chunks, weightsModel.ChunkBytes)
+	d.store.Put(storetest.Operator, "config", d.config)
 	for n := range count {
-		d.startBox(t, fmt.Sprintf("%s.%d", network, 100+n), store)
+		d.startBox(t, fmt.Sprintf("%s.%d", network, 100+n), d.storeAddress)
 	}
-	startGateway(t, network+".1", store)
+	d.startGateway(t)
 	return d
 }
 
@@ -268,7 +274,7 @@
 
 // ask sends a request, and returns the version that answered it, or 0.
 func (d *weightsDeployment) ask() int {
-	r, err := http.NewRequest(http.MethodPost, "http://"+d.front+"/s/x", strings.NewReader("text"))
+	r, err := http.NewRequest(http.MethodPost, "http://"+d.fronts[rand.IntN(len(d.fronts))]+"/s/x", strings.NewReader("text"))
 	if err != nil {
 		return 0
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -178,25 +178,30 @@
 	return true
 }
 
-// Replace sets the whole list.
-func (f *Fleet) Replace(records []Record) {
+// Replace sets the whole list, and returns what was on the one before alone.
+func (f *Fleet) Replace(records []Record) (left []Record) {
 	keep := make(map[string]bool, len(records))
 	for _, r := range records {
 		keep[r.ID] = true
 	}
-	for id := range f.byID {
+	for id, e := range f.byID {
 		if !keep[id] {
+			left = append(left, e.Record)
 			f.Remove(id)
 		}
 	}
 	for _, r := range records {
 		f.Put(r)
 	}
+	return left
 }
 
 // Has reports whether an endpoint is on the list.
 func (f *Fleet) Has(id string) bool { return f.byID[id] != nil }
 
+// ByID returns an endpoint of the list, or nil.
+func (f *Fleet) ByID(id string) *Endpoint { return f.byID[id] }
+
 // Endpoints returns the endpoints of a service.
 func (f *Fleet) Endpoints(service string) []*Endpoint { return f.byService[service] }
 
--- a/ingress/endpoints.go
+++ b/ingress/endpoints.go
@@ -3,6 +3,8 @@
 package ingress
 
 import (
+	"time"
+
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 )
@@ -11,6 +13,8 @@
 func (s *Server) SetEndpoints(records []fleet.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := clock.Now()
+	records = s.reconcile(records, now)
 	clear(s.unnamed)
 	named := make([]fleet.Record, 0, len(records))
 	for _, r := range records {
@@ -20,18 +24,22 @@
 			s.unnamed[r.ID] = r
 		}
 	}
-	s.fleet.Replace(named)
+	for _, r := range s.fleet.Replace(named) {
+		s.leftBefore(r, now)
+	}
 	s.listed = true
 	s.list.change()
 	s.events.Info("endpoints listed", "count", len(named), "unnamed", len(s.unnamed))
 	s.tellSoonLocked()
-	s.dispatchAll(clock.Now())
+	s.dispatchAll(now)
 }
 
 // PutEndpoint adds or changes an endpoint.
 func (s *Server) PutEndpoint(r fleet.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delete(s.back.departed, r.ID)
+	delete(s.back.awaited, r.ID)
 	if !s.names(r.Service) {
 		s.setAside(r)
 		return
@@ -90,8 +98,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.unnamed, id)
-	if s.fleet.Remove(id) {
-		s.list.change()
-		s.events.Info("endpoint gone", "endpoint", id)
+	s.removeLocked(id, "endpoint gone", clock.Now())
+}
+
+// removeLocked forgets an endpoint, if it is known, and logs event; Server.mu is
+// held.
+func (s *Server) removeLocked(id, event string, now time.Time) {
+	e := s.fleet.ByID(id)
+	if e == nil {
+		// Another endpoint may have taken its address before its entry ended.
+		s.leftBefore(fleet.Record{ID: id, Born: anyLife}, now)
+		return
 	}
+	s.leftBefore(e.Record, now)
+	s.fleet.Remove(id)
+	s.list.change()
+	s.events.Info(event, "endpoint", id)
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -88,6 +88,7 @@
 	gateways int
 	listed   bool // the list of endpoints is known
 	list     listState
+	back     storeReturn
 	// unnamed are endpoints on the list whose service the configuration does
 	// not name, by id.
 	unnamed map[string]fleet.Record
@@ -132,6 +133,7 @@
 		suspects:  quarantine.New(),
 		tellSoon:  make(chan struct{}, 1),
 		list:      newListState(),
+		back:      newStoreReturn(),
 	}
 	m.Gauge("mintlift_ingress_suspects", func() float64 {
 		suspected, _ := server.suspects.Len(clock.Now())
@@ -343,7 +345,12 @@
 
 // Maintain closes connections that have rested too long; call it every
 // second or so.
-func (s *Server) Maintain(now time.Time) { s.pool.Sweep(now) }
+func (s *Server) Maintain(now time.Time) {
+	s.pool.Sweep(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endReturn(now)
+}
 
 // budget returns the account of a service.
 func (s *Server) budget(service string, now time.Time) *retrybudget.Budget {
--- a/ingress/list.go
+++ b/ingress/list.go
@@ -15,6 +15,8 @@
 	// life tells the states of one process from those of another.
 	life       uint64
 	generation int64
+	// era is that of the store that the list was told of.
+	era int64
 	// changed is closed, and made anew, when the list changes.
 	changed chan struct{}
 	// confirmed is when the store was read last, by this gateway or by the
@@ -36,7 +38,9 @@
 // List is the list of endpoints as a gateway knows it.
 type List struct {
 	// State differs from that of any other list, also of another gateway.
-	State     string
+	State string
+	// Era of the store that it was read in.
+	Era       int64
 	Records   []fleet.Record
 	Confirmed time.Time
 	// Changed is closed when the gateway knows another list.
@@ -56,6 +60,7 @@
 	defer s.mu.Unlock()
 	l := List{
 		State:     strconv.FormatUint(s.list.life, 16) + "." + strconv.FormatInt(s.list.generation, 10),
+		Era:       s.list.era,
 		Confirmed: s.list.confirmed,
 		Changed:   s.list.changed,
 	}
--- /dev/null
+++ b/ingress/storereturn.go
@@ -0,0 +1,124 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ingress
+
+import (
+	"math"
+	"time"
+
+	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
+)
+
+// The store may come back from a copy that is some seconds old, with entries of
+// endpoints that have left since, and without those of endpoints that came.
+// Until they have written again, what this gateway knew goes before the copy.
+const (
+	// returnWait is how long after the return an endpoint counts that the copy
+	// lacks: one that lives has written again within about two seconds.
+	returnWait = 2500 * time.Millisecond
+	// lapseWait is how long after the return an entry may stand whose endpoint
+	// has left: three heartbeats of 1.2 s, and a look at the list.
+	lapseWait = 4600 * time.Millisecond
+	// departedKept is how long it is remembered that an endpoint has left: longer
+	// than a copy is old.
+	departedKept = time.Minute
+)
+
+// storeReturn is what a gateway remembers for when the store comes back from an
+// older copy.
+type storeReturn struct {
+	// at is when this gateway heard of the return, or zero.
+	at time.Time
+	// departed are endpoints that have left, by id.
+	departed map[string]departure
+	// awaited are endpoints that the copy lacks.
+	awaited map[string]bool
+}
+
+// departure is the end of an endpoint's entry; born is that of the life that
+// ended, or anyLife.
+type departure struct {
+	born int64
+	at   time.Time
+}
+
+// anyLife is later than all births.
+const anyLife = math.MaxInt64
+
+func newStoreReturn() storeReturn {
+	return storeReturn{departed: make(map[string]departure), awaited: make(map[string]bool)}
+}
+
+// SetEra says of which era of the store the list is that is told next. It
+// returns false for one that has passed.
+func (s *Server) SetEra(era int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if era <= s.list.era {
+		return era == s.list.era
+	}
+	s.events.Info("list comes from an older copy", "era", s.list.era, "new_era", era, "endpoints", s.fleet.Len())
+	s.list.era = era
+	if s.listed {
+		s.back.at = clock.Now()
+		clear(s.back.awaited)
+	}
+	return true
+}
+
+// leftBefore notes that an endpoint's entry has ended. Server.mu is held.
+func (s *Server) leftBefore(r fleet.Record, now time.Time) {
+	s.back.departed[r.ID] = departure{r.Born, now}
+	delete(s.back.awaited, r.ID)
+}
+
+// reconcile puts what is known in the place of what a list says that may come from
+// an older copy. Server.mu is held.
+func (s *Server) reconcile(records []fleet.Record, now time.Time) []fleet.Record {
+	since := now.Sub(s.back.at)
+	if s.back.at.IsZero() || since >= lapseWait {
+		return records
+	}
+	out := make([]fleet.Record, 0, len(records))
+	listed := make(map[string]bool, len(records))
+	for _, r := range records {
+		listed[r.ID] = true
+		delete(s.back.awaited, r.ID)
+		if d, left := s.back.departed[r.ID]; left && d.at.Before(s.back.at) && r.Born <= d.born {
+			s.events.Info("entry of an endpoint that has left", "endpoint", r.ID, "born", r.Born)
+			continue
+		}
+		if e := s.fleet.ByID(r.ID); e != nil && e.Born == r.Born {
+			r.Draining = r.Draining || e.Draining
+		}
+		out = append(out, r)
+	}
+	if since >= returnWait {
+		return out
+	}
+	for _, e := range s.fleet.All() {
+		if !listed[e.ID] {
+			s.back.awaited[e.ID] = true
+			out = append(out, e.Record)
+		}
+	}
+	return out
+}
+
+// endReturn forgets endpoints that have not written again since the store came
+// back, and departures of long ago. Server.mu is held.
+func (s *Server) endReturn(now time.Time) {
+	for id, d := range s.back.departed {
+		if now.Sub(d.at) > departedKept {
+			delete(s.back.departed, id)
+		}
+	}
+	if len(s.back.awaited) == 0 || now.Sub(s.back.at) < returnWait {
+		return
+	}
+	for id := range s.back.awaited {
+		s.removeLocked(id, "endpoint has not written again", now)
+	}
+	clear(s.back.awaited)
+}
--- a/loadreport/gateways.go
+++ b/loadreport/gateways.go
@@ -49,6 +49,17 @@
 	return near, far
 }
 
+// knowsMostLocked returns the most that a gateway knows which subscribed lately,
+// and its IP number. Publisher.mu is held.
+func (p *Publisher) knowsMostLocked(now time.Time) (knowledge int64, knower string) {
+	for from, s := range p.subs {
+		if now.Sub(s.since) <= subscription && s.knowledge > knowledge {
+			knowledge, knower = s.knowledge, from.Addr().String()
+		}
+	}
+	return knowledge, knower
+}
+
 // Gateways returns the IP numbers of up to n gateways that subscribed lately, drawn
 // at random, those of the region first.
 func (p *Publisher) Gateways(region string, n int, now time.Time) []string {
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -23,6 +23,7 @@
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/history"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
@@ -51,8 +52,13 @@
 	Region string `json:"region,omitempty"`
 	// Named are the newest named versions of the model, the newest last.
 	Named []Named `json:"named,omitempty"`
-	// Read is how far the gateway has read the operator's records, or -1.
+	// Read is the offset up to which the gateway has read the operator's records,
+	// or -1, and Era the era of that offset.
 	Read int64 `json:"read"`
+	Era  int64 `json:"era,omitempty"`
+	// Knowledge is how much the gateway knows of what the operator wrote, as
+	// platform.Watcher counts it.
+	Knowledge int64 `json:"known,omitempty"`
 	// Demand is how many requests a second for the service the gateway got
 	// lately.
 	Demand float64 `json:"demand"`
@@ -106,7 +112,11 @@
 	Echo int64 `json:"e,omitempty"`
 	// Read and Readers are, in such an answer, those of an Echo.
 	Read    int64    `json:"o,omitempty"`
+	Era     int64    `json:"h,omitempty"`
 	Readers []string `json:"l,omitempty"`
+	// Knowledge and Knower are those of an Echo.
+	Knowledge int64  `json:"k,omitempty"`
+	Knower    string `json:"i,omitempty"`
 	// Suspects are what gateways told. They come in such an answer, and alone
 	// when there is news.
 	Suspects []quarantine.Record `json:"x,omitempty"`
@@ -119,7 +129,7 @@
 	// askedAt is when the last subscription came.
 	askedAt time.Time
 	// read is how far any gateway has read the operator's records.
-	read int64
+	read history.Position
 	subs map[netip.AddrPort]subscriber
 	// suspects is what gateways told of requests.
 	suspects *quarantine.Table
@@ -135,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Publisher{conn: conn, subs: make(map[netip.AddrPort]subscriber), suspects: quarantine.NewRelayed()}, nil
+	return &Publisher{conn: conn, read: history.Unread, subs: make(map[netip.AddrPort]subscriber), suspects: quarantine.NewRelayed()}, nil
 }
 
 func listen(address string) (*net.UDPConn, error) {
@@ -166,9 +176,13 @@
 		}
 		p.mu.Lock()
 		p.askedAt = now
-		p.subs[from] = subscriber{since: p.askedAt, region: asked.Region, demand: asked.Demand}
-		p.read = max(p.read, asked.Read)
-		answer := message{Report: withTurn(p.last, p.turnsLocked()[from]), Echo: asked.Stamp, Read: p.read, Readers: p.readersLocked(asked.Region), Suspects: p.suspects.Tell(now)}
+		p.subs[from] = subscriber{since: p.askedAt, region: asked.Region, demand: asked.Demand, knowledge: asked.Knowledge}
+		p.read = history.Later(p.read, history.Position{Era: asked.Era, Offset: asked.Read})
+		answer := message{
+			Report: withTurn(p.last, p.turnsLocked()[from]), Echo: asked.Stamp, Read: p.read.Offset, Era: p.read.Era,
+			Readers: p.readersLocked(asked.Region), Suspects: p.suspects.Tell(now),
+		}
+		answer.Knowledge, answer.Knower = p.knowsMostLocked(now)
 		p.mu.Unlock()
 		if answer.Address != "" {
 			p.send(answer, from)
@@ -255,7 +269,11 @@
 	RoundTrip time.Duration
 	// Read is how far any gateway that subscribed there has read the
 	// operator's records.
-	Read int64
+	Read history.Position
+	// Knowledge is the most that a gateway which subscribed there lately knows of
+	// what the operator wrote, and Knower that gateway's IP number.
+	Knowledge int64
+	Knower    string
 	// Readers are the IP numbers of the first gateways of the subscriber's
 	// region, in an order that all compute alike, of those that subscribed
 	// there: they read the list of endpoints for the others.
@@ -332,7 +350,10 @@
 		case m.Echo <= 0:
 			h.Heard(m.Report, nil)
 		default:
-			h.Heard(m.Report, &Echo{RoundTrip: time.Duration(s.stamp()-m.Echo) * time.Microsecond, Read: m.Read, Readers: m.Readers})
+			h.Heard(m.Report, &Echo{
+				RoundTrip: time.Duration(s.stamp()-m.Echo) * time.Microsecond,
+				Read:      history.Position{Era: m.Era, Offset: m.Read}, Readers: m.Readers, Knowledge: m.Knowledge, Knower: m.Knower,
+			})
 		}
 	}
 }
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -23,6 +23,7 @@
 	reports []fleet.Report
 	echoes  int
 	read    int64
+	echo    Echo
 	readers []string
 	// suspects are those that were heard of, by id.
 	suspects map[quarantine.ID]quarantine.Record
@@ -45,7 +46,8 @@
 	h.reports = append(h.reports, r)
 	if e != nil {
 		h.echoes++
-		h.read = max(h.read, e.Read)
+		h.read = max(h.read, e.Read.Offset)
+		h.echo = *e
 		h.readers = e.Readers
 	}
 }
--- a/loadreport/turns.go
+++ b/loadreport/turns.go
@@ -18,6 +18,8 @@
 	since  time.Time
 	region string
 	demand float64 // requests a second
+	// knowledge is how much it knows of what the operator wrote.
+	knowledge int64
 }
 
 // weight is the subscriber's part of what is shared by demand; one that has
--- a/storerelay/follow.go
+++ b/storerelay/follow.go
@@ -48,6 +48,8 @@
 // shared is the list as one gateway tells it to another.
 type shared struct {
 	State string `json:"state"`
+	// Era of the store that the list was read in.
+	Era int64 `json:"era,omitempty"`
 	// AgeMS is how long ago the store was read.
 	AgeMS int64 `json:"age_ms"`
 	// Records are left out where the asker has this state already.
@@ -65,7 +67,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		out := shared{State: list.State, AgeMS: clock.Since(list.Confirmed).Milliseconds()}
+		out := shared{State: list.State, Era: list.Era, AgeMS: clock.Since(list.Confirmed).Milliseconds()}
 		if list.State != had {
 			out.Records = list.Records
 		}
@@ -81,6 +83,9 @@
 
 // Target takes the list that another gateway told.
 type Target interface {
+	// SetEra is that of platform.Endpoints; it returns false for an era that has
+	// passed.
+	SetEra(era int64) bool
 	SetEndpoints(records []fleet.Record)
 	Listed(now time.Time)
 }
@@ -137,6 +142,11 @@
 		f.log.Info("list of a gateway too old", "gateway", ip, "age_ms", got.AgeMS)
 		return false
 	}
+	if !f.target.SetEra(got.Era) {
+		f.readers.leave(ip, clock.Now().Add(avoidFor))
+		f.log.Info("list of a gateway is of an era that has passed", "gateway", ip, "their_era", got.Era)
+		return false
+	}
 	if got.State != f.had {
 		f.target.SetEndpoints(got.Records)
 	}
--- a/storerelay/list_test.go
+++ b/storerelay/list_test.go
@@ -82,6 +82,7 @@
 	mu    sync.Mutex
 	lists [][]fleet.Record
 	at    time.Time
+	era   int64
 }
 
 func (l *taken) SetEndpoints(records []fleet.Record) {
@@ -90,6 +91,13 @@
 	l.lists = append(l.lists, records)
 }
 
+func (l *taken) SetEra(era int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.era = max(l.era, era)
+	return era == l.era
+}
+
 func (l *taken) Listed(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -252,3 +260,17 @@
 	server.Listed(clock.Now())
 	assert.Assert(t, clock.Since(follower.confirmed) >= budget.Bound())
 }
+
+// A list of an era that has passed is not taken, however fresh.
+func TestListOfAnEarlierEraIsNotTaken(t *testing.T) {
+	leader, address := gateway(t, records)
+	var list taken
+	readers, f := follower(address, &list)
+	readers.Heard([]string{"leader"}, time.Now())
+	list.SetEra(2)
+	assert.Assert(t, !f.Follow(context.Background()))
+	leader.SetEra(2)
+	readers, f = follower(address, &list)
+	readers.Heard([]string{"leader"}, time.Now())
+	assert.Assert(t, f.Follow(context.Background()))
+}
--- a/storerelay/records.go
+++ b/storerelay/records.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/mintlift/mintlift/freshness"
+	"github.com/mintlift/mintlift/history"
 	"github.com/mintlift/mintlift/internal/clock"
 )
 
@@ -24,10 +25,11 @@
 
 // Records are the operator's records as a process knows them.
 type Records struct {
-	// Newest of each key, by offset, from the offset that was asked for.
+	// Newest of each key, by offset, from the position that was asked for, or
+	// all if that is of another era.
 	Newest []Record
 	// Next is up to where they have been read.
-	Next int64
+	Next history.Position
 	// Confirmed is when the store last said that there are no more.
 	Confirmed time.Time
 	// Behind says that another process is known to have read further.
@@ -39,13 +41,14 @@
 // RecordSource is a gateway that reads the operator's records; it returns
 // false while it has read none.
 type RecordSource interface {
-	Since(offset int64) (Records, bool)
+	Since(from history.Position) (Records, bool)
 }
 
 // sharedRecords are Records as one gateway tells them to another.
 type sharedRecords struct {
 	Newest []Record `json:"newest,omitempty"`
 	Next   int64    `json:"next"`
+	Era    int64    `json:"era,omitempty"`
 	AgeMS  int64    `json:"age_ms"`
 	Behind bool     `json:"behind,omitempty"`
 }
@@ -53,7 +56,7 @@
 // serveRecords answers as soon as there are records from the offset that the
 // asker names, or the time has passed for which it can wait.
 func serveRecords(w http.ResponseWriter, r *http.Request, source RecordSource) {
-	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	from, err := positionAsked(r.URL.Query())
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -65,7 +68,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		out := sharedRecords{Newest: records.Newest, Next: records.Next, AgeMS: clock.Since(records.Confirmed).Milliseconds(), Behind: records.Behind}
+		out := sharedRecords{Newest: records.Newest, Next: records.Next.Offset, Era: records.Next.Era, AgeMS: clock.Since(records.Confirmed).Milliseconds(), Behind: records.Behind}
 		if records.Next != from || records.Behind || !clock.Now().Before(end) {
 			answer(w, out)
 			return
@@ -94,37 +97,66 @@
 // Since asks a gateway for the records from an offset on, -1 for all, and
 // waits there for one for as long as the age of what is known allows. It
 // returns false if the store must be read instead.
-func (f *RecordFollower) Since(ctx context.Context, offset int64, age time.Duration) (Records, bool) {
+func (f *RecordFollower) Since(ctx context.Context, from history.Position, age time.Duration) (Records, bool) {
 	var got Records
 	told := f.readers.tryEach(f.budget, clock.Now().Add(-age), func(ip string, hold time.Duration) (ok bool) {
-		got, ok = f.ask(ctx, ip, offset, hold)
+		got, ok = f.ask(ctx, ip, from, hold)
 		return ok
 	})
 	if told {
 		return got, true
 	}
 	if f.from != "" {
-		f.log.Info("records read from the store", "before", f.from, "offset", offset)
+		f.log.Info("records read from the store", "before", f.from, "offset", from.Offset)
 		f.from = ""
 	}
 	return Records{}, false
 }
 
-func (f *RecordFollower) ask(ctx context.Context, ip string, offset int64, hold time.Duration) (Records, bool) {
+func (f *RecordFollower) ask(ctx context.Context, ip string, from history.Position, hold time.Duration) (Records, bool) {
 	var got sharedRecords
-	query := url.Values{"from": {strconv.FormatInt(offset, 10)}}
-	if !f.readers.ask(ctx, ip, pathRecords, query, hold, f.budget.Relay(), &got) {
+	if !f.readers.ask(ctx, ip, pathRecords, positionQuery(from), hold, f.budget.Relay(), &got) {
 		return Records{}, false
 	}
 	age := time.Duration(got.AgeMS) * time.Millisecond
-	if got.Behind || got.Next < offset || f.budget.Hold(age) <= 0 {
+	next := history.Position{Era: got.Era, Offset: got.Next}
+	if got.Behind || next.Before(from) || f.budget.Hold(age) <= 0 {
 		f.readers.leave(ip, clock.Now().Add(avoidFor))
-		f.log.Info("records of a gateway too old", "gateway", ip, "age_ms", got.AgeMS, "offset", offset, "theirs", got.Next)
+		f.log.Info("records of a gateway too old", "gateway", ip, "age_ms", got.AgeMS, "era", from.Era, "offset", from.Offset, "their_era", got.Era, "theirs", got.Next)
 		return Records{}, false
 	}
 	if f.from != ip {
-		f.log.Info("records taken from a gateway", "gateway", ip, "age_ms", got.AgeMS, "offset", offset)
+		f.log.Info("records taken from a gateway", "gateway", ip, "age_ms", got.AgeMS, "offset", from.Offset)
 	}
 	f.from = ip
-	return Records{Newest: got.Newest, Next: got.Next, Confirmed: clock.Now().Add(-age)}, true
+	return Records{Newest: got.Newest, Next: next, Confirmed: clock.Now().Add(-age)}, true
+}
+
+// All asks one gateway, by its IP number, for all operator's records that it
+// knows.
+func (r *Readers) All(ctx context.Context, ip string) ([]Record, bool) {
+	var got sharedRecords
+	ok := r.ask(ctx, ip, pathRecords, positionQuery(history.Unread), 0, callTimeout, &got)
+	return got.Newest, ok
+}
+
+// Fields of the query for records.
+const (
+	fromField = "from"
+	eraField  = "era"
+)
+
+func positionQuery(p history.Position) url.Values {
+	return url.Values{fromField: {strconv.FormatInt(p.Offset, 10)}, eraField: {strconv.FormatInt(p.Era, 10)}}
+}
+
+// positionAsked reads the position of a query; one without an era is of era 0.
+func positionAsked(query url.Values) (p history.Position, err error) {
+	if p.Offset, err = strconv.ParseInt(query.Get(fromField), 10, 64); err != nil {
+		return p, err
+	}
+	if query.Get(eraField) != "" {
+		p.Era, err = strconv.ParseInt(query.Get(eraField), 10, 64)
+	}
+	return p, err
 }
--- a/storerelay/records_test.go
+++ b/storerelay/records_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/history"
 )
 
 // log is a source of records.
@@ -20,6 +22,7 @@
 	records   []Record
 	confirmed time.Time
 	behind    bool
+	era       int64
 	changed   chan struct{}
 }
 
@@ -46,11 +49,27 @@
 	l.confirmed = time.Now()
 }
 
-func (l *log) Since(offset int64) (Records, bool) {
+// goBack leaves the first n records, in a new era.
+func (l *log) goBack(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = l.records[:n]
+	l.era++
+	l.confirmed = time.Now()
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func at(offset int64) history.Position { return history.Position{Offset: offset} }
+
+func (l *log) Since(from history.Position) (Records, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if from.Era != l.era {
+		from.Offset = 0
+	}
 	n := int64(len(l.records))
-	return Records{Newest: l.records[min(max(offset, 0), n):], Next: n, Confirmed: l.confirmed, Behind: l.behind, Changed: l.changed}, n > 0
+	return Records{Newest: l.records[min(max(from.Offset, 0), n):], Next: history.Position{Era: l.era, Offset: n}, Confirmed: l.confirmed, Behind: l.behind, Changed: l.changed}, n > 0
 }
 
 func follow(t *testing.T, l *log) *RecordFollower {
@@ -65,10 +84,10 @@
 func TestRecordsAreToldAtOnce(t *testing.T) {
 	l := newLog("config", "version")
 	f := follow(t, l)
-	got, ok := f.Since(context.Background(), -1, 0)
+	got, ok := f.Since(context.Background(), history.Unread, 0)
 	assert.Assert(t, ok)
 	assert.Equal(t, len(got.Newest), 2)
-	assert.Equal(t, got.Next, int64(2))
+	assert.Equal(t, got.Next, at(2))
 	time.AfterFunc(50*time.Millisecond, func() { l.add("config") })
 	began := time.Now()
 	got, ok = f.Since(context.Background(), got.Next, 0)
@@ -97,10 +116,10 @@
 		f := follow(t, l)
 		change(l)
 		began := time.Now()
-		_, ok := f.Since(context.Background(), 2, 0)
+		_, ok := f.Since(context.Background(), at(2), 0)
 		assert.Assert(t, !ok, name)
 		assert.Assert(t, time.Since(began) < budget.StaleAfter(), name)
-		_, ok = f.Since(context.Background(), 2, 0)
+		_, ok = f.Since(context.Background(), at(2), 0)
 		assert.Assert(t, !ok, name+": it is left alone for a while")
 	}
 }
@@ -113,11 +132,30 @@
 	f := NewRecordFollower(readers, budget, logr.Discard())
 	const age = 400 * time.Millisecond
 	began := time.Now()
-	_, ok := f.Since(context.Background(), 2, age)
+	_, ok := f.Since(context.Background(), at(2), age)
 	assert.Assert(t, !ok)
 	assert.Assert(t, age+time.Since(began) < budget.StaleAfter()+100*time.Millisecond, "left after %s", time.Since(began))
 	began = time.Now()
-	_, ok = f.Since(context.Background(), 2, budget.StaleAfter())
+	_, ok = f.Since(context.Background(), at(2), budget.StaleAfter())
 	assert.Assert(t, !ok)
 	assert.Assert(t, time.Since(began) < 100*time.Millisecond, "what is too old already is not asked for")
 }
+
+// A follower and its reader may be in different histories of the store. One that
+// is ahead is told all at once, though its offsets are lower; one that is behind
+// is not followed, though its offsets are higher.
+func TestFollowerInAnotherHistory(t *testing.T) {
+	l := newLog("config", "version", "config")
+	f := follow(t, l)
+	got, ok := f.Since(context.Background(), history.Unread, 0)
+	assert.Assert(t, ok)
+	time.AfterFunc(50*time.Millisecond, func() { l.goBack(1) })
+	began := time.Now()
+	got, ok = f.Since(context.Background(), got.Next, 0)
+	assert.Assert(t, ok)
+	assert.Assert(t, time.Since(began) < atOnce)
+	assert.Equal(t, got.Next, history.Position{Era: 1, Offset: 1})
+	assert.Equal(t, len(got.Newest), 1)
+	_, ok = f.Since(context.Background(), history.Position{Era: 2, Offset: 0}, 0)
+	assert.Assert(t, !ok, "the reader's history has passed")
+}
