--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -22,6 +22,7 @@
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
 	"github.com/mintlift/mintlift/storerelay"
+	"github.com/mintlift/mintlift/storewatch"
 )
 
 // gatewayView gives what the store tells to a gateway.
@@ -64,7 +65,7 @@
 
 // current reports whether the configuration in force is known to be the
 // newest.
-func current(p platform.Progress, budget freshness.Budget, now time.Time) bool {
+func current(p storewatch.Progress, budget freshness.Budget, now time.Time) bool {
 	return !p.Behind && !p.Lacks && !p.Confirmed.IsZero() && budget.Current(p.Age(now))
 }
 
--- a/cmd/mintlift/platform_relay.go
+++ b/cmd/mintlift/platform_relay.go
@@ -13,6 +13,7 @@
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/storerelay"
+	"github.com/mintlift/mintlift/storewatch"
 )
 
 // operatorRecords gives what a watcher has read to other gateways.
@@ -29,15 +30,15 @@
 }
 
 // relay gives what another gateway has read to a watcher.
-func relay(f *storerelay.RecordFollower) platform.Relay {
-	return func(ctx context.Context, from history.Position, age time.Duration) *platform.Relayed {
+func relay(f *storerelay.RecordFollower) storewatch.Relay {
+	return func(ctx context.Context, from history.Position, age time.Duration) *storewatch.Relayed {
 		got, ok := f.Since(ctx, from, age)
 		if !ok {
 			return nil
 		}
-		out := &platform.Relayed{Next: got.Next, Confirmed: got.Confirmed}
+		out := &storewatch.Relayed{Next: got.Next, Confirmed: got.Confirmed}
 		for _, r := range got.Newest {
-			out.Records = append(out.Records, platform.Record(r))
+			out.Records = append(out.Records, storewatch.Record(r))
 		}
 		return out
 	}
@@ -72,9 +73,9 @@
 		if !ok {
 			return // it is logged
 		}
-		known := make([]platform.Record, len(records))
+		known := make([]storewatch.Record, len(records))
 		for n, r := range records {
-			known[n] = platform.Record(r)
+			known[n] = storewatch.Record(r)
 		}
 		l.watcher.Learn(l.operator, known)
 	}()
--- a/platform/read.go
+++ b/storewatch/read.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package platform
+package storewatch
 
 import (
 	"context"
@@ -22,7 +22,7 @@
 	case err == nil:
 	case errors.Is(err, ErrGone):
 		outcome = readGone
-	case errors.Is(err, ErrNewEra), errors.Is(err, errPastEra):
+	case errors.Is(err, ErrNewEra), errors.Is(err, ErrPastEra):
 		outcome = readOtherEra
 	case errors.Is(err, stall.Err):
 		outcome = readSilent
@@ -45,7 +45,7 @@
 
 // step reads a topic once, the newest records if nothing has been read of the
 // store's era.
-func (w *Watcher) step(ctx context.Context, s *source, next history.Position) (history.Position, error) {
+func (w *Watcher) step(ctx context.Context, s *Source, next history.Position) (history.Position, error) {
 	if next.Known() && next.Era < w.store.Era() {
 		return next, ErrNewEra
 	}
@@ -53,7 +53,7 @@
 		return w.stepNewest(ctx, s)
 	}
 	if s.checkDue(clock.Now()) {
-		newest, err := w.newestOf(ctx, s.topic)
+		newest, err := w.newestOf(ctx, s.Topic)
 		if err == nil && newest.Era != next.Era {
 			err = ErrNewEra
 		}
@@ -71,9 +71,9 @@
 	return got.end, nil
 }
 
-func (w *Watcher) stepNewest(ctx context.Context, s *source) (history.Position, error) {
+func (w *Watcher) stepNewest(ctx context.Context, s *Source) (history.Position, error) {
 	began := clock.Now()
-	newest, err := w.newestOf(ctx, s.topic)
+	newest, err := w.newestOf(ctx, s.Topic)
 	if err != nil {
 		return history.Unread, err
 	}
@@ -103,27 +103,27 @@
 // than the budget allows, the read is made again beside it, without a wait:
 // one that the store took during an outage is never answered, and its
 // connection shows nothing.
-func (w *Watcher) readFrom(ctx context.Context, s *source, next history.Position) (reading, error) {
+func (w *Watcher) readFrom(ctx context.Context, s *Source, next history.Position) (reading, error) {
 	wait := s.waitNow(clock.Now())
 	plan := hedge.Plan{
 		Most: readsAtOnce,
-		Now:  s.wake,
+		Now:  s.Wake,
 		Hedged: func(call int) {
-			w.log.Info("store read again", "topic", s.topic, "offset", next.Offset, "call", call, "age_ms", clock.Since(s.confirmed).Milliseconds())
+			w.log.Info("store read again", "topic", s.Topic, "offset", next.Offset, "call", call, "age_ms", clock.Since(s.confirmed).Milliseconds())
 		},
 		Final: func(err error) bool { return errors.Is(err, ErrGone) || errors.Is(err, ErrNewEra) },
 		Failed: func(err error) {
-			w.log.Info("store read given up", "topic", s.topic, "offset", next.Offset, "error", err.Error())
+			w.log.Info("store read given up", "topic", s.Topic, "offset", next.Offset, "error", err.Error())
 		},
 	}
-	if s.budget != nil {
-		plan.After, plan.Interval = wait+s.budget.Silence(), s.budget.Interval()
+	if s.Budget != nil {
+		plan.After, plan.Interval = wait+s.Budget.Silence(), s.Budget.Interval()
 	}
 	return hedge.Do(ctx, plan, func(ctx context.Context, n int, begun func()) (reading, error) {
 		if n > 0 {
-			return w.readOnce(ctx, s.topic, next, 0, begun)
+			return w.readOnce(ctx, s.Topic, next, 0, begun)
 		}
-		return w.readOnce(ctx, s.topic, next, wait, begun)
+		return w.readOnce(ctx, s.Topic, next, wait, begun)
 	})
 }
 
@@ -140,13 +140,13 @@
 }
 
 // waitNow is how long a read that begins now may wait.
-func (s *source) waitNow(now time.Time) time.Duration {
-	if s.budget == nil {
+func (s *Source) waitNow(now time.Time) time.Duration {
+	if s.Budget == nil {
 		return 0
 	}
-	wait := s.budget.Wait(now.Sub(s.confirmed))
+	wait := s.Budget.Wait(now.Sub(s.confirmed))
 	if now.Before(s.checkUntil) {
-		wait = min(wait, checkEvery)
+		wait = min(wait, CheckEvery)
 	}
 	return wait
 }
