daemons: what a gateway or sidecar starts is ended with it, and waited for

Listeners for callers, readiness, relays and metrics, and the goroutine that maintains the server, outlived a stopped daemon: two starts in one process failed (address already in use). A check fails on goroutines of ours and on addresses that are left; seen failing with a goroutine and with a listener left.

--- a/cmd/mintlift/crash_test.go
+++ b/cmd/mintlift/crash_test.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -163,9 +164,16 @@
 	e := &crashingEngine{engines: d, address: address}
 	assert.NilError(t, e.start())
 	t.Cleanup(e.stop)
-	ctx := t.Context()
-	_, err := startPlatformSidecar(ctx, processAt(t, ip, store, fmt.Sprintf(`,"app":%q,"service":"e"`, address)))
+	startSidecar(t, ip, store, address)
+}
+
+// startSidecar starts the sidecar of an engine at address, until the test ends.
+func startSidecar(t *testing.T, ip, store, address string) *running {
+	t.Helper()
+	all, err := startPlatformSidecar(context.Background(), processAt(t, ip, store, fmt.Sprintf(`,"app":%q,"service":"e"`, address)))
 	assert.NilError(t, err)
+	t.Cleanup(func() { endNow(all) })
+	return all
 }
 
 // try sends one try of a request to the n-th gateway, counted round, and
--- a/cmd/mintlift/outage_test.go
+++ b/cmd/mintlift/outage_test.go
@@ -176,12 +176,21 @@
 }
 
 // startGateway starts a gateway at an address of the loopback net.
-func startGateway(t *testing.T, ip, store string) {
+func startGateway(t *testing.T, ip, store string) *running {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	_, err := startPlatformGateway(ctx, processAt(t, ip, store, ""))
+	all, err := startPlatformGateway(context.Background(), processAt(t, ip, store, ""))
 	assert.NilError(t, err)
+	t.Cleanup(func() { endNow(all) })
+	return all
+}
+
+// endNow ends a daemon without a grace for requests in progress, and waits until
+// it has ended.
+func endNow(all *running) {
+	const endWait = 5 * time.Second
+	ending, cancel := context.WithTimeout(context.Background(), endWait)
+	defer cancel()
+	all.end(ending)
 }
 
 // A configuration that was confirmed before a suspension may be too old: what it
--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -61,9 +60,6 @@
 	watcher  *platform.Watcher
 }
 
-// stopper ends a daemon; it returns once it has ended.
-type stopper func(ctx context.Context)
-
 // stopMargin is kept of the grace for closing logs.
 const stopMargin = 400 * time.Millisecond
 
@@ -73,7 +69,7 @@
 const collectAt = 50
 
 // runPlatform runs a daemon until SIGTERM.
-func runPlatform(ctx context.Context, part string, start func(context.Context, *platformProcess) (stopper, error)) error {
+func runPlatform(ctx context.Context, part string, start func(context.Context, *platformProcess) (*running, error)) error {
 	debug.SetGCPercent(collectAt)
 	sink := telemetry.NewSink(os.Stdout)
 	defer sink.Close(stopMargin / 2)
@@ -96,7 +92,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop, err := start(ctx, p)
+	all, err := start(ctx, p)
 	if err != nil {
 		events.Error(err, "start failed")
 		return err
@@ -118,18 +114,19 @@
 	events.Info("stopping", "grace_ms", grace.Milliseconds())
 	ending, done := context.WithTimeout(context.WithoutCancel(ctx), grace)
 	defer done()
-	stop(ending)
+	all.stop(ending)
 	events.Info("stopped")
 	return nil
 }
 
-func (p *platformProcess) serveMetrics() {
-	listener, err := net.Listen("tcp4", p.settings.Internal(p.settings.IP, portMetrics))
+// serveMetrics serves metrics until all ends; a process without them works on.
+func (p *platformProcess) serveMetrics(all *running) {
+	listener, err := all.listen(p.settings.Internal(p.settings.IP, portMetrics))
 	if err != nil {
 		p.events.Error(err, "metrics not served")
 		return
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", p.metrics.Handler)
-	go func() { _ = http.Serve(listener, mux) }()
+	all.serve(listener, &http.Server{Handler: mux})
 }
--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -87,7 +87,14 @@
 	maintainEvery = time.Second
 )
 
-func startPlatformGateway(ctx context.Context, p *platformProcess) (stopper, error) {
+func startPlatformGateway(ctx context.Context, p *platformProcess) (all *running, err error) {
+	all = newRunning(ctx)
+	ctx = all.ctx
+	defer func() {
+		if err != nil {
+			all.end(ctx)
+		}
+	}()
 	s := p.settings
 	budget := s.RetryBudget()
 	budget.Gateways = assumedGateways
@@ -99,49 +106,61 @@
 		Current:         func() bool { return current(p.watcher.Progress(), s.ConfigBudget(), clock.Now()) },
 		ConfigAge:       func() time.Duration { return p.watcher.Progress().Age(clock.Now()) },
 	}, p.requests, p.events, p.metrics)
+	all.onEnd(server.Close)
 	front, err := tcpconn.Listen(ctx, s.Listen.Front, tcpconn.ProbeLater)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return all, errors.Trace(err)
 	}
-	ready, err := net.Listen("tcp4", s.Listen.Ready)
+	all.onEnd(func() { _ = front.Close() })
+	ready, err := all.listen(s.Listen.Ready)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return all, errors.Trace(err)
 	}
-	relays, err := net.Listen("tcp4", s.Internal(s.IP, portRelay))
+	relays, err := all.listen(s.Internal(s.IP, portRelay))
 	if err != nil {
-		return nil, errors.Trace(err)
+		return all, errors.Trace(err)
 	}
 	subscriber, err := loadreport.NewSubscriber(s.Internal(s.IP, portSubscribe))
 	if err != nil {
-		return nil, err
-	}
-	callers := &http.Server{
-		Handler: server, ConnContext: ingress.ConnContext,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes,
+		return all, err
 	}
 	probes := http.NewServeMux()
 	probes.HandleFunc("/ready", server.ServeReady)
-	go func() { _ = callers.Serve(server.Accepting(front)) }()
-	go func() { _ = http.Serve(ready, probes) }()
-	go func() { _ = http.Serve(relays, storerelay.Handler(server, operatorRecords{p.watcher})) }()
-	p.serveMetrics()
+	all.serve(server.Accepting(front), &http.Server{
+		Handler: server, ConnContext: ingress.ConnContext,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes,
+	})
+	all.serve(ready, &http.Server{Handler: probes})
+	all.serve(relays, &http.Server{Handler: storerelay.Handler(server, operatorRecords{p.watcher})})
+	p.serveMetrics(all)
 
 	view := gatewayView{server}
 	readers := storerelay.NewReaders(s.IP, func(ip string) string { return s.Internal(ip, portRelay) }, p.events)
-	go p.watcher.WatchOperator(ctx, view, relay(storerelay.NewRecordFollower(readers, s.ConfigBudget(), p.events)), s.ConfigBudget())
+	all.onEnd(readers.Close)
+	all.onEnd(p.watcher.Close)
+	all.spawn(func() {
+		p.watcher.WatchOperator(ctx, view, relay(storerelay.NewRecordFollower(readers, s.ConfigBudget(), p.events)), s.ConfigBudget())
+	})
 	follower := storerelay.NewFollower(readers, server, s.DrainBudget(), p.events)
-	go p.watchEndpoints(ctx, server, follower)
+	all.spawn(func() { p.watchEndpoints(ctx, server, follower) })
 	told := func() []loadreport.Audience {
 		return audiences(s, server, knownOf(p.watcher), clock.Now())
 	}
 	learner := &learner{watcher: p.watcher, operator: view, readers: readers, log: p.events}
-	go subscriber.Run(ctx, told, server.TellSoon(), sidecarsView{ctx, server, p.watcher, readers, learner})
-	go func() {
-		for range time.Tick(maintainEvery) {
-			server.Maintain(clock.Now())
-		}
-	}()
-	return func(ending context.Context) { stopGateway(ending, p, server, front) }, nil
+	all.spawn(func() {
+		subscriber.Run(ctx, told, server.TellSoon(), sidecarsView{ctx, server, p.watcher, readers, learner})
+	})
+	all.spawn(func() { maintain(ctx, server) })
+	all.drain = func(ending context.Context) { stopGateway(ending, p, server, front) }
+	return all, nil
+}
+
+// maintain lets the server forget what has grown old, until ctx ends.
+func maintain(ctx context.Context, server *ingress.Server) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, maintainEvery)
+		server.Maintain(clock.Now())
+	}
 }
 
 // known is how much a gateway knows of what the operator wrote.
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -189,30 +189,41 @@
 // reportEvery is how often the engine's report is read.
 const reportEvery = 40 * time.Millisecond
 
-func startPlatformSidecar(ctx context.Context, p *platformProcess) (stopper, error) {
+func startPlatformSidecar(ctx context.Context, p *platformProcess) (all *running, err error) {
+	all = newRunning(ctx)
+	ctx = all.ctx
+	defer func() {
+		if err != nil {
+			all.end(ctx)
+		}
+	}()
 	s := p.settings
 	view := &sidecarView{settings: s}
 	engine := platform.NewEngine(s.App, func() int { return view.layers(s.Service) })
+	all.onEnd(engine.Close)
 	origin := platform.NewOrigin(func() string { return view.known().Origin })
-	listener, err := net.Listen("tcp4", s.Internal(s.IP, portSidecars))
+	listener, err := all.listen(s.Internal(s.IP, portSidecars))
 	if err != nil {
-		return nil, errors.Trace(err)
+		return all, errors.Trace(err)
 	}
 	publisher, err := loadreport.NewPublisher(s.Internal(s.IP, portPublish))
 	if err != nil {
-		return nil, err
+		return all, err
 	}
+	all.onEnd(func() { _ = publisher.Close() })
 	lists := storerelay.NewClient()
+	all.onEnd(lists.Close)
+	all.onEnd(p.watcher.Close)
 	view.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone, LinkRate: s.LinkRate()}, engine, origin,
 		func(ctx context.Context) ([]installer.Peer, error) { return view.peers(ctx, p, lists, publisher) }, p.events, p.metrics)
-	go publisher.Run(view.told)
-	peers := &http.Server{Handler: view.installer.Handler(), ReadHeaderTimeout: headerTimeout}
-	go func() { _ = peers.Serve(listener) }()
-	p.serveMetrics()
-	go p.watchOperatorSparingly(ctx, view, publisher)
-	go view.installer.Run(ctx)
-	go reportLoad(ctx, view, engine, publisher)
-	return func(context.Context) { _ = peers.Close() }, nil
+	all.onEnd(view.installer.Close)
+	all.spawn(func() { publisher.Run(view.told) })
+	all.serve(listener, &http.Server{Handler: view.installer.Handler(), ReadHeaderTimeout: headerTimeout})
+	p.serveMetrics(all)
+	all.spawn(func() { p.watchOperatorSparingly(ctx, view, publisher) })
+	all.spawn(func() { view.installer.Run(ctx) })
+	all.spawn(func() { reportLoad(ctx, view, engine, publisher) })
+	return all, nil
 }
 
 // reportLoad reads the engine's state and publishes it.
--- /dev/null
+++ b/cmd/mintlift/running_test.go
@@ -0,0 +1,71 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"net"
+	"runtime/pprof"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/platform/storetest"
+)
+
+// left returns the goroutines that run code of this module beside the caller's.
+func left(t *testing.T) []string {
+	t.Helper()
+	var text strings.Builder
+	assert.NilError(t, pprof.Lookup("goroutine").WriteTo(&text, 2))
+	var out []string
+	for _, stack := range strings.Split(text.String(), "\n\n") {
+		own := strings.Contains(stack, "github.com/mintlift/mintlift/")
+		if own && !strings.Contains(stack, "main.left(") && !strings.Contains(stack, "storetest") && !strings.Contains(stack, "_test.go") {
+			out = append(out, stack)
+		}
+	}
+	return out
+}
+
+// A daemon that has ended leaves nothing behind: no goroutine, and each of its
+// addresses can be listened on again. Other tests of the package must not run
+// beside this one.
+func TestDaemonLeavesNothingBehind(t *testing.T) {
+	before := len(left(t))
+	for range 2 {
+		d := startWeights(t, 1)
+		d.boxes[0].engine.Hold(1)
+		for began := time.Now(); d.ask() != 1; time.Sleep(20 * time.Millisecond) {
+			assert.Assert(t, time.Since(began) < 15*time.Second, "it does not serve")
+		}
+		d.store.Change(func(f *storetest.Faults) { f.Silent = map[string]bool{"": true} }) // a read is under way
+		time.Sleep(100 * time.Millisecond)
+		ending, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		began := time.Now()
+		for _, all := range d.daemons {
+			all.end(ending)
+		}
+		cancel()
+		assert.Assert(t, time.Since(began) < time.Second, "ended after %s", time.Since(began))
+		var stacks []string
+		for began := time.Now(); time.Since(began) < 2*time.Second; time.Sleep(20 * time.Millisecond) {
+			if stacks = left(t); len(stacks) <= before {
+				break
+			}
+		}
+		assert.Assert(t, len(stacks) <= before, "%d goroutines, %d before:\n%s", len(stacks), before, strings.Join(stacks, "\n\n"))
+		for _, address := range []string{".1:8005", ".1:8002", ".1:7700", ".1:7703", ".100:7700", ".100:7703"} {
+			listener, err := net.Listen("tcp4", d.network+address)
+			assert.NilError(t, err)
+			assert.NilError(t, listener.Close())
+		}
+		for _, address := range []string{".1:7702", ".100:7701"} {
+			conn, err := net.ListenPacket("udp4", d.network+address)
+			assert.NilError(t, err)
+			assert.NilError(t, conn.Close())
+		}
+	}
+}
--- a/cmd/mintlift/storereturn_test.go
+++ b/cmd/mintlift/storereturn_test.go
@@ -152,6 +152,6 @@
 func (d *weightsDeployment) startGateway(t *testing.T) {
 	t.Helper()
 	ip := fmt.Sprintf("%s.%d", d.network, 1+len(d.fronts))
-	startGateway(t, ip, d.storeAddress)
+	d.daemons = append(d.daemons, startGateway(t, ip, d.storeAddress))
 	d.fronts = append(d.fronts, net.JoinHostPort(ip, "8005"))
 }
--- a/cmd/mintlift/weights_test.go
+++ b/cmd/mintlift/weights_test.go
@@ -152,6 +152,7 @@
 	// configuration.
 	storeAddress, config string
 	boxes                []*weightsBox
+	daemons              []*running
 	fronts               []string // IP:PORT of the gateways' callers' listeners
 
 	mu sync.Mutex
@@ -194,8 +195,7 @@
 	d.boxes = append(d.boxes, b)
 	serveAt(t, b.address, http.HandlerFunc(b.serve), func() {})
 	b.list()
-	_, err := startPlatformSidecar(t.Context(), processAt(t, ip, store, fmt.Sprintf(`,"app":%q,"service":"e"`, b.address)))
-	assert.NilError(t, err)
+	d.daemons = append(d.daemons, startSidecar(t, ip, store, b.address))
 }
 
 // serveAt serves at an address of the loopback net until the test ends, and
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -352,6 +352,9 @@
 	s.endReturn(now)
 }
 
+// Close closes connections to endpoints that rest.
+func (s *Server) Close() { s.pool.ForgetAll() }
+
 // budget returns the account of a service.
 func (s *Server) budget(service string, now time.Time) *retrybudget.Budget {
 	b := s.budgets[service]
--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/bits-and-blooms/bitset"
@@ -32,6 +33,9 @@
 	startWait = 3 * time.Second
 )
 
+// Close closes connections to other sidecars that rest.
+func (i *Installer) Close() { i.client.client.CloseIdleConnections() }
+
 // job is the fetch of one version, under way.
 type job struct {
 	want   want
@@ -40,7 +44,9 @@
 
 // Run works until ctx ends. Each version that is wanted has a job of its own.
 func (i *Installer) Run(ctx context.Context) {
-	go i.starts(ctx)
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { i.starts(ctx) })
 	jobs := make(map[int]job)
 	ended := make(chan int)
 	for ctx.Err() == nil {
--- a/storerelay/list.go
+++ b/storerelay/list.go
@@ -102,6 +102,9 @@
 	}}}
 }
 
+// Close closes connections that rest.
+func (c *Client) Close() { c.client.CloseIdleConnections() }
+
 // Service returns the endpoints of a service from the first of the gateways,
 // given by IP:PORT, that answers.
 func (c *Client) Service(ctx context.Context, gateways []string, service string) ([]Endpoint, error) {
--- a/storerelay/readers.go
+++ b/storerelay/readers.go
@@ -120,3 +120,6 @@
 	}
 	return err == nil
 }
+
+// Close closes connections that rest.
+func (r *Readers) Close() { r.client.Close() }
