--- a/ingress/endpoints.go
+++ b/ingress/endpoints.go
@@ -98,20 +98,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.unnamed, id)
-	s.removeLocked(id, "endpoint gone", clock.Now())
+	if s.removeLocked(id, clock.Now()) {
+		s.events.Info("endpoint gone", "endpoint", id)
+	}
 }
 
-// removeLocked forgets an endpoint, if it is known, and logs event; Server.mu is
-// held.
-func (s *Server) removeLocked(id, event string, now time.Time) {
+// removeLocked forgets an endpoint; it returns false for one that is not known.
+// Server.mu is held.
+func (s *Server) removeLocked(id string, now time.Time) bool {
 	e := s.fleet.ByID(id)
 	if e == nil {
 		// Another endpoint may have taken its address before its entry ended.
 		s.leftBefore(fleet.Record{ID: id, Born: anyLife}, now)
-		return
+		return false
 	}
 	s.leftBefore(e.Record, now)
 	s.fleet.Remove(id)
 	s.list.change()
-	s.events.Info(event, "endpoint", id)
+	return true
 }
--- a/ingress/storereturn.go
+++ b/ingress/storereturn.go
@@ -118,7 +118,9 @@
 		return
 	}
 	for id := range s.back.awaited {
-		s.removeLocked(id, "endpoint has not written again", now)
+		if s.removeLocked(id, now) {
+			s.events.Info("endpoint has not written again", "endpoint", id)
+		}
 	}
 	clear(s.back.awaited)
 }
--- a/telemetry/pages_test.go
+++ b/telemetry/pages_test.go
@@ -19,7 +19,7 @@
 
 // loggingFolders are the packages whose lines docs/LOGS.md lists.
 // A daemon's start stands in several files of cmd/mintlift.
-var loggingFolders = []string{"../ingress", "../installer", "../storerelay", "../platform", "../cmd/mintlift/platform*.go"}
+var loggingFolders = []string{"../ingress", "../installer", "../storerelay", "../storewatch", "../platform", "../cmd/mintlift/platform*.go"}
 
 // event is a log line as the code or the page has it.
 type event struct{ fields []string }
