--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -39,6 +39,9 @@
 const (
 	// ErrGone says that the offsets asked for have left the log's retention.
 	ErrGone = errors.ConstError("log records have been removed")
+	// ErrOtherEra says that the log has come back from an older copy: its offsets
+	// are those of another history.
+	ErrOtherEra = errors.ConstError("log came back from an older copy")
 	// ErrUnsettled says that a record may or may not stand in the log.
 	ErrUnsettled = errors.ConstError("log did not confirm the record")
 	// ErrUnavailable says that the record does not stand in the log: every
@@ -85,6 +88,9 @@
 	// First is the lowest offset still kept; Next is the one after the last.
 	First int64 `json:"first"`
 	Next  int64 `json:"next"`
+	// Era rises when the log comes back from an older copy and gives offsets out
+	// again.
+	Era int64 `json:"era,omitempty"`
 	// AgeMS is how long ago a relay itself heard the log; the log service
 	// leaves it out.
 	AgeMS int64 `json:"age_ms,omitempty"`
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -27,6 +27,7 @@
 	Keep int
 
 	mu      sync.Mutex
+	era     int64
 	streams map[string]*stream
 	limit   *rate.Limiter
 	appends int
@@ -116,6 +117,19 @@
 	return offset
 }
 
+// GoBack leaves the first n entries of a stream that are kept: what was appended
+// since is gone, and its offsets are given out again. A new era begins.
+func (l *Log) GoBack(name string, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	n = min(n, len(s.entries))
+	s.entries, s.times = s.entries[:n:n], s.times[:n:n]
+	l.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (l *Log) read(w http.ResponseWriter, r *http.Request) {
 	if !l.Faults.gate(w) {
 		return
@@ -151,7 +165,7 @@
 	l.reads++
 	s := l.stream(name)
 	f := l.Faults.Get()
-	p := eventlog.Page{First: s.first, Next: s.first + int64(len(s.entries)), Records: []eventlog.Entry{}}
+	p := eventlog.Page{Era: l.era, First: s.first, Next: s.first + int64(len(s.entries)), Records: []eventlog.Entry{}}
 	if f.ShowOffset > 0 {
 		p.Next = min(p.Next, f.ShowOffset)
 	}
--- a/state/follower.go
+++ b/state/follower.go
@@ -67,6 +67,8 @@
 	Logger     logr.Logger
 
 	heard bool // a read has been answered
+	// otherEra says that the log was last seen in another era.
+	otherEra bool
 }
 
 // Run follows until ctx ends. It reports nothing: a failed read is tried
@@ -112,6 +114,11 @@
 	asked := time.Now()
 	from := f.Replica.Offset()
 	page, err := src.Read(ctx, eventlog.ConfigStream, from, f.patience())
+	if err == nil || errors.Is(err, eventlog.ErrGone) {
+		if era := f.checkEra(page); era != nil {
+			return era
+		}
+	}
 	if errors.Is(err, eventlog.ErrGone) {
 		return f.catchUp(ctx, page)
 	}
@@ -133,6 +140,22 @@
 	return nil
 }
 
+// checkEra returns ErrOtherEra for a page of a log that has come back from an
+// older copy. What was applied is not taken back, and nothing of another history
+// is applied on top of it: the log counts as silent, so that no change is
+// accepted, until all processes begin anew.
+func (f *Follower) checkEra(page eventlog.Page) error {
+	if f.Replica.InEra(page.Era) {
+		f.otherEra = false
+		return nil
+	}
+	if !f.otherEra {
+		f.otherEra = true
+		f.Logger.Info("log came back from an older copy, the state is kept and no change is taken", "era", page.Era, "end", page.Next, "offset", f.Replica.Offset())
+	}
+	return errors.WithType(errors.Errorf("era %d", page.Era), eventlog.ErrOtherEra)
+}
+
 // patience is how long a read may wait for a record: not at all until one
 // has been answered, since a process that starts needs to know at once that
 // the log is heard.
--- a/state/replica.go
+++ b/state/replica.go
@@ -21,6 +21,8 @@
 
 // Checkpoint is a state as of an offset, with its digest.
 type Checkpoint struct {
+	// Era of the log, and the offset.
+	Era    int64           `json:"era,omitempty"`
 	Offset int64           `json:"offset"`
 	Digest weights.Digest  `json:"digest"`
 	State  json.RawMessage `json:"state"`
@@ -34,6 +36,8 @@
 	records []eventlog.Entry
 	changed chan struct{}
 	contact time.Time
+	// era is that of the log whose records were applied.
+	era int64
 }
 
 // NewReplica returns a replica of the state before the first record.
@@ -55,6 +59,17 @@
 	return r.state.Offset
 }
 
+// InEra reports whether the offsets of an era are those of the records that were
+// applied; the first that is asked for is, as long as none was.
+func (r *Replica) InEra(era int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state.Offset == 0 {
+		r.era = era
+	}
+	return r.era == era
+}
+
 // Applied implements eventlog.Settler.
 func (r *Replica) Applied(id string) bool {
 	r.mu.RLock()
@@ -133,7 +148,7 @@
 func (r *Replica) Page(from int64, limit int) eventlog.Page {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	p := eventlog.Page{First: r.state.Offset, Next: r.state.Offset, Records: []eventlog.Entry{}}
+	p := eventlog.Page{Era: r.era, First: r.state.Offset, Next: r.state.Offset, Records: []eventlog.Entry{}}
 	if len(r.records) > 0 {
 		p.First = r.records[0].Offset
 	}
@@ -156,11 +171,11 @@
 	if err != nil {
 		panic("state: does not marshal: " + err.Error()) // plain fields always marshal
 	}
-	return Checkpoint{Offset: r.state.Offset, Digest: weights.Sum(b), State: b}
+	return Checkpoint{Era: r.era, Offset: r.state.Offset, Digest: weights.Sum(b), State: b}
 }
 
 // Restore takes a checkpoint that is ahead of the replica. One that is
-// behind, or equal, changes nothing; one that does not match its digest is
+// behind, or equal, or of another era of the log changes nothing; one that does not match its digest is
 // ErrBadCheckpoint.
 func (r *Replica) Restore(c Checkpoint) error {
 	if weights.Sum(c.State) != c.Digest {
@@ -174,10 +189,10 @@
 	s.init()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if s.Offset <= r.state.Offset {
+	if s.Offset <= r.state.Offset || r.state.Offset > 0 && c.Era != r.era {
 		return nil
 	}
-	r.state, r.records = s, nil
+	r.state, r.records, r.era = s, nil, c.Era
 	close(r.changed)
 	r.changed = make(chan struct{})
 	return nil
