--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -202,6 +202,15 @@
 // ByID returns an endpoint of the list, or nil.
 func (f *Fleet) ByID(id string) *Endpoint { return f.byID[id] }
 
+// Life returns when the process of the endpoint at an address started, in Unix
+// milliseconds, or 0 if that is not known.
+func (f *Fleet) Life(address string) int64 {
+	if e := f.byAddress[address]; e != nil {
+		return e.Born
+	}
+	return 0
+}
+
 // Endpoints returns the endpoints of a service.
 func (f *Fleet) Endpoints(service string) []*Endpoint { return f.byService[service] }
 
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -131,6 +131,7 @@
 		return q
 	}
 	q.Connections = s.connections(service)
+	q.Alone = !x.late && x.suspected(now)
 	if service.Engine == nil {
 		q.Limit = plainFactor * defaultSlots
 		return q
@@ -152,7 +153,6 @@
 	q.MinVersion = s.minVersion(x.model, now)
 	q.PromisedVersion = s.minVersion(x.model, now.Add(-promiseLead))
 	q.SoonVersion = s.minVersion(x.model, now.Add(cautionLead))
-	q.Alone = !x.late && x.suspected(now)
 	return q
 }
 
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -6,7 +6,9 @@
 	"context"
 	"io"
 	"maps"
+	"math"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -35,21 +37,73 @@
 // refuses connections.
 func (x *exchange) checkCrash(ctx context.Context, e *fleet.Endpoint, cause error) {
 	s := x.server
-	if !brokeOff(cause) || !s.pool.Refuses(ctx, e.Address, crashProbe) {
+	if !brokeOff(cause) {
 		return
 	}
-	now := clock.Now()
-	if s.crashedBefore(e.ID, x.sent, now) {
+	c := crashed{endpoint: e.ID, request: x.id, identity: x.identity, service: x.service, attempt: x.attempts, sent: x.sent}
+	if s.pool.Refuses(ctx, e.Address, crashProbe) {
+		if s.noteCrash(c, clock.Now()) {
+			x.crashes++
+		}
 		return
 	}
-	x.crashes++
-	s.metrics.Counter("mintlift_ingress_crashes_total", "service", x.service).Inc()
-	standing := s.suspects.Crashed(x.identity, x.sent, now)
-	s.events.Info("endpoint crashed", "endpoint", e.ID, "request", x.id, "identity", x.identity.String(), "attempt", x.attempts,
-		"ms", now.Sub(x.sent).Milliseconds(), "crashes", standing.Crashes, "quarantined", standing.Quarantined())
+	if x.life == 0 {
+		return
+	}
+	address, life := e.Address, x.life
+	go func() { // the request goes on elsewhere meanwhile
+		if s.bornSince(address, life) {
+			s.noteCrash(c, clock.Now())
+		}
+	}()
+}
+
+// crashed is an attempt under which an endpoint crashed.
+type crashed struct {
+	endpoint, request string
+	identity          quarantine.ID
+	service           string
+	attempt           int
+	sent              time.Time
+}
+
+// noteCrash holds a crash against the request; it returns false for one that says
+// nothing of it.
+func (s *Server) noteCrash(c crashed, now time.Time) bool {
+	if s.crashedBefore(c.endpoint, c.sent, now) {
+		return false
+	}
+	s.metrics.Counter("mintlift_ingress_crashes_total", "service", c.service).Inc()
+	standing := s.suspects.Crashed(c.identity, c.sent, now)
+	s.events.Info("endpoint crashed", "endpoint", c.endpoint, "request", c.request, "identity", c.identity.String(), "attempt", c.attempt,
+		"ms", now.Sub(c.sent).Milliseconds(), "crashes", standing.Crashes, "quarantined", standing.Quarantined())
+	if standing.Quarantined() {
+		s.endQuarantined()
+	}
 	s.mu.Lock()
 	s.tellSoonLocked()
 	s.mu.Unlock()
+	return true
+}
+
+// bornWithin is how long after an attempt broke off the endpoint's birth is looked
+// at: its sidecar reads it every 40 ms, and tells at once what has changed.
+const bornWithin = 300 * time.Millisecond
+
+// bornSince reports whether the process of the endpoint at an address has begun
+// anew since a life was noted: one that is back within milliseconds accepts
+// connections as if it had not ended.
+func (s *Server) bornSince(address string, life int64) bool {
+	const look = 20 * time.Millisecond
+	for began := clock.Now(); clock.Since(began) < bornWithin; time.Sleep(look) {
+		s.mu.Lock()
+		now := s.fleet.Life(address)
+		s.mu.Unlock()
+		if now > life {
+			return true
+		}
+	}
+	return false
 }
 
 // brokeOff reports whether a connection ended as it does with its process.
@@ -75,7 +129,33 @@
 // suspected and quarantined tell what is known of the request.
 func (x *exchange) suspected(now time.Time) bool { return x.standing(now).Suspected() }
 
-func (x *exchange) quarantined(now time.Time) bool { return x.standing(now).Quarantined() }
+func (x *exchange) quarantined(now time.Time) bool {
+	return !x.trial && x.standing(now).Quarantined()
+}
+
+// keptOut reports whether a new try must be sent to no endpoint; one in a while
+// is let through, alone and once, to see whether it is to blame.
+func (x *exchange) keptOut() bool {
+	now := x.start
+	if !x.quarantined(now) {
+		return false
+	}
+	x.trial = x.server.suspects.Trial(x.identity, now)
+	if x.trial {
+		x.server.events.Info("request in quarantine runs once", "request", x.id, "identity", x.identity.String())
+	}
+	return !x.trial
+}
+
+// ClearSuspect lets a request out of quarantine, by an operator's word.
+func (s *Server) ClearSuspect(id quarantine.ID, now time.Time) bool {
+	cleared := s.suspects.Clear(id, now)
+	s.events.Info("request cleared by an operator", "identity", id.String(), "known", cleared)
+	s.mu.Lock()
+	s.tellSoonLocked()
+	s.mu.Unlock()
+	return cleared
+}
 
 func (x *exchange) standing(now time.Time) quarantine.Standing {
 	return x.server.suspects.Standing(x.identity, now)
@@ -95,11 +175,19 @@
 	x.server.events.Info("request cleared", "request", x.id, "identity", x.identity.String())
 }
 
-// rejectQuarantined answers a request that is kept from endpoints. It may have
-// run in another try, so the status promises nothing, and nothing invites the
-// caller back.
+// rejectQuarantined answers a request that is kept from endpoints. A try that has
+// reached none has not run: its caller is told so, and to come back when the request
+// is let in again at the latest, which for one that is to blame is in minutes. One
+// that was sent may have run, so the status promises nothing.
 func (x *exchange) rejectQuarantined() {
-	x.fail(http.StatusBadGateway, outcomeQuarantined, "in quarantine: endpoints crashed under request "+x.identity.String()+", and it has ended well at none")
+	cause := "in quarantine: endpoints crashed under request " + x.identity.String() + ", and it has ended well at none"
+	if x.mayRun {
+		x.fail(http.StatusBadGateway, outcomeQuarantined, cause)
+		return
+	}
+	left := x.server.suspects.Left(x.identity, clock.Now())
+	x.writer.Header().Set("Retry-After", strconv.FormatFloat(math.Ceil(left.Seconds()), 'f', -1, 64))
+	x.fail(http.StatusServiceUnavailable, outcomeQuarantined, cause)
 }
 
 // Suspects returns what other gateways are to be told of requests under which
@@ -113,6 +201,9 @@
 	}
 	suspected, quarantined := s.suspects.Len(now)
 	s.events.Info("suspects heard", "suspected", suspected, "quarantined", quarantined)
+	if quarantined > 0 {
+		s.endQuarantined()
+	}
 }
 
 // Relays returns the addresses of the endpoints of a service whose sidecars pass
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -32,9 +32,13 @@
 	id      string
 	// identity is the same for each try of one request.
 	identity quarantine.ID
-	body     []byte
-	header   http.Header // for the endpoint, without what each attempt adds
-	start    time.Time
+	// trial says that this try runs although the request is in quarantine.
+	trial bool
+	// life is that of the endpoint when the attempt was sent, as fleet.Life.
+	life   int64
+	body   []byte
+	header http.Header // for the endpoint, without what each attempt adds
+	start  time.Time
 	// configAge is how long before start config was last known to be the
 	// newest.
 	configAge time.Duration
@@ -96,7 +100,7 @@
 	if !x.accept() {
 		return
 	}
-	if x.quarantined(x.start) {
+	if x.keptOut() {
 		x.rejectQuarantined()
 		return
 	}
@@ -385,6 +389,7 @@
 	}
 	x.begun = true
 	s := x.server
+	s.underway.remove(x)
 	s.mu.Lock()
 	now := clock.Now()
 	late := now.Sub(x.sent) - x.expected
@@ -399,6 +404,7 @@
 	s.mu.Lock()
 	backlog, delay := e.Backlog(x.usual, now), e.Delay(now)
 	x.sent = now
+	x.life = s.fleet.Life(e.Address)
 	x.expected = usualPass + time.Duration((backlog+x.work)*float64(time.Millisecond))
 	load, age, holds, lowest := e.Load(now), e.ReportAge(now), e.Holds(x.model, now), s.minVersion(x.model, now)
 	s.mu.Unlock()
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -50,6 +50,12 @@
 	// Life is how long a crash counts. A request in quarantine gets another
 	// chance after it, and at most Threshold more endpoints in each Life.
 	Life = 10 * time.Minute
+	// TrialAfter is how long after its last crash one process lets a request in
+	// quarantine run once, if nothing has cleared it: one that only stood beside
+	// crashes, as a common one does when all endpoints crash before it has ended
+	// well anywhere, is out after that instead of after Life. One that is to blame
+	// ends one endpoint more in each Life.
+	TrialAfter = 20 * time.Second
 	// relayedLife is how long a process that only relays remembers what no
 	// gateway tells it any more. Gateways tell twice a second.
 	relayedLife = 5 * time.Second
@@ -101,6 +107,10 @@
 	// changed is when the entry last changed here, and told when a process
 	// last told of it.
 	changed, told time.Time
+	// own are the keys of the crashes that this process saw, and tried says that
+	// it has let the request run in quarantine.
+	own   []uint32
+	tried bool
 }
 
 // count returns how many independent crashes there are.
@@ -206,27 +216,69 @@
 		e = &entry{}
 		t.put(id, e, now)
 	}
-	e.add(crash{key: rand.Uint32(), sent: sent, at: now})
+	key := rand.Uint32()
+	e.add(crash{key: key, sent: sent, at: now})
+	e.own = append(e.own, key)
 	e.changed, e.told = now, now
 	return t.standing(id, e)
 }
 
-// EndedWell notes that the request was answered in full. It reports whether that
-// cleared it of anything.
-func (t *Table) EndedWell(id ID, now time.Time) bool {
+// Trial reports whether a request in quarantine may run once here, and notes that
+// it does: at one process, the one that saw the crash with the lowest key, and once
+// in a Life.
+func (t *Table) Trial(id ID, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.proven.add(id)
+	e := t.entries[id]
+	if e == nil || t.dead(e, now) || e.tried || !t.standing(id, e).Quarantined() || now.Sub(e.since()) < TrialAfter {
+		return false
+	}
+	lowest := slices.MinFunc(e.crashes, func(a, b crash) int { return cmp.Compare(a.key, b.key) })
+	e.tried = slices.Contains(e.own, lowest.key)
+	return e.tried
+}
+
+// Clear lets a request out of quarantine, by an operator's word; all processes
+// hear of it. It reports whether it was suspected of anything.
+func (t *Table) Clear(id ID, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.clear(id, now)
+}
+
+// clear begins a new epoch of a request; Table.mu is held.
+func (t *Table) clear(id ID, now time.Time) bool {
 	e := t.entries[id]
 	if e == nil || len(e.crashes) == 0 {
 		return false
 	}
 	e.epoch++
-	e.crashes = nil
+	e.crashes, e.own = nil, nil
 	e.changed, e.told = now, now
 	return true
 }
 
+// EndedWell notes that the request was answered in full. It reports whether that
+// cleared it of anything.
+func (t *Table) EndedWell(id ID, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.proven.add(id)
+	return t.clear(id, now)
+}
+
+// Left is how much longer a request in quarantine stays there if nothing clears
+// it.
+func (t *Table) Left(id ID, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil {
+		return 0
+	}
+	return max(0, Life-now.Sub(e.since()))
+}
+
 // Len returns how many requests are suspected, and how many of those are in
 // quarantine.
 func (t *Table) Len(now time.Time) (suspected, quarantined int) {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -134,7 +134,7 @@
 	case r.Epoch < e.epoch:
 		return false
 	case r.Epoch > e.epoch:
-		e.epoch, e.crashes = r.Epoch, nil
+		e.epoch, e.crashes, e.own = r.Epoch, nil, nil
 		e.changed, known = now, false
 	}
 	added := false
