--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -47,6 +47,7 @@
 					return runPlatform(ctx, "sidecar", startPlatformSidecar)
 				},
 			},
+			clearSuspectCommand(),
 		},
 	}
 }
@@ -119,8 +120,9 @@
 	return nil
 }
 
-// serveMetrics serves metrics until all ends; a process without them works on.
-func (p *platformProcess) serveMetrics(all *running) {
+// serveMetrics serves metrics, and the calls that more adds if it is not nil, until
+// all ends; a process without them works on.
+func (p *platformProcess) serveMetrics(all *running, more func(*http.ServeMux)) {
 	listener, err := all.listen(p.settings.Internal(p.settings.IP, portMetrics))
 	if err != nil {
 		p.events.Error(err, "metrics not served")
@@ -128,5 +130,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/metrics", p.metrics.Handler)
+	if more != nil {
+		more(mux)
+	}
 	all.serve(listener, &http.Server{Handler: mux})
 }
--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -132,7 +132,7 @@
 	})
 	all.serve(ready, &http.Server{Handler: probes})
 	all.serve(relays, &http.Server{Handler: storerelay.Handler(server, operatorRecords{p.watcher})})
-	p.serveMetrics(all)
+	p.serveMetrics(all, func(mux *http.ServeMux) { handleClearSuspect(mux, server) })
 
 	view := gatewayView{server}
 	readers := storerelay.NewReaders(s.IP, func(ip string) string { return s.Internal(ip, portRelay) }, p.events)
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -219,7 +219,7 @@
 	all.onEnd(view.installer.Close)
 	all.spawn(func() { publisher.Run(view.told) })
 	all.serve(listener, &http.Server{Handler: view.installer.Handler(), ReadHeaderTimeout: headerTimeout})
-	p.serveMetrics(all)
+	p.serveMetrics(all, nil)
 	all.spawn(func() { p.watchOperatorSparingly(ctx, view, publisher) })
 	all.spawn(func() { view.installer.Run(ctx) })
 	all.spawn(func() { reportLoad(ctx, view, engine, publisher) })
--- /dev/null
+++ b/cmd/mintlift/platform_suspects.go
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/mintlift/mintlift/ingress"
+	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/quarantine"
+)
+
+// clearPath is the call by which an operator lets a request out of quarantine, at
+// the metrics address of any gateway; the others hear of it.
+const clearPath = "/suspects/{identity}/clear"
+
+// clearTimeout bounds the call.
+const clearTimeout = 5 * time.Second
+
+func handleClearSuspect(mux *http.ServeMux, server *ingress.Server) {
+	mux.HandleFunc("POST "+clearPath, func(w http.ResponseWriter, r *http.Request) {
+		var id quarantine.ID
+		if err := id.UnmarshalText([]byte(r.PathValue("identity"))); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if !server.ClearSuspect(id, clock.Now()) {
+			http.Error(w, "no endpoint is known to have crashed under this request", http.StatusNotFound)
+		}
+	})
+}
+
+func clearSuspectCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "clear-suspect",
+		Usage: "let a request out of quarantine, at all gateways",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "gateway", Usage: "metrics address of a gateway, IP:PORT", Required: true},
+			&cli.StringFlag{Name: "identity", Usage: "the request's identity, as in its answers and log lines", Required: true},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return clearSuspect(ctx, c.String("gateway"), c.String("identity"))
+		},
+	}
+}
+
+func clearSuspect(ctx context.Context, gateway, identity string) error {
+	ctx, cancel := context.WithTimeout(ctx, clearTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gateway+"/suspects/"+identity+"/clear", nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("gateway %s: status %d", gateway, response.StatusCode)
+	}
+	return nil
+}
