--- a/cmd/mintlift/platform_suspects.go
+++ b/cmd/mintlift/platform_suspects.go
@@ -31,7 +31,7 @@
 			return
 		}
 		if !server.ClearSuspect(id, clock.Now()) {
-			http.Error(w, "no endpoint is known to have crashed under this request", http.StatusNotFound)
+			w.WriteHeader(http.StatusNotFound) // no endpoint is known to have crashed under it
 		}
 	})
 }
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -237,12 +237,15 @@
 		return x.silent(e)
 	}
 	x.lastCause = err.Error()
-	if errors.Is(context.Cause(ctx), errQuarantined) {
+	ended := errors.Is(context.Cause(ctx), errQuarantined)
+	if ended {
 		x.lastCause = errQuarantined.Error()
 	}
 	var failure *upstream.Error
 	sent := !errors.As(err, &failure) || failure.Sent
 	switch {
+	case ended && sent:
+		x.finish(e, fleet.Broken) // if the request had begun there, the endpoint is about to end
 	case ctx.Err() != nil, errors.Is(err, upstream.ErrWithheld):
 		x.finish(e, fleet.Abandoned)
 	default:
--- a/installer/vouch.go
+++ b/installer/vouch.go
@@ -68,7 +68,7 @@
 	m := s.copy.manifest
 	began := clock.Now()
 	for n := range s.copy.chunks {
-		lying, err := i.engine.Get(ctx, m.Model, n)
+		lying, err := i.readAgain(ctx, m.Model, n)
 		if err == nil && m.Fits(n, lying) {
 			continue
 		}
@@ -76,15 +76,31 @@
 		i.metrics.Counter("mintlift_installer_doubted_total").Inc()
 		return false
 	}
-	i.hearOf(ctx, state)
 	i.log.Info("version vouched for", "version", m.Version, "orders", state.Orders, "ms", clock.Since(began).Milliseconds())
 	i.mu.Lock()
-	defer i.mu.Unlock()
 	i.vouched = loadingOf(state)
 	i.wakeLocked()
+	i.mu.Unlock()
+	i.hearOf(ctx, state)
 	return true
 }
 
+// vouchReads is how often a chunk is asked for: an answer that is lost says nothing
+// of it, and to load a version by way of another takes seconds.
+const vouchReads = 3
+
+// readAgain reads a chunk that lies ready.
+func (i *Installer) readAgain(ctx context.Context, model string, n int) (data []byte, err error) {
+	for range vouchReads {
+		data, err = i.engine.Get(ctx, model, n)
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		clock.Sleep(ctx, settlePause)
+	}
+	return data, err
+}
+
 // hearOf waits until the engine's report shows state, so that what is decided
 // next is decided by it.
 func (i *Installer) hearOf(ctx context.Context, state EngineState) {
@@ -169,9 +185,8 @@
 	old, first := i.state, i.heard.IsZero()
 	i.state = s
 	i.heard = clock.Now()
-	if first || s.Orders < old.Orders {
-		// Found there, or of a life that has taken none.
-		i.vouched = loadingOf(s)
+	if first {
+		i.vouched = loadingOf(s) // a sidecar lays nothing else while a start may be taken
 	}
 	if first || old.Version != s.Version || old.Busy != s.Busy || old.Orders != s.Orders || old.Born != s.Born {
 		i.log.Info("engine changed", "model", s.Model, "version", s.Version, "was", old.Version, "busy", s.Busy, "orders", s.Orders, "born", s.Born,
--- a/storewatch/watch.go
+++ b/storewatch/watch.go
@@ -47,10 +47,16 @@
 	// changed is closed, and made anew, when read grows.
 	newest  map[string]versioned
 	changed chan struct{}
-	// others is the most that another process told that it knows.
-	others int64
+	// others is the most that another process told that it knows, and othersAt
+	// when.
+	others   int64
+	othersAt time.Time
 }
 
+// othersLife is how long another process's word of what it knows counts: those
+// that live are heard of twice a second.
+const othersLife = 4 * time.Second
+
 // versioned is a record that the operator wrote.
 type versioned struct {
 	Record
@@ -100,7 +106,11 @@
 }
 
 func (w *Watcher) progressLocked() Progress {
-	return Progress{Read: w.read, Confirmed: w.confirmed, Behind: w.read.Known() && w.read.Before(w.ahead), Lacks: w.others > w.knowledgeLocked()}
+	return Progress{Read: w.read, Confirmed: w.confirmed, Behind: w.read.Known() && w.read.Before(w.ahead), Lacks: w.lacksLocked()}
+}
+
+func (w *Watcher) lacksLocked() bool {
+	return w.others > w.knowledgeLocked() && clock.Since(w.othersAt) < othersLife
 }
 
 // Knowledge is the sum of the versions of all that is known of what the operator
@@ -125,8 +135,8 @@
 func (w *Watcher) OthersKnow(knowledge int64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.others = knowledge
-	return w.read.Known() && w.progressLocked().Lacks
+	w.others, w.othersAt = knowledge, clock.Now()
+	return w.read.Known() && w.lacksLocked()
 }
 
 // advance notes a successful read of the operator's topic, and when the store
