--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -77,9 +77,6 @@
 	standing := s.suspects.Crashed(c.identity, c.sent, now)
 	s.events.Info("endpoint crashed", "endpoint", c.endpoint, "request", c.request, "identity", c.identity.String(), "attempt", c.attempt,
 		"ms", now.Sub(c.sent).Milliseconds(), "crashes", standing.Crashes, "quarantined", standing.Quarantined())
-	if standing.Quarantined() {
-		s.endQuarantined()
-	}
 	s.mu.Lock()
 	s.tellSoonLocked()
 	s.mu.Unlock()
@@ -201,9 +198,6 @@
 	}
 	suspected, quarantined := s.suspects.Len(now)
 	s.events.Info("suspects heard", "suspected", suspected, "quarantined", quarantined)
-	if quarantined > 0 {
-		s.endQuarantined()
-	}
 }
 
 // Relays returns the addresses of the endpoints of a service whose sidecars pass
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -389,7 +389,6 @@
 	}
 	x.begun = true
 	s := x.server
-	s.underway.remove(x)
 	s.mu.Lock()
 	now := clock.Now()
 	late := now.Sub(x.sent) - x.expected
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -89,7 +89,6 @@
 	listed   bool // the list of endpoints is known
 	list     listState
 	back     storeReturn
-	underway underway
 	// unnamed are endpoints on the list whose service the configuration does
 	// not name, by id.
 	unnamed map[string]fleet.Record
@@ -135,7 +134,6 @@
 		tellSoon:  make(chan struct{}, 1),
 		list:      newListState(),
 		back:      newStoreReturn(),
-		underway:  newUnderway(),
 	}
 	m.Gauge("mintlift_ingress_suspects", func() float64 {
 		suspected, _ := server.suspects.Len(clock.Now())
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -114,7 +114,6 @@
 // breakable returns a context for an attempt that its breaker ends.
 func (x *exchange) breakable(ctx context.Context) (context.Context, *breaker) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	x.server.underway.add(x, cancel)
 	return ctx, &breaker{exchange: x, cancel: cancel}
 }
 
@@ -136,7 +135,6 @@
 
 // end says that the attempt has ended.
 func (b *breaker) end() {
-	b.exchange.server.underway.remove(b.exchange)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ended = true
@@ -177,7 +175,6 @@
 		return nil, x.broken(ctx, e, err)
 	}
 	defer response.Close()
-	x.server.underway.remove(x) // an answer that comes is delivered
 	v := x.judge(response)
 	if v == notRun || v == spoilt {
 		x.discard(e, response, v)
@@ -237,15 +234,9 @@
 		return x.silent(e)
 	}
 	x.lastCause = err.Error()
-	ended := errors.Is(context.Cause(ctx), errQuarantined)
-	if ended {
-		x.lastCause = errQuarantined.Error()
-	}
 	var failure *upstream.Error
 	sent := !errors.As(err, &failure) || failure.Sent
 	switch {
-	case ended && sent:
-		x.finish(e, fleet.Broken) // if the request had begun there, the endpoint is about to end
 	case ctx.Err() != nil, errors.Is(err, upstream.ErrWithheld):
 		x.finish(e, fleet.Abandoned)
 	default:
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -139,10 +139,6 @@
 			return t.silent(e)
 		}
 		t.lastCause = "stream broke off: " + err.Error()
-		if errors.Is(context.Cause(ctx), errQuarantined) {
-			t.finish(e, fleet.Broken) // as in broken
-			return spoilt
-		}
 		if ctx.Err() != nil {
 			t.finish(e, fleet.Abandoned)
 			return spoilt
