gateway: log what endpoints say of themselves in answers: limit, leaving, rest

The lines could not tell which words an answer carried, so a gateway that never read them, one that read and forgot them, and one whose neighbours alone read them looked alike. Each news is one line and one count; nothing acts on it yet.

--- /dev/null
+++ b/backpressure/table.go
@@ -0,0 +1,158 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package backpressure
+
+import (
+	"time"
+)
+
+// Table is what endpoints have said, by life: an endpoint that begins anew has
+// said nothing. It outlasts an endpoint's entry in the list, which may go and come
+// back within a life.
+type Table struct {
+	states map[string]*State
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{states: make(map[string]*State)} }
+
+// State is what one life of an endpoint has said.
+type State struct {
+	id string
+	// born is when the life began, in Unix milliseconds; 0 while that is not known.
+	born int64
+	// heardAt is when the endpoint last said anything of this.
+	heardAt  time.Time
+	leaving  bool
+	restTill time.Time
+	limit    Limit
+	// limitAt is when the limit was last heard.
+	limitAt time.Time
+	// unreadable are the fields of which an unreadable value has been told.
+	unreadable map[string]bool
+}
+
+// Of returns the state of a life of an endpoint, by id and birth; a birth of 0 is
+// not known. A later life begins at nothing.
+func (t *Table) Of(id string, born int64) *State {
+	s := t.states[id]
+	if s != nil && (born <= s.born || s.born == 0) {
+		s.Learn(born)
+		return s
+	}
+	s = &State{id: id, born: born}
+	t.states[id] = s
+	return s
+}
+
+// Learn takes the birth of a life of which it was not known.
+func (s *State) Learn(born int64) {
+	if s.born == 0 {
+		s.born = born
+	}
+}
+
+// Change is news of what an endpoint said.
+type Change struct {
+	Kind Kind
+	// Rate is that of a Limit that was named.
+	Rate float64
+	// Rest is how long the endpoint rests from now on.
+	Rest time.Duration
+	// Value is what cannot be read.
+	Value string
+}
+
+// Kind is what a Change is about.
+type Kind int
+
+// The kinds of changes.
+const (
+	LimitNamed Kind = iota
+	LimitEnded
+	LeavingSaid
+	RestAsked
+	ValueUnreadable
+)
+
+func (k Kind) String() string {
+	return [...]string{"limit", "limit ended", "leaving", "rest", "unreadable"}[k]
+}
+
+const (
+	// maxRest bounds how long an endpoint can keep a gateway away with one answer:
+	// a mistaken value must not cost it for the rest of its life.
+	maxRest = 10 * time.Minute
+	// restStep is the least by which a rest grows that is told as a change.
+	restStep = time.Second
+)
+
+// Hear takes what an answer says; sent is when its request was sent. It returns
+// what has changed.
+func (s *State) Hear(w Word, sent, now time.Time) []Change {
+	var out []Change
+	if w.Leaving && !s.leaving {
+		s.leaving = true
+		out = append(out, Change{Kind: LeavingSaid})
+	}
+	if w.Rest > 0 {
+		out = append(out, s.hearRest(min(w.Rest, maxRest), now)...)
+	}
+	if !w.Limit.Kept {
+		out = append(out, s.hearLimit(w.Limit, sent, now)...)
+	}
+	out = append(out, s.hearUnreadable(w.Unreadable)...)
+	if w.Leaving || w.Rest > 0 || w.Limit.Named {
+		s.heardAt = now
+	}
+	return out
+}
+
+// hearRest takes a rest. What was asked before is not shortened: of answers to
+// several requests in flight, any may come last.
+func (s *State) hearRest(rest time.Duration, now time.Time) []Change {
+	till, before := now.Add(rest), s.restTill
+	if !till.After(before) {
+		return nil
+	}
+	s.restTill = till
+	if now.Before(before) && till.Sub(before) < restStep {
+		return nil
+	}
+	return []Change{{Kind: RestAsked, Rest: rest}}
+}
+
+// hearLimit takes a limit, or that none is named. Answers overtake each other: one
+// that allows more counts only if its request was sent after the limit in force was
+// last heard.
+func (s *State) hearLimit(l Limit, sent, now time.Time) []Change {
+	if l == s.limit {
+		s.limitAt = now
+		return nil
+	}
+	if !l.tighter(s.limit) && !sent.After(s.limitAt) {
+		return nil
+	}
+	s.limit, s.limitAt = l, now
+	if !l.Named {
+		return []Change{{Kind: LimitEnded}}
+	}
+	return []Change{{Kind: LimitNamed, Rate: l.Rate}}
+}
+
+// hearUnreadable returns the first unreadable values of a life, of each kind one.
+func (s *State) hearUnreadable(values []string) []Change {
+	var out []Change
+	for _, value := range values {
+		name := fieldOf(value)
+		if s.unreadable[name] {
+			continue
+		}
+		if s.unreadable == nil {
+			s.unreadable = make(map[string]bool, 1)
+		}
+		s.unreadable[name] = true
+		out = append(out, Change{Kind: ValueUnreadable, Value: value})
+	}
+	return out
+}
--- /dev/null
+++ b/backpressure/table_test.go
@@ -0,0 +1,72 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package backpressure
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Now()
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func kinds(changes []Change) (out []Kind) {
+	for _, c := range changes {
+		out = append(out, c.Kind)
+	}
+	return out
+}
+
+func TestChangesAreToldOnce(t *testing.T) {
+	s := NewTable().Of("e", 1)
+	assert.DeepEqual(t, kinds(s.Hear(Word{Limit: Limited(2)}, at(0), at(0.1))), []Kind{LimitNamed})
+	assert.DeepEqual(t, kinds(s.Hear(Word{Limit: Limited(2)}, at(0), at(0.2))), []Kind(nil))
+	assert.DeepEqual(t, kinds(s.Hear(Word{Leaving: true, Limit: Limited(2)}, at(0.3), at(0.4))), []Kind{LeavingSaid})
+	assert.DeepEqual(t, kinds(s.Hear(Word{Leaving: true, Rest: 3 * time.Second}, at(0.5), at(0.6))), []Kind{LeavingSaid, RestAsked, LimitEnded}[1:])
+	assert.DeepEqual(t, kinds(s.Hear(Word{Rest: 3 * time.Second}, at(0.6), at(0.7))), []Kind(nil))
+	bad := Word{Limit: Limit{Kept: true}, Unreadable: []string{"A: x"}}
+	assert.DeepEqual(t, kinds(s.Hear(bad, at(0.8), at(0.9))), []Kind{ValueUnreadable})
+	assert.DeepEqual(t, kinds(s.Hear(bad, at(0.8), at(0.9))), []Kind(nil))
+}
+
+// Answers overtake each other: one that was asked for before the limit was heard
+// neither raises nor ends it.
+func TestOvertakenAnswersDoNotLoosenALimit(t *testing.T) {
+	s := NewTable().Of("e", 1)
+	s.Hear(Word{Limit: Limited(2)}, at(1), at(1.1))
+	for _, old := range []Word{{}, {Limit: Limited(5)}} {
+		s.Hear(old, at(0.9), at(1.2))
+		assert.Equal(t, s.limit, Limited(2))
+	}
+	s.Hear(Word{Limit: Limited(1)}, at(0.9), at(1.3))
+	assert.Equal(t, s.limit, Limited(1), "what allows less counts at once")
+	s.Hear(Word{Limit: Limited(5)}, at(1.4), at(1.5))
+	assert.Equal(t, s.limit, Limited(5))
+	s.Hear(Word{}, at(1.6), at(1.7))
+	assert.Equal(t, s.limit, Limit{})
+}
+
+// A new life has said nothing; one whose birth is learned later is the same.
+func TestLives(t *testing.T) {
+	table := NewTable()
+	s := table.Of("e", 0)
+	s.Hear(Word{Leaving: true}, at(0), at(0))
+	assert.Assert(t, table.Of("e", 7).leaving)
+	assert.Assert(t, table.Of("e", 7).leaving)
+	assert.Assert(t, table.Of("e", 0).leaving, "an entry without birth")
+	assert.Assert(t, !table.Of("e", 8).leaving)
+}
+
+// A rest is never shortened, and has an end.
+func TestRestIsNotShortened(t *testing.T) {
+	s := NewTable().Of("e", 1)
+	s.Hear(Word{Rest: 3 * time.Second}, at(0), at(0))
+	s.Hear(Word{Rest: time.Second}, at(0), at(0.1))
+	s.Hear(Word{}, at(0), at(0.2))
+	assert.Assert(t, s.restTill.Equal(at(3)))
+	s.Hear(Word{Rest: 1e9 * time.Second}, at(0), at(1))
+	assert.Assert(t, s.restTill.Equal(at(1).Add(maxRest)))
+}
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -5,11 +5,15 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/mintlift/mintlift/backpressure"
 )
 
 // Endpoint is one endpoint and what is believed of it.
 type Endpoint struct {
 	Record
+	// Said is what this life of the endpoint said of itself in answers.
+	Said *backpressure.State
 	// own are the attempts of this gateway in progress there.
 	own int
 	// others estimates what everybody else has there.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,6 +13,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/mintlift/mintlift/backpressure"
 )
 
 // Record is an endpoint as the platform's list tells it.
@@ -88,6 +90,9 @@
 	// watching is what is watched of each large service, until its list
 	// changes.
 	watching map[string][]*Endpoint
+	// said is what endpoints said in answers, also of those that have left the
+	// list.
+	said *backpressure.Table
 }
 
 // New returns an empty fleet, seen from a gateway at place.
@@ -95,6 +100,7 @@
 	return &Fleet{
 		place:     place,
 		watching:  make(map[string][]*Endpoint),
+		said:      backpressure.NewTable(),
 		byID:      make(map[string]*Endpoint),
 		byAddress: make(map[string]*Endpoint),
 		byService: make(map[string][]*Endpoint),
@@ -117,7 +123,7 @@
 		if old := f.byAddress[r.Address]; old != nil {
 			f.Remove(old.ID)
 		}
-		e = &Endpoint{Record: r}
+		e = &Endpoint{Record: r, Said: f.said.Of(r.ID, r.Born)}
 		f.byID[r.ID] = e
 		f.byAddress[r.Address] = e
 		f.byService[r.Service] = append(f.byService[r.Service], e)
@@ -127,6 +133,7 @@
 	r.Born = max(r.Born, e.Born)
 	changed := e.Draining != r.Draining || !sameModels(e.Models, r.Models)
 	e.Born = r.Born
+	e.Said.Learn(r.Born)
 	if changed {
 		e.Record = r
 		e.misdirected = false
@@ -247,6 +254,7 @@
 		return nil, false // late, of the life before
 	case e.Born == 0:
 		e.Born = r.Born
+		e.Said.Learn(r.Born)
 	default:
 		e = f.startAgain(e, r.Born)
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -19,6 +19,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/quarantine"
@@ -48,7 +49,10 @@
 	// Place is where the gateway is.
 	Place   fleet.Place
 	Headers Headers
-	Budget  retrybudget.Params
+	// Said decodes what the head of an answer says of its endpoint; nil is
+	// nothing.
+	Said   func(status int, head http.Header) backpressure.Word
+	Budget retrybudget.Params
 	// VersionDeadline is how long after a version was named older ones may
 	// still start requests.
 	VersionDeadline time.Duration
