gateway: a limit that an endpoint names is kept by all gateways together

Callers saw nothing yet; endpoints in need that had named a limit of 2 requests a second got 22 in 4 s. Cause: no part of a gateway read the word. Class: what an endpoint says of itself in answers had no place in what gateways believe.

What endpoints say is kept by life in package backpressure, apart from the list. A limit is dealt out as counted permits by one sidecar, which hears all gateways: the one beside the engine, or for a plain endpoint one that all choose alike. What is sent in 4 s is at most 5.6 times the rate and 2, for any number of gateways and any demand. Gateways that hear no sidecar keep to half of an equal part, in slots drawn apart. A limit of 0 is asked about four times a minute and more: its end shows only in an answer. The first word is told to all gateways at once.

--- a/backpressure/table.go
+++ b/backpressure/table.go
@@ -3,6 +3,8 @@
 package backpressure
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -11,14 +13,23 @@
 // back within a life.
 type Table struct {
 	states map[string]*State
+	// gateways is how many share a limit.
+	gateways int
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{states: make(map[string]*State)} }
+func NewTable() *Table { return &Table{states: make(map[string]*State), gateways: 1} }
+
+// Share says how many gateways share limits.
+func (t *Table) Share(gateways int) { t.gateways = max(gateways, 1) }
+
+// ByID returns the state of an endpoint's last life, or nil if none is kept.
+func (t *Table) ByID(id string) *State { return t.states[id] }
 
 // State is what one life of an endpoint has said.
 type State struct {
-	id string
+	table *Table
+	id    string
 	// born is when the life began, in Unix milliseconds; 0 while that is not known.
 	born int64
 	// heardAt is when the endpoint last said anything of this.
@@ -26,8 +37,11 @@
 	leaving  bool
 	restTill time.Time
 	limit    Limit
-	// limitAt is when the limit was last heard.
+	// limitAt is when the limit, or its end, was last heard.
 	limitAt time.Time
+	permits permits
+	// tell says that other gateways are to hear of the limit.
+	tell bool
 	// unreadable are the fields of which an unreadable value has been told.
 	unreadable map[string]bool
 }
@@ -40,7 +54,7 @@
 		s.Learn(born)
 		return s
 	}
-	s = &State{id: id, born: born}
+	s = &State{table: t, id: id, born: born}
 	t.states[id] = s
 	return s
 }
@@ -133,11 +147,106 @@
 	if !l.tighter(s.limit) && !sent.After(s.limitAt) {
 		return nil
 	}
-	s.limit, s.limitAt = l, now
-	if !l.Named {
+	s.tell = true
+	return s.setLimit(l, now)
+}
+
+// setLimit takes another limit, as heard at a time.
+func (s *State) setLimit(l Limit, at time.Time) []Change {
+	changed := l != s.limit
+	s.limit, s.limitAt = l, at
+	switch {
+	case !changed:
+		return nil
+	case !l.Named:
+		s.permits = permits{}
 		return []Change{{Kind: LimitEnded}}
+	default:
+		return []Change{{Kind: LimitNamed, Rate: l.Rate}}
+	}
+}
+
+// Limited reports whether the endpoint has named a limit that is in force.
+func (s *State) Limited() bool { return s.limit.Named }
+
+// From returns when the endpoint may get a request of this gateway at the earliest:
+// now, if it may.
+func (s *State) From(now time.Time) time.Time {
+	if s.limit.Named {
+		return s.permits.from(s.limit.Rate, s.table.gateways, now)
+	}
+	return now
+}
+
+// Take notes that a request is sent to the endpoint.
+func (s *State) Take(now time.Time) {
+	if s.limit.Named {
+		s.permits.take(s.limit.Rate, s.table.gateways, now)
+	}
+}
+
+// Want notes that a request would be sent to the endpoint if it had a permit.
+func (s *State) Want() {
+	if s.limit.Named {
+		s.permits.wanted++
+	}
+}
+
+// Ask returns what is to be asked of the process that deals permits out, or told
+// it; ok is false if there is nothing. What was wanted is forgotten.
+func (s *State) Ask(now time.Time) (a Ask, ok bool) {
+	if !s.tell && s.permits.wanted == 0 {
+		return Ask{}, false
+	}
+	want := s.permits.ask(now)
+	if !s.tell && want == 0 {
+		return Ask{}, false
+	}
+	s.tell = false
+	return Ask{Record: s.record(now), Want: want}, true
+}
+
+// Alone notes that there is nobody to deal permits out.
+func (s *State) Alone(now time.Time) {
+	s.permits.unanswered, s.permits.undealt = now.Add(-askPatience), true
+}
+
+// Granted takes the answer to an Ask; it returns what has changed.
+func (t *Table) Granted(g Grant, now time.Time) []Change {
+	changes := t.Merge(g.Record, now)
+	if s := t.states[g.ID]; s.born == g.Born {
+		s.permits.grant(g, now)
+	}
+	return changes
+}
+
+const (
+	// keptFor is how long it is remembered what an endpoint said that is not on
+	// the list: longer than entries are missing within a life.
+	keptFor = 10 * time.Minute
+	// maxKept bounds how many of those are remembered, the last to speak.
+	maxKept = 2048
+)
+
+// Forget drops what cannot matter any more of endpoints that are not on the list.
+func (t *Table) Forget(listed func(id string) bool, now time.Time) {
+	var kept []*State
+	for id, s := range t.states {
+		switch {
+		case listed(id):
+		case now.Sub(s.heardAt) > keptFor:
+			delete(t.states, id)
+		default:
+			kept = append(kept, s)
+		}
+	}
+	if len(kept) <= maxKept {
+		return
+	}
+	slices.SortFunc(kept, func(a, b *State) int { return cmp.Or(b.heardAt.Compare(a.heardAt), cmp.Compare(a.id, b.id)) })
+	for _, s := range kept[maxKept:] {
+		delete(t.states, s.id)
 	}
-	return []Change{{Kind: LimitNamed, Rate: l.Rate}}
 }
 
 // hearUnreadable returns the first unreadable values of a life, of each kind one.
--- a/backpressure/table_test.go
+++ b/backpressure/table_test.go
@@ -3,6 +3,7 @@
 package backpressure
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 	assert.DeepEqual(t, kinds(s.Hear(Word{Limit: Limited(2)}, at(0), at(0.1))), []Kind{LimitNamed})
 	assert.DeepEqual(t, kinds(s.Hear(Word{Limit: Limited(2)}, at(0), at(0.2))), []Kind(nil))
 	assert.DeepEqual(t, kinds(s.Hear(Word{Leaving: true, Limit: Limited(2)}, at(0.3), at(0.4))), []Kind{LeavingSaid})
-	assert.DeepEqual(t, kinds(s.Hear(Word{Leaving: true, Rest: 3 * time.Second}, at(0.5), at(0.6))), []Kind{LeavingSaid, RestAsked, LimitEnded}[1:])
+	assert.DeepEqual(t, kinds(s.Hear(Word{Leaving: true, Rest: 3 * time.Second}, at(0.5), at(0.6))), []Kind{RestAsked, LimitEnded})
 	assert.DeepEqual(t, kinds(s.Hear(Word{Rest: 3 * time.Second}, at(0.6), at(0.7))), []Kind(nil))
 	bad := Word{Limit: Limit{Kept: true}, Unreadable: []string{"A: x"}}
 	assert.DeepEqual(t, kinds(s.Hear(bad, at(0.8), at(0.9))), []Kind{ValueUnreadable})
@@ -70,3 +71,35 @@
 	s.Hear(Word{Rest: 1e9 * time.Second}, at(0), at(1))
 	assert.Assert(t, s.restTill.Equal(at(1).Add(maxRest)))
 }
+
+// What is remembered is bounded, and none of it is lost while the endpoint is
+// missing from the list for a moment.
+func TestMemoryIsBounded(t *testing.T) {
+	table := NewTable()
+	const lives = 10000
+	for n := range lives {
+		table.Of(fmt.Sprint("e", n), 1).Hear(Word{Leaving: true}, at(float64(n)/100), at(float64(n)/100))
+	}
+	unlisted := func(string) bool { return false }
+	table.Forget(unlisted, at(lives/100))
+	assert.Equal(t, len(table.states), maxKept)
+	assert.Assert(t, table.Of(fmt.Sprint("e", lives-1), 1).leaving, "the last to speak")
+	table.Forget(func(id string) bool { return id == "e9000" }, at(lives/100).Add(keptFor+time.Second))
+	assert.Equal(t, len(table.states), 1)
+	assert.Assert(t, table.Of("e9000", 1).leaving, "it is on the list")
+}
+
+// What one process tells another counts by age: an older word changes nothing, and
+// neither does that of a life before.
+func TestWordsOfOtherProcesses(t *testing.T) {
+	here, there := NewTable(), NewTable()
+	there.Of("e", 5).Hear(Word{Limit: Limited(2)}, at(0), at(1))
+	r := there.Of("e", 5).record(at(2))
+	assert.DeepEqual(t, kinds(here.Merge(r, at(2.01))), []Kind{LimitNamed})
+	here.Of("e", 5).Hear(Word{}, at(3), at(3.1))
+	assert.DeepEqual(t, kinds(here.Merge(there.Of("e", 5).record(at(4)), at(4.01))), []Kind(nil)) // heard before the end of the limit
+	assert.Equal(t, here.Of("e", 5).limit, Limit{})
+	r.Born = 4
+	assert.DeepEqual(t, kinds(here.Merge(r, at(5))), []Kind(nil)) // of the life before
+	assert.Equal(t, here.Of("e", 5).limit, Limit{})
+}
--- a/cmd/mintlift/crash_test.go
+++ b/cmd/mintlift/crash_test.go
@@ -161,8 +161,10 @@
 	})
 	store := strings.TrimPrefix(server.URL, "http://")
 	d.store.Put(storetest.Operator, "config", `{"version":1,
-		"routes":[{"name":"s","host":"h.example","path_prefix":"/s/","kind":"streaming","timeout_ms":3000,"target_latency_ms":800,"target_gap_ms":400,"service":"e","max_attempts":2,"public":true,"resumable":true}],
-		"services":[{"name":"e","max_connections":500,"engine":{"slots":16,"models":[{"name":"m"}],"step_ms":8,"read_per_s":20000,"usual":{"prompt":100,"answer":10}}}],
+		"routes":[{"name":"s","host":"h.example","path_prefix":"/s/","kind":"streaming","timeout_ms":3000,"target_latency_ms":800,"target_gap_ms":400,"service":"e","max_attempts":2,"public":true,"resumable":true},
+			{"name":"p","host":"h.example","path_prefix":"/p/","kind":"safe","timeout_ms":3000,"target_latency_ms":800,"service":"p","max_attempts":2,"public":true}],
+		"services":[{"name":"e","max_connections":500,"engine":{"slots":16,"models":[{"name":"m"}],"step_ms":8,"read_per_s":20000,"usual":{"prompt":100,"answer":10}}},
+			{"name":"p","max_connections":500}],
 		"limits":{"max_body_bytes":1048576,"idle_timeout_ms":15000}}`)
 	for n := range count {
 		start(d, t, fmt.Sprintf("%s.%d", network, 100+n), store)
@@ -209,7 +211,12 @@
 
 // answer is as try, with the head of the answer.
 func (d *engines) answer(n int, body string) (int, http.Header) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+d.gateways[n%len(d.gateways)]+"/s/x", strings.NewReader(body))
+	return d.answerAt("/s/x", n, body)
+}
+
+// answerAt is as answer, for a request of a path.
+func (d *engines) answerAt(path string, n int, body string) (int, http.Header) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+d.gateways[n%len(d.gateways)]+path, strings.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
--- a/cmd/mintlift/limit_test.go
+++ b/cmd/mintlift/limit_test.go
@@ -40,15 +40,48 @@
 // change when the word comes, at no gateway, and by this test.
 func TestLimitIsSharedByAllGateways(t *testing.T) {
 	t.Parallel()
-	const rate = 2.0
 	d, talkers := startTalkers(t, 3, 3)
+	keepsLimit(t, d, talkers[0], enginePath, 2)
+}
+
+// The same at other limits, one of which lets nothing through.
+func TestOtherLimitsAreShared(t *testing.T) {
+	for _, rate := range []float64{0, 0.4, 20} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			t.Parallel()
+			d, talkers := startTalkers(t, 5, 2)
+			keepsLimit(t, d, talkers[0], enginePath, rate)
+		})
+	}
+}
+
+// The same at an endpoint beside which no sidecar is: that of an engine deals its
+// limit out.
+func TestLimitOfAPlainEndpointIsShared(t *testing.T) {
+	t.Parallel()
+	d, _ := startTalkers(t, 3, 2)
+	limited := startPlain(t, d)
+	startPlain(t, d)
+	keepsLimit(t, d, limited, plainPath, 2)
+}
+
+// Paths of requests for engines, and for endpoints beside which no sidecar is.
+const (
+	enginePath = "/s/x"
+	plainPath  = "/p/x"
+)
+
+// keepsLimit lets an endpoint name a limit under more demand than that, and checks
+// that it is kept, and used.
+func keepsLimit(t *testing.T, d *engines, limited *talker, path string, rate float64) {
+	t.Helper()
 	named := time.Now()
-	talkers[0].speak(func(h http.Header) int {
+	limited.speak(func(h http.Header) int {
 		h.Set("Server-Limit", strconv.FormatFloat(rate, 'f', -1, 64))
 		return http.StatusOK
 	})
-	d.press(contact+2*limitWindow, 25*time.Millisecond)
-	most := mostIn(talkers[0].arrivals(), named.Add(contact), limitWindow)
+	d.press(path, contact+2*limitWindow, 25*time.Millisecond)
+	most := mostIn(limited.arrivals(), named.Add(contact), limitWindow)
 	allowed := int(limitFactor*rate*limitWindow.Seconds()) + limitSlack
 	t.Logf("at most %d in %s, allowed %d", most, limitWindow, allowed)
 	assert.Assert(t, most <= allowed, "%d in %s, allowed %d", most, limitWindow, allowed)
@@ -58,11 +91,11 @@
 
 // press sends a request to each gateway each time that every has passed, for so
 // long, and waits for the answers.
-func (d *engines) press(long, every time.Duration) {
+func (d *engines) press(path string, long, every time.Duration) {
 	var answers sync.WaitGroup
 	for began, try := time.Now(), 0; time.Since(began) < long; try++ {
 		for n := range d.gateways {
-			answers.Go(func() { d.try(n, fmt.Sprint("text-", try)) })
+			answers.Go(func() { d.answerAt(path, n, fmt.Sprint("text-", try)) })
 		}
 		time.Sleep(every)
 	}
@@ -87,7 +120,7 @@
 	return most
 }
 
-// arrival is a request that reached an engine.
+// arrival is a request that reached an endpoint.
 type arrival struct {
 	at time.Time
 	// gateway sent it.
@@ -96,10 +129,11 @@
 	status int
 }
 
-// talker is an engine that says something of itself in its answers.
+// talker is an endpoint that says something of itself in its answers.
 type talker struct {
 	engines *engines
 	id      string
+	service string
 	address string
 
 	mu   sync.Mutex
@@ -119,24 +153,43 @@
 
 func startTalker(t *testing.T, d *engines, ip, store string) *talker {
 	t.Helper()
-	e := &talker{engines: d, id: d.newLife(), address: net.JoinHostPort(ip, "8320"), say: func(http.Header) int { return http.StatusOK }}
+	e := listen(t, &talker{engines: d, service: "e", address: net.JoinHostPort(ip, "8320")})
+	startSidecar(t, ip, store, e.address)
+	return e
+}
+
+// startPlain starts an endpoint beside which no sidecar is.
+func startPlain(t *testing.T, d *engines) *talker {
+	t.Helper()
+	return listen(t, &talker{engines: d, service: "p", address: "127.0.0.1:0"})
+}
+
+// listen starts a talker that says nothing yet, and lists it.
+func listen(t *testing.T, e *talker) *talker {
+	t.Helper()
+	e.id = e.engines.newLife()
+	e.say = func(http.Header) int { return http.StatusOK }
 	listener, err := net.Listen("tcp4", e.address)
 	assert.NilError(t, err)
+	e.address = listener.Addr().String()
 	server := &http.Server{Handler: e}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	e.list("ready")
-	startSidecar(t, ip, store, e.address)
 	return e
 }
 
-// list writes the engine's entry into the list.
+// list writes the endpoint's entry into the list.
 func (e *talker) list(state string) {
+	models := ""
+	if e.service == "e" {
+		models = `,"models":[{"name":"m","version":1,"adapters":[]}]`
+	}
 	e.engines.store.Put(storetest.Endpoints, e.id, fmt.Sprintf(
-		`{"service":"e","address":%q,"zone":"z","version":"v1","slots":16,"state":%q,"cold_remaining_ms":0,"models":[{"name":"m","version":1,"adapters":[]}],"sequence":1}`, e.address, state))
+		`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":16,"state":%q,"cold_remaining_ms":0%s,"sequence":1}`, e.service, e.address, state, models))
 }
 
-// speak sets what the engine says in its answers from now on; say returns the
+// speak sets what the endpoint says in its answers from now on; say returns the
 // status.
 func (e *talker) speak(say func(h http.Header) int) {
 	e.mu.Lock()
--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/history"
@@ -63,6 +64,14 @@
 	v.server.HeardSuspects(suspects, clock.Now())
 }
 
+// Granted implements loadreport.Handler.
+func (v sidecarsView) Granted(g backpressure.Grant) { v.server.Granted(g) }
+
+// HeardEndpoints implements loadreport.Handler.
+func (v sidecarsView) HeardEndpoints(records []backpressure.Record) {
+	v.server.HeardEndpoints(records)
+}
+
 // current reports whether the configuration in force is known to be the
 // newest.
 func current(p storewatch.Progress, budget freshness.Budget, now time.Time) bool {
@@ -151,11 +160,26 @@
 	all.spawn(func() {
 		subscriber.Run(ctx, told, server.TellSoon(), sidecarsView{ctx, server, p.watcher, readers, learner})
 	})
+	all.spawn(func() { askPermits(ctx, s, server, subscriber) })
 	all.spawn(func() { maintain(ctx, server) })
 	all.drain = func(ending context.Context) { stopGateway(ending, p, server, front) }
 	return all, nil
 }
 
+// askPermits sends what the server asks of sidecars, until ctx ends.
+func askPermits(ctx context.Context, s *platform.Settings, server *ingress.Server, subscriber *loadreport.Subscriber) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-server.AskSoon():
+		}
+		for _, a := range server.Asks() {
+			subscriber.Ask(a.Ask, s.Internal(a.Address, portPublish))
+		}
+	}
+}
+
 // maintain lets the server forget what has grown old, until ctx ends.
 func maintain(ctx context.Context, server *ingress.Server) {
 	for ctx.Err() == nil {
--- a/cmd/mintlift/platform_test.go
+++ b/cmd/mintlift/platform_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/history"
 	"github.com/mintlift/mintlift/ingress"
@@ -36,6 +37,8 @@
 type deafGateway struct{}
 
 func (deafGateway) Heard(fleet.Report, *loadreport.Echo) {}
+func (deafGateway) Granted(backpressure.Grant)           {}
+func (deafGateway) HeardEndpoints([]backpressure.Record) {}
 func (deafGateway) HeardSuspects([]quarantine.Record)    {}
 
 // A sidecar that gateways speak to reads nothing from the store; one that
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -143,6 +143,7 @@
 	if e == nil {
 		return
 	}
+	e.Said.Take(now)
 	e.own++
 	e.unread += q.Work
 	e.unreadCount++
@@ -170,15 +171,24 @@
 }
 
 // cheapest returns the one that costs least of the endpoints that have room, or
-// nil.
+// nil. It notes where a permit is missing that would have cost less.
 func (f *Fleet) cheapest(endpoints []*Endpoint, q *Query, now time.Time) (best *Endpoint) {
 	free, _ := f.free(endpoints, q, now)
-	bestCost := math.Inf(1)
+	bestCost, missingCost := math.Inf(1), math.Inf(1)
+	var missing *Endpoint
 	for _, e := range free {
-		if cost := f.cost(e, q, e.Load(now), now); cost < bestCost {
+		cost := f.cost(e, q, e.Load(now), now)
+		open := !e.Said.From(now).After(now)
+		switch {
+		case open && cost < bestCost:
 			best, bestCost = e, cost
+		case !open && cost < missingCost:
+			missing, missingCost = e, cost
 		}
 	}
+	if missing != nil && missingCost < bestCost {
+		missing.Said.Want()
+	}
 	return best
 }
 
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -113,6 +113,20 @@
 	return out
 }
 
+// Dealer returns the address of the endpoint, of those whose sidecars all gateways
+// watch, whose sidecar deals out the limit of another that has none beside it; all
+// gateways choose alike. It is empty if there is none.
+func Dealer(relays []string, id string) string {
+	weight := func(address string) uint64 { return xxhash.Sum64String(id + "/" + address) }
+	best := ""
+	for _, address := range relays {
+		if best == "" || weight(address) < weight(best) {
+			best = address
+		}
+	}
+	return best
+}
+
 // first returns the n endpoints of the least weight; it reorders list.
 func first(list []*Endpoint, n int, weight func(*Endpoint) uint64) []*Endpoint {
 	slices.SortFunc(list, func(a, b *Endpoint) int { return cmp.Compare(weight(a), weight(b)) })
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -110,7 +110,11 @@
 }
 
 // queue are the waiters of a service, by rank.
-type queue struct{ waiters []*waiter }
+type queue struct {
+	waiters []*waiter
+	// wakeAt is when the queue is looked at again by itself, or zero.
+	wakeAt time.Time
+}
 
 func (q *queue) add(a *waiter) {
 	at, _ := slices.BinarySearchFunc(q.waiters, a, func(x, y *waiter) int { return compareRank(x.rank, y.rank) })
@@ -282,6 +286,7 @@
 	if len(free) == 0 {
 		return
 	}
+	defer s.askPermits(service, now)
 	kept := q.waiters[:0]
 	for _, w := range q.waiters {
 		q := s.query(w.exchange, now)
@@ -291,10 +296,30 @@
 			continue
 		}
 		w.exchange.alone = q.Alone
+		w.exchange.permitted = e.Said.Limited()
 		w.granted <- e
 	}
 	clear(q.waiters[len(kept):])
 	q.waiters = kept
+	s.wakeLater(service, q, now)
+}
+
+// wakeLater lets the waiters of a service be looked at again when the next endpoint
+// may get a request: nothing else happens then. Server.mu is held.
+func (s *Server) wakeLater(service string, q *queue, now time.Time) {
+	if len(q.waiters) == 0 {
+		return
+	}
+	at := s.fleet.Opens(service, now)
+	if at.IsZero() || q.wakeAt.After(now) && !at.Before(q.wakeAt) {
+		return
+	}
+	q.wakeAt = at
+	time.AfterFunc(at.Sub(now), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.dispatch(service, clock.Now())
+	})
 }
 
 func (s *Server) dispatchAll(now time.Time) {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -68,8 +68,9 @@
 	tried    map[string]bool // ids of endpoints
 	mayRun   bool            // an endpoint may have run, or may yet run it
 	granted  bool            // one more attempt is allowed already
-	// alone says that the attempt in progress was chosen with Query.Alone.
-	alone bool
+	// alone says that the attempt in progress was chosen with Query.Alone, and
+	// permitted that it has a permit of an endpoint with a limit.
+	alone, permitted bool
 	// crashes counts the endpoints that crashed under attempts of this try.
 	crashes   int
 	lastCause string
@@ -288,7 +289,7 @@
 	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e.Draining || x.quarantined(now) {
+	if e.Draining || x.quarantined(now) || !x.permit(e, now) {
 		return false
 	}
 	return x.model == "" || e.MayServe(e.Holds(x.model, now), s.minVersion(x.model, now), s.minVersion(x.model, now.Add(-promiseLead)), now)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -77,6 +77,7 @@
 	closed   atomic.Bool
 	inFlight atomic.Int64
 	tellSoon chan struct{} // holds one
+	askSoon  chan struct{} // holds one
 	accepts  accepts
 	// suspects are the requests under which endpoints crashed.
 	suspects *quarantine.Table
@@ -98,6 +99,8 @@
 	unnamed map[string]fleet.Record
 	// crashedAt is when endpoints crashed lately, by id.
 	crashedAt map[string]time.Time
+	// asks are what is to be asked of sidecars.
+	asks []PermitAsk
 }
 
 // Naming is a version of a model that the operator named.
@@ -136,9 +139,11 @@
 		unnamed:   make(map[string]fleet.Record),
 		suspects:  quarantine.New(),
 		tellSoon:  make(chan struct{}, 1),
+		askSoon:   make(chan struct{}, 1),
 		list:      newListState(),
 		back:      newStoreReturn(),
 	}
+	server.fleet.Share(s.Budget.Gateways)
 	m.Gauge("mintlift_ingress_suspects", func() float64 {
 		suspected, _ := server.suspects.Len(clock.Now())
 		return float64(suspected)
@@ -288,6 +293,7 @@
 		return
 	}
 	s.gateways = n
+	s.fleet.Share(n)
 	for _, b := range s.budgets {
 		b.Share(n)
 	}
@@ -354,6 +360,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.endReturn(now)
+	s.fleet.Forget(now)
 }
 
 // Close closes connections to endpoints that rest.
--- a/ingress/said.go
+++ b/ingress/said.go
@@ -3,6 +3,8 @@
 package ingress
 
 import (
+	"time"
+
 	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
@@ -18,15 +20,122 @@
 	word := s.settings.Said(r.Status, r.Header)
 	now := clock.Now()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	changes := e.Said.Hear(word, x.sent, now)
-	s.mu.Unlock()
+	s.noteSaid(e.ID, x.id, changes)
+	if len(changes) > 0 {
+		s.askPermits(e.Service, now)
+	}
+}
+
+// noteSaid logs news of what an endpoint says; request is empty if another process
+// told it. Server.mu is held.
+func (s *Server) noteSaid(endpoint, request string, changes []backpressure.Change) {
 	for _, c := range changes {
-		s.noteSaid(e.ID, x.id, c)
+		s.metrics.Counter("mintlift_ingress_endpoint_words_total", "word", c.Kind.String()).Inc()
+		s.events.Info("endpoint said", "endpoint", endpoint, "request", request, "word", c.Kind.String(), "rate", c.Rate, "rest_ms", c.Rest.Milliseconds(), "value", c.Value)
 	}
 }
 
-// noteSaid logs news of what an endpoint says.
-func (s *Server) noteSaid(endpoint, request string, c backpressure.Change) {
-	s.metrics.Counter("mintlift_ingress_endpoint_words_total", "word", c.Kind.String()).Inc()
-	s.events.Info("endpoint said", "endpoint", endpoint, "request", request, "word", c.Kind.String(), "rate", c.Rate, "rest_ms", c.Rest.Milliseconds(), "value", c.Value)
+// permit reports whether x may be sent to e as far as its limit goes: one that was
+// named since e was chosen counts, too. Server.mu is held.
+func (x *exchange) permit(e *fleet.Endpoint, now time.Time) bool {
+	if x.permitted || !e.Said.Limited() {
+		return true
+	}
+	if e.Said.From(now).After(now) {
+		return false
+	}
+	e.Said.Take(now)
+	x.permitted = true
+	return true
+}
+
+// PermitAsk is what is to be asked of the sidecar beside an endpoint.
+type PermitAsk struct {
+	backpressure.Ask
+	// Address is that of the endpoint beside which the sidecar is.
+	Address string
+}
+
+// AskSoon tells that Asks has something.
+func (s *Server) AskSoon() <-chan struct{} { return s.askSoon }
+
+// Asks returns what is to be asked of sidecars, once.
+func (s *Server) Asks() []PermitAsk {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	asks := s.asks
+	s.asks = nil
+	return asks
+}
+
+// maxAsks bounds the asks that wait to be sent; what is lost is asked again.
+const maxAsks = 256
+
+// askPermits notes what is to be asked for the endpoints of a service. Server.mu is
+// held.
+func (s *Server) askPermits(service string, now time.Time) {
+	s.fleet.Asks(service, now, func(e *fleet.Endpoint, a backpressure.Ask) {
+		address := s.dealer(e, now)
+		if address == "" {
+			e.Said.Alone(now)
+			return
+		}
+		if len(s.asks) < maxAsks {
+			s.asks = append(s.asks, PermitAsk{Ask: a, Address: address})
+		}
+	})
+	if len(s.asks) == 0 {
+		return
+	}
+	select {
+	case s.askSoon <- struct{}{}:
+	default:
+	}
+}
+
+// dealer returns the address of the endpoint whose sidecar deals out the limit of e:
+// its own if it has one, else one that all gateways choose alike, or none. Server.mu
+// is held.
+func (s *Server) dealer(e *fleet.Endpoint, now time.Time) string {
+	c := s.routes.Get()
+	if c == nil {
+		return ""
+	}
+	if engineOf(c, e.Service) != nil {
+		return e.Address
+	}
+	var relays []string
+	for name, service := range c.Services {
+		if service.Engine != nil {
+			relays = append(relays, s.fleet.Relays(name, now)...)
+		}
+	}
+	return fleet.Dealer(relays, e.ID)
+}
+
+// Granted takes permits that a sidecar dealt out.
+func (s *Server) Granted(g backpressure.Grant) {
+	now := clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteSaid(g.ID, "", s.fleet.Granted(g, now))
+	if e := s.fleet.ByID(g.ID); e != nil {
+		s.dispatch(e.Service, now)
+	}
+}
+
+// HeardEndpoints takes what other gateways heard of endpoints.
+func (s *Server) HeardEndpoints(records []backpressure.Record) {
+	now := clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		changes := s.fleet.HeardOf(r, now)
+		s.noteSaid(r.ID, "", changes)
+		if e := s.fleet.ByID(r.ID); e != nil && len(changes) > 0 {
+			s.dispatch(e.Service, now)
+		}
+	}
 }
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -22,6 +22,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/history"
 	"github.com/mintlift/mintlift/internal/clock"
@@ -103,6 +104,9 @@
 	Notice
 	// Stamp is the sender's own time, in microseconds; the answer echoes it.
 	Stamp int64 `json:"stamp"`
+	// Ask is a wish for permits. It comes alone: such a datagram is no
+	// subscription.
+	Ask *backpressure.Ask `json:"ask,omitempty"`
 }
 
 // message is the datagram of a report.
@@ -120,6 +124,10 @@
 	// Suspects are what gateways told. They come in such an answer, and alone
 	// when there is news.
 	Suspects []quarantine.Record `json:"x,omitempty"`
+	// Grant answers an Ask. It comes alone.
+	Grant *backpressure.Grant `json:"t,omitempty"`
+	// Endpoints is what gateways heard of endpoints. It comes as Suspects do.
+	Endpoints []backpressure.Record `json:"w,omitempty"`
 }
 
 // Publisher sends reports from a sidecar.
@@ -135,6 +143,8 @@
 	suspects *quarantine.Table
 	// toldAt is when all subscribers were last told of suspects.
 	toldAt time.Time
+	// quotas deals out the limits of endpoints.
+	quotas *backpressure.Quotas
 	last   fleet.Report
 	sent   time.Time
 }
@@ -145,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Publisher{conn: conn, read: history.Unread, subs: make(map[netip.AddrPort]subscriber), suspects: quarantine.NewRelayed()}, nil
+	return &Publisher{conn: conn, read: history.Unread, subs: make(map[netip.AddrPort]subscriber), suspects: quarantine.NewRelayed(), quotas: backpressure.NewQuotas()}, nil
 }
 
 func listen(address string) (*net.UDPConn, error) {
@@ -169,8 +179,12 @@
 		if err != nil || json.Unmarshal(buffer[:n], &asked) != nil {
 			continue
 		}
-		told(asked.Notice)
 		now := clock.Now()
+		if asked.Ask != nil {
+			p.deal(*asked.Ask, from, now)
+			continue
+		}
+		told(asked.Notice)
 		if p.suspects.Merge(asked.Suspects, now) {
 			p.tellSuspects(now)
 		}
@@ -180,7 +194,7 @@
 		p.read = history.Later(p.read, history.Position{Era: asked.Era, Offset: asked.Read})
 		answer := message{
 			Report: withTurn(p.last, p.turnsLocked()[from]), Echo: asked.Stamp, Read: p.read.Offset, Era: p.read.Era,
-			Readers: p.readersLocked(asked.Region), Suspects: p.suspects.Tell(now),
+			Readers: p.readersLocked(asked.Region), Suspects: p.suspects.Tell(now), Endpoints: p.quotas.Tell(now),
 		}
 		answer.Knowledge, answer.Knower = p.knowsMostLocked(now)
 		p.mu.Unlock()
@@ -211,6 +225,21 @@
 	}
 }
 
+// deal answers a wish for permits, and tells all subscribers at once what an
+// endpoint has said anew: whoever did not hear it goes on sending.
+func (p *Publisher) deal(a backpressure.Ask, from netip.AddrPort, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	grant, news := p.quotas.Ask(a, now)
+	p.send(message{Grant: &grant}, from)
+	if !news {
+		return
+	}
+	for to := range p.subs {
+		p.send(message{Endpoints: []backpressure.Record{grant.Record}}, to)
+	}
+}
+
 // Publish sends r to the subscribers if it is due; eager says that a version
 // is changing.
 func (p *Publisher) Publish(r fleet.Report, eager bool, now time.Time) {
@@ -287,6 +316,10 @@
 	// HeardSuspects takes what gateways told of requests under which endpoints
 	// crashed.
 	HeardSuspects(suspects []quarantine.Record)
+	// Granted takes the answer to Subscriber.Ask.
+	Granted(g backpressure.Grant)
+	// HeardEndpoints takes what gateways heard of endpoints.
+	HeardEndpoints(records []backpressure.Record)
 }
 
 // NewSubscriber listens for reports at address.
@@ -331,6 +364,18 @@
 	}
 }
 
+// Ask asks the sidecar that publishes at an address for permits; the answer comes to
+// the Handler.
+func (s *Subscriber) Ask(a backpressure.Ask, sidecar string) {
+	text, err := json.Marshal(subscribe{Ask: &a})
+	if err != nil {
+		panic("loadreport: an ask does not marshal: " + err.Error())
+	}
+	if to, err := netip.ParseAddrPort(sidecar); err == nil {
+		_, _ = s.conn.WriteToUDPAddrPort(text, to) // asked again while it is wanted
+	}
+}
+
 func (s *Subscriber) receive(h Handler) {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -345,6 +390,12 @@
 		if len(m.Suspects) > 0 {
 			h.HeardSuspects(m.Suspects)
 		}
+		if len(m.Endpoints) > 0 {
+			h.HeardEndpoints(m.Endpoints)
+		}
+		if m.Grant != nil {
+			h.Granted(*m.Grant)
+		}
 		switch {
 		case m.Address == "":
 		case m.Echo <= 0:
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/quarantine"
@@ -26,7 +27,9 @@
 	echo    Echo
 	readers []string
 	// suspects are those that were heard of, by id.
-	suspects map[quarantine.ID]quarantine.Record
+	suspects  map[quarantine.ID]quarantine.Record
+	grants    []backpressure.Grant
+	endpoints []backpressure.Record
 }
 
 func (h *heard) HeardSuspects(suspects []quarantine.Record) {
@@ -40,6 +43,18 @@
 	}
 }
 
+func (h *heard) Granted(g backpressure.Grant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.grants = append(h.grants, g)
+}
+
+func (h *heard) HeardEndpoints(records []backpressure.Record) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.endpoints = append(h.endpoints, records...)
+}
+
 func (h *heard) Heard(r fleet.Report, e *Echo) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
