gateway: an endpoint that says in an answer that it leaves gets no new requests, whatever the list tells

Requests reached an engine 2.3 to 2.6 s after its answers had told the gateway that it leaves; the store was away, and the list went on telling that it was ready. Cause: leaving was taken from the list alone. Three sources tell of it now (list, answers, the engine's answer to its sidecar), and one owner holds it, by life: nothing takes it back, neither a newer entry nor the loss of the entry nor a store back from an older copy. Engines name a limit to their sidecar, too, where they do.

--- a/backpressure/quota.go
+++ b/backpressure/quota.go
@@ -72,9 +72,9 @@
 	return permits, afterMS
 }
 
-// forget drops what no gateway asks for any more.
+// forget drops what no gateway has told for long.
 func (q *Quotas) forget(now time.Time) {
-	q.table.Forget(func(string) bool { return false }, now)
+	q.table.Forget(func(id string) bool { return now.Sub(q.table.states[id].heardAt) < toldFor }, now)
 	for s := range q.buckets {
 		if q.table.states[s.id] != s {
 			delete(q.buckets, s)
--- a/backpressure/record.go
+++ b/backpressure/record.go
@@ -13,6 +13,7 @@
 type Record struct {
 	ID      string  `json:"i"`
 	Born    int64   `json:"b,omitempty"`
+	Leaving bool    `json:"l,omitempty"`
 	Limited bool    `json:"m,omitempty"`
 	Rate    float64 `json:"r,omitempty"`
 	// LimitAgeMS is how long ago the limit, or its end, was last heard; less than 0
@@ -33,7 +34,7 @@
 
 // record is what the state tells others.
 func (s *State) record(now time.Time) Record {
-	r := Record{ID: s.id, Born: s.born, Limited: s.limit.Named, Rate: s.limit.Rate, LimitAgeMS: -1}
+	r := Record{ID: s.id, Born: s.born, Leaving: s.leaving, Limited: s.limit.Named, Rate: s.limit.Rate, LimitAgeMS: -1}
 	if !s.limitAt.IsZero() {
 		r.LimitAgeMS = now.Sub(s.limitAt).Milliseconds()
 	}
@@ -46,8 +47,16 @@
 	if s.born > r.Born && r.Born != 0 {
 		return nil // of the life before
 	}
+	if r.Leaving || r.LimitAgeMS >= 0 {
+		s.heardAt = now
+	}
+	var out []Change
+	if r.Leaving && !s.leaving {
+		out = s.Leave()
+		s.tell = false // whoever told it tells the others
+	}
 	if r.LimitAgeMS < 0 {
-		return nil
+		return out
 	}
 	at := now.Add(-time.Duration(r.LimitAgeMS) * time.Millisecond)
 	limit := Limit{Named: r.Limited, Rate: r.Rate}
@@ -56,10 +65,9 @@
 		margin = 0
 	}
 	if !at.After(s.limitAt.Add(margin)) {
-		return nil
+		return out
 	}
-	s.heardAt = now
-	return s.setLimit(limit, at)
+	return append(out, s.setLimit(limit, at)...)
 }
 
 // Tell returns what was said last, of as many endpoints as are told unasked.
--- a/backpressure/table.go
+++ b/backpressure/table.go
@@ -32,15 +32,19 @@
 	id    string
 	// born is when the life began, in Unix milliseconds; 0 while that is not known.
 	born int64
-	// heardAt is when the endpoint last said anything of this.
+	// heardAt is when anything of this was last said, and unlisted since when the
+	// endpoint is known not to be on the list, or zero.
 	heardAt  time.Time
+	unlisted time.Time
 	leaving  bool
 	restTill time.Time
 	limit    Limit
 	// limitAt is when the limit, or its end, was last heard.
 	limitAt time.Time
-	permits permits
-	// tell says that other gateways are to hear of the limit.
+	// limitReported says that the last report named the limit.
+	limitReported bool
+	permits       permits
+	// tell says that other gateways are to hear of the limit, or of leaving.
 	tell bool
 	// unreadable are the fields of which an unreadable value has been told.
 	unreadable map[string]bool
@@ -105,9 +109,8 @@
 // what has changed.
 func (s *State) Hear(w Word, sent, now time.Time) []Change {
 	var out []Change
-	if w.Leaving && !s.leaving {
-		s.leaving = true
-		out = append(out, Change{Kind: LeavingSaid})
+	if w.Leaving {
+		out = append(out, s.Leave()...)
 	}
 	if w.Rest > 0 {
 		out = append(out, s.hearRest(min(w.Rest, maxRest), now)...)
@@ -122,6 +125,35 @@
 	return out
 }
 
+// Leave takes the word that the endpoint leaves. Nothing takes it back within a life:
+// a list may be older than that.
+func (s *State) Leave() []Change {
+	if s.leaving {
+		return nil
+	}
+	s.leaving, s.tell = true, true
+	return []Change{{Kind: LeavingSaid}}
+}
+
+// ListedLeaving takes that word of the list, which all gateways read.
+func (s *State) ListedLeaving() { s.leaving = true }
+
+// HearReport takes what the endpoint says to the sidecar beside it. Where it says
+// nothing there it may yet say it in answers to gateways: only a limit that was named
+// there ends there.
+func (s *State) HearReport(w Word, now time.Time) {
+	if w.Leaving {
+		s.leaving = true
+	}
+	if w.Limit.Named || s.limitReported {
+		s.setLimit(w.Limit, now)
+	}
+	s.limitReported = w.Limit.Named
+}
+
+// Leaving reports whether the endpoint gets no new requests any more.
+func (s *State) Leaving() bool { return s.leaving }
+
 // hearRest takes a rest. What was asked before is not shortened: of answers to
 // several requests in flight, any may come last.
 func (s *State) hearRest(rest time.Duration, now time.Time) []Change {
@@ -228,22 +260,34 @@
 	maxKept = 2048
 )
 
+// matters reports whether the endpoint has said anything that still holds.
+func (s *State) matters(now time.Time) bool {
+	return s.leaving || s.limit.Named || now.Before(s.restTill)
+}
+
 // Forget drops what cannot matter any more of endpoints that are not on the list.
 func (t *Table) Forget(listed func(id string) bool, now time.Time) {
 	var kept []*State
 	for id, s := range t.states {
 		switch {
 		case listed(id):
-		case now.Sub(s.heardAt) > keptFor:
+			s.unlisted = time.Time{}
+			continue
+		case s.unlisted.IsZero():
+			s.unlisted = now
+		}
+		if !s.matters(now) || now.Sub(s.unlisted) > keptFor {
 			delete(t.states, id)
-		default:
-			kept = append(kept, s)
+			continue
 		}
+		kept = append(kept, s)
 	}
 	if len(kept) <= maxKept {
 		return
 	}
-	slices.SortFunc(kept, func(a, b *State) int { return cmp.Or(b.heardAt.Compare(a.heardAt), cmp.Compare(a.id, b.id)) })
+	slices.SortFunc(kept, func(a, b *State) int {
+		return cmp.Or(b.unlisted.Compare(a.unlisted), b.heardAt.Compare(a.heardAt), cmp.Compare(a.id, b.id))
+	})
 	for _, s := range kept[maxKept:] {
 		delete(t.states, s.id)
 	}
--- a/cmd/mintlift/leaving_test.go
+++ b/cmd/mintlift/leaving_test.go
@@ -34,6 +34,28 @@
 	getsNothingAfterLeaving(t, d, talkers[0], enginePath)
 }
 
+// The same at an endpoint beside which no sidecar is, and while the list tells again
+// that it is ready.
+func TestLeavingOfAPlainEndpointIsHeardInAnswers(t *testing.T) {
+	t.Parallel()
+	d, _ := startTalkers(t, 3, 2)
+	leaving := startPlain(t, d)
+	startPlain(t, d)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(300 * time.Millisecond):
+				leaving.list("ready")
+			}
+		}
+	}()
+	getsNothingAfterLeaving(t, d, leaving, plainPath)
+}
+
 // getsNothingAfterLeaving lets an endpoint say that it leaves, and checks that each
 // gateway stops sending in time.
 func getsNothingAfterLeaving(t *testing.T, d *engines, leaving *talker, path string) {
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -64,7 +64,7 @@
 
 // usable reports whether the endpoint may get the attempt at all.
 func (e *Endpoint) usable(q *Query, now time.Time) bool {
-	if e.Draining || e.misdirected || q.Exclude[e.ID] || q.Alone && e.alone {
+	if e.Said.Leaving() || e.misdirected || q.Exclude[e.ID] || q.Alone && e.alone {
 		return false
 	}
 	if q.Model == "" {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,11 +19,12 @@
 
 // Record is an endpoint as the platform's list tells it.
 type Record struct {
-	ID       string
-	Service  string
-	Address  string // IP:PORT
-	Zone     string
-	Slots    int
+	ID      string
+	Service string
+	Address string // IP:PORT
+	Zone    string
+	Slots   int
+	// Draining is what the list says; Endpoint.Said knows more.
 	Draining bool
 	// Born is when the endpoint's process started, in Unix milliseconds, or 0 if
 	// it does not tell. With the ID it names one life of the endpoint.
@@ -50,6 +51,11 @@
 	// Doubted says that the engine tells a version of which it is not known
 	// whether its weights are of it.
 	Doubted bool `json:"d,omitempty"`
+	// Leaving and Limited are what the engine's answer said to the sidecar, as to
+	// any other that asks it something; Limit is in requests a second.
+	Leaving bool    `json:"leaving,omitempty"`
+	Limited bool    `json:"limited,omitempty"`
+	Limit   float64 `json:"limit,omitempty"`
 
 	Running int     `json:"r"`
 	Queued  int     `json:"q"`
@@ -110,6 +116,14 @@
 // Put adds or changes an endpoint. It reports whether anything but the
 // heartbeat changed.
 func (f *Fleet) Put(r Record) bool {
+	changed := f.put(r)
+	if e := f.byID[r.ID]; e != nil && e.Draining {
+		e.Said.ListedLeaving()
+	}
+	return changed
+}
+
+func (f *Fleet) put(r Record) bool {
 	e := f.byID[r.ID]
 	switch {
 	case e == nil || e.Born == 0 || r.Born == 0:
@@ -261,6 +275,7 @@
 	changed = e.reportAt.IsZero() || e.report.Version != r.Version || e.report.Busy != r.Busy || e.report.Doubted != r.Doubted
 	e.report = r
 	e.reportAt = now
+	e.Said.HearReport(backpressure.Word{Leaving: r.Leaving, Limit: backpressure.Limit{Named: r.Limited, Rate: r.Limit}}, now)
 	e.heardAt = now
 	if roundTrip >= 0 {
 		e.roundTrip, e.roundAt = roundTrip, now
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/backpressure"
 )
 
 var start = time.Unix(1000, 0)
@@ -70,6 +72,45 @@
 	assert.Equal(t, chosen(f, query(), start), "")
 }
 
+// What an endpoint said in an answer outlasts its entry, and what a list says of it
+// that is older; a new life has said nothing.
+func TestWordsOutlastTheList(t *testing.T) {
+	f := New(Place{Zone: "z"})
+	r := Record{ID: "a", Service: "s", Address: "a:1", Born: 5, Models: map[string]int{model: 1}}
+	for _, lose := range []func(){
+		func() {},
+		func() { f.Remove("a") },
+		func() { f.Replace(nil) },
+		func() { f.Put(Record{ID: "other", Service: "s", Address: "a:1"}) },
+		func() { f.Forget(start) },
+	} {
+		f.Put(r)
+		f.ByID("a").Said.Hear(backpressure.Word{Leaving: true}, start, start)
+		lose()
+		f.Put(r)
+		assert.Equal(t, chosen(f, query(), start), "")
+	}
+	r.Born = 6
+	f.Put(r)
+	assert.Equal(t, chosen(f, query(), start), "a")
+}
+
+// An engine says to its sidecar what it says to others.
+func TestWordsInReports(t *testing.T) {
+	f := engines(2)
+	r := report("a", 1, 0, 0)
+	r.Leaving = true
+	f.Heard(r, 0, start)
+	f.Heard(report("a", 1, 0, 0), 0, start)
+	assert.Equal(t, chosen(f, query(), start), "b")
+	r = report("b", 1, 0, 0)
+	r.Limited, r.Limit = true, 1
+	f.Heard(r, 0, start)
+	assert.Equal(t, chosen(f, query(), start), "", "it has no permit")
+	f.Heard(report("b", 1, 0, 0), 0, start)
+	assert.Equal(t, chosen(f, query(), start), "b", "the limit has ended")
+}
+
 func TestBusyEngineGetsNothing(t *testing.T) {
 	f := engines(1)
 	r := report("a", 1, 0, 0)
--- a/fleet/free_test.go
+++ b/fleet/free_test.go
@@ -22,7 +22,9 @@
 				r.Busy = rapid.Bool().Draw(t, "busy")
 				f.Heard(r, -1, now)
 			}
-			e.Draining = rapid.IntRange(0, 5).Draw(t, "draining") == 0
+			if rapid.IntRange(0, 5).Draw(t, "leaving") == 0 {
+				e.Said.ListedLeaving()
+			}
 		}
 		now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "later")) * time.Millisecond)
 		narrow := query()
--- a/fleet/watch_test.go
+++ b/fleet/watch_test.go
@@ -83,8 +83,9 @@
 	}
 	assert.Assert(t, f.Choose(query(), start) == nil, "those that are watched are full, not gone")
 	for id := range watched {
-		e := f.byID[id]
-		e.Draining = true
+		leaving := f.byID[id].Record
+		leaving.Draining = true
+		f.Put(leaving)
 	}
 	e := f.Choose(query(), start)
 	assert.Assert(t, e != nil && !watched[e.ID])
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -24,6 +24,7 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/telemetry"
 	"github.com/mintlift/mintlift/transfer"
 )
@@ -72,6 +73,8 @@
 	// Born is when the engine's process started, in Unix milliseconds, or 0 if
 	// it does not tell.
 	Born int64
+	// Said is what the engine's answer said of itself.
+	Said backpressure.Word
 }
 
 // Engine is the engine beside the sidecar.
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -125,9 +125,9 @@
 	// when there is news.
 	Suspects []quarantine.Record `json:"x,omitempty"`
 	// Grant answers an Ask. It comes alone.
-	Grant *backpressure.Grant `json:"t,omitempty"`
+	Grant *backpressure.Grant `json:"grant,omitempty"`
 	// Endpoints is what gateways heard of endpoints. It comes as Suspects do.
-	Endpoints []backpressure.Record `json:"w,omitempty"`
+	Endpoints []backpressure.Record `json:"endpoints,omitempty"`
 }
 
 // Publisher sends reports from a sidecar.
