gateway: an endpoint that turns requests away and asks for rest gets it

Engines that had asked a gateway for 3 s of rest got 21 to 41 requests of it in that time and turned each away; over a tenth of three kinds of requests was not served. Cause: of a refusal the status alone was read. An endpoint that turns away at once has nothing in progress, and so looked like the one with the most room.

A rest is heard from any 503, is never shortened by what comes later, and ends with the endpoint's life. It is asked when an endpoint is chosen and once there is a connection. After it one request tries whether the endpoint takes requests again, the others follow when one was taken. One answer keeps a gateway away for ten minutes at most. A queue is looked at again when the next endpoint opens.

--- a/backpressure/table.go
+++ b/backpressure/table.go
@@ -38,7 +38,11 @@
 	unlisted time.Time
 	leaving  bool
 	restTill time.Time
-	limit    Limit
+	// returning says that no answer has shown yet that the endpoint takes requests
+	// again after a rest, and triedAt when one was sent last to find out.
+	returning bool
+	triedAt   time.Time
+	limit     Limit
 	// limitAt is when the limit, or its end, was last heard.
 	limitAt time.Time
 	// limitReported says that the last report named the limit.
@@ -103,6 +107,9 @@
 	maxRest = 10 * time.Minute
 	// restStep is the least by which a rest grows that is told as a change.
 	restStep = time.Second
+	// tryEvery is how often a request is sent to an endpoint after its rest until
+	// it takes one: sent all at once, they would all be turned away again.
+	tryEvery = time.Second
 )
 
 // Hear takes what an answer says; sent is when its request was sent. It returns
@@ -112,8 +119,11 @@
 	if w.Leaving {
 		out = append(out, s.Leave()...)
 	}
-	if w.Rest > 0 {
+	switch {
+	case w.Rest > 0:
 		out = append(out, s.hearRest(min(w.Rest, maxRest), now)...)
+	case !sent.Before(s.restTill):
+		s.returning = false
 	}
 	if !w.Limit.Kept {
 		out = append(out, s.hearLimit(w.Limit, sent, now)...)
@@ -161,7 +171,7 @@
 	if !till.After(before) {
 		return nil
 	}
-	s.restTill = till
+	s.restTill, s.returning, s.triedAt = till, true, time.Time{}
 	if now.Before(before) && till.Sub(before) < restStep {
 		return nil
 	}
@@ -198,20 +208,43 @@
 	}
 }
 
+// Resting reports whether the endpoint wants nothing from this gateway now.
+func (s *State) Resting(now time.Time) bool { return now.Before(s.restTill) }
+
+// Closed reports whether the endpoint is left alone because of a rest: it lasts, or
+// another request tries whether it has ended.
+func (s *State) Closed(now time.Time) bool { return s.restFrom(now).After(now) }
+
+// restFrom returns when the endpoint may get a request as far as rests go.
+func (s *State) restFrom(now time.Time) time.Time {
+	switch {
+	case s.Resting(now):
+		return s.restTill
+	case s.returning && !s.triedAt.IsZero():
+		return later(s.triedAt.Add(tryEvery), now)
+	default:
+		return now
+	}
+}
+
 // Limited reports whether the endpoint has named a limit that is in force.
 func (s *State) Limited() bool { return s.limit.Named }
 
 // From returns when the endpoint may get a request of this gateway at the earliest:
 // now, if it may.
 func (s *State) From(now time.Time) time.Time {
+	from := s.restFrom(now)
 	if s.limit.Named {
-		return s.permits.from(s.limit.Rate, s.table.gateways, now)
+		from = later(from, s.permits.from(s.limit.Rate, s.table.gateways, now))
 	}
-	return now
+	return from
 }
 
 // Take notes that a request is sent to the endpoint.
 func (s *State) Take(now time.Time) {
+	if s.returning {
+		s.triedAt = now
+	}
 	if s.limit.Named {
 		s.permits.take(s.limit.Rate, s.table.gateways, now)
 	}
--- a/backpressure/table_test.go
+++ b/backpressure/table_test.go
@@ -72,6 +72,23 @@
 	assert.Assert(t, s.restTill.Equal(at(1).Add(maxRest)))
 }
 
+// After a rest one request tries whether it has ended; the others follow once it was
+// taken.
+func TestOneRequestTriesAfterARest(t *testing.T) {
+	s := NewTable().Of("e", 1)
+	s.Hear(Word{Rest: 3 * time.Second}, at(0), at(0))
+	assert.Assert(t, s.Closed(at(2.9)) && s.Resting(at(2.9)))
+	assert.Assert(t, !s.Closed(at(3)))
+	s.Take(at(3))
+	assert.Assert(t, s.Closed(at(3.1)) && !s.Resting(at(3.1)))
+	s.Hear(Word{}, at(0), at(3.1))
+	assert.Assert(t, s.Closed(at(3.2)), "an answer to a request of before")
+	assert.Assert(t, !s.Closed(at(4)), "it is tried again if nothing comes")
+	s.Hear(Word{}, at(3), at(4))
+	s.Take(at(4.1))
+	assert.Assert(t, !s.Closed(at(4.1)))
+}
+
 // What is remembered is bounded, and none of it is lost while the endpoint is
 // missing from the list for a moment.
 func TestMemoryIsBounded(t *testing.T) {
--- a/cmd/mintlift/rest_test.go
+++ b/cmd/mintlift/rest_test.go
@@ -38,6 +38,19 @@
 	getsRest(t, d, talkers[0], enginePath, 3)
 }
 
+// The same at other times, and at an endpoint beside which no sidecar is.
+func TestRestsOfOtherLengthsAreGiven(t *testing.T) {
+	for _, seconds := range []float64{0.7, 1.5} {
+		t.Run(strconv.FormatFloat(seconds, 'f', -1, 64), func(t *testing.T) {
+			t.Parallel()
+			d, _ := startTalkers(t, 2, 1)
+			resting := startPlain(t, d)
+			startPlain(t, d)
+			getsRest(t, d, resting, plainPath, seconds)
+		})
+	}
+}
+
 // getsRest lets an endpoint turn all requests away and ask for seconds of rest, and
 // checks that each gateway gives it that.
 func getsRest(t *testing.T, d *engines, resting *talker, path string, seconds float64) {
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -106,7 +106,7 @@
 
 // open reports whether the endpoint is being left alone.
 func (e *Endpoint) open(now time.Time) bool {
-	return e.strikes > 0 && (now.Before(e.openTill) || e.probing)
+	return e.Said.Closed(now) || e.strikes > 0 && (now.Before(e.openTill) || e.probing)
 }
 
 // Choose returns the endpoint for an attempt and counts the attempt there,
--- a/fleet/permits.go
+++ b/fleet/permits.go
@@ -16,6 +16,9 @@
 func (f *Fleet) Opens(service string, now time.Time) time.Time {
 	var first time.Time
 	for _, e := range f.byService[service] {
+		if e.Said.Leaving() {
+			continue
+		}
 		if at := e.Said.From(now); at.After(now) && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -282,6 +282,7 @@
 	if q == nil || len(q.waiters) == 0 {
 		return
 	}
+	defer s.wakeLater(service, q, now)
 	free := s.fleet.Free(s.widest(q.waiters[0].exchange, now), now)
 	if len(free) == 0 {
 		return
@@ -301,7 +302,6 @@
 	}
 	clear(q.waiters[len(kept):])
 	q.waiters = kept
-	s.wakeLater(service, q, now)
 }
 
 // wakeLater lets the waiters of a service be looked at again when the next endpoint
