gateway: callers of a service whose endpoints all leave, rest or are at their limit hear so at once

They waited out their hold, and a second one if they had come back, and were told a guess. Now they, and those that wait when the last endpoint closes, are refused with the reason and the earliest time at which one opens, spread; at most 10 s are told, since others may come. One that opens within the wait is waited for. An answer of another endpoint that has the address (421) says nothing of the one that was meant (test seen failing).

--- a/backpressure/permit.go
+++ b/backpressure/permit.go
@@ -16,9 +16,10 @@
 	// grantLife is how long a permit counts: what was dealt out may still be sent
 	// for so long, and that must fit what a limit allows at most.
 	grantLife = time.Second
-	// askAgain is when an ask without an answer is taken for lost, and
-	// askPatience when nobody is taken to deal permits out; askAlone is how often
+	// askTakes is how long the answer to an ask usually takes, askAgain when one
+	// without an answer is taken for lost, and askPatience when nobody is taken to deal permits out; askAlone is how often
 	// that is tried again.
+	askTakes    = 10 * time.Millisecond
 	askAgain    = 60 * time.Millisecond
 	askPatience = 300 * time.Millisecond
 	askAlone    = time.Second
@@ -83,7 +84,7 @@
 	case p.alone(now):
 		return p.slotFrom(rate, gateways, now)
 	default:
-		return later(p.next, now.Add(askAgain))
+		return later(p.next, now.Add(askTakes))
 	}
 }
 
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -64,7 +64,12 @@
 
 // usable reports whether the endpoint may get the attempt at all.
 func (e *Endpoint) usable(q *Query, now time.Time) bool {
-	if e.Said.Leaving() || e.misdirected || q.Exclude[e.ID] || q.Alone && e.alone {
+	return !e.Said.Leaving() && e.fits(q, now)
+}
+
+// fits is usable, whether the endpoint leaves or not.
+func (e *Endpoint) fits(q *Query, now time.Time) bool {
+	if e.misdirected || q.Exclude[e.ID] || q.Alone && e.alone {
 		return false
 	}
 	if q.Model == "" {
@@ -105,8 +110,11 @@
 const atOnceSlots = 2
 
 // open reports whether the endpoint is being left alone.
-func (e *Endpoint) open(now time.Time) bool {
-	return e.Said.Closed(now) || e.strikes > 0 && (now.Before(e.openTill) || e.probing)
+func (e *Endpoint) open(now time.Time) bool { return e.Said.Closed(now) || e.struck(now) }
+
+// struck reports whether that is because it failed.
+func (e *Endpoint) struck(now time.Time) bool {
+	return e.strikes > 0 && (now.Before(e.openTill) || e.probing)
 }
 
 // Choose returns the endpoint for an attempt and counts the attempt there,
@@ -264,11 +272,11 @@
 }
 
 // Usable counts the endpoints that could take a request, whatever their
-// load.
-func (f *Fleet) Usable(q Query, now time.Time) int {
+// load; one that rests counts if it does so no longer than a time.
+func (f *Fleet) Usable(q Query, by, now time.Time) int {
 	count := 0
 	for _, e := range f.byService[q.Service] {
-		if e.usable(&q, now) && !e.open(now) {
+		if e.usable(&q, now) && !e.struck(now) && !e.Said.Closed(by) {
 			count++
 		}
 	}
--- a/fleet/permits.go
+++ b/fleet/permits.go
@@ -26,6 +26,63 @@
 	return first
 }
 
+// Closure is why no endpoint of a service takes an attempt, by their own words.
+type Closure struct {
+	Reason Reason
+	// Until is when one may take it at the earliest; zero if that is not known.
+	Until time.Time
+}
+
+// Reason is what endpoints have said that closes them.
+type Reason int
+
+// The reasons, from what passes soonest.
+const (
+	Open Reason = iota // at least one is not closed by its own word
+	Limited
+	Resting
+	Leaving
+)
+
+func (r Reason) String() string {
+	return [...]string{"are open", "are at their limits", "rest", "leave"}[r]
+}
+
+// Closed tells whether all endpoints that could take an attempt have said that they
+// will not before a time. With several reasons it is that of the one that opens
+// first.
+func (f *Fleet) Closed(q Query, by, now time.Time) Closure {
+	c := Closure{Reason: Open}
+	for _, e := range f.byService[q.Service] {
+		if !e.fits(&q, now) {
+			continue
+		}
+		reason, from := e.closure(now)
+		if reason == Open || !from.IsZero() && !from.After(by) {
+			return Closure{Reason: Open}
+		}
+		if c.Reason == Open || c.Until.IsZero() || !from.IsZero() && from.Before(c.Until) {
+			c = Closure{reason, from}
+		}
+	}
+	return c
+}
+
+// closure returns why the endpoint takes nothing now by its own word, and until when.
+func (e *Endpoint) closure(now time.Time) (Reason, time.Time) {
+	from := e.Said.From(now)
+	switch {
+	case e.Said.Leaving():
+		return Leaving, time.Time{}
+	case e.Said.Closed(now):
+		return Resting, from
+	case from.After(now):
+		return Limited, from
+	default:
+		return Open, now
+	}
+}
+
 // Asks calls ask with what is to be asked, or told, of the endpoints of a service.
 func (f *Fleet) Asks(service string, now time.Time, ask func(e *Endpoint, a backpressure.Ask)) {
 	for _, e := range f.byService[service] {
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -61,6 +61,9 @@
 	retryAfterMore  = 1300 * time.Millisecond
 	// retryAfterNone is added when no endpoint could serve at all.
 	retryAfterNone = 600 * time.Millisecond
+	// maxRetryAfter bounds what is added while all endpoints rest: others may come
+	// meanwhile.
+	maxRetryAfter = 10 * time.Second
 	// retryAfterUnready and its range are for a gateway without a configuration:
 	// it may be seconds until the store answers. Callers wait no longer than a
 	// third of their time.
@@ -72,7 +75,9 @@
 type waiter struct {
 	exchange *exchange
 	rank     rank
-	granted  chan *fleet.Endpoint // holds one
+	until    time.Time // it is refused then
+	// granted holds one: the endpoint, or nil if it is refused.
+	granted chan *fleet.Endpoint
 }
 
 // rank orders waiters: the lower goes first.
@@ -220,6 +225,7 @@
 	w := &waiter{
 		exchange: x,
 		rank:     rank{priority: x.priority, stage: x.stage(), due: x.start.Add(x.route.TargetLatency)},
+		until:    now.Add(hold),
 		granted:  make(chan *fleet.Endpoint, 1),
 	}
 	s.mu.Lock()
@@ -230,7 +236,7 @@
 	}
 	q.add(w)
 	s.dispatch(x.service, now)
-	unservable := x.attempts == 0 && !x.returned && len(w.granted) == 0 && s.fleet.Usable(s.servable(x, now), now) == 0
+	unservable := x.attempts == 0 && !x.returned && len(w.granted) == 0 && s.fleet.Usable(s.servable(x, now), w.until, now) == 0
 	if unservable {
 		q.remove(w)
 	}
@@ -257,7 +263,7 @@
 	q.remove(w)
 	select {
 	case e := <-w.granted:
-		if ctx.Err() == nil {
+		if ctx.Err() == nil || e == nil {
 			return e
 		}
 		s.fleet.Begun(e, x.work, unknownLate, clock.Now())
@@ -283,6 +289,10 @@
 		return
 	}
 	defer s.wakeLater(service, q, now)
+	s.refuseClosed(q, now)
+	if len(q.waiters) == 0 {
+		return
+	}
 	free := s.fleet.Free(s.widest(q.waiters[0].exchange, now), now)
 	if len(free) == 0 {
 		return
@@ -304,6 +314,22 @@
 	q.waiters = kept
 }
 
+// refuseClosed refuses the waiters for which all endpoints are closed, by their own
+// words, for longer than they wait. Server.mu is held.
+func (s *Server) refuseClosed(q *queue, now time.Time) {
+	if s.fleet.Closed(s.widest(q.waiters[0].exchange, now), now, now).Reason == fleet.Open {
+		return
+	}
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
+		c := s.fleet.Closed(s.servable(w.exchange, now), w.until, now)
+		if c.Reason == fleet.Open {
+			return false
+		}
+		w.granted <- nil
+		return true
+	})
+}
+
 // wakeLater lets the waiters of a service be looked at again when the next endpoint
 // may get a request: nothing else happens then. Server.mu is held.
 func (s *Server) wakeLater(service string, q *queue, now time.Time) {
@@ -371,18 +397,25 @@
 	return min(hold-now.Sub(x.start), x.end.Sub(now))
 }
 
-// retryAfter is when a refused caller should try again.
-func (s *Server) retryAfter(x *exchange) time.Duration {
+// whenToRetry is when a refused caller should try again, and whether that is because
+// all endpoints are closed by their own words.
+func (s *Server) whenToRetry(x *exchange) (fleet.Closure, time.Duration) {
 	now := clock.Now()
 	s.mu.Lock()
-	usable := s.fleet.Usable(s.servable(x, now), now)
+	q := s.servable(x, now)
+	q.Exclude = nil
+	usable := s.fleet.Usable(q, now, now)
+	closed := s.fleet.Closed(q, now, now)
 	s.mu.Unlock()
 	spread := float64(retryAfterRange) + float64(retryAfterMore)*s.pressureOf(x.service).share(now)
 	after := retryAfterMin + time.Duration(rand.Float64()*spread)
-	if usable == 0 {
+	switch {
+	case closed.Reason != fleet.Open && !closed.Until.IsZero():
+		after += min(closed.Until.Sub(now), maxRetryAfter)
+	case usable == 0:
 		after += retryAfterNone
 	}
-	return after
+	return closed, after
 }
 
 // retryAfterUnknown is when a caller should try again whom this gateway can
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 )
 
@@ -83,7 +84,12 @@
 	case x.quarantined(clock.Now()):
 		x.rejectQuarantined()
 	case !x.mayRun:
-		x.refuse(x.causeOr("no endpoint has room"), x.server.retryAfter(x))
+		closed, after := x.server.whenToRetry(x)
+		cause := x.causeOr("no endpoint has room")
+		if closed.Reason != fleet.Open {
+			cause = "all endpoints " + closed.Reason.String()
+		}
+		x.refuse(cause, after)
 	case ctx.Err() != nil:
 		x.fail(http.StatusGatewayTimeout, outcomeLate, x.causeOr("timed out"))
 	default:
--- a/ingress/said.go
+++ b/ingress/said.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/mintlift/mintlift/backpressure"
@@ -14,8 +15,8 @@
 // hear takes what an answer of e says of it.
 func (x *exchange) hear(e *fleet.Endpoint, r *upstream.Response) {
 	s := x.server
-	if s.settings.Said == nil {
-		return
+	if s.settings.Said == nil || r.Status == http.StatusMisdirectedRequest {
+		return // another endpoint may have the address, and mean itself
 	}
 	word := s.settings.Said(r.Status, r.Header)
 	now := clock.Now()
--- /dev/null
+++ b/ingress/said_test.go
@@ -0,0 +1,181 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ingress
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/backpressure"
+	"github.com/mintlift/mintlift/fleet"
+)
+
+// Headers by which endpoints of these tests speak of themselves.
+const (
+	leavingHeader = "Test-Leaving"
+	restHeader    = "Test-Rest"  // seconds
+	limitHeader   = "Test-Limit" // requests a second
+)
+
+// listen lets the gateway understand what endpoints say of themselves.
+func (w *world) listen() {
+	w.server.settings.Said = func(_ int, h http.Header) backpressure.Word {
+		said := backpressure.Word{Leaving: h.Get(leavingHeader) != ""}
+		if s, err := strconv.ParseFloat(h.Get(restHeader), 64); err == nil {
+			said.Rest = time.Duration(s * float64(time.Second))
+		}
+		if rate, err := strconv.ParseFloat(h.Get(limitHeader), 64); err == nil {
+			said.Limit = backpressure.Limited(rate)
+		}
+		return said
+	}
+}
+
+// says answers as h does, with one more header.
+func says(name, value string, h handler) handler {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(name, value)
+		h(w, r)
+	}
+}
+
+// to counts the requests that an endpoint got.
+func (w *world) to(id string) int {
+	count := 0
+	for _, s := range w.requests() {
+		if s.endpoint == id {
+			count++
+		}
+	}
+	return count
+}
+
+// An endpoint of which another one at its address says something is not meant.
+func TestMisdirectedAnswerSaysNothing(t *testing.T) {
+	w := newWorld(t)
+	w.listen()
+	w.configure(1)
+	misdirected := true
+	w.endpoint("a", "plain", func(rw http.ResponseWriter, r *http.Request) {
+		if misdirected {
+			says(leavingHeader, "1", status(http.StatusMisdirectedRequest))(rw, r)
+			return
+		}
+		ok("body")(rw, r)
+	})
+	w.get("GET", "/safe/1", "")
+	misdirected = false
+	r := w.records["a"]
+	r.Slots++
+	r.Models = map[string]int{"other": 1} // the list tells something new of it
+	w.server.PutEndpoint(r)
+	got, _ := w.get("GET", "/safe/1", "")
+	assert.Equal(t, got.StatusCode, http.StatusOK)
+}
+
+// Where all endpoints leave or rest, callers hear so at once, and when one may take
+// requests again; also those that were refused before.
+func TestClosedServicesRefuseAtOnce(t *testing.T) {
+	const rest = 30.0
+	for _, test := range []struct {
+		word, value string
+		h           handler
+		cause       string
+		least, most float64 // of Retry-After
+	}{
+		{leavingHeader, "1", ok("body"), "leave", 0.1, 3},
+		{restHeader, fmt.Sprint(rest), rejects, "rest", maxRetryAfter.Seconds(), maxRetryAfter.Seconds() + 3},
+		{restHeader, "1.5", rejects, "rest", 1.2, 4},
+	} {
+		for _, path := range []string{"/safe/", "/unsafe/", "/stream/"} {
+			t.Run(test.word+test.value+path, func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t)
+				w.listen()
+				w.configure(1)
+				for n := range 2 {
+					w.endpoint(fmt.Sprint("p", n), "plain", says(test.word, test.value, test.h))
+					w.endpoint(fmt.Sprint("e", n), "engine", says(test.word, test.value, test.h))
+				}
+				for n := range 4 { // until both have said it
+					w.get("POST", path+strconv.Itoa(n), "")
+				}
+				before := len(w.requests())
+				for _, deadline := range []string{"2000", "900"} { // the second has come back
+					began := time.Now()
+					r, body := w.get("POST", path+"x", "", with(names.Deadline, deadline))
+					assert.Assert(t, time.Since(began) < 50*time.Millisecond, "after %s", time.Since(began))
+					assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+					assert.Assert(t, len(body) > 0 && body == "all endpoints "+test.cause+"\n", body)
+					after, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+					assert.NilError(t, err)
+					assert.Assert(t, after >= test.least && after <= test.most, "%f s", after)
+				}
+				assert.Equal(t, len(w.requests()), before)
+			})
+		}
+	}
+}
+
+// A request that waits when the last endpoint closes is refused then.
+func TestWaitersAreRefusedWhenAllClose(t *testing.T) {
+	w := newWorld(t)
+	w.listen()
+	w.configure(1)
+	w.endpoint("e", "engine", ok("body"))
+	w.server.Heard(fleet.Report{Address: w.records["e"].Address, Model: model, Version: 1, Running: 100}, 0)
+	const closes = 60 * time.Millisecond
+	time.AfterFunc(closes, func() {
+		w.server.HeardEndpoints([]backpressure.Record{{ID: "e", Leaving: true, LimitAgeMS: -1}})
+	})
+	began := time.Now()
+	r, body := w.get("POST", "/stream/1", "")
+	took := time.Since(began)
+	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, body, "all endpoints leave\n")
+	assert.Assert(t, took > closes && took < closes+50*time.Millisecond, "after %s", took)
+}
+
+// A rest that ends while a request waits lets it through.
+func TestRestEndsWhileARequestWaits(t *testing.T) {
+	w := newWorld(t)
+	w.listen()
+	w.configure(1)
+	resting := true
+	w.endpoint("a", "plain", func(rw http.ResponseWriter, r *http.Request) {
+		if resting {
+			resting = false
+			says(restHeader, "0.15", rejects)(rw, r)
+			return
+		}
+		ok("body")(rw, r)
+	})
+	w.get("GET", "/unsafe/1", "")
+	began := time.Now()
+	r, _ := w.get("GET", "/safe/1", "")
+	assert.Equal(t, r.StatusCode, http.StatusOK)
+	assert.Assert(t, time.Since(began) > 50*time.Millisecond && time.Since(began) < time.Second, "after %s", time.Since(began))
+	assert.Equal(t, w.to("a"), 2)
+}
+
+// While a request waits for its connection its endpoint may say that it leaves or
+// rests: it is not sent there then.
+func TestWordsAreAskedOnceThereIsAConnection(t *testing.T) {
+	for _, word := range []backpressure.Word{{Leaving: true}, {Rest: time.Minute}, {Limit: backpressure.Limited(0)}} {
+		w := newWorld(t)
+		w.listen()
+		w.configure(1)
+		w.endpoint("a", "plain", ok("body"))
+		e := w.server.fleet.ByID("a")
+		x := &exchange{server: w.server}
+		assert.Assert(t, w.server.mayStill(x, e))
+		now := time.Now()
+		e.Said.Hear(word, now, now)
+		assert.Assert(t, !w.server.mayStill(x, e), "%+v", word)
+	}
+}
--- a/loadreport/suspects_test.go
+++ b/loadreport/suspects_test.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
@@ -95,16 +97,26 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(subscription) < maxDatagram, "%d bytes", len(subscription))
 	answer, err := json.Marshal(message{
-		Report:   fleet.Report{Address: "255.255.255.255:65535", Model: "a-model-with-a-long-name", Version: 1 << 20, Busy: true, Promised: true, Running: 9999, Queued: 9999, Pace: 12.345678, Weights: 1<<32 - 1, Gateways: 9999, Turn: 99.99, Share: 0.99},
-		Echo:     1 << 50,
-		Read:     1 << 40,
-		Readers:  []string{"255.255.255.255", "255.255.255.255"},
-		Suspects: table.Tell(now),
+		Report:    fleet.Report{Address: "255.255.255.255:65535", Model: "a-model-with-a-long-name", Version: 1 << 20, Busy: true, Promised: true, Running: 9999, Queued: 9999, Pace: 12.345678, Weights: 1<<32 - 1, Gateways: 9999, Turn: 99.99, Share: 0.99, Born: 1 << 42, Leaving: true, Limited: true, Limit: 123.456789},
+		Echo:      1 << 50,
+		Read:      1 << 40,
+		Readers:   []string{"255.255.255.255", "255.255.255.255"},
+		Suspects:  table.Tell(now),
+		Endpoints: toldEndpoints(now),
 	})
 	assert.NilError(t, err)
 	assert.Assert(t, len(answer) < maxDatagram, "%d bytes", len(answer))
 }
 
+// toldEndpoints are as many and as long records of endpoints as a sidecar tells.
+func toldEndpoints(now time.Time) []backpressure.Record {
+	quotas := backpressure.NewQuotas()
+	for n := range 100 {
+		quotas.Ask(backpressure.Ask{Record: backpressure.Record{ID: fmt.Sprintf("i-%022d", n), Born: 1 << 42, Leaving: true, Limited: true, Rate: 123.456789, LimitAgeMS: 1e6}}, now)
+	}
+	return quotas.Tell(now)
+}
+
 // A relay that stops hearing of a request forgets it.
 func TestSidecarsForgetSuspects(t *testing.T) {
 	publisher, telling := pair(t, func(Notice) {})
