--- a/cmd/mintlift/leaving_test.go
+++ b/cmd/mintlift/leaving_test.go
@@ -61,10 +61,7 @@
 func getsNothingAfterLeaving(t *testing.T, d *engines, leaving *talker, path string) {
 	t.Helper()
 	began := time.Now()
-	leaving.speak(func(h http.Header) int {
-		h.Set("Server-Leaving", "1")
-		return http.StatusOK
-	})
+	leaving.words.Leave()
 	d.press(path, drainBound+3*time.Second, 25*time.Millisecond)
 	told := make(map[string]time.Time)
 	late := 0
--- a/cmd/mintlift/limit_test.go
+++ b/cmd/mintlift/limit_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/platform"
+	"github.com/mintlift/mintlift/platform/enginetest"
 	"github.com/mintlift/mintlift/platform/storetest"
 )
 
@@ -76,10 +76,7 @@
 func keepsLimit(t *testing.T, d *engines, limited *talker, path string, rate float64) {
 	t.Helper()
 	named := time.Now()
-	limited.speak(func(h http.Header) int {
-		h.Set("Server-Limit", strconv.FormatFloat(rate, 'f', -1, 64))
-		return http.StatusOK
-	})
+	limited.words.Limit(rate)
 	d.press(path, contact+2*limitWindow, 25*time.Millisecond)
 	most := mostIn(limited.arrivals(), named.Add(contact), limitWindow)
 	allowed := int(limitFactor*rate*limitWindow.Seconds()) + limitSlack
@@ -136,8 +133,9 @@
 	service string
 	address string
 
+	words enginetest.Words
+
 	mu   sync.Mutex
-	say  func(h http.Header) int
 	seen []arrival
 }
 
@@ -168,7 +166,6 @@
 func listen(t *testing.T, e *talker) *talker {
 	t.Helper()
 	e.id = e.engines.newLife()
-	e.say = func(http.Header) int { return http.StatusOK }
 	listener, err := net.Listen("tcp4", e.address)
 	assert.NilError(t, err)
 	e.address = listener.Addr().String()
@@ -189,14 +186,6 @@
 		`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":16,"state":%q,"cold_remaining_ms":0%s,"sequence":1}`, e.service, e.address, state, models))
 }
 
-// speak sets what the endpoint says in its answers from now on; say returns the
-// status.
-func (e *talker) speak(say func(h http.Header) int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.say = say
-}
-
 func (e *talker) arrivals() []arrival {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -215,8 +204,11 @@
 	h := w.Header()
 	h.Set(platform.Headers().RequestID, id)
 	h.Set("Content-Type", "text/event-stream")
+	status := http.StatusOK
+	if e.words.Say(h).Rest > 0 {
+		status = http.StatusServiceUnavailable
+	}
 	e.mu.Lock()
-	status := e.say(h)
 	e.seen = append(e.seen, arrival{at: time.Now(), gateway: gatewayOf(id), status: status})
 	e.mu.Unlock()
 	if status != http.StatusOK {
--- a/cmd/mintlift/rest_test.go
+++ b/cmd/mintlift/rest_test.go
@@ -55,11 +55,8 @@
 // checks that each gateway gives it that.
 func getsRest(t *testing.T, d *engines, resting *talker, path string, seconds float64) {
 	t.Helper()
-	resting.speak(func(h http.Header) int {
-		h.Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
-		return http.StatusServiceUnavailable
-	})
 	rest := time.Duration(seconds * float64(time.Second))
+	resting.words.Rest(rest)
 	d.press(path, 2*rest+2*time.Second, 25*time.Millisecond)
 	seen := slices.DeleteFunc(resting.arrivals(), func(a arrival) bool { return a.status == http.StatusOK })
 	assert.Assert(t, len(seen) > 0, "it has turned nothing away")
