gateway: a refusal names the endpoint that closes a service; gauges of limits, leaving and rests

From a refused request's id its cause leads to the endpoint, and the endpoint's line to the request whose answer said it (OPERATIONS). The end of a rest is a line, too.

--- a/backpressure/table.go
+++ b/backpressure/table.go
@@ -94,11 +94,12 @@
 	LimitEnded
 	LeavingSaid
 	RestAsked
+	RestEnded
 	ValueUnreadable
 )
 
 func (k Kind) String() string {
-	return [...]string{"limit", "limit ended", "leaving", "rest", "unreadable"}[k]
+	return [...]string{"limit", "limit ended", "leaving", "rest", "rest ended", "unreadable"}[k]
 }
 
 const (
@@ -122,8 +123,9 @@
 	switch {
 	case w.Rest > 0:
 		out = append(out, s.hearRest(min(w.Rest, maxRest), now)...)
-	case !sent.Before(s.restTill):
+	case s.returning && !sent.Before(s.restTill):
 		s.returning = false
+		out = append(out, Change{Kind: RestEnded})
 	}
 	if !w.Limit.Kept {
 		out = append(out, s.hearLimit(w.Limit, sent, now)...)
@@ -230,6 +232,9 @@
 // Limited reports whether the endpoint has named a limit that is in force.
 func (s *State) Limited() bool { return s.limit.Named }
 
+// Rate is the limit, in requests a second of all gateways.
+func (s *State) Rate() float64 { return s.limit.Rate }
+
 // From returns when the endpoint may get a request of this gateway at the earliest:
 // now, if it may.
 func (s *State) From(now time.Time) time.Time {
--- a/fleet/permits.go
+++ b/fleet/permits.go
@@ -31,6 +31,8 @@
 	Reason Reason
 	// Until is when one may take it at the earliest; zero if that is not known.
 	Until time.Time
+	// Endpoint is the one that opens first, or one of them if that is not known.
+	Endpoint string
 }
 
 // Reason is what endpoints have said that closes them.
@@ -62,7 +64,7 @@
 			return Closure{Reason: Open}
 		}
 		if c.Reason == Open || c.Until.IsZero() || !from.IsZero() && from.Before(c.Until) {
-			c = Closure{reason, from}
+			c = Closure{reason, from, e.ID}
 		}
 	}
 	return c
@@ -83,6 +85,30 @@
 	}
 }
 
+// Words counts the endpoints by what they have said that is in force.
+type Words struct {
+	Leaving, Resting, Limited int
+	// Allowed is the sum of the limits, in requests a second.
+	Allowed float64
+}
+
+// Words returns what the endpoints of the list have said.
+func (f *Fleet) Words(now time.Time) (w Words) {
+	for _, e := range f.byID {
+		if e.Said.Leaving() {
+			w.Leaving++
+		}
+		if e.Said.Closed(now) {
+			w.Resting++
+		}
+		if e.Said.Limited() {
+			w.Limited++
+			w.Allowed += e.Said.Rate()
+		}
+	}
+	return w
+}
+
 // Asks calls ask with what is to be asked, or told, of the endpoints of a service.
 func (f *Fleet) Asks(service string, now time.Time, ask func(e *Endpoint, a backpressure.Ask)) {
 	for _, e := range f.byService[service] {
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -308,6 +308,9 @@
 		}
 		w.exchange.alone = q.Alone
 		w.exchange.permitted = e.Said.Limited()
+		if e.Said.Limited() {
+			s.metrics.Counter("mintlift_ingress_limited_requests_total", "service", service).Inc()
+		}
 		w.granted <- e
 	}
 	clear(q.waiters[len(kept):])
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -85,11 +85,7 @@
 		x.rejectQuarantined()
 	case !x.mayRun:
 		closed, after := x.server.whenToRetry(x)
-		cause := x.causeOr("no endpoint has room")
-		if closed.Reason != fleet.Open {
-			cause = "all endpoints " + closed.Reason.String()
-		}
-		x.refuse(cause, after)
+		x.refuse(x.refusal(closed), after)
 	case ctx.Err() != nil:
 		x.fail(http.StatusGatewayTimeout, outcomeLate, x.causeOr("timed out"))
 	default:
@@ -97,6 +93,19 @@
 	}
 }
 
+// refusal is why x is refused; where endpoints have closed themselves it names one, by
+// which the answer that said so can be found.
+func (x *exchange) refusal(c fleet.Closure) string {
+	switch {
+	case c.Reason == fleet.Open:
+		return x.causeOr("no endpoint has room")
+	case c.Until.IsZero():
+		return fmt.Sprintf("all endpoints %s: %s is one", c.Reason, c.Endpoint)
+	default:
+		return fmt.Sprintf("all endpoints %s: %s opens first, in %d ms", c.Reason, c.Endpoint, clock.Until(c.Until).Milliseconds())
+	}
+}
+
 func (x *exchange) causeOr(other string) string {
 	if x.lastCause != "" {
 		return x.lastCause
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -144,6 +144,7 @@
 		back:      newStoreReturn(),
 	}
 	server.fleet.Share(s.Budget.Gateways)
+	server.gaugeWords(m)
 	m.Gauge("mintlift_ingress_suspects", func() float64 {
 		suspected, _ := server.suspects.Len(clock.Now())
 		return float64(suspected)
--- a/ingress/said.go
+++ b/ingress/said.go
@@ -9,6 +9,7 @@
 	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/telemetry"
 	"github.com/mintlift/mintlift/upstream"
 )
 
@@ -38,6 +39,21 @@
 	}
 }
 
+// gaugeWords shows how many endpoints have said what.
+func (s *Server) gaugeWords(m *telemetry.Metrics) {
+	of := func(read func(w fleet.Words) float64) func() float64 {
+		return func() float64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return read(s.fleet.Words(clock.Now()))
+		}
+	}
+	m.Gauge("mintlift_ingress_endpoints_leaving", of(func(w fleet.Words) float64 { return float64(w.Leaving) }))
+	m.Gauge("mintlift_ingress_endpoints_resting", of(func(w fleet.Words) float64 { return float64(w.Resting) }))
+	m.Gauge("mintlift_ingress_endpoints_limited", of(func(w fleet.Words) float64 { return float64(w.Limited) }))
+	m.Gauge("mintlift_ingress_limits_allowed", of(func(w fleet.Words) float64 { return w.Allowed }))
+}
+
 // permit reports whether x may be sent to e as far as its limit goes: one that was
 // named since e was chosen counts, too. Server.mu is held.
 func (x *exchange) permit(e *fleet.Endpoint, now time.Time) bool {
