sidecar: engines of the product's own protocol name limits, leave and ask for rest, and are heeded

Their protocol knew none of the three words. The sidecar, through which all requests come, holds to them; a gateway leaves an endpoint alone that has closed itself, without a retry from its budget. The format of the words is decoded in one place.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -15,6 +15,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/internal/call"
 	"github.com/mintlift/mintlift/weights"
 )
@@ -42,6 +43,20 @@
 	HeaderKey = "X-Once-Key"
 )
 
+// Headers of any of an engine's answers by which it speaks of itself, as
+// backpressure.Fields: how many requests a second it takes, that it is about to end,
+// and, with a 503, for how many seconds it wants nothing.
+const (
+	HeaderLimit   = "X-Limit-Rate"
+	HeaderLeaving = "X-Leaving"
+	headerRest    = "Retry-After"
+)
+
+// Said decodes what an answer says of the engine.
+func Said(status int, h http.Header) backpressure.Word {
+	return backpressure.Fields{Limit: HeaderLimit, Leaving: HeaderLeaving, Rest: headerRest}.Decode(status, h)
+}
+
 // ErrStale says that the engine has seen a newer holder or fence.
 const ErrStale = errors.ConstError("engine refuses a stale order")
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -27,7 +27,7 @@
 	failure *failure // nil when the caller has the whole answer
 	started bool     // some of the answer has reached the caller
 	healthy bool     // the endpoint did its part
-	moved   bool     // refused: the box serves other versions by now
+	moved   bool     // refused: the box serves other versions by now, or nothing for a while
 	answer  *dedup.Answer
 }
 
@@ -97,11 +97,13 @@
 	case peer.ReasonDraining, peer.ReasonReplaced:
 		d.table.Draining(ep.Box)
 		no.status, no.retry = http.StatusServiceUnavailable, shedRetry
+	case peer.ReasonClosed:
+		d.table.Close(ep.Box, time.Now().Add(no.retry))
 	case peer.ReasonVersion:
 		d.table.Serving(ep.Box, peer.SplitRefs(resp.Header.Get(peer.HeaderServing)))
 		no.status, no.retry = http.StatusServiceUnavailable, shedRetry
 	}
-	return trial{failure: no, healthy: reason != peer.ReasonEndpoint, moved: reason == peer.ReasonVersion}
+	return trial{failure: no, healthy: reason != peer.ReasonEndpoint, moved: reason == peer.ReasonVersion || reason == peer.ReasonClosed}
 }
 
 // correlated reports whether an answer carries the request's own id and the
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -11,8 +11,11 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
+
+	"github.com/mintlift/mintlift/engine"
 )
 
 // FaultSettings are the faults that a stand-in shows now.
@@ -37,6 +40,13 @@
 	// an event of another request into each stream.
 	ForeignAnswers bool `json:"foreign_answers"`
 	ForeignEvents  bool `json:"foreign_events"`
+	// LimitRate is a limit that an engine names, in requests a second, if Limited;
+	// Leaving says in each answer that it leaves; RestSeconds, when positive, turns
+	// all requests away and asks for rest.
+	Limited     bool    `json:"limited"`
+	LimitRate   float64 `json:"limit_rate"`
+	Leaving     bool    `json:"leaving"`
+	RestSeconds float64 `json:"rest_seconds"`
 }
 
 // Faults guards FaultSettings. The zero value shows no faults.
@@ -73,6 +83,24 @@
 	return true
 }
 
+// speak says of the engine what it is to say of itself; it reports whether the
+// request is taken.
+func (f *Faults) speak(w http.ResponseWriter) bool {
+	s := f.Get()
+	if s.Limited {
+		w.Header().Set(engine.HeaderLimit, strconv.FormatFloat(s.LimitRate, 'f', -1, 64))
+	}
+	if s.Leaving {
+		w.Header().Set(engine.HeaderLeaving, "1")
+	}
+	if s.RestSeconds <= 0 {
+		return true
+	}
+	w.Header().Set("Retry-After", strconv.FormatFloat(s.RestSeconds, 'f', -1, 64))
+	http.Error(w, "resting", http.StatusServiceUnavailable)
+	return false
+}
+
 // lose reports whether the answer of a call that has taken effect is lost.
 func (f *Faults) lose() bool {
 	f.mu.Lock()
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -46,6 +46,9 @@
 	if total <= 0 {
 		total = defaultTokens
 	}
+	if !e.Faults.speak(w) {
+		return
+	}
 	g, ok := e.begin(r, ref, total)
 	if !ok {
 		http.Error(w, "version is not loaded", http.StatusNotFound)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -82,6 +82,9 @@
 	ReasonDeadline Reason = "deadline"
 	ReasonEndpoint Reason = "endpoint"
 	ReasonReplaced Reason = "replaced"
+	// ReasonClosed: the endpoint itself has asked for rest, or is at the limit that it
+	// named; it may be asked again after the refusal's retry_after_ms.
+	ReasonClosed Reason = "closed"
 )
 
 // Copy is how far a box is with a version.
--- a/route/route.go
+++ b/route/route.go
@@ -60,6 +60,8 @@
 	failures int
 	ejected  time.Time
 	eject    time.Duration
+	// closed is until when the endpoint takes nothing, by its own word.
+	closed time.Time
 }
 
 // Table is a gateway's view of the endpoints. The zero value is empty.
@@ -136,7 +138,7 @@
 	var fit, ejected []*endpoint
 	for _, e := range t.all {
 		switch {
-		case !e.fits(w):
+		case !e.fits(w), now.Before(e.closed):
 		case now.Before(e.ejected):
 			ejected = append(ejected, e)
 		default:
@@ -230,6 +232,15 @@
 	}
 }
 
+// Close notes that an endpoint takes nothing until a time, by its own word.
+func (t *Table) Close(box string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.all[box]; ok && until.After(e.closed) {
+		e.closed = until
+	}
+}
+
 // Serving notes at once which versions an endpoint serves.
 func (t *Table) Serving(box string, refs []weights.Ref) {
 	t.mu.Lock()
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -17,6 +17,7 @@
 	"github.com/mintlift/mintlift/engine"
 	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/internal/call"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/outcome"
 	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/prio"
@@ -101,6 +102,10 @@
 		unlock()
 		cancel()
 	}
+	if no := d.words.admit(clock.Now()); no != nil {
+		a.leave()
+		return nil, no
+	}
 	return a, nil
 }
 
@@ -154,6 +159,7 @@
 	if a.once != "" {
 		client = d.once
 	}
+	sent := clock.Now()
 	resp, err := client.Do(req)
 	if errors.Is(err, call.ErrNotSent) {
 		no := refuse(http.StatusServiceUnavailable, peer.ReasonEndpoint, "the endpoint does not answer")
@@ -165,12 +171,21 @@
 		panic(http.ErrAbortHandler) // the request may have run: cut, so that the gateway sees no answer
 	}
 	defer resp.Body.Close()
+	d.hear(a, resp, sent)
 	if !d.correlated(a, resp) {
 		panic(http.ErrAbortHandler)
 	}
 	d.answer(w, a, resp)
 }
 
+// hear takes what an answer says of the endpoint.
+func (d *Daemon) hear(a *admitted, resp *http.Response, sent time.Time) {
+	for _, c := range d.words.hear(resp, sent, clock.Now()) {
+		d.Metrics.Counter("mintlift_endpoint_words_total", "word", c.Kind.String()).Inc()
+		d.Log.Info("requests: endpoint said", "request", a.id, "word", c.Kind.String(), "rate", c.Rate, "rest_ms", c.Rest.Milliseconds(), "value", c.Value)
+	}
+}
+
 // correlated reports whether an answer is the one that the request asked
 // for: an answer to another request, or by another version, goes nowhere.
 func (d *Daemon) correlated(a *admitted, resp *http.Response) bool {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -29,6 +29,7 @@
 	"github.com/mintlift/mintlift/engine"
 	"github.com/mintlift/mintlift/httpserve"
 	"github.com/mintlift/mintlift/internal/call"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/prio"
 	"github.com/mintlift/mintlift/process"
@@ -49,6 +50,7 @@
 	orders  orders
 	uploads *prio.Gate
 	gate    *prio.Gate
+	words   *words
 	memory  dedup.Memory
 	server  *httpserve.Server
 }
@@ -63,6 +65,7 @@
 	d := &Daemon{
 		Process:  common,
 		settings: s,
+		words:    newWords(),
 		endpoint: call.New("endpoint", call.Options{}),
 		once:     call.New("endpoint", call.Options{NoReuse: true}),
 		uploads:  prio.NewGate(prio.Queue{Slots: transfer.UploadSlots, Waiting: transfer.UploadWaiting}),
@@ -110,6 +113,7 @@
 	s.Service, s.Load, s.Slots = d.settings.Service, active+waiting, d.settings.MaxInFlight
 	s.Copies, s.Loaded, s.MemoryBytes = d.copies.report()
 	s.EngineKnown = d.copies.engineKnown()
+	s.Draining = s.Draining || d.words.leaving(clock.Now())
 	return s
 }
 
