--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -147,8 +147,7 @@
 
 // What other gateways are taken to send after a report that all of them got.
 const (
-	// takenShare is the part of them that has a request waiting. On days of
-	// overload 0.5 measured worse, 1.1 the same (docs/POLICY.md).
+	// takenShare is the part of them that has a request waiting.
 	takenShare = 0.85
 	// taken is how long a report may be unchanged before it shows that they
 	// have sent nothing: a change is reported at once.
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -20,17 +20,15 @@
 // many watchers as any other.
 const (
 	// watchedEngines is up to how many a gateway watches engines of other
-	// regions; a service of fewer is watched whole. At 120 engines in five
-	// regions a choice among 48 costs 5 us of a whole core in place of 15
-	// (BenchmarkChoose).
+	// regions; a service of fewer is watched whole.
 	watchedEngines = 48
 	// watchedFar engines outside the own region are watched in any case, for
 	// the day on which that has none left.
 	watchedFar = 12
 	// census is how many engines all gateways watch, the same ones: their
 	// sidecars know how many gateways there are, which share the retry budget,
-	// and pass on what gateways tell each other. Of five, with four in ten of all
-	// boxes gone at once, one in a hundred times none is left; of three, six.
+	// and pass on what gateways tell each other. So many that hardly ever all of
+	// them are gone when many boxes go at once.
 	census = 5
 )
 
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -10,10 +10,6 @@
 // stands, and no other process need be ahead. So what a process knows has an
 // age, counted from when the store last confirmed it, and no step may take
 // longer than what the age has left of the bound.
-//
-// With a topic silent for 5.65 s, a change written as it answers again is in
-// force 0.2 s later (5 gateways, a bound of 2 s); with waits of 4 s and 1.5 s
-// for the answer it took 6 s.
 package freshness
 
 import "time"
@@ -23,8 +19,7 @@
 // left before StaleAfter, and then reads the store itself.
 const (
 	// waitShare is how long a read waits at the store for news. It costs one call
-	// a gateway in each wait: with 0.9 s instead of 4 s, 543 instead of 323 in
-	// 44 s of 5 gateways.
+	// a gateway in each wait.
 	waitShare = 45
 	// silenceShare is how long an answer may be missing beyond that until
 	// another read is made beside it. A store sixty times as slow as usual
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -43,8 +43,7 @@
 	// lateShare is the part of an engine's slots up to which it takes
 	// requests that will be answered late, and lateBacklog how much it may
 	// have to read before one, in usual prompts: what is late already must not
-	// make late what can still be in time. Shares of 0.55 and 1.0 measured
-	// worse (docs/POLICY.md).
+	// make late what can still be in time.
 	lateShare   = 0.8
 	lateBacklog = 1.0
 	// aimShare is the part of the target latency in which an engine must be
@@ -279,10 +278,9 @@
 // may have come due. Server.mu is held.
 //
 // Endpoints without room for anybody are sorted out first, once for all
-// waiters: when many wait hardly any has room. A walk over all endpoints for
-// each waiter, at each report, took 1.1 ms at 76 engines and 100 waiters (go
-// test ./ingress -bench Heard), more than a gateway has when engines change
-// their version and a thousand reports a second come.
+// waiters: when many wait hardly any has room, and a walk over all endpoints for
+// each waiter, at each report, is more than a gateway has when engines change
+// their version and report a thousand times a second.
 func (s *Server) dispatch(service string, now time.Time) {
 	q := s.waiting[service]
 	if q == nil || len(q.waiters) == 0 {
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -195,7 +195,7 @@
 }
 
 // keptCopies is how many versions are kept for other sidecars: the newest and
-// the one that may bridge the time to it. A third takes 2 MB a box.
+// the one that may bridge the time to it.
 const keptCopies = 2
 
 // New returns an Installer; peers reads the list of the service's sidecars.
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -34,7 +34,7 @@
 	idleTimeout    = 60 * time.Second
 	maxIdlePerHost = 64
 	// connBuffer is small, because a gateway or a sidecar holds a connection
-	// to hundreds of others: 64 KB each way took 128 KB a connection.
+	// to hundreds of others.
 	connBuffer      = 8 << 10
 	maxErrorBody    = 64 << 10
 	maxJSONBody     = 64 << 20
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -209,9 +209,8 @@
 // subscriptions.
 const tellPause = 50 * time.Millisecond
 
-// tellSuspects tells all subscribers of suspects at once. A request tried ten
-// times a second at three gateways crashes 4 endpoints until all know; told with
-// the answers to subscriptions alone it was 5 or 6.
+// tellSuspects tells all subscribers of suspects at once: told with the answers to
+// subscriptions alone, a request would crash more endpoints until all know.
 func (p *Publisher) tellSuspects(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/quarantine/identity.go
+++ b/quarantine/identity.go
@@ -31,8 +31,7 @@
 	Body      []byte
 }
 
-// Identify returns the ID of the request. It costs 0.2 us, and 0.7 us more for
-// each KB of body (BenchmarkIdentify).
+// Identify returns the ID of the request.
 func Identify(r Request) ID {
 	h := sha256.New()
 	for _, part := range []string{r.Method, strings.ToLower(r.Host), r.Target, r.Workspace} {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -29,8 +29,7 @@
 const (
 	// Threshold is how many crashes put a request in quarantine. One try may cost
 	// two before its gateway can know; with three, a request beside the one to
-	// blame must have met it three times without a good end between. On a day with
-	// six waves of crashes 11 of 6,014 good requests counted two, none three.
+	// blame must have met it three times without a good end between.
 	Threshold = 3
 	// thresholdProven is the same for one that has ended well here lately, and so
 	// is hardly the one to blame. A common request stands beside each crash of an
@@ -186,8 +185,7 @@
 // NewRelayed returns the table of a process that relays between gateways.
 func NewRelayed() *Table { return &Table{relayed: true, entries: make(map[ID]*entry)} }
 
-// Standing returns what is known of a request. It costs 2 ns while no request is
-// suspected, and 60 ns otherwise (BenchmarkStanding).
+// Standing returns what is known of a request.
 func (t *Table) Standing(id ID, now time.Time) Standing {
 	if !t.known.Load() {
 		return Standing{}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -31,9 +31,8 @@
 	// first.
 	toldInTurn = 2
 	// toldFor is how long a request that is not in quarantine is told after it
-	// changed: all have heard by then. Told for all of its Life, what one crash
-	// of a busy endpoint leaves could be 100 KB a second at each sidecar that
-	// passes on between 53 gateways, for ten minutes.
+	// changed: all have heard by then, and what the crashes of busy endpoints leave
+	// would fill the datagrams for all of its Life.
 	toldFor = 30 * time.Second
 	// toldCrashes of a request are enough for quarantine.
 	toldCrashes = Threshold + 1
