--- a/backpressure/table.go
+++ b/backpressure/table.go
@@ -15,6 +15,9 @@
 	states map[string]*State
 	// gateways is how many share a limit.
 	gateways int
+	// spoken says that an endpoint may have said something that holds; most of the
+	// time none has, and nothing need be asked of each.
+	spoken bool
 }
 
 // NewTable returns an empty table.
@@ -23,8 +26,8 @@
 // Share says how many gateways share limits.
 func (t *Table) Share(gateways int) { t.gateways = max(gateways, 1) }
 
-// ByID returns the state of an endpoint's last life, or nil if none is kept.
-func (t *Table) ByID(id string) *State { return t.states[id] }
+// Quiet reports that no endpoint has said anything that holds.
+func (t *Table) Quiet() bool { return !t.spoken }
 
 // State is what one life of an endpoint has said.
 type State struct {
@@ -143,19 +146,19 @@
 	if s.leaving {
 		return nil
 	}
-	s.leaving, s.tell = true, true
+	s.leaving, s.tell, s.table.spoken = true, true, true
 	return []Change{{Kind: LeavingSaid}}
 }
 
 // ListedLeaving takes that word of the list, which all gateways read.
-func (s *State) ListedLeaving() { s.leaving = true }
+func (s *State) ListedLeaving() { s.leaving, s.table.spoken = true, true }
 
 // HearReport takes what the endpoint says to the sidecar beside it. Where it says
 // nothing there it may yet say it in answers to gateways: only a limit that was named
 // there ends there.
 func (s *State) HearReport(w Word, now time.Time) {
 	if w.Leaving {
-		s.leaving = true
+		s.ListedLeaving()
 	}
 	if w.Limit.Named || s.limitReported {
 		s.setLimit(w.Limit, now)
@@ -173,7 +176,7 @@
 	if !till.After(before) {
 		return nil
 	}
-	s.restTill, s.returning, s.triedAt = till, true, time.Time{}
+	s.restTill, s.returning, s.triedAt, s.table.spoken = till, true, time.Time{}, true
 	if now.Before(before) && till.Sub(before) < restStep {
 		return nil
 	}
@@ -199,6 +202,7 @@
 func (s *State) setLimit(l Limit, at time.Time) []Change {
 	changed := l != s.limit
 	s.limit, s.limitAt = l, at
+	s.table.spoken = s.table.spoken || l.Named
 	switch {
 	case !changed:
 		return nil
@@ -300,13 +304,15 @@
 
 // matters reports whether the endpoint has said anything that still holds.
 func (s *State) matters(now time.Time) bool {
-	return s.leaving || s.limit.Named || now.Before(s.restTill)
+	return s.leaving || s.limit.Named || s.returning
 }
 
 // Forget drops what cannot matter any more of endpoints that are not on the list.
 func (t *Table) Forget(listed func(id string) bool, now time.Time) {
 	var kept []*State
+	t.spoken = false
 	for id, s := range t.states {
+		t.spoken = t.spoken || s.matters(now)
 		switch {
 		case listed(id):
 			s.unlisted = time.Time{}
--- a/backpressure/table_test.go
+++ b/backpressure/table_test.go
@@ -106,6 +106,23 @@
 	assert.Assert(t, table.Of("e9000", 1).leaving, "it is on the list")
 }
 
+// A table is quiet while nothing that was said holds.
+func TestQuiet(t *testing.T) {
+	listed := func(string) bool { return true }
+	for _, word := range []Word{{Leaving: true}, {Rest: time.Second}, {Limit: Limited(2)}} {
+		table := NewTable()
+		s := table.Of("e", 1)
+		assert.Assert(t, table.Quiet())
+		s.Hear(word, at(0), at(0))
+		assert.Assert(t, !table.Quiet())
+		table.Forget(listed, at(2))
+		assert.Assert(t, !table.Quiet(), "%+v holds", word)
+		s.Hear(Word{}, at(3), at(3))
+		table.Forget(listed, at(4))
+		assert.Equal(t, table.Quiet(), !word.Leaving, "%+v", word)
+	}
+}
+
 // What one process tells another counts by age: an older word changes nothing, and
 // neither does that of a life before.
 func TestWordsOfOtherProcesses(t *testing.T) {
--- a/fleet/permits.go
+++ b/fleet/permits.go
@@ -15,6 +15,9 @@
 // none now, or zero if none does by itself.
 func (f *Fleet) Opens(service string, now time.Time) time.Time {
 	var first time.Time
+	if f.said.Quiet() {
+		return first
+	}
 	for _, e := range f.byService[service] {
 		if e.Said.Leaving() {
 			continue
@@ -55,6 +58,9 @@
 // first.
 func (f *Fleet) Closed(q Query, by, now time.Time) Closure {
 	c := Closure{Reason: Open}
+	if f.said.Quiet() {
+		return c
+	}
 	for _, e := range f.byService[q.Service] {
 		if !e.fits(&q, now) {
 			continue
@@ -111,6 +117,9 @@
 
 // Asks calls ask with what is to be asked, or told, of the endpoints of a service.
 func (f *Fleet) Asks(service string, now time.Time, ask func(e *Endpoint, a backpressure.Ask)) {
+	if f.said.Quiet() {
+		return
+	}
 	for _, e := range f.byService[service] {
 		if a, ok := e.Said.Ask(now); ok {
 			ask(e, a)
