--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -45,10 +45,14 @@
 	s.metrics.Histogram("mintlift_ingress_request_seconds", "service", x.service, "outcome", outcome).Update(took.Seconds())
 }
 
+// setRetryAfter tells a caller when to come back.
+func setRetryAfter(h http.Header, after time.Duration) {
+	h.Set("Retry-After", fmt.Sprintf("%.2f", after.Seconds()))
+}
+
 // refuse answers that the request has not run and when to come back.
 func (x *exchange) refuse(cause string, after time.Duration) {
-	h := x.writer.Header()
-	h.Set("Retry-After", fmt.Sprintf("%.2f", after.Seconds()))
+	setRetryAfter(x.writer.Header(), after)
 	x.fail(http.StatusServiceUnavailable, outcomeRefused, cause)
 }
 
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -280,6 +280,11 @@
 func (x *exchange) pass(r *reply, outcome string) {
 	x.copyHeader(r.header)
 	h := x.writer.Header()
+	if r.status == http.StatusServiceUnavailable && h.Get("Retry-After") != "" {
+		// The endpoint's own is for this gateway; another endpoint may serve the caller.
+		_, after := x.server.whenToRetry(x)
+		setRetryAfter(h, after)
+	}
 	h.Set("Content-Length", strconv.Itoa(len(r.body)))
 	x.writer.WriteHeader(r.status)
 	_, err := x.writer.Write(r.body)
--- a/ingress/said_test.go
+++ b/ingress/said_test.go
@@ -123,6 +123,28 @@
 	}
 }
 
+// The time for which an endpoint wants rest of this gateway is not told to a caller
+// who gets that endpoint's answer: another endpoint may serve the next try.
+func TestRestIsNotForCallers(t *testing.T) {
+	w := newWorld(t)
+	w.listen()
+	w.configure(1)
+	failing := says("Retry-After", "600", says(restHeader, "600", status(http.StatusServiceUnavailable)))
+	w.endpoint("a", "plain", failing)
+	r, _ := w.get("POST", "/unsafe/1", "")
+	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, r.Header.Get(names.Seal), "seal")
+	w.endpoint("b", "plain", ok("body"))
+	w.endpoint("c", "plain", failing)
+	for n := 0; w.to("c") == 0; n++ {
+		r, _ = w.get("POST", fmt.Sprint("/unsafe/x", n), "")
+	}
+	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
+	after, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, after < 5, "%f s", after)
+}
+
 // A request that waits when the last endpoint closes is refused then.
 func TestWaitersAreRefusedWhenAllClose(t *testing.T) {
 	w := newWorld(t)
