--- a/backpressure/decode.go
+++ b/backpressure/decode.go
@@ -11,22 +11,22 @@
 )
 
 // Fields are the names of the headers by which an endpoint speaks of itself. A limit
-// is a decimal number of requests a second, leaving is said by leavingValue, and a
-// rest is a decimal number of seconds beside a 503.
+// is a decimal number of requests a second, draining is said by drainingValue, and a
+// backoff is a decimal number of seconds beside a 503.
 type Fields struct {
-	Limit, Leaving, Rest string
+	Limit, Draining, RetryAfter string
 }
 
 const (
-	leavingValue = "1"
+	drainingValue = "1"
 	// maxUnreadable bounds how much of an unreadable value is kept, in bytes.
 	maxUnreadable = 40
 )
 
 // Decode decodes what an answer says of its endpoint. Of a field that is repeated
 // the strictest value that can be read counts.
-func (f Fields) Decode(status int, h http.Header) Word {
-	var w Word
+func (f Fields) Decode(status int, h http.Header) Signal {
+	var w Signal
 	unreadable := func(name, value string) {
 		w.Unreadable = append(w.Unreadable, name+": "+value[:min(len(value), maxUnreadable)])
 	}
@@ -40,23 +40,23 @@
 		}
 	}
 	w.Limit.Kept = !w.Limit.Named && len(h[f.Limit]) > 0
-	for _, value := range h[f.Leaving] {
-		if strings.TrimSpace(value) != leavingValue {
-			unreadable(f.Leaving, value)
+	for _, value := range h[f.Draining] {
+		if strings.TrimSpace(value) != drainingValue {
+			unreadable(f.Draining, value)
 			continue
 		}
-		w.Leaving = true
+		w.Draining = true
 	}
 	if status != http.StatusServiceUnavailable {
 		return w
 	}
-	for _, value := range h[f.Rest] {
+	for _, value := range h[f.RetryAfter] {
 		s, ok := decimal(value)
 		if !ok {
-			unreadable(f.Rest, value)
+			unreadable(f.RetryAfter, value)
 			continue
 		}
-		w.Rest = max(w.Rest, duration(s))
+		w.Backoff = max(w.Backoff, duration(s))
 	}
 	return w
 }
--- a/backpressure/permit.go
+++ b/backpressure/permit.go
@@ -17,8 +17,8 @@
 	// for so long, and that must fit what a limit allows at most.
 	grantLife = time.Second
 	// askTakes is how long the answer to an ask usually takes, askAgain when one
-	// without an answer is taken for lost, and askPatience when nobody is taken to deal permits out; askAlone is how often
-	// that is tried again.
+	// without an answer is taken for lost, and askPatience when nobody is taken to
+	// deal permits out; askAlone is how often that is tried again.
 	askTakes    = 10 * time.Millisecond
 	askAgain    = 60 * time.Millisecond
 	askPatience = 300 * time.Millisecond
@@ -33,7 +33,7 @@
 	slotLife = 300 * time.Millisecond
 	standing = 5
 	// aloneShare is the part of a limit that gateways keep to by themselves while
-	// there is a dealer that they do not hear: it may deal out all of the limit to
+	// there is a dealer that they do not observe: it may deal out all of the limit to
 	// others meanwhile.
 	aloneShare = 0.5
 )
--- a/backpressure/quota.go
+++ b/backpressure/quota.go
@@ -33,7 +33,7 @@
 }
 
 // Ask takes what a gateway tells and answers its wish. news says that other
-// gateways should hear of it.
+// gateways should observe of it.
 func (q *Quotas) Ask(a Ask, now time.Time) (g Grant, news bool) {
 	news = len(q.table.Merge(a.Record, now)) > 0
 	s := q.table.Of(a.ID, a.Born)
--- a/backpressure/quota_test.go
+++ b/backpressure/quota_test.go
@@ -47,7 +47,7 @@
 	// busy gateways have demand, all alike, of so many requests a second together.
 	busy   int
 	demand float64
-	// silent is the part of the gateways that hear nothing of the sidecar.
+	// silent is the part of the gateways that observe nothing of the sidecar.
 	silent float64
 	// lost says that a gateway ends, suspended that it stands still, both at
 	// disturbed.
@@ -97,7 +97,7 @@
 	// sent are all requests, and counted those of gateways that had heard the limit
 	// in an answer of their own a while (told) before.
 	sent, counted []time.Duration
-	// known is how long after its first word all busy gateways know of the limit, and
+	// known is how long after its first signal all busy gateways know of the limit, and
 	// ended how long after its last all know that it has ended; negative if never.
 	known, ended time.Duration
 }
@@ -123,7 +123,7 @@
 			if n == 0 && at >= disturbed && (tr.lost || tr.suspended && at < disturbed+stands) {
 				continue
 			}
-			tr.hear(g, at, now)
+			tr.observe(g, at, now)
 			if n < tr.busy && rng.Float64() < perStep {
 				g.waiting = append(g.waiting, now)
 				g.came++
@@ -144,21 +144,21 @@
 	return out
 }
 
-// hear takes what came for a gateway.
-func (tr trial) hear(g *player, at time.Duration, now time.Time) {
+// observe takes what came for a gateway.
+func (tr trial) observe(g *player, at time.Duration, now time.Time) {
 	for _, r := range g.records {
 		g.table.Merge(r, now)
 	}
 	if g.grant != nil {
 		g.table.Granted(*g.grant, now)
 	}
-	word := Word{Limit: Limited(tr.rate)}
+	signal := Signal{Limit: Limited(tr.rate)}
 	if at >= ends {
-		word = Word{}
+		signal = Signal{}
 	}
 	for _, sent := range g.answers {
-		g.state.Hear(word, sent, now)
-		if word.Limit.Named && g.told.IsZero() {
+		g.state.Observe(signal, sent, now)
+		if signal.Limit.Named && g.told.IsZero() {
 			g.told = now
 		}
 	}
@@ -336,7 +336,7 @@
 	return fmt.Sprintf("%5.2f s", d.Seconds())
 }
 
-// Gateways that hear nothing of the sidecar keep to their parts: the limit is kept,
+// Gateways that observe nothing of the sidecar keep to their parts: the limit is kept,
 // by all of them or beside others.
 func TestLimitIsKeptWithoutTheSidecar(t *testing.T) {
 	for _, gateways := range []int{2, 6, 53} {
--- a/backpressure/record.go
+++ b/backpressure/record.go
@@ -11,18 +11,18 @@
 // Record is what one process tells another of an endpoint. Times are ages: the
 // processes' clocks need not agree.
 type Record struct {
-	ID      string  `json:"i"`
-	Born    int64   `json:"b,omitempty"`
-	Leaving bool    `json:"l,omitempty"`
-	Limited bool    `json:"m,omitempty"`
-	Rate    float64 `json:"r,omitempty"`
+	ID       string  `json:"i"`
+	Born     int64   `json:"b,omitempty"`
+	Draining bool    `json:"l,omitempty"`
+	Limited  bool    `json:"m,omitempty"`
+	Rate     float64 `json:"r,omitempty"`
 	// LimitAgeMS is how long ago the limit, or its end, was last heard; less than 0
 	// if neither ever was.
 	LimitAgeMS int64 `json:"a"`
 }
 
 const (
-	// mergeMargin is by how much later than what is known the word of another
+	// mergeMargin is by how much later than what is known the signal of another
 	// process must be that allows more: what is on its way seems younger than it
 	// is.
 	mergeMargin = 50 * time.Millisecond
@@ -34,7 +34,7 @@
 
 // record is what the state tells others.
 func (s *State) record(now time.Time) Record {
-	r := Record{ID: s.id, Born: s.born, Leaving: s.leaving, Limited: s.limit.Named, Rate: s.limit.Rate, LimitAgeMS: -1}
+	r := Record{ID: s.id, Born: s.born, Draining: s.draining, Limited: s.limit.Named, Rate: s.limit.Rate, LimitAgeMS: -1}
 	if !s.limitAt.IsZero() {
 		r.LimitAgeMS = now.Sub(s.limitAt).Milliseconds()
 	}
@@ -47,12 +47,12 @@
 	if s.born > r.Born && r.Born != 0 {
 		return nil // of the life before
 	}
-	if r.Leaving || r.LimitAgeMS >= 0 {
+	if r.Draining || r.LimitAgeMS >= 0 {
 		s.heardAt = now
 	}
 	var out []Change
-	if r.Leaving && !s.leaving {
-		out = s.Leave()
+	if r.Draining && !s.draining {
+		out = s.Drain()
 		s.tell = false // whoever told it tells the others
 	}
 	if r.LimitAgeMS < 0 {
--- a/backpressure/word.go
+++ b/backpressure/signal.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 // Package backpressure holds what endpoints say of themselves in their answers:
-// a limit on requests, that they leave, and that they want rest.
+// a limit on requests, that they drain, and that they want backoff.
 //
 // It does no I/O, takes time as a value, and is not safe for concurrent use.
 package backpressure
@@ -12,14 +12,14 @@
 	"time"
 )
 
-// Word is what one answer says of its endpoint.
-type Word struct {
+// Signal is what one answer says of its endpoint.
+type Signal struct {
 	Limit Limit
-	// Leaving says that the endpoint is about to end and takes no new requests.
-	Leaving bool
-	// Rest is for how long the endpoint wants nothing from the gateway that it
+	// Draining says that the endpoint is about to end and takes no new requests.
+	Draining bool
+	// Backoff is for how long the endpoint wants nothing from the gateway that it
 	// turned away; 0 is none.
-	Rest time.Duration
+	Backoff time.Duration
 	// Unreadable are the fields whose values cannot be read, as NAME: VALUE. They
 	// change nothing of what the endpoint said before.
 	Unreadable []string
--- a/backpressure/table.go
+++ b/backpressure/table.go
@@ -15,9 +15,9 @@
 	states map[string]*State
 	// gateways is how many share a limit.
 	gateways int
-	// spoken says that an endpoint may have said something that holds; most of the
+	// signalled says that an endpoint may have said something that holds; most of the
 	// time none has, and nothing need be asked of each.
-	spoken bool
+	signalled bool
 }
 
 // NewTable returns an empty table.
@@ -27,7 +27,7 @@
 func (t *Table) Share(gateways int) { t.gateways = max(gateways, 1) }
 
 // Quiet reports that no endpoint has said anything that holds.
-func (t *Table) Quiet() bool { return !t.spoken }
+func (t *Table) Quiet() bool { return !t.signalled }
 
 // State is what one life of an endpoint has said.
 type State struct {
@@ -37,12 +37,12 @@
 	born int64
 	// heardAt is when anything of this was last said, and unlisted since when the
 	// endpoint is known not to be on the list, or zero.
-	heardAt  time.Time
-	unlisted time.Time
-	leaving  bool
-	restTill time.Time
+	heardAt     time.Time
+	unlisted    time.Time
+	draining    bool
+	backoffTill time.Time
 	// returning says that no answer has shown yet that the endpoint takes requests
-	// again after a rest, and triedAt when one was sent last to find out.
+	// again after a backoff, and triedAt when one was sent last to find out.
 	returning bool
 	triedAt   time.Time
 	limit     Limit
@@ -51,7 +51,7 @@
 	// limitReported says that the last report named the limit.
 	limitReported bool
 	permits       permits
-	// tell says that other gateways are to hear of the limit, or of leaving.
+	// tell says that other gateways are to observe of the limit, or of draining.
 	tell bool
 	// unreadable are the fields of which an unreadable value has been told.
 	unreadable map[string]bool
@@ -82,8 +82,8 @@
 	Kind Kind
 	// Rate is that of a Limit that was named.
 	Rate float64
-	// Rest is how long the endpoint rests from now on.
-	Rest time.Duration
+	// Backoff is how long the endpoint backoffs from now on.
+	Backoff time.Duration
 	// Value is what cannot be read.
 	Value string
 }
@@ -95,70 +95,70 @@
 const (
 	LimitNamed Kind = iota
 	LimitEnded
-	LeavingSaid
-	RestAsked
-	RestEnded
+	DrainingSeen
+	BackoffAsked
+	BackoffEnded
 	ValueUnreadable
 )
 
 func (k Kind) String() string {
-	return [...]string{"limit", "limit ended", "leaving", "rest", "rest ended", "unreadable"}[k]
+	return [...]string{"limit", "limit ended", "draining", "backoff", "backoff ended", "unreadable"}[k]
 }
 
 const (
-	// maxRest bounds how long an endpoint can keep a gateway away with one answer:
-	// a mistaken value must not cost it for the rest of its life.
-	maxRest = 10 * time.Minute
-	// restStep is the least by which a rest grows that is told as a change.
-	restStep = time.Second
-	// tryEvery is how often a request is sent to an endpoint after its rest until
+	// maxBackoff bounds how long an endpoint can keep a gateway away with one answer:
+	// a mistaken value must not cost it for the remainder of its life.
+	maxBackoff = 10 * time.Minute
+	// backoffStep is the least by which a backoff grows that is told as a change.
+	backoffStep = time.Second
+	// tryEvery is how often a request is sent to an endpoint after its backoff until
 	// it takes one: sent all at once, they would all be turned away again.
 	tryEvery = time.Second
 )
 
-// Hear takes what an answer says; sent is when its request was sent. It returns
+// Observe takes what an answer says; sent is when its request was sent. It returns
 // what has changed.
-func (s *State) Hear(w Word, sent, now time.Time) []Change {
+func (s *State) Observe(w Signal, sent, now time.Time) []Change {
 	var out []Change
-	if w.Leaving {
-		out = append(out, s.Leave()...)
+	if w.Draining {
+		out = append(out, s.Drain()...)
 	}
 	switch {
-	case w.Rest > 0:
-		out = append(out, s.hearRest(min(w.Rest, maxRest), now)...)
-	case s.returning && !sent.Before(s.restTill):
+	case w.Backoff > 0:
+		out = append(out, s.observeBackoff(min(w.Backoff, maxBackoff), now)...)
+	case s.returning && !sent.Before(s.backoffTill):
 		s.returning = false
-		out = append(out, Change{Kind: RestEnded})
+		out = append(out, Change{Kind: BackoffEnded})
 	}
 	if !w.Limit.Kept {
-		out = append(out, s.hearLimit(w.Limit, sent, now)...)
+		out = append(out, s.observeLimit(w.Limit, sent, now)...)
 	}
-	out = append(out, s.hearUnreadable(w.Unreadable)...)
-	if w.Leaving || w.Rest > 0 || w.Limit.Named {
+	out = append(out, s.observeUnreadable(w.Unreadable)...)
+	if w.Draining || w.Backoff > 0 || w.Limit.Named {
 		s.heardAt = now
 	}
 	return out
 }
 
-// Leave takes the word that the endpoint leaves. Nothing takes it back within a life:
+// Drain takes the signal that the endpoint drains. Nothing takes it back within a life:
 // a list may be older than that.
-func (s *State) Leave() []Change {
-	if s.leaving {
+func (s *State) Drain() []Change {
+	if s.draining {
 		return nil
 	}
-	s.leaving, s.tell, s.table.spoken = true, true, true
-	return []Change{{Kind: LeavingSaid}}
+	s.draining, s.tell, s.table.signalled = true, true, true
+	return []Change{{Kind: DrainingSeen}}
 }
 
-// ListedLeaving takes that word of the list, which all gateways read.
-func (s *State) ListedLeaving() { s.leaving, s.table.spoken = true, true }
+// ListedDraining takes that signal of the list, which all gateways read.
+func (s *State) ListedDraining() { s.draining, s.table.signalled = true, true }
 
-// HearReport takes what the endpoint says to the sidecar beside it. Where it says
+// ObserveReport takes what the endpoint says to the sidecar beside it. Where it says
 // nothing there it may yet say it in answers to gateways: only a limit that was named
 // there ends there.
-func (s *State) HearReport(w Word, now time.Time) {
-	if w.Leaving {
-		s.ListedLeaving()
+func (s *State) ObserveReport(w Signal, now time.Time) {
+	if w.Draining {
+		s.ListedDraining()
 	}
 	if w.Limit.Named || s.limitReported {
 		s.setLimit(w.Limit, now)
@@ -166,27 +166,27 @@
 	s.limitReported = w.Limit.Named
 }
 
-// Leaving reports whether the endpoint gets no new requests any more.
-func (s *State) Leaving() bool { return s.leaving }
+// Draining reports whether the endpoint gets no new requests any more.
+func (s *State) Draining() bool { return s.draining }
 
-// hearRest takes a rest. What was asked before is not shortened: of answers to
+// observeBackoff takes a backoff. What was asked before is not shortened: of answers to
 // several requests in flight, any may come last.
-func (s *State) hearRest(rest time.Duration, now time.Time) []Change {
-	till, before := now.Add(rest), s.restTill
+func (s *State) observeBackoff(backoff time.Duration, now time.Time) []Change {
+	till, before := now.Add(backoff), s.backoffTill
 	if !till.After(before) {
 		return nil
 	}
-	s.restTill, s.returning, s.triedAt, s.table.spoken = till, true, time.Time{}, true
-	if now.Before(before) && till.Sub(before) < restStep {
+	s.backoffTill, s.returning, s.triedAt, s.table.signalled = till, true, time.Time{}, true
+	if now.Before(before) && till.Sub(before) < backoffStep {
 		return nil
 	}
-	return []Change{{Kind: RestAsked, Rest: rest}}
+	return []Change{{Kind: BackoffAsked, Backoff: backoff}}
 }
 
-// hearLimit takes a limit, or that none is named. Answers overtake each other: one
+// observeLimit takes a limit, or that none is named. Answers overtake each other: one
 // that allows more counts only if its request was sent after the limit in force was
 // last heard.
-func (s *State) hearLimit(l Limit, sent, now time.Time) []Change {
+func (s *State) observeLimit(l Limit, sent, now time.Time) []Change {
 	if l == s.limit {
 		s.limitAt = now
 		return nil
@@ -202,7 +202,7 @@
 func (s *State) setLimit(l Limit, at time.Time) []Change {
 	changed := l != s.limit
 	s.limit, s.limitAt = l, at
-	s.table.spoken = s.table.spoken || l.Named
+	s.table.signalled = s.table.signalled || l.Named
 	switch {
 	case !changed:
 		return nil
@@ -214,18 +214,18 @@
 	}
 }
 
-// Resting reports whether the endpoint wants nothing from this gateway now.
-func (s *State) Resting(now time.Time) bool { return now.Before(s.restTill) }
+// BackingOff reports whether the endpoint wants nothing from this gateway now.
+func (s *State) BackingOff(now time.Time) bool { return now.Before(s.backoffTill) }
 
-// Closed reports whether the endpoint is left alone because of a rest: it lasts, or
+// Closed reports whether the endpoint is left alone because of a backoff: it lasts, or
 // another request tries whether it has ended.
-func (s *State) Closed(now time.Time) bool { return s.restFrom(now).After(now) }
+func (s *State) Closed(now time.Time) bool { return s.backoffFrom(now).After(now) }
 
-// restFrom returns when the endpoint may get a request as far as rests go.
-func (s *State) restFrom(now time.Time) time.Time {
+// backoffFrom returns when the endpoint may get a request as far as backoffs go.
+func (s *State) backoffFrom(now time.Time) time.Time {
 	switch {
-	case s.Resting(now):
-		return s.restTill
+	case s.BackingOff(now):
+		return s.backoffTill
 	case s.returning && !s.triedAt.IsZero():
 		return later(s.triedAt.Add(tryEvery), now)
 	default:
@@ -242,7 +242,7 @@
 // From returns when the endpoint may get a request of this gateway at the earliest:
 // now, if it may.
 func (s *State) From(now time.Time) time.Time {
-	from := s.restFrom(now)
+	from := s.backoffFrom(now)
 	if s.limit.Named {
 		from = later(from, s.permits.from(s.limit.Rate, s.table.gateways, now))
 	}
@@ -303,16 +303,16 @@
 )
 
 // matters reports whether the endpoint has said anything that still holds.
-func (s *State) matters(now time.Time) bool {
-	return s.leaving || s.limit.Named || s.returning
+func (s *State) matters() bool {
+	return s.draining || s.limit.Named || s.returning
 }
 
 // Forget drops what cannot matter any more of endpoints that are not on the list.
 func (t *Table) Forget(listed func(id string) bool, now time.Time) {
 	var kept []*State
-	t.spoken = false
+	t.signalled = false
 	for id, s := range t.states {
-		t.spoken = t.spoken || s.matters(now)
+		t.signalled = t.signalled || s.matters()
 		switch {
 		case listed(id):
 			s.unlisted = time.Time{}
@@ -320,7 +320,7 @@
 		case s.unlisted.IsZero():
 			s.unlisted = now
 		}
-		if !s.matters(now) || now.Sub(s.unlisted) > keptFor {
+		if !s.matters() || now.Sub(s.unlisted) > keptFor {
 			delete(t.states, id)
 			continue
 		}
@@ -337,8 +337,8 @@
 	}
 }
 
-// hearUnreadable returns the first unreadable values of a life, of each kind one.
-func (s *State) hearUnreadable(values []string) []Change {
+// observeUnreadable returns the first unreadable values of a life, of each kind one.
+func (s *State) observeUnreadable(values []string) []Change {
 	var out []Change
 	for _, value := range values {
 		name := fieldOf(value)
--- a/cmd/mintlift/rest_test.go
+++ b/cmd/mintlift/backoff_test.go
@@ -13,14 +13,14 @@
 )
 
 const (
-	// restGrace is how long after an endpoint has turned a gateway away and asked
-	// for rest requests may still be on their way.
-	restGrace = 500 * time.Millisecond
-	// restSlack is how many requests may reach it until the rest ends.
-	restSlack = 2
+	// backoffGrace is how long after an endpoint has turned a gateway away and asked
+	// for backoff requests may still be on their way.
+	backoffGrace = 500 * time.Millisecond
+	// backoffSlack is how many requests may reach it until the backoff ends.
+	backoffSlack = 2
 )
 
-// Seen: engines that turned a gateway away and asked for 3 s of rest got 21 to 41
+// Seen: engines that turned a gateway away and asked for 3 s of backoff got 21 to 41
 // requests of it in that time, each of which they turned away again. Callers got
 // refusals: over a tenth of three kinds of requests was not served for seven seconds.
 //
@@ -35,7 +35,7 @@
 func TestRestIsGivenToAnEndpointThatAsksForIt(t *testing.T) {
 	t.Parallel()
 	d, talkers := startTalkers(t, 3, 3)
-	getsRest(t, d, talkers[0], enginePath, 3)
+	getsBackoff(t, d, talkers[0], enginePath, 3)
 }
 
 // The same at other times, and at an endpoint beside which no sidecar is.
@@ -44,34 +44,34 @@
 		t.Run(strconv.FormatFloat(seconds, 'f', -1, 64), func(t *testing.T) {
 			t.Parallel()
 			d, _ := startTalkers(t, 2, 1)
-			resting := startPlain(t, d)
+			backingOff := startPlain(t, d)
 			startPlain(t, d)
-			getsRest(t, d, resting, plainPath, seconds)
+			getsBackoff(t, d, backingOff, plainPath, seconds)
 		})
 	}
 }
 
-// getsRest lets an endpoint turn all requests away and ask for seconds of rest, and
+// getsBackoff lets an endpoint turn all requests away and ask for seconds of backoff, and
 // checks that each gateway gives it that.
-func getsRest(t *testing.T, d *engines, resting *talker, path string, seconds float64) {
+func getsBackoff(t *testing.T, d *engines, backingOff *talker, path string, seconds float64) {
 	t.Helper()
-	rest := time.Duration(seconds * float64(time.Second))
-	resting.words.Rest(rest)
-	d.press(path, 2*rest+2*time.Second, 25*time.Millisecond)
-	seen := slices.DeleteFunc(resting.arrivals(), func(a arrival) bool { return a.status == http.StatusOK })
+	backoff := time.Duration(seconds * float64(time.Second))
+	backingOff.signals.Backoff(backoff)
+	d.press(path, 2*backoff+2*time.Second, 25*time.Millisecond)
+	seen := slices.DeleteFunc(backingOff.arrivals(), func(a arrival) bool { return a.status == http.StatusOK })
 	assert.Assert(t, len(seen) > 0, "it has turned nothing away")
 	most := 0
 	for n, asked := range seen {
 		count := 0
 		for _, a := range seen[n:] {
-			if since := a.at.Sub(asked.at); a.gateway == asked.gateway && since > restGrace && since < rest {
+			if since := a.at.Sub(asked.at); a.gateway == asked.gateway && since > backoffGrace && since < backoff {
 				count++
 			}
 		}
 		most = max(most, count)
 	}
-	t.Logf("%d turned away, at most %d of one gateway in a rest", len(seen), most)
-	assert.Assert(t, most <= restSlack, "%d requests in a rest of %s, allowed %d", most, rest, restSlack)
-	// It is asked again when the rest has ended.
-	assert.Assert(t, seen[len(seen)-1].at.Sub(seen[0].at) >= rest, "it was not asked again")
+	t.Logf("%d turned away, at most %d of one gateway in a backoff", len(seen), most)
+	assert.Assert(t, most <= backoffSlack, "%d requests in a backoff of %s, allowed %d", most, backoff, backoffSlack)
+	// It is asked again when the backoff has ended.
+	assert.Assert(t, seen[len(seen)-1].at.Sub(seen[0].at) >= backoff, "it was not asked again")
 }
--- a/cmd/mintlift/leaving_test.go
+++ b/cmd/mintlift/draining_test.go
@@ -14,19 +14,19 @@
 )
 
 // drainBound is how long after a gateway has passed on an answer of an endpoint that
-// leaves it may send it requests.
+// drains it may send it requests.
 const drainBound = 2 * time.Second
 
 // Seen: requests reached an engine 2.3 to 2.6 s after an answer had told the
-// gateway that sent them that the engine leaves; they were served.
+// gateway that sent them that the engine drains; they were served.
 //
-// How it came about: the store was away when the engine began to leave, so that the
+// How it came about: the store was away when the engine began to drain, so that the
 // list of endpoints went on telling that it was ready, for 12 s. The engine said that
-// it leaves in each of its answers. The gateway sent it 1 to 6 requests a second
+// it drains in each of its answers. The gateway sent it 1 to 6 requests a second
 // as before.
 //
-// Cause: leaving was taken from the list alone. Shown by the flow, which does not
-// change at the word, by the store's silence meanwhile, and by this test.
+// Cause: draining was taken from the list alone. Shown by the flow, which does not
+// change at the signal, by the store's silence meanwhile, and by this test.
 func TestLeavingIsHeardInAnswers(t *testing.T) {
 	t.Parallel()
 	d, talkers := startTalkers(t, 3, 3)
@@ -39,7 +39,7 @@
 func TestLeavingOfAPlainEndpointIsHeardInAnswers(t *testing.T) {
 	t.Parallel()
 	d, _ := startTalkers(t, 3, 2)
-	leaving := startPlain(t, d)
+	draining := startPlain(t, d)
 	startPlain(t, d)
 	stop := make(chan struct{})
 	defer close(stop)
@@ -49,23 +49,23 @@
 			case <-stop:
 				return
 			case <-time.After(300 * time.Millisecond):
-				leaving.list("ready")
+				draining.list("ready")
 			}
 		}
 	}()
-	getsNothingAfterLeaving(t, d, leaving, plainPath)
+	getsNothingAfterLeaving(t, d, draining, plainPath)
 }
 
-// getsNothingAfterLeaving lets an endpoint say that it leaves, and checks that each
+// getsNothingAfterLeaving lets an endpoint say that it drains, and checks that each
 // gateway stops sending in time.
-func getsNothingAfterLeaving(t *testing.T, d *engines, leaving *talker, path string) {
+func getsNothingAfterLeaving(t *testing.T, d *engines, draining *talker, path string) {
 	t.Helper()
 	began := time.Now()
-	leaving.words.Leave()
+	draining.signals.Drain()
 	d.press(path, drainBound+3*time.Second, 25*time.Millisecond)
 	told := make(map[string]time.Time)
 	late := 0
-	for _, a := range leaving.arrivals() {
+	for _, a := range draining.arrivals() {
 		at, known := told[a.gateway]
 		switch {
 		case a.at.Before(began):
--- a/cmd/mintlift/limit_test.go
+++ b/cmd/mintlift/limit_test.go
@@ -36,8 +36,8 @@
 // them. Gateways passed the answers on, and chose by the list of endpoints, the
 // sidecars' reports and what they had in flight.
 //
-// Cause: no part of a gateway read the word. Shown by the flow, which does not
-// change when the word comes, at no gateway, and by this test.
+// Cause: no part of a gateway read the signal. Shown by the flow, which does not
+// change when the signal comes, at no gateway, and by this test.
 func TestLimitIsSharedByAllGateways(t *testing.T) {
 	t.Parallel()
 	d, talkers := startTalkers(t, 3, 3)
@@ -76,7 +76,7 @@
 func keepsLimit(t *testing.T, d *engines, limited *talker, path string, rate float64) {
 	t.Helper()
 	named := time.Now()
-	limited.words.Limit(rate)
+	limited.signals.Limit(rate)
 	d.press(path, contact+2*limitWindow, 25*time.Millisecond)
 	most := mostIn(limited.arrivals(), named.Add(contact), limitWindow)
 	allowed := int(limitFactor*rate*limitWindow.Seconds()) + limitSlack
@@ -133,7 +133,7 @@
 	service string
 	address string
 
-	words enginetest.Words
+	signals enginetest.Signals
 
 	mu   sync.Mutex
 	seen []arrival
@@ -205,7 +205,7 @@
 	h.Set(platform.Headers().RequestID, id)
 	h.Set("Content-Type", "text/event-stream")
 	status := http.StatusOK
-	if e.words.Say(h).Rest > 0 {
+	if e.signals.Say(h).Backoff > 0 {
 		status = http.StatusServiceUnavailable
 	}
 	e.mu.Lock()
--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -110,7 +110,7 @@
 	server := ingress.New(ingress.Settings{
 		Place:           fleet.Place{Box: s.IP, Zone: s.Zone, Regions: s.Regions},
 		Headers:         platform.Headers(),
-		Said:            platform.Said,
+		Signal:          platform.Signal,
 		Budget:          budget,
 		VersionDeadline: s.VersionDeadline(),
 		Current:         func() bool { return current(p.watcher.Progress(), s.ConfigBudget(), clock.Now()) },
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -237,7 +237,7 @@
 			publisher.Publish(fleet.Report{
 				Address: view.settings.App, Model: state.Model, Version: state.Version, Busy: state.Busy || i.Leaving(), Promised: i.Promised(),
 				Doubted: i.Doubted(), Running: state.Running, Queued: state.Queued, Pace: state.Pace, Born: state.Born, Weights: view.sum(),
-				Leaving: state.Said.Leaving, Limited: state.Said.Limit.Named, Limit: state.Said.Limit.Rate,
+				Draining: state.Signal.Draining, Limited: state.Signal.Limit.Named, Limit: state.Signal.Limit.Rate,
 			}, i.Changing(), clock.Now())
 		}
 		select {
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -47,14 +47,14 @@
 // backpressure.Fields: how many requests a second it takes, that it is about to end,
 // and, with a 503, for how many seconds it wants nothing.
 const (
-	HeaderLimit   = "X-Limit-Rate"
-	HeaderLeaving = "X-Leaving"
-	headerRest    = "Retry-After"
+	HeaderLimit    = "X-Limit-Rate"
+	HeaderDraining = "X-Draining"
+	headerRetry    = "Retry-After"
 )
 
-// Said decodes what an answer says of the engine.
-func Said(status int, h http.Header) backpressure.Word {
-	return backpressure.Fields{Limit: HeaderLimit, Leaving: HeaderLeaving, Rest: headerRest}.Decode(status, h)
+// Signal decodes what an answer says of the engine.
+func Signal(status int, h http.Header) backpressure.Signal {
+	return backpressure.Fields{Limit: HeaderLimit, Draining: HeaderDraining, RetryAfter: headerRetry}.Decode(status, h)
 }
 
 // ErrStale says that the engine has seen a newer holder or fence.
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -64,7 +64,7 @@
 
 // usable reports whether the endpoint may get the attempt at all.
 func (e *Endpoint) usable(q *Query, now time.Time) bool {
-	return !e.Said.Leaving() && e.fits(q, now)
+	return !e.Signals.Draining() && e.fits(q, now)
 }
 
 // fits is usable, whether the endpoint leaves or not.
@@ -110,7 +110,7 @@
 const atOnceSlots = 2
 
 // open reports whether the endpoint is being left alone.
-func (e *Endpoint) open(now time.Time) bool { return e.Said.Closed(now) || e.struck(now) }
+func (e *Endpoint) open(now time.Time) bool { return e.Signals.Closed(now) || e.struck(now) }
 
 // struck reports whether that is because it failed.
 func (e *Endpoint) struck(now time.Time) bool {
@@ -151,7 +151,7 @@
 	if e == nil {
 		return
 	}
-	e.Said.Take(now)
+	e.Signals.Take(now)
 	e.own++
 	e.unread += q.Work
 	e.unreadCount++
@@ -186,7 +186,7 @@
 	var missing *Endpoint
 	for _, e := range free {
 		cost := f.cost(e, q, e.Load(now), now)
-		open := !e.Said.From(now).After(now)
+		open := !e.Signals.From(now).After(now)
 		switch {
 		case open && cost < bestCost:
 			best, bestCost = e, cost
@@ -195,7 +195,7 @@
 		}
 	}
 	if missing != nil && missingCost < bestCost {
-		missing.Said.Want()
+		missing.Signals.Want()
 	}
 	return best
 }
@@ -276,7 +276,7 @@
 func (f *Fleet) Usable(q Query, by, now time.Time) int {
 	count := 0
 	for _, e := range f.byService[q.Service] {
-		if e.usable(&q, now) && !e.struck(now) && !e.Said.Closed(by) {
+		if e.usable(&q, now) && !e.struck(now) && !e.Signals.Closed(by) {
 			count++
 		}
 	}
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -12,8 +12,8 @@
 // Endpoint is one endpoint and what is believed of it.
 type Endpoint struct {
 	Record
-	// Said is what this life of the endpoint said of itself in answers.
-	Said *backpressure.State
+	// Signals is what this life of the endpoint said of itself in answers.
+	Signals *backpressure.State
 	// own are the attempts of this gateway in progress there.
 	own int
 	// others estimates what everybody else has there.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,7 +24,7 @@
 	Address string // IP:PORT
 	Zone    string
 	Slots   int
-	// Draining is what the list says; Endpoint.Said knows more.
+	// Draining is what the list says; Endpoint.Signals knows more.
 	Draining bool
 	// Born is when the endpoint's process started, in Unix milliseconds, or 0 if
 	// it does not tell. With the ID it names one life of the endpoint.
@@ -51,11 +51,11 @@
 	// Doubted says that the engine tells a version of which it is not known
 	// whether its weights are of it.
 	Doubted bool `json:"d,omitempty"`
-	// Leaving and Limited are what the engine's answer said to the sidecar, as to
+	// Draining and Limited are what the engine's answer said to the sidecar, as to
 	// any other that asks it something; Limit is in requests a second.
-	Leaving bool    `json:"leaving,omitempty"`
-	Limited bool    `json:"limited,omitempty"`
-	Limit   float64 `json:"limit,omitempty"`
+	Draining bool    `json:"draining,omitempty"`
+	Limited  bool    `json:"limited,omitempty"`
+	Limit    float64 `json:"limit,omitempty"`
 
 	Running int     `json:"r"`
 	Queued  int     `json:"q"`
@@ -96,9 +96,9 @@
 	// watching is what is watched of each large service, until its list
 	// changes.
 	watching map[string][]*Endpoint
-	// said is what endpoints said in answers, also of those that have left the
+	// signals is what endpoints said in answers, also of those that have left the
 	// list.
-	said *backpressure.Table
+	signals *backpressure.Table
 }
 
 // New returns an empty fleet, seen from a gateway at place.
@@ -106,7 +106,7 @@
 	return &Fleet{
 		place:     place,
 		watching:  make(map[string][]*Endpoint),
-		said:      backpressure.NewTable(),
+		signals:   backpressure.NewTable(),
 		byID:      make(map[string]*Endpoint),
 		byAddress: make(map[string]*Endpoint),
 		byService: make(map[string][]*Endpoint),
@@ -118,7 +118,7 @@
 func (f *Fleet) Put(r Record) bool {
 	changed := f.put(r)
 	if e := f.byID[r.ID]; e != nil && e.Draining {
-		e.Said.ListedLeaving()
+		e.Signals.ListedDraining()
 	}
 	return changed
 }
@@ -137,7 +137,7 @@
 		if old := f.byAddress[r.Address]; old != nil {
 			f.Remove(old.ID)
 		}
-		e = &Endpoint{Record: r, Said: f.said.Of(r.ID, r.Born)}
+		e = &Endpoint{Record: r, Signals: f.signals.Of(r.ID, r.Born)}
 		f.byID[r.ID] = e
 		f.byAddress[r.Address] = e
 		f.byService[r.Service] = append(f.byService[r.Service], e)
@@ -147,7 +147,7 @@
 	r.Born = max(r.Born, e.Born)
 	changed := e.Draining != r.Draining || !sameModels(e.Models, r.Models)
 	e.Born = r.Born
-	e.Said.Learn(r.Born)
+	e.Signals.Learn(r.Born)
 	if changed {
 		e.Record = r
 		e.misdirected = false
@@ -268,14 +268,14 @@
 		return nil, false // late, of the life before
 	case e.Born == 0:
 		e.Born = r.Born
-		e.Said.Learn(r.Born)
+		e.Signals.Learn(r.Born)
 	default:
 		e = f.startAgain(e, r.Born)
 	}
 	changed = e.reportAt.IsZero() || e.report.Version != r.Version || e.report.Busy != r.Busy || e.report.Doubted != r.Doubted
 	e.report = r
 	e.reportAt = now
-	e.Said.HearReport(backpressure.Word{Leaving: r.Leaving, Limit: backpressure.Limit{Named: r.Limited, Rate: r.Limit}}, now)
+	e.Signals.ObserveReport(backpressure.Signal{Draining: r.Draining, Limit: backpressure.Limit{Named: r.Limited, Rate: r.Limit}}, now)
 	e.heardAt = now
 	if roundTrip >= 0 {
 		e.roundTrip, e.roundAt = roundTrip, now
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -85,7 +85,7 @@
 		func() { f.Forget(start) },
 	} {
 		f.Put(r)
-		f.ByID("a").Said.Hear(backpressure.Word{Leaving: true}, start, start)
+		f.ByID("a").Signals.Observe(backpressure.Signal{Draining: true}, start, start)
 		lose()
 		f.Put(r)
 		assert.Equal(t, chosen(f, query(), start), "")
@@ -99,7 +99,7 @@
 func TestWordsInReports(t *testing.T) {
 	f := engines(2)
 	r := report("a", 1, 0, 0)
-	r.Leaving = true
+	r.Draining = true
 	f.Heard(r, 0, start)
 	f.Heard(report("a", 1, 0, 0), 0, start)
 	assert.Equal(t, chosen(f, query(), start), "b")
--- a/fleet/free_test.go
+++ b/fleet/free_test.go
@@ -23,7 +23,7 @@
 				f.Heard(r, -1, now)
 			}
 			if rapid.IntRange(0, 5).Draw(t, "leaving") == 0 {
-				e.Said.ListedLeaving()
+				e.Signals.ListedDraining()
 			}
 		}
 		now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "later")) * time.Millisecond)
--- a/fleet/permits.go
+++ b/fleet/permits.go
@@ -9,27 +9,27 @@
 )
 
 // Share says how many gateways share what endpoints allow together.
-func (f *Fleet) Share(gateways int) { f.said.Share(gateways) }
+func (f *Fleet) Share(gateways int) { f.signals.Share(gateways) }
 
 // Opens returns when the next endpoint of a service may get a request that may get
 // none now, or zero if none does by itself.
 func (f *Fleet) Opens(service string, now time.Time) time.Time {
 	var first time.Time
-	if f.said.Quiet() {
+	if f.signals.Quiet() {
 		return first
 	}
 	for _, e := range f.byService[service] {
-		if e.Said.Leaving() {
+		if e.Signals.Draining() {
 			continue
 		}
-		if at := e.Said.From(now); at.After(now) && (first.IsZero() || at.Before(first)) {
+		if at := e.Signals.From(now); at.After(now) && (first.IsZero() || at.Before(first)) {
 			first = at
 		}
 	}
 	return first
 }
 
-// Closure is why no endpoint of a service takes an attempt, by their own words.
+// Closure is why no endpoint of a service takes an attempt, by their own signals.
 type Closure struct {
 	Reason Reason
 	// Until is when one may take it at the earliest; zero if that is not known.
@@ -43,14 +43,14 @@
 
 // The reasons, from what passes soonest.
 const (
-	Open Reason = iota // at least one is not closed by its own word
+	Open Reason = iota // at least one is not closed by its own signal
 	Limited
-	Resting
-	Leaving
+	BackingOff
+	Draining
 )
 
 func (r Reason) String() string {
-	return [...]string{"are open", "are at their limits", "rest", "leave"}[r]
+	return [...]string{"are open", "are at their limits", "want backoff", "are draining"}[r]
 }
 
 // Closed tells whether all endpoints that could take an attempt have said that they
@@ -58,7 +58,7 @@
 // first.
 func (f *Fleet) Closed(q Query, by, now time.Time) Closure {
 	c := Closure{Reason: Open}
-	if f.said.Quiet() {
+	if f.signals.Quiet() {
 		return c
 	}
 	for _, e := range f.byService[q.Service] {
@@ -76,14 +76,14 @@
 	return c
 }
 
-// closure returns why the endpoint takes nothing now by its own word, and until when.
+// closure returns why the endpoint takes nothing now by its own signal, and until when.
 func (e *Endpoint) closure(now time.Time) (Reason, time.Time) {
-	from := e.Said.From(now)
+	from := e.Signals.From(now)
 	switch {
-	case e.Said.Leaving():
-		return Leaving, time.Time{}
-	case e.Said.Closed(now):
-		return Resting, from
+	case e.Signals.Draining():
+		return Draining, time.Time{}
+	case e.Signals.Closed(now):
+		return BackingOff, from
 	case from.After(now):
 		return Limited, from
 	default:
@@ -91,25 +91,25 @@
 	}
 }
 
-// Words counts the endpoints by what they have said that is in force.
-type Words struct {
-	Leaving, Resting, Limited int
+// Signals counts the endpoints by what they have said that is in force.
+type Signals struct {
+	Draining, BackingOff, Limited int
 	// Allowed is the sum of the limits, in requests a second.
 	Allowed float64
 }
 
-// Words returns what the endpoints of the list have said.
-func (f *Fleet) Words(now time.Time) (w Words) {
+// Signals returns what the endpoints of the list have said.
+func (f *Fleet) Signals(now time.Time) (w Signals) {
 	for _, e := range f.byID {
-		if e.Said.Leaving() {
-			w.Leaving++
+		if e.Signals.Draining() {
+			w.Draining++
 		}
-		if e.Said.Closed(now) {
-			w.Resting++
+		if e.Signals.Closed(now) {
+			w.BackingOff++
 		}
-		if e.Said.Limited() {
+		if e.Signals.Limited() {
 			w.Limited++
-			w.Allowed += e.Said.Rate()
+			w.Allowed += e.Signals.Rate()
 		}
 	}
 	return w
@@ -117,11 +117,11 @@
 
 // Asks calls ask with what is to be asked, or told, of the endpoints of a service.
 func (f *Fleet) Asks(service string, now time.Time, ask func(e *Endpoint, a backpressure.Ask)) {
-	if f.said.Quiet() {
+	if f.signals.Quiet() {
 		return
 	}
 	for _, e := range f.byService[service] {
-		if a, ok := e.Said.Ask(now); ok {
+		if a, ok := e.Signals.Ask(now); ok {
 			ask(e, a)
 		}
 	}
@@ -129,15 +129,15 @@
 
 // Granted takes permits; it returns what has changed of what the endpoint said.
 func (f *Fleet) Granted(g backpressure.Grant, now time.Time) []backpressure.Change {
-	return f.said.Granted(g, now)
+	return f.signals.Granted(g, now)
 }
 
 // HeardOf takes what another process tells of an endpoint; it returns what has
 // changed.
 func (f *Fleet) HeardOf(r backpressure.Record, now time.Time) []backpressure.Change {
-	return f.said.Merge(r, now)
+	return f.signals.Merge(r, now)
 }
 
 // Forget drops what endpoints said that have left the list and that cannot matter
 // any more.
-func (f *Fleet) Forget(now time.Time) { f.said.Forget(f.Has, now) }
+func (f *Fleet) Forget(now time.Time) { f.signals.Forget(f.Has, now) }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -49,7 +49,7 @@
 	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e.Said.Leaving() || e.Said.Resting(now) || x.quarantined(now) || !x.permit(e, now) {
+	if e.Signals.Draining() || e.Signals.BackingOff(now) || x.quarantined(now) || !x.permit(e, now) {
 		return false
 	}
 	return x.model == "" || e.MayServe(e.Holds(x.model, now), s.minVersion(x.model, now), s.minVersion(x.model, now.Add(-promiseLead)), now)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -49,9 +49,9 @@
 	// Place is where the gateway is.
 	Place   fleet.Place
 	Headers Headers
-	// Said decodes what the head of an answer says of its endpoint; nil is
+	// Signal decodes what the head of an answer says of its endpoint; nil is
 	// nothing.
-	Said   func(status int, head http.Header) backpressure.Word
+	Signal func(status int, head http.Header) backpressure.Signal
 	Budget retrybudget.Params
 	// VersionDeadline is how long after a version was named older ones may
 	// still start requests.
@@ -144,7 +144,7 @@
 		back:      newStoreReturn(),
 	}
 	server.fleet.Share(s.Budget.Gateways)
-	server.gaugeWords(m)
+	server.gaugeSignals(m)
 	m.Gauge("mintlift_ingress_suspects", func() float64 {
 		suspected, _ := server.suspects.Len(clock.Now())
 		return float64(suspected)
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -175,7 +175,7 @@
 		return nil, x.broken(ctx, e, err)
 	}
 	defer response.Close()
-	x.hear(e, response)
+	x.observe(e, response)
 	v := x.judge(response)
 	if v == notRun || v == spoilt {
 		x.discard(e, response, v)
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -104,8 +104,8 @@
 			continue
 		}
 		w.exchange.alone = q.Alone
-		w.exchange.permitted = e.Said.Limited()
-		if e.Said.Limited() {
+		w.exchange.permitted = e.Signals.Limited()
+		if e.Signals.Limited() {
 			s.metrics.Counter("mintlift_ingress_limited_requests_total", "service", service).Inc()
 		}
 		w.granted <- e
--- a/ingress/said.go
+++ b/ingress/signals.go
@@ -13,57 +13,57 @@
 	"github.com/mintlift/mintlift/upstream"
 )
 
-// hear takes what an answer of e says of it.
-func (x *exchange) hear(e *fleet.Endpoint, r *upstream.Response) {
+// observe takes what an answer of e says of it.
+func (x *exchange) observe(e *fleet.Endpoint, r *upstream.Response) {
 	s := x.server
-	if s.settings.Said == nil || r.Status == http.StatusMisdirectedRequest {
+	if s.settings.Signal == nil || r.Status == http.StatusMisdirectedRequest {
 		return // another endpoint may have the address, and mean itself
 	}
-	word := s.settings.Said(r.Status, r.Header)
+	signal := s.settings.Signal(r.Status, r.Header)
 	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changes := e.Said.Hear(word, x.sent, now)
-	s.noteSaid(e.ID, x.id, changes)
+	changes := e.Signals.Observe(signal, x.sent, now)
+	s.noteSignals(e.ID, x.id, changes)
 	if len(changes) > 0 {
 		s.askPermits(e.Service, now)
 	}
 }
 
-// noteSaid logs news of what an endpoint says; request is empty if another process
+// noteSignals logs news of what an endpoint says; request is empty if another process
 // told it. Server.mu is held.
-func (s *Server) noteSaid(endpoint, request string, changes []backpressure.Change) {
+func (s *Server) noteSignals(endpoint, request string, changes []backpressure.Change) {
 	for _, c := range changes {
-		s.metrics.Counter("mintlift_ingress_endpoint_words_total", "word", c.Kind.String()).Inc()
-		s.events.Info("endpoint said", "endpoint", endpoint, "request", request, "word", c.Kind.String(), "rate", c.Rate, "rest_ms", c.Rest.Milliseconds(), "value", c.Value)
+		s.metrics.Counter("mintlift_ingress_endpoint_signals_total", "signal", c.Kind.String()).Inc()
+		s.events.Info("endpoint signal", "endpoint", endpoint, "request", request, "signal", c.Kind.String(), "rate", c.Rate, "backoff_ms", c.Backoff.Milliseconds(), "value", c.Value)
 	}
 }
 
-// gaugeWords shows how many endpoints have said what.
-func (s *Server) gaugeWords(m *telemetry.Metrics) {
-	of := func(read func(w fleet.Words) float64) func() float64 {
+// gaugeSignals shows how many endpoints have said what.
+func (s *Server) gaugeSignals(m *telemetry.Metrics) {
+	of := func(read func(w fleet.Signals) float64) func() float64 {
 		return func() float64 {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			return read(s.fleet.Words(clock.Now()))
+			return read(s.fleet.Signals(clock.Now()))
 		}
 	}
-	m.Gauge("mintlift_ingress_endpoints_leaving", of(func(w fleet.Words) float64 { return float64(w.Leaving) }))
-	m.Gauge("mintlift_ingress_endpoints_resting", of(func(w fleet.Words) float64 { return float64(w.Resting) }))
-	m.Gauge("mintlift_ingress_endpoints_limited", of(func(w fleet.Words) float64 { return float64(w.Limited) }))
-	m.Gauge("mintlift_ingress_limits_allowed", of(func(w fleet.Words) float64 { return w.Allowed }))
+	m.Gauge("mintlift_ingress_endpoints_draining", of(func(w fleet.Signals) float64 { return float64(w.Draining) }))
+	m.Gauge("mintlift_ingress_endpoints_backoff", of(func(w fleet.Signals) float64 { return float64(w.BackingOff) }))
+	m.Gauge("mintlift_ingress_endpoints_limited", of(func(w fleet.Signals) float64 { return float64(w.Limited) }))
+	m.Gauge("mintlift_ingress_limits_allowed", of(func(w fleet.Signals) float64 { return w.Allowed }))
 }
 
 // permit reports whether x may be sent to e as far as its limit goes: one that was
 // named since e was chosen counts, too. Server.mu is held.
 func (x *exchange) permit(e *fleet.Endpoint, now time.Time) bool {
-	if x.permitted || !e.Said.Limited() {
+	if x.permitted || !e.Signals.Limited() {
 		return true
 	}
-	if e.Said.From(now).After(now) {
+	if e.Signals.From(now).After(now) {
 		return false
 	}
-	e.Said.Take(now)
+	e.Signals.Take(now)
 	x.permitted = true
 	return true
 }
@@ -96,7 +96,7 @@
 	s.fleet.Asks(service, now, func(e *fleet.Endpoint, a backpressure.Ask) {
 		address := s.dealer(e, now)
 		if address == "" {
-			e.Said.Alone(now)
+			e.Signals.Alone(now)
 			return
 		}
 		if len(s.asks) < maxAsks {
@@ -137,7 +137,7 @@
 	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.noteSaid(g.ID, "", s.fleet.Granted(g, now))
+	s.noteSignals(g.ID, "", s.fleet.Granted(g, now))
 	if e := s.fleet.ByID(g.ID); e != nil {
 		s.dispatch(e.Service, now)
 	}
@@ -150,7 +150,7 @@
 	defer s.mu.Unlock()
 	for _, r := range records {
 		changes := s.fleet.HeardOf(r, now)
-		s.noteSaid(r.ID, "", changes)
+		s.noteSignals(r.ID, "", changes)
 		if e := s.fleet.ByID(r.ID); e != nil && len(changes) > 0 {
 			s.dispatch(e.Service, now)
 		}
--- a/ingress/said_test.go
+++ b/ingress/signals_test.go
@@ -18,17 +18,17 @@
 
 // Headers by which endpoints of these tests speak of themselves.
 const (
-	leavingHeader = "Test-Leaving"
-	restHeader    = "Test-Rest"  // seconds
-	limitHeader   = "Test-Limit" // requests a second
+	drainingHeader = "Test-Draining"
+	backoffHeader  = "Test-Backoff" // seconds
+	limitHeader    = "Test-Limit"   // requests a second
 )
 
 // listen lets the gateway understand what endpoints say of themselves.
 func (w *world) listen() {
-	w.server.settings.Said = func(_ int, h http.Header) backpressure.Word {
-		said := backpressure.Word{Leaving: h.Get(leavingHeader) != ""}
-		if s, err := strconv.ParseFloat(h.Get(restHeader), 64); err == nil {
-			said.Rest = time.Duration(s * float64(time.Second))
+	w.server.settings.Signal = func(_ int, h http.Header) backpressure.Signal {
+		said := backpressure.Signal{Draining: h.Get(drainingHeader) != ""}
+		if s, err := strconv.ParseFloat(h.Get(backoffHeader), 64); err == nil {
+			said.Backoff = time.Duration(s * float64(time.Second))
 		}
 		if rate, err := strconv.ParseFloat(h.Get(limitHeader), 64); err == nil {
 			said.Limit = backpressure.Limited(rate)
@@ -64,7 +64,7 @@
 	misdirected := true
 	w.endpoint("a", "plain", func(rw http.ResponseWriter, r *http.Request) {
 		if misdirected {
-			says(leavingHeader, "1", status(http.StatusMisdirectedRequest))(rw, r)
+			says(drainingHeader, "1", status(http.StatusMisdirectedRequest))(rw, r)
 			return
 		}
 		ok("body")(rw, r)
@@ -79,29 +79,29 @@
 	assert.Equal(t, got.StatusCode, http.StatusOK)
 }
 
-// Where all endpoints leave or rest, callers hear so at once, and when one may take
+// Where all endpoints drain or backoff, callers observe so at once, and when one may take
 // requests again; also those that were refused before.
 func TestClosedServicesRefuseAtOnce(t *testing.T) {
-	const rest = 30.0
+	const backoff = 30.0
 	for _, test := range []struct {
-		word, value string
-		h           handler
-		cause       string
-		least, most float64 // of Retry-After
+		signal, value string
+		h             handler
+		cause         string
+		least, most   float64 // of Retry-After
 	}{
-		{leavingHeader, "1", ok("body"), "leave", 0.1, 3},
-		{restHeader, fmt.Sprint(rest), rejects, "rest", maxRetryAfter.Seconds(), maxRetryAfter.Seconds() + 3},
-		{restHeader, "1.5", rejects, "rest", 1.2, 4},
+		{drainingHeader, "1", ok("body"), "are draining", 0.1, 3},
+		{backoffHeader, fmt.Sprint(backoff), rejects, "want backoff", maxRetryAfter.Seconds(), maxRetryAfter.Seconds() + 3},
+		{backoffHeader, "1.5", rejects, "want backoff", 1.2, 4},
 	} {
 		for _, path := range []string{"/safe/", "/unsafe/", "/stream/"} {
-			t.Run(test.word+test.value+path, func(t *testing.T) {
+			t.Run(test.signal+test.value+path, func(t *testing.T) {
 				t.Parallel()
 				w := newWorld(t)
 				w.listen()
 				w.configure(1)
 				for n := range 2 {
-					w.endpoint(fmt.Sprint("p", n), "plain", says(test.word, test.value, test.h))
-					w.endpoint(fmt.Sprint("e", n), "engine", says(test.word, test.value, test.h))
+					w.endpoint(fmt.Sprint("p", n), "plain", says(test.signal, test.value, test.h))
+					w.endpoint(fmt.Sprint("e", n), "engine", says(test.signal, test.value, test.h))
 				}
 				for n := range 4 { // until both have said it
 					w.get("POST", path+strconv.Itoa(n), "")
@@ -123,13 +123,13 @@
 	}
 }
 
-// The time for which an endpoint wants rest of this gateway is not told to a caller
+// The time for which an endpoint wants backoff of this gateway is not told to a caller
 // who gets that endpoint's answer: another endpoint may serve the next try.
 func TestRestIsNotForCallers(t *testing.T) {
 	w := newWorld(t)
 	w.listen()
 	w.configure(1)
-	failing := says("Retry-After", "600", says(restHeader, "600", status(http.StatusServiceUnavailable)))
+	failing := says("Retry-After", "600", says(backoffHeader, "600", status(http.StatusServiceUnavailable)))
 	w.endpoint("a", "plain", failing)
 	r, _ := w.get("POST", "/unsafe/1", "")
 	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
@@ -154,26 +154,26 @@
 	w.server.Heard(fleet.Report{Address: w.records["e"].Address, Model: model, Version: 1, Running: 100}, 0)
 	const closes = 60 * time.Millisecond
 	time.AfterFunc(closes, func() {
-		w.server.HeardEndpoints([]backpressure.Record{{ID: "e", Leaving: true, LimitAgeMS: -1}})
+		w.server.HeardEndpoints([]backpressure.Record{{ID: "e", Draining: true, LimitAgeMS: -1}})
 	})
 	began := time.Now()
 	r, body := w.get("POST", "/stream/1", "")
 	took := time.Since(began)
 	assert.Equal(t, r.StatusCode, http.StatusServiceUnavailable)
-	assert.Equal(t, body, "all endpoints leave: e is one\n")
+	assert.Equal(t, body, "all endpoints are draining: e is one\n")
 	assert.Assert(t, took > closes && took < closes+50*time.Millisecond, "after %s", took)
 }
 
-// A rest that ends while a request waits lets it through.
+// A backoff that ends while a request waits lets it through.
 func TestRestEndsWhileARequestWaits(t *testing.T) {
 	w := newWorld(t)
 	w.listen()
 	w.configure(1)
-	resting := true
+	backingOff := true
 	w.endpoint("a", "plain", func(rw http.ResponseWriter, r *http.Request) {
-		if resting {
-			resting = false
-			says(restHeader, "0.15", rejects)(rw, r)
+		if backingOff {
+			backingOff = false
+			says(backoffHeader, "0.15", rejects)(rw, r)
 			return
 		}
 		ok("body")(rw, r)
@@ -186,10 +186,10 @@
 	assert.Equal(t, w.to("a"), 2)
 }
 
-// While a request waits for its connection its endpoint may say that it leaves or
-// rests: it is not sent there then.
+// While a request waits for its connection its endpoint may say that it drains or
+// backoffs: it is not sent there then.
 func TestWordsAreAskedOnceThereIsAConnection(t *testing.T) {
-	for _, word := range []backpressure.Word{{Leaving: true}, {Rest: time.Minute}, {Limit: backpressure.Limited(0)}} {
+	for _, signal := range []backpressure.Signal{{Draining: true}, {Backoff: time.Minute}, {Limit: backpressure.Limited(0)}} {
 		w := newWorld(t)
 		w.listen()
 		w.configure(1)
@@ -198,7 +198,7 @@
 		x := &exchange{server: w.server}
 		assert.Assert(t, w.server.mayStill(x, e))
 		now := time.Now()
-		e.Said.Hear(word, now, now)
-		assert.Assert(t, !w.server.mayStill(x, e), "%+v", word)
+		e.Signals.Observe(signal, now, now)
+		assert.Assert(t, !w.server.mayStill(x, e), "%+v", signal)
 	}
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -98,7 +98,7 @@
 		return nil, t.broken(ctx, e, err)
 	}
 	defer response.Close()
-	t.hear(e, response)
+	t.observe(e, response)
 	v := t.judge(response)
 	switch v {
 	case notRun, spoilt:
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -73,8 +73,8 @@
 	// Born is when the engine's process started, in Unix milliseconds, or 0 if
 	// it does not tell.
 	Born int64
-	// Said is what the engine's answer said of itself.
-	Said backpressure.Word
+	// Signal is what the engine's answer said of itself.
+	Signal backpressure.Signal
 }
 
 // Engine is the engine beside the sidecar.
--- a/internal/lab/words_test.go
+++ b/internal/lab/signals_test.go
@@ -47,24 +47,24 @@
 	return len(e.Journal()) - before, answered
 }
 
-// An engine that names a limit, leaves or asks for rest is heard by its sidecar.
+// An engine that names a limit, drains or asks for backoff is heard by its sidecar.
 func TestEnginesAreHeardByTheirSidecars(t *testing.T) {
 	const long = 4 * time.Second
 	for _, test := range []struct {
-		name  string
-		words standin.FaultSettings
-		most  int
+		name    string
+		signals standin.FaultSettings
+		most    int
 	}{
 		{"limit", standin.FaultSettings{Limited: true, LimitRate: 2}, 17},
-		{"leaving", standin.FaultSettings{Leaving: true}, 1},
-		{"rest", standin.FaultSettings{RestSeconds: 60}, 0},
+		{"draining", standin.FaultSettings{Draining: true}, 1},
+		{"backoff", standin.FaultSettings{BackoffSeconds: 60}, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			l := twoEngines(t)
 			e := l.Boxes[0].Engine
 			press(t, l, e, time.Second)
-			e.Faults.Set(test.words)
+			e.Faults.Set(test.signals)
 			press(t, l, e, time.Second/2) // it is heard
 			ran, answered := press(t, l, e, long)
 			t.Logf("%d ran, %d answered", ran, answered)
@@ -78,7 +78,7 @@
 func TestEngineIsBackAfterItLeft(t *testing.T) {
 	l := twoEngines(t)
 	e := l.Boxes[0].Engine
-	e.Faults.Set(standin.FaultSettings{Leaving: true})
+	e.Faults.Set(standin.FaultSettings{Draining: true})
 	press(t, l, e, time.Second)
 	e.Faults.Set(standin.FaultSettings{})
 	ran, _ := press(t, l, e, 14*time.Second)
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -41,12 +41,12 @@
 	ForeignAnswers bool `json:"foreign_answers"`
 	ForeignEvents  bool `json:"foreign_events"`
 	// LimitRate is a limit that an engine names, in requests a second, if Limited;
-	// Leaving says in each answer that it leaves; RestSeconds, when positive, turns
-	// all requests away and asks for rest.
-	Limited     bool    `json:"limited"`
-	LimitRate   float64 `json:"limit_rate"`
-	Leaving     bool    `json:"leaving"`
-	RestSeconds float64 `json:"rest_seconds"`
+	// Draining says in each answer that it takes nothing new; BackoffSeconds, when positive, turns
+	// all requests away and asks for backoff.
+	Limited        bool    `json:"limited"`
+	LimitRate      float64 `json:"limit_rate"`
+	Draining       bool    `json:"draining"`
+	BackoffSeconds float64 `json:"backoff_seconds"`
 }
 
 // Faults guards FaultSettings. The zero value shows no faults.
@@ -90,14 +90,14 @@
 	if s.Limited {
 		w.Header().Set(engine.HeaderLimit, strconv.FormatFloat(s.LimitRate, 'f', -1, 64))
 	}
-	if s.Leaving {
-		w.Header().Set(engine.HeaderLeaving, "1")
+	if s.Draining {
+		w.Header().Set(engine.HeaderDraining, "1")
 	}
-	if s.RestSeconds <= 0 {
+	if s.BackoffSeconds <= 0 {
 		return true
 	}
-	w.Header().Set("Retry-After", strconv.FormatFloat(s.RestSeconds, 'f', -1, 64))
-	http.Error(w, "resting", http.StatusServiceUnavailable)
+	w.Header().Set("Retry-After", strconv.FormatFloat(s.BackoffSeconds, 'f', -1, 64))
+	http.Error(w, "backing off", http.StatusServiceUnavailable)
 	return false
 }
 
--- a/loadreport/suspects_test.go
+++ b/loadreport/suspects_test.go
@@ -97,7 +97,7 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(subscription) < maxDatagram, "%d bytes", len(subscription))
 	answer, err := json.Marshal(message{
-		Report:    fleet.Report{Address: "255.255.255.255:65535", Model: "a-model-with-a-long-name", Version: 1 << 20, Busy: true, Promised: true, Running: 9999, Queued: 9999, Pace: 12.345678, Weights: 1<<32 - 1, Gateways: 9999, Turn: 99.99, Share: 0.99, Born: 1 << 42, Leaving: true, Limited: true, Limit: 123.456789},
+		Report:    fleet.Report{Address: "255.255.255.255:65535", Model: "a-model-with-a-long-name", Version: 1 << 20, Busy: true, Promised: true, Running: 9999, Queued: 9999, Pace: 12.345678, Weights: 1<<32 - 1, Gateways: 9999, Turn: 99.99, Share: 0.99, Born: 1 << 42, Draining: true, Limited: true, Limit: 123.456789},
 		Echo:      1 << 50,
 		Read:      1 << 40,
 		Readers:   []string{"255.255.255.255", "255.255.255.255"},
@@ -112,7 +112,7 @@
 func toldEndpoints(now time.Time) []backpressure.Record {
 	quotas := backpressure.NewQuotas()
 	for n := range 100 {
-		quotas.Ask(backpressure.Ask{Record: backpressure.Record{ID: fmt.Sprintf("i-%022d", n), Born: 1 << 42, Leaving: true, Limited: true, Rate: 123.456789, LimitAgeMS: 1e6}}, now)
+		quotas.Ask(backpressure.Ask{Record: backpressure.Record{ID: fmt.Sprintf("i-%022d", n), Born: 1 << 42, Draining: true, Limited: true, Rate: 123.456789, LimitAgeMS: 1e6}}, now)
 	}
 	return quotas.Tell(now)
 }
--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -102,7 +102,7 @@
 		unlock()
 		cancel()
 	}
-	if no := d.words.admit(clock.Now()); no != nil {
+	if no := d.signals.admit(clock.Now()); no != nil {
 		a.leave()
 		return nil, no
 	}
@@ -171,18 +171,18 @@
 		panic(http.ErrAbortHandler) // the request may have run: cut, so that the gateway sees no answer
 	}
 	defer resp.Body.Close()
-	d.hear(a, resp, sent)
+	d.observe(a, resp, sent)
 	if !d.correlated(a, resp) {
 		panic(http.ErrAbortHandler)
 	}
 	d.answer(w, a, resp)
 }
 
-// hear takes what an answer says of the endpoint.
-func (d *Daemon) hear(a *admitted, resp *http.Response, sent time.Time) {
-	for _, c := range d.words.hear(resp, sent, clock.Now()) {
-		d.Metrics.Counter("mintlift_endpoint_words_total", "word", c.Kind.String()).Inc()
-		d.Log.Info("requests: endpoint said", "request", a.id, "word", c.Kind.String(), "rate", c.Rate, "rest_ms", c.Rest.Milliseconds(), "value", c.Value)
+// observe takes what an answer says of the endpoint.
+func (d *Daemon) observe(a *admitted, resp *http.Response, sent time.Time) {
+	for _, c := range d.signals.observe(resp, sent, clock.Now()) {
+		d.Metrics.Counter("mintlift_endpoint_signals_total", "signal", c.Kind.String()).Inc()
+		d.Log.Info("requests: endpoint signal", "request", a.id, "signal", c.Kind.String(), "rate", c.Rate, "backoff_ms", c.Backoff.Milliseconds(), "value", c.Value)
 	}
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -50,7 +50,7 @@
 	orders  orders
 	uploads *prio.Gate
 	gate    *prio.Gate
-	words   *words
+	signals *signals
 	memory  dedup.Memory
 	server  *httpserve.Server
 }
@@ -65,7 +65,7 @@
 	d := &Daemon{
 		Process:  common,
 		settings: s,
-		words:    newWords(),
+		signals:  newSignals(),
 		endpoint: call.New("endpoint", call.Options{}),
 		once:     call.New("endpoint", call.Options{NoReuse: true}),
 		uploads:  prio.NewGate(prio.Queue{Slots: transfer.UploadSlots, Waiting: transfer.UploadWaiting}),
@@ -113,7 +113,7 @@
 	s.Service, s.Load, s.Slots = d.settings.Service, active+waiting, d.settings.MaxInFlight
 	s.Copies, s.Loaded, s.MemoryBytes = d.copies.report()
 	s.EngineKnown = d.copies.engineKnown()
-	s.Draining = s.Draining || d.words.leaving(clock.Now())
+	s.Draining = s.Draining || d.signals.draining(clock.Now())
 	return s
 }
 
--- a/sidecar/words.go
+++ b/sidecar/signals.go
@@ -13,49 +13,49 @@
 	"github.com/mintlift/mintlift/peer"
 )
 
-// lifeTry is how long after an endpoint said that it leaves one request finds out
+// lifeTry is how long after an endpoint said that it drains one request finds out
 // whether another life has begun, which says nothing of the kind: endpoints tell
 // their birth nowhere here.
 const lifeTry = 10 * time.Second
 
-// words is what the endpoint of this box says of itself. All requests for it come
+// signals is what the endpoint of this box says of itself. All requests for it come
 // through its sidecar, which so holds it to its limit alone. It is safe for
 // concurrent use; its lock is a leaf.
-type words struct {
+type signals struct {
 	mu   sync.Mutex
 	said *backpressure.State
-	// leftAt is when the endpoint last said that it leaves.
-	leftAt time.Time
+	// drainedAt is when the endpoint last said that it drains.
+	drainedAt time.Time
 }
 
-func newWords() *words {
-	w := &words{}
+func newSignals() *signals {
+	w := &signals{}
 	w.begin()
 	return w
 }
 
-// begin begins what a life says; words.mu is held, or nobody else knows it.
-func (w *words) begin() {
+// begin begins what a life says; signals.mu is held, or nobody else knows it.
+func (w *signals) begin() {
 	w.said = backpressure.NewTable().Of("endpoint", 0)
 	w.said.Alone(clock.Now()) // nobody else sends to the endpoint
 }
 
-// leaving reports whether the endpoint takes nothing new any more.
-func (w *words) leaving(now time.Time) bool {
+// draining reports whether the endpoint takes nothing new any more.
+func (w *signals) draining(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.said.Leaving() && now.Sub(w.leftAt) < lifeTry
+	return w.said.Draining() && now.Sub(w.drainedAt) < lifeTry
 }
 
 // admit counts a request that goes to the endpoint, or returns why it does not.
-func (w *words) admit(now time.Time) *refusal {
+func (w *signals) admit(now time.Time) *refusal {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.said.Leaving() {
-		if now.Sub(w.leftAt) < lifeTry {
-			return refuse(http.StatusServiceUnavailable, peer.ReasonDraining, "the endpoint is leaving")
+	if w.said.Draining() {
+		if now.Sub(w.drainedAt) < lifeTry {
+			return refuse(http.StatusServiceUnavailable, peer.ReasonDraining, "the endpoint is draining")
 		}
-		w.leftAt = now
+		w.drainedAt = now
 	}
 	if from := w.said.From(now); from.After(now) {
 		no := refuse(http.StatusTooManyRequests, peer.ReasonClosed, "the endpoint takes no more requests now")
@@ -66,16 +66,16 @@
 	return nil
 }
 
-// hear takes what an answer says; sent is when its request was sent.
-func (w *words) hear(resp *http.Response, sent, now time.Time) []backpressure.Change {
-	word := engine.Said(resp.StatusCode, resp.Header)
+// observe takes what an answer says; sent is when its request was sent.
+func (w *signals) observe(resp *http.Response, sent, now time.Time) []backpressure.Change {
+	signal := engine.Signal(resp.StatusCode, resp.Header)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case word.Leaving:
-		w.leftAt = now
-	case w.said.Leaving() && !sent.Before(w.leftAt):
+	case signal.Draining:
+		w.drainedAt = now
+	case w.said.Draining() && !sent.Before(w.drainedAt):
 		w.begin()
 	}
-	return w.said.Hear(word, sent, now)
+	return w.said.Observe(signal, sent, now)
 }
