--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -257,7 +257,7 @@
 
 // Heard takes a report and returns its endpoint, or nil if the endpoint is
 // not on the list. roundTrip is negative if none was measured. changed says
-// that version or readiness changed.
+// that version, readiness or what the engine says of itself changed.
 func (f *Fleet) Heard(r Report, roundTrip time.Duration, now time.Time) (e *Endpoint, changed bool) {
 	e = f.byAddress[r.Address]
 	switch {
@@ -272,7 +272,8 @@
 	default:
 		e = f.startAgain(e, r.Born)
 	}
-	changed = e.reportAt.IsZero() || e.report.Version != r.Version || e.report.Busy != r.Busy || e.report.Doubted != r.Doubted
+	changed = e.reportAt.IsZero() || e.report.Version != r.Version || e.report.Busy != r.Busy || e.report.Doubted != r.Doubted ||
+		e.report.Draining != r.Draining || e.report.Limited != r.Limited || e.report.Limit != r.Limit
 	e.report = r
 	e.reportAt = now
 	e.Signals.ObserveReport(backpressure.Signal{Draining: r.Draining, Limit: backpressure.Limit{Named: r.Limited, Rate: r.Limit}}, now)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -282,7 +282,7 @@
 	s.countGateways(r.Gateways)
 	if changed {
 		s.overdue(r.Model, e.Holds(r.Model, now), now)
-		s.events.Info("engine reported", "endpoint", e.ID, "model", r.Model, "version", r.Version, "busy", r.Busy, "doubted", r.Doubted)
+		s.events.Info("engine reported", "endpoint", e.ID, "model", r.Model, "version", r.Version, "busy", r.Busy, "doubted", r.Doubted, "draining", r.Draining, "limited", r.Limited, "rate", r.Limit)
 	}
 	s.dispatch(e.Service, now)
 }
