--- a/internal/lab/signals_test.go
+++ b/internal/lab/signals_test.go
@@ -76,6 +76,7 @@
 
 // An engine that has left is back in another life, which says nothing of the kind.
 func TestEngineIsBackAfterItLeft(t *testing.T) {
+	t.Parallel()
 	l := twoEngines(t)
 	e := l.Boxes[0].Engine
 	e.Faults.Set(standin.FaultSettings{Draining: true})
