--- a/internal/lab/proxy_test.go
+++ b/internal/lab/proxy_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -48,6 +49,19 @@
 	return c.cuts
 }
 
+// awaitUse waits until somebody connects.
+func (c *cutter) awaitUse(t *testing.T) {
+	t.Helper()
+	used := func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.conns) > 0
+	}
+	for began := time.Now(); !used(); time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Since(began) < 20*time.Second, "nobody connects")
+	}
+}
+
 // partition cuts all connections and refuses new ones while on.
 func (c *cutter) partition(on bool) {
 	c.mu.Lock()
--- a/internal/lab/stream_test.go
+++ b/internal/lab/stream_test.go
@@ -100,7 +100,8 @@
 	entry := b.Entry
 	entry.Address = c.address()
 	l.List.Put(entry)
-	time.Sleep(3 * time.Second) // the gateway reads the list again
+	c.awaitUse(t)               // the gateway has read the list again
+	time.Sleep(3 * time.Second) // and has probed the new address
 	for _, where := range []string{"sidecar", "engine"} {
 		t.Run(where, func(t *testing.T) {
 			if where == "sidecar" {
