ingress: an endpoint's 503 does not become a promise that a request has not run

What callers saw: a request that must run at most once was answered with the endpoint's own 503, 429 or 408 although the endpoint had not said that it did not run it, so a caller could send it a second time. Cause: the status of an error response was passed on whatever it promises. Change: one function chooses the status in which an unanswered request ends; a status that promises "not run" is passed on only if the request may run again.

--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -82,6 +82,34 @@
 	x.recordOutcome(outcome, cause, status)
 }
 
+// promisesNotRun reports whether a status promises the caller that its request has not run
+// and never will, so that a caller may send a request again that must run at most once.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// finalStatus returns the status of the response to a request that no endpoint answered
+// well. failed is the status of the last error response of an endpoint, or 0 without one.
+// expired reports that the request's time is up. A status that promises that the request
+// has not run is returned only if no endpoint may have run it, or if it may run again.
+func (x *exchange) finalStatus(failed int, expired bool) int {
+	switch {
+	case failed != 0 && (!promisesNotRun(failed) || x.route.Idempotent()):
+		return failed
+	case failed == 0 && !x.mayHaveRun:
+		return http.StatusServiceUnavailable
+	case failed == 0 && expired:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
 // respondUnanswered responds to a request for which no attempt got a response that can
 // be forwarded. If the caller has disconnected, it aborts the connection.
 func (x *exchange) respondUnanswered(ctx context.Context) {
@@ -91,10 +119,13 @@
 		panic(http.ErrAbortHandler)
 	case x.quarantined(clock.Now()):
 		x.rejectQuarantined()
-	case !x.mayHaveRun:
+		return
+	}
+	switch x.finalStatus(0, ctx.Err() != nil) {
+	case http.StatusServiceUnavailable:
 		closed, after := x.server.retryAfter(x)
 		x.refuse(x.refusalCause(closed), after)
-	case ctx.Err() != nil:
+	case http.StatusGatewayTimeout:
 		x.respond(http.StatusGatewayTimeout, outcomeTimedOut, x.lastCauseOr("timed out"))
 	default:
 		x.respond(http.StatusBadGateway, outcomeFailed, x.lastCauseOr("no answer"))
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -285,8 +286,16 @@
 	return body, nil
 }
 
-// sendReply sends an endpoint's complete response to the caller.
+// sendReply sends an endpoint's complete response to the caller. An error response whose
+// status would promise, of a request that must run at most once, that it has not run is
+// replaced: only the header Headers.NotRun of an endpoint says that.
 func (x *exchange) sendReply(r *reply, outcome string) {
+	if outcome == outcomeFailed {
+		if status := x.finalStatus(r.status, false); status != r.status {
+			x.respond(status, outcome, fmt.Sprintf("endpoint failed with status %d", r.status))
+			return
+		}
+	}
 	x.copyHeader(r.header)
 	h := x.writer.Header()
 	if r.status == http.StatusServiceUnavailable && h.Get("Retry-After") != "" {
