Serve allowed regions, evacuated zones, cold endpoints and slow readers

Change: - residency: the regions that route and workspace both allow, asked wherever an endpoint is chosen and once more before the request is written, under the newest configuration. The collector keeps below 75% of the memory limit.

--- a/backpressure/decode.go
+++ b/backpressure/decode.go
@@ -17,7 +17,9 @@
 	// second. Draining names the header that has the value drainingValue if the
 	// endpoint is draining. RetryAfter names the header with the backoff, a decimal
 	// number of seconds, which is ignored unless the response has status 503.
-	Limit, Draining, RetryAfter string
+	// ColdMS names the header with the time until the end of the endpoint's warm-up, a
+	// decimal number of milliseconds.
+	Limit, Draining, RetryAfter, ColdMS string
 }
 
 const (
@@ -28,7 +30,7 @@
 )
 
 // Decode returns the signal in a response. If a header is repeated, the strictest of
-// its valid values applies: the lowest limit and the longest backoff.
+// its valid values applies: the lowest limit, the longest backoff and the longest warm-up.
 func (f Fields) Decode(status int, h http.Header) Signal {
 	var signal Signal
 	invalid := func(name, value string) {
@@ -51,6 +53,15 @@
 		}
 		signal.Draining = true
 	}
+	for _, value := range h[f.ColdMS] {
+		ms, ok := parseDecimal(value)
+		if !ok {
+			invalid(f.ColdMS, value)
+			continue
+		}
+		signal.ColdReported = true
+		signal.ColdRemaining = max(signal.ColdRemaining, secondsToDuration(ms/1000))
+	}
 	if status != http.StatusServiceUnavailable {
 		return signal
 	}
--- a/backpressure/permit.go
+++ b/backpressure/permit.go
@@ -166,8 +166,9 @@
 	return want
 }
 
-// applyGrant adds the permits of a grant and records that the allocator responds.
-func (p *permits) applyGrant(g Grant, now time.Time) {
+// applyGrant adds the permits of a grant, which are valid for ttl, and records that the
+// allocator responds.
+func (p *permits) applyGrant(g Grant, ttl time.Duration, now time.Time) {
 	if !now.Before(p.grantedUntil) {
 		p.granted = 0
 	}
@@ -175,7 +176,7 @@
 	p.nextAt = now.Add(time.Duration(g.AfterMS) * time.Millisecond)
 	if g.Permits > 0 {
 		p.granted += min(g.Permits, maxPermits)
-		p.grantedUntil = now.Add(grantTTL)
+		p.grantedUntil = now.Add(ttl)
 	}
 }
 
--- a/backpressure/quota.go
+++ b/backpressure/quota.go
@@ -41,8 +41,8 @@
 	changed = len(q.table.Merge(r.Record, now)) > 0
 	s := q.table.State(r.ID, r.StartedMS)
 	g.Record = s.record(now)
-	if r.Want > 0 && s.limit.Set {
-		g.Permits, g.AfterMS = q.refill(s, now).take(r.Want, s.limit.Rate)
+	if limit := s.inForce(now); r.Want > 0 && limit.Set {
+		g.Permits, g.AfterMS = q.refill(s, limit.Rate, now).take(r.Want, limit.Rate)
 	}
 	q.evict(now)
 	return g, changed
@@ -51,16 +51,20 @@
 // Records returns the records of endpoints to send to gateways; see Table.Records.
 func (q *Quotas) Records(now time.Time) []Record { return q.table.Records(now) }
 
-// refill adds the tokens earned since the last call to an endpoint's bucket, and
-// returns the bucket.
-func (q *Quotas) refill(s *State, now time.Time) *bucket {
+// refill adds the tokens earned since the last call to an endpoint's bucket, at a rate a
+// second, and returns the bucket.
+func (q *Quotas) refill(s *State, rate float64, now time.Time) *bucket {
 	b := q.buckets[s]
 	if b == nil {
 		b = &bucket{tokens: 1, updatedAt: now}
 		q.buckets[s] = b
 	}
-	rate := max(s.limit.Rate, minRate)
-	b.tokens = min(b.tokens+rate*now.Sub(b.updatedAt).Seconds(), minBucket+bucketSeconds*rate)
+	rate = max(rate, minRate)
+	capacity := minBucket + bucketSeconds*rate
+	if s.limitedByWarmUp(now) {
+		capacity = minColdBucket + coldBucketSeconds*rate
+	}
+	b.tokens = min(b.tokens+rate*now.Sub(b.updatedAt).Seconds(), capacity)
 	b.updatedAt = now
 	return b
 }
--- a/backpressure/quota_test.go
+++ b/backpressure/quota_test.go
@@ -178,7 +178,7 @@
 // slot.
 func (sim simulation) admit(g *gateway, now time.Time) bool {
 	switch {
-	case !g.state.Limited():
+	case !g.state.Limited(now):
 		return true
 	case sim.strategy == sharesByDemand:
 		if now.Before(g.slot) {
@@ -198,7 +198,7 @@
 // grant for the gateway, and a changed record for the other gateways.
 func (sim simulation) requestPermits(g *gateway, all []*gateway, quotas *Quotas, now time.Time) {
 	for range g.waiting {
-		g.state.AddDemand()
+		g.state.AddDemand(now)
 	}
 	request, ok := g.state.PermitRequest(now)
 	switch {
@@ -224,7 +224,7 @@
 			continue
 		}
 		running++
-		if g.state.Limited() {
+		if g.state.Limited(start.Add(at)) {
 			limited++
 		}
 	}
--- a/backpressure/record.go
+++ b/backpressure/record.go
@@ -21,6 +21,8 @@
 	// LimitAgeMS is the time, in milliseconds, since an endpoint's response or load
 	// report last set, confirmed or ended the limit; negative if there was none.
 	LimitAgeMS int64 `json:"a"`
+	// Cold describes the endpoint's warm-up; nil if it has not been cold.
+	Cold *ColdRecord `json:"c,omitempty"`
 }
 
 // Parameters of the exchange of records between processes.
@@ -38,7 +40,7 @@
 
 // record returns the endpoint's signals as a message to other processes.
 func (s *State) record(now time.Time) Record {
-	r := Record{ID: s.id, StartedMS: s.startedMS, Draining: s.draining, Limited: s.limit.Set, Rate: s.limit.Rate, LimitAgeMS: -1}
+	r := Record{ID: s.id, StartedMS: s.startedMS, Draining: s.draining, Limited: s.limit.Set, Rate: s.limit.Rate, LimitAgeMS: -1, Cold: s.coldRecord(now)}
 	if !s.limitAt.IsZero() {
 		r.LimitAgeMS = now.Sub(s.limitAt).Milliseconds()
 	}
@@ -56,9 +58,9 @@
 	if r.Draining || r.LimitAgeMS >= 0 {
 		s.signalAt = now
 	}
-	var out []Change
+	out := s.mergeCold(r.Cold, now)
 	if r.Draining && !s.draining {
-		out = s.MarkDraining()
+		out = append(out, s.MarkDraining()...)
 		s.notify = false // the sender notifies the other processes
 	}
 	if r.LimitAgeMS < 0 {
--- a/backpressure/signal.go
+++ b/backpressure/signal.go
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
 // Package backpressure tracks the signals that endpoints send in their responses: a
-// rate limit, draining, and a backoff. It allocates the rate limit of an endpoint among
-// the gateways.
+// rate limit, draining, a backoff, and a warm-up. It allocates the rate limit of an
+// endpoint among the gateways, and the rate that it takes during its warm-up.
 //
 // It does no I/O, takes the current time as an argument, and is not safe for
 // concurrent use.
@@ -22,6 +22,10 @@
 	// Backoff is how long the gateway that received the response must send no requests
 	// to the endpoint; 0 if the endpoint requests no backoff.
 	Backoff time.Duration
+	// ColdReported is set if the response reports on the endpoint's warm-up, and
+	// ColdRemaining is then the time until the endpoint is warm; 0 if it is.
+	ColdReported  bool
+	ColdRemaining time.Duration
 	// Invalid holds the headers whose values cannot be parsed, as NAME: VALUE. They do
 	// not change the state of the endpoint.
 	Invalid []string
--- a/backpressure/table.go
+++ b/backpressure/table.go
@@ -52,6 +52,7 @@
 	// limitInReport reports that the last load report contained a limit.
 	limitInReport bool
 	permits       permits
+	warmUp        warmUp
 	// notify reports that a new limit, its end or draining must be sent to other
 	// gateways.
 	notify bool
@@ -85,8 +86,11 @@
 // Change is a change in the signals of an endpoint.
 type Change struct {
 	Kind Kind
-	// Rate is the new limit in requests per second, for LimitSet.
+	// Rate is the new limit in requests per second, for LimitSet, or the rate during the
+	// warm-up, for TurnedCold.
 	Rate float64
+	// Remaining is the time until the endpoint is warm, for TurnedCold.
+	Remaining time.Duration
 	// Backoff is the remaining time of the backoff, for BackoffRequested.
 	Backoff time.Duration
 	// Value is the header as NAME: VALUE, for ValueInvalid.
@@ -104,10 +108,12 @@
 	BackoffRequested
 	BackoffEnded
 	ValueInvalid
+	TurnedCold
+	WarmedUp
 )
 
 func (k Kind) String() string {
-	return [...]string{"limit", "limit ended", "draining", "backoff", "backoff ended", "unreadable"}[k]
+	return [...]string{"limit", "limit ended", "draining", "backoff", "backoff ended", "unreadable", "cold", "warm"}[k]
 }
 
 // Parameters of backoffs, in which an endpoint asks for no requests.
@@ -246,19 +252,19 @@
 	}
 }
 
-// Limited reports whether a limit is in force.
-func (s *State) Limited() bool { return s.limit.Set }
+// Limited reports whether a limit is in force: the endpoint's own, or that of its warm-up.
+func (s *State) Limited(now time.Time) bool { return s.inForce(now).Set }
 
 // Rate returns the limit for all gateways together, in requests per second. It is
 // valid only if Limited.
-func (s *State) Rate() float64 { return s.limit.Rate }
+func (s *State) Rate(now time.Time) float64 { return s.inForce(now).Rate }
 
 // AvailableAt returns the earliest time at which the endpoint's backoff and limit allow
 // this gateway to send a request; now if they allow it at once. It ignores draining.
 func (s *State) AvailableAt(now time.Time) time.Time {
 	availableAt := s.backoffEnd(now)
-	if s.limit.Set {
-		availableAt = later(availableAt, s.permits.availableAt(s.limit.Rate, s.table.gateways, now))
+	if limit := s.inForce(now); limit.Set {
+		availableAt = later(availableAt, s.permits.availableAt(limit.Rate, s.table.gateways, now))
 	}
 	return availableAt
 }
@@ -269,14 +275,14 @@
 	if s.recovering {
 		s.probedAt = now
 	}
-	if s.limit.Set {
-		s.permits.take(s.limit.Rate, s.table.gateways, now)
+	if limit := s.inForce(now); limit.Set {
+		s.permits.take(limit.Rate, s.table.gateways, now)
 	}
 }
 
 // AddDemand records that a request needs a permit of the endpoint.
-func (s *State) AddDemand() {
-	if s.limit.Set {
+func (s *State) AddDemand(now time.Time) {
+	if s.Limited(now) {
 		s.permits.wanted++
 	}
 }
@@ -307,7 +313,11 @@
 func (t *Table) ApplyGrant(g Grant, now time.Time) []Change {
 	changes := t.Merge(g.Record, now)
 	if s := t.states[g.ID]; s.startedMS == g.StartedMS {
-		s.permits.applyGrant(g, now)
+		ttl := grantTTL
+		if s.limitedByWarmUp(now) {
+			ttl = coldGrantTTL
+		}
+		s.permits.applyGrant(g, ttl, now)
 	}
 	return changes
 }
@@ -324,8 +334,8 @@
 )
 
 // active reports whether a signal of the endpoint is in force.
-func (s *State) active() bool {
-	return s.draining || s.limit.Set || s.recovering
+func (s *State) active(now time.Time) bool {
+	return s.draining || s.limit.Set || s.recovering || s.warmUp.lasts(now)
 }
 
 // Evict removes states of endpoints that are not on the endpoint list: those without
@@ -335,7 +345,7 @@
 	var kept []*State
 	t.anySignal = false
 	for id, s := range t.states {
-		t.anySignal = t.anySignal || s.active()
+		t.anySignal = t.anySignal || s.active(now)
 		switch {
 		case listed(id):
 			s.unlistedSince = time.Time{}
@@ -343,7 +353,7 @@
 		case s.unlistedSince.IsZero():
 			s.unlistedSince = now
 		}
-		if !s.active() || now.Sub(s.unlistedSince) > unlistedTTL {
+		if !s.active(now) || now.Sub(s.unlistedSince) > unlistedTTL {
 			delete(t.states, id)
 			continue
 		}
--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -70,6 +70,11 @@
 // memory.
 const gcPercent = 50
 
+// gcLimitPercent is the share of the process's memory limit from which the garbage
+// collector runs more often. The rest is for memory outside of the heap, such as the
+// buffers of sockets, which count towards the limit.
+const gcLimitPercent = 75
+
 // runPlatformDaemon runs a daemon until SIGTERM or SIGINT, then drains and closes it
 // within the grace period. SIGHUP is logged and otherwise ignored. component is the name
 // of the daemon in log lines.
@@ -84,6 +89,9 @@
 		log.Error(err, "cannot load settings")
 		return err
 	}
+	if limit := settings.MemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit * gcLimitPercent / 100)
+	}
 	metrics := telemetry.NewMetrics()
 	p := &platformProcess{
 		settings:   settings,
--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/backpressure"
+	"github.com/mintlift/mintlift/evacuation"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/history"
@@ -22,8 +23,10 @@
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
+	"github.com/mintlift/mintlift/sendbuffer"
 	"github.com/mintlift/mintlift/storerelay"
 	"github.com/mintlift/mintlift/storewatch"
+	"github.com/mintlift/mintlift/telemetry"
 )
 
 // gatewayOperator passes the operator's records from the store to a gateway's server.
@@ -37,6 +40,11 @@
 	o.SetTargetVersion(n.Model, n.Version, first, clock.Now())
 }
 
+// HandleEvacuation implements platform.OperatorHandler.
+func (o gatewayOperator) HandleEvacuation(c evacuation.Change) {
+	o.SetEvacuated(c.Zone, c.Evacuated, clock.Now())
+}
+
 // reportHandler handles the messages that sidecars send to a gateway. It passes reports
 // to the gateway's server. A report may carry an echo, which relays the progress of
 // other gateways; the handler passes it to the watcher, the readers and the recovery.
@@ -131,6 +139,10 @@
 		return group, errors.Trace(err)
 	}
 	group.addCloser(func() { _ = front.Close() })
+	unread := sendbuffer.NewPool(sendBufferBytes(s.MemoryLimit()), func(caller string, buffered int, behind time.Duration) {
+		p.log.Info("slow reader closed", "caller", caller, "buffered", buffered, "behind_ms", behind.Milliseconds())
+	})
+	registerUnreadGauges(p.metrics, unread)
 	ready, err := group.listen(s.Listen.Ready)
 	if err != nil {
 		return group, errors.Trace(err)
@@ -145,7 +157,7 @@
 	}
 	probes := http.NewServeMux()
 	probes.HandleFunc("/ready", server.ServeReady)
-	group.serve(server.WatchAccepts(front), &http.Server{
+	group.serve(unread.Listen(server.WatchAccepts(front)), &http.Server{
 		Handler: server, ConnContext: ingress.ConnContext,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	})
@@ -171,7 +183,7 @@
 	})
 	group.spawn(func() { sendPermitRequests(ctx, s, server, subscriber) })
 	group.spawn(func() { maintain(ctx, server) })
-	group.drain = func(ctx context.Context) { drainGateway(ctx, p, server, front) }
+	group.drain = func(ctx context.Context) { drainGateway(ctx, p, server, front, unread) }
 	return group, nil
 }
 
@@ -322,11 +334,40 @@
 	})
 }
 
+// sendBufferShare is the share of the memory limit that may be used for responses that
+// callers have not read yet, and defaultSendBufferBytes the bound without a memory limit.
+const (
+	sendBufferShare        = 8 // an eighth
+	defaultSendBufferBytes = 16 << 20
+)
+
+// sendBufferBytes returns the bound of the send buffers of a process with a memory limit;
+// both are in bytes, and the limit is 0 if there is none.
+func sendBufferBytes(memoryLimit int64) int {
+	if memoryLimit <= 0 {
+		return defaultSendBufferBytes
+	}
+	return int(memoryLimit / sendBufferShare)
+}
+
+// registerUnreadGauges registers gauges of the responses that callers have not read yet.
+func registerUnreadGauges(m *telemetry.Metrics, unread *sendbuffer.Pool) {
+	m.Gauge("mintlift_gateway_slow_readers", func() float64 {
+		connections, _ := unread.Buffered()
+		return float64(connections)
+	})
+	m.Gauge("mintlift_gateway_unread_bytes", func() float64 {
+		_, bytes := unread.Buffered()
+		return float64(bytes)
+	})
+}
+
 // drainGateway makes the gateway unready, stops accepting requests after preDrainDelay,
-// and waits until the requests in progress have ended or ctx is done. It does not close
+// and waits until the requests in progress have ended and callers have read their
+// responses, or ctx is done. It does not close
 // idle connections, as http.Server.Shutdown does, because a request may be arriving on
 // them.
-func drainGateway(ctx context.Context, p *platformProcess, server *ingress.Server, front net.Listener) {
+func drainGateway(ctx context.Context, p *platformProcess, server *ingress.Server, front net.Listener, unread *sendbuffer.Pool) {
 	server.StartStopping()
 	select {
 	case <-time.After(preDrainDelay):
@@ -335,7 +376,7 @@
 	server.Refuse()
 	_ = front.Close()
 	for idle := 0; ctx.Err() == nil && idle < idlePolls; idle++ {
-		if server.InFlight() > 0 {
+		if slow, _ := unread.Buffered(); server.InFlight() > 0 || slow > 0 {
 			idle = 0
 		}
 		time.Sleep(idlePollInterval)
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/evacuation"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/installer"
 	"github.com/mintlift/mintlift/internal/clock"
@@ -68,6 +69,10 @@
 	s.installer.AddTarget(n.Model, n.Version, setAt)
 }
 
+// HandleEvacuation implements platform.OperatorHandler. An engine of an evacuated zone is
+// kept up to date like any other, so that it can serve once the zone is taken back.
+func (s *sidecarState) HandleEvacuation(evacuation.Change) {}
+
 // handleNotice applies a notice, the message in which a gateway sends a sidecar the
 // weights configuration and the target versions.
 func (s *sidecarState) handleNotice(n loadreport.Notice) {
--- a/cmd/mintlift/platform_test.go
+++ b/cmd/mintlift/platform_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/backpressure"
+	"github.com/mintlift/mintlift/evacuation"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/history"
 	"github.com/mintlift/mintlift/ingress"
@@ -32,6 +33,7 @@
 
 func (discardOperator) HandleConfiguration(*routing.Configuration)       {}
 func (discardOperator) HandleTargetVersion(platform.TargetVersion, bool) {}
+func (discardOperator) HandleEvacuation(evacuation.Change)               {}
 
 // discardReports is a loadreport.Handler that ignores the sidecars' messages.
 type discardReports struct{}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -6,6 +6,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/mintlift/mintlift/residency"
 )
 
 // Weights of the terms of an endpoint's cost. The cost is an equivalent delay in
@@ -59,6 +61,8 @@
 	// MaxConnections bounds this gateway's attempts in progress at an endpoint,
 	// each of which uses a connection; 0 is no bound.
 	MaxConnections int
+	// Regions are the regions whose endpoints may get the attempt.
+	Regions residency.Regions
 	// Exclude holds the ids of endpoints that the request has been sent to already.
 	Exclude map[string]bool
 	// Isolated marks an attempt with a request that may crash its endpoint. An
@@ -72,9 +76,15 @@
 	return !e.Signals.Draining() && e.usableIfNotDraining(q, now)
 }
 
+// MayReceive reports whether an endpoint may get new requests that may be served in the
+// given regions, as far as its place is concerned.
+func (e *Endpoint) MayReceive(regions residency.Regions) bool {
+	return !e.evacuated && regions.Allows(e.region)
+}
+
 // usableIfNotDraining is like usable, but also accepts draining endpoints.
 func (e *Endpoint) usableIfNotDraining(q *Query, now time.Time) bool {
-	if e.misdirected || q.Exclude[e.ID] || q.Isolated && e.isolated {
+	if !e.MayReceive(q.Regions) || e.misdirected || q.Exclude[e.ID] || q.Isolated && e.isolated {
 		return false
 	}
 	if q.Model == "" {
@@ -135,21 +145,31 @@
 
 // Free returns the endpoints that have room for the attempt described by q. The
 // result is an argument for ChooseAmong. For an engine service, Free considers
-// the endpoints that the gateway watches, and the others only if no watched one
-// is usable. It does not count an attempt.
+// the endpoints that the gateway watches, and the others only if too few watched ones
+// are usable. It does not count an attempt.
 func (f *Fleet) Free(q Query, now time.Time) []*Endpoint {
 	all := f.byService[q.Service]
 	candidates := all
 	if q.Model != "" {
 		candidates = f.watched(q.Service)
 	}
-	free, anyUsable := f.free(candidates, &q, now)
-	if !anyUsable && len(candidates) < len(all) {
+	free, usable := f.free(candidates, &q, now)
+	if usable < q.minWatched() && len(candidates) < len(all) {
 		free, _ = f.free(all, &q, now)
 	}
 	return free
 }
 
+// minWatched returns the number of usable watched endpoints below which the others are
+// considered as well. A gateway watches few endpoints of each other region, so an attempt
+// that must go there would otherwise find only these.
+func (q *Query) minWatched() int {
+	if q.Regions.Restricted() {
+		return watchRemoteMin
+	}
+	return 1
+}
+
 // ChooseAmong is like Choose, but considers only the given endpoints. Free must
 // have returned them for a query with the same or weaker requirements.
 func (f *Fleet) ChooseAmong(free []*Endpoint, q Query, now time.Time) *Endpoint {
@@ -175,19 +195,19 @@
 	e.isolated = e.isolated || q.Isolated
 }
 
-// free returns the candidates that have room for the attempt. anyUsable reports
-// whether any candidate could take the attempt if its load were ignored.
-func (f *Fleet) free(candidates []*Endpoint, q *Query, now time.Time) (free []*Endpoint, anyUsable bool) {
+// free returns the candidates that have room for the attempt. usable is the number of
+// candidates that could take the attempt if their load were ignored.
+func (f *Fleet) free(candidates []*Endpoint, q *Query, now time.Time) (free []*Endpoint, usable int) {
 	for _, e := range candidates {
 		if !e.usable(q, now) || e.unavailable(now) {
 			continue
 		}
-		anyUsable = true
+		usable++
 		if _, room := f.room(e, q, now); room {
 			free = append(free, e)
 		}
 	}
-	return free, anyUsable
+	return free, usable
 }
 
 // cheapest returns the endpoint with the least cost among those that have room and
@@ -209,7 +229,7 @@
 		}
 	}
 	if unpermitted != nil && unpermittedCost < bestCost {
-		unpermitted.Signals.AddDemand()
+		unpermitted.Signals.AddDemand(now)
 	}
 	return best
 }
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -13,6 +13,10 @@
 // the gateway's estimate of its state.
 type Endpoint struct {
 	Record
+	// region is the region of the endpoint's availability zone.
+	region string
+	// evacuated is set while the operator has evacuated the endpoint's zone.
+	evacuated bool
 	// Signals holds the backpressure signals of this incarnation.
 	Signals *backpressure.State
 	// inFlight counts this gateway's attempts in progress.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,6 +33,9 @@
 	// milliseconds, or 0 if unknown. Together with the ID it identifies one
 	// incarnation of the endpoint.
 	StartedMS int64
+	// ColdMS is the time until the end of the endpoint's warm-up, in milliseconds, when
+	// the record was read; 0 if the endpoint is warm.
+	ColdMS int64 `json:",omitempty"`
 	// Models maps each model that the endpoint holds completely to its version. It
 	// is nil for an endpoint that holds no model or is not an engine.
 	Models map[string]int
@@ -109,6 +112,8 @@
 	// watchedByService caches the results of watched for large services. An entry is
 	// removed when the service's endpoints change.
 	watchedByService map[string][]*Endpoint
+	// evacuated holds the availability zones whose endpoints get no new attempts.
+	evacuated map[string]bool
 	// signals holds the backpressure signals of endpoints, including those that
 	// are no longer on the list.
 	signals *backpressure.Table
@@ -119,6 +124,7 @@
 	return &Fleet{
 		place:            place,
 		watchedByService: make(map[string][]*Endpoint),
+		evacuated:        make(map[string]bool),
 		signals:          backpressure.NewTable(),
 		byID:             make(map[string]*Endpoint),
 		byAddress:        make(map[string]*Endpoint),
@@ -152,6 +158,7 @@
 			f.Remove(old.ID)
 		}
 		e = &Endpoint{Record: r, Signals: f.signals.State(r.ID, r.StartedMS)}
+		f.locate(e)
 		f.byID[r.ID] = e
 		f.byAddress[r.Address] = e
 		f.byService[r.Service] = append(f.byService[r.Service], e)
@@ -165,10 +172,30 @@
 	if changed {
 		e.Record = r
 		e.misdirected = false
+		f.locate(e)
 	}
 	return changed
 }
 
+// locate sets the fields of an endpoint that follow from its availability zone.
+func (f *Fleet) locate(e *Endpoint) {
+	e.region, e.evacuated = f.place.region(e.Zone), f.evacuated[e.Zone]
+}
+
+// SetEvacuated sets whether an availability zone is evacuated. Its endpoints then get no
+// new attempts; attempts in progress continue.
+func (f *Fleet) SetEvacuated(zone string, evacuated bool) {
+	if evacuated {
+		f.evacuated[zone] = true
+	} else {
+		delete(f.evacuated, zone)
+	}
+	for _, e := range f.byID {
+		f.locate(e)
+	}
+	clear(f.watchedByService)
+}
+
 // replaceIncarnation replaces e by a new incarnation, started at startedMS, whose
 // report arrived before the list included it. The new endpoint gets the record of
 // e without its models, and none of the state of e.
--- a/fleet/permits.go
+++ b/fleet/permits.go
@@ -101,7 +101,7 @@
 
 // Signals holds the numbers of endpoints with each backpressure signal in force.
 type Signals struct {
-	Draining, BackingOff, Limited int
+	Draining, BackingOff, Limited, Cold int
 	// Allowed is the sum of the rate limits, in requests a second.
 	Allowed float64
 }
@@ -115,9 +115,12 @@
 		if e.Signals.Closed(now) {
 			counts.BackingOff++
 		}
-		if e.Signals.Limited() {
+		if e.Signals.Cold(now) {
+			counts.Cold++
+		}
+		if e.Signals.Limited(now) {
 			counts.Limited++
-			counts.Allowed += e.Signals.Rate()
+			counts.Allowed += e.Signals.Rate(now)
 		}
 	}
 	return counts
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -4,10 +4,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/mintlift/mintlift/residency"
 )
 
 // Of a large service, a gateway watches only some engines: it subscribes to their
@@ -45,6 +48,14 @@
 	return zone
 }
 
+// HasAny reports whether any region of the deployment is among the given ones.
+func (p *Place) HasAny(regions residency.Regions) bool {
+	if !regions.Restricted() || regions.Allows(p.region(p.Zone)) {
+		return true
+	}
+	return regions.AllowsAny(slices.Collect(maps.Values(p.Regions)))
+}
+
 // watched returns the endpoints of a service whose load reports the gateway
 // subscribes to, and among which it chooses.
 func (f *Fleet) watched(service string) []*Endpoint {
@@ -60,18 +71,25 @@
 	return list
 }
 
-// selectWatched selects the endpoints of a large service to watch.
+// selectWatched selects the endpoints of a large service to watch. Endpoints of evacuated
+// zones do not count: while the gateway's own zone is evacuated, it watches as many in
+// other regions as if it had none in its own.
 func (f *Fleet) selectWatched(all []*Endpoint) []*Endpoint {
 	var local, remote []*Endpoint
+	receiving := 0
 	for _, e := range all {
-		if f.place.region(e.Zone) == f.place.region(f.place.Zone) {
+		switch {
+		case e.region == f.place.region(f.place.Zone):
 			local = append(local, e)
-			continue
+			if !e.evacuated {
+				receiving++
+			}
+		case !e.evacuated:
+			remote = append(remote, e)
 		}
-		remote = append(remote, e)
 	}
 	weight := func(e *Endpoint) uint64 { return xxhash.Sum64String(f.place.Box + "/" + e.ID) }
-	remote = lowestWeight(remote, max(watchRemoteMin, watchTarget-len(local)), weight)
+	remote = lowestWeight(remote, max(watchRemoteMin, watchTarget-receiving), weight)
 	out := append(local, remote...)
 	for _, e := range rankByAddress(all, commonEndpoints) {
 		if !slices.Contains(out, e) {
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -9,6 +9,7 @@
 
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/residency"
 	"github.com/mintlift/mintlift/routing"
 )
 
@@ -71,11 +72,14 @@
 	// random part of retryAfterUnreadySpread is added.
 	retryAfterUnready       = 1200 * time.Millisecond
 	retryAfterUnreadySpread = 800 * time.Millisecond
+	// retryAfterNoRegion is the Retry-After of a request that no region may serve. Only a
+	// new configuration can change that.
+	retryAfterNoRegion = 5 * time.Second
 )
 
 // attemptQuery returns the query for the next attempt of x. Server.mu must be held.
 func (s *Server) attemptQuery(x *exchange, now time.Time) fleet.Query {
-	q := fleet.Query{Service: x.service, Exclude: x.tried}
+	q := fleet.Query{Service: x.service, Exclude: x.tried, Regions: s.regionsOf(x)}
 	service := x.config.Services[x.service]
 	if service == nil {
 		return q
@@ -119,7 +123,7 @@
 // request for the service of x. Server.mu must be held.
 func (s *Server) widestQuery(x *exchange, now time.Time) fleet.Query {
 	q := s.attemptQuery(x, now)
-	q.Exclude, q.Isolated = nil, false
+	q.Exclude, q.Isolated, q.Regions = nil, false, residency.Regions{}
 	q.MaxFirstByteMS, q.MaxBacklogMS = 0, 0
 	if service := x.config.Services[x.service]; service != nil && service.Engine != nil {
 		q.MaxLoad = float64(service.Engine.Slots) + retryExtraLoad
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -47,11 +47,16 @@
 
 // stillEligible reports whether x may still be sent to e, which was chosen for it. In
 // the meantime the cutoff of a target version may have passed, x may have been
-// quarantined, or e may have sent a signal that forbids the request.
+// quarantined, e's zone may have been evacuated, a new configuration may keep x out of
+// e's region, or e may have sent a signal that forbids the request.
 func (s *Server) stillEligible(x *exchange, e *fleet.Endpoint) bool {
 	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !e.MayReceive(s.regionsOf(x)) {
+		s.events.Info("attempt withheld", "request", x.id, "endpoint", e.ID, "zone", e.Zone, "regions", x.regions.String())
+		return false
+	}
 	if e.Signals.Draining() || e.Signals.BackingOff(now) || x.quarantined(now) || !x.takePermit(e, now) {
 		return false
 	}
--- a/ingress/endpoints.go
+++ b/ingress/endpoints.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 )
@@ -28,6 +29,9 @@
 	for _, r := range s.fleet.Replace(configured) {
 		s.recordRemoval(r, now)
 	}
+	for _, r := range configured {
+		s.observeListedWarmUp(r, now)
+	}
 	s.listKnown = true
 	s.list.markChanged()
 	s.events.Info("endpoints listed", "count", len(configured), "unnamed", len(s.unconfigured))
@@ -55,10 +59,14 @@
 // held.
 func (s *Server) putLocked(r fleet.Record) {
 	added := !s.fleet.Has(r.ID)
-	if !s.fleet.Put(r) {
+	changed := s.fleet.Put(r)
+	turnedCold := s.observeListedWarmUp(r, clock.Now())
+	if changed || turnedCold {
+		s.list.markChanged()
+	}
+	if !changed {
 		return
 	}
-	s.list.markChanged()
 	if added {
 		s.requestNoticeLocked()
 	}
@@ -66,6 +74,26 @@
 	s.dispatch(r.Service, clock.Now())
 }
 
+// observeListedWarmUp applies what an endpoint's entry tells of its warm-up: the time that
+// is left, and the start of the incarnation, after which it is cold for some time. It
+// returns whether the endpoint turned cold. Server.mu must be held.
+func (s *Server) observeListedWarmUp(r fleet.Record, now time.Time) bool {
+	e, c := s.fleet.ByID(r.ID), s.routes.Get()
+	if e == nil || c == nil || c.ColdRate(r.Service) <= 0 {
+		return false
+	}
+	remaining := time.Duration(r.ColdMS) * time.Millisecond
+	if r.StartedMS > 0 {
+		remaining = max(remaining, c.Services[r.Service].ColdStart-clock.SinceUnixMilli(r.StartedMS))
+	}
+	if remaining <= 0 {
+		return false
+	}
+	changes := e.Signals.ObserveCold(backpressure.Cold{Remaining: remaining, Rate: c.ColdRate(r.Service), Listed: true}, now, now)
+	s.logSignalChanges(r.ID, "", changes)
+	return len(changes) > 0
+}
+
 // putUnconfigured keeps the entry of an endpoint whose service the configuration lacks.
 // The entry is kept separately from the fleet, so that it does not replace an endpoint
 // with the same address, and is used if the service is configured later. Server.mu must
@@ -92,6 +120,17 @@
 	}
 }
 
+// SetEvacuated sets whether the operator has evacuated an availability zone. The zone's
+// endpoints then get no new requests. Requests that wait for an endpoint, and the next
+// attempts of those in progress, go to other zones.
+func (s *Server) SetEvacuated(zone string, evacuated bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.SetEvacuated(zone, evacuated)
+	s.requestNoticeLocked()
+	s.dispatchAll(now)
+}
+
 // isConfigured reports whether the configuration in force contains a service. It is
 // true for all services if there is no configuration yet.
 func (s *Server) isConfigured(service string) bool {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/quarantine"
+	"github.com/mintlift/mintlift/residency"
 	"github.com/mintlift/mintlift/routing"
 )
 
@@ -25,8 +26,14 @@
 	config  *routing.Configuration
 	route   *routing.Route
 	service string
-	model   string // requested model, or empty for plain services
-	id      string // the caller's request ID, or empty
+	// key is the caller's key, or empty if the route is public.
+	key string
+	// regions are the regions in which the request may be served under regionsConfig, the
+	// newest configuration so far. Server.mu guards both once the request waits.
+	regions       residency.Regions
+	regionsConfig *routing.Configuration
+	model         string // requested model, or empty for plain services
+	id            string // the caller's request ID, or empty
 	// identity is the same for all attempts and caller retries of one request, at every
 	// gateway.
 	identity quarantine.ID
@@ -138,8 +145,8 @@
 	x.priority = x.route.Priority
 	workspace := ""
 	if !x.route.Public && x.config.Authenticated() {
-		key, _ := strings.CutPrefix(x.request.Header.Get("Authorization"), "Bearer ")
-		owner := x.config.Workspace(key)
+		x.key, _ = strings.CutPrefix(x.request.Header.Get("Authorization"), "Bearer ")
+		owner := x.config.Workspace(x.key)
 		if owner == nil {
 			x.denyIfCurrent(http.StatusUnauthorized, "unknown key")
 			return false
@@ -147,6 +154,11 @@
 		workspace = owner.Name
 		x.priority = owner.Priority
 	}
+	x.regionsConfig, x.regions = x.config, allowedRegions(x.config, x.route, x.key)
+	if !x.server.settings.Place.HasAny(x.regions) {
+		x.refuse("no region may serve it: "+x.regions.String(), retryAfterNoRegion)
+		return false
+	}
 	x.service = x.route.Service(rand.Float64())
 	x.setDeadlines()
 	x.buildHeader(workspace)
@@ -249,6 +261,8 @@
 	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
 	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
+		// Without this header, net/http would read the rest of the body before it responds.
+		x.writer.Header().Set("Connection", "close")
 		var large *http.MaxBytesError
 		if errors.As(err, &large) {
 			x.deny(http.StatusRequestEntityTooLarge, "body too large")
--- a/ingress/helpers_test.go
+++ b/ingress/helpers_test.go
@@ -63,10 +63,16 @@
 // newTestGateway returns a gateway that listens for callers, without configuration and
 // endpoints.
 func newTestGateway(t testing.TB) *testGateway {
+	t.Helper()
+	return newTestGatewayAt(t, fleet.Place{Zone: "z"})
+}
+
+// newTestGatewayAt is like newTestGateway, for a gateway at a place.
+func newTestGatewayAt(t testing.TB, place fleet.Place) *testGateway {
 	t.Helper()
 	g := &testGateway{t: t, records: make(map[string]fleet.Record)}
 	g.server = New(Settings{
-		Place:           fleet.Place{Zone: "z"},
+		Place:           place,
 		Headers:         testHeaders,
 		Budget:          retrybudget.Params{Ratio: 0.2, Slack: 200, Window: 10 * time.Second, Gateways: 1},
 		VersionDeadline: 8 * time.Second,
@@ -108,6 +114,12 @@
 
 // startEndpoint starts an endpoint whose requests h handles, and adds it to the list.
 func (g *testGateway) startEndpoint(id, service string, h handler) {
+	g.t.Helper()
+	g.startEndpointIn("z", id, service, h)
+}
+
+// startEndpointIn is like startEndpoint, for an endpoint in an availability zone.
+func (g *testGateway) startEndpointIn(zone, id, service string, h handler) {
 	g.t.Helper()
 	s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
@@ -118,7 +130,7 @@
 		h(rw, r)
 	}))
 	g.t.Cleanup(s.Close)
-	r := fleet.Record{ID: id, Service: service, Address: strings.TrimPrefix(s.URL, "http://"), Zone: "z"}
+	r := fleet.Record{ID: id, Service: service, Address: strings.TrimPrefix(s.URL, "http://"), Zone: zone}
 	if service == "engine" {
 		r.Models = map[string]int{testModel: 1}
 	}
--- a/ingress/list.go
+++ b/ingress/list.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
 )
 
 // listState identifies the version of the endpoint list that a gateway holds.
@@ -68,8 +69,11 @@
 		Confirmed: s.list.confirmedAt,
 		Changed:   s.list.changed,
 	}
+	now := clock.Now()
 	for _, e := range s.fleet.All() {
-		l.Records = append(l.Records, e.Record)
+		r := e.Record
+		r.ColdMS = e.Signals.ColdRemaining(now).Milliseconds()
+		l.Records = append(l.Records, r)
 	}
 	for _, r := range s.unconfigured {
 		l.Records = append(l.Records, r)
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -98,21 +98,26 @@
 		return
 	}
 	free := s.fleet.Free(s.widestQuery(q.waiters[0].exchange, now), now)
-	if len(free) == 0 {
-		return
-	}
 	defer s.queuePermitRequests(service, now)
 	kept := q.waiters[:0]
 	for _, w := range q.waiters {
+		restricted := s.regionsOf(w.exchange).Restricted()
+		if len(free) == 0 && !restricted {
+			kept = append(kept, w)
+			continue
+		}
 		q := s.attemptQuery(w.exchange, now)
 		e := s.fleet.ChooseAmong(free, q, now)
+		if e == nil && restricted {
+			e = s.fleet.Choose(q, now) // its regions may have endpoints that are not watched
+		}
 		if e == nil {
 			kept = append(kept, w)
 			continue
 		}
 		w.exchange.isolated = q.Isolated
-		w.exchange.hasPermit = e.Signals.Limited()
-		if e.Signals.Limited() {
+		w.exchange.hasPermit = e.Signals.Limited(now)
+		if e.Signals.Limited(now) {
 			s.metrics.Counter("mintlift_ingress_limited_requests_total", "service", service).Inc()
 		}
 		w.assigned <- e
--- a/ingress/signals.go
+++ b/ingress/signals.go
@@ -24,6 +24,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	changes := e.Signals.Observe(signal, x.sentAt, now)
+	if signal.ColdReported {
+		cold := backpressure.Cold{Remaining: signal.ColdRemaining, Rate: x.config.ColdRate(e.Service)}
+		changes = append(changes, e.Signals.ObserveCold(cold, x.sentAt, now)...)
+	}
 	s.logSignalChanges(e.ID, x.id, changes)
 	if len(changes) > 0 {
 		s.queuePermitRequests(e.Service, now)
@@ -36,7 +40,7 @@
 func (s *Server) logSignalChanges(endpoint, request string, changes []backpressure.Change) {
 	for _, c := range changes {
 		s.metrics.Counter("mintlift_ingress_endpoint_signals_total", "signal", c.Kind.String()).Inc()
-		s.events.Info("endpoint signal", "endpoint", endpoint, "request", request, "signal", c.Kind.String(), "rate", c.Rate, "backoff_ms", c.Backoff.Milliseconds(), "value", c.Value)
+		s.events.Info("endpoint signal", "endpoint", endpoint, "request", request, "signal", c.Kind.String(), "rate", c.Rate, "backoff_ms", c.Backoff.Milliseconds(), "cold_ms", c.Remaining.Milliseconds(), "value", c.Value)
 	}
 }
 
@@ -52,6 +56,7 @@
 	m.Gauge("mintlift_ingress_endpoints_draining", of(func(w fleet.Signals) float64 { return float64(w.Draining) }))
 	m.Gauge("mintlift_ingress_endpoints_backoff", of(func(w fleet.Signals) float64 { return float64(w.BackingOff) }))
 	m.Gauge("mintlift_ingress_endpoints_limited", of(func(w fleet.Signals) float64 { return float64(w.Limited) }))
+	m.Gauge("mintlift_ingress_endpoints_cold", of(func(w fleet.Signals) float64 { return float64(w.Cold) }))
 	m.Gauge("mintlift_ingress_limits_allowed", of(func(w fleet.Signals) float64 { return w.Allowed }))
 }
 
@@ -59,7 +64,7 @@
 // x has no permit to be sent to e, because the limit was set after e was chosen, it
 // takes one. Server.mu must be held.
 func (x *exchange) takePermit(e *fleet.Endpoint, now time.Time) bool {
-	if x.hasPermit || !e.Signals.Limited() {
+	if x.hasPermit || !e.Signals.Limited(now) {
 		return true
 	}
 	if e.Signals.AvailableAt(now).After(now) {
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -254,3 +254,8 @@
 		go t.fire()
 	}
 }
+
+// SinceUnixMilli returns the time since a time of day, in Unix milliseconds, that another
+// machine has reported. It is as inexact as the difference of the machines' clocks, and
+// negative for a time in the future.
+func SinceUnixMilli(ms int64) time.Duration { return time.Since(time.UnixMilli(ms)) }
--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -19,6 +19,9 @@
 	// userTimeout bounds how long sent bytes may remain unacknowledged. Without
 	// this bound, TCP retransmits for minutes.
 	userTimeout = 1500 * time.Millisecond
+	// slowReaderTimeout replaces userTimeout for callers. The timeout also runs while
+	// the peer's receive window is zero, and callers may read slowly.
+	slowReaderTimeout = 10 * time.Second
 	// probeInterval is the interval of keep-alive probes on an idle connection, in
 	// whole seconds. On Linux, an unresponsive peer is detected probeInterval after
 	// the first probe, because of userTimeout.
@@ -51,25 +54,28 @@
 // unresponsive. timeout bounds the dial; idle is the idle time before the first
 // keep-alive probe.
 func Dialer(timeout, idle time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive(idle), Control: control}
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive(idle), Control: control(userTimeout)}
 }
 
 // Listen listens on an IPv4 address. Accepted connections inherit the socket
 // options of the listener and fail when the peer becomes unresponsive; idle is
-// the idle time before the first keep-alive probe.
+// the idle time before the first keep-alive probe. A peer that does not read
+// counts as unresponsive after slowReaderTimeout.
 func Listen(ctx context.Context, address string, idle time.Duration) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive(idle), Control: control}
+	config := net.ListenConfig{KeepAliveConfig: keepAlive(idle), Control: control(slowReaderTimeout)}
 	l, err := config.Listen(ctx, "tcp4", address)
 	return l, errors.Trace(err)
 }
 
-// control sets userTimeout on a new socket.
-func control(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		// Best effort: without the option, the timeouts of calls detect an
-		// unresponsive peer.
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout/time.Millisecond))
-	})
+// control returns a function that sets the TCP user timeout of a new socket.
+func control(timeout time.Duration) func(_, _ string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			// Best effort: without the option, the timeouts of calls detect an
+			// unresponsive peer.
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout/time.Millisecond))
+		})
+	}
 }
 
 // connState is the state of a connection's receive side, as returned by peek.
@@ -85,7 +91,7 @@
 // peek returns the state of a connection without consuming bytes. It may be
 // called while another goroutine is blocked in Read.
 func peek(c net.Conn) connState {
-	tcp, ok := c.(*net.TCPConn)
+	tcp, ok := c.(syscall.Conn)
 	if !ok {
 		return unknown
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/mintlift/mintlift/residency"
 )
 
 // Kind is the kind of a route's requests; it determines whether they may be retried.
@@ -61,6 +63,8 @@
 	Public bool
 	// Resumable is set if another endpoint may continue a stream that was interrupted.
 	Resumable bool
+	// Regions are the regions in which requests of the route may be served.
+	Regions residency.Regions
 }
 
 // Idempotent reports whether requests of the route may run more than once.
@@ -128,6 +132,11 @@
 	OriginRate float64
 	// Engine is nil for a plain service.
 	Engine *Engine
+	// ColdRate is how many requests a second an endpoint takes while it is cold, from
+	// all gateways together; 0 is no bound.
+	ColdRate float64
+	// ColdStart is how long an endpoint stays cold after its start.
+	ColdStart time.Duration
 }
 
 // Workspace is a customer with the keys that authenticate its requests.
@@ -136,6 +145,8 @@
 	Keys []string
 	// Priority is 0 for the most urgent.
 	Priority int
+	// Regions are the regions in which requests of the workspace may be served.
+	Regions residency.Regions
 }
 
 // Limits bound the size of requests, the time to receive their headers, and the
@@ -207,6 +218,14 @@
 // Workspace returns the workspace that a key belongs to, or nil.
 func (c *Configuration) Workspace(key string) *Workspace { return c.keys[key] }
 
+// ColdRate returns the ColdRate of a service, or 0 if the service is not configured.
+func (c *Configuration) ColdRate(service string) float64 {
+	if s := c.Services[service]; s != nil {
+		return s.ColdRate
+	}
+	return 0
+}
+
 // Origin returns a service that is an origin server of weights, or nil.
 func (c *Configuration) Origin() *Service {
 	for _, s := range c.Services {
