Readers of a region are known from the start, and few whatever fails

Cause: which gateways read the store for a region was known only from sidecars, which needs the list; whoever got nothing recent from a reader read the store itself, so congestion made more readers. The whole list went to each follower at each change; every gateway got the reports of all engines of its region, and five sidecars sent theirs to every gateway. Change: - gateways announce themselves in a topic of ours; readerset ranks them by link and hash. The first two read; another reads only when none of lower rank is left to ask, and pauses longer after each failed read. - storerelay hands on changes of the list instead of the list, collects them for 50 ms, encodes records once. - a gateway watches 48 engines, and those that would have fewer than six watchers; common engines are contacted each 1.5 s without reports, and are chosen no more often than others. - a sidecar that hears no gateway asks one for a notice before it reads the store.

--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"net/http"
 	"time"
@@ -15,7 +14,6 @@
 	"github.com/mintlift/mintlift/evacuation"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/freshness"
-	"github.com/mintlift/mintlift/history"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/internal/tcpconn"
@@ -47,12 +45,11 @@
 
 // reportHandler handles the messages that sidecars send to a gateway. It passes reports
 // to the gateway's server. A report may carry an echo, which relays the progress of
-// other gateways; the handler passes it to the watcher, the readers and the recovery.
+// other gateways; the handler passes it to the watcher and the recovery.
 type reportHandler struct {
 	ctx      context.Context // canceled when the daemon is closed
 	server   *ingress.Server
 	watcher  *platform.Watcher
-	readers  *storerelay.Readers
 	recovery *recordRecovery
 }
 
@@ -66,7 +63,6 @@
 	}
 	now := clock.Now()
 	h.watcher.ObservePosition(e.Read, now)
-	h.readers.Add(e.Readers, now)
 	h.recovery.handleEcho(h.ctx, e, now)
 	h.server.HandleReport(r, e.RoundTrip)
 }
@@ -162,24 +158,27 @@
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	})
 	group.serve(ready, &http.Server{Handler: probes})
-	group.serve(relays, &http.Server{Handler: storerelay.Handler(server, operatorRecords{p.watcher})})
+	notices := newNotices(s, server, p.watcher)
+	group.serve(relays, &http.Server{Handler: storerelay.Handler(server, operatorRecords{p.watcher}, notices)})
 	p.serveMetrics(group, func(mux *http.ServeMux) { handleClearSuspect(mux, server) })
 
 	operator := gatewayOperator{server}
-	readers := storerelay.NewReaders(s.IP, func(ip string) string { return s.InternalAddress(ip, portRelay) }, p.log)
-	group.addCloser(readers.Close)
+	relayAddress := func(ip string) string { return s.InternalAddress(ip, portRelay) }
+	recordReaders := storerelay.NewReaders(s.IP, relayAddress, p.log.WithValues("topic", "operator"))
+	listReaders := storerelay.NewReaders(s.IP, relayAddress, p.log.WithValues("topic", "endpoints"))
+	group.addCloser(recordReaders.Close)
+	group.addCloser(listReaders.Close)
 	group.addCloser(p.watcher.Close)
+	members := newRegionMembers(p, server, recordReaders, listReaders)
+	group.spawn(func() { members.run(ctx, s.Bootstrap) })
 	group.spawn(func() {
-		p.watcher.WatchOperator(ctx, operator, recordRelay(storerelay.NewRecordFollower(readers, s.ConfigBudget(), p.log)), s.ConfigBudget())
+		p.watcher.WatchOperator(ctx, operator, recordRelay(storerelay.NewRecordFollower(recordReaders, s.ConfigBudget(), p.log)), recordReaders, s.ConfigBudget())
 	})
-	follower := storerelay.NewFollower(readers, server, s.DrainBudget(), p.log)
-	group.spawn(func() { p.watchEndpoints(ctx, server, follower) })
-	groups := func() []loadreport.SubscriptionGroup {
-		return subscriptionGroups(s, server, operatorProgressOf(p.watcher), clock.Now())
-	}
-	recovery := &recordRecovery{watcher: p.watcher, operator: operator, readers: readers, log: p.log}
+	follower := storerelay.NewFollower(listReaders, server, s.DrainBudget(), p.log)
+	group.spawn(func() { p.watchEndpoints(ctx, server, follower, listReaders) })
+	recovery := &recordRecovery{watcher: p.watcher, operator: operator, readers: recordReaders, log: p.log}
 	group.spawn(func() {
-		subscriber.Run(ctx, groups, server.NoticeDue(), reportHandler{ctx, server, p.watcher, readers, recovery})
+		subscriber.Run(ctx, func() []loadreport.SubscriptionGroup { return notices.groups(clock.Now()) }, server.NoticeDue(), reportHandler{ctx, server, p.watcher, recovery})
 	})
 	group.spawn(func() { sendPermitRequests(ctx, s, server, subscriber) })
 	group.spawn(func() { maintain(ctx, server) })
@@ -210,114 +209,9 @@
 	}
 }
 
-// operatorProgress is how far a gateway has read the operator's records.
-type operatorProgress struct {
-	position history.Position // of the next record to read
-	// versionSum is the sum of the versions of all operator records that the gateway
-	// has. Versions only rise, so the gateway with the higher sum has newer records.
-	versionSum int64
-}
-
-// operatorProgressOf returns how far w has read the operator's records, and the sum of
-// the versions of the records that it holds. The sum tells which of two gateways has newer
-// records where their read positions cannot, as after a restore of the store.
-func operatorProgressOf(w *platform.Watcher) operatorProgress {
-	return operatorProgress{w.Progress().Read, w.VersionSum()}
-}
-
-// subscriptionGroups returns the sidecars to subscribe to, grouped by the notice that
-// they get. Sidecars without the current weights configuration get it in their notice.
-// Sidecars that relay suspects between gateways get the gateway's suspects: requests
-// suspected of crashing endpoints. It returns nil while there is no configuration.
-func subscriptionGroups(s *platform.Settings, server *ingress.Server, progress operatorProgress, now time.Time) []loadreport.SubscriptionGroup {
-	c := server.Configuration()
-	if c == nil {
-		return nil
-	}
-	var out []loadreport.SubscriptionGroup
-	for name, service := range c.Services {
-		if service.Engine == nil {
-			continue
-		}
-		notice := loadreport.Notice{
-			Model: service.Engine.Model, Region: s.Region, Read: progress.position.Offset, Era: progress.position.Era, VersionSum: progress.versionSum,
-			Demand: math.Round(server.Demand(name, now)), TargetVersions: targetVersions(server, service.Engine.Model, now),
-		}
-		weights, ok := c.Weights(name)
-		current, outdated := server.EngineAddresses(name, weights.Checksum(), now)
-		out = append(out, loadreport.SubscriptionGroup{Sidecars: publisherAddresses(s, current), Notice: notice})
-		if ok {
-			notice.Weights = &weights
-		}
-		out = append(out, loadreport.SubscriptionGroup{Sidecars: publisherAddresses(s, outdated), Notice: notice})
-	}
-	suspects := server.Suspects(now)
-	if len(suspects) == 0 {
-		return out
-	}
-	return addSuspects(out, suspects, suspectRelays(s, server, c, now))
-}
-
-// suspectRelays returns the addresses of the sidecars that relay suspects, requests
-// suspected of crashing endpoints, between gateways.
-func suspectRelays(s *platform.Settings, server *ingress.Server, c *routing.Configuration, now time.Time) map[string]bool {
-	out := make(map[string]bool)
-	for name := range c.Services {
-		for _, relay := range publisherAddresses(s, server.Relays(name, now)) {
-			out[relay] = true
-		}
-	}
-	return out
-}
-
-// addSuspects splits each group in two: the sidecars that relay suspects, which get the
-// suspects (requests suspected of crashing endpoints) in their notice, and the others.
-// The keys of relays are addresses.
-func addSuspects(groups []loadreport.SubscriptionGroup, suspects []quarantine.Record, relays map[string]bool) []loadreport.SubscriptionGroup {
-	var out []loadreport.SubscriptionGroup
-	for _, a := range groups {
-		relaying := loadreport.SubscriptionGroup{Notice: a.Notice}
-		relaying.Notice.Suspects = suspects
-		rest := loadreport.SubscriptionGroup{Notice: a.Notice}
-		for _, sidecar := range a.Sidecars {
-			if relays[sidecar] {
-				relaying.Sidecars = append(relaying.Sidecars, sidecar)
-			} else {
-				rest.Sidecars = append(rest.Sidecars, sidecar)
-			}
-		}
-		out = append(out, relaying, rest)
-	}
-	return out
-}
-
-// publisherAddresses returns the addresses at which the sidecars of engines accept
-// subscriptions.
-func publisherAddresses(s *platform.Settings, engines []string) []string {
-	out := make([]string, len(engines))
-	for i, address := range engines {
-		out[i] = s.InternalAddress(address, portPublish)
-	}
-	return out
-}
-
-// targetVersions returns the target versions of a model, those that the operator has
-// set to be served, as sent to sidecars in notices.
-func targetVersions(server *ingress.Server, model string, now time.Time) []loadreport.TargetVersion {
-	var out []loadreport.TargetVersion
-	for _, n := range server.TargetVersions(model) {
-		version := loadreport.TargetVersion{Version: n.Version, AgeMS: loadreport.UnknownAge, PastCutoff: n.PastCutoff(now)}
-		if !n.AgeUnknown {
-			version.AgeMS = now.Sub(n.LearnedAt).Milliseconds()
-		}
-		out = append(out, version)
-	}
-	return out
-}
-
 // watchEndpoints passes the endpoint list to server until ctx ends. It waits for the
 // first configuration, since that contains the models' numbers of layers.
-func (p *platformProcess) watchEndpoints(ctx context.Context, server *ingress.Server, follower *storerelay.Follower) {
+func (p *platformProcess) watchEndpoints(ctx context.Context, server *ingress.Server, follower *storerelay.Follower, gate storewatch.Gate) {
 	const pollInterval = 20 * time.Millisecond
 	for server.Configuration() == nil {
 		select {
@@ -326,7 +220,7 @@
 		case <-time.After(pollInterval):
 		}
 	}
-	p.watcher.WatchEndpoints(ctx, server, follower.Poll, func(service string) int {
+	p.watcher.WatchEndpoints(ctx, server, follower.Poll, gate, func(service string) int {
 		if s := server.Configuration().Services[service]; s != nil && s.Engine != nil {
 			return s.Engine.Layers
 		}
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -158,52 +157,6 @@
 	return storerelay.EndpointsOf(list, s.settings.Service), nil
 }
 
-const (
-	// gatewayTimeout is the time without a gateway's message after which a sidecar reads
-	// the operator's records from the store.
-	gatewayTimeout = 2 * time.Second
-	// gatewayTimeoutJitter is the maximum of a random time that is added to
-	// gatewayTimeout, so that not all sidecars read at once.
-	gatewayTimeoutJitter = 2 * time.Second
-	// storeReadInterval is the minimum time between two reads from the store.
-	storeReadInterval = 1500 * time.Millisecond
-)
-
-// watchOperatorFallback reads the operator's records from the store while no gateway
-// sends notices, until ctx ends. Sidecars normally get what they need of the records in
-// notices, because reads by hundreds of sidecars would saturate the links between
-// regions.
-func (p *platformProcess) watchOperatorFallback(ctx context.Context, o platform.OperatorHandler, publisher *loadreport.Publisher) {
-	const pollInterval = 250 * time.Millisecond
-	reader := p.watcher.OperatorReader(o)
-	timeout := gatewayTimeout + rand.N(gatewayTimeoutJitter)
-	lastRead, started := time.Time{}, clock.Now()
-	unavailable := false
-	for ctx.Err() == nil {
-		clock.Sleep(ctx, pollInterval)
-		now := clock.Now()
-		lastContact := publisher.LastSubscribed()
-		if lastContact.IsZero() {
-			lastContact = started
-		}
-		if now.Sub(lastContact) < timeout || now.Sub(lastRead) < storeReadInterval {
-			continue
-		}
-		err := reader.Read(ctx)
-		switch {
-		case err == nil:
-			lastRead = clock.Now()
-			if unavailable {
-				p.log.Info("store available again", "topic", "operator")
-			}
-			unavailable = false
-		case !unavailable:
-			unavailable = true
-			p.log.Info("store unavailable", "topic", "operator", "error", err.Error())
-		}
-	}
-}
-
 // reportInterval is the interval at which the engine's state is read and published.
 const reportInterval = 40 * time.Millisecond
 
@@ -240,7 +193,7 @@
 	group.spawn(func() { publisher.Run(state.handleNotice) })
 	group.serve(listener, &http.Server{Handler: state.installer.Handler(), ReadHeaderTimeout: headerTimeout})
 	p.serveMetrics(group, nil)
-	group.spawn(func() { p.watchOperatorFallback(ctx, state, publisher) })
+	group.spawn(func() { newFallback(p, state, state.handleNotice, publisher, lists).run(ctx) })
 	group.spawn(func() { state.installer.Run(ctx) })
 	group.spawn(func() { reportLoad(ctx, state, engine, publisher) })
 	return group, nil
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -77,8 +77,11 @@
 }
 
 // fresh reports whether the last report is younger than reportTTL.
-func (e *Endpoint) fresh(now time.Time) bool {
-	return !e.reportAt.IsZero() && now.Sub(e.reportAt) < reportTTL
+func (e *Endpoint) fresh(now time.Time) bool { return e.reportedWithin(reportTTL, now) }
+
+// reportedWithin reports whether the last report is younger than ttl.
+func (e *Endpoint) reportedWithin(ttl time.Duration, now time.Time) bool {
+	return !e.reportAt.IsZero() && now.Sub(e.reportAt) < ttl
 }
 
 // ReportAge returns the age of the newest report, or -1 ms if there is none.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -112,6 +112,9 @@
 	// watchedByService caches the results of watched for large services. An entry is
 	// removed when the service's endpoints change.
 	watchedByService map[string][]*Endpoint
+	// localGateways are the hashes of the gateways of this gateway's region; nil while
+	// they are unknown.
+	localGateways []uint64
 	// evacuated holds the availability zones whose endpoints get no new attempts.
 	evacuated map[string]bool
 	// signals holds the backpressure signals of endpoints, including those that
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -15,19 +15,26 @@
 
 // Of a large service, a gateway watches only some engines: it subscribes to their
 // load reports and chooses among them. This bounds the reports and connections per
-// gateway. A gateway watches all engines of its own region, and some of other
-// regions for overflow. The latter are selected by rendezvous hashing, which spreads
-// the gateways evenly over the engines.
+// gateway, and the gateways that each engine's sidecar reports to. Most watched engines
+// are of the gateway's own region, and some of other regions, for overflow. They are
+// selected by rendezvous hashing, which spreads the gateways evenly over the engines.
 const (
-	// watchTarget is the number of engines that a gateway watches, unless its own
-	// region has more. Of a service with at most this many engines it watches all.
+	// watchTarget is the number of engines that a gateway watches. Of a service with at
+	// most this many engines it watches all.
 	watchTarget = 48
 	// watchRemoteMin is the minimum number of watched engines in other regions, for
 	// the case that all engines of the gateway's region fail.
 	watchRemoteMin = 12
-	// commonEndpoints is the number of engines that every gateway watches. The
-	// sidecars of these engines count the gateways and relay messages between them.
+	// commonEndpoints is the number of engines whose sidecars all gateways contact. These
+	// sidecars count the gateways and relay messages between them.
 	commonEndpoints = 5
+	// minWatchers is the number of gateways of its own region, or all if there are fewer,
+	// that watch an engine at least. Few gateways with many engines each watch more than
+	// watchTarget.
+	minWatchers = 6
+	// relayTTL is the maximum age of the last report of a sidecar that relays messages
+	// between gateways. It covers two notices of a gateway that does not watch the engine.
+	relayTTL = 3500 * time.Millisecond
 )
 
 // Place is the location of a gateway.
@@ -76,46 +83,107 @@
 // other regions as if it had none in its own.
 func (f *Fleet) selectWatched(all []*Endpoint) []*Endpoint {
 	var local, remote []*Endpoint
-	receiving := 0
 	for _, e := range all {
 		switch {
-		case e.region == f.place.region(f.place.Zone):
+		case e.evacuated:
+		case f.local(e):
 			local = append(local, e)
-			if !e.evacuated {
-				receiving++
-			}
-		case !e.evacuated:
+		default:
 			remote = append(remote, e)
 		}
 	}
 	weight := func(e *Endpoint) uint64 { return xxhash.Sum64String(f.place.Box + "/" + e.ID) }
+	receiving := len(local)
+	local = f.selectLocal(local, weight)
 	remote = lowestWeight(remote, max(watchRemoteMin, watchTarget-receiving), weight)
-	out := append(local, remote...)
-	for _, e := range rankByAddress(all, commonEndpoints) {
-		if !slices.Contains(out, e) {
+	return append(local, remote...)
+}
+
+// selectLocal selects the watched ones of the endpoints of the gateway's own region: those
+// of the lowest weight, and those that it is one of the minWatchers of. While the
+// gateways of the region are unknown, these are all.
+func (f *Fleet) selectLocal(local []*Endpoint, weight func(*Endpoint) uint64) []*Endpoint {
+	if len(f.localGateways) == 0 {
+		return local
+	}
+	local = lowestWeight(local, len(local), weight)
+	n := min(len(local), watchTarget-watchRemoteMin)
+	out := local[:n:n]
+	own := xxhash.Sum64String(f.place.Box)
+	for _, e := range local[n:] {
+		if f.covers(own, xxhash.Sum64String(e.ID)) {
 			out = append(out, e)
 		}
 	}
 	return out
 }
 
+// local reports whether an endpoint is in the gateway's own region.
+func (f *Fleet) local(e *Endpoint) bool { return e.region == f.place.region(f.place.Zone) }
+
+// SetLocalGateways sets the IP addresses of the gateways of this gateway's region.
+func (f *Fleet) SetLocalGateways(ips []string) {
+	f.localGateways = f.localGateways[:0]
+	for _, ip := range ips {
+		f.localGateways = append(f.localGateways, xxhash.Sum64String(ip))
+	}
+	clear(f.watchedByService)
+}
+
+// Unwatched returns the addresses of the endpoints of a service that the gateway does not
+// watch, but whose sidecars it contacts: those common to all gateways.
+func (f *Fleet) Unwatched(service string) []string {
+	all := f.byService[service]
+	if len(all) <= watchTarget {
+		return nil
+	}
+	watched := f.watched(service)
+	var out []string
+	for _, e := range rankByAddress(all, commonEndpoints) {
+		if !slices.Contains(watched, e) {
+			out = append(out, e.Address)
+		}
+	}
+	return out
+}
+
+// covers reports whether the gateway with the hash own is one of the minWatchers of an
+// endpoint with the hash endpoint.
+func (f *Fleet) covers(own, endpoint uint64) bool {
+	before := 0
+	for _, gateway := range f.localGateways {
+		if rendezvous(gateway, endpoint) < rendezvous(own, endpoint) {
+			before++
+		}
+	}
+	return before < minWatchers
+}
+
+// rendezvous returns the rendezvous weight of two hashes.
+func rendezvous(gateway, endpoint uint64) uint64 {
+	// The finalizer of SplitMix64.
+	h := gateway ^ endpoint*0x9e3779b97f4a7c15
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
+}
+
 // rankByAddress returns the first n endpoints in an order by the hash of their
 // addresses. All gateways compute the same order, and a restart does not change it.
 func rankByAddress(all []*Endpoint, n int) []*Endpoint {
 	return lowestWeight(slices.Clone(all), n, func(e *Endpoint) uint64 { return xxhash.Sum64String(e.Address) })
 }
 
-// Relays returns the addresses of up to commonEndpoints endpoints of a service that
-// all gateways watch. Their sidecars relay messages between gateways. Endpoints
-// without a fresh report are left out, unless none has one.
+// Relays returns the addresses of up to commonEndpoints endpoints of a service whose
+// sidecars all gateways contact. These relay messages between gateways. Endpoints
+// without a recent report are left out, unless none has one.
 func (f *Fleet) Relays(service string, now time.Time) []string {
 	all := f.byService[service]
-	watched := commonEndpoints
-	if len(all) <= watchTarget {
-		watched = len(all)
+	common, ttl := rankByAddress(all, len(all)), reportTTL
+	if len(all) > watchTarget {
+		common, ttl = common[:commonEndpoints], relayTTL
 	}
-	common := rankByAddress(all, watched)
-	reporting := slices.DeleteFunc(slices.Clone(common), func(e *Endpoint) bool { return !e.fresh(now) })
+	reporting := slices.DeleteFunc(slices.Clone(common), func(e *Endpoint) bool { return !e.reportedWithin(ttl, now) })
 	if len(reporting) == 0 {
 		reporting = common
 	}
--- a/ingress/endpoints.go
+++ b/ingress/endpoints.go
@@ -33,7 +33,7 @@
 		s.observeListedWarmUp(r, now)
 	}
 	s.listKnown = true
-	s.list.markChanged()
+	s.list.markReplaced()
 	s.events.Info("endpoints listed", "count", len(configured), "unnamed", len(s.unconfigured))
 	s.requestNoticeLocked()
 	s.dispatchAll(now)
@@ -62,7 +62,7 @@
 	changed := s.fleet.Put(r)
 	turnedCold := s.observeListedWarmUp(r, clock.Now())
 	if changed || turnedCold {
-		s.list.markChanged()
+		s.list.markChanged(r.ID)
 	}
 	if !changed {
 		return
@@ -102,7 +102,7 @@
 	_, known := s.unconfigured[r.ID]
 	s.unconfigured[r.ID] = r
 	if s.fleet.Remove(r.ID) || !known {
-		s.list.markChanged()
+		s.list.markChanged(r.ID)
 		s.events.Info("endpoint of unconfigured service", "endpoint", r.ID, "address", r.Address, "service", r.Service)
 	}
 }
@@ -142,7 +142,10 @@
 func (s *Server) RemoveEndpoint(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.unconfigured, id)
+	if _, known := s.unconfigured[id]; known {
+		delete(s.unconfigured, id)
+		s.list.markChanged(id)
+	}
 	if s.removeLocked(id, clock.Now()) {
 		s.events.Info("endpoint removed", "endpoint", id)
 	}
@@ -160,6 +163,6 @@
 	}
 	s.recordRemoval(e.Record, now)
 	s.fleet.Remove(id)
-	s.list.markChanged()
+	s.list.markChanged(id)
 	return true
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -353,6 +353,21 @@
 	return s.fleet.Addresses(service, checksum, now)
 }
 
+// UnwatchedAddresses returns the addresses of a service's endpoints whose load reports the
+// gateway does not receive, but whose sidecars it notifies.
+func (s *Server) UnwatchedAddresses(service string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Unwatched(service)
+}
+
+// SetLocalGateways sets the IP addresses of the gateways of this gateway's region.
+func (s *Server) SetLocalGateways(ips []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.SetLocalGateways(ips)
+}
+
 // Ready reports whether the gateway can serve new connections: it has a
 // configuration and endpoints, is not stopping, and has not recently failed to
 // accept a connection.
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -259,3 +259,7 @@
 // machine has reported. It is as inexact as the difference of the machines' clocks, and
 // negative for a time in the future.
 func SinceUnixMilli(ms int64) time.Duration { return time.Since(time.UnixMilli(ms)) }
+
+// UnixMilli returns the time of day in Unix milliseconds, for other machines to compare
+// with SinceUnixMilli.
+func UnixMilli() int64 { return time.Now().UnixMilli() }
--- a/loadreport/demand.go
+++ b/loadreport/demand.go
@@ -20,6 +20,8 @@
 	demand       float64 // requests per second that the gateway receives for the service
 	// versionSum is the gateway's Notice.VersionSum: a higher sum means newer records.
 	versionSum int64
+	// unwatched is the gateway's Notice.Unwatched: it gets no reports.
+	unwatched bool
 }
 
 // weight returns the subscriber's weight when the endpoint's free capacity is divided
@@ -38,7 +40,8 @@
 	share, ahead float64
 }
 
-// demandPositionsLocked returns the positions of all subscribers in a new random order.
+// demandPositionsLocked returns the positions of all subscribers that watch the engine, in
+// a new random order.
 // A gateway with more demand is more likely to come early. Publisher.mu must be held.
 func (p *Publisher) demandPositionsLocked() map[netip.AddrPort]demandPosition {
 	type entry struct {
@@ -49,6 +52,9 @@
 	total := 0.0
 	entries := make([]entry, 0, len(p.subs))
 	for to, s := range p.subs {
+		if s.unwatched {
+			continue
+		}
 		w := s.weight()
 		total += w
 		entries = append(entries, entry{to, w, rand.ExpFloat64() / w})
--- a/loadreport/gateways.go
+++ b/loadreport/gateways.go
@@ -3,39 +3,10 @@
 package loadreport
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/mintlift/mintlift/internal/clock"
 )
 
-// ReadersPerRegion is the number of reader gateways in a region: those that read the
-// store and relay its records to the region's other gateways. The second one covers
-// for a failure of the first.
-const ReadersPerRegion = 2
-
-// SelectReaders returns the IP addresses of the reader gateways among the given ones.
-// It takes the lowest hashes of the addresses, so that all processes with the same
-// gateways select the same readers. It reorders gateways.
-func SelectReaders(gateways []string) []string {
-	slices.SortFunc(gateways, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-	})
-	gateways = slices.Compact(gateways)
-	return gateways[:min(ReadersPerRegion, len(gateways))]
-}
-
-// readersLocked returns the IP addresses of the reader gateways, which read the store for
-// the others, among the region's current subscribers. Publisher.mu must be held.
-func (p *Publisher) readersLocked(region string) []string {
-	local, _ := p.gatewaysLocked(region, clock.Now())
-	return SelectReaders(local)
-}
-
 // gatewaysLocked returns the IP addresses of the gateways whose subscription has not
 // expired, those in the region and those in other regions. Publisher.mu must be held.
 func (p *Publisher) gatewaysLocked(region string, now time.Time) (local, remote []string) {
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -32,6 +32,9 @@
 const (
 	// SubscribeInterval is the time between two subscriptions of a gateway.
 	SubscribeInterval = 500 * time.Millisecond
+	// UnwatchedInterval is the time between two subscriptions to a sidecar whose engine
+	// the gateway does not watch, unless there is a new target version.
+	UnwatchedInterval = 1500 * time.Millisecond
 	// subscriptionTTL is the time after which a subscription expires.
 	subscriptionTTL = 3500 * time.Millisecond
 	// repeatInterval is the time after which an unchanged report is sent again.
@@ -42,7 +45,7 @@
 	// minRoundInterval is the minimum time between two rounds of subscriptions.
 	minRoundInterval = 100 * time.Millisecond
 	// maxDatagram is the maximum size of a datagram, in bytes.
-	maxDatagram = 2048
+	maxDatagram = 2560
 )
 
 // Notice is sent by a gateway to the sidecars of a service, with each subscription.
@@ -67,6 +70,9 @@
 	// Weights describes where and how to load the model's weights. It is nil for
 	// sidecars that have it already, as the checksum in their reports shows.
 	Weights *routing.WeightsConfig `json:"weights,omitempty"`
+	// Unwatched is set if the gateway sends the engine no requests. It then gets the
+	// responses to its subscriptions, and no other reports.
+	Unwatched bool `json:"unwatched,omitempty"`
 	// Suspects are requests during which endpoints crashed. They are sent only to the
 	// sidecars that all gateways subscribe to. These sidecars relay them to the
 	// gateways.
@@ -122,10 +128,9 @@
 	// Echo is the stamp of the subscription that this responds to, or 0 if this is no
 	// response to a subscription.
 	Echo int64 `json:"e,omitempty"`
-	// Read, Era and Readers are set in a response; see type Echo.
-	Read    int64    `json:"o,omitempty"`
-	Era     int64    `json:"h,omitempty"`
-	Readers []string `json:"l,omitempty"`
+	// Read and Era are set in a response; see type Echo.
+	Read int64 `json:"o,omitempty"`
+	Era  int64 `json:"h,omitempty"`
 	// VersionSum and VersionSumGateway are set in a response; see type Echo.
 	VersionSum        int64  `json:"k,omitempty"`
 	VersionSumGateway string `json:"i,omitempty"`
--- a/loadreport/publisher.go
+++ b/loadreport/publisher.go
@@ -75,11 +75,11 @@
 		}
 		p.mu.Lock()
 		p.lastSubscribed = now
-		p.subs[from] = subscriber{subscribedAt: p.lastSubscribed, region: datagram.Region, demand: datagram.Demand, versionSum: datagram.VersionSum}
+		p.subs[from] = subscriber{subscribedAt: p.lastSubscribed, region: datagram.Region, demand: datagram.Demand, versionSum: datagram.VersionSum, unwatched: datagram.Unwatched}
 		p.read = history.Later(p.read, history.Position{Era: datagram.Era, Offset: datagram.Read})
 		response := sidecarDatagram{
 			Report: withDemandPosition(p.last, p.demandPositionsLocked()[from]), Echo: datagram.Stamp, Read: p.read.Offset, Era: p.read.Era,
-			Readers: p.readersLocked(datagram.Region), Suspects: p.suspects.Records(now), Endpoints: p.quotas.Records(now),
+			Suspects: p.suspects.Records(now), Endpoints: p.quotas.Records(now),
 		}
 		response.VersionSum, response.VersionSumGateway = p.maxVersionSumLocked(now)
 		p.mu.Unlock()
--- a/loadreport/subscriber.go
+++ b/loadreport/subscriber.go
@@ -40,9 +40,6 @@
 	// gateways with a lower sum can fetch newer records of the operator from it.
 	VersionSum        int64
 	VersionSumGateway string
-	// Readers are the IP addresses of the reader gateways of the subscriber's region,
-	// selected by SelectReaders from the sidecar's current subscribers.
-	Readers []string
 }
 
 // Handler handles the datagrams of sidecars. Its methods are not called concurrently.
@@ -145,7 +142,7 @@
 		default:
 			h.HandleReport(m.Report, &Echo{
 				RoundTrip: time.Duration(s.stamp()-m.Echo) * time.Microsecond,
-				Read:      history.Position{Era: m.Era, Offset: m.Read}, Readers: m.Readers, VersionSum: m.VersionSum, VersionSumGateway: m.VersionSumGateway,
+				Read:      history.Position{Era: m.Era, Offset: m.Read}, VersionSum: m.VersionSum, VersionSumGateway: m.VersionSumGateway,
 			})
 		}
 	}
--- a/storerelay/follow.go
+++ b/storerelay/follow.go
@@ -47,17 +47,27 @@
 	return true
 }
 
-// listResponse is the endpoint list as one gateway sends it to another.
+// batchTime is how long a gateway collects further changes of the list before it responds
+// with the first one. Without it, each of hundreds of changes at a rollout would be a
+// response of its own to each follower.
+const batchTime = 50 * time.Millisecond
+
+// listResponse is the endpoint list, or its changes, as one gateway sends it to another.
 type listResponse struct {
 	// State identifies the content of the list; see ingress.List.
 	State string `json:"state"`
+	// Delta is set if Records and Removed are the changes since the state in the query,
+	// and not set if Records are the whole list.
+	Delta bool `json:"delta,omitempty"`
 	// Era is the store's era in which the list was read. It increases each time the
 	// store is restored from an older copy.
 	Era int64 `json:"era,omitempty"`
 	// AgeMS is the time since the store last confirmed the list, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
-	// Records are omitted if the client has a list of this state already.
+	// Records are the endpoints that were added or have changed, or all of them. Removed
+	// are the IDs of endpoints that have left the list.
 	Records []fleet.Record `json:"records,omitempty"`
+	Removed []string       `json:"removed,omitempty"`
 }
 
 // serveList serves a long poll for the list. It responds as soon as the state of the list
@@ -66,25 +76,33 @@
 	clientState := r.URL.Query().Get("had")
 	end := clock.Now().Add(requestedWait(r))
 	for {
-		list, known := source.List()
-		if !known {
-			w.WriteHeader(http.StatusServiceUnavailable)
+		state, changed, known := source.ListState()
+		timedOut := !clock.Now().Before(end)
+		switch {
+		case known && (state != clientState || timedOut):
+			writeList(w, source, clientState)
 			return
-		}
-		out := listResponse{State: list.State, Era: list.Era, AgeMS: clock.Since(list.Confirmed).Milliseconds()}
-		if list.State != clientState {
-			out.Records = list.Records
-		}
-		if list.State != clientState || !clock.Now().Before(end) {
-			writeJSON(w, out)
+		case timedOut:
+			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		if !waitForChange(r.Context(), list.Changed, end) {
+		if !waitForChange(r.Context(), changed, end) {
 			return
 		}
+		clock.Sleep(r.Context(), min(batchTime, clock.Until(end)))
 	}
 }
 
+// writeList responds with the changes of the list since a state that the client has, or
+// with the whole list.
+func writeList(w http.ResponseWriter, source Source, clientState string) {
+	list, _ := source.ListSince(clientState)
+	writeJSON(w, listResponse{
+		State: list.State, Delta: list.Delta, Era: list.Era, AgeMS: clock.Since(list.Confirmed).Milliseconds(),
+		Records: list.Records, Removed: list.Removed,
+	})
+}
+
 // Target receives the endpoint list from a Follower.
 type Target interface {
 	// SetEra sets the store's era in which the next list was read. It returns false if
@@ -92,6 +110,9 @@
 	SetEra(era int64) bool
 	// SetEndpoints replaces the list.
 	SetEndpoints(records []fleet.Record)
+	// PutEndpoint adds or replaces one endpoint, and RemoveEndpoint removes one.
+	PutEndpoint(r fleet.Record)
+	RemoveEndpoint(id string)
 	// ConfirmList records that the list is complete as of a time.
 	ConfirmList(now time.Time)
 }
@@ -109,7 +130,7 @@
 	// confirmed is the time as of which the last list received is complete.
 	confirmed time.Time
 	// state is the state of the last list received; see listResponse. source is the IP
-	// address of the gateway that sent it. Both are empty while the store is read.
+	// address of the gateway that sent it. Both are empty while no gateway supplies it.
 	state, source string
 }
 
@@ -120,9 +141,8 @@
 	return &Follower{readers: readers, target: target, budget: budget, log: log}
 }
 
-// Poll makes one long poll for the list at the reader gateways. Its duration is limited
-// so that the list does not become stale. It returns false if this process must read the
-// store itself.
+// Poll makes one long poll for the list at other gateways. Its duration is limited so that
+// the list does not become stale. It returns false if none has supplied a recent list.
 func (f *Follower) Poll(ctx context.Context) bool {
 	if f.state == "" {
 		f.confirmed = clock.Now() // there is no list yet that could be stale
@@ -133,7 +153,7 @@
 	}
 	if f.source != "" {
 		// The value of "before" is the gateway that the list was read from until now.
-		f.log.Info("reading endpoint list from the store", "before", f.source)
+		f.log.Info("no gateway supplies the endpoint list", "before", f.source)
 		f.state, f.source = "", ""
 	}
 	return false
@@ -150,16 +170,24 @@
 	}
 	age := time.Duration(got.AgeMS) * time.Millisecond
 	if f.budget.Hold(age) <= 0 {
-		f.readers.backOff(ip, clock.Now().Add(backoff))
+		f.readers.stale(ip)
 		f.log.Info("endpoint list from gateway too old", "gateway", ip, "age_ms", got.AgeMS)
 		return false
 	}
 	if !f.target.SetEra(got.Era) {
-		f.readers.backOff(ip, clock.Now().Add(backoff))
+		f.readers.stale(ip)
 		f.log.Info("endpoint list from gateway is of an earlier store era", "gateway", ip, "their_era", got.Era)
 		return false
 	}
-	if got.State != f.state {
+	switch {
+	case got.Delta:
+		for _, id := range got.Removed {
+			f.target.RemoveEndpoint(id)
+		}
+		for _, r := range got.Records {
+			f.target.PutEndpoint(r)
+		}
+	case got.State != f.state:
 		f.target.SetEndpoints(got.Records)
 	}
 	f.confirmed = clock.Now().Add(-age)
--- a/storerelay/list.go
+++ b/storerelay/list.go
@@ -9,7 +9,8 @@
 // served: all sidecars then need the endpoint list, while the weights are transferred
 // over the same links.
 //
-// A process that gets no response from a reader, or stale data, reads the store itself.
+// Package readerset decides which gateways are the readers, and which gateway reads the
+// store in place of one that does not respond or has only stale data.
 package storerelay
 
 import (
@@ -25,6 +26,7 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/internal/tcpconn"
+	"github.com/mintlift/mintlift/loadreport"
 )
 
 // Paths of a Handler.
@@ -32,6 +34,7 @@
 	pathService = "/endpoints" // the endpoints of the service in the query
 	pathList    = "/list"      // the whole endpoint list
 	pathRecords = "/records"   // the operator's records
+	pathNotice  = "/notice"    // the notice for sidecars of the service in the query
 )
 
 // Limits of the client.
@@ -55,10 +58,23 @@
 type Source interface {
 	// List returns the list, or false while there is none.
 	List() (ingress.List, bool)
+	// ListSince returns the changes of the list since a state, or the whole list; false
+	// while there is none.
+	ListSince(state string) (ingress.List, bool)
+	// ListState returns the state of the list, and a channel that is closed when it
+	// changes; false while there is no list.
+	ListState() (string, <-chan struct{}, bool)
 }
 
-// Handler returns a handler that serves the endpoint list and the operator's records.
-func Handler(source Source, operator RecordSource) http.Handler {
+// NoticeSource makes the notices that sidecars get from gateways.
+type NoticeSource interface {
+	// Notice returns the notice for the sidecars of a service, or false if it has none.
+	Notice(service string) (loadreport.Notice, bool)
+}
+
+// Handler returns a handler that serves the endpoint list, the operator's records and the
+// notices for sidecars.
+func Handler(source Source, operator RecordSource, notices NoticeSource) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathService, func(w http.ResponseWriter, r *http.Request) {
 		list, known := source.List()
@@ -68,8 +84,17 @@
 		}
 		writeJSON(w, EndpointsOf(list.Records, r.URL.Query().Get("service")))
 	})
+	mux.HandleFunc("GET "+pathNotice, func(w http.ResponseWriter, r *http.Request) {
+		notice, ok := notices.Notice(r.URL.Query().Get("service"))
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		writeJSON(w, notice)
+	})
 	mux.HandleFunc("GET "+pathList, func(w http.ResponseWriter, r *http.Request) { serveList(w, r, source) })
-	mux.HandleFunc("GET "+pathRecords, func(w http.ResponseWriter, r *http.Request) { serveRecords(w, r, operator) })
+	cache := &recordsCache{}
+	mux.HandleFunc("GET "+pathRecords, func(w http.ResponseWriter, r *http.Request) { serveRecords(w, r, operator, cache) })
 	return mux
 }
 
@@ -118,6 +143,14 @@
 	return nil, err
 }
 
+// Notice returns the notice for the sidecars of a service from the gateway at address,
+// IP:PORT.
+func (c *Client) Notice(ctx context.Context, address, service string) (loadreport.Notice, error) {
+	var out loadreport.Notice
+	err := c.get(ctx, address, pathNotice, url.Values{"service": {service}}, callTimeout, &out)
+	return out, err
+}
+
 // get makes a request to the gateway at address and decodes its response into out.
 func (c *Client) get(ctx context.Context, address, path string, query url.Values, timeout time.Duration, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/storerelay/readers.go
+++ b/storerelay/readers.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/url"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -14,99 +13,109 @@
 
 	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/internal/clock"
-	"github.com/mintlift/mintlift/loadreport"
+	"github.com/mintlift/mintlift/readerset"
 )
 
-// Timing of queries to reader gateways.
+// Timing of queries to other gateways.
 const (
-	// backoff is how long a gateway is not queried after a failure or stale data.
+	// backoff is how long a gateway is not queried after it did not respond.
 	backoff = 2 * time.Second
-	// readerTTL is how long a gateway counts as a reader after a sidecar has reported
-	// it as one.
-	readerTTL = 2 * time.Second
+	// staleBackoff is how long a gateway is not queried after it had nothing recent. It
+	// may be about to read the store in place of a failed one.
+	staleBackoff = 300 * time.Millisecond
 )
 
-// Readers holds one gateway's view of the reader gateways of its region: those that
-// read the store for the others. It is safe for concurrent use.
+// Readers holds one gateway's view of the gateways of its region, for one topic of the
+// store: which of them to query, and whether to read the store. It implements
+// storewatch.Gate and is safe for concurrent use.
 type Readers struct {
-	// own is this gateway's IP address.
-	own string
 	// address returns the IP:PORT of the Handler of the gateway with an IP address.
 	address func(ip string) string
 	client  *Client
 	log     logr.Logger
 
-	mu           sync.Mutex
-	reported     map[string]time.Time // by IP address: when a sidecar last reported the gateway as a reader
-	backoffUntil map[string]time.Time // by IP address: the time until which the gateway is not queried
+	mu  sync.Mutex
+	set *readerset.Set
 }
 
 // NewReaders returns the Readers of the gateway with the IP address own. address
 // returns the IP:PORT of another gateway's Handler.
 func NewReaders(own string, address func(ip string) string, log logr.Logger) *Readers {
-	return &Readers{
-		own: own, address: address, client: NewClient(), log: log,
-		reported: make(map[string]time.Time), backoffUntil: make(map[string]time.Time),
-	}
+	return &Readers{address: address, client: NewClient(), log: log, set: readerset.New(own, clock.Now())}
 }
 
-// Add adds the gateways with the given IP addresses, which a sidecar has reported as the
-// region's reader gateways: those that read the store for the others. Each sidecar selects
-// them from its own subscribers, so two sidecars can report different ones; candidates
-// makes the final selection from all gateways reported within readerTTL.
-func (r *Readers) Add(ips []string, now time.Time) {
+// SetMembers sets the gateways of the region.
+func (r *Readers) SetMembers(members []readerset.Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, ip := range ips {
-		r.reported[ip] = now
+	if r.set.Update(members) {
+		r.log.Info("gateways of the region", "gateways", r.set.Len(), "reader", r.set.Reader(), "first", r.set.Ranked()[0])
 	}
 }
 
-// candidates selects the reader gateways from those that sidecars have reported recently,
-// by loadreport.SelectReaders. It returns them without those that are backed off, and
-// returns none if this gateway is a reader itself.
-func (r *Readers) candidates(now time.Time) []string {
+// Reader reports whether this gateway is one of the region's permanent readers.
+func (r *Readers) Reader() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var all []string
-	for ip, at := range r.reported {
-		if now.Sub(at) > readerTTL {
-			delete(r.reported, ip)
-			continue
-		}
-		all = append(all, ip)
-	}
-	selected := loadreport.SelectReaders(all)
-	if slices.Contains(selected, r.own) {
-		return nil
-	}
-	return slices.DeleteFunc(selected, func(ip string) bool { return now.Before(r.backoffUntil[ip]) })
+	return r.set.Reader()
 }
 
-// backOff excludes the gateway with the address ip from candidates until the given time.
-func (r *Readers) backOff(ip string, until time.Time) {
+// MayRead implements storewatch.Gate.
+func (r *Readers) MayRead() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.backoffUntil[ip] = until
+	return r.set.MayRead(clock.Now())
+}
+
+// ReadDone implements storewatch.Gate.
+func (r *Readers) ReadDone(ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.set.StoreRead(ok, clock.Now())
+}
+
+// sources returns the gateways to query now, in order.
+func (r *Readers) sources() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.set.Sources(clock.Now())
+}
+
+// noResponse excludes the gateway with the address ip from sources for backoff.
+func (r *Readers) noResponse(ip string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.set.FailSilent(ip, clock.Now().Add(backoff))
+}
+
+// stale excludes the gateway with the address ip from sources for staleBackoff.
+func (r *Readers) stale(ip string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.set.FailStale(ip, clock.Now().Add(staleBackoff))
+}
+
+// succeeded records that the gateway with the address ip has supplied recent data.
+func (r *Readers) succeeded(ip string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.set.Succeed(ip)
 }
 
 // minWait is the minimum wait of a long poll. It keeps a gateway from being polled
 // in a tight loop while its own data are about to be refreshed.
 const minWait = 50 * time.Millisecond
 
-// tryEach calls fetch for each candidate until one call succeeds. confirmed is the time
-// at which the data held here was last confirmed. The wait passed to fetch ends before
-// that data becomes stale, and leaves time to query the remaining candidates. tryEach
-// returns false if the store must be read instead.
+// tryEach calls fetch for each gateway to query until one call succeeds. confirmed is the
+// time at which the data held here was last confirmed. The wait passed to fetch ends
+// before that data becomes stale, and leaves time to query the remaining gateways.
 func (r *Readers) tryEach(budget freshness.Budget, confirmed time.Time, fetch func(ip string, wait time.Duration) bool) bool {
-	ips := r.candidates(clock.Now())
+	ips := r.sources()
 	for n, ip := range ips {
 		left := budget.Hold(clock.Since(confirmed))
-		if left <= 0 {
-			return false
-		}
 		others := 2 * time.Duration(len(ips)-1-n) * budget.RelayTimeout() // the wait and the response
-		if fetch(ip, max(left-others, min(left, minWait))) {
+		if fetch(ip, max(left-others, minWait)) {
+			r.succeeded(ip)
 			return true
 		}
 	}
@@ -121,7 +130,7 @@
 	query.Set(waitField, strconv.FormatInt(wait.Milliseconds(), 10))
 	err := r.client.get(ctx, r.address(ip), path, query, wait+slack, out)
 	if err != nil && ctx.Err() == nil {
-		r.backOff(ip, clock.Now().Add(backoff))
+		r.noResponse(ip)
 		r.log.Info("request to gateway failed", "gateway", ip, "path", path, "error", err.Error())
 	}
 	return err == nil
--- a/storerelay/records.go
+++ b/storerelay/records.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -35,14 +37,15 @@
 	Confirmed time.Time
 	// Behind is set if another process has reported that it has read further.
 	Behind bool
-	// Changed is closed when the process that holds the records has read further. It is
-	// nil in records received from another process.
+	// Changed is closed when the process that holds the records has read further, also
+	// for the first time. It is nil in records received from another process.
 	Changed <-chan struct{}
 }
 
 // RecordSource provides the operator's records that a gateway holds.
 type RecordSource interface {
-	// Since returns the records from a position on, or false before the first read.
+	// Since returns the records from a position on. Before the first read it returns
+	// false, and only Records.Changed is set.
 	Since(from history.Position) (Records, bool)
 }
 
@@ -57,11 +60,41 @@
 	Behind bool     `json:"behind,omitempty"`
 }
 
+// recordsCache holds the encoded records of the last response. After a change, all
+// followers request the same ones at once, and a configuration is large.
+type recordsCache struct {
+	mu      sync.Mutex
+	from    history.Position
+	next    history.Position
+	encoded json.RawMessage
+}
+
+// encode returns the encoded records of a response to a request from a position on.
+func (c *recordsCache) encode(from history.Position, records Records) (json.RawMessage, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.encoded != nil && c.from == from && c.next == records.Next {
+		return c.encoded, nil
+	}
+	encoded, err := json.Marshal(records.Newest)
+	if err != nil {
+		return nil, err
+	}
+	c.from, c.next, c.encoded = from, records.Next, encoded
+	return encoded, nil
+}
+
+// encodedResponse is a recordsResponse whose records are encoded already.
+type encodedResponse struct {
+	recordsResponse
+	Newest json.RawMessage `json:"newest,omitempty"`
+}
+
 // serveRecords serves a long poll for the operator's records. It responds when the
 // position up to which this gateway has read differs from the one in the query, or when
 // the requested wait has passed. If this gateway is behind another process, it responds
 // at once.
-func serveRecords(w http.ResponseWriter, r *http.Request, source RecordSource) {
+func serveRecords(w http.ResponseWriter, r *http.Request, source RecordSource, cache *recordsCache) {
 	from, err := requestedPosition(r.URL.Query())
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -70,13 +103,13 @@
 	end := clock.Now().Add(requestedWait(r))
 	for {
 		records, known := source.Since(from)
-		if !known {
-			w.WriteHeader(http.StatusServiceUnavailable)
+		timedOut := !clock.Now().Before(end)
+		switch {
+		case known && (records.Next != from || records.Behind || timedOut):
+			writeRecords(w, from, records, cache)
 			return
-		}
-		out := recordsResponse{Newest: records.Newest, Next: records.Next.Offset, Era: records.Next.Era, AgeMS: clock.Since(records.Confirmed).Milliseconds(), Behind: records.Behind}
-		if records.Next != from || records.Behind || !clock.Now().Before(end) {
-			writeJSON(w, out)
+		case timedOut:
+			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		if !waitForChange(r.Context(), records.Changed, end) {
@@ -85,6 +118,19 @@
 	}
 }
 
+// writeRecords responds with records from a position on.
+func writeRecords(w http.ResponseWriter, from history.Position, records Records, cache *recordsCache) {
+	newest, err := cache.encode(from, records)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	writeJSON(w, encodedResponse{
+		recordsResponse: recordsResponse{Next: records.Next.Offset, Era: records.Next.Era, AgeMS: clock.Since(records.Confirmed).Milliseconds(), Behind: records.Behind},
+		Newest:          newest,
+	})
+}
+
 // RecordFollower receives the operator's records from a reader gateway: one of the
 // gateways of the region that read the store for the others. It is not safe for
 // concurrent use.
@@ -103,8 +149,8 @@
 
 // Since makes one long poll at the reader gateways for the records from a position on.
 // With history.Unread it requests all records. age is the age of the records that the
-// caller holds; it bounds the wait. Since returns false if the store must be read
-// instead.
+// caller holds; it bounds the wait. Since returns false if no gateway has supplied recent
+// records.
 func (f *RecordFollower) Since(ctx context.Context, from history.Position, age time.Duration) (Records, bool) {
 	var got Records
 	received := f.readers.tryEach(f.budget, clock.Now().Add(-age), func(ip string, wait time.Duration) (ok bool) {
@@ -115,7 +161,7 @@
 		return got, true
 	}
 	if f.source != "" {
-		f.log.Info("reading operator records from the store", "before", f.source, "offset", from.Offset)
+		f.log.Info("no gateway supplies operator records", "before", f.source, "offset", from.Offset)
 		f.source = ""
 	}
 	return Records{}, false
@@ -133,7 +179,7 @@
 	age := time.Duration(got.AgeMS) * time.Millisecond
 	next := history.Position{Era: got.Era, Offset: got.Next}
 	if got.Behind || next.Before(from) || f.budget.Hold(age) <= 0 {
-		f.readers.backOff(ip, clock.Now().Add(backoff))
+		f.readers.stale(ip)
 		f.log.Info("operator records from gateway too old", "gateway", ip, "age_ms", got.AgeMS, "era", from.Era, "offset", from.Offset, "their_era", got.Era, "theirs", got.Next)
 		return Records{}, false
 	}
--- a/storewatch/follow.go
+++ b/storewatch/follow.go
@@ -44,6 +44,9 @@
 	// returns true and the position to continue from if another process has
 	// delivered the records, so that the store need not be read.
 	FromRelay func(ctx context.Context, next history.Position) (history.Position, bool)
+	// Gate, if not nil, decides when the store may be read after FromRelay has returned
+	// false.
+	Gate Gate
 	// OnConfirmed, if not nil, is called after each successful read. The records
 	// received are complete as of the time confirmed.
 	OnConfirmed func(confirmed time.Time)
@@ -60,6 +63,19 @@
 	checkedAt, recheckUntil time.Time
 }
 
+// Gate decides whether a process may read a topic from the store, or must get its records
+// from another process.
+type Gate interface {
+	// MayRead reports whether the store may be read now.
+	MayRead() bool
+	// ReadDone records whether a read of the store succeeded.
+	ReadDone(ok bool)
+}
+
+// gatePause is the time between two attempts to get the records while neither another
+// process supplies them nor the store may be read.
+const gatePause = 100 * time.Millisecond
+
 // Timing of rechecks. The newest records that the store returns may lag behind the
 // position from which reading continues; the records in between would be missed. The
 // newest records are therefore read again every RecheckInterval for recheckDuration.
@@ -161,8 +177,15 @@
 				continue
 			}
 		}
+		if s.Gate != nil && !s.Gate.MayRead() {
+			clock.Sleep(ctx, gatePause)
+			continue
+		}
 		began := clock.Now()
 		from, err := w.step(ctx, s, next)
+		if s.Gate != nil {
+			s.Gate.ReadDone(err == nil)
+		}
 		switch {
 		case err == nil:
 			if s.OnConfirmed != nil {
--- a/storewatch/relay.go
+++ b/storewatch/relay.go
@@ -28,14 +28,16 @@
 type Relay func(ctx context.Context, from history.Position, age time.Duration) *RelayedRecords
 
 // ReadRelayed applies the operator's records obtained through relay, and returns the
-// position to read from next. It returns false if the store must be read instead. That
-// is always so while this process is behind another one; see Progress.Behind.
+// position to read from next. It returns false if the relay supplies none, or if this
+// process is behind another one, see Progress.Behind, and the relay supplies nothing new.
 func (w *Watcher) ReadRelayed(ctx context.Context, s *Source, relay Relay, next history.Position) (history.Position, bool) {
-	if w.Progress().Behind {
-		return next, false
+	progress := w.Progress()
+	age := progress.Age(clock.Now())
+	if progress.Behind && s.Budget != nil {
+		age = s.Budget.Bound() // there is something new to read, so the relay need not wait
 	}
-	got := relay(ctx, next, w.Progress().Age(clock.Now()))
-	if got == nil || got.Next.Before(next) {
+	got := relay(ctx, next, age)
+	if got == nil || got.Next.Before(next) || progress.Behind && got.Next == next {
 		return next, false
 	}
 	s.confirmed = got.Confirmed
