fleet: what is reported between regions does not grow with the number of gateways

Cause: the list fills from one region first; until a gateway knows engines of its own region it watched 48 of that one, and 303 gateways' subscriptions and the reports to them filled that region's links, so that the list came no further. Change: the gateways of a region together watch at most 480 engines of other regions, at least three each. Known from the announcements, before the list. Before: 61 gateways made 2,928 such subscriptions at that moment; now 427 (go test ./fleet -run BetweenRegions).

--- a/cmd/mintlift/platform_fallback.go
+++ b/cmd/mintlift/platform_fallback.go
@@ -41,7 +41,7 @@
 	onNotice      func(loadreport.Notice)
 	publisher     *loadreport.Publisher
 	client        *storerelay.Client
-	announcements *platform.Announcements
+	announcements *storerelay.Announcements
 	// gateways are those of the region, read at gatewaysAt.
 	gateways   []readerset.Member
 	gatewaysAt time.Time
@@ -55,7 +55,7 @@
 func newFallback(p *platformProcess, o platform.OperatorHandler, onNotice func(loadreport.Notice), publisher *loadreport.Publisher, client *storerelay.Client) *fallback {
 	return &fallback{
 		process: p, operator: o, onNotice: onNotice, publisher: publisher, client: client, answeredAt: clock.Now(),
-		announcements: platform.NewAnnouncements(p.watcher.Store(), p.settings.Region, p.settings.Store.Parts),
+		announcements: storerelay.NewAnnouncements(p.watcher.Store().OwnTopic(storerelay.AnnouncementsTopic), p.settings.Region, p.settings.Store.Parts),
 	}
 }
 
--- a/cmd/mintlift/platform_members.go
+++ b/cmd/mintlift/platform_members.go
@@ -11,7 +11,6 @@
 
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/internal/clock"
-	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/readerset"
 	"github.com/mintlift/mintlift/storerelay"
 )
@@ -37,8 +36,8 @@
 // regionMembers announces a gateway to the other gateways of its region, and keeps the
 // views of these up to date that decide who reads the store.
 type regionMembers struct {
-	announcements *platform.Announcements
-	own           platform.Announcement
+	announcements *storerelay.Announcements
+	own           storerelay.Announcement
 	readers       []*storerelay.Readers
 	server        *ingress.Server
 	log           logr.Logger
@@ -49,8 +48,8 @@
 func newRegionMembers(p *platformProcess, server *ingress.Server, readers ...*storerelay.Readers) *regionMembers {
 	s := p.settings
 	return &regionMembers{
-		announcements: platform.NewAnnouncements(p.watcher.Store(), s.Region, s.Store.Parts),
-		own:           platform.Announcement{IP: s.IP, Region: s.Region, LinkRate: s.LinkRate()},
+		announcements: storerelay.NewAnnouncements(p.watcher.Store().OwnTopic(storerelay.AnnouncementsTopic), s.Region, s.Store.Parts),
+		own:           storerelay.Announcement{IP: s.IP, Region: s.Region, LinkRate: s.LinkRate()},
 		readers:       readers, server: server, log: p.log,
 	}
 }
@@ -121,7 +120,7 @@
 }
 
 // currentMembers returns the gateways whose announcements are not too old.
-func currentMembers(all []platform.Announcement) []readerset.Member {
+func currentMembers(all []storerelay.Announcement) []readerset.Member {
 	var out []readerset.Member
 	for _, a := range all {
 		if clock.SinceUnixMilli(a.AtMS) < announceTTL {
--- a/deploy/days/make.py
+++ b/deploy/days/make.py
@@ -92,6 +92,9 @@
     "store-partly-2": (2, [PARTIAL_OUTAGE, '{ at = 12.7, kind = "config_change", how = "route" }', '{ at = 13.0, kind = "config_change", how = "route" }']),
     "crash-storm": (90, ['{ at = 4.0, kind = "hot_key", share = 0.5, for_s = 16.0 }'] + [
         f'{{ at = {at}, kind = "srv_crash", service = "@s0", share = 0.4, for_s = 1.5 }}' for at in (5.0, 6.5, 8.0, 9.5, 11.0, 14.0)]),
+    "evacuate": (91, ['{ at = 4.0, kind = "evacuate", zone = "@z0", for_s = 6.0 }', '{ at = 12.5, kind = "evacuate", zone = "@z0", for_s = 5.0, how = "warm" }']),
+    "cold-return": (92, ['{ at = 5.0, kind = "cold_return", zone = "@z0", for_s = 3.0 }', '{ at = 13.0, kind = "cold_return", zone = "@z0", for_s = 2.0, how = "dark" }']),
+    "pair-evacuate-store-lost": (93, ['{ at = 5.0, kind = "platform_down", how = "nodes silent", share = 0.4, for_s = 6.0 }', '{ at = 6.0, kind = "evacuate", zone = "@z0", for_s = 8.0 }']),
     "store-partly-drain": (3, [PARTIAL_OUTAGE, '{ at = 12.7, kind = "scale_in", share = 0.3 }', '{ at = 13.0, kind = "version_bump", count = 0 }']),
 }
 
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -22,9 +22,16 @@
 	// watchTarget is the number of engines that a gateway watches. Of a service with at
 	// most this many engines it watches all.
 	watchTarget = 48
-	// watchRemoteMin is the minimum number of watched engines in other regions, for
+	// watchRemoteMin is the usual minimum number of watched engines in other regions, for
 	// the case that all engines of the gateway's region fail.
 	watchRemoteMin = 12
+	// regionRemoteTotal bounds the engines of other regions that the gateways of a region
+	// watch together, each counted once for each gateway. Their reports cross the links
+	// between regions, whose bandwidth does not grow with the number of gateways.
+	regionRemoteTotal = 480
+	// watchRemoteLeast is the number of engines in other regions that a gateway watches
+	// even if its region exceeds regionRemoteTotal.
+	watchRemoteLeast = 3
 	// commonEndpoints is the number of engines whose sidecars all gateways contact. These
 	// sidecars count the gateways and relay messages between them.
 	commonEndpoints = 5
@@ -95,10 +102,20 @@
 	weight := func(e *Endpoint) uint64 { return xxhash.Sum64String(f.place.Box + "/" + e.ID) }
 	receiving := len(local)
 	local = f.selectLocal(local, weight)
-	remote = lowestWeight(remote, max(watchRemoteMin, watchTarget-receiving), weight)
+	remote = lowestWeight(remote, f.remoteCount(receiving), weight)
 	return append(local, remote...)
 }
 
+// remoteCount returns the number of watched engines in other regions, if the own region has
+// the given number of engines. That number is low after a start, while the list is read.
+func (f *Fleet) remoteCount(local int) int {
+	wanted := max(watchRemoteMin, watchTarget-local)
+	if len(f.localGateways) == 0 {
+		return wanted
+	}
+	return min(wanted, max(watchRemoteLeast, regionRemoteTotal/len(f.localGateways)))
+}
+
 // selectLocal selects the watched ones of the endpoints of the gateway's own region: those
 // of the lowest weight, and those that it is one of the minWatchers of. While the
 // gateways of the region are unknown, these are all.
--- a/fleet/watch_test.go
+++ b/fleet/watch_test.go
@@ -74,6 +74,38 @@
 	}
 }
 
+// The reports that cross the links between regions must not grow with the number of gateways
+// of a region, also while the list is known in part and has engines of one region only.
+func TestReportsBetweenRegionsAreBounded(t *testing.T) {
+	for _, gateways := range []int{2, 10, 61, 120} { // of a region
+		for _, known := range []string{"all engines", "engines of another region"} {
+			total := 0
+			for g := range gateways {
+				f := largeFleet(fmt.Sprint("g", g), 0, 685)
+				var local []string
+				for other := range gateways {
+					local = append(local, fmt.Sprint("g", other))
+				}
+				f.SetLocalGateways(local)
+				if known != "all engines" {
+					for _, e := range f.All() {
+						if e.Zone != "z1" {
+							f.Remove(e.ID)
+						}
+					}
+				}
+				for _, e := range f.watched("s") {
+					if !f.local(e) {
+						total++
+					}
+				}
+			}
+			t.Logf("%d gateways, %s: %d subscriptions to other regions", gateways, known, total)
+			assert.Check(t, total <= regionRemoteTotal, "%d gateways, %s: %d", gateways, known, total)
+		}
+	}
+}
+
 // Engines that are not watched must be chosen only if every watched engine is
 // unusable, for example draining. A full engine counts as usable.
 func TestUnwatchedEnginesAreTheLastResort(t *testing.T) {
--- a/platform/gateways.go
+++ b/storerelay/announcements.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package platform
+package storerelay
 
 import (
 	"context"
@@ -8,9 +8,14 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/storewatch"
 )
 
-// Announcement is what a gateway tells the other gateways of its region of itself.
+// AnnouncementsTopic is the name of the topic in which gateways announce themselves.
+const AnnouncementsTopic = "gateways"
+
+// Announcement is what a gateway tells the other processes of its region of itself.
 type Announcement struct {
 	IP     string `json:"-"` // the key of the record
 	Region string `json:"region"`
@@ -20,19 +25,26 @@
 	AtMS int64 `json:"at"`
 }
 
-// Announcements is the topic in which gateways announce themselves. Regions are spread
-// over its partitions, so that a gateway reads little of other regions.
+// Topic is a topic of the store with keys.
+type Topic interface {
+	// Append appends a record to a partition.
+	Append(ctx context.Context, part int, key string, value []byte) error
+	// Newest returns the newest record of each key of a partition.
+	Newest(ctx context.Context, part int) ([]storewatch.Record, error)
+}
+
+// Announcements are the announcements of a region's gateways. Regions are spread over the
+// partitions of the topic, so that a process reads little of other regions.
 type Announcements struct {
-	store *Store
-	part  int
-	// region is the region whose gateways Read returns.
+	topic  Topic
+	part   int
 	region string
 }
 
 // NewAnnouncements returns the announcements of a region. parts is the number of
-// partitions of a topic.
-func NewAnnouncements(store *Store, region string, parts int) *Announcements {
-	return &Announcements{store: store, region: region, part: int(xxhash.Sum64String(region) % uint64(max(parts, 1)))}
+// partitions of the topic.
+func NewAnnouncements(topic Topic, region string, parts int) *Announcements {
+	return &Announcements{topic: topic, region: region, part: int(xxhash.Sum64String(region) % uint64(max(parts, 1)))}
 }
 
 // Write announces a gateway of the region.
@@ -41,18 +53,18 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return a.store.Append(ctx, gatewaysTopic, a.part, m.IP, value)
+	return a.topic.Append(ctx, a.part, m.IP, value)
 }
 
 // Read returns the gateways of the region that have announced themselves. Invalid records
 // are left out.
 func (a *Announcements) Read(ctx context.Context) ([]Announcement, error) {
-	newest, err := a.store.newestOf(ctx, gatewaysTopic, a.part)
+	records, err := a.topic.Newest(ctx, a.part)
 	if err != nil {
 		return nil, err
 	}
 	var out []Announcement
-	for _, r := range newest.Records {
+	for _, r := range records {
 		m := Announcement{IP: r.Key}
 		if json.Unmarshal(r.Value, &m) == nil && m.Region == a.region {
 			out = append(out, m)
