sidecars: the endpoint list is read from the store as seldom in a large region as in a small one

Cause, from the logs: each of 685 sidecars asked for the list when its engine came up; none had a subscription yet, so each read all of it from the store (some 0.4 MB), and without a list each asked the origin for the manifest as if it were alone. Change: a sidecar asks subscribing gateways, then announced ones, and reads the store once in 1.5 s for each two gateways of its region; without any list it waits for 5 s before it fetches alone.

--- a/cmd/mintlift/platform_fallback.go
+++ b/cmd/mintlift/platform_fallback.go
@@ -10,7 +10,6 @@
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
-	"github.com/mintlift/mintlift/readerset"
 	"github.com/mintlift/mintlift/storerelay"
 )
 
@@ -23,12 +22,6 @@
 	gatewayTimeoutJitter = 2 * time.Second
 	// askInterval is the minimum time between two attempts.
 	askInterval = 1500 * time.Millisecond
-	// sidecarGatewaysTTL is how long a sidecar uses the list of its region's gateways.
-	sidecarGatewaysTTL = 10 * time.Second
-	// gatewaysPerStoreRead lengthens, in a large region, the time between two reads of the
-	// store by one sidecar that no gateway answers: it is askInterval for each such number
-	// of gateways. The region's reads then do not grow with the number of its boxes.
-	gatewaysPerStoreRead = 2
 )
 
 // fallback gets the operator's records for a sidecar while no gateway sends notices: from
@@ -36,27 +29,19 @@
 // they need of the records in notices, because reads by hundreds of sidecars would
 // saturate the links between regions.
 type fallback struct {
-	process       *platformProcess
-	operator      platform.OperatorHandler
-	onNotice      func(loadreport.Notice)
-	publisher     *loadreport.Publisher
-	client        *storerelay.Client
-	announcements *storerelay.Announcements
-	// gateways are those of the region, read at gatewaysAt.
-	gateways   []readerset.Member
-	gatewaysAt time.Time
-	// askedAt is when gateways were last asked, answeredAt when one last answered, and
-	// readAt when the store was last read.
-	askedAt, answeredAt, readAt time.Time
+	process  *platformProcess
+	operator platform.OperatorHandler
+	onNotice func(loadreport.Notice)
+	gateways *sidecarGateways
+	client   *storerelay.Client
+	// askedAt is when gateways were last asked, and answeredAt when one last answered.
+	askedAt, answeredAt time.Time
 }
 
 // newFallback returns the fallback of a sidecar. Notices of gateways are passed to
 // onNotice, and records of the store to o.
-func newFallback(p *platformProcess, o platform.OperatorHandler, onNotice func(loadreport.Notice), publisher *loadreport.Publisher, client *storerelay.Client) *fallback {
-	return &fallback{
-		process: p, operator: o, onNotice: onNotice, publisher: publisher, client: client, answeredAt: clock.Now(),
-		announcements: storerelay.NewAnnouncements(p.watcher.Store().OwnTopic(storerelay.AnnouncementsTopic), p.settings.Region, p.settings.Store.Parts),
-	}
+func newFallback(p *platformProcess, o platform.OperatorHandler, onNotice func(loadreport.Notice), gateways *sidecarGateways, client *storerelay.Client) *fallback {
+	return &fallback{process: p, operator: o, onNotice: onNotice, gateways: gateways, client: client, answeredAt: clock.Now()}
 }
 
 // run asks gateways, or reads the store, when no gateway has sent a notice for
@@ -69,18 +54,17 @@
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, pollInterval)
 		now := clock.Now()
-		if now.Sub(f.publisher.LastSubscribed()) < timeout || now.Sub(f.answeredAt) < timeout || now.Sub(f.askedAt) < askInterval {
+		if now.Sub(f.gateways.publisher.LastSubscribed()) < timeout || now.Sub(f.answeredAt) < timeout || now.Sub(f.askedAt) < askInterval {
 			continue
 		}
 		f.askedAt = now
-		if f.askGateways(ctx, now) {
+		if f.askGateways(ctx) {
 			f.answeredAt = clock.Now()
 			continue
 		}
-		if now.Sub(f.readAt) < f.readInterval() {
+		if !f.gateways.takeStoreRead() {
 			continue
 		}
-		f.readAt = now
 		err := reader.Read(ctx)
 		switch {
 		case err == nil && unavailable:
@@ -92,26 +76,13 @@
 	}
 }
 
-// askGateways requests a notice from up to maxGatewaysQueried random gateways of the
-// region and applies it. It returns false if none answers.
-func (f *fallback) askGateways(ctx context.Context, now time.Time) bool {
-	if f.gatewaysAt.IsZero() || now.Sub(f.gatewaysAt) >= sidecarGatewaysTTL {
-		all, err := f.announcements.Read(ctx)
+// askGateways requests a notice from gateways of the region and applies it. It returns
+// false if none answers.
+func (f *fallback) askGateways(ctx context.Context) bool {
+	for _, address := range f.gateways.pick(ctx) {
+		notice, err := f.client.Notice(ctx, address, f.process.settings.Service)
 		if err != nil {
-			f.process.log.Info("gateways of the region not read", "error", err.Error())
-		} else {
-			f.gateways, f.gatewaysAt = currentMembers(all), now
-		}
-	}
-	s := f.process.settings
-	for n, at := range rand.Perm(len(f.gateways)) {
-		if n == maxGatewaysQueried {
-			break
-		}
-		ip := f.gateways[at].IP
-		notice, err := f.client.Notice(ctx, s.InternalAddress(ip, portRelay), s.Service)
-		if err != nil {
-			f.process.log.Info("request to gateway failed", "gateway", ip, "path", "notice", "error", err.Error())
+			f.process.log.Info("request to gateway failed", "gateway", address, "path", "notice", "error", err.Error())
 			continue
 		}
 		f.onNotice(notice)
@@ -119,8 +90,3 @@
 	}
 	return false
 }
-
-// readInterval returns the time between two reads of the store.
-func (f *fallback) readInterval() time.Duration {
-	return askInterval * time.Duration(max(1, len(f.gateways)/gatewaysPerStoreRead))
-}
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -115,21 +115,22 @@
 	return s.weightsConfig().Layers
 }
 
-// maxGatewaysQueried is the maximum number of gateways that are queried for the endpoint
-// list before the list is read from the store.
-const maxGatewaysQueried = 2
+// errNoEndpointList means that no gateway supplies the endpoint list, and that the store
+// may not be read yet.
+const errNoEndpointList = errors.ConstError("no gateway supplies the endpoint list")
 
 // listPeers returns the sidecars of the service. It reads the endpoint list from a
-// gateway or, if no gateway responds, from the store. Endpoints with an invalid address
+// gateway or, if none answers, from the store, as seldom as takeStoreRead allows: the list
+// is long, and all sidecars need it at the same moments. Endpoints with an invalid address
 // are logged and left out.
-func (s *sidecarState) listPeers(ctx context.Context, p *platformProcess, lists *storerelay.Client, publisher *loadreport.Publisher) ([]installer.Peer, error) {
-	gateways := publisher.Gateways(s.settings.Region, maxGatewaysQueried, clock.Now())
-	for n, ip := range gateways {
-		gateways[n] = s.settings.InternalAddress(ip, portRelay)
-	}
-	list, err := lists.Service(ctx, gateways, s.settings.Service)
+func (s *sidecarState) listPeers(ctx context.Context, p *platformProcess, lists *storerelay.Client, gateways *sidecarGateways) ([]installer.Peer, error) {
+	addresses := gateways.pick(ctx)
+	list, err := lists.Service(ctx, addresses, s.settings.Service)
 	if err != nil {
-		p.log.Info("endpoint list not available from gateways", "asked", len(gateways), "error", err.Error())
+		p.log.Info("endpoint list not available from gateways", "asked", len(addresses), "error", err.Error())
+		if !gateways.takeStoreRead() {
+			return nil, errNoEndpointList
+		}
 		if list, err = s.endpointsFromStore(ctx, p.watcher); err != nil {
 			return nil, err
 		}
@@ -184,16 +185,17 @@
 		return group, err
 	}
 	group.addCloser(func() { _ = publisher.Close() })
+	gateways := newSidecarGateways(p, publisher)
 	lists := storerelay.NewClient()
 	group.addCloser(lists.Close)
 	group.addCloser(p.watcher.Close)
 	state.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone, LinkRate: s.LinkRate()}, engine, origin,
-		func(ctx context.Context) ([]installer.Peer, error) { return state.listPeers(ctx, p, lists, publisher) }, p.log, p.metrics)
+		func(ctx context.Context) ([]installer.Peer, error) { return state.listPeers(ctx, p, lists, gateways) }, p.log, p.metrics)
 	group.addCloser(state.installer.Close)
 	group.spawn(func() { publisher.Run(state.handleNotice) })
 	group.serve(listener, &http.Server{Handler: state.installer.Handler(), ReadHeaderTimeout: headerTimeout})
 	p.serveMetrics(group, nil)
-	group.spawn(func() { newFallback(p, state, state.handleNotice, publisher, lists).run(ctx) })
+	group.spawn(func() { newFallback(p, state, state.handleNotice, gateways, lists).run(ctx) })
 	group.spawn(func() { state.installer.Run(ctx) })
 	group.spawn(func() { reportLoad(ctx, state, engine, publisher) })
 	return group, nil
--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -116,7 +116,7 @@
 // the current sidecar list. Pulls in flight that the previous swarm has scheduled
 // report their results to the previous swarm.
 func (i *Installer) startSwarm(ctx context.Context, task fetchTask, r *replica) *transfer.Swarm {
-	peers := i.listPeers(ctx)
+	peers, _ := i.listPeers(ctx)
 	params := transfer.Params{
 		Chunks:        len(r.manifest.Digests),
 		OriginRegions: []string{i.originRegion(task, peers)},
@@ -151,25 +151,34 @@
 // peerListMaxAge is the maximum age of the sidecar list for a new swarm.
 const peerListMaxAge = time.Second
 
+// peerListTimeout is how long a box waits for its first list of sidecars before it fetches
+// as if it were alone. Boxes that do so at once would all read from the origin.
+const peerListTimeout = 5 * time.Second
+
 // listPeers returns the service's sidecars, this one included. It reads the list
 // if the cached one is older than peerListMaxAge, and returns the cached one if
-// that fails.
-func (i *Installer) listPeers(ctx context.Context) []Peer {
+// that fails. known is false if there has been no list yet, and peerListTimeout has not
+// passed since the first attempt.
+func (i *Installer) listPeers(ctx context.Context) (peers []Peer, known bool) {
 	i.mu.Lock()
 	cached, at := i.peerList, i.peerListAt
 	i.mu.Unlock()
-	if clock.Since(at) < peerListMaxAge {
-		return cached
+	now := clock.Now()
+	if now.Sub(at) < peerListMaxAge {
+		return cached, true
 	}
 	peers, err := i.peers(ctx)
-	if err != nil {
-		i.log.Info("sidecar list read failed", "error", err.Error(), "last", len(cached))
-		return cached
-	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.peerList, i.peerListAt = peers, clock.Now()
-	return peers
+	if err == nil {
+		i.peerList, i.peerListAt = peers, clock.Now()
+		return peers, true
+	}
+	i.log.Info("sidecar list read failed", "error", err.Error(), "last", len(cached))
+	if i.peersMissingSince.IsZero() {
+		i.peersMissingSince = now
+	}
+	return cached, !at.IsZero() || now.Sub(i.peersMissingSince) >= peerListTimeout
 }
 
 // partnerTimeout bounds how long a fetch waits for the responses of queryPartners
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -178,6 +178,8 @@
 	replicas        []*replica
 	peerList        []Peer    // the sidecar list as last read
 	peerListAt      time.Time // when peerList was read
+	// peersMissingSince is when the list could first not be read; zero if it could.
+	peersMissingSince time.Time
 	// changed is closed and replaced when the state has changed, to wake the
 	// goroutines that wait for a change.
 	changed chan struct{}
--- a/installer/manifest.go
+++ b/installer/manifest.go
@@ -54,9 +54,13 @@
 
 // fetchManifest requests the manifest from each of this box's ancestors in the
 // region's tree, and then from the origin. It returns the first manifest with the
-// expected number of chunks, or nil if there is none.
+// expected number of chunks, or nil if there is none or the sidecars are not known yet.
 func (i *Installer) fetchManifest(ctx context.Context, task fetchTask) *Manifest {
-	above := ancestors(i.listPeers(ctx), i.settings, task.version)
+	peers, known := i.listPeers(ctx)
+	if !known {
+		return nil
+	}
+	above := ancestors(peers, i.settings, task.version)
 	for at, p := range above {
 		timeout := time.Duration(len(above)-at) * i.manifestHopTimeout
 		m, err := i.client.manifest(ctx, p, task.params.Model, task.version, timeout)
