--- a/cmd/mintlift/platform_gateways.go
+++ b/cmd/mintlift/platform_gateways.go
@@ -37,9 +37,11 @@
 	started       time.Time
 
 	mu sync.Mutex
-	// announced are the announced gateways of the region, read at announcedAt.
+	// announced are the announced gateways of the region, read at announcedAt; known
+	// reports whether a read has succeeded.
 	announced   []string
 	announcedAt time.Time
+	known       bool
 	// storeReadAt is when the store may be read next.
 	storeReadAt time.Time
 }
@@ -79,7 +81,7 @@
 		if err != nil {
 			g.process.log.Info("gateways of the region not read", "error", err.Error())
 		} else {
-			g.announced = nil
+			g.announced, g.known = nil, true
 			for _, member := range currentMembers(all) {
 				g.announced = append(g.announced, member.IP)
 			}
@@ -102,7 +104,7 @@
 		return false
 	}
 	interval := unknownReadInterval
-	if len(g.announced) > 0 {
+	if g.known {
 		interval = storeReadInterval * time.Duration(max(1, len(g.announced)/gatewaysPerStoreRead))
 	}
 	g.storeReadAt = now.Add(interval)
--- a/installer/scale_test.go
+++ b/installer/scale_test.go
@@ -214,3 +214,31 @@
 	_, err = pull(6)
 	assert.ErrorIs(t, err, errNoUsefulChunk)
 }
+
+// Boxes that start together, before any of them can get the list of sidecars, must not all
+// fetch from the origin as if each were alone. Once they have the list, they must fetch.
+func TestStartWithoutSidecarListDoesNotReachOrigin(t *testing.T) {
+	const boxes = 40
+	origin := &limitedOrigin{fakeOrigin: &fakeOrigin{}, connections: boxes}
+	var known atomic.Bool
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for k := range boxes {
+		i := New(Settings{Box: fmt.Sprint("box", k), Region: "r", Zone: "z"}, &fakeEngine{}, origin, func(context.Context) ([]Peer, error) {
+			if !known.Load() {
+				return nil, errors.New("no gateway")
+			}
+			return []Peer{{Box: fmt.Sprint("box", k), Region: "r", Zone: "z"}}, nil
+		}, logr.Discard(), telemetry.NewMetrics())
+		i.Configure(Params{Model: testModel, Chunks: testChunks, ChunkBytes: testBytes, OriginRate: 1 << 20, OriginRegion: "r", Deadline: 8 * time.Second})
+		i.UpdateEngineState(EngineState{Model: testModel, Version: 1})
+		i.AddTarget(testModel, 2, time.Now())
+		go i.Run(ctx)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	assert.Equal(t, origin.manifests.Load(), int64(0))
+	known.Store(true)
+	for began := time.Now(); origin.manifests.Load() == 0; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Since(began) < 5*time.Second, "the boxes do not fetch")
+	}
+}
