--- a/cmd/mintlift/platform_gateways.go
+++ b/cmd/mintlift/platform_gateways.go
@@ -16,6 +16,11 @@
 const (
 	// maxGatewaysQueried is the maximum number of gateways that a sidecar asks at a time.
 	maxGatewaysQueried = 2
+	// announcedDelay is the time without a subscription after which a sidecar reads which
+	// gateways have announced themselves. After a common start, gateways subscribe sooner.
+	// A random part of announcedJitter is added.
+	announcedDelay  = 6 * time.Second
+	announcedJitter = 2 * time.Second
 	// announcedMaxAge is how long a sidecar uses the announced gateways before it reads
 	// the announcements again, if it still hears from none.
 	announcedMaxAge = 10 * time.Second
@@ -35,6 +40,8 @@
 	publisher     *loadreport.Publisher
 	announcements *storerelay.Announcements
 	started       time.Time
+	// delay is announcedDelay with its random part.
+	delay time.Duration
 
 	mu sync.Mutex
 	// announced are the announced gateways of the region, read at announcedAt; known
@@ -50,7 +57,7 @@
 func newSidecarGateways(p *platformProcess, publisher *loadreport.Publisher) *sidecarGateways {
 	now := clock.Now()
 	return &sidecarGateways{
-		process: p, publisher: publisher, started: now, storeReadAt: now.Add(gatewayTimeout + rand.N(gatewayTimeoutJitter)),
+		process: p, publisher: publisher, started: now, delay: announcedDelay + rand.N(announcedJitter), storeReadAt: now.Add(announcedDelay + rand.N(announcedJitter)),
 		announcements: storerelay.NewAnnouncements(p.watcher.Store().OwnTopic(storerelay.AnnouncementsTopic), p.settings.Region, p.settings.Store.Parts),
 	}
 }
@@ -61,7 +68,7 @@
 func (g *sidecarGateways) pick(ctx context.Context) []string {
 	s, now := g.process.settings, clock.Now()
 	ips := g.publisher.Gateways(s.Region, maxGatewaysQueried, now)
-	if len(ips) == 0 && now.Sub(g.started) >= gatewayTimeout {
+	if len(ips) == 0 && now.Sub(g.started) >= g.delay && now.Sub(g.publisher.LastSubscribed()) >= g.delay {
 		ips = g.pickAnnounced(ctx, now)
 	}
 	out := make([]string, len(ips))
