--- a/cmd/mintlift/platform_members.go
+++ b/cmd/mintlift/platform_members.go
@@ -57,11 +57,17 @@
 // run announces the gateway and follows the announcements until ctx ends. bootstrap
 // reports that the whole deployment starts, so that there are no announcements yet.
 func (m *regionMembers) run(ctx context.Context, bootstrap bool) {
+	listed := false
 	if !bootstrap {
-		m.refresh(ctx)
+		listed, _ = m.refresh(ctx)
+	}
+	if listed {
+		// The announcement of the process before it still counts.
+		clock.Sleep(ctx, memberRefresh+rand.N(memberRefresh/4))
+	} else {
+		m.announce(ctx)
+		clock.Sleep(ctx, announceSettle)
 	}
-	m.announce(ctx)
-	clock.Sleep(ctx, announceSettle)
 	for ctx.Err() == nil {
 		listed, ok := m.refresh(ctx)
 		switch {
