--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -170,6 +170,13 @@
 	group.addCloser(listReaders.Close)
 	group.addCloser(p.watcher.Close)
 	members := newRegionMembers(p, server, recordReaders, listReaders)
+	p.metrics.Gauge("mintlift_region_gateways", func() float64 { return float64(recordReaders.Members()) })
+	p.metrics.Gauge("mintlift_region_reader", func() float64 {
+		if recordReaders.Reader() {
+			return 1
+		}
+		return 0
+	})
 	group.spawn(func() { members.run(ctx, s.Bootstrap) })
 	group.spawn(func() {
 		p.watcher.WatchOperator(ctx, operator, recordRelay(storerelay.NewRecordFollower(recordReaders, s.ConfigBudget(), p.log)), recordReaders, s.ConfigBudget())
--- a/storerelay/readers.go
+++ b/storerelay/readers.go
@@ -60,6 +60,14 @@
 	return r.set.Reader()
 }
 
+// Members returns the number of gateways of the region, this one included; 0 while they are
+// unknown.
+func (r *Readers) Members() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.set.Len()
+}
+
 // MayRead implements storewatch.Gate.
 func (r *Readers) MayRead() bool {
 	r.mu.Lock()
