--- a/capacity/control_test.go
+++ b/capacity/control_test.go
@@ -60,7 +60,7 @@
 				var ips []string
 				for _, m := range members {
 					ips = append(ips, m.IP)
-					set := readerset.New(m.IP, now)
+					set := readerset.New(m.IP, readerset.StartTimeout, now)
 					set.Update(members)
 					if set.MayRead(now) {
 						reading++
--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -20,6 +20,7 @@
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/quarantine"
+	"github.com/mintlift/mintlift/readerset"
 	"github.com/mintlift/mintlift/routing"
 	"github.com/mintlift/mintlift/sendbuffer"
 	"github.com/mintlift/mintlift/storerelay"
@@ -164,8 +165,12 @@
 
 	operator := gatewayOperator{server}
 	relayAddress := func(ip string) string { return s.InternalAddress(ip, portRelay) }
-	recordReaders := storerelay.NewReaders(s.IP, relayAddress, p.log.WithValues("topic", "operator"))
-	listReaders := storerelay.NewReaders(s.IP, relayAddress, p.log.WithValues("topic", "endpoints"))
+	timeout := readerset.RestartTimeout
+	if s.Bootstrap {
+		timeout = readerset.StartTimeout
+	}
+	recordReaders := storerelay.NewReaders(s.IP, relayAddress, timeout, p.log.WithValues("topic", "operator"))
+	listReaders := storerelay.NewReaders(s.IP, relayAddress, timeout, p.log.WithValues("topic", "endpoints"))
 	group.addCloser(recordReaders.Close)
 	group.addCloser(listReaders.Close)
 	group.addCloser(p.watcher.Close)
--- a/readerset/readerset.go
+++ b/readerset/readerset.go
@@ -33,9 +33,12 @@
 	// before a gateway takes itself for isolated from the others and reads the store. It
 	// is so high that a loss of half of the region does not make many do so.
 	isolatedAfter = 6
-	// UnknownTimeout is how long a gateway waits for the list of its region's gateways
-	// before it reads the store without one.
-	UnknownTimeout = 3 * time.Second
+	// StartTimeout and RestartTimeout are how long a gateway waits for the list of its
+	// region's gateways before it reads the store without one: at the first start of the
+	// whole deployment, when all would read at once, and later, when a gateway that starts
+	// is usually one of few.
+	StartTimeout   = 3 * time.Second
+	RestartTimeout = 300 * time.Millisecond
 	// storeRetry is how long a gateway that the store has failed asks others instead. Of a
 	// gateway that reads in place of a reader, it doubles with each failure up to
 	// maxStoreRetry: reads that time out are a sign of a full link, and more of them
@@ -54,8 +57,9 @@
 
 // Set is one gateway's view of its region's gateways.
 type Set struct {
-	own     string
-	started time.Time
+	own string
+	// readFrom is the time from which the store is read although the others are unknown.
+	readFrom time.Time
 	// ranked holds the gateways by rank; it is empty while they are unknown. rank is the
 	// index of this gateway.
 	ranked []string
@@ -71,9 +75,9 @@
 }
 
 // New returns the set of the gateway with the address own, which does not know the other
-// gateways yet.
-func New(own string, now time.Time) *Set {
-	return &Set{own: own, started: now, failedUntil: make(map[string]time.Time), silent: make(map[string]bool)}
+// gateways yet and waits for timeout until it reads the store without knowing them.
+func New(own string, timeout time.Duration, now time.Time) *Set {
+	return &Set{own: own, readFrom: now.Add(timeout), failedUntil: make(map[string]time.Time), silent: make(map[string]bool)}
 }
 
 // Update sets the gateways of the region, and reports whether the order of ranks changed.
@@ -160,7 +164,7 @@
 // of lower rank is left to ask, or it cannot reach any other.
 func (s *Set) MayRead(now time.Time) bool {
 	if !s.Known() {
-		return now.Sub(s.started) >= UnknownTimeout
+		return !now.Before(s.readFrom)
 	}
 	if s.rank < ReadersPerRegion {
 		return true
--- a/readerset/readerset_test.go
+++ b/readerset/readerset_test.go
@@ -55,7 +55,7 @@
 		list = append(list, Member{IP: m.ip, LinkRate: []float64{5e6, 125e6}[i%2]})
 	}
 	for _, m := range r.members {
-		m.set = New(m.ip, now)
+		m.set = New(m.ip, StartTimeout, now)
 		m.set.Update(list)
 	}
 	return r
@@ -206,9 +206,10 @@
 // not for ever.
 func TestUnknownRegion(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := New("a", now)
+	s := New("a", RestartTimeout, now)
 	assert.Assert(t, !s.MayRead(now) && s.Sources(now) == nil && !s.Reader())
-	assert.Assert(t, s.MayRead(now.Add(UnknownTimeout)))
+	assert.Assert(t, s.MayRead(now.Add(RestartTimeout)))
+	assert.Assert(t, !New("a", StartTimeout, now).MayRead(now.Add(RestartTimeout)))
 	assert.Assert(t, s.Update([]Member{{IP: "b"}}))
 	assert.Assert(t, s.Reader() && s.MayRead(now))
 	assert.Assert(t, !s.Update([]Member{{IP: "b"}}))
--- a/storerelay/readers.go
+++ b/storerelay/readers.go
@@ -39,9 +39,10 @@
 }
 
 // NewReaders returns the Readers of the gateway with the IP address own. address
-// returns the IP:PORT of another gateway's Handler.
-func NewReaders(own string, address func(ip string) string, log logr.Logger) *Readers {
-	return &Readers{address: address, client: NewClient(), log: log, set: readerset.New(own, clock.Now())}
+// returns the IP:PORT of another gateway's Handler. For timeout it does not read the store
+// while it does not know the others; see readerset.StartTimeout.
+func NewReaders(own string, address func(ip string) string, timeout time.Duration, log logr.Logger) *Readers {
+	return &Readers{address: address, client: NewClient(), log: log, set: readerset.New(own, timeout, clock.Now())}
 }
 
 // SetMembers sets the gateways of the region.
--- a/storerelay/records_test.go
+++ b/storerelay/records_test.go
@@ -87,7 +87,7 @@
 	t.Helper()
 	s := httptest.NewServer(Handler(nil, l, nil))
 	t.Cleanup(s.Close)
-	readers := NewReaders("self", func(string) string { return strings.TrimPrefix(s.URL, "http://") }, logr.Discard())
+	readers := NewReaders("self", func(string) string { return strings.TrimPrefix(s.URL, "http://") }, readerset.StartTimeout, logr.Discard())
 	readers.SetMembers(twoReaders)
 	return NewRecordFollower(readers, budget, logr.Discard())
 }
@@ -140,7 +140,7 @@
 // A follower gives up on unresponsive gateways before its records are stale.
 func TestUnresponsiveRecordGatewaysAreSkippedWithinBound(t *testing.T) {
 	unresponsive := unresponsiveGateway(t)
-	readers := NewReaders("self", func(string) string { return unresponsive }, logr.Discard())
+	readers := NewReaders("self", func(string) string { return unresponsive }, readerset.StartTimeout, logr.Discard())
 	readers.SetMembers(twoReaders)
 	f := NewRecordFollower(readers, budget, logr.Discard())
 	const age = 400 * time.Millisecond
--- a/storewatch/follow.go
+++ b/storewatch/follow.go
@@ -73,8 +73,8 @@
 }
 
 // gatePause is the time between two attempts to get the records while neither another
-// process supplies them nor the store may be read.
-const gatePause = 100 * time.Millisecond
+// process supplies them nor the store may be read. It delays the start of a process.
+const gatePause = 20 * time.Millisecond
 
 // Timing of rechecks. The newest records that the store returns may lag behind the
 // position from which reading continues; the records in between would be missed. The
