--- a/capacity/control.go
+++ b/capacity/control.go
@@ -14,7 +14,7 @@
 	Heartbeat time.Duration
 }
 
-// Sizes of what is sent, in bytes, as measured on the wire of the largest deployment.
+// Sizes of what is sent, in bytes.
 const (
 	entryBytes  = 300 // an endpoint's entry in a read of the list
 	reportBytes = 250 // a load report, with headers
--- a/storerelay/follow.go
+++ b/storerelay/follow.go
@@ -48,7 +48,7 @@
 }
 
 // batchTime is how long a gateway collects further changes of the list before it responds
-// with the first one. Without it, each of hundreds of changes at a rollout would be a
+// with the first one. Without it, each change at a rollout would be a
 // response of its own to each follower.
 const batchTime = 50 * time.Millisecond
 
