--- /dev/null
+++ b/cmd/mintlift/latewrite_test.go
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/platform/storetest"
+)
+
+// The operator's writes may be carried out late, so the store's last record of a key is
+// not always the one with the highest version. These tests write records in that order.
+
+// Guards against engines that load an older version after a restart of all processes: the
+// operator's write of that version was carried out after that of a newer one.
+func TestVersionWrittenLateIsIgnoredAfterRestart(t *testing.T) {
+	t.Parallel()
+	for name, compact := range map[string]bool{"retained": false, "compacted": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := startWeights(t, 2)
+			for _, b := range d.boxes {
+				b.engine.StageAndLoad(1)
+			}
+			d.setTargetVersion(3)
+			d.awaitLoaded(t, 3)
+			d.setTargetVersion(2)
+			time.Sleep(time.Second)
+			if compact {
+				d.store.Compact(storetest.Operator)
+			}
+			d.restart(t)
+			d.sendRequestsFor(8 * time.Second)
+			d.checkVersions(t, 3)
+			assert.Equal(t, d.served[2], 0, "requests served by the older version")
+			for _, b := range d.boxes {
+				assert.DeepEqual(t, b.engine.Starts(), []int{3, 3})
+			}
+		})
+	}
+}
+
+// Guards against a revoked key that becomes valid again after a restart of all processes:
+// the operator's write of an older configuration was carried out after that of a newer one.
+func TestConfigurationWrittenLateIsIgnoredAfterRestart(t *testing.T) {
+	t.Parallel()
+	d := startWeights(t, 1)
+	d.startGateway(t)
+	d.boxes[0].engine.StageAndLoad(1)
+	d.configureKey(3, "after")
+	d.awaitStatus(t, "after", http.StatusOK, 10*time.Second)
+	d.configureKey(2, "before")
+	time.Sleep(time.Second)
+	d.restart(t)
+	d.boxes[0].engine.StageAndLoad(1)
+	d.awaitStatus(t, "after", http.StatusOK, 10*time.Second)
+	for _, gateway := range d.gateways {
+		assert.Equal(t, d.requestWithKey(gateway, "before"), http.StatusUnauthorized)
+	}
+}
+
+// awaitLoaded waits until each engine has loaded a version.
+func (d *weightsDeployment) awaitLoaded(t *testing.T, version int) {
+	t.Helper()
+	began := time.Now()
+	for _, b := range d.boxes {
+		for b.engine.State().Version != version {
+			assert.Assert(t, time.Since(began) < 15*time.Second, "%s has not loaded version %d", b.address, version)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// restart ends all processes at once, then starts them again: engines, which keep their
+// staged chunks, sidecars and gateways.
+func (d *weightsDeployment) restart(t *testing.T) {
+	t.Helper()
+	for _, daemon := range d.daemons {
+		closeNow(daemon)
+	}
+	d.daemons = nil
+	for _, b := range d.boxes {
+		b.engine.Restart(false)
+		host, _, err := net.SplitHostPort(b.address)
+		assert.NilError(t, err)
+		d.daemons = append(d.daemons, startSidecar(t, host, d.storeAddress, b.address))
+	}
+	for n := range d.gateways {
+		d.daemons = append(d.daemons, startGateway(t, fmt.Sprintf("%s.%d", d.network, 1+n), d.storeAddress))
+	}
+}
