storewatch: operator records that the store holds in the wrong order are repaired

Callers saw requests run by version 2 of the weights 26 s after version 3 was acknowledged: all engines had loaded version 2 after a restart of all processes, though version 3 lay staged beside them, whole.

Cause: the store may carry out a write that got no response seconds later. The naming of version 2 was carried out after that of version 3, so version 2 was the newest record of its key. A process that runs keeps the higher version; one that starts reads only the newest record of each key. The same holds for configurations: a revoked key worked again.

A reader of the store that finds a record replaced by a lower version than it holds writes the higher one to a topic of our own. It works because the process that sees both records in their order is alive when the second is carried out, which is when the next restart becomes unsafe; what it writes lasts in the store, also when the log is compacted, and has no effect once a higher version is written. One more call at a start of each reader; in the normal order nothing is written.

--- a/deploy/days/make.py
+++ b/deploy/days/make.py
@@ -85,7 +85,8 @@
 
 # Days with fixed seeds, because the seed decides which partitions of the store fail. store-partly: outages of half of the store's
 # partitions, with changes to receive shortly afterwards. crash-storm: endpoint crashes in quick succession during many identical
-# requests, which must not be quarantined as the cause.
+# requests, which must not be quarantined as the cause. changes-late-power: writes of the operator are carried out late, also after
+# newer ones, and all processes start again afterwards.
 PARTIAL_OUTAGE = '{ at = 7.0, kind = "platform_down", how = "silent log", share = 0.5, for_s = 5.65 }'
 FIXED = {
     "store-partly": (1, [PARTIAL_OUTAGE, '{ at = 12.7, kind = "config_change", how = "route" }', '{ at = 13.0, kind = "config_change", how = "route" }']),
@@ -95,10 +96,11 @@
     "evacuate": (91, ['{ at = 4.0, kind = "evacuate", zone = "@z0", for_s = 6.0 }', '{ at = 12.5, kind = "evacuate", zone = "@z0", for_s = 5.0, how = "warm" }']),
     "cold-return": (92, ['{ at = 5.0, kind = "cold_return", zone = "@z0", for_s = 3.0 }', '{ at = 13.0, kind = "cold_return", zone = "@z0", for_s = 2.0, how = "dark" }']),
     "pair-evacuate-store-lost": (93, ['{ at = 5.0, kind = "platform_down", how = "nodes silent", share = 0.4, for_s = 6.0 }', '{ at = 6.0, kind = "evacuate", zone = "@z0", for_s = 8.0 }']),
+    "changes-late-power": (94, ['{ at = 11.0, kind = "platform_lost", x = 0.8, how = "late", for_s = 7.0 }', '{ at = 12.5, kind = "config_change", how = "route" }', '{ at = 13.5, kind = "revoke", count = 2, gap_s = 0.5 }', '{ at = 14.0, kind = "version_bump", count = 0 }']),
     "store-partly-drain": (3, [PARTIAL_OUTAGE, '{ at = 12.7, kind = "scale_in", share = 0.3 }', '{ at = 13.0, kind = "version_bump", count = 0 }']),
 }
 
-CLOSINGS = {"pair-cut-storm": 'closing = { kind = "power_off_all", down_s = 1.5 }\n', "versions": 'closing = { kind = "kill_all", down_s = 1.2 }\n', "garble-rot": 'closing = { kind = "power_off_all", down_s = 1.5, how = "timed" }\n'}
+CLOSINGS = {"pair-cut-storm": 'closing = { kind = "power_off_all", down_s = 1.5 }\n', "versions": 'closing = { kind = "kill_all", down_s = 1.2 }\n', "changes-late-power": 'closing = { kind = "power_off_all", down_s = 1.0, how = "all" }\n', "garble-rot": 'closing = { kind = "power_off_all", down_s = 1.5, how = "timed" }\n'}
 
 if __name__ == "__main__":
     days = [(name, 1000 + n, faults) for n, (name, faults) in enumerate(sorted(KINDS.items()))]
--- a/storewatch/follow.go
+++ b/storewatch/follow.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -50,6 +51,9 @@
 	// OnConfirmed, if not nil, is called after each successful read. The records
 	// received are complete as of the time confirmed.
 	OnConfirmed func(confirmed time.Time)
+	// Repairs, if not nil, corrects snapshots in which the newest record of a key has not
+	// the highest version. The versions are those passed to Watcher.Keep.
+	Repairs *Repairs
 
 	// confirmed is the time as of which the received records are complete.
 	confirmed time.Time
@@ -61,6 +65,12 @@
 	// checkedAt is the time of the last recheck, or of the event that made rechecks
 	// necessary. recheckUntil is when rechecks end; zero means that there are none.
 	checkedAt, recheckUntil time.Time
+	// pendingRepairs receives the repairs that were not read in time for the last snapshot;
+	// nil if there are none.
+	pendingRepairs <-chan repairsRead
+	// superseded holds the records that the last read of the store found replaced by
+	// records of lower versions.
+	superseded []versionedRecord
 }
 
 // Gate decides whether a process may read a topic from the store, or must get its records
@@ -169,6 +179,8 @@
 func (w *Watcher) Follow(ctx context.Context, s *Source) {
 	next := history.Unread
 	failures := 0
+	var repairs sync.WaitGroup
+	defer repairs.Wait()
 	for ctx.Err() == nil {
 		if s.FromRelay != nil {
 			from, relayed := s.FromRelay(ctx, next)
@@ -197,6 +209,7 @@
 			}
 			failures = 0
 			next = from
+			w.repair(ctx, s, next.Era, &repairs)
 			if s.Wake != nil {
 				w.advance(next, s.confirmed)
 			}
@@ -224,6 +237,18 @@
 	}
 }
 
+// repair writes the records that the last step found replaced by older ones as repairs, in
+// a goroutine of group.
+func (w *Watcher) repair(ctx context.Context, s *Source, era int64, group *sync.WaitGroup) {
+	if s.Repairs == nil {
+		return
+	}
+	if records := s.Repairs.claim(s.superseded, era); len(records) > 0 {
+		w.metrics.Counter("mintlift_operator_repairs_total").Add(len(records))
+		group.Go(func() { s.Repairs.write(ctx, records) })
+	}
+}
+
 // topicUnresponsive reports whether the store does not respond for this topic alone: a
 // read from a known position stalled while calls for other topics were answered in
 // time.
--- a/storewatch/read.go
+++ b/storewatch/read.go
@@ -51,9 +51,11 @@
 	if next.Known() && next.Era < w.store.Era() {
 		return next, ErrNewEra
 	}
+	s.superseded = nil
 	if !next.Known() {
 		return w.stepFromNewest(ctx, s)
 	}
+	w.applyPendingRepairs(ctx, s)
 	if s.recheckDue(clock.Now()) {
 		newest, err := w.readNewest(ctx, s.Topic)
 		if err == nil && newest.Era != next.Era {
@@ -63,6 +65,7 @@
 			return next, err
 		}
 		s.reconcile(newest.Records, clock.Now())
+		s.superseded = w.supersededBy(newest.Records, newest.Era)
 	}
 	got, err := w.readFrom(ctx, s, next)
 	if err != nil {
@@ -70,18 +73,28 @@
 	}
 	s.confirmed = got.confirmed
 	s.applyNew(got.records)
+	s.superseded = append(s.superseded, w.supersededBy(got.records, got.nextPosition.Era)...)
 	return got.nextPosition, nil
 }
 
 // stepFromNewest reads and applies the newest records of a topic.
 func (w *Watcher) stepFromNewest(ctx context.Context, s *Source) (history.Position, error) {
 	began := clock.Now()
+	var repairs <-chan repairsRead
+	if s.Repairs != nil {
+		repairs = s.Repairs.beginRead(ctx)
+	}
 	newest, err := w.readNewest(ctx, s.Topic)
 	if err != nil {
 		return history.Unread, err
 	}
 	s.confirmed = began
-	return s.reset(newest, clock.Now()), nil
+	if repairs != nil {
+		s.mergeRepairs(ctx, repairs, newest)
+	}
+	next := s.reset(newest, clock.Now())
+	s.superseded = w.supersededBy(newest.Records, newest.Era)
+	return next, nil
 }
 
 // readNewest reads the newest records of a topic, and counts the read.
--- /dev/null
+++ b/storewatch/repair.go
@@ -0,0 +1,202 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package storewatch
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-logr/logr"
+
+	"github.com/mintlift/mintlift/history"
+	"github.com/mintlift/mintlift/internal/clock"
+)
+
+// RepairTopic is a topic that the watchers write.
+type RepairTopic interface {
+	// Append appends a record to a partition.
+	Append(ctx context.Context, part int, key string, value []byte) error
+	// Newest returns the newest record of each key of a partition.
+	Newest(ctx context.Context, part int) ([]Record, error)
+}
+
+// Repairs corrects records of a topic that the store holds in the wrong order. The store
+// may carry out a write without a response seconds late, after the write of a higher
+// version of the same key. The lower version is then the key's newest record, which is all
+// that a process reads when it starts.
+//
+// A watcher that reads such a record from the store and holds the higher version appends
+// that to a topic of repairs. Snapshots are corrected by it: a repair replaces the newest
+// record of its key if it has a higher version. A repair is thus without effect once the
+// operator has written a higher version. Each reader of the store writes a repair once, so
+// that one is written even if others are killed.
+type Repairs struct {
+	topic RepairTopic
+	// version returns the version of a record's content; ok is false if it has none.
+	version func(Record) (version int64, ok bool)
+	log     logr.Logger
+
+	mu sync.Mutex
+	// written holds the last record of each key that this process has written as a repair,
+	// or is about to write.
+	written map[string]recordID
+}
+
+// recordID identifies the content of a record in an era of the store.
+type recordID struct{ era, version int64 }
+
+// NewRepairs returns the repairs kept in topic. version returns the version of a record's
+// content; ok is false for a record without one.
+func NewRepairs(topic RepairTopic, version func(Record) (version int64, ok bool), log logr.Logger) *Repairs {
+	return &Repairs{topic: topic, version: version, log: log, written: make(map[string]recordID)}
+}
+
+// repairPart is the partition of the topic of repairs that is used.
+const repairPart = 0
+
+// repairsRead is the result of reading all repairs.
+type repairsRead struct {
+	records []Record
+	err     error
+}
+
+// beginRead reads all repairs in the background. The result is sent on the channel.
+func (p *Repairs) beginRead(ctx context.Context) <-chan repairsRead {
+	out := make(chan repairsRead, 1)
+	go func() {
+		records, err := p.topic.Newest(ctx, repairPart)
+		if err != nil && ctx.Err() == nil {
+			p.log.Info("repairs of operator records not read", "error", err.Error())
+		}
+		out <- repairsRead{records, err}
+	}()
+	return out
+}
+
+// merge replaces records of a snapshot by repairs with higher versions. A repair gets the
+// offset of the record that it replaces, and is passed to other processes in its place.
+// Repairs of keys that the snapshot lacks are ignored.
+func (p *Repairs) merge(snapshot, repairs []Record) {
+	at := make(map[string]int, len(snapshot))
+	for n, r := range snapshot {
+		at[r.Key] = n
+	}
+	for _, repair := range repairs {
+		n, found := at[repair.Key]
+		if !found {
+			continue
+		}
+		repaired, ok := p.version(repair)
+		stored, versioned := p.version(snapshot[n])
+		if !ok || versioned && stored >= repaired {
+			continue
+		}
+		p.log.Info("operator record replaced by repair", "key", repair.Key, "version", repaired, "stored_version", stored, "offset", snapshot[n].Offset)
+		snapshot[n].Value = repair.Value
+	}
+}
+
+// claim returns the records that this process has not written as repairs yet, and records
+// that it is about to write them.
+func (p *Repairs) claim(records []versionedRecord, era int64) []versionedRecord {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []versionedRecord
+	for _, r := range records {
+		id := recordID{era, r.version}
+		if p.written[r.Key] != id {
+			p.written[r.Key] = id
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// write appends records as repairs. It retries failed calls until ctx ends.
+func (p *Repairs) write(ctx context.Context, records []versionedRecord) {
+	for _, r := range records {
+		for failures := 1; ctx.Err() == nil; failures++ {
+			err := p.topic.Append(ctx, repairPart, r.Key, r.Value)
+			if err == nil {
+				p.log.Info("operator record repaired", "key", r.Key, "version", r.version, "failures", failures-1)
+				break
+			}
+			if failures == 1 {
+				p.log.Info("operator record not repaired", "key", r.Key, "version", r.version, "error", err.Error())
+			}
+			clock.Sleep(ctx, retryDelay(failures, false))
+		}
+	}
+}
+
+// mergeRepairs corrects a snapshot by the repairs that pending receives. It waits for them
+// for the Budget's RelayTimeout, or without a Budget until the read ends. Repairs that
+// arrive later are applied by later steps.
+func (s *Source) mergeRepairs(ctx context.Context, pending <-chan repairsRead, newest *Newest) {
+	var timeout <-chan struct{}
+	if s.Budget != nil {
+		due, stop := clock.After(clock.Now().Add(s.Budget.RelayTimeout()))
+		defer stop()
+		timeout = due
+	}
+	select {
+	case got := <-pending:
+		if got.err != nil {
+			s.pendingRepairs = s.Repairs.beginRead(ctx)
+			return
+		}
+		s.pendingRepairs = nil
+		s.Repairs.merge(newest.Records, got.records)
+	case <-timeout:
+		s.pendingRepairs = pending
+	case <-ctx.Done():
+	}
+}
+
+// applyPendingRepairs applies repairs that arrived after the snapshot that they correct. It
+// reads them again if that failed.
+func (w *Watcher) applyPendingRepairs(ctx context.Context, s *Source) {
+	select {
+	case got := <-s.pendingRepairs:
+		if got.err != nil {
+			s.pendingRepairs = s.Repairs.beginRead(ctx)
+			return
+		}
+		s.pendingRepairs = nil
+		for _, r := range got.records {
+			offset, known := s.appliedOffsets[r.Key]
+			version, ok := s.Repairs.version(r)
+			if known && ok && w.heldVersion(r.Key) < version {
+				w.log.Info("operator record replaced by repair", "key", r.Key, "version", version, "offset", offset)
+				s.OnRecord(Record{Key: r.Key, Value: r.Value, Offset: offset})
+			}
+		}
+	default:
+	}
+}
+
+// heldVersion returns the version of the operator's record that is held for a key, or -1 if
+// there is none.
+func (w *Watcher) heldVersion(key string) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if held, known := w.newest[key]; known {
+		return held.version
+	}
+	return -1
+}
+
+// supersededBy returns the records held here that have higher versions than records read
+// from the store at higher offsets, or in a later era.
+func (w *Watcher) supersededBy(read []Record, era int64) []versionedRecord {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []versionedRecord
+	for _, r := range read {
+		held, known := w.newest[r.Key]
+		if known && r.Value != nil && (history.Position{Era: held.era, Offset: held.Offset}).Before(history.Position{Era: era, Offset: r.Offset}) {
+			out = append(out, held)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/storewatch/repair_test.go
@@ -0,0 +1,262 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package storewatch_test
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/freshness"
+	"github.com/mintlift/mintlift/history"
+	"github.com/mintlift/mintlift/storewatch"
+	"github.com/mintlift/mintlift/telemetry"
+)
+
+// logStore is a store in memory. Values are versions.
+type logStore struct {
+	mu      sync.Mutex
+	records []storewatch.Record
+	changed chan struct{}
+}
+
+func newLogStore(versions ...int) *logStore {
+	s := &logStore{changed: make(chan struct{})}
+	for _, v := range versions {
+		s.put("k", v)
+	}
+	return s
+}
+
+// put appends a record.
+func (s *logStore) put(key string, version int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, storewatch.Record{Key: key, Value: []byte(strconv.Itoa(version)), Offset: int64(len(s.records))})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Newest implements storewatch.Store.
+func (s *logStore) Newest(context.Context, string) (*storewatch.Newest, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := make(map[string]storewatch.Record)
+	for _, r := range s.records {
+		last[r.Key] = r
+	}
+	out := &storewatch.Newest{Pages: 1, End: int64(len(s.records))}
+	for _, r := range s.records {
+		if last[r.Key].Offset == r.Offset {
+			out.Records = append(out.Records, r)
+		}
+	}
+	return out, nil
+}
+
+// Read implements storewatch.Store.
+func (s *logStore) Read(ctx context.Context, _ string, from history.Position, wait time.Duration) ([]storewatch.Record, history.Position, error) {
+	deadline := time.After(wait)
+	for {
+		s.mu.Lock()
+		end, changed := int64(len(s.records)), s.changed
+		out := append([]storewatch.Record(nil), s.records[from.Offset:]...)
+		s.mu.Unlock()
+		if len(out) > 0 {
+			return out, history.Position{Offset: end}, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return nil, from, nil
+		case <-ctx.Done():
+			return nil, from, ctx.Err()
+		}
+	}
+}
+
+func (s *logStore) Era() int64                        { return 0 }
+func (s *logStore) ObserveEra(int64) bool             { return true }
+func (s *logStore) OthersLate(string, time.Time) bool { return false }
+
+// repairTopic is a topic of repairs in memory, with faults.
+type repairTopic struct {
+	*logStore
+	mu      sync.Mutex
+	appends int
+	failing bool
+	delay   time.Duration
+}
+
+// fault delays a call or fails it, as the topic's faults say.
+func (r *repairTopic) fault() error {
+	r.mu.Lock()
+	delay, failing := r.delay, r.failing
+	r.mu.Unlock()
+	time.Sleep(delay)
+	if failing {
+		return errors.New("not available")
+	}
+	return nil
+}
+
+// Append implements storewatch.RepairTopic.
+func (r *repairTopic) Append(_ context.Context, _ int, key string, value []byte) error {
+	if err := r.fault(); err != nil {
+		return err
+	}
+	version, err := strconv.Atoi(string(value))
+	r.put(key, version)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.appends++
+	return err
+}
+
+// Newest implements storewatch.RepairTopic.
+func (r *repairTopic) Newest(ctx context.Context, _ int) ([]storewatch.Record, error) {
+	if err := r.fault(); err != nil {
+		return nil, err
+	}
+	newest, err := r.logStore.Newest(ctx, "")
+	return newest.Records, err
+}
+
+// set changes the topic's faults.
+func (r *repairTopic) set(failing bool, delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failing, r.delay = failing, delay
+}
+
+// count returns the number of records appended.
+func (r *repairTopic) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.appends
+}
+
+// follow starts a watcher of the store in a synctest bubble. It returns a function with the
+// versions applied so far, and the watcher.
+func follow(t *testing.T, store *logStore, topic *repairTopic) (*storewatch.Watcher, func() []int) {
+	var mu sync.Mutex
+	var applied []int
+	w := storewatch.New(store, logr.Discard(), telemetry.NewMetrics())
+	apply := func(r storewatch.Record) {
+		version, err := strconv.Atoi(string(r.Value))
+		if err == nil && w.Keep(r, int64(version)) {
+			mu.Lock()
+			defer mu.Unlock()
+			applied = append(applied, version)
+		}
+	}
+	version := func(r storewatch.Record) (int64, bool) {
+		n, err := strconv.Atoi(string(r.Value))
+		return int64(n), err == nil
+	}
+	budget := freshness.New(2 * time.Second)
+	source := &storewatch.Source{
+		Topic: "operator", Budget: &budget, Wake: w.Wakeups(), OnRecord: apply,
+		OnSnapshot: func(records []storewatch.Record, _ int64) {
+			for _, r := range records {
+				apply(r)
+			}
+		},
+		Repairs: storewatch.NewRepairs(topic, version, logr.Discard()),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Follow(ctx, source)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return w, func() []int {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]int(nil), applied...)
+	}
+}
+
+// Guards against a process that starts with an older version than the store has accepted,
+// because the write of the older one was carried out last.
+func TestSnapshotIsCorrectedByRepairs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, topic := newLogStore(2), &repairTopic{logStore: newLogStore()}
+		_, before := follow(t, store, topic)
+		time.Sleep(time.Second)
+		store.put("k", 3)
+		store.put("k", 2)
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, before(), []int{2, 3})
+		w, after := follow(t, store, topic)
+		time.Sleep(100 * time.Millisecond)
+		assert.DeepEqual(t, after(), []int{3})
+		records, _, _, _ := w.Since(history.Position{Offset: 2})
+		assert.Equal(t, len(records), 1, "passed on in place of the record that it replaces")
+		store.put("k", 4)
+		time.Sleep(time.Second)
+		_, later := follow(t, store, topic)
+		time.Sleep(100 * time.Millisecond)
+		assert.DeepEqual(t, later(), []int{4}) // a higher version makes the repair ineffective
+		assert.Equal(t, topic.count(), 1)
+	})
+}
+
+// Guards against a start that is delayed beyond its bound, or that ignores repairs, because
+// the topic of repairs does not respond in time.
+func TestRepairsThatArriveLateAreApplied(t *testing.T) {
+	for name, fault := range map[string]func(*repairTopic){
+		"slow":    func(r *repairTopic) { r.set(false, 1500*time.Millisecond) },
+		"failing": func(r *repairTopic) { r.set(true, 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, topic := newLogStore(3, 2), &repairTopic{logStore: newLogStore(3)}
+				fault(topic)
+				w, applied := follow(t, store, topic)
+				time.Sleep(300 * time.Millisecond)
+				assert.DeepEqual(t, applied(), []int{2}) // the start does not wait for repairs
+				topic.set(false, 0)
+				time.Sleep(4 * time.Second)
+				assert.DeepEqual(t, applied(), []int{2, 3})
+				assert.Equal(t, w.VersionSum(), int64(3), "others fetch the records of a higher sum")
+			})
+		})
+	}
+}
+
+// Guards against repairs that are lost with a failed write, and against writes without
+// need: none in the normal order, one for each record, however often it is read.
+func TestRepairIsWrittenOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, topic := newLogStore(1), &repairTopic{logStore: newLogStore()}
+		_, applied := follow(t, store, topic)
+		time.Sleep(100 * time.Millisecond)
+		for version := 2; version < 20; version++ {
+			store.put("k", version)
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Equal(t, topic.count(), 0)
+		topic.set(true, 0)
+		for range 5 {
+			store.put("k", 18)
+		}
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, topic.count(), 0)
+		topic.set(false, 0)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, topic.count(), 1)
+		assert.Equal(t, len(applied()), 19)
+	})
+}
