comments: reasons that the change of wording had dropped

Names and constants were compared with today's code; what they say of links, stores and callers is as the older comments had it, and was not measured again.

--- a/admin/plans.go
+++ b/admin/plans.go
@@ -53,6 +53,8 @@
 }
 
 // checkWorkspacesExist returns an error if a workspace of the intent does not exist.
+// It is called first, so that such an intent causes no calls to the weight store and the
+// boxes.
 func (s *Server) checkWorkspacesExist(in intent.Intent) error {
 	var err error
 	s.Replica.View(func(st *state.State) {
--- a/backpressure/permit.go
+++ b/backpressure/permit.go
@@ -18,7 +18,7 @@
 // not send at the same time.
 const (
 	// grantTTL is how long a permit is valid. A permit remains valid if the limit
-	// changes.
+	// changes. A longer time lets gateways exceed a limit by more; see Quotas.
 	grantTTL = time.Second
 	// responseTime is the usual time from a permit request to its grant.
 	responseTime = 10 * time.Millisecond
--- a/backpressure/quota.go
+++ b/backpressure/quota.go
@@ -11,7 +11,8 @@
 //
 // Permits are granted at the rate of the limit, plus a burst of at most the capacity of
 // a bucket. A permit may be used up to grantTTL later, and its request may then wait
-// for a connection.
+// for a connection. So in any period, the requests sent with permits are at most a
+// bucket's capacity plus the rate times the sum of the period, grantTTL and that wait.
 type Quotas struct {
 	table   *Table
 	buckets map[*State]*bucket
--- a/dedup/table.go
+++ b/dedup/table.go
@@ -28,7 +28,9 @@
 
 // Bounds of a Table's size.
 const (
-	// DefaultCapacity is the maximum number of keys in a table by default.
+	// DefaultCapacity is the maximum number of keys in a table by default. It
+	// suffices for 300 non-idempotent requests per second at one sidecar over
+	// KeyTTL.
 	DefaultCapacity = 180000
 	// MaxResponseBytes bounds the body of one stored response, in bytes.
 	MaxResponseBytes = 64 << 10
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -98,7 +98,7 @@
 
 // overdueCost returns the cost added for an engine that has reported before, if
 // nothing has arrived from the engine or its sidecar for more than reportOverdue.
-// The box may be suspended.
+// The box may be suspended, which at first shows in nothing else.
 func (e *Endpoint) overdueCost(now time.Time) time.Duration {
 	if e.reportAt.IsZero() {
 		return 0
@@ -113,7 +113,8 @@
 	reportOverdue = 350 * time.Millisecond
 	// overdueWeight is the cost of each millisecond beyond reportOverdue.
 	overdueWeight = 4
-	// overdueCostMax is the maximum of overdueCost.
+	// overdueCostMax is the maximum of overdueCost. It is more than a queue usually
+	// costs, so that a busy engine is preferred to one whose box may be suspended.
 	overdueCostMax = 800 * time.Millisecond
 )
 
@@ -126,7 +127,8 @@
 	// delayNormal is the highest Endpoint.Delay that adds no cost.
 	delayNormal = 25 * time.Millisecond
 	// delayHigh is the delay or firstByteLag from which an engine is not expected to
-	// begin a request at once.
+	// begin a request at once. Shortly before a version's deadline, an engine with an
+	// older version gets no requests then, since they could start too late.
 	delayHigh = 100 * time.Millisecond
 	// lagWeight is the weight of the newest attempt in the moving average
 	// firstByteLag, from 0 to 1.
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -33,7 +33,8 @@
 	// even if its region exceeds regionRemoteTotal.
 	watchRemoteLeast = 3
 	// commonEndpoints is the number of engines whose sidecars all gateways contact. These
-	// sidecars count the gateways and relay messages between them.
+	// sidecars count the gateways and relay messages between them. There are enough of
+	// them that hardly ever all fail together when many boxes fail at once.
 	commonEndpoints = 5
 	// minWatchers is the number of gateways of its own region, or all if there are fewer,
 	// that watch an engine at least. Few gateways with many engines each watch more than
--- a/freshness/freshness.go
+++ b/freshness/freshness.go
@@ -19,16 +19,19 @@
 // waitShare, hedgeShare and responseShare apply one after the other. The rest of the
 // bound is for requests in flight and for parsing and applying a change.
 const (
-	// waitShare is the timeout of a long poll at the store.
+	// waitShare is the timeout of a long poll at the store. A shorter one costs more
+	// calls: while nothing changes, a reader makes one call in each such time.
 	waitShare = 45
 	// hedgeShare is the time from the end of a long poll's timeout to the hedged read,
-	// a second read made if the first is still unanswered.
+	// a second read made if the first is still unanswered. A store that is only slow
+	// responds within it, and so gets no second read in addition.
 	hedgeShare = 30
 	// responseShare is the time for the response to the hedged read.
 	responseShare = 15
 	// relayShare is the time for the response of a reader to a follower. It is part of
 	// waitShare and hedgeShare. The larger it is, the earlier followers give up a slow
-	// reader and load the store themselves.
+	// reader and load the store themselves. If many do so at once, they saturate the
+	// links on which the reader waits for its own response.
 	relayShare = 8
 	percent    = 100
 )
--- a/gateway/cluster_tasks.go
+++ b/gateway/cluster_tasks.go
@@ -150,7 +150,8 @@
 }
 
 // wavesDone reports whether every listed box of the waves started so far serves
-// the plan's version. An unresponsive box counts as not serving it.
+// the plan's version. An unresponsive box counts as not serving it, since its capacity
+// is missing.
 func (d *Daemon) wavesDone(p *intent.Plan, boxes []admin.BoxStatus) bool {
 	byID := make(map[string]admin.BoxStatus, len(boxes))
 	for _, b := range boxes {
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -86,7 +86,8 @@
 }
 
 // restartDetectTimeout is how long restartedSince waits after a failed attempt for the
-// endpoint's sidecar to report a new start time of the endpoint's process.
+// endpoint's sidecar to report a new start time of the endpoint's process. The sidecar
+// reads that several times in this period, and reports a change at once.
 const restartDetectTimeout = 300 * time.Millisecond
 
 // restartedSince reports whether the process of the endpoint at address has a later
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -278,6 +278,10 @@
 // once. This applies only if the engine's sidecar has scheduled its update before the
 // deadline. At the end of the period, a request still has engineStartTime to start
 // before the deadline.
+//
+// The sidecar starts the drain earlier than that; see lastSlotMargin in package
+// installer. The gateway's own bound also holds if the report of the drain is late or
+// the engine is not drained after all.
 const scheduledUpdateLead = maxVersionMargin - engineStartTime - 100*time.Millisecond
 
 // minVersion returns the lowest version of model to which requests may be sent at the
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -86,7 +86,9 @@
 // target version may have passed since the last dispatch. Server.mu must be held.
 //
 // Endpoints that have no capacity for any waiter are excluded once for all waiters.
-// Searching all endpoints for each waiter would be too slow.
+// Searching all endpoints for each waiter would be too slow: dispatch runs at each
+// report, and reports are most frequent during a version update, when many requests
+// wait and hardly any endpoint has capacity.
 func (s *Server) dispatch(service string, now time.Time) {
 	q := s.queues[service]
 	if q == nil || len(q.waiters) == 0 {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -24,7 +24,10 @@
 	boxStallTimeout = 900 * time.Millisecond
 	// firstEventTimeout applies while the box is reachable and the attempt has received
 	// no event. This includes the wait, possibly of seconds, until the engine has
-	// capacity for another request. nextEventTimeout applies after the first event.
+	// capacity for another request. nextEventTimeout applies after the first event: an
+	// engine that has begun to respond does not pause for so long, and the stream must be
+	// resumed before its caller gives up, which may happen after two seconds without an
+	// event.
 	firstEventTimeout = 2200 * time.Millisecond
 	nextEventTimeout  = 1200 * time.Millisecond
 	// idleCheckInterval is the time between two checks of the timeouts.
--- a/ingress/timeouts.go
+++ b/ingress/timeouts.go
@@ -19,7 +19,9 @@
 	// timeoutDecay is the time constant of the histogram.
 	timeoutDecay = 20 * time.Second
 	// firstTryQuantile is the quantile of the recorded remaining times at which the
-	// usual range of first tries begins. Requests below it are taken for retries.
+	// usual range of first tries begins. Requests below it are taken for retries. It
+	// allows for the retries among the samples, which are few while few requests are
+	// refused.
 	firstTryQuantile = 0.03
 	// maxRefusedToLearn is the share of refused requests above which no remaining times
 	// are recorded, because too many of them would be those of retries.
--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -148,7 +148,8 @@
 	return swarm
 }
 
-// peerListMaxAge is the maximum age of the sidecar list for a new swarm.
+// peerListMaxAge is the maximum age of the sidecar list for a new swarm. A newer list
+// would be hardly more accurate, as it names a failed box for three heartbeats.
 const peerListMaxAge = time.Second
 
 // peerListTimeout is how long a box waits for its first list of sidecars before it fetches
@@ -183,7 +184,7 @@
 
 // partnerTimeout bounds how long a fetch waits for the responses of queryPartners
 // before it starts to pull chunks, so that an unresponsive partner does not delay
-// it.
+// it. Partners normally respond within milliseconds.
 const partnerTimeout = 60 * time.Millisecond
 
 // queryPartners asks the partners of this box which chunks they hold. Partners are
--- a/installer/manifest.go
+++ b/installer/manifest.go
@@ -23,10 +23,12 @@
 	manifestFanOut = 3
 	// manifestHopTimeout is the time allowed for each level of the tree: the timeout
 	// of a request to an ancestor is this times the number of levels from the root to
-	// the ancestor, both included.
+	// the ancestor, both included. It is much longer than a call to the origin, and short
+	// enough to skip an unresponsive parent before a takeOverDelay is lost.
 	manifestHopTimeout = 250 * time.Millisecond
 	// manifestHoldHops is how long a box that does not have the manifest yet holds a
-	// request for it, in multiples of manifestHopTimeout.
+	// request for it, in multiples of manifestHopTimeout. It is the depth of the tree of
+	// a region of 120 boxes.
 	manifestHoldHops = 4
 )
 
--- a/installer/peers.go
+++ b/installer/peers.go
@@ -53,7 +53,8 @@
 	// maxQueuedUploads is the maximum number of pulls that wait for one of the
 	// maxUploads concurrent uploads to end.
 	maxQueuedUploads = 3
-	// maxUploads is the maximum number of concurrent uploads.
+	// maxUploads is the maximum number of concurrent uploads. Like pulls, uploads share
+	// the box's link with the engine, and delay its responses if the link is slow.
 	maxUploads = 3
 )
 
--- a/installer/stage.go
+++ b/installer/stage.go
@@ -18,7 +18,9 @@
 const stageSampleSize = 8
 
 // stageChunk stages a chunk that has arrived, if shouldStage selects r. A sidecar
-// that restarts during a fetch continues with the staged chunks.
+// that restarts during a fetch continues with the staged chunks. Otherwise a restart of
+// all sidecars during a rollout would cost each box a whole copy, and callers seconds
+// without service.
 func (i *Installer) stageChunk(r *replica, chunk int) {
 	i.stagingMu.Lock()
 	defer i.stagingMu.Unlock()
--- a/installer/start.go
+++ b/installer/start.go
@@ -20,12 +20,15 @@
 // A sidecar whose replica is complete before the routing cutoff reports that its
 // update is scheduled. Gateways then keep routing to its engine until the slot. The
 // routing cutoff is the time, routingCutoffMargin before the deadline, from which
-// gateways do not route to any other engine with an older version.
+// gateways do not route to any other engine with an older version. As the slots of
+// scheduled updates extend beyond the cutoff, a rollout takes longer and fewer engines
+// are out of service at a time.
 const (
 	// firstSlotShare is the time of the first slot, as a share of the deadline. The
 	// first slot is later if the replica is complete only later.
 	firstSlotShare = 0.3
-	// lastSlotMargin is the duration from the last slot to the deadline. It is at most
+	// lastSlotMargin is the duration from the last slot to the deadline. It covers a
+	// drain, after which the engine starts no request on its old version. It is at most
 	// lastSlotMarginShare of the deadline.
 	lastSlotMargin      = 1200 * time.Millisecond
 	lastSlotMarginShare = 0.15
--- a/installer/uploads.go
+++ b/installer/uploads.go
@@ -19,14 +19,17 @@
 // Limits of pulls that wait for a chunk to arrive here.
 const (
 	// chunkWaitTimeout bounds how long a pull for a given chunk is held until the chunk
-	// arrives here. Boxes of other regions send such pulls when the chunk is due here.
-	// It is below takeOverDelay, so that they have time to try another box.
+	// arrives here. Boxes of other regions send such pulls when the chunk is due here. A
+	// negative response would send them to boxes that get the chunk no sooner. The
+	// timeout is below takeOverDelay, so that they have time to try another box.
 	chunkWaitTimeout = takeOverDelay / 2
 	// anyChunkWaitTimeout bounds how long a pull for any chunk is held until a chunk
 	// arrives here that the caller lacks. It reduces polling at the start of a rollout,
 	// when few boxes hold chunks.
 	anyChunkWaitTimeout = 100 * time.Millisecond
-	// maxChunkWaiters is the maximum number of pulls that are held at a time.
+	// maxChunkWaiters is the maximum number of pulls that are held at a time. A box does
+	// the first fetch of only some chunks, and each other region requests each of these
+	// once.
 	maxChunkWaiters = 64
 )
 
@@ -125,7 +128,8 @@
 // canRespond reports whether to respond to a pull now rather than to hold it. A pull
 // for a given chunk is held until this box holds the chunk. A pull for any chunk,
 // with chunk -1, is held until this box holds a chunk that is not in has, or at least
-// half of all chunks. Installer.mu is held.
+// half of all chunks: by then the caller finds more at other boxes. Installer.mu is
+// held.
 func (r *replica) canRespond(chunk int, has *bitset.BitSet) bool {
 	if chunk >= 0 {
 		return r.held.Test(uint(chunk))
--- a/installer/verify.go
+++ b/installer/verify.go
@@ -96,7 +96,8 @@
 }
 
 // verifyAttempts is how often the read of a staged chunk is attempted before the
-// verification fails. After a failed verification the engine must be loaded again.
+// verification fails. A failed read does not show that the chunk is corrupt, and after a
+// failed verification the engine must be loaded again, which takes seconds.
 const verifyAttempts = 3
 
 // readStagedWithRetry reads a staged chunk, with verifyAttempts attempts.
@@ -130,7 +131,8 @@
 	}
 }
 
-// reportTimeout bounds how long awaitReport waits for a report of the engine.
+// reportTimeout bounds how long awaitReport waits for a report of the engine. It is
+// several times the interval between two reports.
 const reportTimeout = 500 * time.Millisecond
 
 // otherReplica returns the newest complete replica of a version other than the one
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -12,7 +12,7 @@
 
 const (
 	// lateThreshold is how long a call may stay unanswered, beyond the wait given to
-	// Begin, before it is late.
+	// Begin, before it is late. A store that is only slow responds sooner.
 	lateThreshold = 600 * time.Millisecond
 	// lateTTL is how long a topic counts as late after a late response.
 	lateTTL = 3 * time.Second
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -30,7 +30,10 @@
 // Limits of the quarantine. The crashes of a request are the crashes of endpoints at
 // which it was in progress.
 const (
-	// Threshold is the number of crashes that put a request in quarantine.
+	// Threshold is the number of crashes that put a request in quarantine. A single
+	// exchange may cause two before its gateway can know. With three, a request that does
+	// not cause crashes is put in quarantine only if it was in progress at three and did
+	// not complete in between.
 	Threshold = 3
 	// completedThreshold replaces Threshold for a request that completed recently in
 	// this process and is therefore unlikely to cause crashes. A common request is in
@@ -44,17 +47,22 @@
 	// request was sent to the endpoint after the previous crash.
 	correlationWindow = 200 * time.Millisecond
 	// detectionDelay is how long processes may take to detect the crash of an endpoint.
-	// A request that is sent to it in the meantime does not run there.
+	// A request that is sent to it in the meantime does not run there. The delay covers
+	// a few round trips between regions.
 	detectionDelay = 30 * time.Millisecond
 	// CrashTTL is how long a crash counts, and so how long a request stays in
-	// quarantine after its last crash.
+	// quarantine after its last crash. Afterwards a request that does cause crashes may
+	// crash up to Threshold further endpoints.
 	CrashTTL = 10 * time.Minute
 	// TrialAfter is the time from the last crash of a request in quarantine to its
 	// trial: one process then runs the request once. If it completes, it leaves
-	// quarantine early; if it crashes another endpoint, it stays.
+	// quarantine early; if it crashes another endpoint, it stays. Without a trial, a
+	// common request that only was in progress at the crashes would stay for CrashTTL,
+	// for example if all endpoints crash before it has completed anywhere.
 	TrialAfter = 20 * time.Second
 	// relayedTTL is how long a process that only relays records keeps an entry after a
-	// gateway last sent it.
+	// gateway last sent it. It covers several subscriptions, with which gateways send
+	// their records.
 	relayedTTL = 5 * time.Second
 	// maxRequests bounds the entries of a table.
 	maxRequests = 512
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -28,7 +28,8 @@
 }
 
 // Limits on the records of one message, which must fit into a datagram together with a
-// subscription or a load report.
+// subscription or a load report. A record takes about 40 bytes, and each of its crashes
+// as many.
 const (
 	maxRecords = 6
 	// rotatingRecords is the number of records of a message that do not go to the most
--- a/route/route.go
+++ b/route/route.go
@@ -147,7 +147,8 @@
 }
 
 // eligible returns the endpoints that match c and are not closed, ordered by box.
-// Ejected ones are only returned if there are no others. The caller holds t.mu.
+// Ejected ones are only returned if there are no others, since an endpoint that may fail
+// is better than none. The caller holds t.mu.
 func (t *Table) eligible(c Criteria, now time.Time) []*endpoint {
 	var candidates, lastResort []*endpoint
 	for _, e := range t.byBox {
--- a/route/subset.go
+++ b/route/subset.go
@@ -20,8 +20,8 @@
 // Subset returns the endpoints of a group that a gateway uses. If there are at most
 // SubsetMin endpoints or at most subsetCover gateways, it returns all endpoints.
 // Otherwise it selects by rendezvous hashing: each endpoint is assigned to the
-// subsetCover gateways with the highest weights, and each gateway also uses the
-// SubsetMin endpoints with the highest weights.
+// subsetCover gateways with the highest weights, so that no endpoint is left without
+// requests, and each gateway also uses the SubsetMin endpoints with the highest weights.
 func Subset(gateway string, endpoints, gateways []string) []string {
 	if len(endpoints) <= SubsetMin || len(gateways) <= subsetCover {
 		return endpoints
--- a/storewatch/follow.go
+++ b/storewatch/follow.go
@@ -235,7 +235,8 @@
 // is exponential up to maxRetryDelay, plus jitter, to spread the retries of the
 // processes, which all lose the store at once. If only the topic is unresponsive, the
 // delay is the jitter alone: the read has already taken the stall timeout, and changes
-// would take effect too late after a longer delay.
+// would take effect too late after a longer delay. In other cases the links may be
+// saturated, and the delays let them recover.
 func retryDelay(failures int, topicUnresponsive bool) time.Duration {
 	jitter := time.Duration(rand.Int64N(int64(minRetryDelay)))
 	if topicUnresponsive {
--- a/storewatch/read.go
+++ b/storewatch/read.go
@@ -100,7 +100,8 @@
 	confirmed    time.Time
 }
 
-// maxConcurrentReads bounds the number of reads of a topic in flight.
+// maxConcurrentReads bounds the number of reads of a topic in flight. With the usual
+// budget, a stalled read is cancelled by the time that a fourth one would start.
 const maxConcurrentReads = 3
 
 // readFrom reads a topic from a position on. If there is no response within the
--- a/storewatch/watch.go
+++ b/storewatch/watch.go
@@ -62,7 +62,7 @@
 }
 
 // peerVersionSumTTL is the age above which a version sum reported for another process is
-// ignored; see Watcher.VersionSum.
+// ignored; see Watcher.VersionSum. It covers several messages of a running process.
 const peerVersionSumTTL = 4 * time.Second
 
 // versionedRecord is a record that the operator wrote.
--- a/transfer/order.go
+++ b/transfer/order.go
@@ -53,7 +53,8 @@
 // partnerRanks is the number of boxes that are partners for a chunk: those of the
 // first ranks, which are responsible for fetching the chunk into their region.
 // Partners query each other at the start of a transfer. A partner that does not respond
-// is skipped at once instead of after a TakeOverDelay.
+// is skipped at once instead of after a TakeOverDelay. Even if half of the boxes of a
+// region have failed, only for one chunk in eight are all of these among them.
 const partnerRanks = 3
 
 // Partners returns the partners of box, which is in region: for each chunk for which
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -64,7 +64,8 @@
 	TakeOverDelay time.Duration
 	// ExtraOrigin is the number of chunks that each box may read from the
 	// origin in addition to the schedule, once the scheduled times of all
-	// chunks have passed and no peer can be queried.
+	// chunks have passed and no peer can be queried. It makes a transfer
+	// shorter at the cost of more traffic from the origin.
 	ExtraOrigin int
 	// Downloads is the maximum number of pulls in flight; 0 stands for
 	// DefaultDownloads.
@@ -95,10 +96,12 @@
 const (
 	// DefaultDownloads is the default of Params.Downloads.
 	DefaultDownloads = 6
-	// UploadSlots is the number of chunks that a box sends concurrently.
+	// UploadSlots is the number of chunks that a box sends concurrently. It equals
+	// DefaultDownloads, so that neither end of a link waits for the other.
 	UploadSlots = 6
 	// UploadQueueLength is the number of pulls that may wait for an upload slot.
-	// Further pulls are refused, so that their boxes pull from other peers.
+	// Further pulls are refused, so that their boxes pull from other peers. One is
+	// enough to keep the link busy.
 	UploadQueueLength = 1
 	// maxFirstFetches limits the chunks that a box has in flight from the origin or
 	// from another region.
@@ -149,7 +152,8 @@
 	stallTimeoutMax = 10 * time.Second
 	// senderDownShare is a divisor: if more than 1/senderDownShare of the chunks are
 	// missing in the region of an idle transfer, the sender is presumed down. The
-	// sender is the origin or the remote region.
+	// sender is the origin or the remote region. Failed boxes alone do not explain so
+	// many, since each box does the first fetch of only a few chunks.
 	senderDownShare = 4
 	// originBackoff is the time after a failed read from the origin until the next.
 	originBackoff = 250 * time.Millisecond
