storewatch: a start also reads the records that precede the newest ones

A write of the operator can be carried out late while no process runs: nobody then repairs the order of the records, and all start with the lower version.

A higher version among them counts and is written as a repair. They are read beside the repairs; a start waits for both for the time within which a reader answers a follower, and applies what arrives later. Two calls and at most some 512 KB (eight records of the largest size where these are larger) for each reader's start.

--- a/cmd/mintlift/latewrite_test.go
+++ b/cmd/mintlift/latewrite_test.go
@@ -21,7 +21,24 @@
 // operator's write of that version was carried out after that of a newer one.
 func TestVersionWrittenLateIsIgnoredAfterRestart(t *testing.T) {
 	t.Parallel()
-	for name, compact := range map[string]bool{"retained": false, "compacted": true} {
+	for name, writeAndRestart := range map[string]func(*testing.T, *weightsDeployment){
+		"before the restart": func(t *testing.T, d *weightsDeployment) {
+			d.setTargetVersion(2)
+			time.Sleep(time.Second)
+			d.restart(t)
+		},
+		"before the log is compacted": func(t *testing.T, d *weightsDeployment) {
+			d.setTargetVersion(2)
+			time.Sleep(time.Second)
+			d.store.Compact(storetest.Operator)
+			d.restart(t)
+		},
+		"while nothing runs": func(t *testing.T, d *weightsDeployment) {
+			d.stop()
+			d.setTargetVersion(2)
+			d.restart(t)
+		},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			d := startWeights(t, 2)
@@ -30,12 +47,7 @@
 			}
 			d.setTargetVersion(3)
 			d.awaitLoaded(t, 3)
-			d.setTargetVersion(2)
-			time.Sleep(time.Second)
-			if compact {
-				d.store.Compact(storetest.Operator)
-			}
-			d.restart(t)
+			writeAndRestart(t, d)
 			d.sendRequestsFor(8 * time.Second)
 			d.checkVersions(t, 3)
 			assert.Equal(t, d.served[2], 0, "requests served by the older version")
@@ -77,14 +89,19 @@
 	}
 }
 
-// restart ends all processes at once, then starts them again: engines, which keep their
-// staged chunks, sidecars and gateways.
-func (d *weightsDeployment) restart(t *testing.T) {
-	t.Helper()
+// stop ends all sidecars and gateways.
+func (d *weightsDeployment) stop() {
 	for _, daemon := range d.daemons {
 		closeNow(daemon)
 	}
 	d.daemons = nil
+}
+
+// restart ends all processes at once, then starts them again: engines, which keep their
+// staged chunks, sidecars and gateways.
+func (d *weightsDeployment) restart(t *testing.T) {
+	t.Helper()
+	d.stop()
 	for _, b := range d.boxes {
 		b.engine.Restart(false)
 		host, _, err := net.SplitHostPort(b.address)
--- a/storewatch/follow.go
+++ b/storewatch/follow.go
@@ -65,9 +65,12 @@
 	// checkedAt is the time of the last recheck, or of the event that made rechecks
 	// necessary. recheckUntil is when rechecks end; zero means that there are none.
 	checkedAt, recheckUntil time.Time
-	// pendingRepairs receives the repairs that were not read in time for the last snapshot;
-	// nil if there are none.
-	pendingRepairs <-chan repairsRead
+	// snapshotEnd is the end of the topic as of the last snapshot, and historyLength the
+	// number of records before it that may correct it. pendingCorrections receives the
+	// corrections that were not read in time; it is nil if there are none.
+	snapshotEnd        history.Position
+	historyLength      int64
+	pendingCorrections <-chan corrections
 	// superseded holds the records that the last read of the store found replaced by
 	// records of lower versions.
 	superseded []versionedRecord
@@ -198,6 +201,7 @@
 		if s.Gate != nil {
 			s.Gate.ReadDone(err == nil)
 		}
+		w.repair(ctx, s, &repairs)
 		switch {
 		case err == nil:
 			if s.OnConfirmed != nil {
@@ -209,7 +213,6 @@
 			}
 			failures = 0
 			next = from
-			w.repair(ctx, s, next.Era, &repairs)
 			if s.Wake != nil {
 				w.advance(next, s.confirmed)
 			}
@@ -237,13 +240,13 @@
 	}
 }
 
-// repair writes the records that the last step found replaced by older ones as repairs, in
-// a goroutine of group.
-func (w *Watcher) repair(ctx context.Context, s *Source, era int64, group *sync.WaitGroup) {
+// repair writes the records that the last step found replaced by lower versions as repairs,
+// in a goroutine of group.
+func (w *Watcher) repair(ctx context.Context, s *Source, group *sync.WaitGroup) {
 	if s.Repairs == nil {
 		return
 	}
-	if records := s.Repairs.claim(s.superseded, era); len(records) > 0 {
+	if records := s.Repairs.claim(s.superseded, w.store.Era()); len(records) > 0 {
 		w.metrics.Counter("mintlift_operator_repairs_total").Add(len(records))
 		group.Go(func() { s.Repairs.write(ctx, records) })
 	}
--- a/storewatch/read.go
+++ b/storewatch/read.go
@@ -55,7 +55,7 @@
 	if !next.Known() {
 		return w.stepFromNewest(ctx, s)
 	}
-	w.applyPendingRepairs(ctx, s)
+	s.superseded = w.applyPendingCorrections(ctx, s)
 	if s.recheckDue(clock.Now()) {
 		newest, err := w.readNewest(ctx, s.Topic)
 		if err == nil && newest.Era != next.Era {
@@ -65,7 +65,7 @@
 			return next, err
 		}
 		s.reconcile(newest.Records, clock.Now())
-		s.superseded = w.supersededBy(newest.Records, newest.Era)
+		s.superseded = append(s.superseded, w.supersededBy(newest.Records, newest.Era)...)
 	}
 	got, err := w.readFrom(ctx, s, next)
 	if err != nil {
@@ -80,20 +80,13 @@
 // stepFromNewest reads and applies the newest records of a topic.
 func (w *Watcher) stepFromNewest(ctx context.Context, s *Source) (history.Position, error) {
 	began := clock.Now()
-	var repairs <-chan repairsRead
-	if s.Repairs != nil {
-		repairs = s.Repairs.beginRead(ctx)
-	}
-	newest, err := w.readNewest(ctx, s.Topic)
+	newest, unrepaired, err := w.readSnapshot(ctx, s)
 	if err != nil {
 		return history.Unread, err
 	}
 	s.confirmed = began
-	if repairs != nil {
-		s.mergeRepairs(ctx, repairs, newest)
-	}
 	next := s.reset(newest, clock.Now())
-	s.superseded = w.supersededBy(newest.Records, newest.Era)
+	s.superseded = append(unrepaired, w.supersededBy(newest.Records, newest.Era)...)
 	return next, nil
 }
 
--- a/storewatch/repair.go
+++ b/storewatch/repair.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/go-logr/logr"
+	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/history"
 	"github.com/mintlift/mintlift/internal/clock"
@@ -25,11 +26,11 @@
 // version of the same key. The lower version is then the key's newest record, which is all
 // that a process reads when it starts.
 //
-// A watcher that reads such a record from the store and holds the higher version appends
-// that to a topic of repairs. Snapshots are corrected by it: a repair replaces the newest
-// record of its key if it has a higher version. A repair is thus without effect once the
-// operator has written a higher version. Each reader of the store writes a repair once, so
-// that one is written even if others are killed.
+// A watcher that reads such a record from the store and knows the higher version appends
+// that to a topic of repairs. Snapshots are corrected by it, and by the records before them
+// that the store retains: a higher version replaces the newest record of its key. A repair
+// is thus without effect once the operator has written a higher version. Each reader of the
+// store writes a repair once, so that one is written even if others are killed.
 type Repairs struct {
 	topic RepairTopic
 	// version returns the version of a record's content; ok is false if it has none.
@@ -54,46 +55,49 @@
 // repairPart is the partition of the topic of repairs that is used.
 const repairPart = 0
 
-// repairsRead is the result of reading all repairs.
-type repairsRead struct {
-	records []Record
-	err     error
+// corrections are records that may have higher versions than a snapshot's records of the
+// same keys.
+type corrections struct {
+	repairs []Record
+	// history holds the records that precede the snapshot in its topic. A higher version
+	// among them has no repair yet if nothing ran when the lower one was written.
+	history []Record
+	// err is set if either could not be read.
+	err error
 }
 
-// beginRead reads all repairs in the background. The result is sent on the channel.
-func (p *Repairs) beginRead(ctx context.Context) <-chan repairsRead {
-	out := make(chan repairsRead, 1)
-	go func() {
-		records, err := p.topic.Newest(ctx, repairPart)
-		if err != nil && ctx.Err() == nil {
-			p.log.Info("repairs of operator records not read", "error", err.Error())
-		}
-		out <- repairsRead{records, err}
-	}()
-	return out
-}
-
-// merge replaces records of a snapshot by repairs with higher versions. A repair gets the
-// offset of the record that it replaces, and is passed to other processes in its place.
-// Repairs of keys that the snapshot lacks are ignored.
-func (p *Repairs) merge(snapshot, repairs []Record) {
+// merge replaces records of a snapshot by those with higher versions in c. These get the
+// offsets of the records that they replace, and are passed to other processes in their
+// place. Records of keys that the snapshot lacks are ignored. merge returns the records
+// that must be written as repairs.
+func (p *Repairs) merge(snapshot []Record, c corrections) (unrepaired []versionedRecord) {
 	at := make(map[string]int, len(snapshot))
 	for n, r := range snapshot {
 		at[r.Key] = n
 	}
-	for _, repair := range repairs {
-		n, found := at[repair.Key]
-		if !found {
-			continue
+	replace := func(r Record) (version int64, replaced bool) {
+		n, found := at[r.Key]
+		if !found || r.Value == nil {
+			return 0, false
 		}
-		repaired, ok := p.version(repair)
+		version, ok := p.version(r)
 		stored, versioned := p.version(snapshot[n])
-		if !ok || versioned && stored >= repaired {
-			continue
+		if !ok || versioned && stored >= version {
+			return 0, false
+		}
+		p.log.Info("operator record replaced by a higher version", "key", r.Key, "version", version, "stored_version", stored, "offset", snapshot[n].Offset)
+		snapshot[n].Value = r.Value
+		return version, true
+	}
+	for _, r := range c.repairs {
+		replace(r)
+	}
+	for _, r := range c.history {
+		if version, replaced := replace(r); replaced {
+			unrepaired = append(unrepaired, versionedRecord{Record: r, version: version})
 		}
-		p.log.Info("operator record replaced by repair", "key", repair.Key, "version", repaired, "stored_version", stored, "offset", snapshot[n].Offset)
-		snapshot[n].Value = repair.Value
 	}
+	return unrepaired
 }
 
 // claim returns the records that this process has not written as repairs yet, and records
@@ -129,10 +133,21 @@
 	}
 }
 
-// mergeRepairs corrects a snapshot by the repairs that pending receives. It waits for them
-// for the Budget's RelayTimeout, or without a Budget until the read ends. Repairs that
-// arrive later are applied by later steps.
-func (s *Source) mergeRepairs(ctx context.Context, pending <-chan repairsRead, newest *Newest) {
+// readSnapshot reads the newest records of the topic of s, and what corrects them. It waits
+// for corrections for the Budget's RelayTimeout, or without a Budget until they have been
+// read. Corrections that arrive later are applied by later steps.
+func (w *Watcher) readSnapshot(ctx context.Context, s *Source) (newest *Newest, unrepaired []versionedRecord, err error) {
+	s.pendingCorrections = nil
+	if s.Repairs == nil {
+		newest, err = w.readNewest(ctx, s.Topic)
+		return newest, nil, err
+	}
+	repairs := s.Repairs.beginRead(ctx)
+	if newest, err = w.readNewest(ctx, s.Topic); err != nil {
+		return nil, nil, err
+	}
+	s.snapshotEnd, s.historyLength = history.Position{Era: newest.Era, Offset: newest.End}, historyLength(newest.Records)
+	pending := w.beginCorrections(ctx, s, repairs)
 	var timeout <-chan struct{}
 	if s.Budget != nil {
 		due, stop := clock.After(clock.Now().Add(s.Budget.RelayTimeout()))
@@ -140,39 +155,132 @@
 		timeout = due
 	}
 	select {
-	case got := <-pending:
-		if got.err != nil {
-			s.pendingRepairs = s.Repairs.beginRead(ctx)
-			return
-		}
-		s.pendingRepairs = nil
-		s.Repairs.merge(newest.Records, got.records)
+	case c := <-pending:
+		w.retryCorrections(ctx, s, c.err)
+		unrepaired = s.Repairs.merge(newest.Records, c)
 	case <-timeout:
-		s.pendingRepairs = pending
+		s.pendingCorrections = pending
 	case <-ctx.Done():
 	}
+	return newest, unrepaired, nil
+}
+
+// beginRead reads the repairs in the background. The result is sent on the channel.
+func (p *Repairs) beginRead(ctx context.Context) <-chan corrections {
+	out := make(chan corrections, 1)
+	go func() {
+		records, err := p.topic.Newest(ctx, repairPart)
+		out <- corrections{repairs: records, err: err}
+	}()
+	return out
+}
+
+// beginCorrections reads the records before the last snapshot of s in the background, and
+// adds them to what repairs receives. The result is sent on the channel.
+func (w *Watcher) beginCorrections(ctx context.Context, s *Source, repairs <-chan corrections) <-chan corrections {
+	out := make(chan corrections, 1)
+	topic, end, length := s.Topic, s.snapshotEnd, s.historyLength
+	go func() {
+		records, err := w.readHistory(ctx, topic, end, length)
+		c := <-repairs
+		c.history = records
+		if c.err == nil {
+			c.err = err
+		}
+		out <- c
+	}()
+	return out
+}
+
+// retryCorrections reads the corrections of the last snapshot again after an error.
+func (w *Watcher) retryCorrections(ctx context.Context, s *Source, err error) {
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	w.log.Info("corrections of operator records not read", "error", err.Error())
+	s.pendingCorrections = w.beginCorrections(ctx, s, s.Repairs.beginRead(ctx))
 }
 
-// applyPendingRepairs applies repairs that arrived after the snapshot that they correct. It
-// reads them again if that failed.
-func (w *Watcher) applyPendingRepairs(ctx context.Context, s *Source) {
+// applyPendingCorrections applies corrections that arrived after the snapshot. It returns
+// the records that must be written as repairs.
+func (w *Watcher) applyPendingCorrections(ctx context.Context, s *Source) (unrepaired []versionedRecord) {
+	var c corrections
 	select {
-	case got := <-s.pendingRepairs:
-		if got.err != nil {
-			s.pendingRepairs = s.Repairs.beginRead(ctx)
-			return
+	case c = <-s.pendingCorrections:
+	default:
+		return nil
+	}
+	s.pendingCorrections = nil
+	w.retryCorrections(ctx, s, c.err)
+	apply := func(r Record) (version int64, applied bool) {
+		offset, known := s.appliedOffsets[r.Key]
+		version, ok := s.Repairs.version(r)
+		if !known || !ok || w.heldVersion(r.Key) >= version {
+			return 0, false
 		}
-		s.pendingRepairs = nil
-		for _, r := range got.records {
-			offset, known := s.appliedOffsets[r.Key]
-			version, ok := s.Repairs.version(r)
-			if known && ok && w.heldVersion(r.Key) < version {
-				w.log.Info("operator record replaced by repair", "key", r.Key, "version", version, "offset", offset)
-				s.OnRecord(Record{Key: r.Key, Value: r.Value, Offset: offset})
-			}
+		w.log.Info("operator record replaced by a higher version", "key", r.Key, "version", version, "offset", offset)
+		s.OnRecord(Record{Key: r.Key, Value: r.Value, Offset: offset})
+		return version, true
+	}
+	for _, r := range c.repairs {
+		apply(r)
+	}
+	for _, r := range c.history {
+		if version, applied := apply(r); applied {
+			unrepaired = append(unrepaired, versionedRecord{Record: r, version: version})
 		}
-	default:
 	}
+	return unrepaired
+}
+
+// Bounds of the records before a snapshot that are read to correct it. The operator writes
+// fewer in the seconds by which a write can be late. Their size is bounded because all
+// processes read them when they start at the same time.
+const (
+	maxHistoryRecords = 256
+	minHistoryRecords = 8
+	historyBytes      = 512 << 10
+)
+
+// historyLength returns how many records before a snapshot to read. The largest record of
+// the snapshot is taken as their size.
+func historyLength(snapshot []Record) int64 {
+	size := 1
+	for _, r := range snapshot {
+		size = max(size, len(r.Value))
+	}
+	return int64(min(max(historyBytes/size, minHistoryRecords), maxHistoryRecords))
+}
+
+// readHistory reads the last records of a topic before end: length of them, or those that
+// the store retains.
+func (w *Watcher) readHistory(ctx context.Context, topic string, end history.Position, length int64) ([]Record, error) {
+	from := history.Position{Era: end.Era, Offset: max(0, end.Offset-length)}
+	records, first, err := w.readBetween(ctx, topic, from, end)
+	if errors.Is(err, ErrGone) && from.Before(first) {
+		records, _, err = w.readBetween(ctx, topic, first, end)
+	}
+	if errors.Is(err, ErrGone) {
+		return nil, nil // nothing before end is retained
+	}
+	return records, err
+}
+
+// readBetween reads the records of a topic from a position to end. With ErrGone it returns
+// the first position that is retained.
+func (w *Watcher) readBetween(ctx context.Context, topic string, from, end history.Position) (out []Record, first history.Position, err error) {
+	for next := from; next.Before(end); {
+		records, after, err := w.store.Read(ctx, topic, next, 0)
+		w.countRead(topic, err)
+		if err != nil {
+			return nil, after, err
+		}
+		if len(records) == 0 {
+			break
+		}
+		out, next = append(out, records...), after
+	}
+	return out, from, nil
 }
 
 // heldVersion returns the version of the operator's record that is held for a key, or -1 if
--- a/storewatch/repair_test.go
+++ b/storewatch/repair_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -24,6 +25,7 @@
 type logStore struct {
 	mu      sync.Mutex
 	records []storewatch.Record
+	first   int64 // the first offset that is retained
 	changed chan struct{}
 }
 
@@ -66,9 +68,12 @@
 	deadline := time.After(wait)
 	for {
 		s.mu.Lock()
-		end, changed := int64(len(s.records)), s.changed
-		out := append([]storewatch.Record(nil), s.records[from.Offset:]...)
+		end, changed, gone := int64(len(s.records)), s.changed, from.Offset < s.first
+		out := slices.Clone(s.records[from.Offset:])
 		s.mu.Unlock()
+		if gone {
+			return nil, history.Position{Offset: s.first}, storewatch.ErrGone
+		}
 		if len(out) > 0 {
 			return out, history.Position{Offset: end}, nil
 		}
@@ -184,7 +189,7 @@
 	return w, func() []int {
 		mu.Lock()
 		defer mu.Unlock()
-		return append([]int(nil), applied...)
+		return slices.Clone(applied)
 	}
 }
 
@@ -213,6 +218,40 @@
 	})
 }
 
+// Guards against a process that starts with an older version, because nothing ran when its
+// write was carried out last. The store may not retain the records before.
+func TestSnapshotIsCorrectedByRetainedRecords(t *testing.T) {
+	for name, c := range map[string]struct {
+		between  int   // records of another key between the two versions
+		retained int64 // the first offset that is retained
+		applied  int
+		repairs  int
+	}{
+		"all retained":       {between: 40, applied: 3, repairs: 1},
+		"shortly before":     {between: 1, retained: 1, applied: 3, repairs: 1},
+		"not retained":       {between: 40, retained: 20, applied: 2},
+		"no record retained": {between: 40, retained: 43, applied: 2},
+		"more than are read": {between: 300, applied: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, topic := newLogStore(1, 3), &repairTopic{logStore: newLogStore()}
+				for n := range c.between {
+					store.put("other", n)
+				}
+				store.put("k", 2)
+				store.first = c.retained
+				w, applied := follow(t, store, topic)
+				time.Sleep(time.Second)
+				assert.Assert(t, slices.Contains(applied(), c.applied), "%v", applied())
+				assert.Assert(t, c.applied == 2 || !slices.Contains(applied(), 2), "%v", applied())
+				assert.Equal(t, topic.count(), c.repairs)
+				assert.Equal(t, w.Progress().Read.Offset, int64(c.between+3))
+			})
+		})
+	}
+}
+
 // Guards against a start that is delayed beyond its bound, or that ignores repairs, because
 // the topic of repairs does not respond in time.
 func TestRepairsThatArriveLateAreApplied(t *testing.T) {
@@ -222,7 +261,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store, topic := newLogStore(3, 2), &repairTopic{logStore: newLogStore(3)}
+				store, topic := newLogStore(2), &repairTopic{logStore: newLogStore(3)}
 				fault(topic)
 				w, applied := follow(t, store, topic)
 				time.Sleep(300 * time.Millisecond)
--- a/storewatch/store.go
+++ b/storewatch/store.go
@@ -32,7 +32,7 @@
 	// Read returns the records from a position on, and the position to read from
 	// next. If there is no record, it waits up to wait for one. It returns ErrNewEra
 	// if the position is of an earlier era, even if the topic has since grown past
-	// its offset.
+	// its offset. With ErrGone it returns the first position that is retained.
 	Read(ctx context.Context, topic string, from history.Position, wait time.Duration) ([]Record, history.Position, error)
 	// Era returns the highest era observed.
 	Era() int64
