--- a/storewatch/export_test.go
+++ b/storewatch/export_test.go
@@ -7,4 +7,5 @@
 var (
 	RetryDelay        = retryDelay
 	TopicUnresponsive = (*Watcher).topicUnresponsive
+	HistoryLength     = historyLength
 )
--- a/storewatch/repair_test.go
+++ b/storewatch/repair_test.go
@@ -299,3 +299,15 @@
 		assert.Equal(t, len(applied()), 19)
 	})
 }
+
+// Guards against links that are saturated when all processes start at the same time: what
+// one reads of the records before a snapshot is bounded in bytes, or by few records.
+func TestHistoryIsBounded(t *testing.T) {
+	for _, size := range []int{1, 100, 5_000, 130_000, 262_144} {
+		snapshot := []storewatch.Record{{Key: "small", Value: make([]byte, 1)}, {Key: "large", Value: make([]byte, size)}}
+		length := storewatch.HistoryLength(snapshot)
+		assert.Check(t, length >= 8 && length <= 256, "%d records of %d bytes", length, size)
+		assert.Check(t, length*int64(size) <= max(512<<10, 8*int64(size)), "%d records of %d bytes", length, size)
+	}
+	assert.Equal(t, storewatch.HistoryLength(nil), int64(256))
+}
