storewatch: a record that another process has supplied is repaired, too

What callers see: after a restart of the gateways that read the store, and later of everything, requests run by the older version.

Cause: a reader wrote a repair only for a record that its own last read had found replaced.

Now the records held are compared with the last record of each key in the store after each step of a reader.

Before: TestRecordFromAnotherProcessIsRepaired: 0 (int) != 1 (int) repairs after 2 s. go test -race ./storewatch and go test ./platform pass with the change.

--- a/storewatch/follow.go
+++ b/storewatch/follow.go
@@ -68,9 +68,6 @@
 	// pendingRepairs receives the repairs that were not read in time for the last snapshot;
 	// nil if there are none.
 	pendingRepairs <-chan repairsRead
-	// superseded holds the records that the last read of the store found replaced by
-	// records of lower versions.
-	superseded []versionedRecord
 }
 
 // Gate decides whether a process may read a topic from the store, or must get its records
@@ -237,13 +234,13 @@
 	}
 }
 
-// repair writes the records that the last step found replaced by older ones as repairs, in
-// a goroutine of group.
+// repair writes the records that the store holds replaced by older ones as repairs, in a
+// goroutine of group. era is the era of the last step.
 func (w *Watcher) repair(ctx context.Context, s *Source, era int64, group *sync.WaitGroup) {
 	if s.Repairs == nil {
 		return
 	}
-	if records := s.Repairs.claim(s.superseded, era); len(records) > 0 {
+	if records := s.Repairs.claim(w.superseded(s, era), era); len(records) > 0 {
 		w.metrics.Counter("mintlift_operator_repairs_total").Add(len(records))
 		group.Go(func() { s.Repairs.write(ctx, records) })
 	}
--- a/storewatch/read.go
+++ b/storewatch/read.go
@@ -51,7 +51,6 @@
 	if next.Known() && next.Era < w.store.Era() {
 		return next, ErrNewEra
 	}
-	s.superseded = nil
 	if !next.Known() {
 		return w.stepFromNewest(ctx, s)
 	}
@@ -65,7 +64,6 @@
 			return next, err
 		}
 		s.reconcile(newest.Records, clock.Now())
-		s.superseded = w.supersededBy(newest.Records, newest.Era)
 	}
 	got, err := w.readFrom(ctx, s, next)
 	if err != nil {
@@ -73,7 +71,6 @@
 	}
 	s.confirmed = got.confirmed
 	s.applyNew(got.records)
-	s.superseded = append(s.superseded, w.supersededBy(got.records, got.nextPosition.Era)...)
 	return got.nextPosition, nil
 }
 
@@ -92,9 +89,7 @@
 	if repairs != nil {
 		s.mergeRepairs(ctx, repairs, newest)
 	}
-	next := s.reset(newest, clock.Now())
-	s.superseded = w.supersededBy(newest.Records, newest.Era)
-	return next, nil
+	return s.reset(newest, clock.Now()), nil
 }
 
 // readNewest reads the newest records of a topic, and counts the read.
--- a/storewatch/repair.go
+++ b/storewatch/repair.go
@@ -186,15 +186,17 @@
 	return -1
 }
 
-// supersededBy returns the records held here that have higher versions than records read
-// from the store at higher offsets, or in a later era.
-func (w *Watcher) supersededBy(read []Record, era int64) []versionedRecord {
+// superseded returns the records held here that have higher versions than the last records
+// of their keys in the store, which are at other offsets. Besides records read in the wrong
+// order these are records that the store had lost or replaced before this process read it,
+// and that another process has supplied. era is the era of s.appliedOffsets.
+func (w *Watcher) superseded(s *Source, era int64) []versionedRecord {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var out []versionedRecord
-	for _, r := range read {
-		held, known := w.newest[r.Key]
-		if known && r.Value != nil && (history.Position{Era: held.era, Offset: held.Offset}).Before(history.Position{Era: era, Offset: r.Offset}) {
+	for key, offset := range s.appliedOffsets {
+		held, known := w.newest[key]
+		if known && (history.Position{Era: held.era, Offset: held.Offset}).Before(history.Position{Era: era, Offset: offset}) {
 			out = append(out, held)
 		}
 	}
--- a/storewatch/repair_test.go
+++ b/storewatch/repair_test.go
@@ -260,3 +260,21 @@
 		assert.Equal(t, len(applied()), 19)
 	})
 }
+
+// Guards against a record that is lost at the next restart because no reader of the store
+// has repaired it: the readers started after it had been replaced, and got the higher
+// version from another process.
+func TestRecordFromAnotherProcessIsRepaired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, topic := newLogStore(3, 2), &repairTopic{logStore: newLogStore()}
+		w, applied := follow(t, store, topic)
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, applied(), []int{2})
+		assert.Assert(t, w.Keep(storewatch.Record{Key: "k", Value: []byte("3"), Offset: 0}, 3))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, topic.count(), 1)
+		_, later := follow(t, store, topic)
+		time.Sleep(100 * time.Millisecond)
+		assert.DeepEqual(t, later(), []int{3})
+	})
+}
