storewatch: the write of a repair is conditional, so that it cannot be carried out late

What callers see: after two operator writes out of order and a restart, a version that is neither the newest nor the store's last is served.

Cause: the fault that repairs correct applied to them. An append without a response is retried, and the first one may be carried out seconds later, after the repair of a higher version; the topic of repairs keeps the newest record of each key.

A repair is now appended at the end of the topic as read before, where no higher version was present: a late append fails. A process that finds the repair present doesn't write it: one is written for each fault, not one by each reader. It costs one read more for each repair; in the normal order nothing is read or written beyond a start's read.

The stand-in of the store supports the condition. The tests' topic has the new methods of the interface; no check changed.

--- a/storewatch/repair.go
+++ b/storewatch/repair.go
@@ -14,10 +14,11 @@
 
 // RepairTopic is a topic that the watchers write.
 type RepairTopic interface {
-	// Append appends a record to a partition.
-	Append(ctx context.Context, part int, key string, value []byte) error
-	// Newest returns the newest record of each key of a partition.
-	Newest(ctx context.Context, part int) ([]Record, error)
+	// AppendAt appends a record to a partition if that ends at offset at, and fails
+	// otherwise.
+	AppendAt(ctx context.Context, part int, at int64, key string, value []byte) error
+	// Snapshot returns the newest record of each key of a partition.
+	Snapshot(ctx context.Context, part int) (*Newest, error)
 }
 
 // Repairs corrects records of a topic that the store holds in the wrong order. The store
@@ -28,8 +29,11 @@
 // A watcher that reads such a record from the store and holds the higher version appends
 // that to a topic of repairs. Snapshots are corrected by it: a repair replaces the newest
 // record of its key if it has a higher version. A repair is thus without effect once the
-// operator has written a higher version. Each reader of the store writes a repair once, so
-// that one is written even if others are killed.
+// operator has written a higher version. Each reader of the store makes sure once that the
+// repair is written, so that it is even if others are killed.
+//
+// A write of a repair may itself be carried out late. It is therefore conditional on the end
+// of the topic as read before, which shows no higher version.
 type Repairs struct {
 	topic RepairTopic
 	// version returns the version of a record's content; ok is false if it has none.
@@ -64,11 +68,15 @@
 func (p *Repairs) beginRead(ctx context.Context) <-chan repairsRead {
 	out := make(chan repairsRead, 1)
 	go func() {
-		records, err := p.topic.Newest(ctx, repairPart)
-		if err != nil && ctx.Err() == nil {
-			p.log.Info("repairs of operator records not read", "error", err.Error())
+		newest, err := p.topic.Snapshot(ctx, repairPart)
+		if err != nil {
+			if ctx.Err() == nil {
+				p.log.Info("repairs of operator records not read", "error", err.Error())
+			}
+			out <- repairsRead{err: err}
+			return
 		}
-		out <- repairsRead{records, err}
+		out <- repairsRead{records: newest.Records}
 	}()
 	return out
 }
@@ -116,9 +124,9 @@
 func (p *Repairs) write(ctx context.Context, records []versionedRecord) {
 	for _, r := range records {
 		for failures := 1; ctx.Err() == nil; failures++ {
-			err := p.topic.Append(ctx, repairPart, r.Key, r.Value)
+			present, err := p.writeOnce(ctx, r)
 			if err == nil {
-				p.log.Info("operator record repaired", "key", r.Key, "version", r.version, "failures", failures-1)
+				p.log.Info("operator record repaired", "key", r.Key, "version", r.version, "failures", failures-1, "present", present)
 				break
 			}
 			if failures == 1 {
@@ -129,6 +137,21 @@
 	}
 }
 
+// writeOnce appends a record as a repair, unless a repair of its key with this version or a
+// higher one is present.
+func (p *Repairs) writeOnce(ctx context.Context, r versionedRecord) (present bool, err error) {
+	newest, err := p.topic.Snapshot(ctx, repairPart)
+	if err != nil {
+		return false, err
+	}
+	for _, repair := range newest.Records {
+		if version, ok := p.version(repair); repair.Key == r.Key && ok && version >= r.version {
+			return true, nil
+		}
+	}
+	return false, p.topic.AppendAt(ctx, repairPart, newest.NextPosition().Offset, r.Key, r.Value)
+}
+
 // mergeRepairs corrects a snapshot by the repairs that pending receives. It waits for them
 // for the Budget's RelayTimeout, or without a Budget until the read ends. Repairs that
 // arrive later are applied by later steps.
--- a/storewatch/repair_test.go
+++ b/storewatch/repair_test.go
@@ -39,6 +39,22 @@
 func (s *logStore) put(key string, version int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.putLocked(key, version)
+}
+
+// putAt appends a record if the store ends at an offset, and reports whether it does.
+func (s *logStore) putAt(at int64, key string, version int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at != int64(len(s.records)) {
+		return false
+	}
+	s.putLocked(key, version)
+	return true
+}
+
+// putLocked implements put. logStore.mu is held.
+func (s *logStore) putLocked(key string, version int) {
 	s.records = append(s.records, storewatch.Record{Key: key, Value: []byte(strconv.Itoa(version)), Offset: int64(len(s.records))})
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -93,6 +109,15 @@
 	appends int
 	failing bool
 	delay   time.Duration
+	// late, unless 0, is when the next append is carried out; it gets no response.
+	late time.Duration
+}
+
+// loseNext makes the next append fail although it is carried out, after a delay.
+func (r *repairTopic) loseNext(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.late = delay
 }
 
 // fault delays a call or fails it, as the topic's faults say.
@@ -107,26 +132,35 @@
 	return nil
 }
 
-// Append implements storewatch.RepairTopic.
-func (r *repairTopic) Append(_ context.Context, _ int, key string, value []byte) error {
+// AppendAt implements storewatch.RepairTopic.
+func (r *repairTopic) AppendAt(_ context.Context, _ int, at int64, key string, value []byte) error {
 	if err := r.fault(); err != nil {
 		return err
 	}
 	version, err := strconv.Atoi(string(value))
-	r.put(key, version)
+	r.mu.Lock()
+	late := r.late
+	r.late = 0
+	r.mu.Unlock()
+	if late > 0 {
+		time.AfterFunc(late, func() { r.putAt(at, key, version) })
+		return errors.New("no response")
+	}
+	if !r.putAt(at, key, version) {
+		return errors.New("the topic does not end there")
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.appends++
 	return err
 }
 
-// Newest implements storewatch.RepairTopic.
-func (r *repairTopic) Newest(ctx context.Context, _ int) ([]storewatch.Record, error) {
+// Snapshot implements storewatch.RepairTopic.
+func (r *repairTopic) Snapshot(ctx context.Context, _ int) (*storewatch.Newest, error) {
 	if err := r.fault(); err != nil {
 		return nil, err
 	}
-	newest, err := r.logStore.Newest(ctx, "")
-	return newest.Records, err
+	return r.logStore.Newest(ctx, "")
 }
 
 // set changes the topic's faults.
@@ -278,3 +312,22 @@
 		assert.DeepEqual(t, later(), []int{3})
 	})
 }
+
+// Guards against an older repair that replaces a newer one, because its write, too, was
+// carried out late.
+func TestRepairWrittenLateIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, topic := newLogStore(1), &repairTopic{logStore: newLogStore()}
+		follow(t, store, topic)
+		time.Sleep(100 * time.Millisecond)
+		topic.loseNext(5 * time.Second)
+		for _, version := range []int{3, 2, 4, 3} {
+			store.put("k", version)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(5 * time.Second)
+		_, applied := follow(t, store, topic)
+		time.Sleep(100 * time.Millisecond)
+		assert.DeepEqual(t, applied(), []int{4})
+	})
+}
