platform: a version that is repaired late, or supplied by another process, has an unknown age

What callers see: requests begin on an older version after the deadline of a newer one that a gateway has learned late: the gateway counted the deadline anew from then on, and told sidecars that time.

--- a/storewatch/follow.go
+++ b/storewatch/follow.go
@@ -54,6 +54,9 @@
 	// Repairs, if not nil, corrects snapshots in which the newest record of a key has not
 	// the highest version. The versions are those passed to Watcher.Keep.
 	Repairs *Repairs
+	// OnRepair receives the repairs that arrive later than the snapshot that they correct.
+	// Their content was written at an unknown time before it. It must be set with Repairs.
+	OnRepair func(Record)
 
 	// confirmed is the time as of which the received records are complete.
 	confirmed time.Time
--- a/storewatch/repair.go
+++ b/storewatch/repair.go
@@ -191,7 +191,7 @@
 			version, ok := s.Repairs.version(r)
 			if known && ok && w.heldVersion(r.Key) < version {
 				w.log.Info("operator record replaced by repair", "key", r.Key, "version", version, "offset", offset)
-				s.OnRecord(Record{Key: r.Key, Value: r.Value, Offset: offset})
+				s.OnRepair(Record{Key: r.Key, Value: r.Value, Offset: offset})
 			}
 		}
 	default:
--- a/storewatch/repair_test.go
+++ b/storewatch/repair_test.go
@@ -203,7 +203,8 @@
 				apply(r)
 			}
 		},
-		Repairs: storewatch.NewRepairs(topic, version, logr.Discard()),
+		OnRepair: apply,
+		Repairs:  storewatch.NewRepairs(topic, version, logr.Discard()),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
