--- a/storewatch/follow.go
+++ b/storewatch/follow.go
@@ -54,6 +54,9 @@
 	// Repairs, if not nil, corrects snapshots in which the newest record of a key has not
 	// the highest version. The versions are those passed to Watcher.Keep.
 	Repairs *Repairs
+	// OnRepair receives the corrections that arrive later than the snapshot. Their content
+	// was written at an unknown time before it. It must be set with Repairs.
+	OnRepair func(Record)
 
 	// confirmed is the time as of which the received records are complete.
 	confirmed time.Time
@@ -71,9 +74,9 @@
 	snapshotEnd        history.Position
 	historyLength      int64
 	pendingCorrections <-chan corrections
-	// superseded holds the records that the last read of the store found replaced by
-	// records of lower versions.
-	superseded []versionedRecord
+	// unrepaired holds records of the history that corrected the last snapshot, and that
+	// have not been written as repairs yet.
+	unrepaired []versionedRecord
 }
 
 // Gate decides whether a process may read a topic from the store, or must get its records
@@ -201,7 +204,6 @@
 		if s.Gate != nil {
 			s.Gate.ReadDone(err == nil)
 		}
-		w.repair(ctx, s, &repairs)
 		switch {
 		case err == nil:
 			if s.OnConfirmed != nil {
@@ -213,6 +215,7 @@
 			}
 			failures = 0
 			next = from
+			w.repair(ctx, s, next.Era, &repairs)
 			if s.Wake != nil {
 				w.advance(next, s.confirmed)
 			}
@@ -240,13 +243,15 @@
 	}
 }
 
-// repair writes the records that the last step found replaced by lower versions as repairs,
-// in a goroutine of group.
-func (w *Watcher) repair(ctx context.Context, s *Source, group *sync.WaitGroup) {
+// repair writes the records that the store holds replaced by lower versions as repairs, in
+// a goroutine of group. era is the era of the last step.
+func (w *Watcher) repair(ctx context.Context, s *Source, era int64, group *sync.WaitGroup) {
 	if s.Repairs == nil {
 		return
 	}
-	if records := s.Repairs.claim(s.superseded, w.store.Era()); len(records) > 0 {
+	records := s.Repairs.claim(append(s.unrepaired, w.superseded(s, era)...), era)
+	s.unrepaired = nil
+	if len(records) > 0 {
 		w.metrics.Counter("mintlift_operator_repairs_total").Add(len(records))
 		group.Go(func() { s.Repairs.write(ctx, records) })
 	}
--- a/storewatch/repair_test.go
+++ b/storewatch/repair_test.go
@@ -41,11 +41,34 @@
 func (s *logStore) put(key string, version int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.putLocked(key, version)
+}
+
+// putAt appends a record if the store ends at an offset, and reports whether it does.
+func (s *logStore) putAt(at int64, key string, version int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at != int64(len(s.records)) {
+		return false
+	}
+	s.putLocked(key, version)
+	return true
+}
+
+// putLocked implements put. logStore.mu is held.
+func (s *logStore) putLocked(key string, version int) {
 	s.records = append(s.records, storewatch.Record{Key: key, Value: []byte(strconv.Itoa(version)), Offset: int64(len(s.records))})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// compact drops all records but the newest of each key.
+func (s *logStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first = int64(len(s.records))
+}
+
 // Newest implements storewatch.Store.
 func (s *logStore) Newest(context.Context, string) (*storewatch.Newest, error) {
 	s.mu.Lock()
@@ -98,6 +121,15 @@
 	appends int
 	failing bool
 	delay   time.Duration
+	// late, unless 0, is when the next append is carried out; it gets no response.
+	late time.Duration
+}
+
+// loseNext makes the next append fail although it is carried out, after a delay.
+func (r *repairTopic) loseNext(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.late = delay
 }
 
 // fault delays a call or fails it, as the topic's faults say.
@@ -112,26 +144,35 @@
 	return nil
 }
 
-// Append implements storewatch.RepairTopic.
-func (r *repairTopic) Append(_ context.Context, _ int, key string, value []byte) error {
+// Append implements storewatch.Topic.
+func (r *repairTopic) Append(_ context.Context, _ int, at int64, key string, value []byte) error {
 	if err := r.fault(); err != nil {
 		return err
 	}
 	version, err := strconv.Atoi(string(value))
-	r.put(key, version)
+	r.mu.Lock()
+	late := r.late
+	r.late = 0
+	r.mu.Unlock()
+	if late > 0 {
+		time.AfterFunc(late, func() { r.putAt(at, key, version) })
+		return errors.New("no response")
+	}
+	if !r.putAt(at, key, version) {
+		return errors.New("the topic does not end there")
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.appends++
 	return err
 }
 
-// Newest implements storewatch.RepairTopic.
-func (r *repairTopic) Newest(ctx context.Context, _ int) ([]storewatch.Record, error) {
+// Newest implements storewatch.Topic.
+func (r *repairTopic) Newest(ctx context.Context, _ int) (*storewatch.Newest, error) {
 	if err := r.fault(); err != nil {
 		return nil, err
 	}
-	newest, err := r.logStore.Newest(ctx, "")
-	return newest.Records, err
+	return r.logStore.Newest(ctx, "")
 }
 
 // set changes the topic's faults.
@@ -174,7 +215,8 @@
 				apply(r)
 			}
 		},
-		Repairs: storewatch.NewRepairs(topic, version, logr.Discard()),
+		OnRepair: apply,
+		Repairs:  storewatch.NewRepairs(topic, version, logr.Discard()),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -311,3 +353,42 @@
 	}
 	assert.Equal(t, storewatch.HistoryLength(nil), int64(256))
 }
+
+// Guards against a record that is lost at the next restart because no reader of the store
+// has repaired it: the readers started after it had been replaced, and got the higher
+// version from another process.
+func TestRecordFromAnotherProcessIsRepaired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, topic := newLogStore(3, 2), &repairTopic{logStore: newLogStore()}
+		store.compact()
+		w, applied := follow(t, store, topic)
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, applied(), []int{2})
+		assert.Assert(t, w.Keep(storewatch.Record{Key: "k", Value: []byte("3"), Offset: 0}, 3))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, topic.count(), 1)
+		_, later := follow(t, store, topic)
+		time.Sleep(100 * time.Millisecond)
+		assert.DeepEqual(t, later(), []int{3})
+	})
+}
+
+// Guards against an older repair that replaces a newer one, because its write, too, was
+// carried out late.
+func TestRepairWrittenLateIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, topic := newLogStore(1), &repairTopic{logStore: newLogStore()}
+		follow(t, store, topic)
+		time.Sleep(100 * time.Millisecond)
+		topic.loseNext(5 * time.Second)
+		for _, version := range []int{3, 2, 4, 3} {
+			store.put("k", version)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(5 * time.Second)
+		store.compact()
+		_, applied := follow(t, store, topic)
+		time.Sleep(100 * time.Millisecond)
+		assert.DeepEqual(t, applied(), []int{4})
+	})
+}
--- a/storewatch/store.go
+++ b/storewatch/store.go
@@ -43,6 +43,18 @@
 	OthersLate(topic string, now time.Time) bool
 }
 
+// Topic is a topic with keys that processes of this project write.
+type Topic interface {
+	// Append appends a record to a partition. It fails if the partition does not end at
+	// offset at, unless that is AnyOffset.
+	Append(ctx context.Context, part int, at int64, key string, value []byte) error
+	// Newest returns the newest record of each key of a partition.
+	Newest(ctx context.Context, part int) (*Newest, error)
+}
+
+// AnyOffset makes Topic.Append append a record wherever the partition ends.
+const AnyOffset = int64(-1)
+
 // Record is a record of a topic. Value is nil if the record deletes the key.
 type Record struct {
 	Key    string
