loadreport: a subscriber has released its address when Run returns

Cause: the connection was closed in a goroutine that nobody waited for. Run closes the connection itself now, and waits for the goroutine that reads.

--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -230,3 +230,21 @@
 	assert.Equal(t, len(publisher.Gateways("r", 2, clock.Now())), 0)
 	assert.Assert(t, clock.Since(publisher.LastSubscribed()) >= subscriptionTTL)
 }
+
+// Guards against a gateway that cannot start because the one before it in the same place
+// still uses its address: when Run returns, the address must be free again.
+func TestSubscriberReleasesItsAddress(t *testing.T) {
+	const address = "127.79.0.1:29317"
+	for range 500 {
+		s, err := NewSubscriber(address)
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			s.Run(ctx, func() []SubscriptionGroup { return nil }, nil, nil)
+		}()
+		cancel()
+		<-done
+	}
+}
--- a/loadreport/subscriber.go
+++ b/loadreport/subscriber.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -70,8 +71,10 @@
 // passes what they send to h, until ctx ends. Each value of wake starts a round of
 // subscriptions early, at least minRoundInterval after the last one; wake may be nil.
 func (s *Subscriber) Run(ctx context.Context, groups func() []SubscriptionGroup, wake <-chan struct{}, h Handler) {
-	context.AfterFunc(ctx, func() { _ = s.conn.Close() })
-	go s.receive(h)
+	var receiving sync.WaitGroup
+	receiving.Go(func() { s.receive(h) })
+	defer receiving.Wait()
+	defer func() { _ = s.conn.Close() }()
 	ticker := time.NewTicker(SubscribeInterval)
 	defer ticker.Stop()
 	for {
