--- a/storerelay/announcements.go
+++ b/storerelay/announcements.go
@@ -25,25 +25,17 @@
 	AtMS int64 `json:"at"`
 }
 
-// Topic is a topic of the store with keys.
-type Topic interface {
-	// Append appends a record to a partition.
-	Append(ctx context.Context, part int, key string, value []byte) error
-	// Newest returns the newest record of each key of a partition.
-	Newest(ctx context.Context, part int) ([]storewatch.Record, error)
-}
-
 // Announcements are the announcements of a region's gateways. Regions are spread over the
 // partitions of the topic, so that a process reads little of other regions.
 type Announcements struct {
-	topic  Topic
+	topic  storewatch.Topic
 	part   int
 	region string
 }
 
 // NewAnnouncements returns the announcements of a region. parts is the number of
 // partitions of the topic.
-func NewAnnouncements(topic Topic, region string, parts int) *Announcements {
+func NewAnnouncements(topic storewatch.Topic, region string, parts int) *Announcements {
 	return &Announcements{topic: topic, region: region, part: int(xxhash.Sum64String(region) % uint64(max(parts, 1)))}
 }
 
@@ -53,18 +45,18 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return a.topic.Append(ctx, a.part, m.IP, value)
+	return a.topic.Append(ctx, a.part, storewatch.AnyOffset, m.IP, value)
 }
 
 // Read returns the gateways of the region that have announced themselves. Invalid records
 // are left out.
 func (a *Announcements) Read(ctx context.Context) ([]Announcement, error) {
-	records, err := a.topic.Newest(ctx, a.part)
+	newest, err := a.topic.Newest(ctx, a.part)
 	if err != nil {
 		return nil, err
 	}
 	var out []Announcement
-	for _, r := range records {
+	for _, r := range newest.Records {
 		m := Announcement{IP: r.Key}
 		if json.Unmarshal(r.Value, &m) == nil && m.Region == a.region {
 			out = append(out, m)
--- a/storewatch/follow.go
+++ b/storewatch/follow.go
@@ -54,9 +54,13 @@
 	// Repairs, if not nil, corrects snapshots in which the newest record of a key has not
 	// the highest version. The versions are those passed to Watcher.Keep.
 	Repairs *Repairs
-	// OnRepair receives the repairs that arrive later than the snapshot that they correct.
-	// Their content was written at an unknown time before it. It must be set with Repairs.
+	// OnRepair receives the repairs that arrive later than the snapshot that they correct,
+	// and retained records that correct it. Their content was written at an unknown time
+	// before it. It must be set with Repairs.
 	OnRepair func(Record)
+	// ReadRetained corrects snapshots also by the records that the store retains; see
+	// retainedRecords. It requires Repairs.
+	ReadRetained bool
 
 	// confirmed is the time as of which the received records are complete.
 	confirmed time.Time
@@ -68,6 +72,12 @@
 	// checkedAt is the time of the last recheck, or of the event that made rechecks
 	// necessary. recheckUntil is when rechecks end; zero means that there are none.
 	checkedAt, recheckUntil time.Time
+	// pendingRetained receives the retained records before the position retainedBefore, the
+	// end of the last snapshot; nil while they are not being read. retainedDue is set if they
+	// must be read.
+	pendingRetained <-chan retainedRead
+	retainedBefore  history.Position
+	retainedDue     bool
 	// pendingRepairs receives the repairs that were not read in time for the last snapshot;
 	// nil if there are none.
 	pendingRepairs <-chan repairsRead
--- a/storewatch/read.go
+++ b/storewatch/read.go
@@ -55,6 +55,7 @@
 		return w.stepFromNewest(ctx, s)
 	}
 	w.applyPendingRepairs(ctx, s)
+	w.applyPendingRetained(s)
 	if s.recheckDue(clock.Now()) {
 		newest, err := w.readNewest(ctx, s.Topic)
 		if err == nil && newest.Era != next.Era {
@@ -71,6 +72,7 @@
 	}
 	s.confirmed = got.confirmed
 	s.applyNew(got.records)
+	w.beginRetained(ctx, s)
 	return got.nextPosition, nil
 }
 
@@ -89,7 +91,10 @@
 	if repairs != nil {
 		s.mergeRepairs(ctx, repairs, newest)
 	}
-	return s.reset(newest, clock.Now()), nil
+	next := s.reset(newest, clock.Now())
+	s.retainedBefore, s.retainedDue = next, s.ReadRetained
+	w.beginRetained(ctx, s)
+	return next, nil
 }
 
 // readNewest reads the newest records of a topic, and counts the read.
--- a/storewatch/repair.go
+++ b/storewatch/repair.go
@@ -12,15 +12,6 @@
 	"github.com/mintlift/mintlift/internal/clock"
 )
 
-// RepairTopic is a topic that the watchers write.
-type RepairTopic interface {
-	// AppendAt appends a record to a partition if that ends at offset at, and fails
-	// otherwise.
-	AppendAt(ctx context.Context, part int, at int64, key string, value []byte) error
-	// Snapshot returns the newest record of each key of a partition.
-	Snapshot(ctx context.Context, part int) (*Newest, error)
-}
-
 // Repairs corrects records of a topic that the store holds in the wrong order. The store
 // may carry out a write without a response seconds late, after the write of a higher
 // version of the same key. The lower version is then the key's newest record, which is all
@@ -35,7 +26,7 @@
 // A write of a repair may itself be carried out late. It is therefore conditional on the end
 // of the topic as read before, which shows no higher version.
 type Repairs struct {
-	topic RepairTopic
+	topic Topic
 	// version returns the version of a record's content; ok is false if it has none.
 	version func(Record) (version int64, ok bool)
 	log     logr.Logger
@@ -51,7 +42,7 @@
 
 // NewRepairs returns the repairs kept in topic. version returns the version of a record's
 // content; ok is false for a record without one.
-func NewRepairs(topic RepairTopic, version func(Record) (version int64, ok bool), log logr.Logger) *Repairs {
+func NewRepairs(topic Topic, version func(Record) (version int64, ok bool), log logr.Logger) *Repairs {
 	return &Repairs{topic: topic, version: version, log: log, written: make(map[string]recordID)}
 }
 
@@ -68,7 +59,7 @@
 func (p *Repairs) beginRead(ctx context.Context) <-chan repairsRead {
 	out := make(chan repairsRead, 1)
 	go func() {
-		newest, err := p.topic.Snapshot(ctx, repairPart)
+		newest, err := p.topic.Newest(ctx, repairPart)
 		if err != nil {
 			if ctx.Err() == nil {
 				p.log.Info("repairs of operator records not read", "error", err.Error())
@@ -140,7 +131,7 @@
 // writeOnce appends a record as a repair, unless a repair of its key with this version or a
 // higher one is present.
 func (p *Repairs) writeOnce(ctx context.Context, r versionedRecord) (present bool, err error) {
-	newest, err := p.topic.Snapshot(ctx, repairPart)
+	newest, err := p.topic.Newest(ctx, repairPart)
 	if err != nil {
 		return false, err
 	}
@@ -149,7 +140,7 @@
 			return true, nil
 		}
 	}
-	return false, p.topic.AppendAt(ctx, repairPart, newest.NextPosition().Offset, r.Key, r.Value)
+	return false, p.topic.Append(ctx, repairPart, newest.NextPosition().Offset, r.Key, r.Value)
 }
 
 // mergeRepairs corrects a snapshot by the repairs that pending receives. It waits for them
--- a/storewatch/repair_test.go
+++ b/storewatch/repair_test.go
@@ -25,6 +25,8 @@
 	mu      sync.Mutex
 	records []storewatch.Record
 	changed chan struct{}
+	// first is the first retained offset; the newest record of each key is always kept.
+	first int
 }
 
 func newLogStore(versions ...int) *logStore {
@@ -82,6 +84,11 @@
 	deadline := time.After(wait)
 	for {
 		s.mu.Lock()
+		if from.Offset < int64(s.first) {
+			first := history.Position{Offset: int64(s.first)}
+			s.mu.Unlock()
+			return nil, first, storewatch.ErrGone
+		}
 		end, changed := int64(len(s.records)), s.changed
 		out := append([]storewatch.Record(nil), s.records[from.Offset:]...)
 		s.mu.Unlock()
@@ -98,6 +105,13 @@
 	}
 }
 
+// compact drops all records but the newest of each key.
+func (s *logStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first = len(s.records)
+}
+
 func (s *logStore) Era() int64                        { return 0 }
 func (s *logStore) ObserveEra(int64) bool             { return true }
 func (s *logStore) OthersLate(string, time.Time) bool { return false }
@@ -132,8 +146,8 @@
 	return nil
 }
 
-// AppendAt implements storewatch.RepairTopic.
-func (r *repairTopic) AppendAt(_ context.Context, _ int, at int64, key string, value []byte) error {
+// Append implements storewatch.Topic.
+func (r *repairTopic) Append(_ context.Context, _ int, at int64, key string, value []byte) error {
 	if err := r.fault(); err != nil {
 		return err
 	}
@@ -155,8 +169,8 @@
 	return err
 }
 
-// Snapshot implements storewatch.RepairTopic.
-func (r *repairTopic) Snapshot(ctx context.Context, _ int) (*storewatch.Newest, error) {
+// Newest implements storewatch.Topic.
+func (r *repairTopic) Newest(ctx context.Context, _ int) (*storewatch.Newest, error) {
 	if err := r.fault(); err != nil {
 		return nil, err
 	}
@@ -203,8 +217,8 @@
 				apply(r)
 			}
 		},
-		OnRepair: apply,
-		Repairs:  storewatch.NewRepairs(topic, version, logr.Discard()),
+		OnRepair: apply, ReadRetained: true,
+		Repairs: storewatch.NewRepairs(topic, version, logr.Discard()),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -258,6 +272,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store, topic := newLogStore(3, 2), &repairTopic{logStore: newLogStore(3)}
+				store.compact()
 				fault(topic)
 				w, applied := follow(t, store, topic)
 				time.Sleep(300 * time.Millisecond)
@@ -302,6 +317,7 @@
 func TestRecordFromAnotherProcessIsRepaired(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, topic := newLogStore(3, 2), &repairTopic{logStore: newLogStore()}
+		store.compact()
 		w, applied := follow(t, store, topic)
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, applied(), []int{2})
@@ -332,3 +348,16 @@
 		assert.DeepEqual(t, applied(), []int{4})
 	})
 }
+
+// Guards against a version that nobody has repaired because no process ran when the write
+// of an older one was carried out: the store still retains its record.
+func TestRecordReplacedWhileNoProcessRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, topic := newLogStore(3, 2), &repairTopic{logStore: newLogStore()}
+		_, applied := follow(t, store, topic)
+		time.Sleep(2 * time.Second)
+		versions := applied()
+		assert.Equal(t, versions[len(versions)-1], 3)
+		assert.Equal(t, topic.count(), 1, "the store may drop the record")
+	})
+}
--- a/storewatch/store.go
+++ b/storewatch/store.go
@@ -32,7 +32,8 @@
 	// Read returns the records from a position on, and the position to read from
 	// next. If there is no record, it waits up to wait for one. It returns ErrNewEra
 	// if the position is of an earlier era, even if the topic has since grown past
-	// its offset.
+	// its offset. With ErrGone it returns the position of the first record that is
+	// retained, or an unknown position.
 	Read(ctx context.Context, topic string, from history.Position, wait time.Duration) ([]Record, history.Position, error)
 	// Era returns the highest era observed.
 	Era() int64
@@ -43,6 +44,18 @@
 	OthersLate(topic string, now time.Time) bool
 }
 
+// AnyOffset as the offset of an append means that it has no condition.
+const AnyOffset = -1
+
+// Topic is a topic of the store that this project writes.
+type Topic interface {
+	// Append appends a record to a partition. Unless at is AnyOffset, it fails if the
+	// partition does not end at offset at.
+	Append(ctx context.Context, part int, at int64, key string, value []byte) error
+	// Newest returns the newest record of each key of a partition.
+	Newest(ctx context.Context, part int) (*Newest, error)
+}
+
 // Record is a record of a topic. Value is nil if the record deletes the key.
 type Record struct {
 	Key    string
