--- a/storewatch/corrections.go
+++ b/storewatch/corrections.go
@@ -33,7 +33,7 @@
 	}
 	replace := func(r Record) (version int64, replaced bool) {
 		n, found := at[r.Key]
-		if !found || r.Value == nil {
+		if !found {
 			return 0, false
 		}
 		version, ok := p.version(r)
@@ -48,7 +48,7 @@
 	for _, r := range c.repairs {
 		replace(r)
 	}
-	for _, r := range c.history {
+	for _, r := range sinceDeletion(c.history) {
 		if version, replaced := replace(r); replaced {
 			unrepaired = append(unrepaired, versionedRecord{Record: r, version: version})
 		}
@@ -56,6 +56,23 @@
 	return unrepaired
 }
 
+// sinceDeletion returns the records that follow the last deletion of their key.
+func sinceDeletion(records []Record) []Record {
+	deletedAt := make(map[string]int64)
+	for _, r := range records {
+		if r.Value == nil {
+			deletedAt[r.Key] = r.Offset
+		}
+	}
+	var out []Record
+	for _, r := range records {
+		if at, deleted := deletedAt[r.Key]; !deleted || r.Offset > at {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // readSnapshot reads the newest records of the topic of s, and what corrects them. It waits
 // for corrections for the Budget's RelayTimeout, or without a Budget until they have been
 // read. Corrections that arrive later are applied by later steps.
@@ -82,7 +99,7 @@
 		w.retryCorrections(ctx, s, c.err)
 		s.unrepaired = s.Repairs.merge(newest.Records, c)
 	case <-timeout:
-		s.pendingCorrections = pending
+		s.pendingCorrections = w.wakeAfter(pending)
 	case <-ctx.Done():
 	}
 	return newest, nil
@@ -118,7 +135,19 @@
 	return out
 }
 
-// retryCorrections reads the corrections of the last snapshot again after an error.
+// wakeAfter passes on what pending receives, and requests a read of the operator's topic, so
+// that the next step applies it at once.
+func (w *Watcher) wakeAfter(pending <-chan corrections) <-chan corrections {
+	out := make(chan corrections, 1)
+	go func() {
+		out <- <-pending
+		w.wakeOperatorReader()
+	}()
+	return out
+}
+
+// retryCorrections reads the corrections of the last snapshot again after an error. They are
+// applied by the next step, whose wait keeps the retries apart.
 func (w *Watcher) retryCorrections(ctx context.Context, s *Source, err error) {
 	if err == nil || ctx.Err() != nil {
 		return
@@ -150,7 +179,7 @@
 	for _, r := range c.repairs {
 		apply(r)
 	}
-	for _, r := range c.history {
+	for _, r := range sinceDeletion(c.history) {
 		if version, applied := apply(r); applied {
 			s.unrepaired = append(s.unrepaired, versionedRecord{Record: r, version: version})
 		}
