ingress: an attempt that has not begun is withdrawn before the version's deadline

Cause: whether an engine begins a request in time was judged once, when it was sent.

Change: 0.5 s before the deadline a gateway cancels the attempts at engines with older versions that have brought no event. The closed connection makes the engine drop a queued request; the request is sent elsewhere if its route and the retry budget allow that. Whether it ran stays unknown, so a request that may run once gets 502. A stream that has begun goes on. Responses that are no streams are not covered: they give no sign of having begun. The margin and the lead times before the cutoff are unchanged.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -146,6 +146,9 @@
 	return min(max(e.roundTrip, overdue, 0), delayMax)
 }
 
+// Reported returns the numbers of running and queued requests in the newest report.
+func (e *Endpoint) Reported() (running, queued int) { return e.report.Running, e.report.Queued }
+
 // InFlight returns the number of this gateway's attempts in progress.
 func (e *Endpoint) InFlight() int { return e.inFlight }
 
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -145,6 +145,7 @@
 // endAttemptLocked ends the attempt of x at e. Server.mu must be held.
 func (s *Server) endAttemptLocked(x *exchange, e *fleet.Endpoint, result fleet.Result, now time.Time) {
 	s.fleet.End(e, result, now)
+	delete(s.unbegun, x)
 	if x.isolated {
 		x.isolated = false
 		s.fleet.EndIsolated(e)
@@ -170,6 +171,7 @@
 	now := clock.Now()
 	lateness := now.Sub(x.sentAt) - x.expectedFirstByte
 	s.fleet.RecordFirstByte(e, x.prefillMS, max(lateness, 0), now)
+	delete(s.unbegun, x)
 	s.mu.Unlock()
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -109,6 +109,8 @@
 	crashedAt map[string]time.Time
 	// permitRequests holds the permit requests not yet sent to sidecars.
 	permitRequests []PermitRequest
+	// unbegun holds the attempts at streaming engines that have received no event yet.
+	unbegun map[*exchange]unbegunAttempt
 }
 
 // TargetVersion is a version of a model that the operator has set to be served.
@@ -148,6 +150,7 @@
 		timeouts:              make(map[string]*timeoutHistogram),
 		crashedAt:             make(map[string]time.Time),
 		unconfigured:          make(map[string]fleet.Record),
+		unbegun:               make(map[*exchange]unbegunAttempt),
 		suspects:              quarantine.New(),
 		noticeDue:             make(chan struct{}, 1),
 		permitRequestsPending: make(chan struct{}, 1),
@@ -202,6 +205,7 @@
 		cutoff = now
 	}
 	s.targetVersions[model] = append(list, TargetVersion{Version: version, LearnedAt: now, AgeUnknown: first, cutoff: cutoff})
+	s.scheduleWithdrawal(model, version, cutoff)
 	s.events.Info("version named", "model", model, "version", version, "age_unknown", first, "due", cutoff)
 	s.requestNoticeLocked()
 }
@@ -227,6 +231,7 @@
 			continue
 		}
 		n.cutoff = now
+		s.scheduleWithdrawal(model, n.Version, now)
 		s.events.Info("older versions cut off", "model", model, "version", n.Version, "served", reported)
 	}
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -93,6 +93,9 @@
 func (t *streamExchange) attempt(ctx context.Context, e *fleet.Endpoint) (*reply, verdict) {
 	ctx, b := t.withCanceler(ctx)
 	defer b.end()
+	if t.model != "" {
+		t.server.addUnbegun(t.exchange, e, b)
+	}
 	watch := t.startIdleWatch(e, b)
 	defer watch.stop()
 	response, err := t.send(ctx, e, t.lastEventID)
--- /dev/null
+++ b/ingress/withdraw.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ingress
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
+)
+
+// How long an engine queues a request cannot be known when it is sent: gateways that see
+// the same free slot may all use it before the next report. So an attempt at an engine
+// with an older version that shows no sign of having begun is withdrawn shortly before
+// the target version's deadline: its connection is closed, which makes the engine drop a
+// queued request, and the request is sent elsewhere if the route allows that. Whether a
+// withdrawn attempt has run is unknown.
+
+// withdrawalLead is how long before a target version's deadline the attempts are
+// withdrawn. It bounds the time in which a closed connection takes effect at the engine,
+// including a loss of the packet. It is at most withdrawalLeadShare of the time from the
+// cutoff to the deadline, so that no request is sent after the withdrawal.
+const (
+	withdrawalLead      = 500 * time.Millisecond
+	withdrawalLeadShare = 0.5
+)
+
+// errWithdrawn is the cause with which an attempt is canceled that has not visibly begun
+// when its engine's version is about to pass the deadline.
+const errWithdrawn = errors.ConstError("not begun close to the deadline of a newer version")
+
+// unbegunAttempt is an attempt at an engine that has sent no event yet.
+type unbegunAttempt struct {
+	endpoint *fleet.Endpoint
+	canceler *attemptCanceler
+	number   int // of the attempt
+	sentAt   time.Time
+}
+
+// addUnbegun makes the attempt of x at e one that may be withdrawn, until its first event
+// arrives or it ends.
+func (s *Server) addUnbegun(x *exchange, e *fleet.Endpoint, b *attemptCanceler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unbegun[x] = unbegunAttempt{endpoint: e, canceler: b, number: x.attempts, sentAt: x.sentAt}
+}
+
+// scheduleWithdrawal schedules the withdrawal of the attempts at engines with versions
+// older than version, whose cutoff is given.
+func (s *Server) scheduleWithdrawal(model string, version int, cutoff time.Time) {
+	margin := s.versionMargin()
+	at := cutoff.Add(margin - min(withdrawalLead, time.Duration(withdrawalLeadShare*float64(margin))))
+	clock.AfterFunc(at, func() { s.withdrawUnbegun(model, version) })
+}
+
+// withdrawUnbegun cancels the attempts that engines with versions of model older than
+// version have not visibly begun.
+func (s *Server) withdrawUnbegun(model string, version int) {
+	now := clock.Now()
+	s.mu.Lock()
+	var cancelers []*attemptCanceler
+	for x, a := range s.unbegun {
+		holds := a.endpoint.HeldVersion(model, now)
+		if x.model != model || holds >= version {
+			continue
+		}
+		cancelers = append(cancelers, a.canceler)
+		running, queued := a.endpoint.Reported()
+		s.log.Info("attempt withdrawn", "request", x.id, "attempt", a.number, "endpoint", a.endpoint.ID, "holds", holds, "version", version,
+			"running", running, "queued", queued, "report_ms", a.endpoint.ReportAge(now).Milliseconds(), "ms", now.Sub(a.sentAt).Milliseconds())
+	}
+	s.mu.Unlock()
+	s.metrics.Counter("mintlift_ingress_withdrawn_attempts_total").Add(len(cancelers))
+	for _, b := range cancelers {
+		b.withdraw()
+	}
+}
+
+// withdraw cancels the attempt with errWithdrawn, unless it has ended. Server.mu must not
+// be held, because cancelForRetry takes it while it holds attemptCanceler.mu.
+func (b *attemptCanceler) withdraw() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return
+	}
+	b.ended = true
+	b.cancel(errWithdrawn)
+}
