fleet: slots for requests that must begin at once are taken in turn

Cause: near a version's deadline an engine with an older version gets only requests that it begins at once. The load that decides counts what the gateways that come first by the report may send, but this count falls to nothing until the report is 100 ms old.

Change: for these requests the count stays until the next report. Other requests choose as before, so that no slot stays unused.

TestOlderVersionSlotsAreTakenInTurn failed before: "5 requests for 4 free slots, 50ms after the report".

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -110,7 +110,7 @@
 }
 
 // startsAtOnce reports whether an engine is expected to begin a new request
-// without queuing it.
+// without queuing it, even if the gateways that come first send theirs.
 func (e *Endpoint) startsAtOnce(q *Query, now time.Time) bool {
 	switch {
 	case !e.fresh(now), now.Sub(e.reportAt) >= recentReport, e.brokenInRow > 0:
@@ -118,7 +118,7 @@
 	case e.Delay(now) >= delayHigh, e.firstByteLag >= delayHigh:
 		return false
 	default:
-		return e.report.Queued == 0 && e.unanswered == 0 && e.Load(now) < q.Slots-reservedSlots
+		return e.report.Queued == 0 && e.unanswered == 0 && e.loadInTurn() < q.Slots-reservedSlots
 	}
 }
 
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -173,6 +173,14 @@
 	return float64(e.inFlight) + e.othersInFlight + e.othersSinceReport(now)
 }
 
+// loadInTurn is like Load, but counts the requests of all gateways that come first by the
+// newest report until the next report arrives. Load counts fewer of them as the report
+// ages, so that no slot stays unused; but then all gateways find the same slots free at
+// the same age of the report, and send more requests than the engine can begin.
+func (e *Endpoint) loadInTurn() float64 {
+	return float64(e.inFlight) + e.othersInFlight + e.demandAhead()
+}
+
 // Parameters of the estimate of how many attempts other gateways send after they
 // all received the same report.
 const (
@@ -191,8 +199,13 @@
 	if age >= sentVisibleAfter {
 		return 0
 	}
-	sent := e.report.DemandAhead + float64(e.sentSinceReport)*e.report.othersPerRequest()
-	return activeGatewayShare * sent * (1 - float64(age)/float64(sentVisibleAfter))
+	return activeGatewayShare * e.demandAhead() * (1 - float64(age)/float64(sentVisibleAfter))
+}
+
+// demandAhead estimates how many requests other gateways send before this gateway's next
+// one if each of them sends what it may send by the order of the newest report.
+func (e *Endpoint) demandAhead() float64 {
+	return e.report.DemandAhead + float64(e.sentSinceReport)*e.report.othersPerRequest()
 }
 
 // othersPerRequest returns how many requests all other gateways together send, on
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -193,6 +193,28 @@
 	assert.Equal(t, chosen(f, q, start), "", "its last first bytes were late")
 }
 
+// Gateways that see the same free slots of an engine with a version below
+// Query.NextMinVersion must not all use them at once, however old the report is: the
+// engine would not begin these requests at once.
+func TestOlderVersionSlotsAreTakenInTurn(t *testing.T) {
+	const gateways, slots, free = 26, 12, 4
+	q := query()
+	q.NextMinVersion, q.Slots, q.MaxLoad = 2, slots, slots
+	for age := time.Duration(0); age < recentReport; age += 10 * time.Millisecond {
+		sends := 0
+		for ahead := range gateways {
+			f := engines(1)
+			r := report("a", 1, slots-free, 0)
+			r.Gateways, r.DemandAhead, r.DemandShare = gateways, float64(ahead), 1.0/gateways
+			f.ApplyReport(r, time.Millisecond, start)
+			if f.Choose(q, start.Add(age)) != nil {
+				sends++
+			}
+		}
+		assert.Assert(t, sends >= 1 && sends <= free, "%d requests for %d free slots, %s after the report", sends, free, age)
+	}
+}
+
 // An engine with a version below Query.MinVersion must be chosen only if its sidecar
 // reports a scheduled update and it can begin the request at once.
 func TestScheduledUpdateExtendsOlderVersion(t *testing.T) {
