--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -16,6 +16,7 @@
 	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/internal/tcpconn"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
@@ -148,7 +149,7 @@
 	if err != nil {
 		return group, errors.Trace(err)
 	}
-	subscriber, err := loadreport.NewSubscriber(s.InternalAddress(s.IP, portSubscribe))
+	subscriber, err := loadreport.NewSubscriber(network.System{}, s.InternalAddress(s.IP, portSubscribe))
 	if err != nil {
 		return group, err
 	}
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -15,6 +15,7 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/installer"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/routing"
@@ -180,7 +181,7 @@
 	if err != nil {
 		return group, errors.Trace(err)
 	}
-	publisher, err := loadreport.NewPublisher(s.InternalAddress(s.IP, portPublish))
+	publisher, err := loadreport.NewPublisher(network.System{}, s.InternalAddress(s.IP, portPublish))
 	if err != nil {
 		return group, err
 	}
--- a/cmd/mintlift/platform_test.go
+++ b/cmd/mintlift/platform_test.go
@@ -20,6 +20,7 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/installer"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/platform/storetest"
@@ -60,11 +61,11 @@
 		_, _ = w.Write(make([]byte, 16))
 	}))
 	defer store.Close()
-	publisher, err := loadreport.NewPublisher("127.0.0.1:17701")
+	publisher, err := loadreport.NewPublisher(network.System{}, "127.0.0.1:17701")
 	assert.NilError(t, err)
 	go publisher.Run(func(loadreport.Notice) {})
 	defer publisher.Close()
-	subscriber, err := loadreport.NewSubscriber("127.0.0.1:0")
+	subscriber, err := loadreport.NewSubscriber(network.System{}, "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -17,11 +17,8 @@
 package loadreport
 
 import (
-	"net"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/quarantine"
@@ -143,13 +140,3 @@
 	// They are sent in responses, and alone when they change.
 	Endpoints []backpressure.Record `json:"endpoints,omitempty"`
 }
-
-// listen opens a UDP socket at address, IP:PORT.
-func listen(address string) (*net.UDPConn, error) {
-	local, err := net.ResolveUDPAddr("udp4", address)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	conn, err := net.ListenUDP("udp4", local)
-	return conn, errors.Trace(err)
-}
--- a/loadreport/loadreport_test.go
+++ b/loadreport/loadreport_test.go
@@ -14,6 +14,7 @@
 	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
 )
@@ -81,11 +82,11 @@
 // subscriber that is not running.
 func newPair(t *testing.T, onNotice func(Notice)) (*Publisher, *Subscriber) {
 	t.Helper()
-	publisher, err := NewPublisher("127.0.0.1:0")
+	publisher, err := NewPublisher(network.System{}, "127.0.0.1:0")
 	assert.NilError(t, err)
 	go publisher.Run(onNotice)
 	t.Cleanup(func() { _ = publisher.Close() })
-	subscriber, err := NewSubscriber("127.0.0.1:0")
+	subscriber, err := NewSubscriber(network.System{}, "127.0.0.1:0")
 	assert.NilError(t, err)
 	return publisher, subscriber
 }
@@ -174,7 +175,7 @@
 // of its subscribers has reported.
 func TestEchoCarriesFurthestReadPosition(t *testing.T) {
 	publisher, behind := newPair(t, func(Notice) {})
-	ahead, err := NewSubscriber("127.0.0.1:0")
+	ahead, err := NewSubscriber(network.System{}, "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/loadreport/publisher.go
+++ b/loadreport/publisher.go
@@ -15,13 +15,14 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/history"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/quarantine"
 )
 
 // Publisher sends a sidecar's reports to the gateways that subscribe to it, and relays
 // state between them. It is safe for concurrent use.
 type Publisher struct {
-	conn *net.UDPConn
+	conn network.DatagramConn
 	mu   sync.Mutex
 	// lastSubscribed is when the last subscription was received; zero if none was.
 	lastSubscribed time.Time
@@ -43,8 +44,8 @@
 }
 
 // NewPublisher listens for subscriptions at address, IP:PORT. Run handles them.
-func NewPublisher(address string) (*Publisher, error) {
-	conn, err := listen(address)
+func NewPublisher(n network.Network, address string) (*Publisher, error) {
+	conn, err := n.ListenDatagrams(address)
 	if err != nil {
 		return nil, err
 	}
--- a/loadreport/subscriber.go
+++ b/loadreport/subscriber.go
@@ -15,12 +15,13 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/history"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/quarantine"
 )
 
 // Subscriber subscribes a gateway to sidecars, and receives their reports.
 type Subscriber struct {
-	conn    *net.UDPConn
+	conn    network.DatagramConn
 	started time.Time
 }
 
@@ -58,8 +59,8 @@
 }
 
 // NewSubscriber listens for reports at address, IP:PORT. Run receives them.
-func NewSubscriber(address string) (*Subscriber, error) {
-	conn, err := listen(address)
+func NewSubscriber(n network.Network, address string) (*Subscriber, error) {
+	conn, err := n.ListenDatagrams(address)
 	if err != nil {
 		return nil, err
 	}
--- a/loadreport/suspects_test.go
+++ b/loadreport/suspects_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
 )
@@ -44,7 +45,7 @@
 	}
 	none := func() []quarantine.Record { return nil }
 	subscribe := func() *recorder {
-		s, err := NewSubscriber("127.0.0.1:0")
+		s, err := NewSubscriber(network.System{}, "127.0.0.1:0")
 		assert.NilError(t, err)
 		got := &recorder{}
 		go s.Run(ctx, groups(none), nil, got)
