--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -26,6 +26,7 @@
 	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/retrybudget"
 	"github.com/mintlift/mintlift/routing"
@@ -68,6 +69,8 @@
 	// ConfigAge returns the time since the configuration in force was last known to
 	// be the newest; nil if unknown.
 	ConfigAge func() time.Duration
+	// Network opens the connections to endpoints; nil stands for the operating system's.
+	Network network.Network
 }
 
 // Server is the part of a gateway that forwards callers' requests to endpoints. It
@@ -139,6 +142,7 @@
 			DialTimeout: dialTimeout,
 			IdleTimeout: idleTimeout,
 			MaxIdle:     maxIdle,
+			Network:     s.Network,
 		}),
 		fleet:                 fleet.New(s.Place),
 		queues:                make(map[string]*queue),
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -24,6 +24,7 @@
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/internal/tcpconn"
 )
 
@@ -77,6 +78,8 @@
 	IdleTimeout time.Duration
 	// MaxIdle is the maximum number of idle connections per address.
 	MaxIdle int
+	// Network opens the connections; nil stands for the operating system's.
+	Network network.Network
 }
 
 // maxFreshIdle is the maximum idle time of a connection for Request.Fresh.
@@ -98,7 +101,7 @@
 // use. Use NewPool.
 type Pool struct {
 	options Options
-	dialer  *net.Dialer
+	dial    network.DialFunc
 	mu      sync.Mutex
 	idle    map[string][]*conn // idle connections by address, the most recently used last
 	opened  uint64             // number of dials
@@ -119,7 +122,7 @@
 func NewPool(o Options) *Pool {
 	p := &Pool{
 		options: o,
-		dialer:  tcpconn.Dialer(o.DialTimeout, tcpconn.ProbeLater),
+		dial:    network.OrSystem(o.Network).Dialer(o.DialTimeout, tcpconn.ProbeLater),
 		idle:    make(map[string][]*conn),
 	}
 	return p
@@ -157,12 +160,12 @@
 // openAndIdle reports whether the connection is open and has no unread bytes.
 func (c *conn) openAndIdle() bool { return c.reader.Buffered() == 0 && tcpconn.OpenAndIdle(c.Conn) }
 
-// dial opens a connection to the address. It does not add it to the idle ones.
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+// open opens a connection to the address. It does not add it to the idle ones.
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -315,7 +318,7 @@
 	c := p.takeIdle(address, q.Fresh, clock.Now())
 	if c == nil {
 		var err error
-		if c, err = p.dial(ctx, address); err != nil {
+		if c, err = p.open(ctx, address); err != nil {
 			return nil, &Error{Err: err}
 		}
 	}
@@ -345,7 +348,7 @@
 func (p *Pool) Refuses(ctx context.Context, address string, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	c, err := p.dial(ctx, address)
+	c, err := p.open(ctx, address)
 	if err == nil {
 		c.closeOnce()
 	}
