--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -170,8 +170,8 @@
 	if s.Bootstrap {
 		timeout = readerset.StartTimeout
 	}
-	recordReaders := storerelay.NewReaders(s.IP, relayAddress, timeout, p.log.WithValues("topic", "operator"))
-	listReaders := storerelay.NewReaders(s.IP, relayAddress, timeout, p.log.WithValues("topic", "endpoints"))
+	recordReaders := storerelay.NewReaders(s.IP, relayAddress, timeout, network.System{}, p.log.WithValues("topic", "operator"))
+	listReaders := storerelay.NewReaders(s.IP, relayAddress, timeout, network.System{}, p.log.WithValues("topic", "endpoints"))
 	group.addCloser(recordReaders.Close)
 	group.addCloser(listReaders.Close)
 	group.addCloser(p.watcher.Close)
--- a/cmd/mintlift/platform_members_test.go
+++ b/cmd/mintlift/platform_members_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/platform/storetest"
 	"github.com/mintlift/mintlift/readerset"
@@ -33,7 +34,7 @@
 	s.Store.Parts = 1
 	p := &platformProcess{settings: s, log: logr.Discard(), watcher: platform.NewWatcher(platform.NewStore(address), logr.Discard(), telemetry.NewMetrics())}
 	server := ingress.New(ingress.Settings{}, logr.Discard(), logr.Discard(), telemetry.NewMetrics())
-	readers := storerelay.NewReaders(ip, func(string) string { return "127.0.0.1:1" }, readerset.StartTimeout, logr.Discard())
+	readers := storerelay.NewReaders(ip, func(string) string { return "127.0.0.1:1" }, readerset.StartTimeout, network.System{}, logr.Discard())
 	return newRegionMembers(p, server, readers), readers
 }
 
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -187,7 +187,7 @@
 	}
 	group.addCloser(func() { _ = publisher.Close() })
 	gateways := newSidecarGateways(p, publisher)
-	lists := storerelay.NewClient()
+	lists := storerelay.NewClient(network.System{})
 	group.addCloser(lists.Close)
 	group.addCloser(p.watcher.Close)
 	state.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone, LinkRate: s.LinkRate()}, engine, origin,
--- a/cmd/mintlift/platform_test.go
+++ b/cmd/mintlift/platform_test.go
@@ -80,7 +80,7 @@
 		log:      logr.Discard(),
 		watcher:  platform.NewWatcher(platform.NewStore(strings.TrimPrefix(store.URL, "http://")), logr.Discard(), telemetry.NewMetrics()),
 	}
-	go newFallback(p, discardOperator{}, func(loadreport.Notice) {}, newSidecarGateways(p, publisher), storerelay.NewClient()).run(ctx)
+	go newFallback(p, discardOperator{}, func(loadreport.Notice) {}, newSidecarGateways(p, publisher), storerelay.NewClient(network.System{})).run(ctx)
 	time.Sleep(gatewayTimeout + gatewayTimeoutJitter + time.Second)
 	assert.Equal(t, newest.Load()+reads.Load(), int32(0))
 	stopNotices()
--- a/storerelay/list.go
+++ b/storerelay/list.go
@@ -25,6 +25,7 @@
 
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/ingress"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/internal/tcpconn"
 	"github.com/mintlift/mintlift/loadreport"
 )
@@ -119,10 +120,9 @@
 type Client struct{ client *http.Client }
 
 // NewClient returns a client with timeouts for requests within a region.
-func NewClient() *Client {
-	dialer := tcpconn.Dialer(callTimeout, tcpconn.ProbeLater)
+func NewClient(n network.Network) *Client {
 	return &Client{client: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		DialContext: n.Dialer(callTimeout, tcpconn.ProbeLater), IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}}}
 }
 
--- a/storerelay/list_test.go
+++ b/storerelay/list_test.go
@@ -19,6 +19,7 @@
 	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/readerset"
 	"github.com/mintlift/mintlift/telemetry"
 )
@@ -57,7 +58,7 @@
 	closed.Close()
 	_, empty := startGateway(t, nil)
 	_, full := startGateway(t, records)
-	c := NewClient()
+	c := NewClient(network.System{})
 	got, err := c.Service(context.Background(), []string{strings.TrimPrefix(closed.URL, "http://"), empty, full}, "models & more")
 	assert.NilError(t, err)
 	byAddress := make(map[string]Endpoint)
@@ -80,7 +81,7 @@
 
 // newTestFollower returns a follower that finds each reader gateway at the given address.
 func newTestFollower(address string, list *fakeTarget) (*Readers, *Follower) {
-	readers := NewReaders("self", func(string) string { return address }, readerset.StartTimeout, logr.Discard())
+	readers := NewReaders("self", func(string) string { return address }, readerset.StartTimeout, network.System{}, logr.Discard())
 	return readers, NewFollower(readers, list, budget, logr.Discard())
 }
 
@@ -198,7 +199,7 @@
 	all := []readerset.Member{{IP: "10.0.0.1"}, {IP: "10.0.0.2"}, {IP: "10.0.0.3"}, {IP: "10.0.0.4"}, {IP: "10.0.0.5"}}
 	reading := 0
 	for n, own := range all {
-		r := NewReaders(own.IP, nil, readerset.StartTimeout, logr.Discard())
+		r := NewReaders(own.IP, nil, readerset.StartTimeout, network.System{}, logr.Discard())
 		r.SetMembers(append(slices.Clone(all[n:]), all[:n]...))
 		if r.Reader() {
 			reading++
@@ -217,7 +218,7 @@
 	unresponsive := unresponsiveGateway(t)
 	var list fakeTarget
 	at := address
-	readers := NewReaders("self", func(string) string { return at }, readerset.StartTimeout, logr.Discard())
+	readers := NewReaders("self", func(string) string { return at }, readerset.StartTimeout, network.System{}, logr.Discard())
 	f := NewFollower(readers, &list, budget, logr.Discard())
 	readers.SetMembers(twoReaders)
 	reader.ConfirmList(time.Now())
@@ -241,7 +242,7 @@
 			return unresponsive
 		}
 		return address
-	}, readerset.StartTimeout, logr.Discard())
+	}, readerset.StartTimeout, network.System{}, logr.Discard())
 	f := NewFollower(readers, &list, budget, logr.Discard())
 	readers.SetMembers(twoReaders)
 	reader.ConfirmList(time.Now())
@@ -275,7 +276,7 @@
 // the follower.
 func TestListAgeIncludesSuspension(t *testing.T) {
 	server, address := startGateway(t, records)
-	readers := NewReaders("self", func(string) string { return address }, readerset.StartTimeout, logr.Discard())
+	readers := NewReaders("self", func(string) string { return address }, readerset.StartTimeout, network.System{}, logr.Discard())
 	readers.SetMembers(twoReaders)
 	follower := NewFollower(readers, server, budget, logr.Discard())
 	assert.Assert(t, follower.Poll(context.Background()))
--- a/storerelay/readers.go
+++ b/storerelay/readers.go
@@ -13,6 +13,7 @@
 
 	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/readerset"
 )
 
@@ -41,8 +42,8 @@
 // NewReaders returns the Readers of the gateway with the IP address own. address
 // returns the IP:PORT of another gateway's Handler. For timeout it does not read the store
 // while it does not know the others; see readerset.StartTimeout.
-func NewReaders(own string, address func(ip string) string, timeout time.Duration, log logr.Logger) *Readers {
-	return &Readers{address: address, client: NewClient(), log: log, set: readerset.New(own, timeout, clock.Now())}
+func NewReaders(own string, address func(ip string) string, timeout time.Duration, n network.Network, log logr.Logger) *Readers {
+	return &Readers{address: address, client: NewClient(n), log: log, set: readerset.New(own, timeout, clock.Now())}
 }
 
 // SetMembers sets the gateways of the region.
--- a/storerelay/records_test.go
+++ b/storerelay/records_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/history"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/readerset"
 )
 
@@ -87,7 +88,7 @@
 	t.Helper()
 	s := httptest.NewServer(Handler(nil, l, nil))
 	t.Cleanup(s.Close)
-	readers := NewReaders("self", func(string) string { return strings.TrimPrefix(s.URL, "http://") }, readerset.StartTimeout, logr.Discard())
+	readers := NewReaders("self", func(string) string { return strings.TrimPrefix(s.URL, "http://") }, readerset.StartTimeout, network.System{}, logr.Discard())
 	readers.SetMembers(twoReaders)
 	return NewRecordFollower(readers, budget, logr.Discard())
 }
@@ -140,7 +141,7 @@
 // A follower gives up on unresponsive gateways before its records are stale.
 func TestUnresponsiveRecordGatewaysAreSkippedWithinBound(t *testing.T) {
 	unresponsive := unresponsiveGateway(t)
-	readers := NewReaders("self", func(string) string { return unresponsive }, readerset.StartTimeout, logr.Discard())
+	readers := NewReaders("self", func(string) string { return unresponsive }, readerset.StartTimeout, network.System{}, logr.Discard())
 	readers.SetMembers(twoReaders)
 	f := NewRecordFollower(readers, budget, logr.Discard())
 	const age = 400 * time.Millisecond
