--- a/installer/installer.go
+++ b/installer/installer.go
@@ -27,6 +27,7 @@
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/backpressure"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/telemetry"
 	"github.com/mintlift/mintlift/transfer"
 )
@@ -139,6 +140,9 @@
 	Zone   string
 	// LinkRate is the rate of the box's link in bytes a second, or 0 if unknown.
 	LinkRate float64
+	// Network opens the connections to other sidecars; nil stands for the operating
+	// system's.
+	Network network.Network
 }
 
 // Installer fetches target versions and loads them into the engine of one sidecar.
@@ -233,7 +237,7 @@
 	down := newPacer(s.LinkRate)
 	return &Installer{
 		settings: s, engine: e, origin: o, peers: peers, log: log, metrics: m,
-		client: newPeerClient(down), upPacer: newPacer(s.LinkRate), downPacer: down, manifestHopTimeout: manifestHopTimeout,
+		client: newPeerClient(network.OrSystem(s.Network), down), upPacer: newPacer(s.LinkRate), downPacer: down, manifestHopTimeout: manifestHopTimeout,
 		changed: make(chan struct{}),
 	}
 }
--- a/installer/peers.go
+++ b/installer/peers.go
@@ -15,6 +15,7 @@
 	"github.com/bits-and-blooms/bitset"
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/internal/stall"
 	"github.com/mintlift/mintlift/internal/tcpconn"
 	"github.com/mintlift/mintlift/peer"
@@ -65,11 +66,11 @@
 	pacer *pacer
 }
 
-// newPeerClient returns a client that receives chunks at the rate of down.
-func newPeerClient(down *pacer) *peerClient {
-	dialer := tcpconn.Dialer(peerDialTimeout, tcpconn.ProbeLater)
+// newPeerClient returns a client that opens connections by n and receives chunks at the
+// rate of down.
+func newPeerClient(n network.Network, down *pacer) *peerClient {
 	return &peerClient{pacer: down, client: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, IdleConnTimeout: peerIdleTimeout, MaxIdleConnsPerHost: 2, DisableCompression: true,
+		DialContext: n.Dialer(peerDialTimeout, tcpconn.ProbeLater), IdleConnTimeout: peerIdleTimeout, MaxIdleConnsPerHost: 2, DisableCompression: true,
 	}}}
 }
 
--- a/installer/scale_test.go
+++ b/installer/scale_test.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/telemetry"
 	"github.com/mintlift/mintlift/transfer"
 )
@@ -180,7 +181,7 @@
 	i.replicas = append(i.replicas, r)
 	s := httptest.NewServer(i.Handler())
 	t.Cleanup(s.Close)
-	client := newPeerClient(newPacer(0))
+	client := newPeerClient(network.System{}, newPacer(0))
 	pull := func(chunk int) ([]byte, error) {
 		has := newReplica(manifestOf(2), "b").held
 		_, data, err := client.pull(context.Background(), strings.TrimPrefix(s.URL, "http://"), "b", r.manifest, chunk, has, time.Second, time.Second, func(int) bool { return true })
