--- a/cmd/mintlift/malformed_test.go
+++ b/cmd/mintlift/malformed_test.go
@@ -19,6 +19,7 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/installer"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/retrybudget"
@@ -96,7 +97,7 @@
 		state := &sidecarState{settings: settings}
 		state.installer = installer.New(installer.Settings{Box: "127.0.0.1", LinkRate: 1e6}, nil, nil, nil, logr.Discard(), telemetry.NewMetrics())
 		state.HandleConfiguration(c)
-		for _, g := range newNotices(settings, server, platform.NewWatcher(platform.NewStore("127.0.0.1:1"), logr.Discard(), telemetry.NewMetrics())).groups(time.Now()) {
+		for _, g := range newNotices(settings, server, platform.NewWatcher(platform.NewStore(network.System{}, "127.0.0.1:1"), logr.Discard(), telemetry.NewMetrics())).groups(time.Now()) {
 			state.handleNotice(g.Notice)
 		}
 	})
--- a/cmd/mintlift/outage_test.go
+++ b/cmd/mintlift/outage_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/platform/storetest"
 	"github.com/mintlift/mintlift/telemetry"
@@ -158,7 +159,7 @@
 	metrics := telemetry.NewMetrics()
 	return &platformProcess{
 		settings: settings, requestLog: logr.Discard(), log: logr.Discard(), metrics: metrics,
-		watcher: platform.NewWatcher(platform.NewStore(settings.Store.Address), logr.Discard(), metrics),
+		watcher: platform.NewWatcher(platform.NewStore(network.System{}, settings.Store.Address), logr.Discard(), metrics),
 	}
 }
 
--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/telemetry"
 )
@@ -98,7 +99,7 @@
 		requestLog: telemetry.NamedLogger(telemetry.NewLogger(sink, level), component),
 		log:        log,
 		metrics:    metrics,
-		watcher:    platform.NewWatcher(platform.NewStore(settings.Store.Address), log, metrics),
+		watcher:    platform.NewWatcher(platform.NewStore(network.System{}, settings.Store.Address), log, metrics),
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/cmd/mintlift/platform_members_test.go
+++ b/cmd/mintlift/platform_members_test.go
@@ -32,7 +32,7 @@
 	s := &platform.Settings{IP: ip, Region: region}
 	s.Limits.LinkMbps = linkMbps
 	s.Store.Parts = 1
-	p := &platformProcess{settings: s, log: logr.Discard(), watcher: platform.NewWatcher(platform.NewStore(address), logr.Discard(), telemetry.NewMetrics())}
+	p := &platformProcess{settings: s, log: logr.Discard(), watcher: platform.NewWatcher(platform.NewStore(network.System{}, address), logr.Discard(), telemetry.NewMetrics())}
 	server := ingress.New(ingress.Settings{}, logr.Discard(), logr.Discard(), telemetry.NewMetrics())
 	readers := storerelay.NewReaders(ip, func(string) string { return "127.0.0.1:1" }, readerset.StartTimeout, network.System{}, logr.Discard())
 	return newRegionMembers(p, server, readers), readers
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -174,9 +174,9 @@
 	}()
 	s := p.settings
 	state := &sidecarState{settings: s}
-	engine := platform.NewEngine(s.EngineAddress, func() int { return state.layers(s.Service) })
+	engine := platform.NewEngine(network.System{}, s.EngineAddress, func() int { return state.layers(s.Service) })
 	group.addCloser(engine.Close)
-	origin := platform.NewOrigin(func() string { return state.weightsConfig().Origin })
+	origin := platform.NewOrigin(network.System{}, func() string { return state.weightsConfig().Origin })
 	listener, err := group.listen(s.InternalAddress(s.IP, portSidecars))
 	if err != nil {
 		return group, errors.Trace(err)
--- a/cmd/mintlift/platform_test.go
+++ b/cmd/mintlift/platform_test.go
@@ -78,7 +78,7 @@
 	p := &platformProcess{
 		settings: &platform.Settings{},
 		log:      logr.Discard(),
-		watcher:  platform.NewWatcher(platform.NewStore(strings.TrimPrefix(store.URL, "http://")), logr.Discard(), telemetry.NewMetrics()),
+		watcher:  platform.NewWatcher(platform.NewStore(network.System{}, strings.TrimPrefix(store.URL, "http://")), logr.Discard(), telemetry.NewMetrics()),
 	}
 	go newFallback(p, discardOperator{}, func(loadreport.Notice) {}, newSidecarGateways(p, publisher), storerelay.NewClient(network.System{})).run(ctx)
 	time.Sleep(gatewayTimeout + gatewayTimeoutJitter + time.Second)
@@ -112,7 +112,7 @@
 		t.Fatal("no notice is due after a target version was set")
 	}
 
-	watcher := platform.NewWatcher(platform.NewStore("127.0.0.1:1"), logr.Discard(), telemetry.NewMetrics())
+	watcher := platform.NewWatcher(platform.NewStore(network.System{}, "127.0.0.1:1"), logr.Discard(), telemetry.NewMetrics())
 	notice := func() loadreport.Notice {
 		for _, g := range newNotices(settings, server, watcher).groups(now) {
 			if len(g.Sidecars) > 0 {
