--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -26,6 +26,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/mintlift/mintlift/internal/meter"
+	"github.com/mintlift/mintlift/internal/network"
 )
 
 // Limits of every server.
@@ -80,6 +81,8 @@
 	TLS *tls.Config
 	// Meter counts the connections' bytes. If it is nil, they are not counted.
 	Meter *meter.Meter
+	// Network opens the listener; nil stands for the operating system's.
+	Network network.Network
 }
 
 // Listen binds an address and serves routes in the background.
@@ -88,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", o.Address)
+	ln, err := network.OrSystem(o.Network).Listen(context.Background(), "tcp", o.Address, 0)
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %s", o.Address)
 	}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -26,6 +26,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"github.com/mintlift/mintlift/internal/meter"
+	"github.com/mintlift/mintlift/internal/network"
 )
 
 // Limits of the transport and of bodies that are read into memory.
@@ -91,12 +92,14 @@
 	NoReuse bool
 	// Meter, if set, counts the bytes of the connections.
 	Meter *meter.Meter
+	// Network opens the connections; nil stands for the operating system's.
+	Network network.Network
 }
 
 // New returns a client. name is the service name of its trace spans.
 func New(name string, o Options) *Client {
 	tr := &http.Transport{
-		DialContext:         o.Meter.Dial(&net.Dialer{Timeout: dialTimeout}),
+		DialContext:         o.Meter.Dial(network.OrSystem(o.Network).Dialer(dialTimeout, 0)),
 		TLSClientConfig:     o.TLS,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -8,6 +8,8 @@
 	"context"
 	"net"
 	"sync/atomic"
+
+	"github.com/mintlift/mintlift/internal/network"
 )
 
 // Meter counts bytes. It is safe for concurrent use. The zero value is ready for
@@ -20,10 +22,10 @@
 // Out returns the bytes sent.
 func (m *Meter) Out() int64 { return m.out.Load() }
 
-// Dial returns a dial function that uses d and counts the bytes of its connections.
-func (m *Meter) Dial(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+// Dial returns a dial function that uses dial and counts the bytes of its connections.
+func (m *Meter) Dial(dial network.DialFunc) network.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, network, address)
+		c, err := dial(ctx, network, address)
 		if err != nil || m == nil {
 			return c, err
 		}
