cmd/mintlift: pass the network to the daemons of the platform

A daemon opens its listeners, clients and datagram sockets by the network of its platformProcess, which the programs set to the operating system's.

--- a/cmd/mintlift/outage_test.go
+++ b/cmd/mintlift/outage_test.go
@@ -158,7 +158,7 @@
 	assert.NilError(t, err)
 	metrics := telemetry.NewMetrics()
 	return &platformProcess{
-		settings: settings, requestLog: logr.Discard(), log: logr.Discard(), metrics: metrics,
+		settings: settings, network: network.System{}, requestLog: logr.Discard(), log: logr.Discard(), metrics: metrics,
 		watcher: platform.NewWatcher(platform.NewStore(network.System{}, settings.Store.Address), logr.Discard(), metrics),
 	}
 }
--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -58,6 +58,7 @@
 // loggers, metrics and a watcher of the platform's store.
 type platformProcess struct {
 	settings   *platform.Settings
+	network    network.Network
 	requestLog logr.Logger // one line per request
 	log        logr.Logger // events of the process and changes of its state
 	metrics    *telemetry.Metrics
@@ -94,12 +95,14 @@
 		debug.SetMemoryLimit(limit * gcLimitPercent / 100)
 	}
 	metrics := telemetry.NewMetrics()
+	system := network.System{}
 	p := &platformProcess{
 		settings:   settings,
+		network:    system,
 		requestLog: telemetry.NamedLogger(telemetry.NewLogger(sink, level), component),
 		log:        log,
 		metrics:    metrics,
-		watcher:    platform.NewWatcher(platform.NewStore(network.System{}, settings.Store.Address), log, metrics),
+		watcher:    platform.NewWatcher(platform.NewStore(system, settings.Store.Address), log, metrics),
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -16,7 +16,6 @@
 	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/internal/clock"
-	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/internal/tcpconn"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
@@ -112,7 +111,7 @@
 // startPlatformGateway starts a gateway. The caller must stop or close the group. If it
 // returns an error, it has closed the group itself.
 func startPlatformGateway(ctx context.Context, p *platformProcess) (group *taskGroup, err error) {
-	group = newTaskGroup(ctx)
+	group = newTaskGroup(ctx, p.network)
 	ctx = group.ctx
 	defer func() {
 		if err != nil {
@@ -130,9 +129,10 @@
 		VersionDeadline: s.VersionDeadline(),
 		Current:         func() bool { return configCurrent(p.watcher.Progress(), s.ConfigBudget(), clock.Now()) },
 		ConfigAge:       func() time.Duration { return p.watcher.Progress().Age(clock.Now()) },
+		Network:         p.network,
 	}, p.requestLog, p.log, p.metrics)
 	group.addCloser(server.Close)
-	front, err := tcpconn.Listen(ctx, s.Listen.Front, tcpconn.ProbeLater)
+	front, err := p.network.Listen(ctx, "tcp4", s.Listen.Front, tcpconn.ProbeLater)
 	if err != nil {
 		return group, errors.Trace(err)
 	}
@@ -149,7 +149,7 @@
 	if err != nil {
 		return group, errors.Trace(err)
 	}
-	subscriber, err := loadreport.NewSubscriber(network.System{}, s.InternalAddress(s.IP, portSubscribe))
+	subscriber, err := loadreport.NewSubscriber(p.network, s.InternalAddress(s.IP, portSubscribe))
 	if err != nil {
 		return group, err
 	}
@@ -170,8 +170,8 @@
 	if s.Bootstrap {
 		timeout = readerset.StartTimeout
 	}
-	recordReaders := storerelay.NewReaders(s.IP, relayAddress, timeout, network.System{}, p.log.WithValues("topic", "operator"))
-	listReaders := storerelay.NewReaders(s.IP, relayAddress, timeout, network.System{}, p.log.WithValues("topic", "endpoints"))
+	recordReaders := storerelay.NewReaders(s.IP, relayAddress, timeout, p.network, p.log.WithValues("topic", "operator"))
+	listReaders := storerelay.NewReaders(s.IP, relayAddress, timeout, p.network, p.log.WithValues("topic", "endpoints"))
 	group.addCloser(recordReaders.Close)
 	group.addCloser(listReaders.Close)
 	group.addCloser(p.watcher.Close)
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -15,7 +15,6 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/installer"
 	"github.com/mintlift/mintlift/internal/clock"
-	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/routing"
@@ -165,7 +164,7 @@
 // startPlatformSidecar starts a sidecar. The caller must stop or close the group. If it
 // returns an error, it has closed the group itself.
 func startPlatformSidecar(ctx context.Context, p *platformProcess) (group *taskGroup, err error) {
-	group = newTaskGroup(ctx)
+	group = newTaskGroup(ctx, p.network)
 	ctx = group.ctx
 	defer func() {
 		if err != nil {
@@ -174,23 +173,23 @@
 	}()
 	s := p.settings
 	state := &sidecarState{settings: s}
-	engine := platform.NewEngine(network.System{}, s.EngineAddress, func() int { return state.layers(s.Service) })
+	engine := platform.NewEngine(p.network, s.EngineAddress, func() int { return state.layers(s.Service) })
 	group.addCloser(engine.Close)
-	origin := platform.NewOrigin(network.System{}, func() string { return state.weightsConfig().Origin })
+	origin := platform.NewOrigin(p.network, func() string { return state.weightsConfig().Origin })
 	listener, err := group.listen(s.InternalAddress(s.IP, portSidecars))
 	if err != nil {
 		return group, errors.Trace(err)
 	}
-	publisher, err := loadreport.NewPublisher(network.System{}, s.InternalAddress(s.IP, portPublish))
+	publisher, err := loadreport.NewPublisher(p.network, s.InternalAddress(s.IP, portPublish))
 	if err != nil {
 		return group, err
 	}
 	group.addCloser(func() { _ = publisher.Close() })
 	gateways := newSidecarGateways(p, publisher)
-	lists := storerelay.NewClient(network.System{})
+	lists := storerelay.NewClient(p.network)
 	group.addCloser(lists.Close)
 	group.addCloser(p.watcher.Close)
-	state.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone, LinkRate: s.LinkRate()}, engine, origin,
+	state.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone, LinkRate: s.LinkRate(), Network: p.network}, engine, origin,
 		func(ctx context.Context) ([]installer.Peer, error) { return state.listPeers(ctx, p, lists, gateways) }, p.log, p.metrics)
 	group.addCloser(state.installer.Close)
 	group.spawn(func() { publisher.Run(state.handleNotice) })
--- a/cmd/mintlift/taskgroup.go
+++ b/cmd/mintlift/taskgroup.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/mintlift/mintlift/internal/network"
 )
 
 // taskGroup holds the goroutines, listeners and servers of a daemon and closes them
@@ -15,6 +17,7 @@
 	// ctx is canceled when the group is closed.
 	ctx        context.Context
 	cancel     context.CancelFunc
+	network    network.Network
 	goroutines sync.WaitGroup
 	closers    []func()
 	// drain waits until the requests in progress have ended or ctx is done; it may
@@ -22,9 +25,9 @@
 	drain func(ctx context.Context)
 }
 
-// newTaskGroup returns an empty group; its context derives from ctx.
-func newTaskGroup(ctx context.Context) *taskGroup {
-	g := &taskGroup{}
+// newTaskGroup returns an empty group that listens by n; its context derives from ctx.
+func newTaskGroup(ctx context.Context, n network.Network) *taskGroup {
+	g := &taskGroup{network: n}
 	g.ctx, g.cancel = context.WithCancel(ctx)
 	return g
 }
@@ -38,7 +41,7 @@
 
 // listen listens on a TCP address; closeAll closes the listener.
 func (g *taskGroup) listen(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp4", address)
+	listener, err := g.network.Listen(g.ctx, "tcp4", address, 0)
 	if err == nil {
 		g.addCloser(func() { _ = listener.Close() })
 	}
