sendbuffer, tcpconn: accept connections that are no sockets of the operating system

A connection in memory can be written to without blocking (sendbuffer.Socket) and returns its state itself (tcpconn.Peeker). For TCP connections the same system calls are made as before; Conn.SyscallConn is replaced by Conn.Unbuffered, through which package tcpconn finds the socket.

--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -88,9 +88,23 @@
 	closed                    // the other side has closed or reset it
 )
 
+// Peeker is a connection that is no socket of the operating system and returns its state
+// itself.
+type Peeker interface {
+	// Peek reports whether bytes wait to be read and, if there are none, whether the
+	// peer has closed or reset the connection. It does not block.
+	Peek() (readable, closed bool)
+}
+
 // peek returns the state of a connection without consuming bytes. It may be
 // called while another goroutine is blocked in Read.
 func peek(c net.Conn) connState {
+	if wrapper, ok := c.(interface{ Unbuffered() net.Conn }); ok {
+		c = wrapper.Unbuffered()
+	}
+	if p, ok := c.(Peeker); ok {
+		return peekerState(p)
+	}
 	tcp, ok := c.(syscall.Conn)
 	if !ok {
 		return unknown
@@ -119,13 +133,26 @@
 	return found
 }
 
+// peekerState returns the state of a Peeker.
+func peekerState(p Peeker) connState {
+	switch hasBytes, ended := p.Peek(); {
+	case hasBytes:
+		return readable
+	case ended:
+		return closed
+	default:
+		return idle
+	}
+}
+
 // Closed reports whether the peer has closed or reset c. It returns false while bytes
-// that the peer sent before are unread, and if c is not a TCP connection. It makes one
-// system call.
+// that the peer sent before are unread, and if c is neither a TCP
+// connection nor a Peeker, nor a wrapper of one with the method Unbuffered. It makes one
+// system call for a TCP connection.
 func Closed(c net.Conn) bool { return peek(c) == closed }
 
-// OpenAndIdle reports whether c is open and has no unread bytes. It returns true if
-// c is not a TCP connection.
+// OpenAndIdle reports whether c is open and has no unread bytes. It returns true for the
+// connections whose state Closed does not know.
 func OpenAndIdle(c net.Conn) bool {
 	s := peek(c)
 	return s == idle || s == unknown
--- a/internal/tcpconn/tcpconn_test.go
+++ b/internal/tcpconn/tcpconn_test.go
@@ -79,3 +79,44 @@
 	assert.Assert(t, !Closed(local))
 	assert.Assert(t, OpenAndIdle(local))
 }
+
+// peeker is a connection with a fixed state.
+type peeker struct {
+	net.Conn
+	readable, closed bool
+}
+
+func (p peeker) Peek() (readable, closed bool) { return p.readable, p.closed }
+
+// buffered wraps a connection as package sendbuffer does.
+type buffered struct {
+	net.Conn
+	inner net.Conn
+}
+
+func (b buffered) Unbuffered() net.Conn { return b.inner }
+
+func TestPeekerStates(t *testing.T) {
+	for _, c := range []struct {
+		peeker
+		closed, idle bool
+	}{
+		{peeker{}, false, true},
+		{peeker{readable: true}, false, false},
+		{peeker{readable: true, closed: true}, false, false},
+		{peeker{closed: true}, true, false},
+	} {
+		assert.Equal(t, Closed(c.peeker), c.closed)
+		assert.Equal(t, OpenAndIdle(c.peeker), c.idle)
+		assert.Equal(t, Closed(buffered{inner: c.peeker}), c.closed)
+	}
+}
+
+// A close must be detected behind a send buffer.
+func TestCloseIsDetectedBehindWrapper(t *testing.T) {
+	local, peer := pair(t)
+	wrapped := buffered{inner: local}
+	assert.Assert(t, !Closed(wrapped))
+	assert.NilError(t, peer.Close())
+	waitFor(t, func() bool { return Closed(wrapped) })
+}
--- a/sendbuffer/sendbuffer.go
+++ b/sendbuffer/sendbuffer.go
@@ -107,30 +107,53 @@
 	pool *Pool
 }
 
-// Accept implements net.Listener. Connections other than TCP are not buffered.
+// Accept implements net.Listener. Connections that are neither TCP connections nor
+// Sockets are not buffered.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
+	socket, ok := c.(Socket)
+	if tcp, isTCP := c.(*net.TCPConn); isTCP {
+		raw, err := tcp.SyscallConn()
+		if err != nil {
+			return c, nil
+		}
+		socket, ok = &tcpSocket{tcp, raw}, true
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
+	if !ok {
 		return c, nil
 	}
-	out := &Conn{tcp: tcp, raw: raw, pool: l.pool}
+	out := &Conn{socket: socket, pool: l.pool}
 	out.room.L = &out.mu
 	return out, nil
 }
 
-// Conn is a TCP connection with a send buffer. It implements net.Conn.
+// Socket is a connection that can be written to without blocking.
+type Socket interface {
+	net.Conn
+	// WriteNow writes as much of b as the connection takes without blocking, maybe
+	// nothing.
+	WriteNow(b []byte) (int, error)
+	// CloseRead and SetLinger are as for a *net.TCPConn.
+	CloseRead() error
+	SetLinger(seconds int) error
+}
+
+// tcpSocket implements Socket for a TCP connection.
+type tcpSocket struct {
+	*net.TCPConn
+	raw syscall.RawConn
+}
+
+// SyscallConn implements syscall.Conn without the allocation of *net.TCPConn's.
+func (s *tcpSocket) SyscallConn() (syscall.RawConn, error) { return s.raw, nil }
+
+// Conn is a Socket with a send buffer. It implements net.Conn.
 type Conn struct {
-	tcp  *net.TCPConn
-	raw  syscall.RawConn
-	pool *Pool
+	socket Socket
+	pool   *Pool
 
 	mu sync.Mutex
 	// room is signaled when the buffer has shrunk or writes have failed.
@@ -158,7 +181,7 @@
 	}
 	written := 0
 	if c.size == 0 {
-		written, c.err = c.writeNow(b)
+		written, c.err = c.socket.WriteNow(b)
 	}
 	if c.err != nil || written == len(b) {
 		defer c.mu.Unlock()
@@ -178,9 +201,9 @@
 	return len(b), nil
 }
 
-// writeNow writes as much of b as the socket takes without blocking.
-func (c *Conn) writeNow(b []byte) (n int, err error) {
-	failure := c.raw.Write(func(fd uintptr) bool {
+// WriteNow implements Socket.
+func (s *tcpSocket) WriteNow(b []byte) (n int, err error) {
+	failure := s.raw.Write(func(fd uintptr) bool {
 		n, err = syscall.Write(int(fd), b)
 		return true
 	})
@@ -213,15 +236,15 @@
 			closing := c.closing
 			c.mu.Unlock()
 			if closing {
-				_ = c.tcp.Close()
+				_ = c.socket.Close()
 			}
 			return
 		}
 		chunk := c.buffer[0]
 		c.mu.Unlock()
-		_ = c.tcp.SetWriteDeadline(clock.ToMonotonic(clock.Now().Add(stallTimeout)))
-		n, err := c.tcp.Write(chunk)
-		_ = c.tcp.SetWriteDeadline(time.Time{})
+		_ = c.socket.SetWriteDeadline(clock.ToMonotonic(clock.Now().Add(stallTimeout)))
+		n, err := c.socket.Write(chunk)
+		_ = c.socket.SetWriteDeadline(time.Time{})
 		var timeout net.Error
 		if errors.As(err, &timeout) && timeout.Timeout() {
 			err = nil
@@ -259,8 +282,8 @@
 	c.pool.remove(c, c.size, true)
 	c.err, c.buffer, c.size = err, nil, 0
 	c.room.Broadcast()
-	_ = c.tcp.SetLinger(0) // a truncated response must not look complete
-	_ = c.tcp.Close()
+	_ = c.socket.SetLinger(0) // a truncated response must not look complete
+	_ = c.socket.Close()
 }
 
 // evict closes the connection to free its buffer.
@@ -283,32 +306,32 @@
 	defer c.mu.Unlock()
 	if c.err == nil && c.size > 0 {
 		c.closing = true
-		return c.tcp.CloseRead()
+		return c.socket.CloseRead()
 	}
 	if c.err == nil {
 		c.err = net.ErrClosed
 	}
-	return c.tcp.Close()
+	return c.socket.Close()
 }
 
-// SyscallConn implements syscall.Conn.
-func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.raw, nil }
+// Unbuffered returns the connection without its send buffer. See package tcpconn.
+func (c *Conn) Unbuffered() net.Conn { return c.socket }
 
 // Read implements net.Conn.
-func (c *Conn) Read(b []byte) (int, error) { return c.tcp.Read(b) }
+func (c *Conn) Read(b []byte) (int, error) { return c.socket.Read(b) }
 
 // LocalAddr implements net.Conn.
-func (c *Conn) LocalAddr() net.Addr { return c.tcp.LocalAddr() }
+func (c *Conn) LocalAddr() net.Addr { return c.socket.LocalAddr() }
 
 // RemoteAddr implements net.Conn.
-func (c *Conn) RemoteAddr() net.Addr { return c.tcp.RemoteAddr() }
+func (c *Conn) RemoteAddr() net.Addr { return c.socket.RemoteAddr() }
 
 // SetDeadline implements net.Conn. It applies to reads only: writes to the socket have a
 // timeout of their own.
-func (c *Conn) SetDeadline(t time.Time) error { return c.tcp.SetReadDeadline(t) }
+func (c *Conn) SetDeadline(t time.Time) error { return c.socket.SetReadDeadline(t) }
 
 // SetReadDeadline implements net.Conn.
-func (c *Conn) SetReadDeadline(t time.Time) error { return c.tcp.SetReadDeadline(t) }
+func (c *Conn) SetReadDeadline(t time.Time) error { return c.socket.SetReadDeadline(t) }
 
 // SetWriteDeadline implements net.Conn. It has no effect.
 func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
--- a/sendbuffer/sendbuffer_test.go
+++ b/sendbuffer/sendbuffer_test.go
@@ -24,7 +24,7 @@
 	assert.NilError(t, peer.(*net.TCPConn).SetReadBuffer(4<<10))
 	c, err := pool.Listen(l).Accept()
 	assert.NilError(t, err)
-	assert.NilError(t, c.(*Conn).tcp.SetWriteBuffer(4<<10))
+	assert.NilError(t, c.(*Conn).socket.(*tcpSocket).SetWriteBuffer(4<<10))
 	t.Cleanup(func() { _, _ = c.Close(), peer.Close() })
 	return c.(*Conn), peer.(*net.TCPConn)
 }
