memnet: a network in memory for tests on virtual time

Connections with a bounded window, deadlines, half-close and resets; datagrams; delay, loss, rates for each box and each pair of regions, one-way silence. It implements network.Network, so that daemons can run over it in a bubble of testing/synctest.

--- /dev/null
+++ b/internal/memnet/conn.go
@@ -0,0 +1,439 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package memnet
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// windowBytes bounds what one end has sent and the other has not read yet.
+	windowBytes = 64 << 10
+	// segmentBytes is the largest part of a write that is sent as one.
+	segmentBytes = 4 << 10
+)
+
+// How long an end with keep-alive probes waits for a silent peer, as in package tcpconn:
+// unackedTimeout for bytes that are not acknowledged, and the idle time with probeInterval
+// otherwise.
+const (
+	unackedTimeout = 1500 * time.Millisecond
+	probeInterval  = time.Second
+)
+
+// Conn is an end of a connection. It implements net.Conn, sendbuffer.Socket and
+// tcpconn.Peeker.
+type Conn struct {
+	n             *Network
+	box           *Box
+	local, remote netip.AddrPort
+	peer          *Conn
+	// idle is the time without traffic before the first probe; 0 is no probes.
+	idle time.Duration
+
+	// changed is signaled when the fields below have changed. Network.mu guards them.
+	changed sync.Cond
+	// queue holds the segments that are on their way to the peer, in order. timer runs
+	// deliver when the first arrives, unless the way to the peer is silent.
+	queue []segment
+	timer *time.Timer
+	// unread is the number of bytes sent that the peer has not read.
+	unread int
+	// received holds the bytes to read; ended reports that the peer sends no more.
+	received []byte
+	ended    bool
+	// err is the error of further reads, once received is empty, and writes.
+	err                     error
+	closed                  bool
+	writeClosed, readClosed bool
+	abort                   bool // Close resets the connection
+	readLimit, writeLimit   deadline
+	// giveUpAt is when this end gives up on a silent peer; zero if that is reachable.
+	giveUpAt    time.Time
+	giveUpTimer *time.Timer
+}
+
+// segment is a part of what an end sends.
+type segment struct {
+	data []byte
+	last bool // the sender sends no more
+	at   time.Time
+	sent time.Time
+}
+
+// deadline is the time from which reads or writes fail.
+type deadline struct {
+	at    time.Time
+	timer *time.Timer
+}
+
+// passed reports whether the deadline has passed.
+func (d *deadline) passed() bool { return !d.at.IsZero() && !time.Now().Before(d.at) }
+
+// between reports whether the connection is one between two boxes.
+func (c *Conn) between(a, b *Box) bool {
+	return c.box == a && c.peer.box == b || c.box == b && c.peer.box == a
+}
+
+// sendLocked sends a segment, which must fit into the window. Network.mu is held.
+func (c *Conn) sendLocked(s segment) {
+	n := c.n
+	s.sent = time.Now()
+	s.at = n.arrivalLocked(c.box, c.peer.box, len(s.data))
+	for n.lostLocked(c.box, c.peer.box) {
+		s.at = s.at.Add(retransmitDelay)
+	}
+	if k := len(c.queue); k > 0 && s.at.Before(c.queue[k-1].at) {
+		s.at = c.queue[k-1].at
+	}
+	c.unread += len(s.data)
+	c.queue = append(c.queue, s)
+	if c.unreachableLocked() {
+		c.giveUpLocked(s.sent.Add(unackedTimeout))
+	}
+	if len(c.queue) == 1 {
+		c.deliverLocked()
+	}
+}
+
+// deliverLocked passes the segments that have arrived to the peer, and sets the timer for
+// the next one. Network.mu is held.
+func (c *Conn) deliverLocked() {
+	for len(c.queue) > 0 && !c.n.silentLocked(c.box, c.peer.box) {
+		s := c.queue[0]
+		if wait := time.Until(s.at); wait > 0 {
+			c.setTimerLocked(wait)
+			return
+		}
+		c.queue = c.queue[1:]
+		c.peer.receiveLocked(s)
+	}
+	c.forgetLocked()
+}
+
+// setTimerLocked runs deliverLocked after a time. Network.mu is held.
+func (c *Conn) setTimerLocked(wait time.Duration) {
+	if c.timer != nil {
+		c.timer.Reset(wait)
+		return
+	}
+	c.timer = time.AfterFunc(wait, func() {
+		c.n.mu.Lock()
+		defer c.n.mu.Unlock()
+		c.deliverLocked()
+	})
+}
+
+// receiveLocked takes a segment of the peer. Network.mu is held.
+func (c *Conn) receiveLocked(s segment) {
+	if c.err != nil {
+		return
+	}
+	if c.closed && len(s.data) > 0 {
+		c.resetLocked()
+		c.failLocked(syscall.ECONNRESET)
+		return
+	}
+	if c.readClosed {
+		c.peer.unread -= len(s.data)
+	} else {
+		c.received = append(c.received, s.data...)
+	}
+	c.ended = c.ended || s.last
+	c.changed.Broadcast()
+}
+
+// resetLocked resets the peer's end after the delay of the way to it, unless that is
+// silent. Network.mu is held.
+func (c *Conn) resetLocked() {
+	if c.n.silentLocked(c.box, c.peer.box) {
+		return
+	}
+	time.AfterFunc(c.n.delayLocked(c.box, c.peer.box), func() {
+		c.n.mu.Lock()
+		defer c.n.mu.Unlock()
+		c.peer.failLocked(syscall.ECONNRESET)
+	})
+}
+
+// failLocked ends the connection at this end with an error. What is on its way to the
+// peer is lost. Network.mu is held.
+func (c *Conn) failLocked(err error) {
+	if c.err == nil {
+		c.err = err
+	}
+	c.queue = nil
+	c.giveUpAt = time.Time{}
+	c.changed.Broadcast()
+	c.forgetLocked()
+}
+
+// forgetLocked removes the end from the network once it has nothing more to send.
+// Network.mu is held.
+func (c *Conn) forgetLocked() {
+	if (c.closed || c.err != nil) && len(c.queue) == 0 {
+		delete(c.n.conns, c)
+	}
+}
+
+// unreachableLocked reports whether the peer is out of reach in one direction or both, so
+// that nothing is acknowledged. Network.mu is held.
+func (c *Conn) unreachableLocked() bool {
+	return c.n.silentLocked(c.box, c.peer.box) || c.n.silentLocked(c.peer.box, c.box)
+}
+
+// silencedLocked is called when a direction has become silent. Network.mu is held.
+func (c *Conn) silencedLocked() {
+	at := time.Now().Add(c.idle + probeInterval)
+	if len(c.queue) > 0 {
+		at = c.queue[0].sent.Add(unackedTimeout)
+	}
+	c.giveUpLocked(at)
+}
+
+// giveUpLocked ends this end at a time, unless the peer can be reached again before.
+// Network.mu is held.
+func (c *Conn) giveUpLocked(at time.Time) {
+	if c.idle == 0 || c.err != nil || !c.giveUpAt.IsZero() && !at.Before(c.giveUpAt) {
+		return
+	}
+	c.giveUpAt = at
+	if c.giveUpTimer != nil {
+		c.giveUpTimer.Stop()
+	}
+	c.giveUpTimer = time.AfterFunc(time.Until(at), func() {
+		c.n.mu.Lock()
+		defer c.n.mu.Unlock()
+		if !c.giveUpAt.IsZero() && !time.Now().Before(c.giveUpAt) {
+			c.failLocked(syscall.ETIMEDOUT)
+		}
+	})
+}
+
+// restoredLocked is called when a direction is no longer silent. Network.mu is held.
+func (c *Conn) restoredLocked() {
+	if !c.unreachableLocked() {
+		c.giveUpAt = time.Time{}
+	}
+	if len(c.queue) > 0 {
+		c.setTimerLocked(retransmitDelay)
+	}
+}
+
+// failure returns err as an error of package net.
+func (c *Conn) failure(op string, err error) error {
+	return &net.OpError{Op: op, Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	for {
+		switch {
+		case c.closed:
+			return 0, c.failure("read", net.ErrClosed)
+		case c.readLimit.passed():
+			return 0, c.failure("read", os.ErrDeadlineExceeded)
+		case len(b) == 0:
+			return 0, nil
+		case len(c.received) > 0:
+			k := copy(b, c.received)
+			c.received = c.received[k:]
+			c.peer.unread -= k
+			c.peer.changed.Broadcast()
+			return k, nil
+		case c.err != nil:
+			return 0, c.failure("read", c.err)
+		case c.ended || c.readClosed:
+			return 0, io.EOF
+		}
+		c.changed.Wait()
+	}
+}
+
+// Write implements net.Conn. It blocks while the window is full.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	for written := 0; ; {
+		if err := c.writeErrorLocked(); err != nil {
+			return written, err
+		}
+		if c.writeLimit.passed() {
+			return written, c.failure("write", os.ErrDeadlineExceeded)
+		}
+		written += c.writeNowLocked(b[written:])
+		if written == len(b) {
+			return written, nil
+		}
+		c.changed.Wait()
+	}
+}
+
+// writeErrorLocked returns the error of writes. Network.mu is held.
+func (c *Conn) writeErrorLocked() error {
+	switch {
+	case c.closed:
+		return c.failure("write", net.ErrClosed)
+	case c.err != nil:
+		return c.failure("write", c.err)
+	case c.writeClosed:
+		return c.failure("write", syscall.EPIPE)
+	}
+	return nil
+}
+
+// writeNowLocked sends what fits into the window. Network.mu is held.
+func (c *Conn) writeNowLocked(b []byte) int {
+	written := 0
+	for written < len(b) && c.unread < windowBytes {
+		k := min(len(b)-written, windowBytes-c.unread, segmentBytes)
+		c.sendLocked(segment{data: append([]byte(nil), b[written:written+k]...)})
+		written += k
+	}
+	return written
+}
+
+// WriteNow implements sendbuffer.Socket.
+func (c *Conn) WriteNow(b []byte) (int, error) {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	if err := c.writeErrorLocked(); err != nil {
+		return 0, err
+	}
+	return c.writeNowLocked(b), nil
+}
+
+// Peek implements tcpconn.Peeker.
+func (c *Conn) Peek() (readable, closed bool) {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	return len(c.received) > 0, c.closed || c.err != nil || c.ended
+}
+
+// Close implements net.Conn. If received bytes have not been read, the connection is
+// reset, as by Linux.
+func (c *Conn) Close() error {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	if c.closed {
+		return c.failure("close", net.ErrClosed)
+	}
+	c.closed = true
+	for _, d := range []*deadline{&c.readLimit, &c.writeLimit} {
+		if d.timer != nil {
+			d.timer.Stop()
+		}
+	}
+	switch {
+	case c.err != nil:
+	case c.abort || len(c.received) > 0:
+		c.resetLocked()
+		c.failLocked(syscall.ECONNRESET)
+	default:
+		c.closeWriteLocked()
+	}
+	c.changed.Broadcast()
+	c.forgetLocked()
+	return nil
+}
+
+// closeWriteLocked sends the end of the stream. Network.mu is held.
+func (c *Conn) closeWriteLocked() {
+	if !c.writeClosed {
+		c.writeClosed = true
+		c.sendLocked(segment{last: true})
+	}
+}
+
+// CloseWrite ends the stream to the peer, as for a *net.TCPConn.
+func (c *Conn) CloseWrite() error {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	if err := c.writeErrorLocked(); err != nil {
+		return err
+	}
+	c.closeWriteLocked()
+	c.changed.Broadcast()
+	return nil
+}
+
+// CloseRead implements sendbuffer.Socket.
+func (c *Conn) CloseRead() error {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	c.readClosed = true
+	c.peer.unread -= len(c.received)
+	c.received = nil
+	c.peer.changed.Broadcast()
+	c.changed.Broadcast()
+	return nil
+}
+
+// SetLinger implements sendbuffer.Socket. With 0, Close resets the connection; other
+// values have no effect.
+func (c *Conn) SetLinger(seconds int) error {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	c.abort = seconds == 0
+	return nil
+}
+
+// LocalAddr implements net.Conn.
+func (c *Conn) LocalAddr() net.Addr { return net.TCPAddrFromAddrPort(c.local) }
+
+// RemoteAddr implements net.Conn.
+func (c *Conn) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(c.remote) }
+
+// setLocked sets a deadline. Network.mu is held.
+func (c *Conn) setLocked(d *deadline, at time.Time) {
+	if d.timer != nil {
+		d.timer.Stop()
+		d.timer = nil
+	}
+	d.at = at
+	if c.closed {
+		return
+	}
+	if d.passed() {
+		c.changed.Broadcast()
+	} else if !at.IsZero() {
+		d.timer = time.AfterFunc(time.Until(at), func() {
+			c.n.mu.Lock()
+			defer c.n.mu.Unlock()
+			c.changed.Broadcast()
+		})
+	}
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(t time.Time) error {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	c.setLocked(&c.readLimit, t)
+	c.setLocked(&c.writeLimit, t)
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	c.setLocked(&c.readLimit, t)
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	c.setLocked(&c.writeLimit, t)
+	return nil
+}
