--- a/cmd/mintlift/outage_test.go
+++ b/cmd/mintlift/outage_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -151,15 +152,29 @@
 // holds further settings as JSON fields, each preceded by a comma.
 func newPlatformProcess(t *testing.T, ip, store, extra string) *platformProcess {
 	t.Helper()
-	settings, err := platform.ParseSettings(fmt.Appendf(nil, `{"node_name":"%[1]s","ip":"%[1]s","zone":"z","region":"r","zones":{"z":"r"},
+	return newProcessOn(t, network.System{}, place{ip, "z", map[string]string{"z": "r"}}, store, extra)
+}
+
+// place is where a daemon runs. regions are the regions of all availability zones.
+type place struct {
+	ip, zone string
+	regions  map[string]string
+}
+
+// newProcessOn is like newPlatformProcess, for a daemon at a place of a network.
+func newProcessOn(t *testing.T, n network.Network, at place, store, extra string) *platformProcess {
+	t.Helper()
+	zones, err := json.Marshal(at.regions)
+	assert.NilError(t, err)
+	settings, err := platform.ParseSettings(fmt.Appendf(nil, `{"node_name":"%[1]s","ip":"%[1]s","zone":%[6]q,"region":%[7]q,"zones":%[8]s,
 		"listen":{"front":"%[1]s:8005","ready":"%[1]s:8002"},"internal_ports":[7700,7715],"limits":{"link_mbps":80},
-		"bounds":{"grace_s":5,"config_apply_ms":%d,"contact_ms":%d,"drain_ms":2000,"version_ms":8000,"retry_budget_ratio":0.2,"budget_window_s":10,"budget_slack":100},
-		"platform":{"address":%q}%s}`, ip, configApplyTimeout.Milliseconds(), propagationTimeout.Milliseconds(), store, extra))
+		"bounds":{"grace_s":5,"config_apply_ms":%[2]d,"contact_ms":%[3]d,"drain_ms":2000,"version_ms":8000,"retry_budget_ratio":0.2,"budget_window_s":10,"budget_slack":100},
+		"platform":{"address":%[4]q}%[5]s}`, at.ip, configApplyTimeout.Milliseconds(), propagationTimeout.Milliseconds(), store, extra, at.zone, at.regions[at.zone], zones))
 	assert.NilError(t, err)
 	metrics := telemetry.NewMetrics()
 	return &platformProcess{
-		settings: settings, network: network.System{}, requestLog: logr.Discard(), log: logr.Discard(), metrics: metrics,
-		watcher: platform.NewWatcher(platform.NewStore(network.System{}, settings.Store.Address), logr.Discard(), metrics),
+		settings: settings, network: n, requestLog: logr.Discard(), log: logr.Discard(), metrics: metrics,
+		watcher: platform.NewWatcher(platform.NewStore(n, settings.Store.Address), logr.Discard(), metrics),
 	}
 }
 
