--- a/sendbuffer/sendbuffer_test.go
+++ b/sendbuffer/sendbuffer_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/internal/tcpconn"
 )
 
 // accept returns a connection with a buffer of pool, and the other side of it, whose
@@ -144,3 +146,27 @@
 	_, err := c.Write([]byte{'x'})
 	assert.Assert(t, err != nil)
 }
+
+// BenchmarkWrite writes to a connection that is read at once, and checks before each
+// write whether the other side has closed it.
+func BenchmarkWrite(b *testing.B) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(b, err)
+	defer l.Close()
+	peer, err := net.Dial("tcp4", l.Addr().String())
+	assert.NilError(b, err)
+	defer peer.Close()
+	go func() { _, _ = io.Copy(io.Discard, peer) }()
+	c, err := NewPool(1<<20, nil).Listen(l).Accept()
+	assert.NilError(b, err)
+	defer c.Close()
+	text := bytes.Repeat([]byte{'x'}, 100)
+	b.ReportAllocs()
+	for b.Loop() {
+		if tcpconn.Closed(c) {
+			b.Fatal("closed")
+		}
+		_, err := c.Write(text)
+		assert.NilError(b, err)
+	}
+}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -316,3 +317,20 @@
 	assert.NilError(t, err)
 	assert.Equal(t, p.Opened(), uint64(2))
 }
+
+// BenchmarkDo sends requests on one pooled connection.
+func BenchmarkDo(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "body") }))
+	defer server.Close()
+	p, address := pool(), strings.TrimPrefix(server.URL, "http://")
+	defer p.CloseAllIdle()
+	b.ReportAllocs()
+	for b.Loop() {
+		r, err := p.Do(b.Context(), address, &Request{Method: http.MethodGet, URI: "/", Host: "h"})
+		assert.NilError(b, err)
+		_, err = io.Copy(io.Discard, r.Body)
+		assert.NilError(b, err)
+		r.MarkBodyRead()
+		r.Close()
+	}
+}
