--- a/storewatch/follow.go
+++ b/storewatch/follow.go
@@ -54,6 +54,9 @@
 	// Repairs, if not nil, corrects snapshots in which the newest record of a key has not
 	// the highest version. The versions are those passed to Watcher.Keep.
 	Repairs *Repairs
+	// OnRepair receives the corrections that arrive later than the snapshot. Their content
+	// was written at an unknown time before it. It must be set with Repairs.
+	OnRepair func(Record)
 
 	// confirmed is the time as of which the received records are complete.
 	confirmed time.Time
@@ -65,12 +68,15 @@
 	// checkedAt is the time of the last recheck, or of the event that made rechecks
 	// necessary. recheckUntil is when rechecks end; zero means that there are none.
 	checkedAt, recheckUntil time.Time
-	// pendingRepairs receives the repairs that were not read in time for the last snapshot;
-	// nil if there are none.
-	pendingRepairs <-chan repairsRead
-	// superseded holds the records that the last read of the store found replaced by
-	// records of lower versions.
-	superseded []versionedRecord
+	// snapshotEnd is the end of the topic as of the last snapshot, and historyLength the
+	// number of records before it that may correct it. pendingCorrections receives the
+	// corrections that were not read in time; it is nil if there are none.
+	snapshotEnd        history.Position
+	historyLength      int64
+	pendingCorrections <-chan corrections
+	// unrepaired holds records of the history that corrected the last snapshot, and that
+	// have not been written as repairs yet.
+	unrepaired []versionedRecord
 }
 
 // Gate decides whether a process may read a topic from the store, or must get its records
@@ -237,13 +243,15 @@
 	}
 }
 
-// repair writes the records that the last step found replaced by older ones as repairs, in
-// a goroutine of group.
+// repair writes the records that the store holds replaced by lower versions as repairs, in
+// a goroutine of group. era is the era of the last step.
 func (w *Watcher) repair(ctx context.Context, s *Source, era int64, group *sync.WaitGroup) {
 	if s.Repairs == nil {
 		return
 	}
-	if records := s.Repairs.claim(s.superseded, era); len(records) > 0 {
+	records := s.Repairs.claim(append(s.unrepaired, w.superseded(s, era)...), era)
+	s.unrepaired = nil
+	if len(records) > 0 {
 		w.metrics.Counter("mintlift_operator_repairs_total").Add(len(records))
 		group.Go(func() { s.Repairs.write(ctx, records) })
 	}
