--- a/cmd/mintlift/platform.go
+++ b/cmd/mintlift/platform.go
@@ -15,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/telemetry"
 )
@@ -57,6 +58,7 @@
 // loggers, metrics and a watcher of the platform's store.
 type platformProcess struct {
 	settings   *platform.Settings
+	network    network.Network
 	requestLog logr.Logger // one line per request
 	log        logr.Logger // events of the process and changes of its state
 	metrics    *telemetry.Metrics
@@ -93,12 +95,14 @@
 		debug.SetMemoryLimit(limit * gcLimitPercent / 100)
 	}
 	metrics := telemetry.NewMetrics()
+	system := network.System{}
 	p := &platformProcess{
 		settings:   settings,
+		network:    system,
 		requestLog: telemetry.NamedLogger(telemetry.NewLogger(sink, level), component),
 		log:        log,
 		metrics:    metrics,
-		watcher:    platform.NewWatcher(platform.NewStore(settings.Store.Address), log, metrics),
+		watcher:    platform.NewWatcher(platform.NewStore(system, settings.Store.Address), log, metrics),
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/cmd/mintlift/platform_test.go
+++ b/cmd/mintlift/platform_test.go
@@ -20,6 +20,7 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/installer"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/platform/storetest"
@@ -60,11 +61,11 @@
 		_, _ = w.Write(make([]byte, 16))
 	}))
 	defer store.Close()
-	publisher, err := loadreport.NewPublisher("127.0.0.1:17701")
+	publisher, err := loadreport.NewPublisher(network.System{}, "127.0.0.1:17701")
 	assert.NilError(t, err)
 	go publisher.Run(func(loadreport.Notice) {})
 	defer publisher.Close()
-	subscriber, err := loadreport.NewSubscriber("127.0.0.1:0")
+	subscriber, err := loadreport.NewSubscriber(network.System{}, "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -77,9 +78,9 @@
 	p := &platformProcess{
 		settings: &platform.Settings{},
 		log:      logr.Discard(),
-		watcher:  platform.NewWatcher(platform.NewStore(strings.TrimPrefix(store.URL, "http://")), logr.Discard(), telemetry.NewMetrics()),
+		watcher:  platform.NewWatcher(platform.NewStore(network.System{}, strings.TrimPrefix(store.URL, "http://")), logr.Discard(), telemetry.NewMetrics()),
 	}
-	go newFallback(p, discardOperator{}, func(loadreport.Notice) {}, newSidecarGateways(p, publisher), storerelay.NewClient()).run(ctx)
+	go newFallback(p, discardOperator{}, func(loadreport.Notice) {}, newSidecarGateways(p, publisher), storerelay.NewClient(network.System{})).run(ctx)
 	time.Sleep(gatewayTimeout + gatewayTimeoutJitter + time.Second)
 	assert.Equal(t, newest.Load()+reads.Load(), int32(0))
 	stopNotices()
@@ -111,7 +112,7 @@
 		t.Fatal("no notice is due after a target version was set")
 	}
 
-	watcher := platform.NewWatcher(platform.NewStore("127.0.0.1:1"), logr.Discard(), telemetry.NewMetrics())
+	watcher := platform.NewWatcher(platform.NewStore(network.System{}, "127.0.0.1:1"), logr.Discard(), telemetry.NewMetrics())
 	notice := func() loadreport.Notice {
 		for _, g := range newNotices(settings, server, watcher).groups(now) {
 			if len(g.Sidecars) > 0 {
