ingress: a repeated request without a place is refused at once

Callers that came back after a refusal were held while all zones with endpoints of the service were evacuated, or while their allowed regions had none: 0.74 s with 1.7 s left (0.3 of what is left, 1.2 s at most). So was a request that waited when its last zone was evacuated or a configuration took its last region away (0.69 s), and a gateway's own retry (1.32 s: 0.12 s and then 1.2 s).

Cause: only a first try asked whether any endpoint could serve it, and only when it was queued. Repeats wait since an endpoint may come back from a backoff, a load or a failure; nothing told that from an endpoint that is at the wrong place.

Change: fleet.NoPlace tells whether a service has endpoints of which none may get the request because of its zone or region. The queue asks it for every waiter at each dispatch, so at the start, at an evacuation and at a new configuration, which dispatches now. The regions of a service's endpoints are cached, since a dispatch runs at each report. While the list is not known whole, waiters stay, and a service without any endpoint is not refused so. What the answer says is decided where it was: 503 with Retry-After only if no endpoint may have run it, else 502.

No existing test changed.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/mintlift/mintlift/residency"
@@ -321,3 +322,22 @@
 	}
 	return count
 }
+
+// NoPlace reports whether none of a service's endpoints may receive requests that may be
+// served in the given regions, because all are elsewhere or in evacuated zones. It is false
+// for a service without endpoints.
+func (f *Fleet) NoPlace(service string, regions residency.Regions) bool {
+	if len(f.byService[service]) == 0 {
+		return false
+	}
+	open, ok := f.openRegions[service]
+	if !ok {
+		for _, e := range f.byService[service] {
+			if !e.evacuated && !slices.Contains(open, e.region) {
+				open = append(open, e.region)
+			}
+		}
+		f.openRegions[service] = open
+	}
+	return !regions.AllowsAny(open)
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -112,6 +112,9 @@
 	// watchedByService caches the results of watched for large services. An entry is
 	// removed when the service's endpoints change.
 	watchedByService map[string][]*Endpoint
+	// openRegions caches the regions of each service's endpoints outside evacuated zones.
+	// An entry is removed when the service's endpoints change.
+	openRegions map[string][]string
 	// localGateways are the hashes of the gateways of this gateway's region; nil while
 	// they are unknown.
 	localGateways []uint64
@@ -127,6 +130,7 @@
 	return &Fleet{
 		place:            place,
 		watchedByService: make(map[string][]*Endpoint),
+		openRegions:      make(map[string][]string),
 		evacuated:        make(map[string]bool),
 		signals:          backpressure.NewTable(),
 		byID:             make(map[string]*Endpoint),
@@ -165,7 +169,7 @@
 		f.byID[r.ID] = e
 		f.byAddress[r.Address] = e
 		f.byService[r.Service] = append(f.byService[r.Service], e)
-		f.invalidateWatched(r.Service)
+		f.endpointsChanged(r.Service)
 		return true
 	}
 	r.StartedMS = max(r.StartedMS, e.StartedMS)
@@ -173,6 +177,9 @@
 	e.StartedMS = r.StartedMS
 	e.Signals.SetStartedMS(r.StartedMS)
 	if changed {
+		if e.Zone != r.Zone {
+			f.endpointsChanged(r.Service)
+		}
 		e.Record = r
 		e.misdirected = false
 		f.locate(e)
@@ -197,6 +204,7 @@
 		f.locate(e)
 	}
 	clear(f.watchedByService)
+	clear(f.openRegions)
 }
 
 // replaceIncarnation replaces e by a new incarnation, started at startedMS, whose
@@ -230,7 +238,7 @@
 		return false
 	}
 	delete(f.byID, id)
-	f.invalidateWatched(e.Service)
+	f.endpointsChanged(e.Service)
 	if f.byAddress[e.Address] == e {
 		delete(f.byAddress, e.Address)
 	}
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -234,5 +234,8 @@
 	return list[:min(n, len(list))]
 }
 
-// invalidateWatched discards the cached watched endpoints of a service.
-func (f *Fleet) invalidateWatched(service string) { delete(f.watchedByService, service) }
+// endpointsChanged discards what is cached of the endpoints of a service.
+func (f *Fleet) endpointsChanged(service string) {
+	delete(f.watchedByService, service)
+	delete(f.openRegions, service)
+}
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -136,6 +136,8 @@
 // its own signals, such as draining, the text contains the ID of one of them.
 func (x *exchange) refusalCause(c fleet.Closure) string {
 	switch {
+	case c.Reason == fleet.Open && x.server.noPlace(x):
+		return x.lastCauseOr("all endpoints are in evacuated zones or other regions than " + x.regions.String())
 	case c.Reason == fleet.Open:
 		return x.lastCauseOr("no endpoint has room")
 	case c.Until.IsZero():
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -182,6 +182,9 @@
 	}
 	s.events.Info("configuration applied", "version", c.Version, "services", len(c.Services))
 	s.putConfigured()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatchAll(clock.Now()) // the regions of waiting requests may have changed
 }
 
 // Configuration returns the configuration in force, or nil if there is none yet.
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -95,6 +95,10 @@
 		return
 	}
 	defer s.scheduleDispatch(service, q, now)
+	s.refuseUnplaced(service, q)
+	if len(q.waiters) == 0 {
+		return
+	}
 	s.refuseClosed(q, now)
 	if len(q.waiters) == 0 {
 		return
@@ -128,6 +132,24 @@
 	q.waiters = kept
 }
 
+// refuseUnplaced refuses each waiter that no endpoint on the list may serve because of its
+// regions or because of evacuated zones. Only the operator or a new endpoint can change
+// that, so waiting would merely delay the caller's retry. While the list is incomplete, the
+// waiters stay: the next entry may be of an endpoint that may serve them. Server.mu must be
+// held.
+func (s *Server) refuseUnplaced(service string, q *queue) {
+	if !s.listKnown {
+		return
+	}
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
+		if !s.fleet.NoPlace(service, s.regionsOf(w.exchange)) {
+			return false
+		}
+		w.assigned <- nil
+		return true
+	})
+}
+
 // refuseClosed refuses each waiter that no endpoint will accept before its deadline,
 // because all are draining, in backoff or at their rate limits. Server.mu must be held.
 func (s *Server) refuseClosed(q *queue, now time.Time) {
--- a/ingress/regions.go
+++ b/ingress/regions.go
@@ -36,3 +36,11 @@
 	x.regions = allowedRegions(c, route, x.key)
 	return x.regions
 }
+
+// noPlace reports whether the service of x has endpoints, none of which may serve x because
+// of their regions or because of evacuated zones.
+func (s *Server) noPlace(x *exchange) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.NoPlace(x.service, s.regionsOf(x))
+}
