readerset: a reader that the store turns away asks gateways of lower rank, too

In a region of two gateways, the one of rank 1 got nothing for as long as the store turned it away, although the other had all records.

Cause: a reader whose store had failed asked gateways of higher rank only. In a region of two there is none above rank 1; in a larger one they have what the first reader hands on.

Change: it asks all others, those of lower rank first. A gateway of rank 2 or higher that reads in place of others has just failed at all lower ones, which stay excluded, so nothing changes for it; at most two are asked in a round as before. TestReaderTurnedAwayAsksAnyOther failed before (2 gateways, rank 1: no data at all after 22 s of virtual time) and passes; the counts of reads of the other tests hold.

--- a/readerset/readerset.go
+++ b/readerset/readerset.go
@@ -136,7 +136,9 @@
 		if !now.Before(s.storeRetryAt) {
 			return nil
 		}
-		return s.working(s.ranked[s.rank+1:], now)
+		// Gateways of lower rank come first. They have failed lately unless this gateway is
+		// itself a reader, and then they are readers, too.
+		return s.working(s.ranked, now)
 	}
 	lower := s.working(s.ranked[:s.rank], now)
 	if n := min(ReadersPerRegion, len(lower)); n > 0 && len(lower) > 0 {
--- a/readerset/readerset_test.go
+++ b/readerset/readerset_test.go
@@ -221,3 +221,21 @@
 	assert.Equal(t, len(ranked), 4)
 	assert.Assert(t, ranked[0] == "b" && ranked[1] == "d" || ranked[0] == "d" && ranked[1] == "b", "%v", ranked)
 }
+
+// A reader that the store turns away must get recent data from another gateway, whichever
+// rank that has: in a region of two, the other reader is all there is.
+func TestReaderTurnedAwayAsksAnyOther(t *testing.T) {
+	for _, n := range []int{2, 3, 61} {
+		for rank := range ReadersPerRegion {
+			t.Run(fmt.Sprint(n, " gateways, rank ", rank), func(t *testing.T) {
+				now := time.Unix(1000, 0)
+				r := newRegion(n, n, now)
+				r.byIP[r.members[0].set.Ranked()[rank]].refused = true
+				now, _, _ = r.run(now, 2*time.Second)
+				_, most, oldest := r.run(now, 20*time.Second)
+				assert.Check(t, most <= maxReads, "%d reads at once", most)
+				assert.Check(t, oldest < bound, "%s", oldest)
+			})
+		}
+	}
+}
