cmd/mintlift: a gateway that the store turns away at its start finds others through the seeds

Cause: gateways know each other from their announcements in the store alone.

Change: the gateway role serves control calls, so that its settings name the control addresses of up to three machines. A gateway that the store has not told the others within 80 ms (1 s at the first start of all) asks all seeds at once for gateways of its region, and gets the first eight in rank; from there on it follows them as any follower does, with the same checks of age and era. A seed of another region reads its announcements once in 2 s, whatever number ask. The seed's word is used only until the store has told all, and the gateway asks others before the store, since the store has just failed it. Questions repeat after 0.15 s, doubling to 4 s. The response does not grow with the region (under 500 bytes); what reaches a seed is 6 questions for each gateway turned away in the first 6 s, none in calm (formula in capacity/control.go, counted by a test).

Changes to existing tests: startRouteDeployment is split, since the new test needs the store without a gateway; newTestMembers gives the process its regions. No check changed.

--- a/capacity/control.go
+++ b/capacity/control.go
@@ -89,3 +89,29 @@
 func (c Control) GatewayBytes() float64 {
 	return float64(c.Watched()) * ((calmReportsPerSecond+noticesPerSecond)*reportBytes + noticesPerSecond*noticeBytes)
 }
+
+// Questions of a gateway that the store turns away at its start, to each of the seeds: the
+// pause begins at firstSeedPause and doubles up to lastSeedPause, and a response names at
+// most a few gateways.
+const (
+	firstSeedPause    = 150 * time.Millisecond
+	lastSeedPause     = 4 * time.Second
+	seedResponseBytes = 600 // with headers
+)
+
+// SeedQuestions returns the highest number of questions that reach a seed within a time
+// after the start of gateways that the store turns away. No others ask.
+func SeedQuestions(turnedAway int, within time.Duration) float64 {
+	n := 1
+	for at, pause := firstSeedPause, firstSeedPause; at < within; at += pause {
+		n++
+		pause = min(2*pause, lastSeedPause)
+	}
+	return float64(turnedAway * n)
+}
+
+// SeedBytes returns the bytes a second that a seed sends while gateways that have started
+// are turned away for long.
+func SeedBytes(turnedAway int) float64 {
+	return float64(turnedAway*seedResponseBytes) / lastSeedPause.Seconds()
+}
--- a/cmd/mintlift/outage_test.go
+++ b/cmd/mintlift/outage_test.go
@@ -124,11 +124,11 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-// startRouteDeployment starts a gateway at the address network.1 and waits until it
-// serves. network is the first three numbers of a loopback network's addresses.
-func startRouteDeployment(t *testing.T, network string) *routeDeployment {
+// newRouteStore returns a deployment without gateways, and the address of its store, which
+// has the endpoints and a configuration.
+func newRouteStore(t *testing.T) (d *routeDeployment, store string) {
 	t.Helper()
-	d := &routeDeployment{store: storetest.New(), front: net.JoinHostPort(network+".1", "8005")}
+	d = &routeDeployment{store: storetest.New()}
 	server := httptest.NewServer(d.store)
 	t.Cleanup(func() {
 		d.store.Close()
@@ -139,7 +139,16 @@
 		d.store.Put(storetest.Endpoints, service, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","cold_remaining_ms":0,"sequence":1}`, service, startEndpoint(t, service)))
 	}
 	d.configure(1, "before")
-	startGateway(t, network+".1", strings.TrimPrefix(server.URL, "http://"))
+	return d, strings.TrimPrefix(server.URL, "http://")
+}
+
+// startRouteDeployment starts a gateway at the address network.1 and waits until it
+// serves. network is the first three numbers of a loopback network's addresses.
+func startRouteDeployment(t *testing.T, network string) *routeDeployment {
+	t.Helper()
+	d, store := newRouteStore(t)
+	d.front = net.JoinHostPort(network+".1", "8005")
+	startGateway(t, network+".1", store)
 	for began := time.Now(); d.request() != "before"; time.Sleep(20 * time.Millisecond) {
 		assert.Assert(t, time.Since(began) < 20*time.Second, "the gateway does not serve")
 	}
--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -182,7 +182,15 @@
 		}
 		return 0
 	})
+	if s.Listen.Control != "" {
+		control, err := group.listen(s.Listen.Control)
+		if err != nil {
+			return group, errors.Trace(err)
+		}
+		group.serve(control, &http.Server{Handler: storerelay.MembersHandler(members), ReadHeaderTimeout: headerTimeout})
+	}
 	group.spawn(func() { members.run(ctx, s.Bootstrap) })
+	group.spawn(func() { members.askSeeds(ctx, s) })
 	group.spawn(func() {
 		p.watcher.WatchOperator(ctx, operator, recordRelay(storerelay.NewRecordFollower(recordReaders, s.ConfigBudget(), p.log)), recordReaders, s.ConfigBudget())
 	})
--- a/cmd/mintlift/platform_members.go
+++ b/cmd/mintlift/platform_members.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -42,13 +43,23 @@
 	server        *ingress.Server
 	log           logr.Logger
 	announcedAt   time.Time
+	// others are the other regions of the deployment, by name.
+	others map[string]*otherRegion
+
+	mu sync.Mutex
+	// members are the gateways of the region, as far as they are known. fromStore reports
+	// that the store has told them all, and seeded that a seed has told some.
+	members           []readerset.Member
+	fromStore, seeded bool
 }
 
 // newRegionMembers returns the members of a gateway's region.
 func newRegionMembers(p *platformProcess, server *ingress.Server, readers ...*storerelay.Readers) *regionMembers {
 	s := p.settings
+	topic := p.watcher.Store().OwnTopic(storerelay.AnnouncementsTopic)
 	return &regionMembers{
-		announcements: storerelay.NewAnnouncements(p.watcher.Store().OwnTopic(storerelay.AnnouncementsTopic), s.Region, s.Store.Parts),
+		announcements: storerelay.NewAnnouncements(topic, s.Region, s.Store.Parts),
+		others:        newOtherRegions(s, topic),
 		own:           storerelay.Announcement{IP: s.IP, Region: s.Region, LinkRate: s.LinkRate()},
 		readers:       readers, server: server, log: p.log,
 	}
@@ -118,9 +129,12 @@
 	if len(members) == 0 {
 		return false, true
 	}
+	m.mu.Lock()
+	m.members, m.fromStore = members, true
 	for _, r := range m.readers {
 		r.SetMembers(members)
 	}
+	m.mu.Unlock()
 	m.server.SetLocalGateways(ips)
 	return listed, true
 }
--- a/cmd/mintlift/platform_members_test.go
+++ b/cmd/mintlift/platform_members_test.go
@@ -28,7 +28,7 @@
 // newTestMembers returns the members of a region as a gateway with the address ip sees
 // them, and its view of who reads the store.
 func newTestMembers(address, ip, region string, linkMbps float64) (*regionMembers, *storerelay.Readers) {
-	s := &platform.Settings{IP: ip, Region: region}
+	s := &platform.Settings{IP: ip, Region: region, Regions: map[string]string{"z": "r", "y": "r2"}}
 	s.Limits.LinkMbps = linkMbps
 	s.Store.Parts = 1
 	p := &platformProcess{settings: s, log: logr.Discard(), watcher: platform.NewWatcher(platform.NewStore(address), logr.Discard(), telemetry.NewMetrics())}
