--- a/cmd/mintlift/crash_test.go
+++ b/cmd/mintlift/crash_test.go
@@ -123,6 +123,8 @@
 type engineDeployment struct {
 	store    *storetest.Store
 	gateways []string // IP:PORT of the gateways' listeners for callers
+	// storeAddress is the IP:PORT of store, and config the first configuration in it.
+	storeAddress, config string
 
 	mu           sync.Mutex
 	crashes      []time.Time // times of the engines' crashes
@@ -152,12 +154,14 @@
 		server.Close()
 	})
 	store := strings.TrimPrefix(server.URL, "http://")
-	d.store.Put(storetest.Operator, "config", `{"version":1,
+	d.storeAddress = store
+	d.config = `{"version":1,
 		"routes":[{"name":"s","host":"h.example","path_prefix":"/s/","kind":"streaming","timeout_ms":3000,"target_latency_ms":800,"target_gap_ms":400,"service":"e","max_attempts":2,"public":true,"resumable":true},
 			{"name":"p","host":"h.example","path_prefix":"/p/","kind":"safe","timeout_ms":3000,"target_latency_ms":800,"service":"p","max_attempts":2,"public":true}],
 		"services":[{"name":"e","max_connections":500,"engine":{"slots":16,"models":[{"name":"m"}],"step_ms":8,"read_per_s":20000,"usual":{"prompt":100,"answer":10}}},
 			{"name":"p","max_connections":500}],
-		"limits":{"max_body_bytes":1048576,"idle_timeout_ms":15000}}`)
+		"limits":{"max_body_bytes":1048576,"idle_timeout_ms":15000}}`
+	d.store.Put(storetest.Operator, "config", d.config)
 	for n := range count {
 		start(d, t, fmt.Sprintf("%s.%d", network, 100+n), store)
 	}
@@ -227,6 +231,16 @@
 	return response.StatusCode, response.Header
 }
 
+// awaitPath waits until the gateway with the index n serves requests for a path.
+func (d *engineDeployment) awaitPath(t *testing.T, path string, n int) {
+	t.Helper()
+	began := time.Now()
+	for status := 0; status != http.StatusOK; time.Sleep(20 * time.Millisecond) {
+		status, _ = d.sendToPath(path, n, "text")
+		assert.Assert(t, time.Since(began) < 20*time.Second, "gateway %d does not serve %s", n, path)
+	}
+}
+
 // crashTimes returns the moments of all crashes of engines so far.
 func (d *engineDeployment) crashTimes() []time.Time {
 	d.mu.Lock()
--- a/cmd/mintlift/limit_test.go
+++ b/cmd/mintlift/limit_test.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -147,6 +148,8 @@
 	id         string
 	service    string
 	address    string
+	zone       string        // "z" if empty
+	cold       time.Duration // how long the endpoint is cold, according to its entry
 
 	signals enginetest.Signals
 
@@ -201,8 +204,9 @@
 	if e.service == "e" {
 		models = `,"models":[{"name":"m","version":1,"adapters":[]}]`
 	}
+	zone := cmp.Or(e.zone, "z")
 	e.deployment.store.Put(storetest.Endpoints, e.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":16,"state":%q,"cold_remaining_ms":0%s,"sequence":1}`, e.service, e.address, state, models))
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":16,"state":%q,"cold_remaining_ms":%d%s,"sequence":1}`, e.service, e.address, zone, state, e.cold.Milliseconds(), models))
 }
 
 // arrivals returns the requests that have reached the endpoint so far.
@@ -219,7 +223,7 @@
 		_, _ = io.WriteString(w, `{"stage":"unified","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":1,"queued":0,"running":0}`)
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body) // an aborted request ends the response, too
+	body, _ := io.ReadAll(r.Body) // an aborted request ends the response, too
 	id := r.Header.Get(platform.Headers().RequestID)
 	h := w.Header()
 	h.Set(platform.Headers().RequestID, id)
@@ -237,10 +241,32 @@
 		return
 	}
 	h.Set(platform.Headers().Seal, "seal")
+	if strings.HasPrefix(string(body), longBody) {
+		h.Set(platform.Headers().Seal, "seal of "+e.id)
+		writeLongStream(w)
+		return
+	}
 	time.Sleep(5 * time.Millisecond)
 	_, _ = io.WriteString(w, "id: 1\ndata: token\n\n")
 }
 
+// A request whose body begins with longBody gets a stream of longEvents events at an
+// interval of longInterval.
+const (
+	longBody     = "long"
+	longEvents   = 20
+	longInterval = 100 * time.Millisecond
+)
+
+// writeLongStream writes the events of a long stream.
+func writeLongStream(w http.ResponseWriter) {
+	for n := range longEvents {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token\n\n", n+1)
+		w.(http.Flusher).Flush()
+		time.Sleep(longInterval)
+	}
+}
+
 // gatewayFromID returns the number of the gateway that a request ID contains. The ID
 // must come from engineDeployment.sendToPath.
 func gatewayFromID(id string) string {
