--- a/cmd/mintlift/platform_seeds.go
+++ b/cmd/mintlift/platform_seeds.go
@@ -15,6 +15,7 @@
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/readerset"
 	"github.com/mintlift/mintlift/storerelay"
+	"github.com/mintlift/mintlift/storewatch"
 )
 
 // Timing of questions to the seeds, the gateways that the settings name.
@@ -114,7 +115,7 @@
 }
 
 // newOtherRegions returns the regions of a deployment other than a gateway's own, by name.
-func newOtherRegions(s *platform.Settings, topic storerelay.Topic) map[string]*otherRegion {
+func newOtherRegions(s *platform.Settings, topic storewatch.Topic) map[string]*otherRegion {
 	out := make(map[string]*otherRegion)
 	for _, region := range s.Regions {
 		if region != s.Region && out[region] == nil {
--- a/storewatch/repair_test.go
+++ b/storewatch/repair_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -24,6 +25,7 @@
 type logStore struct {
 	mu      sync.Mutex
 	records []storewatch.Record
+	first   int64 // the first offset that is retained
 	changed chan struct{}
 }
 
@@ -39,11 +41,34 @@
 func (s *logStore) put(key string, version int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.putLocked(key, version)
+}
+
+// putAt appends a record if the store ends at an offset, and reports whether it does.
+func (s *logStore) putAt(at int64, key string, version int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at != int64(len(s.records)) {
+		return false
+	}
+	s.putLocked(key, version)
+	return true
+}
+
+// putLocked implements put. logStore.mu is held.
+func (s *logStore) putLocked(key string, version int) {
 	s.records = append(s.records, storewatch.Record{Key: key, Value: []byte(strconv.Itoa(version)), Offset: int64(len(s.records))})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// compact drops all records but the newest of each key.
+func (s *logStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first = int64(len(s.records))
+}
+
 // Newest implements storewatch.Store.
 func (s *logStore) Newest(context.Context, string) (*storewatch.Newest, error) {
 	s.mu.Lock()
@@ -66,9 +91,12 @@
 	deadline := time.After(wait)
 	for {
 		s.mu.Lock()
-		end, changed := int64(len(s.records)), s.changed
-		out := append([]storewatch.Record(nil), s.records[from.Offset:]...)
+		end, changed, gone := int64(len(s.records)), s.changed, from.Offset < s.first
+		out := slices.Clone(s.records[from.Offset:])
 		s.mu.Unlock()
+		if gone {
+			return nil, history.Position{Offset: s.first}, storewatch.ErrGone
+		}
 		if len(out) > 0 {
 			return out, history.Position{Offset: end}, nil
 		}
@@ -93,6 +121,15 @@
 	appends int
 	failing bool
 	delay   time.Duration
+	// late, unless 0, is when the next append is carried out; it gets no response.
+	late time.Duration
+}
+
+// loseNext makes the next append fail although it is carried out, after a delay.
+func (r *repairTopic) loseNext(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.late = delay
 }
 
 // fault delays a call or fails it, as the topic's faults say.
@@ -107,26 +144,35 @@
 	return nil
 }
 
-// Append implements storewatch.RepairTopic.
-func (r *repairTopic) Append(_ context.Context, _ int, key string, value []byte) error {
+// Append implements storewatch.Topic.
+func (r *repairTopic) Append(_ context.Context, _ int, at int64, key string, value []byte) error {
 	if err := r.fault(); err != nil {
 		return err
 	}
 	version, err := strconv.Atoi(string(value))
-	r.put(key, version)
+	r.mu.Lock()
+	late := r.late
+	r.late = 0
+	r.mu.Unlock()
+	if late > 0 {
+		time.AfterFunc(late, func() { r.putAt(at, key, version) })
+		return errors.New("no response")
+	}
+	if !r.putAt(at, key, version) {
+		return errors.New("the topic does not end there")
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.appends++
 	return err
 }
 
-// Newest implements storewatch.RepairTopic.
-func (r *repairTopic) Newest(ctx context.Context, _ int) ([]storewatch.Record, error) {
+// Newest implements storewatch.Topic.
+func (r *repairTopic) Newest(ctx context.Context, _ int) (*storewatch.Newest, error) {
 	if err := r.fault(); err != nil {
 		return nil, err
 	}
-	newest, err := r.logStore.Newest(ctx, "")
-	return newest.Records, err
+	return r.logStore.Newest(ctx, "")
 }
 
 // set changes the topic's faults.
@@ -169,7 +215,8 @@
 				apply(r)
 			}
 		},
-		Repairs: storewatch.NewRepairs(topic, version, logr.Discard()),
+		OnRepair: apply,
+		Repairs:  storewatch.NewRepairs(topic, version, logr.Discard()),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -184,7 +231,7 @@
 	return w, func() []int {
 		mu.Lock()
 		defer mu.Unlock()
-		return append([]int(nil), applied...)
+		return slices.Clone(applied)
 	}
 }
 
@@ -213,6 +260,40 @@
 	})
 }
 
+// Guards against a process that starts with an older version, because nothing ran when its
+// write was carried out last. The store may not retain the records before.
+func TestSnapshotIsCorrectedByRetainedRecords(t *testing.T) {
+	for name, c := range map[string]struct {
+		between  int   // records of another key between the two versions
+		retained int64 // the first offset that is retained
+		applied  int
+		repairs  int
+	}{
+		"all retained":       {between: 40, applied: 3, repairs: 1},
+		"shortly before":     {between: 1, retained: 1, applied: 3, repairs: 1},
+		"not retained":       {between: 40, retained: 20, applied: 2},
+		"no record retained": {between: 40, retained: 43, applied: 2},
+		"more than are read": {between: 300, applied: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, topic := newLogStore(1, 3), &repairTopic{logStore: newLogStore()}
+				for n := range c.between {
+					store.put("other", n)
+				}
+				store.put("k", 2)
+				store.first = c.retained
+				w, applied := follow(t, store, topic)
+				time.Sleep(time.Second)
+				assert.Assert(t, slices.Contains(applied(), c.applied), "%v", applied())
+				assert.Assert(t, c.applied == 2 || !slices.Contains(applied(), 2), "%v", applied())
+				assert.Equal(t, topic.count(), c.repairs)
+				assert.Equal(t, w.Progress().Read.Offset, int64(c.between+3))
+			})
+		})
+	}
+}
+
 // Guards against a start that is delayed beyond its bound, or that ignores repairs, because
 // the topic of repairs does not respond in time.
 func TestRepairsThatArriveLateAreApplied(t *testing.T) {
@@ -222,7 +303,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store, topic := newLogStore(3, 2), &repairTopic{logStore: newLogStore(3)}
+				store, topic := newLogStore(2), &repairTopic{logStore: newLogStore(3)}
 				fault(topic)
 				w, applied := follow(t, store, topic)
 				time.Sleep(300 * time.Millisecond)
@@ -260,3 +341,54 @@
 		assert.Equal(t, len(applied()), 19)
 	})
 }
+
+// Guards against links that are saturated when all processes start at the same time: what
+// one reads of the records before a snapshot is bounded in bytes, or by few records.
+func TestHistoryIsBounded(t *testing.T) {
+	for _, size := range []int{1, 100, 5_000, 130_000, 262_144} {
+		snapshot := []storewatch.Record{{Key: "small", Value: make([]byte, 1)}, {Key: "large", Value: make([]byte, size)}}
+		length := storewatch.HistoryLength(snapshot)
+		assert.Check(t, length >= 8 && length <= 256, "%d records of %d bytes", length, size)
+		assert.Check(t, length*int64(size) <= max(512<<10, 8*int64(size)), "%d records of %d bytes", length, size)
+	}
+	assert.Equal(t, storewatch.HistoryLength(nil), int64(256))
+}
+
+// Guards against a record that is lost at the next restart because no reader of the store
+// has repaired it: the readers started after it had been replaced, and got the higher
+// version from another process.
+func TestRecordFromAnotherProcessIsRepaired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, topic := newLogStore(3, 2), &repairTopic{logStore: newLogStore()}
+		store.compact()
+		w, applied := follow(t, store, topic)
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, applied(), []int{2})
+		assert.Assert(t, w.Keep(storewatch.Record{Key: "k", Value: []byte("3"), Offset: 0}, 3))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, topic.count(), 1)
+		_, later := follow(t, store, topic)
+		time.Sleep(100 * time.Millisecond)
+		assert.DeepEqual(t, later(), []int{3})
+	})
+}
+
+// Guards against an older repair that replaces a newer one, because its write, too, was
+// carried out late.
+func TestRepairWrittenLateIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, topic := newLogStore(1), &repairTopic{logStore: newLogStore()}
+		follow(t, store, topic)
+		time.Sleep(100 * time.Millisecond)
+		topic.loseNext(5 * time.Second)
+		for _, version := range []int{3, 2, 4, 3} {
+			store.put("k", version)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(5 * time.Second)
+		store.compact()
+		_, applied := follow(t, store, topic)
+		time.Sleep(100 * time.Millisecond)
+		assert.DeepEqual(t, applied(), []int{4})
+	})
+}
--- a/storewatch/store.go
+++ b/storewatch/store.go
@@ -32,7 +32,7 @@
 	// Read returns the records from a position on, and the position to read from
 	// next. If there is no record, it waits up to wait for one. It returns ErrNewEra
 	// if the position is of an earlier era, even if the topic has since grown past
-	// its offset.
+	// its offset. With ErrGone it returns the first position that is retained.
 	Read(ctx context.Context, topic string, from history.Position, wait time.Duration) ([]Record, history.Position, error)
 	// Era returns the highest era observed.
 	Era() int64
@@ -43,6 +43,18 @@
 	OthersLate(topic string, now time.Time) bool
 }
 
+// Topic is a topic with keys that processes of this project write.
+type Topic interface {
+	// Append appends a record to a partition. It fails if the partition does not end at
+	// offset at, unless that is AnyOffset.
+	Append(ctx context.Context, part int, at int64, key string, value []byte) error
+	// Newest returns the newest record of each key of a partition.
+	Newest(ctx context.Context, part int) (*Newest, error)
+}
+
+// AnyOffset makes Topic.Append append a record wherever the partition ends.
+const AnyOffset = int64(-1)
+
 // Record is a record of a topic. Value is nil if the record deletes the key.
 type Record struct {
 	Key    string
