--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -196,7 +196,7 @@
 		group.serve(control, &http.Server{Handler: storerelay.MembersHandler(members), ReadHeaderTimeout: headerTimeout})
 	}
 	group.spawn(func() { members.run(ctx, s.Bootstrap) })
-	group.spawn(func() { members.askSeeds(ctx, s) })
+	group.spawn(func() { members.askSeeds(ctx, p.network, s) })
 	group.spawn(func() {
 		p.watcher.WatchOperator(ctx, operator, recordRelay(storerelay.NewRecordFollower(recordReaders, s.ConfigBudget(), p.log)), recordReaders, s.ConfigBudget())
 	})
--- a/cmd/mintlift/platform_seeds.go
+++ b/cmd/mintlift/platform_seeds.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/readerset"
 	"github.com/mintlift/mintlift/storerelay"
@@ -36,12 +37,12 @@
 
 // askSeeds asks the seeds for gateways of the region until the store has told them or ctx
 // ends. Each question goes to all seeds, since any of them may be down.
-func (m *regionMembers) askSeeds(ctx context.Context, s *platform.Settings) {
+func (m *regionMembers) askSeeds(ctx context.Context, n network.Network, s *platform.Settings) {
 	seeds := slices.DeleteFunc(slices.Clone(s.Seeds), func(address string) bool { return address == s.Listen.Control })
 	if len(seeds) == 0 {
 		return
 	}
-	client := storerelay.NewClient()
+	client := storerelay.NewClient(n)
 	defer client.Close()
 	if s.Bootstrap {
 		clock.Sleep(ctx, bootstrapSeedDelay)
--- a/cmd/mintlift/platform_seeds_test.go
+++ b/cmd/mintlift/platform_seeds_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/capacity"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/platform/storetest"
 	"github.com/mintlift/mintlift/readerset"
@@ -118,7 +119,7 @@
 	m, _ := newTestMembers(serveTest(t, hang(t)), "10.0.0.1", "r", 40)
 	ctx, cancel := context.WithTimeout(t.Context(), duration)
 	defer cancel()
-	m.askSeeds(ctx, &platform.Settings{IP: "10.0.0.1", Region: "r", Seeds: []string{seed}})
+	m.askSeeds(ctx, network.System{}, &platform.Settings{IP: "10.0.0.1", Region: "r", Seeds: []string{seed}})
 	most := int(capacity.SeedQuestions(1, duration))
 	t.Logf("asked %d times in %s, at most %d", asked.Load(), duration, most)
 	assert.Assert(t, asked.Load() > 1 && int(asked.Load()) <= most, "asked %d times", asked.Load())
@@ -133,7 +134,7 @@
 	m.announce(t.Context())
 	_, ok := m.refresh(t.Context())
 	assert.Assert(t, ok)
-	m.askSeeds(t.Context(), &platform.Settings{IP: "10.0.0.1", Region: "r", Seeds: []string{seed}})
+	m.askSeeds(t.Context(), network.System{}, &platform.Settings{IP: "10.0.0.1", Region: "r", Seeds: []string{seed}})
 	assert.Equal(t, asked.Load(), int64(0))
 	m.useSeeded([]readerset.Member{{IP: "10.0.0.9"}})
 	assert.Equal(t, len(m.Members(t.Context(), "r")), 1)
--- a/loadreport/versions_test.go
+++ b/loadreport/versions_test.go
@@ -10,13 +10,14 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/network"
 )
 
 // A sidecar tells a gateway the ages of target versions that are unknown in the gateway's
 // notice and that another gateway has reported.
 func TestEchoCarriesMissingVersionAges(t *testing.T) {
 	publisher, started := newPair(t, func(Notice) {})
-	knowing, err := NewSubscriber("127.0.0.1:0")
+	knowing, err := NewSubscriber(network.System{}, "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/storerelay/members_test.go
+++ b/storerelay/members_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/readerset"
 )
 
@@ -40,7 +41,7 @@
 // What a gateway is told of its region must not grow with the region, and must begin with
 // the gateways that read the store.
 func TestMembersResponseDoesNotGrow(t *testing.T) {
-	c := NewClient()
+	c := NewClient(network.System{})
 	defer c.Close()
 	for _, n := range []int{1, 8, 61, 400} {
 		address := serveMembers(t, n)
@@ -61,7 +62,7 @@
 
 // One seed that knows the region must be enough, whatever the others do.
 func TestMembersFromOneOfSeveral(t *testing.T) {
-	c := NewClient()
+	c := NewClient(network.System{})
 	defer c.Close()
 	dead := "127.0.0.1:1"
 	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
