A gateway that starts anew learns from sidecars when a version was named

What callers see: requests begin on an older version after the deadline of a newer one, through a gateway that was restarted amid the rollout.

Cause: a gateway that starts doesn't know when the versions in the store were named, and leaves older ones the whole deadline less its margin from its own start. Other gateways know, and tell their sidecars with each notice, but nobody tells the gateway that starts.

A sidecar remembers the earliest time that gateways have reported for each of the newest three versions. Its response to a subscription in which the age of such a version is unknown contains it; the gateway sets the cutoff by it. Where nobody knows, as after a restart of everything, nothing changes. In calm nothing is sent; a response grows by at most three ages until the gateway knows, whatever the number of gateways.

The test of the largest datagrams counts the new field, with its bound as before.

--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -65,6 +65,11 @@
 	now := clock.Now()
 	h.watcher.ObservePosition(e.Read, now)
 	h.recovery.handleEcho(h.ctx, e, now)
+	for _, v := range e.TargetVersions {
+		if setAt := v.SetAt(now); !setAt.IsZero() {
+			h.server.SetVersionTime(e.TargetModel, v.Version, setAt)
+		}
+	}
 	h.server.HandleReport(r, e.RoundTrip)
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -114,9 +114,9 @@
 // TargetVersion is a version of a model that the operator has set to be served.
 type TargetVersion struct {
 	Version int
-	// LearnedAt is when this gateway first read the target version. AgeUnknown reports
-	// that the version had already been set, at an unknown time, when the process
-	// started.
+	// LearnedAt is when this gateway first read the target version, or when another one
+	// did, see SetVersionTime. AgeUnknown reports that the version had already been set,
+	// at an unknown time, when the process started.
 	LearnedAt  time.Time
 	AgeUnknown bool
 	// cutoff is the time from which the gateway sends no requests to engines with
@@ -231,6 +231,27 @@
 	}
 }
 
+// SetVersionTime sets when a target version of model was set, as another process knows. It
+// is ignored unless this gateway does not know it, and has known the version only since a
+// later time. The cutoff of older versions becomes at most the one of that time.
+func (s *Server) SetVersionTime(model string, version int, setAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.targetVersions[model]
+	for i := range list {
+		n := &list[i]
+		if n.Version != version || !n.AgeUnknown || !setAt.Before(n.LearnedAt) {
+			continue
+		}
+		n.LearnedAt, n.AgeUnknown = setAt, false
+		if cutoff := setAt.Add(s.settings.VersionDeadline - s.versionMargin()); cutoff.Before(n.cutoff) {
+			n.cutoff = cutoff
+		}
+		s.events.Info("time of version received", "model", model, "version", version, "due", n.cutoff)
+		s.requestNoticeLocked()
+	}
+}
+
 // maxVersionMargin is the longest time from the cutoff of a target version, when the
 // gateway stops sending requests to older versions, to its deadline, after which these
 // must start no requests. A request that is sent just before the cutoff then starts
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -329,3 +329,22 @@
 		assert.Assert(t, began.IsZero() || began.Before(deadline), "sent %s before the deadline, started %s after it", before, began.Sub(deadline))
 	}
 }
+
+// Guards against requests to older versions after the deadline of a version that was set,
+// at a time that other processes know, before the gateway started. A time that is not
+// earlier than the gateway's own is ignored.
+func TestVersionTimeOfOthersSetsTheCutoff(t *testing.T) {
+	now := time.Now()
+	s := newTestGateway(t).server
+	s.SetTargetVersion(testModel, 2, true, now)
+	s.SetTargetVersion(testModel, 3, false, now)
+	cutoff := s.settings.VersionDeadline - s.versionMargin()
+	s.SetVersionTime(testModel, 2, now.Add(time.Second))
+	assert.Assert(t, s.TargetVersions(testModel)[0].AgeUnknown)
+	s.SetVersionTime(testModel, 2, now.Add(-3*time.Second))
+	s.SetVersionTime(testModel, 3, now.Add(-3*time.Second))
+	versions := s.TargetVersions(testModel)
+	assert.Assert(t, !versions[0].AgeUnknown)
+	assert.Assert(t, versions[0].PastCutoff(now.Add(cutoff-3*time.Second)) && !versions[0].PastCutoff(now.Add(cutoff-4*time.Second)))
+	assert.Assert(t, !versions[1].PastCutoff(now.Add(cutoff-time.Second)), "its time is known")
+}
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -134,6 +134,9 @@
 	// VersionSum and VersionSumGateway are set in a response; see type Echo.
 	VersionSum        int64  `json:"k,omitempty"`
 	VersionSumGateway string `json:"i,omitempty"`
+	// TargetModel and TargetVersions are set in a response; see type Echo.
+	TargetModel    string          `json:"l,omitempty"`
+	TargetVersions []TargetVersion `json:"t,omitempty"`
 	// Suspects are the suspect requests reported by gateways. They are sent in
 	// responses, and alone when they change.
 	Suspects []quarantine.Record `json:"x,omitempty"`
--- a/loadreport/publisher.go
+++ b/loadreport/publisher.go
@@ -28,6 +28,8 @@
 	// read is the furthest position that a gateway has reached in reading the
 	// operator's records.
 	read history.Position
+	// versionTimes holds when the target versions were set, for gateways that do not know.
+	versionTimes versionTimes
 	// subs holds the subscribers by the address that their datagrams came from.
 	subs map[netip.AddrPort]subscriber
 	// suspects holds the requests during which endpoints crashed, as reported by
@@ -77,10 +79,14 @@
 		p.lastSubscribed = now
 		p.subs[from] = subscriber{subscribedAt: p.lastSubscribed, region: datagram.Region, demand: datagram.Demand, versionSum: datagram.VersionSum, unwatched: datagram.Unwatched}
 		p.read = history.Later(p.read, history.Position{Era: datagram.Era, Offset: datagram.Read})
+		p.versionTimes.merge(datagram.Notice, now)
 		response := sidecarDatagram{
 			Report: withDemandPosition(p.last, p.demandPositionsLocked()[from]), Echo: datagram.Stamp, Read: p.read.Offset, Era: p.read.Era,
 			Suspects: p.suspects.Records(now), Endpoints: p.quotas.Records(now),
 		}
+		if response.TargetVersions = p.versionTimes.missing(datagram.Notice, now); response.TargetVersions != nil {
+			response.TargetModel = p.versionTimes.model
+		}
 		response.VersionSum, response.VersionSumGateway = p.maxVersionSumLocked(now)
 		p.mu.Unlock()
 		if response.Address != "" {
--- a/loadreport/subscriber.go
+++ b/loadreport/subscriber.go
@@ -41,6 +41,11 @@
 	// gateways with a lower sum can fetch newer records of the operator from it.
 	VersionSum        int64
 	VersionSumGateway string
+	// TargetVersions are the target versions of the subscription that had an unknown age
+	// in it, with the ages that other gateways have reported to the sidecar. TargetModel is
+	// their model.
+	TargetModel    string
+	TargetVersions []TargetVersion
 }
 
 // Handler handles the datagrams of sidecars. Its methods are not called concurrently.
@@ -145,7 +150,7 @@
 		default:
 			h.HandleReport(m.Report, &Echo{
 				RoundTrip: time.Duration(s.stamp()-m.Echo) * time.Microsecond,
-				Read:      history.Position{Era: m.Era, Offset: m.Read}, VersionSum: m.VersionSum, VersionSumGateway: m.VersionSumGateway,
+				Read:      history.Position{Era: m.Era, Offset: m.Read}, VersionSum: m.VersionSum, VersionSumGateway: m.VersionSumGateway, TargetModel: m.TargetModel, TargetVersions: m.TargetVersions,
 			})
 		}
 	}
--- a/loadreport/suspects_test.go
+++ b/loadreport/suspects_test.go
@@ -104,6 +104,7 @@
 		Echo:       1 << 50,
 		Read:       1 << 40,
 		VersionSum: 1 << 50, VersionSumGateway: "255.255.255.255",
+		TargetModel: "a-model-with-a-long-name", TargetVersions: []TargetVersion{{1 << 20, 1 << 30, true}, {1 << 20, 1 << 30, true}, {1 << 20, 1 << 30, true}},
 		Suspects:  table.Records(now),
 		Endpoints: maxEndpointRecords(now),
 	})
