--- a/storewatch/corrections.go
+++ b/storewatch/corrections.go
@@ -18,6 +18,8 @@
 	// history holds the records that precede the snapshot in its topic. A higher version
 	// among them has no repair yet if nothing ran when the lower one was written.
 	history []Record
+	// historyRead reports that the history has been read, now or before.
+	historyRead bool
 	// err is set if either could not be read.
 	err error
 }
@@ -60,7 +62,7 @@
 // for corrections for the Budget's RelayTimeout, or without a Budget until they have been
 // read. Corrections that arrive later are applied by later steps.
 func (w *Watcher) readSnapshot(ctx context.Context, s *Source) (*Newest, error) {
-	s.pendingCorrections, s.unrepaired = nil, nil
+	s.pendingCorrections, s.unrepaired, s.historyRead = nil, nil, false
 	if s.Repairs == nil {
 		return w.readNewest(ctx, s.Topic)
 	}
@@ -79,7 +81,7 @@
 	}
 	select {
 	case c := <-pending:
-		w.retryCorrections(ctx, s, c.err)
+		w.retryCorrections(ctx, s, c)
 		s.unrepaired = s.Repairs.merge(newest.Records, c)
 	case <-timeout:
 		s.pendingCorrections = pending
@@ -101,15 +103,20 @@
 	return out
 }
 
-// beginCorrections reads the records before the last snapshot of s in the background, and
-// adds them to what repairs receives. The result is sent on the channel.
+// beginCorrections reads the records before the last snapshot of s in the background, unless
+// they have been read, and adds them to what repairs receives. The result is sent on the
+// channel.
 func (w *Watcher) beginCorrections(ctx context.Context, s *Source, repairs <-chan corrections) <-chan corrections {
 	out := make(chan corrections, 1)
-	topic, end, length := s.Topic, s.snapshotEnd, s.historyLength
+	topic, end, length, historyRead := s.Topic, s.snapshotEnd, s.historyLength, s.historyRead
 	go func() {
-		records, err := w.readHistory(ctx, topic, end, length)
+		var records []Record
+		var err error
+		if !historyRead {
+			records, err = w.readHistory(ctx, topic, end, length)
+		}
 		c := <-repairs
-		c.history = records
+		c.history, c.historyRead = records, err == nil
 		if c.err == nil {
 			c.err = err
 		}
@@ -118,12 +125,14 @@
 	return out
 }
 
-// retryCorrections reads the corrections of the last snapshot again after an error.
-func (w *Watcher) retryCorrections(ctx context.Context, s *Source, err error) {
-	if err == nil || ctx.Err() != nil {
+// retryCorrections reads again what could not be read of the corrections of the last
+// snapshot. The history is large, so it is not read again while only the repairs fail.
+func (w *Watcher) retryCorrections(ctx context.Context, s *Source, c corrections) {
+	s.historyRead = c.historyRead
+	if c.err == nil || ctx.Err() != nil {
 		return
 	}
-	w.log.Info("corrections of operator records not read", "error", err.Error())
+	w.log.Info("corrections of operator records not read", "error", c.err.Error())
 	s.pendingCorrections = w.beginCorrections(ctx, s, s.Repairs.beginRead(ctx))
 }
 
@@ -136,7 +145,7 @@
 		return
 	}
 	s.pendingCorrections = nil
-	w.retryCorrections(ctx, s, c.err)
+	w.retryCorrections(ctx, s, c)
 	apply := func(r Record) (version int64, applied bool) {
 		offset, known := s.appliedOffsets[r.Key]
 		version, ok := s.Repairs.version(r)
--- a/storewatch/follow.go
+++ b/storewatch/follow.go
@@ -70,9 +70,11 @@
 	checkedAt, recheckUntil time.Time
 	// snapshotEnd is the end of the topic as of the last snapshot, and historyLength the
 	// number of records before it that may correct it. pendingCorrections receives the
-	// corrections that were not read in time; it is nil if there are none.
+	// corrections that were not read in time; it is nil if there are none. historyRead is
+	// set once the records before the snapshot have been read.
 	snapshotEnd        history.Position
 	historyLength      int64
+	historyRead        bool
 	pendingCorrections <-chan corrections
 	// unrepaired holds records of the history that corrected the last snapshot, and that
 	// have not been written as repairs yet.
--- a/storewatch/repair_test.go
+++ b/storewatch/repair_test.go
@@ -27,6 +27,7 @@
 	records []storewatch.Record
 	first   int64 // the first offset that is retained
 	changed chan struct{}
+	reread  int // reads of records that precede the end
 }
 
 func newLogStore(versions ...int) *logStore {
@@ -93,6 +94,9 @@
 		s.mu.Lock()
 		end, changed, gone := int64(len(s.records)), s.changed, from.Offset < s.first
 		out := slices.Clone(s.records[from.Offset:])
+		if len(out) > 0 {
+			s.reread++
+		}
 		s.mu.Unlock()
 		if gone {
 			return nil, history.Position{Offset: s.first}, storewatch.ErrGone
@@ -392,3 +396,22 @@
 		assert.DeepEqual(t, applied(), []int{4})
 	})
 }
+
+// Guards against a topic of repairs that does not respond and makes each reader of the store
+// read the records before its snapshot again and again.
+func TestHistoryIsReadOnceWhileRepairsFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, topic := newLogStore(1, 3, 2), &repairTopic{logStore: newLogStore()}
+		topic.set(true, 0)
+		_, applied := follow(t, store, topic)
+		time.Sleep(20 * time.Second)
+		assert.DeepEqual(t, applied(), []int{3})
+		store.mu.Lock()
+		reads := store.reread
+		store.mu.Unlock()
+		assert.Equal(t, reads, 1)
+		topic.set(false, 0)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, topic.count(), 1)
+	})
+}
