cmd/mintlift: failing test of a start that an engine accepts after it and its sidecar have restarted

What callers see: tokens of wrong weights. The stand-in of an engine carries out a start that got no response up to seconds later, also when it has restarted meanwhile: its count of commands is 0 again, as the command expects. A sidecar that runs notices the command, which isn't its own, and has the engine loaded again. One that has restarted takes the load in the engine's first report for verified (installer/verify.go), whatever was staged: its predecessor's knowledge is lost with it.

Not mended: whether an order outlives the engine's process on the platform isn't said there (an order without an answer may still have been taken; after a restart the count is forgotten), and a sidecar that distrusts the first report has to load the engine anew after each restart of its own, or read and check what is staged.

--- a/cmd/mintlift/weights_test.go
+++ b/cmd/mintlift/weights_test.go
@@ -304,3 +304,44 @@
 	}
 	assert.Assert(t, d.served[newest] > 0, "version %d has served nothing", newest)
 }
+
+// Guards against an engine that serves wrong weights after it has restarted together with
+// its sidecar: it accepts a command to start a load that was sent to it before, while
+// chunks of a newer version are staged, and the new sidecar does not know of it.
+func TestStartCarriedOutAfterRestartsIsNotTrusted(t *testing.T) {
+	t.Parallel()
+	const startDelay = 5 * time.Second
+	d := startWeights(t, 1)
+	b := d.boxes[0]
+	b.engine.StageAndLoad(1)
+	d.sendRequestsFor(time.Second)
+	var sent time.Time
+	var delayedVersion int
+	delayed := make(chan struct{})
+	var once sync.Once
+	b.engine.Change(func(f *enginetest.Faults) {
+		f.StartDelay = func(version int) (delay time.Duration) {
+			once.Do(func() {
+				delay, delayedVersion, sent = startDelay, version, time.Now()
+				close(delayed)
+			})
+			return delay
+		}
+	})
+	b.engine.Restart(false) // its count of accepted commands is 0, as it is after the next restart
+	<-delayed
+	d.awaitLoaded(t, delayedVersion)
+	d.setTargetVersion(delayedVersion + 1)
+	d.awaitLoaded(t, delayedVersion+1)
+	time.Sleep(time.Until(sent.Add(startDelay - 200*time.Millisecond)))
+	closeNow(d.daemons[0])
+	b.engine.Restart(false)
+	for began := time.Now(); b.engine.State().Version != delayedVersion; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Since(began) < 5*time.Second, "the delayed command has not taken effect")
+	}
+	host, _, err := net.SplitHostPort(b.address)
+	assert.NilError(t, err)
+	d.daemons[0] = startSidecar(t, host, d.storeAddress, b.address)
+	d.sendRequestsFor(8 * time.Second)
+	d.checkVersions(t, delayedVersion+1)
+}
