--- a/loadreport/versions.go
+++ b/loadreport/versions.go
@@ -28,6 +28,9 @@
 // merge records the times known in a gateway's notice. Of several times of a version the
 // earliest is kept.
 func (t *versionTimes) merge(n Notice, now time.Time) {
+	if n.Model == "" {
+		return // the gateway has no configuration yet
+	}
 	if n.Model != t.model {
 		*t = versionTimes{model: n.Model}
 	}
--- a/storewatch/corrections.go
+++ b/storewatch/corrections.go
@@ -35,7 +35,7 @@
 	}
 	replace := func(r Record) (version int64, replaced bool) {
 		n, found := at[r.Key]
-		if !found || r.Value == nil {
+		if !found {
 			return 0, false
 		}
 		version, ok := p.version(r)
@@ -50,7 +50,7 @@
 	for _, r := range c.repairs {
 		replace(r)
 	}
-	for _, r := range c.history {
+	for _, r := range sinceDeletion(c.history) {
 		if version, replaced := replace(r); replaced {
 			unrepaired = append(unrepaired, versionedRecord{Record: r, version: version})
 		}
@@ -58,6 +58,23 @@
 	return unrepaired
 }
 
+// sinceDeletion returns the records that follow the last deletion of their key.
+func sinceDeletion(records []Record) []Record {
+	deletedAt := make(map[string]int64)
+	for _, r := range records {
+		if r.Value == nil {
+			deletedAt[r.Key] = r.Offset
+		}
+	}
+	var out []Record
+	for _, r := range records {
+		if at, deleted := deletedAt[r.Key]; !deleted || r.Offset > at {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // readSnapshot reads the newest records of the topic of s, and what corrects them. It waits
 // for corrections for the Budget's RelayTimeout, or without a Budget until they have been
 // read. Corrections that arrive later are applied by later steps.
@@ -84,7 +101,7 @@
 		w.retryCorrections(ctx, s, c)
 		s.unrepaired = s.Repairs.merge(newest.Records, c)
 	case <-timeout:
-		s.pendingCorrections = pending
+		s.pendingCorrections = w.wakeAfter(pending)
 	case <-ctx.Done():
 	}
 	return newest, nil
@@ -125,8 +142,20 @@
 	return out
 }
 
+// wakeAfter passes on what pending receives, and requests a read of the operator's topic, so
+// that the next step applies it at once.
+func (w *Watcher) wakeAfter(pending <-chan corrections) <-chan corrections {
+	out := make(chan corrections, 1)
+	go func() {
+		out <- <-pending
+		w.wakeOperatorReader()
+	}()
+	return out
+}
+
 // retryCorrections reads again what could not be read of the corrections of the last
-// snapshot. The history is large, so it is not read again while only the repairs fail.
+// snapshot. The history is large, so it is not read again while only the repairs fail. The
+// corrections are applied by the next step, whose wait keeps the retries apart.
 func (w *Watcher) retryCorrections(ctx context.Context, s *Source, c corrections) {
 	s.historyRead = c.historyRead
 	if c.err == nil || ctx.Err() != nil {
@@ -159,7 +188,7 @@
 	for _, r := range c.repairs {
 		apply(r)
 	}
-	for _, r := range c.history {
+	for _, r := range sinceDeletion(c.history) {
 		if version, applied := apply(r); applied {
 			s.unrepaired = append(s.unrepaired, versionedRecord{Record: r, version: version})
 		}
--- a/storewatch/repair_test.go
+++ b/storewatch/repair_test.go
@@ -45,6 +45,13 @@
 	s.putLocked(key, version)
 }
 
+// delete appends a record that deletes a key.
+func (s *logStore) delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, storewatch.Record{Key: key, Offset: int64(len(s.records))})
+}
+
 // putAt appends a record if the store ends at an offset, and reports whether it does.
 func (s *logStore) putAt(at int64, key string, version int) bool {
 	s.mu.Lock()
@@ -298,6 +305,20 @@
 	}
 }
 
+// Guards against a record that is restored although the operator has deleted its key since,
+// and set it anew.
+func TestDeletedRecordIsNotRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, topic := newLogStore(3), &repairTopic{logStore: newLogStore()}
+		store.delete("k")
+		store.put("k", 2)
+		_, applied := follow(t, store, topic)
+		time.Sleep(2 * time.Second)
+		assert.DeepEqual(t, applied(), []int{2})
+		assert.Equal(t, topic.count(), 0)
+	})
+}
+
 // Guards against a start that is delayed beyond its bound, or that ignores repairs, because
 // the topic of repairs does not respond in time.
 func TestRepairsThatArriveLateAreApplied(t *testing.T) {
