--- a/storewatch/corrections.go
+++ b/storewatch/corrections.go
@@ -18,6 +18,8 @@
 	// history holds the records that precede the snapshot in its topic. A higher version
 	// among them has no repair yet if nothing ran when the lower one was written.
 	history []Record
+	// historyRead reports that the history has been read, now or before.
+	historyRead bool
 	// err is set if either could not be read.
 	err error
 }
@@ -77,7 +79,7 @@
 // for corrections for the Budget's RelayTimeout, or without a Budget until they have been
 // read. Corrections that arrive later are applied by later steps.
 func (w *Watcher) readSnapshot(ctx context.Context, s *Source) (*Newest, error) {
-	s.pendingCorrections, s.unrepaired = nil, nil
+	s.pendingCorrections, s.unrepaired, s.historyRead = nil, nil, false
 	if s.Repairs == nil {
 		return w.readNewest(ctx, s.Topic)
 	}
@@ -96,7 +98,7 @@
 	}
 	select {
 	case c := <-pending:
-		w.retryCorrections(ctx, s, c.err)
+		w.retryCorrections(ctx, s, c)
 		s.unrepaired = s.Repairs.merge(newest.Records, c)
 	case <-timeout:
 		s.pendingCorrections = w.wakeAfter(pending)
@@ -118,15 +120,20 @@
 	return out
 }
 
-// beginCorrections reads the records before the last snapshot of s in the background, and
-// adds them to what repairs receives. The result is sent on the channel.
+// beginCorrections reads the records before the last snapshot of s in the background, unless
+// they have been read, and adds them to what repairs receives. The result is sent on the
+// channel.
 func (w *Watcher) beginCorrections(ctx context.Context, s *Source, repairs <-chan corrections) <-chan corrections {
 	out := make(chan corrections, 1)
-	topic, end, length := s.Topic, s.snapshotEnd, s.historyLength
+	topic, end, length, historyRead := s.Topic, s.snapshotEnd, s.historyLength, s.historyRead
 	go func() {
-		records, err := w.readHistory(ctx, topic, end, length)
+		var records []Record
+		var err error
+		if !historyRead {
+			records, err = w.readHistory(ctx, topic, end, length)
+		}
 		c := <-repairs
-		c.history = records
+		c.history, c.historyRead = records, err == nil
 		if c.err == nil {
 			c.err = err
 		}
@@ -146,13 +153,15 @@
 	return out
 }
 
-// retryCorrections reads the corrections of the last snapshot again after an error. They are
-// applied by the next step, whose wait keeps the retries apart.
-func (w *Watcher) retryCorrections(ctx context.Context, s *Source, err error) {
-	if err == nil || ctx.Err() != nil {
+// retryCorrections reads again what could not be read of the corrections of the last
+// snapshot. The history is large, so it is not read again while only the repairs fail. The
+// corrections are applied by the next step, whose wait keeps the retries apart.
+func (w *Watcher) retryCorrections(ctx context.Context, s *Source, c corrections) {
+	s.historyRead = c.historyRead
+	if c.err == nil || ctx.Err() != nil {
 		return
 	}
-	w.log.Info("corrections of operator records not read", "error", err.Error())
+	w.log.Info("corrections of operator records not read", "error", c.err.Error())
 	s.pendingCorrections = w.beginCorrections(ctx, s, s.Repairs.beginRead(ctx))
 }
 
@@ -165,7 +174,7 @@
 		return
 	}
 	s.pendingCorrections = nil
-	w.retryCorrections(ctx, s, c.err)
+	w.retryCorrections(ctx, s, c)
 	apply := func(r Record) (version int64, applied bool) {
 		offset, known := s.appliedOffsets[r.Key]
 		version, ok := s.Repairs.version(r)
