--- a/ingress/storerollback.go
+++ b/ingress/storerollback.go
@@ -20,7 +20,7 @@
 	rewriteTimeout = 2500 * time.Millisecond
 	// staleEntryTimeout is how long after a rollback the list may still contain entries
 	// of endpoints that were removed before it. Such an entry lapses after three
-	// heartbeats of 1.2 s; the rest is for the next read of the list.
+	// heartbeats; the rest is for the next read of the list.
 	staleEntryTimeout = 4600 * time.Millisecond
 	// removalRetention is how long the gateway remembers the removal of an endpoint. It
 	// exceeds the lag of a replica of the store.
--- a/installer/order.go
+++ b/installer/order.go
@@ -5,8 +5,8 @@
 import "time"
 
 // serveDelay is the estimated delay from when the origin has sent a version's last
-// chunk until engines serve the version: 0.9 s until the boxes hold all chunks, on links
-// that receive the model in 2.2 s, and 0.4 s until an engine has loaded it.
+// chunk until engines serve the version: the boxes spread the last chunks among each other,
+// and each engine loads the version.
 const serveDelay = 1300 * time.Millisecond
 
 // fetchEstimate describes how long the fetch of a target version still takes and by
