sendbuffer: one goroutine sends a connection's buffer

Cause: drain sends the buffer until it is empty, then locks again and returns. A write between the two found an empty buffer and started a second drain; the first went on as well, since the buffer wasn't empty when it looked. Now a flag, set and cleared under the lock, says that drain runs. TestWritesWhileTheBufferEmpties failed with the same panic before.

--- a/cmd/mintlift/platform_seeds_test.go
+++ b/cmd/mintlift/platform_seeds_test.go
@@ -110,6 +110,7 @@
 // Seeds that know nobody must be asked ever more rarely, and no more often than the formula
 // of the control traffic says.
 func TestSeedsAreAskedRarely(t *testing.T) {
+	t.Parallel()
 	const duration = 6 * time.Second
 	var asked atomic.Int64
 	seed := serveTest(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/sendbuffer/sendbuffer.go
+++ b/sendbuffer/sendbuffer.go
@@ -161,6 +161,9 @@
 	// buffer holds the bytes that are not written to the socket yet, in order.
 	buffer [][]byte
 	size   int // of buffer, in bytes
+	// draining is set while a goroutine runs drain. There is one at most: two would send
+	// the same bytes.
+	draining bool
 	// err is the error of further writes.
 	err error
 	// closing reports that Close was called; the connection is closed once the buffer is
@@ -188,11 +191,12 @@
 		return written, c.err
 	}
 	now := clock.Now()
-	first := c.size == 0
+	start := !c.draining
+	c.draining = true
 	c.appendLocked(b[written:])
 	evict, behind := c.pool.add(c, len(b)-written, now)
 	c.mu.Unlock()
-	if first {
+	if start {
 		go c.drain()
 	}
 	if evict != nil {
@@ -234,6 +238,7 @@
 		c.mu.Lock()
 		if c.err != nil || c.size == 0 {
 			closing := c.closing
+			c.draining = false
 			c.mu.Unlock()
 			if closing {
 				_ = c.socket.Close()
--- a/sendbuffer/sendbuffer_test.go
+++ b/sendbuffer/sendbuffer_test.go
@@ -4,8 +4,10 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -170,3 +172,47 @@
 		assert.NilError(b, err)
 	}
 }
+
+// memorySocket is a Socket that takes bytes only by Write, and keeps them.
+type memorySocket struct {
+	Socket
+	written []byte
+}
+
+func (s *memorySocket) WriteNow([]byte) (int, error)     { return 0, nil }
+func (s *memorySocket) SetWriteDeadline(time.Time) error { return nil }
+func (s *memorySocket) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
+func (s *memorySocket) Write(b []byte) (int, error) {
+	s.written = append(s.written, b...)
+	return len(b), nil
+}
+
+// Guards against bytes that are sent twice, and against a process that crashes, when a
+// write follows right after the buffer has become empty: two goroutines sent the buffer.
+func TestWritesWhileTheBufferEmpties(t *testing.T) {
+	socket := &memorySocket{}
+	c := &Conn{socket: socket, pool: NewPool(1<<30, nil)}
+	c.room.L = &c.mu
+	const writes = 100_000
+	var want []byte
+	for n := range writes {
+		b := binary.BigEndian.AppendUint32(nil, uint32(n))
+		want = append(want, b...)
+		written, err := c.Write(b)
+		assert.NilError(t, err)
+		assert.Equal(t, written, len(b))
+		if n%3 == 0 {
+			runtime.Gosched()
+		}
+	}
+	for began := time.Now(); ; time.Sleep(time.Millisecond) {
+		c.mu.Lock()
+		size := c.size
+		c.mu.Unlock()
+		if size == 0 {
+			break
+		}
+		assert.Assert(t, time.Since(began) < 10*time.Second, "%d bytes are not sent", size)
+	}
+	assert.Assert(t, bytes.Equal(socket.written, want), "%d bytes sent, %d written", len(socket.written), len(want))
+}
