--- a/routing/routing.go
+++ b/routing/routing.go
@@ -211,6 +211,24 @@
 	return nil
 }
 
+// StreamsResumable reports whether streaming routes lead to a service and all of them are
+// resumable.
+func (c *Configuration) StreamsResumable(service string) bool {
+	found := false
+	for _, list := range c.hosts {
+		for _, r := range list {
+			if r.Kind != Streaming || !slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service }) {
+				continue
+			}
+			if !r.Resumable {
+				return false
+			}
+			found = true
+		}
+	}
+	return found
+}
+
 // Authenticated reports whether requests to routes that are not public need a key.
 // They do if any workspace is configured.
 func (c *Configuration) Authenticated() bool { return c.workspaces > 0 }
