fleet: accept a queue on a recent report near a deadline

Query.NextMinVersion requires of engines with an older version both a recent report and a free slot. ReportedMinVersion requires only the report: it keeps requests from boxes that may be frozen and would begin them when they resume, while engines that respond may still queue them. It is zero so far, so that no choice changes.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -43,6 +43,9 @@
 	// NextMinVersion is the value that MinVersion will have shortly. An engine with
 	// a lower version is chosen only if it can begin the request at once.
 	NextMinVersion int
+	// ReportedMinVersion is the value that MinVersion will have later. An engine with a
+	// lower version is chosen only if its last report is recent; it may queue the request.
+	ReportedMinVersion int
 	// MaxLoad is the number of requests at which an endpoint counts as full; 0 is
 	// no bound.
 	MaxLoad float64
@@ -92,7 +95,7 @@
 		return true
 	}
 	version := e.HeldVersion(q.Model, now)
-	if version < q.NextMinVersion && !e.startsAtOnce(q, now) {
+	if version < q.NextMinVersion && !e.startsAtOnce(q, now) || version < q.ReportedMinVersion && !e.reportedWithin(recentReport, now) {
 		return false
 	}
 	return version > 0 && e.MayServe(version, q.MinVersion, q.MinVersionBeforeUpdate, now) && !(e.fresh(now) && e.report.Busy)
