ingress: serve streams of contended services until close to a deadline

When a new version was late, gateways sent nothing to older versions in the last 1.9 s before its deadline, and only to free slots for 1.7 s before that: a fleet that receives more than it can serve stood idle for seconds. The 1.9 s allow for a queue of unknown length at the engine. Attempts without an event are withdrawn 0.5 s before the deadline in any case, so the cutoff of a stream that can be sent again need only leave the time to deliver it and to begin on a free slot, which follows from its prompt.

The deadline of each target version is stored instead of its cutoff. The cutoff is recomputed when the number of gateways or the configuration changes. It becomes late only before the usual cutoff, so that no version is used again after it was refused. The withdrawal does not depend on it. Services that are not contended, plain requests, streams that cannot be resumed and versions of unknown age keep the former times.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -104,12 +104,15 @@
 		q.MaxBacklogMS = lateBacklogPrompts * x.meanPrefillMS
 	}
 	q.MaxFirstByteMS = x.maxFirstByteMS(now)
-	q.MinVersion = s.minVersion(x.model, now)
-	q.MinVersionBeforeUpdate = s.minVersion(x.model, now.Add(-scheduledUpdateLead))
-	q.NextMinVersion = s.minVersion(x.model, now.Add(nextVersionLead))
+	setVersionBounds(&q, s.versionBounds(x, now))
 	return q
 }
 
+// setVersionBounds sets the fields of a query that bound the engine's version.
+func setVersionBounds(q *fleet.Query, b versionBounds) {
+	q.MinVersion, q.MinVersionBeforeUpdate, q.NextMinVersion, q.ReportedMinVersion = b.lowest, b.beforeUpdate, b.next, b.reported
+}
+
 // servableQuery returns the attemptQuery of x without Isolated. That condition depends
 // on which other suspected requests are in progress, and ends with them. Server.mu must
 // be held.
@@ -127,6 +130,7 @@
 	q.MaxFirstByteMS, q.MaxBacklogMS = 0, 0
 	if service := x.config.Services[x.service]; service != nil && service.Engine != nil {
 		q.MaxLoad = float64(service.Engine.Slots) + retryExtraLoad
+		setVersionBounds(&q, s.widestVersionBounds(x, now))
 	}
 	return q
 }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -60,7 +60,11 @@
 	if e.Signals.Draining() || e.Signals.BackingOff(now) || x.quarantined(now) || !x.takePermit(e, now) {
 		return false
 	}
-	return x.model == "" || e.MayServe(e.HeldVersion(x.model, now), s.minVersion(x.model, now), s.minVersion(x.model, now.Add(-scheduledUpdateLead)), now)
+	if x.model == "" {
+		return true
+	}
+	bounds := s.versionBounds(x, now)
+	return e.MayServe(e.HeldVersion(x.model, now), bounds.lowest, bounds.beforeUpdate, now)
 }
 
 // verdict is the result of an attempt, which determines whether the gateway forwards the
@@ -185,7 +189,7 @@
 	x.sentAt = now
 	x.endpointStartedMS = s.fleet.StartedMSAt(e.Address)
 	x.expectedFirstByte = enginePassTime + time.Duration((backlog+x.prefillMS)*float64(time.Millisecond))
-	load, age, holds, lowest := e.Load(now), e.ReportAge(now), e.HeldVersion(x.model, now), s.minVersion(x.model, now)
+	load, age, holds, lowest := e.Load(now), e.ReportAge(now), e.HeldVersion(x.model, now), s.versionBounds(x, now).lowest
 	s.mu.Unlock()
 	s.log.Info("attempt", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "service", x.service,
 		"load", load, "backlog_ms", int(backlog), "work_ms", int(x.prefillMS), "report_ms", age.Milliseconds(), "delay_ms", delay.Milliseconds(), "holds", holds, "min_version", lowest, "at_ms", now.Sub(x.start).Milliseconds())
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -124,8 +124,14 @@
 	// at an unknown time, when the process started.
 	LearnedAt  time.Time
 	AgeUnknown bool
+	// deadline is the time after which older versions must start no requests, or an
+	// earlier time if the age is unknown and the deadline may be close.
+	deadline time.Time
+	// late is set if streams are sent to engines with older versions until lateMargins
+	// instead of usualMargins.
+	late bool
 	// cutoff is the time from which the gateway sends no requests to engines with
-	// older versions. It is earlier than the version's deadline; see versionMargin.
+	// older versions. It is earlier than the deadline; see updateCutoff.
 	cutoff time.Time
 }
 
@@ -191,7 +197,9 @@
 	s.putConfigured()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatchAll(clock.Now()) // the regions of waiting requests may have changed
+	now := clock.Now()
+	s.updateCutoffs(now)
+	s.dispatchAll(now) // the regions of waiting requests may have changed
 }
 
 // Configuration returns the configuration in force, or nil if there is none yet.
@@ -207,13 +215,14 @@
 	if len(list) > 0 && list[len(list)-1].Version >= version {
 		return
 	}
-	cutoff := now.Add(s.settings.VersionDeadline - s.versionMargin())
+	n := TargetVersion{Version: version, LearnedAt: now, AgeUnknown: first, deadline: now.Add(s.settings.VersionDeadline)}
 	if first && s.anyEndpointHolds(model, version, now) {
-		cutoff = now
+		n.deadline = now.Add(s.versionMargin())
 	}
-	s.targetVersions[model] = append(list, TargetVersion{Version: version, LearnedAt: now, AgeUnknown: first, cutoff: cutoff})
-	s.scheduleWithdrawal(model, version, cutoff)
-	s.events.Info("version named", "model", model, "version", version, "age_unknown", first, "due", cutoff)
+	s.updateCutoff(model, &n, now)
+	s.targetVersions[model] = append(list, n)
+	s.scheduleWithdrawal(model, version, n.deadline)
+	s.events.Info("version named", "model", model, "version", version, "age_unknown", first, "due", n.cutoff)
 	s.requestNoticeLocked()
 }
 
@@ -237,8 +246,9 @@
 		if !n.AgeUnknown || n.Version > reported || !n.cutoff.After(now) {
 			continue
 		}
-		n.cutoff = now
-		s.scheduleWithdrawal(model, n.Version, now)
+		n.deadline = now.Add(s.versionMargin())
+		s.updateCutoff(model, n, now)
+		s.scheduleWithdrawal(model, n.Version, n.deadline)
 		s.events.Info("older versions cut off", "model", model, "version", n.Version, "served", reported)
 	}
 }
@@ -256,10 +266,11 @@
 			continue
 		}
 		n.LearnedAt, n.AgeUnknown = setAt, false
-		if cutoff := setAt.Add(s.settings.VersionDeadline - s.versionMargin()); cutoff.Before(n.cutoff) {
-			n.cutoff = cutoff
-			s.scheduleWithdrawal(model, version, cutoff)
+		if deadline := setAt.Add(s.settings.VersionDeadline); deadline.Before(n.deadline) {
+			n.deadline = deadline
+			s.scheduleWithdrawal(model, version, deadline)
 		}
+		s.updateCutoff(model, n, clock.Now())
 		s.events.Info("time of version received", "model", model, "version", version, "due", n.cutoff)
 		s.requestNoticeLocked()
 	}
@@ -280,12 +291,6 @@
 	maxVersionMarginShare = 0.25
 )
 
-// versionMargin returns how long before its deadline a target version's cutoff is; see
-// maxVersionMargin.
-func (s *Server) versionMargin() time.Duration {
-	return min(maxVersionMargin, time.Duration(maxVersionMarginShare*float64(s.settings.VersionDeadline)))
-}
-
 // anyEndpointHolds reports whether any configured endpoint holds at least the given
 // version of model. Server.mu must be held.
 func (s *Server) anyEndpointHolds(model string, version int, now time.Time) bool {
@@ -318,16 +323,10 @@
 // the engine is not drained after all.
 const scheduledUpdateLead = maxVersionMargin - engineStartTime - 100*time.Millisecond
 
-// minVersion returns the lowest version of model to which requests may be sent at the
-// time at, or 0 if any may be used. Server.mu must be held.
-func (s *Server) minVersion(model string, at time.Time) int {
-	lowest := 0
-	for _, n := range s.targetVersions[model] {
-		if at.After(n.cutoff) {
-			lowest = n.Version
-		}
-	}
-	return lowest
+// versionMargin returns how long before its deadline a target version's usual cutoff is;
+// see maxVersionMargin.
+func (s *Server) versionMargin() time.Duration {
+	return min(maxVersionMargin, time.Duration(maxVersionMarginShare*float64(s.settings.VersionDeadline)))
 }
 
 // HandleReport processes an engine's load report. roundTrip is the measured round-trip
@@ -360,6 +359,7 @@
 	for _, b := range s.budgets {
 		b.SetGateways(n)
 	}
+	s.updateCutoffs(clock.Now())
 	s.events.Info("gateway count increased", "gateways", n)
 }
 
--- a/ingress/withdraw.go
+++ b/ingress/withdraw.go
@@ -21,7 +21,7 @@
 // withdrawalLead is how long before a target version's deadline the attempts are
 // withdrawn. It bounds the time in which a closed connection takes effect at the engine,
 // including a loss of the packet. It is at most withdrawalLeadShare of the time from the
-// cutoff to the deadline, so that no request is sent after the withdrawal.
+// usual cutoff to the deadline, so that no request is sent after the withdrawal.
 const (
 	withdrawalLead      = 500 * time.Millisecond
 	withdrawalLeadShare = 0.5
@@ -47,14 +47,6 @@
 	s.unbegun[x] = unbegunAttempt{endpoint: e, canceler: b, number: x.attempts, sentAt: x.sentAt}
 }
 
-// scheduleWithdrawal schedules the withdrawal of the attempts at engines with versions
-// older than version, whose cutoff is given.
-func (s *Server) scheduleWithdrawal(model string, version int, cutoff time.Time) {
-	margin := s.versionMargin()
-	at := cutoff.Add(margin - min(withdrawalLead, time.Duration(withdrawalLeadShare*float64(margin))))
-	clock.AfterFunc(at, func() { s.withdrawUnbegun(model, version) })
-}
-
 // withdrawUnbegun cancels the attempts that engines with versions of model older than
 // version have not visibly begun.
 func (s *Server) withdrawUnbegun(model string, version int) {
