upstream: drop what is undelivered of a withdrawn request

A closed connection still delivers what the kernel holds of the request. If a packet is lost shortly before a late cutoff, it could be sent again after the version's deadline. An attempt that is withdrawn now resets the connection if bytes of the request are unacknowledged, where the cutoff is late. If all are acknowledged, it is closed: a FIN is sent again if it is lost, a reset is not. Each connection carries one request, so no other response is affected. Other causes of an end, and other services, close connections as before.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -30,7 +30,12 @@
 	if x.request.Header.Get("User-Agent") == "" {
 		h.Del("User-Agent")
 	}
+	resetOn := error(nil)
+	if x.withdrawalResets() {
+		resetOn = errWithdrawn
+	}
 	return x.server.pool.Do(ctx, e.Address, &upstream.Request{
+		ResetOn: resetOn,
 		Method:  x.request.Method,
 		URI:     x.target(),
 		Host:    x.request.Host,
--- a/ingress/cutoff.go
+++ b/ingress/cutoff.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mintlift/mintlift/internal/clock"
@@ -116,6 +117,16 @@
 	return x.route != nil && x.route.Kind == routing.Streaming && x.route.Resumable
 }
 
+// withdrawalResets reports whether the withdrawal of an attempt of x must also drop what
+// the kernel has not delivered yet: after a late cutoff there is no time for a packet to
+// be sent again before the deadline.
+func (x *exchange) withdrawalResets() bool {
+	s := x.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return x.showsBeginning() && slices.ContainsFunc(s.targetVersions[x.model], func(n TargetVersion) bool { return n.late })
+}
+
 // CutoffMargin returns how long before the deadline of a target version the gateway stops
 // sending requests to older versions of the model, or 0 for the usual time. It is the
 // latest such time of all requests.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -69,6 +69,11 @@
 	// Proceed is called right before the request is written to a connection. It reports
 	// whether the request may still be sent. Nil permits every request.
 	Proceed func() bool
+	// ResetOn is the cause of the end of the context that withdraws the request: bytes of
+	// it that the endpoint has not acknowledged are then dropped, by a reset of the
+	// connection. For other causes, and if it is nil, the connection is closed, and the
+	// kernel may still deliver them.
+	ResetOn error
 }
 
 // Options configure a Pool.
@@ -178,6 +183,16 @@
 	c.once.Do(func() { _ = c.Close() })
 }
 
+// closeFor is like closeOnce, but drops undelivered bytes if cause is resetOn.
+func (c *conn) closeFor(cause, resetOn error) {
+	c.once.Do(func() {
+		if resetOn != nil && errors.Is(cause, resetOn) {
+			tcpconn.DropUndelivered(c.Conn)
+		}
+		_ = c.Close()
+	})
+}
+
 // putIdle returns a connection to the pool, in which it may stay idle for lifetime. It
 // closes the connection if the address already has MaxIdle idle connections.
 func (c *conn) putIdle(now time.Time, lifetime time.Duration) {
@@ -326,7 +341,7 @@
 		c.closeOnce()
 		return nil, &Error{Err: ErrWithheld}
 	}
-	stopWatch := context.AfterFunc(ctx, c.closeOnce)
+	stopWatch := context.AfterFunc(ctx, func() { c.closeFor(context.Cause(ctx), q.ResetOn) })
 	r, err := c.exchange(q)
 	if err != nil {
 		stopWatch()
