loadreport: tell sidecars the gateways' cutoff margin

Sidecars plan updates and fetches with the time from which gateways send nothing to older versions. In contended services that time now depends on slots, routes and the number of gateways. Gateways know all three, so they send the margin in their notices; 0, or none from the former release, means the usual time. A field of WeightsConfig would have changed its checksum between releases.

--- a/loadreport/demand.go
+++ b/loadreport/demand.go
@@ -22,6 +22,8 @@
 	versionSum int64
 	// unwatched is the gateway's Notice.Unwatched: it gets no reports.
 	unwatched bool
+	// cutoffMargin is the gateway's Notice.CutoffMarginMS.
+	cutoffMargin time.Duration
 }
 
 // weight returns the subscriber's weight when the endpoint's free capacity is divided
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -67,6 +67,10 @@
 	// Weights describes where and how to load the model's weights. It is nil for
 	// sidecars that have it already, as the checksum in their reports shows.
 	Weights *routing.WeightsConfig `json:"weights,omitempty"`
+	// CutoffMarginMS is the time from the routing cutoff of a target version to its
+	// deadline, in milliseconds, or 0 for the usual time. Gateways of the former release
+	// do not send it.
+	CutoffMarginMS int64 `json:"cutoff_ms,omitempty"`
 	// Unwatched is set if the gateway sends the engine no requests. It then gets the
 	// responses to its subscriptions, and no other reports.
 	Unwatched bool `json:"unwatched,omitempty"`
