installer: plan with the gateways' cutoff margin

With the usual margin, a sidecar whose replica is complete in the last 1.9 s before a deadline loads it without a drain and so aborts requests that gateways still send, and it takes an older version for useless too early. Params.CutoffMargin replaces the usual margin if it is shorter. Such a replica can now be complete after the last slot: its drain is shortened so that the load starts as long before the deadline as after the last slot. If the report of a drain is lost, gateways send until their own cutoff and withdraw what has not begun, so the deadline does not rest on the report.

--- a/installer/installer.go
+++ b/installer/installer.go
@@ -131,6 +131,9 @@
 	// Deadline is the time within which all engines must serve a new target version,
 	// counted from when the operator set it.
 	Deadline time.Duration
+	// CutoffMargin is the time from the routing cutoff of a target version to its
+	// deadline, as gateways use it; 0 for the usual time, routingCutoffMargin.
+	CutoffMargin time.Duration
 }
 
 // Settings identify the box of an Installer.
--- a/installer/start.go
+++ b/installer/start.go
@@ -20,7 +20,8 @@
 // A sidecar whose replica is complete before the routing cutoff reports that its
 // update is scheduled. Gateways then keep routing to its engine until the slot. The
 // routing cutoff is the time, routingCutoffMargin before the deadline, from which
-// gateways do not route to any other engine with an older version. As the slots of
+// gateways do not route to any other engine with an older version. It is later where
+// gateways withdraw requests that have not begun; see Params.CutoffMargin. As the slots of
 // scheduled updates extend beyond the cutoff, a rollout takes longer and fewer engines
 // are out of service at a time.
 const (
@@ -140,10 +141,31 @@
 	}
 	if !s.engineEmpty && !pending.setAt.IsZero() {
 		s.startAt = i.slotTime(r, pending.setAt, position)
+		if i.params.CutoffMargin > 0 {
+			s.drainLimit = boundDrain(s.drainLimit, later(s.startAt, now), pending.setAt, i.params.Deadline)
+		}
 	}
 	return s
 }
 
+// boundDrain returns the limit of a drain that begins at start. A replica may be complete
+// after the last slot and before the routing cutoff. Its drain is shorter, so that the
+// load begins as long before the deadline as after a drain in the last slot: the load
+// also drops requests that a gateway could not withdraw. A drain lasts at least
+// drainPropagation.
+func boundDrain(limit time.Duration, start, setAt time.Time, deadline time.Duration) time.Duration {
+	left := setAt.Add(lastSlot(deadline) + drainTimeout).Sub(start)
+	return min(limit, max(left, drainPropagation))
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // oldestPending returns the oldest target that is newer than the engine's verified
 // version, and so has the first deadline that the engine must meet. If there is
 // none, it returns the newest target. Installer.mu is held.
@@ -164,7 +186,11 @@
 		return time.Time{}
 	}
 	d := i.params.Deadline
-	return t.setAt.Add(d - min(routingCutoffMargin, time.Duration(routingCutoffShare*float64(d))))
+	margin := min(routingCutoffMargin, time.Duration(routingCutoffShare*float64(d)))
+	if i.params.CutoffMargin > 0 {
+		margin = min(margin, i.params.CutoffMargin)
+	}
+	return t.setAt.Add(d - margin)
 }
 
 // slotPositionLocked returns the position of this engine's slot, the time at which
