--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -31,6 +31,8 @@
 	mu sync.Mutex
 	// weights is the newest weights configuration; Chunks is 0 while there is none.
 	weights routing.WeightsConfig
+	// cutoffMargin is installer.Params.CutoffMargin.
+	cutoffMargin time.Duration
 }
 
 // HandleConfiguration implements platform.OperatorHandler.
@@ -49,6 +51,26 @@
 		return
 	}
 	s.weights = w
+	s.configureInstaller()
+}
+
+// setCutoffMargin sets the time from the gateways' routing cutoff to the deadline of a
+// target version; 0 stands for the usual time.
+func (s *sidecarState) setCutoffMargin(margin time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if margin == s.cutoffMargin {
+		return
+	}
+	s.cutoffMargin = margin
+	if s.weights.Chunks > 0 {
+		s.configureInstaller()
+	}
+}
+
+// configureInstaller sets the installer's parameters. sidecarState.mu must be held.
+func (s *sidecarState) configureInstaller() {
+	w := s.weights
 	s.installer.Configure(installer.Params{
 		Model:        w.Model,
 		Chunks:       w.Chunks,
@@ -56,6 +78,7 @@
 		Deadline:     s.settings.VersionDeadline(),
 		OriginRate:   w.OriginRate,
 		OriginRegion: s.settings.Regions[w.OriginZone],
+		CutoffMargin: s.cutoffMargin,
 	})
 }
 
@@ -208,6 +231,7 @@
 	defer ticker.Stop()
 	i := sidecar.installer
 	for {
+		sidecar.setCutoffMargin(publisher.CutoffMargin(clock.Now()))
 		if state, err := engine.State(ctx); err == nil {
 			i.UpdateEngineState(state)
 			publisher.Publish(fleet.Report{
