loadreport: tell gateways with a late cutoff earlier version times

A gateway counts a version's deadline from when it read the version. One that read it late, for example after a cut link, would go by a later deadline than the others. The usual margin has room for about a second of that, a late cutoff has not. Sidecars already keep the earliest time that a gateway reported; they now also send it to gateways with a late cutoff that know only a later one. Notices without a cutoff margin get the same response as before.

--- a/ingress/cutoff_test.go
+++ b/ingress/cutoff_test.go
@@ -228,3 +228,21 @@
 		})
 	}
 }
+
+// Guards against a late cutoff that rests on the time at which this gateway learned of the
+// version, although another one learned of it earlier, and against a change of the usual
+// cutoff by that.
+func TestEarlierTimeMovesLateCutoff(t *testing.T) {
+	for _, gateways := range []int{testSlots, testSlots + 1} {
+		g := newTestGateway(t)
+		g.configure(1)
+		g.server.raiseGateways(gateways)
+		now := time.Now()
+		g.server.SetTargetVersion(testModel, 2, false, now)
+		before := g.server.targetVersions[testModel][0]
+		g.server.SetVersionTime(testModel, 2, now.Add(-time.Second))
+		g.server.SetVersionTime(testModel, 2, now.Add(time.Second))
+		moved := before.cutoff.Sub(g.server.targetVersions[testModel][0].cutoff)
+		assert.Equal(t, moved, map[int]time.Duration{testSlots: 0, testSlots + 1: time.Second}[gateways])
+	}
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -254,15 +254,16 @@
 }
 
 // SetVersionTime sets when a target version of model was set, as another process knows. It
-// is ignored unless this gateway does not know it, and has known the version only since a
-// later time. The cutoff of older versions becomes at most the one of that time.
+// is ignored unless this gateway does not know it, or uses a late cutoff, and has known
+// the version only since a later time. The cutoff of older versions becomes at most the
+// one of that time.
 func (s *Server) SetVersionTime(model string, version int, setAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := s.targetVersions[model]
 	for i := range list {
 		n := &list[i]
-		if n.Version != version || !n.AgeUnknown || !setAt.Before(n.LearnedAt) {
+		if n.Version != version || !n.AgeUnknown && !n.late || !setAt.Before(n.LearnedAt) {
 			continue
 		}
 		n.LearnedAt, n.AgeUnknown = setAt, false
--- a/loadreport/cutoff_test.go
+++ b/loadreport/cutoff_test.go
@@ -57,3 +57,18 @@
 	assert.Assert(t, len(with)-len(without) <= 24, "%d bytes", len(with)-len(without))
 	assert.Assert(t, len(with) < maxDatagram, "%d bytes", len(with))
 }
+
+// Guards against a gateway that learned of a version later than others and goes by its own
+// time, which a late cutoff has no room for. Other gateways get no such ages.
+func TestEarlierVersionAgeForLateCutoff(t *testing.T) {
+	now := time.Now()
+	var times versionTimes
+	times.merge(Notice{Model: "m", TargetVersions: []TargetVersion{{Version: 2, AgeMS: 3000}}}, now)
+	notice := func(age, margin int64) Notice {
+		return Notice{Model: "m", CutoffMarginMS: margin, TargetVersions: []TargetVersion{{Version: 2, AgeMS: age}}}
+	}
+	assert.DeepEqual(t, times.missing(notice(2000, 800), now), []TargetVersion{{Version: 2, AgeMS: 3000}})
+	assert.Equal(t, len(times.missing(notice(2000, 0), now)), 0, "usual cutoff")
+	assert.Equal(t, len(times.missing(notice(2990, 800), now)), 0, "the transmission takes longer")
+	assert.Equal(t, len(times.missing(notice(4000, 800), now)), 0, "it knows an earlier time")
+}
--- a/loadreport/versions.go
+++ b/loadreport/versions.go
@@ -50,13 +50,20 @@
 	t.times = t.times[max(0, len(t.times)-maxVersionTimes):]
 }
 
+// minLearnedLater is the least difference of the times at which two gateways learned of a
+// target version that counts. It covers the transmission of notices.
+const minLearnedLater = 50 * time.Millisecond
+
 // missing returns the known ages of the target versions that have an unknown age in a
-// gateway's notice.
+// gateway's notice. If the gateway uses a late cutoff, which leaves little time for
+// versions that it learned of late, it also returns those that another gateway learned of
+// earlier.
 func (t *versionTimes) missing(n Notice, now time.Time) []TargetVersion {
 	var out []TargetVersion
 	for _, known := range t.times {
 		for _, target := range n.TargetVersions {
-			if target.Version == known.version && target.AgeMS < 0 {
+			earlier := n.CutoffMarginMS > 0 && known.setAt.Add(minLearnedLater).Before(target.SetAt(now))
+			if target.Version == known.version && (target.AgeMS < 0 || earlier) {
 				out = append(out, TargetVersion{Version: known.version, AgeMS: now.Sub(known.setAt).Milliseconds()})
 			}
 		}
