ingress: tests that a late request is withdrawn and that none is overlooked

The test near a late cutoff also passed without the withdrawal, because a stream without an event is moved after 2.2 s. A queue of 1.5 s shows the difference. The test of the widest bounds now compares whole queries, so that it fails if widestQuery uses the bounds of the first request.

--- a/ingress/cutoff_test.go
+++ b/ingress/cutoff_test.go
@@ -107,19 +107,30 @@
 // Guards against a search for engines that leaves out those that a request behind the
 // first of the queue may use: a stream behind a plain request, or a short prompt behind a
 // long one.
-func TestWidestBoundsFitAllRequests(t *testing.T) {
-	server := newTestGateway(t).server
+func TestWidestQueryFitsAllRequests(t *testing.T) {
+	g := newTestGateway(t)
+	g.configure(1)
 	deadline := time.Now()
-	server.targetVersions[testModel] = []TargetVersion{{Version: 2, deadline: deadline, late: true}}
+	g.server.targetVersions[testModel] = []TargetVersion{{Version: 2, deadline: deadline, late: true}}
+	var requests []*exchange
+	for _, kind := range []routing.Kind{routing.Safe, routing.Streaming} {
+		for _, prefill := range []float64{0, 50, 300, 3000} {
+			requests = append(requests, &exchange{
+				server: g.server, config: g.server.Configuration(), service: "engine", model: testModel,
+				route: route(kind, "/", "engine", 2), prefillMS: prefill, meanPrefillMS: 50,
+			})
+		}
+	}
 	for before := time.Duration(0); before < 4*time.Second; before += 50 * time.Millisecond {
 		now := deadline.Add(-before)
-		for _, kind := range []routing.Kind{routing.Safe, routing.Streaming} {
-			for _, prefill := range []float64{0, 50, 300, 3000} {
-				x := &exchange{model: testModel, route: route(kind, "/", "engine", 2), prefillMS: prefill, meanPrefillMS: 50}
-				widest, own := server.widestVersionBounds(x, now), server.versionBounds(x, now)
-				assert.Assert(t, widest.lowest <= own.lowest && widest.beforeUpdate <= own.beforeUpdate && widest.next <= own.next, "%s before, %s", before, kind)
+		for _, first := range requests {
+			widest := g.server.widestQuery(first, now)
+			for _, x := range requests {
+				q := g.server.attemptQuery(x, now)
+				assert.Assert(t, widest.MinVersion <= q.MinVersion && widest.MinVersionBeforeUpdate <= q.MinVersionBeforeUpdate && widest.NextMinVersion <= q.NextMinVersion,
+					"%s before, %s behind %s", before, x.route.Kind, first.route.Kind)
 				// A request that must begin at once needs a recent report, too.
-				assert.Assert(t, widest.reported <= max(own.reported, own.next), "%s before, %s", before, kind)
+				assert.Assert(t, widest.ReportedMinVersion <= max(q.ReportedMinVersion, q.NextMinVersion), "%s before, %s behind %s", before, x.route.Kind, first.route.Kind)
 			}
 		}
 	}
@@ -198,34 +209,38 @@
 	}
 }
 
-// A request that is sent right before the late cutoff to an engine that queues it 2.5 s
-// longer than its reports say must not begin there after the deadline. Another engine
-// serves it, or the caller gets no status that says that it has not run.
+// A request that is sent right before the late cutoff to an engine that queues it longer
+// than its reports say must not begin there after the deadline. Another engine serves it,
+// or the caller gets no status that says that it has not run. After 2.2 s without an event
+// a stream is moved in any case (firstEventTimeout), so a shorter queue shows that the
+// request is withdrawn, and 2.5 s that it stays so.
 func TestLateRequestDoesNotBeginAfterVersionDeadline(t *testing.T) {
-	for _, hasNew := range []bool{true, false} {
-		t.Run(map[bool]string{true: "new version", false: "no new version"}[hasNew], func(t *testing.T) {
-			t.Parallel()
-			g := newTestGateway(t)
-			old := &queueingEngine{delay: 2500 * time.Millisecond}
-			deadline := g.setUpContended(old, testSlots+1, withdrawalLead+deliveryTime+beginTime(50, 50)+100*time.Millisecond, longRoute(routing.Streaming, "/long/", 2))
-			if hasNew {
-				time.AfterFunc(600*time.Millisecond, func() {
-					g.startEndpoint("new", "engine", respondEvents(lastEvent, lastEvent))
-					g.reportFrom("new", 2, testSlots+1)
-				})
-			}
-			r, body := g.do("POST", "/long/1", "x", withHeader(testHeaders.Deadline, "6000"))
-			assert.Equal(t, g.requests()[0].endpoint, "old")
-			time.Sleep(time.Until(deadline.Add(old.delay)))
-			began := old.began.Load()
-			assert.Assert(t, began == nil || began.Before(deadline), "began %s after the deadline", sinceDeadline(began, deadline))
-			if hasNew {
-				assert.Equal(t, r.StatusCode, http.StatusOK)
-				assert.Equal(t, body, eventsText(lastEvent))
-				return
-			}
-			assert.Assert(t, r.StatusCode == http.StatusBadGateway || r.StatusCode == http.StatusGatewayTimeout, "status %d", r.StatusCode)
-		})
+	for _, delay := range []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond} {
+		for _, hasNew := range []bool{true, false} {
+			t.Run(delay.String()+map[bool]string{true: ", new version", false: ", no new version"}[hasNew], func(t *testing.T) {
+				t.Parallel()
+				g := newTestGateway(t)
+				old := &queueingEngine{delay: delay}
+				deadline := g.setUpContended(old, testSlots+1, withdrawalLead+deliveryTime+beginTime(50, 50)+100*time.Millisecond, longRoute(routing.Streaming, "/long/", 2))
+				if hasNew {
+					time.AfterFunc(600*time.Millisecond, func() {
+						g.startEndpoint("new", "engine", respondEvents(lastEvent, lastEvent))
+						g.reportFrom("new", 2, testSlots+1)
+					})
+				}
+				r, body := g.do("POST", "/long/1", "x", withHeader(testHeaders.Deadline, "6000"))
+				assert.Equal(t, g.requests()[0].endpoint, "old")
+				time.Sleep(time.Until(deadline.Add(delay)))
+				began := old.began.Load()
+				assert.Assert(t, began == nil || began.Before(deadline), "began %s after the deadline", sinceDeadline(began, deadline))
+				if hasNew {
+					assert.Equal(t, r.StatusCode, http.StatusOK)
+					assert.Equal(t, body, eventsText(lastEvent))
+					return
+				}
+				assert.Assert(t, r.StatusCode == http.StatusBadGateway || r.StatusCode == http.StatusGatewayTimeout, "status %d", r.StatusCode)
+			})
+		}
 	}
 }
 
