--- a/ingress/cutoff.go
+++ b/ingress/cutoff.go
@@ -36,8 +36,9 @@
 	// from which an engine gets no requests that must begin at once (fleet.delayHigh).
 	deliveryTime = 100 * time.Millisecond
 	// longestQueueTime is the longest time that requests were seen to wait in an engine's
-	// queue close to a deadline, 2.3 s (docs/design/version-bound.md). A request that is
-	// sent earlier than that before the withdrawal is rarely withdrawn.
+	// queue after many gateways had used the same free slot, 2.3 s
+	// (docs/design/version-bound.md). A request that is sent earlier than that before the
+	// withdrawal is rarely withdrawn.
 	longestQueueTime = 2300 * time.Millisecond
 )
 
