installer: plan the order of versions by fetchplan, keep three replicas

The forecasts compared two versions only, and a third replica evicted the oldest even if it was nearly complete.

The number of replicas follows the versions in force, of which there are at most three, and the least useful one is evicted.

--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -240,11 +240,7 @@
 // older version is held neither here nor by a known peer, and then 1 until the
 // older version is complete. It is also 1 on a slow link.
 func (i *Installer) pullLimit(r *replica, task fetchTask, now time.Time) int {
-	for _, t := range i.targets {
-		if t.version >= task.version || !i.shouldFinishOlder(t, now) {
-			continue
-		}
-		older := i.replicaLocked(t.version)
+	if older := i.olderFirst(task.version, now); older != nil {
 		if older.reachable() < len(older.chunks) {
 			return 0
 		}
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -27,6 +27,7 @@
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/backpressure"
+	"github.com/mintlift/mintlift/fetchplan"
 	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/telemetry"
 	"github.com/mintlift/mintlift/transfer"
@@ -180,8 +181,10 @@
 	// planned or in progress.
 	updateScheduled bool
 	replicas        []*replica
-	peerList        []Peer    // the sidecar list as last read
-	peerListAt      time.Time // when peerList was read
+	// plan is the fetch plan as last computed.
+	plan       fetchplan.Plan
+	peerList   []Peer    // the sidecar list as last read
+	peerListAt time.Time // when peerList was read
 	// peersMissingSince is when the list could first not be read; zero if it could.
 	peersMissingSince time.Time
 	// changed is closed and replaced when the state has changed, to wake the
@@ -228,10 +231,6 @@
 	fromOrigin       int
 }
 
-// maxReplicas is the maximum number of replicas that are kept: one of the newest
-// version, and one of the version that may be served until the newest is complete.
-const maxReplicas = 2
-
 // New returns an Installer; peers reads the list of the service's sidecars.
 func New(s Settings, e Engine, o Origin, peers func(context.Context) ([]Peer, error), log logr.Logger, m *telemetry.Metrics) *Installer {
 	down := newPacer(s.LinkRate)
--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -99,14 +99,9 @@
 	stagedOnly bool
 }
 
-// finishOlderMinShare is the share of an older version's chunks that must be held
-// here or by other sidecars for its fetch to be continued, if it is unknown when the
-// operator set the versions.
-const finishOlderMinShare = 0.6
-
 // fetchTasks returns the versions to fetch now and a channel that is closed when the
-// state changes. Targets older than the newest come first, then the newest, then the
-// intermediateVersion if there is one.
+// state changes. They are those of the fetch plan in its order, of which the newest is
+// the last, and the intermediateVersion if there is one.
 func (i *Installer) fetchTasks() ([]fetchTask, <-chan struct{}) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -114,13 +109,13 @@
 		return nil, i.changed
 	}
 	var out []fetchTask
-	now := clock.Now()
-	for _, t := range i.targets {
-		if i.shouldFinishOlder(t, now) {
-			out = append(out, fetchTask{params: i.params, version: t.version})
+	newest := fetchTask{params: i.params, version: i.newestTarget().version}
+	plan := i.refreshPlan(clock.Now())
+	for _, version := range plan.Fetch {
+		if r := i.replicaLocked(version); version != newest.version && r != nil && !r.complete() {
+			out = append(out, fetchTask{params: i.params, version: version})
 		}
 	}
-	newest := fetchTask{params: i.params, version: i.newestTarget().version}
 	newest.stagedOnly = i.verifiedVersion() >= newest.version
 	if r := i.replicaLocked(newest.version); r == nil || !newest.stagedOnly && !r.complete() {
 		out = append(out, newest)
@@ -210,9 +205,7 @@
 	defer i.mu.Unlock()
 	defer i.notifyLocked() // serveManifest may hold requests for this manifest
 	i.replicas = append(i.replicas, r)
-	if len(i.replicas) > maxReplicas {
-		i.replicas = slices.Delete(i.replicas, 0, len(i.replicas)-maxReplicas)
-	}
+	i.evictReplicas(r, i.refreshPlan(clock.Now()))
 	return r
 }
 
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -362,6 +362,14 @@
 	return int(all.Count())
 }
 
+// LastArrival returns when the last chunk arrived, or the start of the transfer.
+func (s *Swarm) LastArrival() time.Time { return s.lastArrival }
+
+// LastSenderFailure returns the later of two times: of the last failed read from the
+// origin, and of the last response of a remote box that did not hold the chunk. It is
+// zero if there was none.
+func (s *Swarm) LastSenderFailure() time.Time { return s.lastSenderFailure }
+
 // Held returns a copy of the bitmap of verified chunks.
 func (s *Swarm) Held() *bitset.BitSet { return s.held.Clone() }
 
