installer: pulls in flight outlive a round of a fetch

A round of a fetch ended by its time limit and cancelled the pulls in flight.

Pulls end with the task or with the last chunk. The swarm of the next round takes over the pulls in flight and what listed peers hold.

--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -25,20 +25,18 @@
 // digests after which the manifest is assumed to be corrupt, if no chunk matched.
 const manifestMismatchLimit = 4
 
-// fetch pulls chunks until r is complete, for one round, whose duration
-// fetchRoundTimeout and fetchRoundJitter bound. It returns false if the round timed
-// out, ctx ended or the manifest was discarded first.
+// fetch pulls chunks until r is complete, for one round. It returns false if the round
+// ended, ctx ended or the manifest was discarded first. Pulls that are in flight at the
+// end of a round continue in the next one, so that no chunk is sent again.
 func (i *Installer) fetch(ctx context.Context, task fetchTask, r *replica) bool {
 	if i.isComplete(r) {
 		return true
 	}
 	began := clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, fetchRoundTimeout+rand.N(fetchRoundJitter))
-	defer cancel()
-	swarm := i.startSwarm(ctx, task, r)
+	end := began.Add(fetchRoundTimeout + rand.N(fetchRoundJitter))
+	i.startSwarm(ctx, task, r)
 	ended := make(chan struct{}, 1)
-	inFlight := 0 // guarded by Installer.mu
-	for ctx.Err() == nil && !i.isComplete(r) {
+	for ctx.Err() == nil && clock.Now().Before(end) && !i.isComplete(r) {
 		if i.manifestSuspect(r) {
 			i.dropReplica(r)
 			return false
@@ -46,21 +44,21 @@
 		i.mu.Lock()
 		p := transfer.Pull{Wait: pullPollInterval}
 		switch limit := i.pullLimit(r, task, clock.Now()); {
-		case inFlight < limit:
-			p = swarm.Next(clock.Now())
-		case limit > 1 && inFlight < limit+extraFirstFetches:
-			p = swarm.NextFirstFetch(clock.Now())
+		case r.pulls < limit:
+			p = r.swarm.Next(clock.Now())
+		case limit > 1 && r.pulls < limit+extraFirstFetches:
+			p = r.swarm.NextFirstFetch(clock.Now())
 		}
-		has := swarm.HeldOrInFlight()
+		has := r.swarm.HeldOrInFlight()
 		if p.Kind != transfer.None {
-			inFlight++
+			r.pulls++
 		}
 		i.mu.Unlock()
 		if p.Kind != transfer.None {
 			go func() {
-				i.pull(ctx, r, swarm, p, has)
+				i.pull(ctx, r, p, has)
 				i.mu.Lock()
-				inFlight--
+				r.pulls--
 				i.mu.Unlock()
 				select {
 				case ended <- struct{}{}:
@@ -113,9 +111,8 @@
 }
 
 // startSwarm replaces the swarm of r, which schedules its pulls, by a new one over
-// the current sidecar list. Pulls in flight that the previous swarm has scheduled
-// report their results to the previous swarm.
-func (i *Installer) startSwarm(ctx context.Context, task fetchTask, r *replica) *transfer.Swarm {
+// the current sidecar list. The new swarm continues the pulls in flight.
+func (i *Installer) startSwarm(ctx context.Context, task fetchTask, r *replica) {
 	peers, _ := i.listPeers(ctx)
 	params := transfer.Params{
 		Chunks:        len(r.manifest.Digests),
@@ -139,13 +136,12 @@
 	i.mu.Lock()
 	swarm := transfer.NewSwarm(params, order, i.settings.Box, r.held, clock.Now())
 	if r.swarm != nil {
-		swarm.InheritTiming(r.swarm)
+		swarm.Continue(r.swarm)
 	}
 	r.swarm = swarm
 	r.addresses = addresses
 	i.mu.Unlock()
 	i.queryPartners(ctx, r.manifest, swarm, addresses, order.Partners(i.settings.Region, i.settings.Box))
-	return swarm
 }
 
 // peerListMaxAge is the maximum age of the sidecar list for a new swarm. A newer list
@@ -293,17 +289,18 @@
 	return lowest
 }
 
-// pull carries out p and reports its result to the swarm. has is the set of chunks
-// that this box holds or has in flight.
-func (i *Installer) pull(ctx context.Context, r *replica, swarm *transfer.Swarm, p transfer.Pull, has *bitset.BitSet) {
+// pull carries out p and reports its result to the current swarm of r. has is the set
+// of chunks that this box holds or has in flight.
+func (i *Installer) pull(ctx context.Context, r *replica, p transfer.Pull, has *bitset.BitSet) {
 	began := clock.Now()
-	availability, data, err := i.requestChunk(ctx, r, swarm, &p, has, func() { began = clock.Now() })
+	availability, data, err := i.requestChunk(ctx, r, &p, has, func() { began = clock.Now() })
 	if err == nil {
 		err = i.storeChunk(r, p, data)
 	}
 	now := clock.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	swarm := r.swarm
 	switch {
 	case err == nil:
 		swarm.Arrived(p, availability, now.Sub(began), now)
@@ -358,9 +355,9 @@
 // requestChunk requests the chunk of p from the origin or a peer. A peer of another
 // region may hold the request until the chunk has arrived there; sending is called
 // when that peer starts to send.
-func (i *Installer) requestChunk(ctx context.Context, r *replica, swarm *transfer.Swarm, p *transfer.Pull, has *bitset.BitSet, sending func()) (transfer.Availability, []byte, error) {
+func (i *Installer) requestChunk(ctx context.Context, r *replica, p *transfer.Pull, has *bitset.BitSet, sending func()) (transfer.Availability, []byte, error) {
 	i.mu.Lock()
-	stallTimeout := swarm.StallTimeout()
+	stallTimeout := r.swarm.StallTimeout()
 	address := r.addresses[p.Peer]
 	i.mu.Unlock()
 	if p.Kind == transfer.FromOrigin {
@@ -377,7 +374,7 @@
 		}
 		i.mu.Lock()
 		defer i.mu.Unlock()
-		return swarm.Offered(p, chunk)
+		return r.swarm.Offered(p, chunk)
 	}
 	return i.client.pull(ctx, address, i.settings.Box, r.manifest, p.Chunk, has, firstByteTimeout, stallTimeout, accept)
 }
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -218,6 +218,8 @@
 	// swarm schedules the pulls of the current fetch. It is nil until the first fetch
 	// starts.
 	swarm *transfer.Swarm
+	// pulls is the number of pulls in flight.
+	pulls int
 	// addresses maps the boxes of the swarm to their installers' addresses.
 	addresses map[string]string
 	// picker selects the chunks to send to peers.
--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -26,7 +26,7 @@
 	retryDelay = 250 * time.Millisecond
 	// fetchRoundTimeout bounds a round of a fetch, after which the sidecar list is
 	// read again. A random part of fetchRoundJitter is added to each round, so that
-	// boxes do not abort their pulls at the same time.
+	// boxes do not query their partners at the same time.
 	fetchRoundTimeout = 6 * time.Second
 	fetchRoundJitter  = 4 * time.Second
 	// startTimeout is how long the engine may take to load a version after it has
@@ -159,6 +159,8 @@
 	if task.stagedOnly {
 		return true
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // of pulls that are in flight when the replica is complete
 	for !i.fetch(ctx, task, r) {
 		if ctx.Err() != nil || i.replicaDropped(r) {
 			return false
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -294,6 +294,22 @@
 	s.chunkTime = earlier.chunkTime
 }
 
+// Continue makes s, which has started no pull yet, the continuation of an earlier swarm
+// for the same version. In addition to the timing state, s takes over the pulls in
+// flight, whose ends the caller reports to s, and what the peers that are still listed
+// are known to hold.
+func (s *Swarm) Continue(earlier *Swarm) {
+	s.InheritTiming(earlier)
+	s.inFlight = earlier.inFlight.Clone()
+	s.pulls, s.firstFetches, s.extraReads = earlier.pulls, earlier.firstFetches, earlier.extraReads
+	for box, ps := range s.byBox {
+		if before := earlier.byBox[box]; before != nil {
+			ps.pulling = before.pulling
+			s.mergeAvailability(ps, Availability{Held: before.held})
+		}
+	}
+}
+
 // buildSchedule computes the schedule of the missing chunks that this box may have to
 // fetch into its region: those for which it is among the first maxRanks boxes.
 func (s *Swarm) buildSchedule(o *Order) {
--- a/transfer/swarm_test.go
+++ b/transfer/swarm_test.go
@@ -546,3 +546,26 @@
 		}
 	}
 }
+
+// TestContinueKeepsPullsInFlight guards against a second read of a chunk that is on its
+// way when a swarm is replaced, and against limits that count such pulls twice or never.
+func TestContinueKeepsPullsInFlight(t *testing.T) {
+	p := testParams(8, 64)
+	now := epoch.Add(time.Second)
+	earlier := newTestSwarm(p, "b0")
+	earlier.AddAvailability("b2", Availability{Held: bitset.New(64).Set(63)})
+	first := earlier.Next(now)
+	assert.Equal(t, first.Kind, FromOrigin)
+	s := newTestSwarm(p, "b0")
+	s.Continue(earlier)
+	assert.Equal(t, s.AvailableChunks(), 1, "what listed peers hold is still known")
+	second := s.Next(now)
+	assert.Equal(t, second.Kind, FromOrigin)
+	assert.Assert(t, second.Chunk != first.Chunk)
+	third := s.Next(now)
+	assert.Equal(t, third.Kind, FromPeer, "only maxFirstFetches are in flight")
+	s.Arrived(first, Availability{}, time.Millisecond, now)
+	assert.Equal(t, s.pulls, 2)
+	assert.Equal(t, s.firstFetches, 1)
+	assert.Equal(t, s.Next(now).Kind, FromOrigin)
+}
