installer: a restarted sidecar opens all versions in force

After a restart a sidecar opened the newest version only. Staged chunks of an older version were then overwritten, and the box asked for a version of which the origin, being unavailable, could send nothing.

Versions that the plan keeps are opened too: the staged chunks are read and partners are asked what they hold, so that the plan can include them.

--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -142,6 +142,12 @@
 	r.addresses = addresses
 	i.mu.Unlock()
 	i.queryPartners(ctx, r.manifest, swarm, addresses, order.Partners(i.settings.Region, i.settings.Box))
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if r.askPartners {
+		r.askPartners = false
+		i.notifyLocked()
+	}
 }
 
 // peerListMaxAge is the maximum age of the sidecar list for a new swarm. A newer list
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -220,6 +220,9 @@
 	swarm *transfer.Swarm
 	// pulls is the number of pulls in flight.
 	pulls int
+	// askPartners is set until other boxes have been asked which chunks they hold, if the
+	// replica has been opened for the plan only.
+	askPartners bool
 	// addresses maps the boxes of the swarm to their installers' addresses.
 	addresses map[string]string
 	// picker selects the chunks to send to peers.
--- a/installer/installer_test.go
+++ b/installer/installer_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,6 +117,8 @@
 	mu   sync.Mutex
 	sent int  // chunks sent
 	down bool // all calls fail
+	// noChunks makes all calls of Chunk fail.
+	noChunks atomic.Bool
 	// corrupt reports whether to corrupt a chunk, given the number of chunks sent.
 	corrupt func(sent int) bool
 	// corruptManifests is how many of the next manifests are corrupted.
@@ -145,7 +148,7 @@
 	time.Sleep(o.delay)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.down {
+	if o.down || o.noChunks.Load() {
 		return nil, errors.New("down")
 	}
 	o.sent++
--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -97,11 +97,15 @@
 	// stagedOnly is set if the engine has the version loaded. Its staged chunks are
 	// then read into a replica, to be sent to other sidecars, and no chunk is fetched.
 	stagedOnly bool
+	// openOnly is set for an older version in force that has not been opened, such as
+	// after a restart of this process. The staged chunks are read, and other sidecars
+	// are asked what they hold, for the plan to decide whether to fetch the version.
+	openOnly bool
 }
 
 // fetchTasks returns the versions to fetch now and a channel that is closed when the
 // state changes. They are those of the fetch plan in its order, of which the newest is
-// the last, and the intermediateVersion if there is one.
+// the last, the intermediateVersion if there is one, and the versions to open only.
 func (i *Installer) fetchTasks() ([]fetchTask, <-chan struct{}) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -123,6 +127,11 @@
 	if version := i.intermediateVersion(); version > 0 {
 		out = append(out, fetchTask{params: i.params, version: version})
 	}
+	for _, version := range plan.Keep {
+		if r := i.replicaLocked(version); (r == nil || r.askPartners) && !slices.ContainsFunc(out, func(t fetchTask) bool { return t.version == version }) {
+			out = append(out, fetchTask{params: i.params, version: version, openOnly: true})
+		}
+	}
 	return out, i.changed
 }
 
@@ -156,7 +165,10 @@
 	if r == nil {
 		return false
 	}
-	if task.stagedOnly {
+	if task.openOnly {
+		i.startSwarm(ctx, task, r)
+	}
+	if task.stagedOnly || task.openOnly {
 		return true
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -198,13 +210,17 @@
 		return nil
 	}
 	r := newReplica(m, i.settings.Box)
+	r.askPartners = task.openOnly
 	i.readStage(ctx, r)
 	if r.complete() {
 		r.completedAt = clock.Now()
 	}
-	i.log.Info("replica opened", "version", task.version, "held", r.held.Count(), "chunks", len(r.chunks))
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if other := i.replicaLocked(task.version); other != nil {
+		return other // opened by a job that this one replaces
+	}
+	i.log.Info("replica opened", "version", task.version, "held", r.held.Count(), "chunks", len(r.chunks))
 	defer i.notifyLocked() // serveManifest may hold requests for this manifest
 	i.replicas = append(i.replicas, r)
 	i.evictReplicas(r, i.refreshPlan(clock.Now()))
--- a/installer/stage_test.go
+++ b/installer/stage_test.go
@@ -53,3 +53,32 @@
 	assert.Assert(t, !i.shouldStage(i.replicas[0]), "the engine has it loaded")
 	assert.Assert(t, i.shouldStage(newer))
 }
+
+// A sidecar that restarts while two versions are in force must find the staged chunks
+// of the older one and, if the plan has it, complete it. Here the origin sends no
+// chunk, and another box holds a part of the version.
+func TestStagedOlderVersionSurvivesRestart(t *testing.T) {
+	c := newCluster(t, 2, 1, 20*time.Second, func(_ int, e *fakeEngine) {
+		e.load(1)
+		for n := range testChunks / 2 {
+			e.stage[n] = chunkOf(2, n)
+		}
+	})
+	c.origin.noChunks.Store(true)
+	for _, i := range c.installers {
+		i.AddTarget(testModel, 2, time.Now().Add(-2*time.Second))
+		i.AddTarget(testModel, 3, time.Now())
+	}
+	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+		r := c.installers[0].replica(2)
+		if r != nil {
+			c.installers[0].mu.Lock()
+			held, known := int(r.held.Count()), !r.askPartners
+			c.installers[0].mu.Unlock()
+			if held == testChunks/2 && known {
+				break
+			}
+		}
+		assert.Assert(t, time.Since(began) < 10*time.Second, "version 2 is not opened")
+	}
+}
