installer: a peer's availability counts before its chunk has arrived

A response begins with the chunks that the sender and its region hold. The box took note of them only once the chunk had arrived, some hundred milliseconds later on a busy link, and meanwhile deferred reads from the origin because earlier chunks seemed to be missing.

--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -42,17 +42,8 @@
 			return false
 		}
 		i.mu.Lock()
-		p := transfer.Pull{Wait: pullPollInterval}
-		switch limit := i.pullLimit(r, task, clock.Now()); {
-		case r.pulls < limit:
-			p = r.swarm.Next(clock.Now())
-		case limit > 1 && r.pulls < limit+extraFirstFetches:
-			p = r.swarm.NextFirstFetch(clock.Now())
-		}
+		p := i.nextPull(r, task, clock.Now())
 		has := r.swarm.HeldOrInFlight()
-		if p.Kind != transfer.None {
-			r.pulls++
-		}
 		i.mu.Unlock()
 		if p.Kind != transfer.None {
 			go func() {
@@ -81,6 +72,22 @@
 	return done
 }
 
+// nextPull returns the next pull for r and counts it, unless its kind is None.
+// Installer.mu is held.
+func (i *Installer) nextPull(r *replica, task fetchTask, now time.Time) transfer.Pull {
+	p := transfer.Pull{Wait: pullPollInterval}
+	switch limit := i.pullLimit(r, task, now); {
+	case r.pulls < limit:
+		p = r.swarm.Next(now)
+	case limit > 1 && r.pulls < limit+extraFirstFetches:
+		p = r.swarm.NextFirstFetch(now)
+	}
+	if p.Kind != transfer.None {
+		r.pulls++
+	}
+	return p
+}
+
 // isComplete reports whether r holds all chunks. It takes Installer.mu.
 func (i *Installer) isComplete(r *replica) bool {
 	i.mu.Lock()
@@ -382,7 +389,12 @@
 		defer i.mu.Unlock()
 		return r.swarm.Offered(p, chunk)
 	}
-	return i.client.pull(ctx, address, i.settings.Box, r.manifest, p.Chunk, has, firstByteTimeout, stallTimeout, accept)
+	announced := func(a transfer.Availability) {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		r.swarm.AddAvailability(p.Peer, a)
+	}
+	return i.client.pull(ctx, address, i.settings.Box, r.manifest, p.Chunk, has, firstByteTimeout, stallTimeout, accept, announced)
 }
 
 // storeChunk verifies the digest of a received chunk and adds it to r. It returns
--- a/installer/fetch_test.go
+++ b/installer/fetch_test.go
@@ -4,15 +4,21 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/bits-and-blooms/bitset"
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/peer"
 	"github.com/mintlift/mintlift/telemetry"
+	"github.com/mintlift/mintlift/transfer"
 )
 
 // slowOrigin sends each chunk only after a delay, unless the call is cancelled.
@@ -45,3 +51,38 @@
 		assert.Equal(t, origin.calls.Load(), int64(testChunks))
 	})
 }
+
+// What a peer says of its region must count before the bytes of its chunk have arrived,
+// which takes a few hundred milliseconds on a busy link. Until then the box might read
+// chunks from the origin that its region has, or defer others.
+func TestAvailabilityCountsBeforeChunk(t *testing.T) {
+	stop := make(chan struct{})
+	sender := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		held := bitset.New(testChunks).Set(0).Set(1).Set(2)
+		peer.SetAvailability(w.Header(), transfer.Availability{Held: held, Exists: held})
+		w.Header().Set(peer.HeaderChunk, "2")
+		_, _ = w.Write(chunkOf(2, 2)[:8])
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-stop:
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(sender.Close)
+	t.Cleanup(func() { close(stop) })
+	i := New(Settings{Box: "box0"}, &fakeEngine{}, &fakeOrigin{}, nil, logr.Discard(), telemetry.NewMetrics())
+	r := newReplica(manifestOf(2), "box0")
+	params := transfer.Params{Chunks: testChunks, Peers: []transfer.Peer{{Box: "box0", Region: "r"}, {Box: "box1", Region: "r"}}, OriginRegions: []string{"r"}}
+	r.swarm = transfer.NewSwarm(params, transfer.NewOrder(params), "box0", r.held, time.Now())
+	r.addresses = map[string]string{"box1": strings.TrimPrefix(sender.URL, "http://")}
+	go i.pull(t.Context(), r, transfer.Pull{Kind: transfer.FromPeer, Chunk: -1, Peer: "box1"}, r.held.Clone())
+	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+		i.mu.Lock()
+		available := r.swarm.AvailableChunks()
+		i.mu.Unlock()
+		if available == 3 {
+			break
+		}
+		assert.Assert(t, time.Since(began) < 5*time.Second, "%d chunks are known", available)
+	}
+}
--- a/installer/peers.go
+++ b/installer/peers.go
@@ -133,19 +133,20 @@
 
 // pull requests a chunk from a peer. If chunk is -1, the peer selects any chunk that
 // is not in has. accept is called with the number of the offered chunk before its
-// bytes are read; if it returns false, pull returns errChunkNotNeeded. pull returns
+// bytes are read; if it returns false, pull returns errChunkNotNeeded. Before that, each
+// of announced is called with the availability of the peer, if it responds. pull returns
 // stall.ErrStalled if the first byte does not arrive within firstByteTimeout, or a
 // later byte within stallTimeout of the previous one.
-func (c *peerClient) pull(ctx context.Context, address, self string, m *Manifest, chunk int, has *bitset.BitSet, firstByteTimeout, stallTimeout time.Duration, accept func(int) bool) (transfer.Availability, []byte, error) {
+func (c *peerClient) pull(ctx context.Context, address, self string, m *Manifest, chunk int, has *bitset.BitSet, firstByteTimeout, stallTimeout time.Duration, accept func(int) bool, announced ...func(transfer.Availability)) (transfer.Availability, []byte, error) {
 	ctx, guard := stall.New(ctx, firstByteTimeout, stallTimeout)
 	defer guard.Stop()
-	availability, data, err := c.pullOnce(ctx, address, self, m, chunk, has, accept, guard)
+	availability, data, err := c.pullOnce(ctx, address, self, m, chunk, has, accept, guard, announced)
 	return availability, data, stall.Cause(ctx, err)
 }
 
 // pullOnce is pull without its timeouts. It reports received bytes to guard, which
 // cancels ctx on a timeout.
-func (c *peerClient) pullOnce(ctx context.Context, address, self string, m *Manifest, chunk int, has *bitset.BitSet, accept func(int) bool, guard *stall.Guard) (transfer.Availability, []byte, error) {
+func (c *peerClient) pullOnce(ctx context.Context, address, self string, m *Manifest, chunk int, has *bitset.BitSet, accept func(int) bool, guard *stall.Guard, announced []func(transfer.Availability)) (transfer.Availability, []byte, error) {
 	var availability transfer.Availability
 	body, err := json.Marshal(peer.PullRequest{Box: self, Chunk: chunk, Has: peer.EncodeBits(has)})
 	if err != nil {
@@ -161,6 +162,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	availability = peer.ParseAvailability(response.Header, len(m.Digests))
+	for _, announce := range announced {
+		announce(availability)
+	}
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusNoContent, http.StatusNotFound:
