transfer: the first chunk after an outage ends idle backoffs

During an outage of the origin no peer has a useful chunk, and all are backed off for 640 ms. After the return a box asked them again one by one, so that the last chunks of a version reached some boxes only after its use had passed.

--- a/transfer/results.go
+++ b/transfer/results.go
@@ -36,6 +36,7 @@
 	s.exists.Set(uint(p.Chunk))
 	if s.takeOverPaused(now) {
 		s.catchUpAt = now.Sub(s.start) + time.Duration(s.missingInRegion())*s.params.ChunkInterval
+		s.endIdleBackoffs()
 	}
 	s.lastArrival = now
 	s.localStall = false
@@ -46,6 +47,16 @@
 	}
 }
 
+// endIdleBackoffs allows queries of all boxes that are backed off only because they had
+// no useful chunk. The first chunk after an outage shows that they may have one now.
+func (s *Swarm) endIdleBackoffs() {
+	for _, ps := range s.byBox {
+		if ps.penalty == 0 && ps.idleBackoff > 0 {
+			ps.idleBackoff, ps.retryAt = 0, 0
+		}
+	}
+}
+
 // ewma returns the exponentially weighted moving average mean after another sample. A
 // mean of zero means that there is no sample yet.
 func ewma(mean, sample time.Duration) time.Duration {
--- a/transfer/swarm_test.go
+++ b/transfer/swarm_test.go
@@ -569,3 +569,33 @@
 	assert.Equal(t, s.firstFetches, 1)
 	assert.Equal(t, s.Next(now).Kind, FromOrigin)
 }
+
+// TestIdleBackoffEndsWithOutage guards against a slow spread after an outage, in which
+// all peers are backed off because they had no useful chunk: with the first chunk that
+// arrives, a box must query its peers again at once, except those that failed.
+func TestIdleBackoffEndsWithOutage(t *testing.T) {
+	p := testParams(16, 64)
+	p.PauseTakeOver, p.IdleTimeout = true, 400*time.Millisecond
+	s := newTestSwarm(p, "b0")
+	now := epoch
+	for ; now.Before(epoch.Add(6 * time.Second)); now = now.Add(5 * time.Millisecond) {
+		for next := s.Next(now); next.Kind != None; next = s.Next(now) {
+			switch {
+			case next.Kind == FromOrigin:
+				s.ConnectionFailed(next, now)
+			case next.Peer == "b2":
+				s.InvalidChunk(next, now)
+			default:
+				s.NoUsefulChunk(next, Availability{}, now)
+			}
+		}
+	}
+	s.startPull(0)
+	s.Arrived(Pull{Kind: FromPeer, Chunk: 0, Peer: "b4"}, Availability{}, time.Millisecond, now)
+	asked := make(map[string]bool)
+	for next, ok := s.pullFromPeer(now.Sub(epoch)); ok; next, ok = s.pullFromPeer(now.Sub(epoch)) {
+		asked[next.Peer] = true
+	}
+	assert.Equal(t, len(asked), 6, "%v", asked)
+	assert.Assert(t, !asked["b2"], "it sends invalid chunks")
+}
