installer: spread a newer version while the origin is unavailable

While an older version was completed first, boxes pulled nothing of the newer one, also during an outage in which the older one could not make progress. They pull it from each other meanwhile, one chunk at a time.

--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -72,7 +72,8 @@
 	return done
 }
 
-// nextPull returns the next pull for r and counts it, unless its kind is None.
+// nextPull returns the next pull for r and counts it, unless its kind is None. While an
+// older version waits for an unavailable origin, r is pulled from other boxes.
 // Installer.mu is held.
 func (i *Installer) nextPull(r *replica, task fetchTask, now time.Time) transfer.Pull {
 	p := transfer.Pull{Wait: pullPollInterval}
@@ -81,6 +82,8 @@
 		p = r.swarm.Next(now)
 	case limit > 1 && r.pulls < limit+extraFirstFetches:
 		p = r.swarm.NextFirstFetch(now)
+	case limit == 0 && r.pulls == 0 && i.originDownTime(now) > 0:
+		p = r.swarm.NextFromBoxes(now)
 	}
 	if p.Kind != transfer.None {
 		r.pulls++
--- a/installer/plan_test.go
+++ b/installer/plan_test.go
@@ -84,3 +84,23 @@
 	s.Arrived(read, transfer.Availability{}, time.Millisecond, later.Add(time.Second))
 	assert.Equal(t, i.originDownTime(later.Add(time.Second)), time.Duration(0))
 }
+
+// While an older version waits for an unavailable origin, chunks of the newer one must
+// be pulled from other boxes, one at a time, and not from the origin.
+func TestNewerVersionIsSpreadDuringOutage(t *testing.T) {
+	now := time.Now()
+	i := newPartialInstaller(now.Add(-2*time.Second), now, testChunks/2, 50*time.Millisecond)
+	newer := newReplica(manifestOf(3), "box0")
+	i.replicas = append(i.replicas, newer)
+	params := transfer.Params{Chunks: testChunks, Peers: []transfer.Peer{{Box: "box0", Region: "r"}, {Box: "box1", Region: "r"}}, OriginRegions: []string{"r"}}
+	order := transfer.NewOrder(params)
+	for _, r := range i.replicas {
+		r.swarm = transfer.NewSwarm(params, order, "box0", r.held, now)
+	}
+	later := now.Add(2 * time.Second)
+	task := fetchTask{version: 3}
+	assert.Equal(t, i.nextPull(newer, task, later).Kind, transfer.None, "the older version's chunks come first")
+	i.replicas[0].swarm.ConnectionFailed(i.nextPull(i.replicas[0], fetchTask{version: 2}, later), later)
+	assert.Equal(t, i.nextPull(newer, task, later).Kind, transfer.FromPeer)
+	assert.Equal(t, i.nextPull(newer, task, later).Kind, transfer.None)
+}
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -551,6 +551,23 @@
 	return Pull{Wait: idleBackoffMin}
 }
 
+// NextFromBoxes is like Next, but returns only pulls from other boxes. It is for a
+// version that must not be read from the origin yet.
+func (s *Swarm) NextFromBoxes(now time.Time) Pull {
+	if s.Done() || s.pulls >= s.pullLimit() {
+		return Pull{Wait: idleBackoffMin}
+	}
+	if !s.readsOrigin() {
+		if p, ok := s.nextScheduled(now); ok {
+			return p
+		}
+	}
+	if p, ok := s.pullFromPeer(now.Sub(s.start)); ok {
+		return p
+	}
+	return Pull{Wait: idleBackoffMin}
+}
+
 // startFirstFetch starts the fetch of a chunk that is new to the region, from
 // the origin or a remote box. It returns false if no remote box can be queried.
 func (s *Swarm) startFirstFetch(chunk int, since time.Duration) (Pull, bool) {
--- a/transfer/swarm_test.go
+++ b/transfer/swarm_test.go
@@ -599,3 +599,22 @@
 	assert.Equal(t, len(asked), 6, "%v", asked)
 	assert.Assert(t, !asked["b2"], "it sends invalid chunks")
 }
+
+// TestNextFromBoxesDoesNotReadOrigin guards against reads from the origin of a version
+// that is to wait for another one, and against chunks that are not spread meanwhile.
+func TestNextFromBoxesDoesNotReadOrigin(t *testing.T) {
+	p := testParams(8, 64)
+	now := epoch.Add(time.Minute)
+	for box, kinds := range map[string][]Kind{"b0": {FromPeer}, "b1": {FromPeer, FromRemoteRegion}} {
+		s := newTestSwarm(p, box)
+		seen := make(map[Kind]bool)
+		for next := s.NextFromBoxes(now); next.Kind != None; next = s.NextFromBoxes(now) {
+			seen[next.Kind] = true
+			s.NoUsefulChunk(next, Availability{}, now)
+		}
+		assert.Equal(t, len(seen), len(kinds), "%s", box)
+		for _, kind := range kinds {
+			assert.Assert(t, seen[kind], "%s", box)
+		}
+	}
+}
