installer: take a bridging version in time, and late versions by the cutoff

An engine skipped a complete older version whenever the newer one's slot was in time, even if its fetch could not be; took an older one although a third was complete; and took one that may not serve any more. The plan decides, except that an engine does not count on the return of an unavailable origin.

A version complete less than a second before the cutoff was loaded at slots spread until the last, after gateways had stopped routing to the engines.

--- a/installer/start.go
+++ b/installer/start.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/mintlift/mintlift/fetchplan"
 	"github.com/mintlift/mintlift/internal/clock"
 )
 
@@ -115,7 +116,7 @@
 		if t.version <= i.verifiedVersion() || t.version == i.engineState.Version || r == nil || !r.complete() {
 			continue
 		}
-		if at+1 < len(targets) && i.canSkip(t, targets[at+1], position, now) {
+		if i.canSkip(t, targets[at+1:], position, now) {
 			continue
 		}
 		return i.planUpdate(t, r, position, now), i.changed
@@ -138,12 +139,28 @@
 		s.drainLimit = 0 // not reported as scheduled, so gateways have stopped routing to this engine
 		return s
 	}
-	if !s.engineEmpty && !pending.setAt.IsZero() {
-		s.startAt = i.slotTime(r, pending.setAt, position)
+	if s.engineEmpty || pending.setAt.IsZero() {
+		return s
+	}
+	if i.late(r, pending) {
+		s.drainLimit = earlyDrainTimeout
 	}
+	s.startAt = i.slotTime(r, pending, position)
 	return s
 }
 
+// lateMargin is the time before the routing cutoff from which a version that is
+// complete only then counts as late.
+const lateMargin = time.Second
+
+// late reports whether r was completed less than lateMargin before the routing cutoff
+// of pending. All engines are then drained by the cutoff instead of at slots spread until
+// the last, since an engine with an older version is of little use from the cutoff on.
+// Installer.mu is held.
+func (i *Installer) late(r *replica, pending target) bool {
+	return r.completedAt.After(i.routingCutoff(pending).Add(-lateMargin))
+}
+
 // oldestPending returns the oldest target that is newer than the engine's verified
 // version, and so has the first deadline that the engine must meet. If there is
 // none, it returns the newest target. Installer.mu is held.
@@ -181,11 +198,15 @@
 }
 
 // slotTime returns the engine's slot: when its update to the version of r starts.
-// setAt is when the operator set the target whose deadline the engine must meet.
-// position is the result of slotPositionLocked. Installer.mu is held.
-func (i *Installer) slotTime(r *replica, setAt time.Time, position float64) time.Time {
-	first := setAt.Add(time.Duration(firstSlotShare * float64(i.params.Deadline)))
-	last := setAt.Add(lastSlot(i.params.Deadline))
+// pending is the target whose deadline the engine must meet. position is the result of
+// slotPositionLocked. If r is late, the last slot is the last in which an engine
+// can be drained before the routing cutoff. Installer.mu is held.
+func (i *Installer) slotTime(r *replica, pending target, position float64) time.Time {
+	first := pending.setAt.Add(time.Duration(firstSlotShare * float64(i.params.Deadline)))
+	last := pending.setAt.Add(lastSlot(i.params.Deadline))
+	if drained := i.routingCutoff(pending).Add(-earlyDrainTimeout); i.late(r, pending) && drained.Before(last) {
+		last = drained
+	}
 	if r.completedAt.After(first) {
 		first = r.completedAt
 	}
@@ -195,22 +216,48 @@
 	return first.Add(time.Duration(position * float64(last.Sub(first))))
 }
 
-// canSkip reports whether the engine need not be updated to t because it is expected
-// to serve next, the target after t, before gateways stop routing to engines with
-// versions older than t. Installer.mu is held.
-func (i *Installer) canSkip(t, next target, position float64, now time.Time) bool {
-	if r := i.replicaLocked(next.version); r != nil && r.complete() {
+// canSkip reports whether the engine need not be updated to t, of which newer are the
+// newer targets. It need not if a newer version is complete, if t would hardly be served
+// before its last use or the next version, or if the next target is expected to be served
+// before gateways stop routing to engines with versions older than t.
+// Installer.mu is held.
+func (i *Installer) canSkip(t target, newer []target, position float64, now time.Time) bool {
+	if len(newer) == 0 {
+		return false
+	}
+	for _, n := range newer {
+		if r := i.replicaLocked(n.version); r != nil && r.complete() {
+			return true
+		}
+	}
+	plan := i.refreshPlan(now)
+	if slices.Contains(plan.Drop, t.version) {
+		return true
+	}
+	if i.servedInTime(t, newer[0], position, plan, now) {
 		return true
 	}
+	// During an outage the plan counts on the origin's return. The engine must not.
+	return !slices.Contains(plan.Fetch, t.version) && i.originDownTime(now) == 0
+}
+
+// servedInTime reports whether next, the target after t, is expected to be served
+// before the routing cutoff of t, both by the engine's slot and by the fetch.
+// Installer.mu is held.
+func (i *Installer) servedInTime(t, next target, position float64, plan fetchplan.Plan, now time.Time) bool {
 	if !i.progressing(next, now) {
 		return false
 	}
 	if t.setAt.IsZero() || next.setAt.IsZero() {
 		return true
 	}
+	cutoff := i.routingCutoff(t)
+	if served, planned := plan.ServedAt(next.version); planned && !served.Before(cutoff) {
+		return false
+	}
 	first := time.Duration(firstSlotShare * float64(i.params.Deadline))
 	expected := next.setAt.Add(first + time.Duration(position*float64(lastSlot(i.params.Deadline)-first)))
-	return expected.Add(updateTime).Before(i.routingCutoff(t))
+	return expected.Add(updateTime).Before(cutoff)
 }
 
 // Expected progress of a fetch.
--- a/installer/start_test.go
+++ b/installer/start_test.go
@@ -288,3 +288,70 @@
 	c.awaitVersion(2)
 	assert.Assert(t, time.Since(resumed) < 5*time.Second, "%s", time.Since(resumed))
 }
+
+// An engine must take a complete older version that bridges the time until the newer
+// one, also if the fetch of that progresses, and must not take one that would be served
+// only briefly, or not at all as its last use has passed.
+func TestBridgingVersionIsTaken(t *testing.T) {
+	const interval = 100 * time.Millisecond // of a chunk: a copy takes 1.6 s
+	due := testDeadline - routingCutoffMargin
+	for _, c := range []struct {
+		name       string
+		set2, set3 time.Duration // how long ago
+		held3      int
+		want       int // 0 stands for no update
+	}{
+		{"the newer comes too late for the cutoff", due - 500*time.Millisecond, 0, 2, 2},
+		{"the newer's slot is in time, but not its fetch", due - 2200*time.Millisecond, 2 * time.Second, 2, 2},
+		{"after the cutoff, with use left", due + 300*time.Millisecond, due - 4*time.Second, 2, 2},
+		{"after the cutoff, with hardly any use left", due + 2500*time.Millisecond, due - 500*time.Millisecond, 2, 0},
+		{"last use has passed", due + 3*time.Second, due + 100*time.Millisecond, 2, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Now()
+			i := newPartialInstaller(now.Add(-c.set2), now.Add(-c.set3), testChunks, interval)
+			newer := newReplica(manifestOf(3), "box0")
+			for n := range c.held3 {
+				newer.held.Set(uint(n))
+			}
+			i.replicas = append(i.replicas, newer)
+			assert.Equal(t, nextVersion(i, now), c.want)
+		})
+	}
+}
+
+// If a third version is complete, an engine must not take an older one because the
+// version between them is late.
+func TestNewestCompleteVersionIsTaken(t *testing.T) {
+	now := time.Now()
+	targets := []target{{version: 2, setAt: now.Add(-5 * time.Second)}, {version: 3, setAt: now.Add(-4 * time.Second)}, {version: 4, setAt: now.Add(-3 * time.Second)}}
+	i := newLoadedInstaller(targets, 2, 4)
+	i.settings.LinkRate = testChunks * testBytes
+	assert.Equal(t, nextVersion(i, now), 4)
+}
+
+// A version that is complete less than a second before the cutoff must be loaded by all
+// engines by then, and not at slots that are spread until the last. Guards against
+// engines that get no requests while they wait for their slots.
+func TestLateVersionIsLoadedByCutoff(t *testing.T) {
+	due := testDeadline - routingCutoffMargin
+	for _, left := range []time.Duration{900 * time.Millisecond, 300 * time.Millisecond} {
+		now := time.Now()
+		latest := time.Time{}
+		for k := range 20 {
+			i := newLoadedInstaller([]target{{version: 2, setAt: now.Add(left - due)}}, 2)
+			i.replicas[0].completedAt = now
+			i.settings.Box = fmt.Sprint("box", k)
+			for n := range 20 {
+				i.peerList = append(i.peerList, Peer{Box: fmt.Sprint("box", n)})
+			}
+			s, _ := i.nextUpdate(now)
+			assert.Equal(t, s.drainLimit, earlyDrainTimeout)
+			if s.startAt.After(latest) {
+				latest = s.startAt
+			}
+		}
+		bound := now.Add(max(left-earlyDrainTimeout, 0))
+		assert.Assert(t, !latest.After(bound), "the last drain starts %s after the version is complete, %s before the cutoff", latest.Sub(now), left)
+	}
+}
