--- a/installer/start.go
+++ b/installer/start.go
@@ -142,10 +142,11 @@
 	if s.engineEmpty || pending.setAt.IsZero() {
 		return s
 	}
-	if i.late(r, pending) {
+	late := i.late(r, pending, now)
+	if late {
 		s.drainLimit = earlyDrainTimeout
 	}
-	s.startAt = i.slotTime(r, pending, position)
+	s.startAt = i.slotTime(r, pending, position, late)
 	return s
 }
 
@@ -156,9 +157,15 @@
 // late reports whether r was completed less than lateMargin before the routing cutoff
 // of pending. All engines are then drained by the cutoff instead of at slots spread until
 // the last, since an engine with an older version is of little use from the cutoff on.
-// Installer.mu is held.
-func (i *Installer) late(r *replica, pending target) bool {
-	return r.completedAt.After(i.routingCutoff(pending).Add(-lateMargin))
+// It is false unless two or more versions are in force. Installer.mu is held.
+func (i *Installer) late(r *replica, pending target, now time.Time) bool {
+	inForce := 0
+	for _, t := range i.targets {
+		if t.setAt.IsZero() || now.Before(t.setAt.Add(i.params.Deadline)) {
+			inForce++
+		}
+	}
+	return inForce > 1 && r.completedAt.After(i.routingCutoff(pending).Add(-lateMargin))
 }
 
 // oldestPending returns the oldest target that is newer than the engine's verified
@@ -199,12 +206,12 @@
 
 // slotTime returns the engine's slot: when its update to the version of r starts.
 // pending is the target whose deadline the engine must meet. position is the result of
-// slotPositionLocked. If r is late, the last slot is the last in which an engine
+// slotPositionLocked. If late is set, the last slot is the last in which an engine
 // can be drained before the routing cutoff. Installer.mu is held.
-func (i *Installer) slotTime(r *replica, pending target, position float64) time.Time {
+func (i *Installer) slotTime(r *replica, pending target, position float64, late bool) time.Time {
 	first := pending.setAt.Add(time.Duration(firstSlotShare * float64(i.params.Deadline)))
 	last := pending.setAt.Add(lastSlot(i.params.Deadline))
-	if drained := i.routingCutoff(pending).Add(-earlyDrainTimeout); i.late(r, pending) && drained.Before(last) {
+	if drained := i.routingCutoff(pending).Add(-earlyDrainTimeout); late && drained.Before(last) {
 		last = drained
 	}
 	if r.completedAt.After(first) {
