--- a/installer/installer.go
+++ b/installer/installer.go
@@ -27,6 +27,7 @@
 	"github.com/juju/errors"
 
 	"github.com/mintlift/mintlift/backpressure"
+	"github.com/mintlift/mintlift/fetchplan"
 	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/telemetry"
 	"github.com/mintlift/mintlift/transfer"
@@ -183,8 +184,10 @@
 	// planned or in progress.
 	updateScheduled bool
 	replicas        []*replica
-	peerList        []Peer    // the sidecar list as last read
-	peerListAt      time.Time // when peerList was read
+	// plan is the fetch plan as last computed.
+	plan       fetchplan.Plan
+	peerList   []Peer    // the sidecar list as last read
+	peerListAt time.Time // when peerList was read
 	// peersMissingSince is when the list could first not be read; zero if it could.
 	peersMissingSince time.Time
 	// changed is closed and replaced when the state has changed, to wake the
@@ -218,6 +221,11 @@
 	// swarm schedules the pulls of the current fetch. It is nil until the first fetch
 	// starts.
 	swarm *transfer.Swarm
+	// pulls is the number of pulls in flight.
+	pulls int
+	// askPartners is set until other boxes have been asked which chunks they hold, if the
+	// replica has been opened for the plan only.
+	askPartners bool
 	// addresses maps the boxes of the swarm to their installers' addresses.
 	addresses map[string]string
 	// picker selects the chunks to send to peers.
@@ -231,10 +239,6 @@
 	fromOrigin       int
 }
 
-// maxReplicas is the maximum number of replicas that are kept: one of the newest
-// version, and one of the version that may be served until the newest is complete.
-const maxReplicas = 2
-
 // New returns an Installer; peers reads the list of the service's sidecars.
 func New(s Settings, e Engine, o Origin, peers func(context.Context) ([]Peer, error), log logr.Logger, m *telemetry.Metrics) *Installer {
 	down := newPacer(s.LinkRate)
--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -26,7 +26,7 @@
 	retryDelay = 250 * time.Millisecond
 	// fetchRoundTimeout bounds a round of a fetch, after which the sidecar list is
 	// read again. A random part of fetchRoundJitter is added to each round, so that
-	// boxes do not abort their pulls at the same time.
+	// boxes do not query their partners at the same time.
 	fetchRoundTimeout = 6 * time.Second
 	fetchRoundJitter  = 4 * time.Second
 	// startTimeout is how long the engine may take to load a version after it has
@@ -97,16 +97,15 @@
 	// stagedOnly is set if the engine has the version loaded. Its staged chunks are
 	// then read into a replica, to be sent to other sidecars, and no chunk is fetched.
 	stagedOnly bool
+	// openOnly is set for an older version in force that has not been opened, such as
+	// after a restart of this process. The staged chunks are read, and other sidecars
+	// are asked what they hold, for the plan to decide whether to fetch the version.
+	openOnly bool
 }
 
-// finishOlderMinShare is the share of an older version's chunks that must be held
-// here or by other sidecars for its fetch to be continued, if it is unknown when the
-// operator set the versions.
-const finishOlderMinShare = 0.6
-
 // fetchTasks returns the versions to fetch now and a channel that is closed when the
-// state changes. Targets older than the newest come first, then the newest, then the
-// intermediateVersion if there is one.
+// state changes. They are those of the fetch plan in its order, of which the newest is
+// the last, the intermediateVersion if there is one, and the versions to open only.
 func (i *Installer) fetchTasks() ([]fetchTask, <-chan struct{}) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -114,13 +113,13 @@
 		return nil, i.changed
 	}
 	var out []fetchTask
-	now := clock.Now()
-	for _, t := range i.targets {
-		if i.shouldFinishOlder(t, now) {
-			out = append(out, fetchTask{params: i.params, version: t.version})
+	newest := fetchTask{params: i.params, version: i.newestTarget().version}
+	plan := i.refreshPlan(clock.Now())
+	for _, version := range plan.Fetch {
+		if r := i.replicaLocked(version); version != newest.version && r != nil && !r.complete() {
+			out = append(out, fetchTask{params: i.params, version: version})
 		}
 	}
-	newest := fetchTask{params: i.params, version: i.newestTarget().version}
 	newest.stagedOnly = i.verifiedVersion() >= newest.version
 	if r := i.replicaLocked(newest.version); r == nil || !newest.stagedOnly && !r.complete() {
 		out = append(out, newest)
@@ -128,6 +127,11 @@
 	if version := i.intermediateVersion(); version > 0 {
 		out = append(out, fetchTask{params: i.params, version: version})
 	}
+	for _, version := range plan.Keep {
+		if r := i.replicaLocked(version); (r == nil || r.askPartners) && !slices.ContainsFunc(out, func(t fetchTask) bool { return t.version == version }) {
+			out = append(out, fetchTask{params: i.params, version: version, openOnly: true})
+		}
+	}
 	return out, i.changed
 }
 
@@ -161,9 +165,14 @@
 	if r == nil {
 		return false
 	}
-	if task.stagedOnly {
+	if task.openOnly {
+		i.startSwarm(ctx, task, r)
+	}
+	if task.stagedOnly || task.openOnly {
 		return true
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // of pulls that are in flight when the replica is complete
 	for !i.fetch(ctx, task, r) {
 		if ctx.Err() != nil || i.replicaDropped(r) {
 			return false
@@ -201,18 +210,20 @@
 		return nil
 	}
 	r := newReplica(m, i.settings.Box)
+	r.askPartners = task.openOnly
 	i.readStage(ctx, r)
 	if r.complete() {
 		r.completedAt = clock.Now()
 	}
-	i.log.Info("replica opened", "version", task.version, "held", r.held.Count(), "chunks", len(r.chunks))
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if other := i.replicaLocked(task.version); other != nil {
+		return other // opened by a job that this one replaces
+	}
+	i.log.Info("replica opened", "version", task.version, "held", r.held.Count(), "chunks", len(r.chunks))
 	defer i.notifyLocked() // serveManifest may hold requests for this manifest
 	i.replicas = append(i.replicas, r)
-	if len(i.replicas) > maxReplicas {
-		i.replicas = slices.Delete(i.replicas, 0, len(i.replicas)-maxReplicas)
-	}
+	i.evictReplicas(r, i.refreshPlan(clock.Now()))
 	return r
 }
 
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -294,6 +294,22 @@
 	s.chunkTime = earlier.chunkTime
 }
 
+// Continue makes s, which has started no pull yet, the continuation of an earlier swarm
+// for the same version. In addition to the timing state, s takes over the pulls in
+// flight, whose ends the caller reports to s, and what the peers that are still listed
+// are known to hold.
+func (s *Swarm) Continue(earlier *Swarm) {
+	s.InheritTiming(earlier)
+	s.inFlight = earlier.inFlight.Clone()
+	s.pulls, s.firstFetches, s.extraReads = earlier.pulls, earlier.firstFetches, earlier.extraReads
+	for box, ps := range s.byBox {
+		if before := earlier.byBox[box]; before != nil {
+			ps.pulling = before.pulling
+			s.mergeAvailability(ps, Availability{Held: before.held})
+		}
+	}
+}
+
 // buildSchedule computes the schedule of the missing chunks that this box may have to
 // fetch into its region: those for which it is among the first maxRanks boxes.
 func (s *Swarm) buildSchedule(o *Order) {
@@ -362,6 +378,14 @@
 	return int(all.Count())
 }
 
+// LastArrival returns when the last chunk arrived, or the start of the transfer.
+func (s *Swarm) LastArrival() time.Time { return s.lastArrival }
+
+// LastSenderFailure returns the later of two times: of the last failed read from the
+// origin, and of the last response of a remote box that did not hold the chunk. It is
+// zero if there was none.
+func (s *Swarm) LastSenderFailure() time.Time { return s.lastSenderFailure }
+
 // Held returns a copy of the bitmap of verified chunks.
 func (s *Swarm) Held() *bitset.BitSet { return s.held.Clone() }
 
@@ -527,6 +551,23 @@
 	return Pull{Wait: idleBackoffMin}
 }
 
+// NextFromBoxes is like Next, but returns only pulls from other boxes. It is for a
+// version that must not be read from the origin yet.
+func (s *Swarm) NextFromBoxes(now time.Time) Pull {
+	if s.Done() || s.pulls >= s.pullLimit() {
+		return Pull{Wait: idleBackoffMin}
+	}
+	if !s.readsOrigin() {
+		if p, ok := s.nextScheduled(now); ok {
+			return p
+		}
+	}
+	if p, ok := s.pullFromPeer(now.Sub(s.start)); ok {
+		return p
+	}
+	return Pull{Wait: idleBackoffMin}
+}
+
 // startFirstFetch starts the fetch of a chunk that is new to the region, from
 // the origin or a remote box. It returns false if no remote box can be queried.
 func (s *Swarm) startFirstFetch(chunk int, since time.Duration) (Pull, bool) {
--- a/transfer/swarm_test.go
+++ b/transfer/swarm_test.go
@@ -546,3 +546,75 @@
 		}
 	}
 }
+
+// TestContinueKeepsPullsInFlight guards against a second read of a chunk that is on its
+// way when a swarm is replaced, and against limits that count such pulls twice or never.
+func TestContinueKeepsPullsInFlight(t *testing.T) {
+	p := testParams(8, 64)
+	now := epoch.Add(time.Second)
+	earlier := newTestSwarm(p, "b0")
+	earlier.AddAvailability("b2", Availability{Held: bitset.New(64).Set(63)})
+	first := earlier.Next(now)
+	assert.Equal(t, first.Kind, FromOrigin)
+	s := newTestSwarm(p, "b0")
+	s.Continue(earlier)
+	assert.Equal(t, s.AvailableChunks(), 1, "what listed peers hold is still known")
+	second := s.Next(now)
+	assert.Equal(t, second.Kind, FromOrigin)
+	assert.Assert(t, second.Chunk != first.Chunk)
+	third := s.Next(now)
+	assert.Equal(t, third.Kind, FromPeer, "only maxFirstFetches are in flight")
+	s.Arrived(first, Availability{}, time.Millisecond, now)
+	assert.Equal(t, s.pulls, 2)
+	assert.Equal(t, s.firstFetches, 1)
+	assert.Equal(t, s.Next(now).Kind, FromOrigin)
+}
+
+// TestIdleBackoffEndsWithOutage guards against a slow spread after an outage, in which
+// all peers are backed off because they had no useful chunk: with the first chunk that
+// arrives, a box must query its peers again at once, except those that failed.
+func TestIdleBackoffEndsWithOutage(t *testing.T) {
+	p := testParams(16, 64)
+	p.PauseTakeOver, p.IdleTimeout = true, 400*time.Millisecond
+	s := newTestSwarm(p, "b0")
+	now := epoch
+	for ; now.Before(epoch.Add(6 * time.Second)); now = now.Add(5 * time.Millisecond) {
+		for next := s.Next(now); next.Kind != None; next = s.Next(now) {
+			switch {
+			case next.Kind == FromOrigin:
+				s.ConnectionFailed(next, now)
+			case next.Peer == "b2":
+				s.InvalidChunk(next, now)
+			default:
+				s.NoUsefulChunk(next, Availability{}, now)
+			}
+		}
+	}
+	s.startPull(0)
+	s.Arrived(Pull{Kind: FromPeer, Chunk: 0, Peer: "b4"}, Availability{}, time.Millisecond, now)
+	asked := make(map[string]bool)
+	for next, ok := s.pullFromPeer(now.Sub(epoch)); ok; next, ok = s.pullFromPeer(now.Sub(epoch)) {
+		asked[next.Peer] = true
+	}
+	assert.Equal(t, len(asked), 6, "%v", asked)
+	assert.Assert(t, !asked["b2"], "it sends invalid chunks")
+}
+
+// TestNextFromBoxesDoesNotReadOrigin guards against reads from the origin of a version
+// that is to wait for another one, and against chunks that are not spread meanwhile.
+func TestNextFromBoxesDoesNotReadOrigin(t *testing.T) {
+	p := testParams(8, 64)
+	now := epoch.Add(time.Minute)
+	for box, kinds := range map[string][]Kind{"b0": {FromPeer}, "b1": {FromPeer, FromRemoteRegion}} {
+		s := newTestSwarm(p, box)
+		seen := make(map[Kind]bool)
+		for next := s.NextFromBoxes(now); next.Kind != None; next = s.NextFromBoxes(now) {
+			seen[next.Kind] = true
+			s.NoUsefulChunk(next, Availability{}, now)
+		}
+		assert.Equal(t, len(seen), len(kinds), "%s", box)
+		for _, kind := range kinds {
+			assert.Assert(t, seen[kind], "%s", box)
+		}
+	}
+}
