ingress: plan the return of refused callers in contended services

Callers that came back as told were mostly refused again: Retry-After was up to 2.15 s at random, whatever the gateway could serve. In a contended service the gateway now promises places from its return plan, and serves as many returns before new requests of the same priority as it has promised. Retry-After is not before endpoints open, as before.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -268,9 +268,9 @@
 	return min(maxWait-now.Sub(x.start), x.expiresAt.Sub(now))
 }
 
-// retryAfter returns how long a refused caller should wait before it retries. If no
-// endpoint accepts requests because all are draining, in backoff or at their rate limits,
-// the Closure describes this; else its Reason is Open.
+// retryAfter returns how long a refused caller should wait before it retries. If no endpoint accepts requests because all are draining, in backoff or at their
+// rate limits, the Closure describes this; else its Reason is Open. A return plan chooses
+// the time where there is one.
 func (s *Server) retryAfter(x *exchange) (fleet.Closure, time.Duration) {
 	now := clock.Now()
 	s.mu.Lock()
@@ -279,13 +279,17 @@
 	usable := s.fleet.Usable(q, now, now)
 	closure := s.fleet.Closure(q, now, now)
 	s.mu.Unlock()
-	spread := float64(retryAfterSpread) + float64(retryAfterRefusedSpread)*s.statsOf(x.service).refusedShare(now)
-	after := retryAfterMin + time.Duration(rand.Float64()*spread)
+	earliest := retryAfterMin
 	switch {
 	case closure.Reason != fleet.Open && !closure.Until.IsZero():
-		after += min(closure.Until.Sub(now), maxRetryAfterClosed)
+		earliest += min(closure.Until.Sub(now), maxRetryAfterClosed)
 	case usable == 0:
-		after += retryAfterUnservable
+		earliest += retryAfterUnservable
+	}
+	after, planned := s.planReturn(x, earliest, now)
+	if !planned {
+		spread := float64(retryAfterSpread) + float64(retryAfterRefusedSpread)*s.statsOf(x.service).refusedShare(now)
+		after = earliest + time.Duration(rand.Float64()*spread)
 	}
 	return closure, after
 }
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -58,6 +58,9 @@
 	// callerRetry reports that this request is probably the caller's retry of a request
 	// that was refused.
 	callerRetry bool
+	// hasPlace reports that a caller's retry is served before new requests of the same
+	// priority, by a promise of this gateway's return plan.
+	hasPlace bool
 
 	// prefillMS is the expected prefill time of the prompt, in milliseconds.
 	prefillMS float64
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -29,6 +29,7 @@
 	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/retrybudget"
+	"github.com/mintlift/mintlift/returnplan"
 	"github.com/mintlift/mintlift/routing"
 	"github.com/mintlift/mintlift/telemetry"
 	"github.com/mintlift/mintlift/upstream"
@@ -100,6 +101,7 @@
 	targetVersions map[string][]TargetVersion // by model, oldest first
 	stats          map[string]*requestStats
 	timeouts       map[string]*timeoutHistogram // by route
+	returnPlans    map[string]*returnplan.Plan
 	// gateways is the number of gateways among which shared limits are divided.
 	gateways  int
 	listKnown bool // the endpoint list has been read at least once
@@ -158,6 +160,7 @@
 		targetVersions:        make(map[string][]TargetVersion),
 		stats:                 make(map[string]*requestStats),
 		timeouts:              make(map[string]*timeoutHistogram),
+		returnPlans:           make(map[string]*returnplan.Plan),
 		crashedAt:             make(map[string]time.Time),
 		unconfigured:          make(map[string]fleet.Record),
 		unbegun:               make(map[*exchange]unbegunAttempt),
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -86,10 +86,12 @@
 	if x.quarantined(clock.Now()) {
 		return nil
 	}
+	x.server.countArrival(x, clock.Now())
 	e := x.server.acquireEndpoint(ctx, x)
 	if e == nil {
 		return nil
 	}
+	x.server.countServed(x, clock.Now())
 	if x.tried == nil {
 		x.tried = make(map[string]bool, 2)
 	}
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -33,12 +33,14 @@
 
 // stage orders waiters of the same priority. The gateway's own retries are served
 // first, because their streams may already have started. First attempts of new requests
-// are served before callers' retries, because they can still meet the target latency.
+// are served before callers' retries, because they can still meet the target latency,
+// except for the few retries that have a place in the return plan.
 type stage int
 
 // The stages, in the order in which they are served.
 const (
 	stageRetry       stage = iota // a further attempt by the gateway
+	stagePlace                    // the first attempt of a caller's retry that has a place
 	stageFirst                    // the first attempt of a new request
 	stageCallerRetry              // the first attempt of a caller's retry
 )
@@ -48,6 +50,8 @@
 	switch {
 	case x.attempts > 0:
 		return stageRetry
+	case x.hasPlace:
+		return stagePlace
 	case x.callerRetry:
 		return stageCallerRetry
 	default:
