--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -268,7 +268,8 @@
 	return min(maxWait-now.Sub(x.start), x.expiresAt.Sub(now))
 }
 
-// retryAfter returns how long a refused caller should wait before it retries. If no endpoint accepts requests because all are draining, in backoff or at their
+// retryAfter returns how long a refused caller should wait before it retries, and records
+// it in x. If no endpoint accepts requests because all are draining, in backoff or at their
 // rate limits, the Closure describes this; else its Reason is Open. A return plan chooses
 // the time where there is one.
 func (s *Server) retryAfter(x *exchange) (fleet.Closure, time.Duration) {
@@ -291,6 +292,7 @@
 		spread := float64(retryAfterSpread) + float64(retryAfterRefusedSpread)*s.statsOf(x.service).refusedShare(now)
 		after = earliest + time.Duration(rand.Float64()*spread)
 	}
+	x.retryAfter = after
 	return closure, after
 }
 
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -61,6 +61,8 @@
 	// hasPlace reports that a caller's retry is served before new requests of the same
 	// priority, by a promise of this gateway's return plan.
 	hasPlace bool
+	// retryAfter is the Retry-After of the refusal for lack of capacity, or 0.
+	retryAfter time.Duration
 
 	// prefillMS is the expected prefill time of the prompt, in milliseconds.
 	prefillMS float64
--- a/ingress/returns_test.go
+++ b/ingress/returns_test.go
@@ -52,6 +52,7 @@
 		x := newRefused(s, left, now)
 		_, after := s.retryAfter(x)
 		assert.Assert(t, after > left/3-300*time.Millisecond && after <= left/3, "%v", after)
+		assert.Equal(t, x.retryAfter, after)
 	}
 	assert.Equal(t, s.returns("promised"), uint64(0))
 	s, now = newPlannedServer(t, 300) // 20 places per slice
