--- a/returnplan/overload_test.go
+++ b/returnplan/overload_test.go
@@ -13,8 +13,8 @@
 )
 
 // The model of a contended service: gateways share the slots of all engines, and a request
-// holds a slot for a second. The waits and today's Retry-After are those of package ingress
-// for a target latency of 400 ms and callers that wait for 6 s.
+// holds a slot for a second. The waits and the random Retry-After are those of package
+// ingress for a target latency of 400 ms and callers that wait for 6 s.
 const (
 	tick        = 5 * time.Millisecond
 	gateways    = 14
@@ -41,8 +41,8 @@
 func (r totals) again() float64 { return r.refusedAgain / (r.refusedAgain + r.late) }
 
 // run returns the totals of an overload that begins after 3 s, and of the 6 s after it.
-// Before and after it the load is 0.9. If planned is not set, callers get today's
-// Retry-After.
+// Before and after it the load is 0.9. If planned is not set, callers get the random
+// Retry-After of gateways without a plan.
 func run(seed uint64, planned bool, overload float64, length time.Duration) (sum totals) {
 	rnd := rand.New(rand.NewPCG(seed, 0))
 	start := time.Unix(1000, 0)
@@ -130,16 +130,16 @@
 		load   float64
 		length time.Duration
 	}{{1.3, 6 * time.Second}, {1.05, 6 * time.Second}, {1.3, 20 * time.Second}} {
-		var today, plan totals
+		var random, plan totals
 		for seed := range uint64(20) {
-			for planned, sum := range map[bool]*totals{false: &today, true: &plan} {
+			for planned, sum := range map[bool]*totals{false: &random, true: &plan} {
 				r := run(seed, planned, test.load, test.length)
 				sum.inTime, sum.late, sum.refusedAgain = sum.inTime+r.inTime, sum.late+r.late, sum.refusedAgain+r.refusedAgain
 			}
 		}
-		t.Logf("load %.2f for %v: refused again today %.3f, plan %.3f; in time today %.0f, plan %.0f (%+.1f%%); late today %.0f, plan %.0f", test.load, test.length,
-			today.again(), plan.again(), today.inTime, plan.inTime, 100*(plan.inTime/today.inTime-1), today.late, plan.late)
-		assert.Check(t, plan.again() < today.again(), "load %v for %v", test.load, test.length)
-		assert.Check(t, plan.inTime > 0.98*today.inTime, "load %v for %v", test.load, test.length)
+		t.Logf("load %.2f for %v: refused again random %.3f, plan %.3f; in time random %.0f, plan %.0f (%+.1f%%); late random %.0f, plan %.0f", test.load, test.length,
+			random.again(), plan.again(), random.inTime, plan.inTime, 100*(plan.inTime/random.inTime-1), random.late, plan.late)
+		assert.Check(t, plan.again() < random.again(), "load %v for %v", test.load, test.length)
+		assert.Check(t, plan.inTime > 0.98*random.inTime, "load %v for %v", test.load, test.length)
 	}
 }
