loadreport: carry slot requests and grants

A gateway can ask a sidecar for slots of its engine, and the sidecar grants them as soon as a reading of the engine's state shows them free. A request with wishes is always answered, so that a gateway can tell a full engine from a silent sidecar. Nothing sends such requests yet.

--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -14,6 +14,9 @@
 // Sidecars also relay two kinds of state between the gateways that subscribe to them:
 // suspects, which are requests during which endpoints crashed (see package
 // quarantine), and the backpressure signals of endpoints (see package backpressure).
+//
+// If an engine's slots are scarce, gateways request them from its sidecar, which grants
+// them (see package slotgrant).
 package loadreport
 
 import (
@@ -23,6 +26,7 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/routing"
+	"github.com/mintlift/mintlift/slotgrant"
 )
 
 // Timing of subscriptions and reports, and the size of datagrams.
@@ -105,8 +109,8 @@
 	Notice   Notice
 }
 
-// gatewayDatagram is a datagram from a gateway to a sidecar: a subscription, or a
-// request for permits.
+// gatewayDatagram is a datagram from a gateway to a sidecar: a subscription, a request
+// for permits, or one for slots of the engine.
 type gatewayDatagram struct {
 	Notice
 	// Stamp is the sender's clock in microseconds since it started. The response
@@ -115,11 +119,14 @@
 	// PermitRequest is a request for permits. A datagram with one is no subscription
 	// and carries nothing else.
 	PermitRequest *backpressure.PermitRequest `json:"ask,omitempty"`
+	// SlotRequest is a request for slots of the engine. A datagram with one is no
+	// subscription and carries nothing else.
+	SlotRequest *slotgrant.Request `json:"slot_wish,omitempty"`
 }
 
 // sidecarDatagram is a datagram from a sidecar to a gateway: a report, the response to
-// a subscription or a permit request, or changed Suspects or Endpoints. Address is
-// empty if the datagram contains no report.
+// a subscription or a permit request, granted slots, or changed Suspects or Endpoints.
+// Address is empty if the datagram contains no report.
 type sidecarDatagram struct {
 	fleet.Report
 	// Echo is the stamp of the subscription that this responds to, or 0 if this is no
@@ -139,6 +146,8 @@
 	Suspects []quarantine.Record `json:"x,omitempty"`
 	// Grant is the response to a PermitRequest. It is sent alone.
 	Grant *backpressure.Grant `json:"grant,omitempty"`
+	// SlotGrant grants slots of the engine, or confirms a SlotRequest. It is sent alone.
+	SlotGrant *slotgrant.Grant `json:"slot_grant,omitempty"`
 	// Endpoints are the backpressure signals of endpoints that gateways have reported.
 	// They are sent in responses, and alone when they change.
 	Endpoints []backpressure.Record `json:"endpoints,omitempty"`
--- a/loadreport/publisher.go
+++ b/loadreport/publisher.go
@@ -17,6 +17,7 @@
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/quarantine"
+	"github.com/mintlift/mintlift/slotgrant"
 )
 
 // Publisher sends a sidecar's reports to the gateways that subscribe to it, and relays
@@ -40,6 +41,8 @@
 	suspectsSentAt time.Time
 	// quotas allocates permits under the endpoints' rate limits.
 	quotas *backpressure.Quotas
+	// slots grants the slots of the engine.
+	slots *slotgrant.Ledger
 	// last is the last report sent, and lastSent when it was sent.
 	last     fleet.Report
 	lastSent time.Time
@@ -51,10 +54,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Publisher{conn: conn, read: history.Unread, subs: make(map[netip.AddrPort]subscriber), suspects: quarantine.NewRelayed(), quotas: backpressure.NewQuotas()}, nil
+	return &Publisher{conn: conn, read: history.Unread, subs: make(map[netip.AddrPort]subscriber), suspects: quarantine.NewRelayed(), quotas: backpressure.NewQuotas(), slots: slotgrant.NewLedger(clock.Now())}, nil
 }
 
-// Run handles subscriptions and permit requests until Close. It calls onNotice with
+// Run handles subscriptions, permit requests and slot requests until Close. It calls onNotice with
 // the notice of each subscription.
 func (p *Publisher) Run(onNotice func(Notice)) {
 	buffer := make([]byte, maxDatagram)
@@ -72,6 +75,10 @@
 			p.allocatePermits(*datagram.PermitRequest, from, now)
 			continue
 		}
+		if datagram.SlotRequest != nil {
+			p.grantSlots(*datagram.SlotRequest, from, now)
+			continue
+		}
 		onNotice(datagram.Notice)
 		if p.suspects.Merge(datagram.Suspects, now) {
 			p.sendSuspects(now)
--- a/loadreport/subscriber.go
+++ b/loadreport/subscriber.go
@@ -18,6 +18,7 @@
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/quarantine"
+	"github.com/mintlift/mintlift/slotgrant"
 )
 
 // Subscriber subscribes a gateway to sidecars, and receives their reports.
@@ -59,6 +60,9 @@
 	HandleSuspects(suspects []quarantine.Record)
 	// HandleGrant receives the response to Subscriber.RequestPermits.
 	HandleGrant(g backpressure.Grant)
+	// HandleSlotGrant receives slots of an engine, or the confirmation of a request for
+	// them; see Subscriber.RequestSlots.
+	HandleSlotGrant(g slotgrant.Grant)
 	// HandleEndpoints receives the backpressure signals of endpoints, as reported by
 	// gateways.
 	HandleEndpoints(records []backpressure.Record)
@@ -144,6 +148,9 @@
 		if m.Grant != nil {
 			h.HandleGrant(*m.Grant)
 		}
+		if m.SlotGrant != nil {
+			h.HandleSlotGrant(*m.SlotGrant)
+		}
 		switch {
 		case m.Address == "":
 		case m.Echo <= 0:
