fleet: use engines with scarce slots by grants

With Query.SlotGrants, an engine gets an attempt if it is clearly free by the report in turn, if its sidecar has granted a slot, or if its sidecar is silent; a grant replaces no other condition. No query sets SlotGrants yet, so nothing changes.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -70,6 +70,9 @@
 	// endpoint gets at most one isolated attempt of this gateway at a time, so that
 	// a crash can be attributed to that attempt.
 	Isolated bool
+	// SlotGrants is set if an engine that is not clearly free gets the attempt only by a
+	// grant of its sidecar; see Endpoint.SlotGrants.
+	SlotGrants bool
 }
 
 // usable reports whether the endpoint may get the attempt, regardless of its load.
@@ -238,15 +241,26 @@
 // room returns an endpoint's load, and whether it has room for the attempt. The
 // load is 0 if the bound on connections is reached.
 func (f *Fleet) room(e *Endpoint, q *Query, now time.Time) (load float64, ok bool) {
+	granted := e.granted(q, now)
+	if !granted && e.needsGrant(q, now) {
+		return e.Load(now), false
+	}
+	return f.roomFor(e, q, granted, now)
+}
+
+// roomFor is like room, for an engine of which a slot is granted or that needs no grant.
+func (f *Fleet) roomFor(e *Endpoint, q *Query, granted bool, now time.Time) (load float64, ok bool) {
 	if q.MaxConnections > 0 && e.inFlight >= q.MaxConnections {
 		return 0, false
 	}
 	load = e.Load(now)
 	switch {
-	case q.MaxLoad > 0 && load >= f.maxLoad(e, q.MaxLoad, now):
+	case q.MaxLoad > 0 && load >= f.maxLoad(e, q.MaxLoad, now) && !(granted && q.MaxLoad >= q.Slots):
 		return load, false
 	case q.MaxBacklogMS > 0 && e.Backlog(q.MeanPrefillMS, now) > q.MaxBacklogMS:
 		return load, false
+	case granted:
+		return load, q.MaxFirstByteMS <= 0 || e.grantedFirstByteMS(q, load, now) <= q.MaxFirstByteMS
 	default:
 		return load, q.MaxFirstByteMS <= 0 || e.firstByteMS(q, load, now) <= q.MaxFirstByteMS
 	}
@@ -287,6 +301,9 @@
 // firstByteMS estimates the time until the first bytes of a new request's
 // response, in milliseconds.
 func (e *Endpoint) firstByteMS(q *Query, load float64, now time.Time) float64 {
+	if e.granted(q, now) {
+		return e.grantedFirstByteMS(q, load, now)
+	}
 	estimate := halfPassMS + loadCost*load + e.Backlog(q.MeanPrefillMS, now) + q.PrefillMS
 	if load >= q.Slots {
 		estimate += q.SlotIntervalMS * (load - q.Slots + 1)
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mintlift/mintlift/backpressure"
+	"github.com/mintlift/mintlift/slotgrant"
 )
 
 // Endpoint is one incarnation of an endpoint, that is, one run of its process, with
@@ -19,6 +20,8 @@
 	evacuated bool
 	// Signals holds the backpressure signals of this incarnation.
 	Signals *backpressure.State
+	// SlotGrants holds this gateway's wishes for slots of an engine, and its grants.
+	SlotGrants slotgrant.Requester
 	// inFlight counts this gateway's attempts in progress.
 	inFlight int
 	// othersInFlight estimates how many requests of other gateways the endpoint has.
