slotgrant: send to scarce engines by grants of their sidecars

In a service with more gateways than slots per engine, a request that finds no engine clearly free now waits for a slot granted by the sidecar of one of the two cheapest engines, instead of being sent by a report that all gateways have. A grant that arrives goes to the most urgent waiter at once; one that finds none is returned. A sidecar that does not answer within 150 ms leaves its engine to its reports for 1 s. Other services, and requests that find an engine clearly free, are served as before.

--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -23,6 +23,7 @@
 	"github.com/mintlift/mintlift/readerset"
 	"github.com/mintlift/mintlift/routing"
 	"github.com/mintlift/mintlift/sendbuffer"
+	"github.com/mintlift/mintlift/slotgrant"
 	"github.com/mintlift/mintlift/storerelay"
 	"github.com/mintlift/mintlift/storewatch"
 	"github.com/mintlift/mintlift/telemetry"
@@ -83,6 +84,9 @@
 // request of this gateway.
 func (h reportHandler) HandleGrant(g backpressure.Grant) { h.server.HandleGrant(g) }
 
+// HandleSlotGrant implements loadreport.Handler.
+func (h reportHandler) HandleSlotGrant(g slotgrant.Grant) { h.server.HandleSlotGrant(g) }
+
 // HandleEndpoints implements loadreport.Handler.
 func (h reportHandler) HandleEndpoints(records []backpressure.Record) {
 	h.server.MergeEndpointSignals(records)
@@ -207,6 +211,7 @@
 		subscriber.Run(ctx, func() []loadreport.SubscriptionGroup { return notices.groups(clock.Now()) }, server.NoticeDue(), reportHandler{ctx, server, p.watcher, recovery})
 	})
 	group.spawn(func() { sendPermitRequests(ctx, s, server, subscriber) })
+	group.spawn(func() { sendSlotRequests(ctx, s, server, subscriber) })
 	group.spawn(func() { maintain(ctx, server) })
 	group.drain = func(ctx context.Context) { drainGateway(ctx, p, server, front, unread) }
 	return group, nil
@@ -227,6 +232,21 @@
 	}
 }
 
+// sendSlotRequests sends the server's requests for slots to the sidecars of the engines,
+// until ctx ends.
+func sendSlotRequests(ctx context.Context, s *platform.Settings, server *ingress.Server, subscriber *loadreport.Subscriber) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-server.SlotRequestsPending():
+		}
+		for _, r := range server.TakeSlotRequests() {
+			subscriber.RequestSlots(r.Request, s.InternalAddress(r.Address, portPublish))
+		}
+	}
+}
+
 // maintain runs the server's periodic maintenance until ctx ends.
 func maintain(ctx context.Context, server *ingress.Server) {
 	for ctx.Err() == nil {
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -18,6 +18,7 @@
 	"github.com/mintlift/mintlift/loadreport"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/routing"
+	"github.com/mintlift/mintlift/slotgrant"
 	"github.com/mintlift/mintlift/storerelay"
 )
 
@@ -198,6 +199,7 @@
 	group.spawn(func() { newFallback(p, state, state.handleNotice, gateways, lists).run(ctx) })
 	group.spawn(func() { state.installer.Run(ctx) })
 	group.spawn(func() { reportLoad(ctx, state, engine, publisher) })
+	group.spawn(func() { logSlotCounts(ctx, p, publisher) })
 	return group, nil
 }
 
@@ -208,13 +210,18 @@
 	defer ticker.Stop()
 	i := sidecar.installer
 	for {
+		began := clock.Now()
 		if state, err := engine.State(ctx); err == nil {
 			i.UpdateEngineState(state)
+			busy := state.Busy || i.Draining()
 			publisher.Publish(fleet.Report{
-				Address: sidecar.settings.EngineAddress, Model: state.Model, Version: state.Version, Busy: state.Busy || i.Draining(), UpdateScheduled: i.UpdateScheduled(),
+				Address: sidecar.settings.EngineAddress, Model: state.Model, Version: state.Version, Busy: busy, UpdateScheduled: i.UpdateScheduled(),
 				Unverified: i.Unverified(), Running: state.Running, Queued: state.Queued, Pace: state.Pace, StartedMS: state.StartedMS, WeightsChecksum: sidecar.weightsChecksum(),
 				Draining: state.Signal.Draining, Limited: state.Signal.Limit.Set, Limit: state.Signal.Limit.Rate,
 			}, i.UpdatePending(), clock.Now())
+			publisher.ObserveEngine(slotgrant.Observation{
+				StartedMS: state.StartedMS, Running: state.Running, Queued: state.Queued, Pace: state.Pace, Closed: busy || state.Signal.Draining,
+			}, began, clock.Now())
 		}
 		select {
 		case <-ticker.C:
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -96,6 +96,7 @@
 	q.MeanPrefillMS = x.meanPrefillMS
 	q.MaxLoad = float64(service.Engine.Slots)
 	q.SlotIntervalMS = slotIntervalMS(service.Engine)
+	q.SlotGrants = s.contendedLocked(service)
 	switch {
 	case x.attempts > 0:
 		q.MaxLoad += retryExtraLoad
@@ -184,6 +185,7 @@
 	unservable := x.attempts == 0 && !x.callerRetry && len(w.assigned) == 0 && s.fleet.Usable(s.servableQuery(x, now), w.deadline, now) == 0
 	if unservable {
 		q.remove(w)
+		s.updateSlotWishes(x.service, q, now)
 	}
 	s.mu.Unlock()
 	if unservable {
@@ -206,6 +208,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q.remove(w)
+	s.updateSlotWishes(x.service, q, clock.Now())
 	select {
 	case e := <-w.assigned:
 		if ctx.Err() == nil || e == nil {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -57,7 +57,7 @@
 		s.events.Info("attempt withheld", "request", x.id, "endpoint", e.ID, "zone", e.Zone, "regions", x.regions.String())
 		return false
 	}
-	if e.Signals.Draining() || e.Signals.BackingOff(now) || x.quarantined(now) || !x.takePermit(e, now) {
+	if e.Signals.Draining() || e.Signals.BackingOff(now) || x.quarantined(now) || x.grantVoid(e, now) || !x.takePermit(e, now) {
 		return false
 	}
 	return x.model == "" || e.MayServe(e.HeldVersion(x.model, now), s.minVersion(x.model, now), s.minVersion(x.model, now.Add(-scheduledUpdateLead)), now)
@@ -188,5 +188,5 @@
 	load, age, holds, lowest := e.Load(now), e.ReportAge(now), e.HeldVersion(x.model, now), s.minVersion(x.model, now)
 	s.mu.Unlock()
 	s.log.Info("attempt", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "service", x.service,
-		"load", load, "backlog_ms", int(backlog), "work_ms", int(x.prefillMS), "report_ms", age.Milliseconds(), "delay_ms", delay.Milliseconds(), "holds", holds, "min_version", lowest, "at_ms", now.Sub(x.start).Milliseconds())
+		"load", load, "backlog_ms", int(backlog), "work_ms", int(x.prefillMS), "report_ms", age.Milliseconds(), "delay_ms", delay.Milliseconds(), "holds", holds, "min_version", lowest, "at_ms", now.Sub(x.start).Milliseconds(), "granted", x.granted)
 }
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -81,6 +81,10 @@
 	// Query.Isolated, so that it runs no other suspected request. hasPermit reports that
 	// the attempt has used a permit of an endpoint with a rate limit.
 	isolated, hasPermit bool
+	// granted reports that the attempt uses a slot granted by the engine's sidecar, and
+	// grantedAt is when the grant arrived.
+	granted   bool
+	grantedAt time.Time
 	// crashes is the number of endpoints that crashed during attempts of this exchange.
 	crashes   int
 	lastCause string // why the last attempt failed
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -87,6 +87,7 @@
 	inFlight              atomic.Int64
 	noticeDue             chan struct{} // see NoticeDue; capacity 1
 	permitRequestsPending chan struct{} // capacity 1
+	slotRequestsPending   chan struct{} // capacity 1
 	acceptState           acceptState
 	// suspects holds the requests that were in progress when an endpoint crashed, and
 	// that may have caused the crash.
@@ -112,6 +113,8 @@
 	crashedAt map[string]time.Time
 	// permitRequests holds the permit requests not yet sent to sidecars.
 	permitRequests []PermitRequest
+	// slotRequestNumber is the number of slot requests sent to all sidecars.
+	slotRequestNumber int64
 	// unbegun holds the attempts at streaming engines that have received no event yet.
 	unbegun map[*exchange]unbegunAttempt
 }
@@ -158,6 +161,7 @@
 		suspects:              quarantine.New(),
 		noticeDue:             make(chan struct{}, 1),
 		permitRequestsPending: make(chan struct{}, 1),
+		slotRequestsPending:   make(chan struct{}, 1),
 		list:                  newListState(),
 		rollback:              newStoreRollback(),
 	}
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -19,6 +19,9 @@
 	// assigned has capacity 1 and receives the endpoint, or nil if the request is
 	// refused.
 	assigned chan *fleet.Endpoint
+	// targets are the engines at which the waiter wishes for a slot, in a contended
+	// service.
+	targets slotTargets
 }
 
 // rank is the position of a waiter in its queue: waiters with lower ranks are served
@@ -66,6 +69,10 @@
 	// nextDispatch is the time of the last scheduled dispatch, or zero if none has been
 	// scheduled.
 	nextDispatch time.Time
+	// wishing holds the engines with which slot requests are exchanged, and
+	// nextSlotRequests is the time of the last dispatch scheduled for them, or zero.
+	wishing          map[*fleet.Endpoint]bool
+	nextSlotRequests time.Time
 }
 
 // add inserts a waiter by rank, before those of equal rank.
@@ -91,7 +98,11 @@
 // wait and hardly any endpoint has capacity.
 func (s *Server) dispatch(service string, now time.Time) {
 	q := s.queues[service]
-	if q == nil || len(q.waiters) == 0 {
+	if q == nil {
+		return
+	}
+	defer s.updateSlotWishes(service, q, now)
+	if len(q.waiters) == 0 {
 		return
 	}
 	defer s.scheduleDispatch(service, q, now)
@@ -123,6 +134,7 @@
 		}
 		w.exchange.isolated = q.Isolated
 		w.exchange.hasPermit = e.Signals.Limited(now)
+		w.exchange.granted, w.exchange.grantedAt = q.SlotGrants && e.SlotGrants.Take(now), now
 		if e.Signals.Limited(now) {
 			s.metrics.Counter("mintlift_ingress_limited_requests_total", "service", service).Inc()
 		}
--- a/slotgrant/ledger.go
+++ b/slotgrant/ledger.go
@@ -15,7 +15,7 @@
 	// arrivalTime bounds the time from a grant until its request is at the engine: the
 	// way to the gateway, the grant's validity and the way to the engine. A reading of
 	// the engine's state that begins later includes the request.
-	arrivalTime = validity + 10*time.Millisecond
+	arrivalTime = Validity + 10*time.Millisecond
 	// quietTime is the time without grants after the start of the sidecar or the engine.
 	// The requests of earlier grants reach the engine within it.
 	quietTime = 60 * time.Millisecond
@@ -29,7 +29,14 @@
 	observationTTL = 150 * time.Millisecond
 	// extraSlots is the number of requests that may wait in the engine's queue. The
 	// engine begins one when a slot ends, so no slot is idle until the next reading.
+	// They are granted only if a slot is expected to be free within extraLead, which
+	// covers two readings; else they would wait in the queue while another engine, or a
+	// more urgent request here, could use the time. If the expectation is unknown, they
+	// are granted.
 	extraSlots = 1
+	extraLead  = 100 * time.Millisecond
+	// usualArrivalTime is the usual time from a grant until its request is at the engine.
+	usualArrivalTime = 5 * time.Millisecond
 )
 
 // Observation is a reading of an engine's state.
@@ -71,6 +78,7 @@
 	gateways   map[netip.AddrPort]*gateway
 	// granted holds the slots that count against the engine's slots.
 	granted    []grantedSlot
+	forecast   forecast
 	lastNumber int64 // Grant.Number
 	counts     Counts
 }
@@ -88,6 +96,8 @@
 	gateway netip.AddrPort
 	number  int64 // Grant.Number
 	at      time.Time
+	// arrived is set once the request is taken to be at the engine.
+	arrived bool
 }
 
 // NewLedger returns the ledger of a sidecar that starts now.
@@ -100,7 +110,7 @@
 // Observe records the engine's state as of a reading that began at the time began.
 func (l *Ledger) Observe(o Observation, began, now time.Time) {
 	if l.engine.StartedMS != 0 && o.StartedMS != 0 && l.engine.StartedMS != o.StartedMS {
-		l.granted, l.quietSince = nil, now
+		l.granted, l.quietSince, l.forecast = nil, now, forecast{}
 		for _, g := range l.gateways {
 			g.wishes = nil
 		}
@@ -109,9 +119,23 @@
 		o.StartedMS = l.engine.StartedMS // this answer lacks it
 	}
 	l.engine, l.readAt = o, began
+	l.forecast.observe(o.Running, o.Queued, l.takeArrived(), began)
 	l.expire(now)
 }
 
+// takeArrived returns the number of granted requests that have arrived since the last
+// call, as of the last reading of the engine's state.
+func (l *Ledger) takeArrived() (n int) {
+	for i := range l.granted {
+		s := &l.granted[i]
+		if !s.arrived && l.readAt.Sub(s.at) >= usualArrivalTime {
+			s.arrived = true
+			n++
+		}
+	}
+	return n
+}
+
 // Request records a request of a gateway. It is ignored if it is older than the last one.
 func (l *Ledger) Request(from netip.AddrPort, r Request, now time.Time) {
 	l.expire(now)
@@ -151,8 +175,11 @@
 	if !l.mayGrant(now) {
 		return nil
 	}
-	slots := int(math.Max(1, float64(l.slots)/math.Max(1, l.engine.Pace)))
-	free := slots + extraSlots - l.engine.Running - l.engine.Queued - len(l.granted)
+	slots := l.usableSlots()
+	free := slots - l.engine.Running - l.engine.Queued - len(l.granted)
+	if freeIn, known := l.forecast.freeIn(slots, now); !known || freeIn <= extraLead {
+		free += extraSlots
+	}
 	var out []GatewayGrant
 	for ; free > 0; free-- {
 		to, g := l.next()
@@ -164,10 +191,10 @@
 		if at < 0 {
 			l.lastNumber++
 			at = len(out)
-			out = append(out, GatewayGrant{to, Grant{Number: l.lastNumber}})
+			out = append(out, GatewayGrant{to, Grant{Number: l.lastNumber, FreeInMS: l.freeInMS(now)}})
 		}
 		out[at].Slots++
-		l.granted = append(l.granted, grantedSlot{to, out[at].Number, now})
+		l.granted = append(l.granted, grantedSlot{gateway: to, number: out[at].Number, at: now})
 		l.counts.Granted++
 	}
 	return out
@@ -202,9 +229,20 @@
 
 // Confirmation returns a Grant without slots, which tells a gateway that its request has
 // arrived.
-func (l *Ledger) Confirmation() Grant {
+func (l *Ledger) Confirmation(now time.Time) Grant {
 	l.lastNumber++
-	return Grant{Number: l.lastNumber}
+	return Grant{Number: l.lastNumber, FreeInMS: l.freeInMS(now)}
+}
+
+// usableSlots returns the number of requests with which the engine counts as full.
+func (l *Ledger) usableSlots() int {
+	return int(math.Max(1, float64(l.slots)/math.Max(1, l.engine.Pace)))
+}
+
+// freeInMS returns the Grant.FreeInMS of a grant that is sent now.
+func (l *Ledger) freeInMS(now time.Time) int64 {
+	freeIn, _ := l.forecast.freeIn(l.usableSlots(), now)
+	return freeIn.Milliseconds()
 }
 
 // Counts returns the events since the start of the ledger.
--- a/slotgrant/requester.go
+++ b/slotgrant/requester.go
@@ -161,7 +161,7 @@
 		r.grants = append(r.grants, g.Number)
 	}
 	if slots > 0 {
-		r.grantsUntil = now.Add(validity)
+		r.grantsUntil = now.Add(Validity)
 	}
 	r.sent = slices.Clone(r.sent[min(slots, len(r.sent)):]) // as the ledger does
 }
@@ -187,7 +187,7 @@
 	}
 	r.returned = append(r.returned, r.grants...)
 	r.returned = r.returned[max(0, len(r.returned)-maxReturned):]
-	r.returnedAt = r.grantsUntil.Add(-validity)
+	r.returnedAt = r.grantsUntil.Add(-Validity)
 	r.grants = nil
 }
 
--- a/slotgrant/slotgrant.go
+++ b/slotgrant/slotgrant.go
@@ -21,8 +21,8 @@
 const (
 	// MaxWishes is the maximum number of wishes in a Request.
 	MaxWishes = 8
-	// validity is how long a gateway may use a grant.
-	validity = 20 * time.Millisecond
+	// Validity is how long a gateway may use a grant.
+	Validity = 20 * time.Millisecond
 	// holdTime bounds the time for which the sidecar counts a grant against the slots,
 	// unless it is returned: until the first reading of the engine's state that begins
 	// arrivalTime after the grant. The sidecar reads it every 40 ms.
