ingress: send no slot request for an earlier process of an engine

After an engine's restart, the withdrawal of the wishes at its earlier process went to the same sidecar as the new wishes, in random order, and could replace them; the waiting requests then got no slot until the repetition 100 ms later. Endpoints that are no longer in the fleet now get no message; the sidecar forgets their wishes itself.

--- a/ingress/slots.go
+++ b/ingress/slots.go
@@ -111,6 +111,10 @@
 		q.addWishing(e)
 	}
 	for e := range q.wishing {
+		if s.fleet.ByID(e.ID) != e {
+			delete(q.wishing, e) // a message would replace the wishes at the new incarnation
+			continue
+		}
 		e.SlotGrants.ReturnUnused()
 		e.SlotGrants.Want(wishes[e], now)
 		if e.SlotGrants.TakeSilent(now) {
--- a/ingress/slots_test.go
+++ b/ingress/slots_test.go
@@ -199,7 +199,7 @@
 }
 
 // Guards against a grant for an engine's earlier process that sends a request to the new
-// one.
+// one, and against a message about the earlier process that replaces the new wishes.
 func TestRestartedEngineGetsNothingByOldGrants(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newContendedServer(1)
@@ -210,7 +210,8 @@
 		s.HandleSlotGrant(slotgrant.Grant{Number: 1, Address: "a:1", Slots: 1})
 		assert.Equal(t, w.endpoint(), "waits")
 		requests := s.TakeSlotRequests()
-		assert.Equal(t, requests[len(requests)-1].StartedMS, int64(2))
+		assert.Equal(t, len(requests), 1, "one for the earlier process could replace the wish")
+		assert.Equal(t, requests[0].StartedMS, int64(2))
 	})
 }
 
--- a/loadreport/slots.go
+++ b/loadreport/slots.go
@@ -18,7 +18,7 @@
 	defer p.mu.Unlock()
 	p.slots.Request(from, request, now)
 	if !p.sendSlotGrantsLocked(from, now) && len(request.Wishes) > 0 {
-		p.sendSlotGrantLocked(p.slots.Confirmation(), from)
+		p.sendSlotGrantLocked(p.slots.Confirmation(now), from)
 	}
 }
 
