slotgrant: do not ask for a message before it is due

When a message was held back by the rate limit for less than a nanosecond, the time of the next one was rounded to now: the gateway found no message due and asked again at once, in a loop until the clock advanced. On virtual time it never did.

--- a/slotgrant/requester.go
+++ b/slotgrant/requester.go
@@ -124,9 +124,13 @@
 // has happened until then. It is zero if there is no such time.
 func (r *Requester) NextAt(now time.Time) time.Time {
 	var next time.Time
-	switch {
+	switch allowance := r.allowanceAt(now); {
+	case r.due(now) && allowance >= 1:
+		return now
 	case r.due(now):
-		next = now.Add(time.Duration((1 - r.allowanceAt(now)) / maxRate * float64(time.Second)))
+		// The time is rounded up: if it was rounded to now, the caller would find no
+		// message due, and ask again at once.
+		next = now.Add(time.Duration((1-allowance)/maxRate*float64(time.Second)) + time.Microsecond)
 	case len(r.wishes(now)) > 0:
 		next = r.sentAt.Add(repeatInterval)
 	default:
--- a/slotgrant/requester_test.go
+++ b/slotgrant/requester_test.go
@@ -4,8 +4,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // send returns the number of wishes in the message that is due at a time, or -1 if none
@@ -107,3 +109,29 @@
 	r.Want(nil, at(1))
 	assert.Equal(t, r.send(1), -1)
 }
+
+// Guards against a gateway that spins: when NextAt says that a message is due, Message must
+// return it, or NextAt must then be in the future.
+func TestNextAtPassesWithoutSpinning(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Requester
+		now := start
+		for number := range int64(40) {
+			r.Want(wishes(rapid.IntRange(0, 3).Draw(t, "wishes"), 100), now)
+			if _, sent := r.Message(number, now); sent && rapid.Bool().Draw(t, "answered") {
+				r.Apply(Grant{Number: number, Slots: rapid.IntRange(0, 2).Draw(t, "slots")}, now)
+				r.ReturnUnused()
+			}
+			r.Message(number, now)
+			next := r.NextAt(now)
+			if !next.IsZero() {
+				_, sent := r.Message(number, now)
+				assert.Assert(t, sent || next.After(now))
+			}
+			now = now.Add(time.Duration(rapid.IntRange(1, 60e6).Draw(t, "ns")))
+			if rapid.Bool().Draw(t, "at the time due") && next.After(now) {
+				now = next
+			}
+		}
+	})
+}
