fleet: don't take an unreported version from the list

Gateways sent requests to engines whose version only the endpoint list showed: an engine that had restarted empty while the list still had its former version, and one that had accepted a delayed order to load while its sidecar was not running, so that its weights could be those of another version.

HeldVersion used the list if the last report was older than 900 ms, or if a fresh one named no model, as those of an empty engine do. A fresh report of an empty engine now counts as version 0. A version that the engine's sidecar has not reported is ignored for 15 s after its last report; delayed orders were seen to be accepted up to 11 s after they were sent. Engines whose sidecar has never reported to the gateway are taken from the list as before.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -37,6 +37,9 @@
 	recentSends []time.Time
 	report      Report
 	reportAt    time.Time
+	// sidecarAt is when the last report arrived from the endpoint's address, also if it
+	// was of a former process of the endpoint; zero if none has.
+	sidecarAt time.Time
 	// roundTrip is the last round-trip time measured to the sidecar, and
 	// roundTripAt when that was.
 	roundTrip   time.Duration
@@ -65,17 +68,32 @@
 // HeldVersion returns the version of model that the endpoint holds completely, or 0 if
 // there is none. It is also 0 if the last report, of any age, called the engine's
 // weights unverified: the engine may then hold other weights than the report or the
-// record lists.
+// record lists. A version that only the record lists is ignored for listedChangeDelay after
+// the last report from the endpoint's address.
 func (e *Endpoint) HeldVersion(model string, now time.Time) int {
 	if e.report.Unverified {
 		return 0
 	}
-	if e.fresh(now) && e.report.Model == model {
+	if e.fresh(now) && (e.report.Model == model || e.report.Version == 0) {
 		return e.report.Version
 	}
-	return e.Models[model]
+	listed := e.Models[model]
+	switch {
+	case e.sidecarAt.IsZero(), now.Sub(e.sidecarAt) >= listedChangeDelay:
+		return listed
+	case e.report.Version != 0 && (e.report.Model != model || e.report.Version == listed):
+		return listed
+	default:
+		return 0
+	}
 }
 
+// listedChangeDelay is how long after the last report of an engine's sidecar a version that
+// the sidecar has not reported is ignored in the list. The engine may have accepted a
+// delayed order of the sidecar's former process meanwhile, and hold other weights than the
+// list shows. Orders were seen to be accepted up to 11 s after they were sent.
+const listedChangeDelay = 15 * time.Second
+
 // fresh reports whether the last report is younger than reportTTL.
 func (e *Endpoint) fresh(now time.Time) bool { return e.reportedWithin(reportTTL, now) }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -108,6 +108,8 @@
 	place     Place
 	byID      map[string]*Endpoint
 	byAddress map[string]*Endpoint
+	// sidecarAt holds Endpoint.sidecarAt by address.
+	sidecarAt map[string]time.Time
 	byService map[string][]*Endpoint
 	// watchedByService caches the results of watched for large services. An entry is
 	// removed when the service's endpoints change.
@@ -135,6 +137,7 @@
 		signals:          backpressure.NewTable(),
 		byID:             make(map[string]*Endpoint),
 		byAddress:        make(map[string]*Endpoint),
+		sidecarAt:        make(map[string]time.Time),
 		byService:        make(map[string][]*Endpoint),
 	}
 }
@@ -164,7 +167,7 @@
 		if old := f.byAddress[r.Address]; old != nil {
 			f.Remove(old.ID)
 		}
-		e = &Endpoint{Record: r, Signals: f.signals.State(r.ID, r.StartedMS)}
+		e = &Endpoint{Record: r, Signals: f.signals.State(r.ID, r.StartedMS), sidecarAt: f.sidecarAt[r.Address]}
 		f.locate(e)
 		f.byID[r.ID] = e
 		f.byAddress[r.Address] = e
@@ -331,6 +334,7 @@
 		e.report.Draining != r.Draining || e.report.Limited != r.Limited || e.report.Limit != r.Limit
 	e.report = r
 	e.reportAt = now
+	e.sidecarAt, f.sidecarAt[r.Address] = now, now
 	e.Signals.ObserveReport(backpressure.Signal{Draining: r.Draining, Limit: backpressure.Limit{Set: r.Limited, Rate: r.Limit}}, now)
 	e.receivedAt = now
 	if roundTrip >= 0 {
--- a/fleet/permits.go
+++ b/fleet/permits.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"maps"
 	"time"
 
 	"github.com/mintlift/mintlift/backpressure"
@@ -152,5 +153,8 @@
 }
 
 // PruneSignals deletes the stored signals of endpoints that are no longer on the list,
-// by the rules of backpressure.Table.Evict.
-func (f *Fleet) PruneSignals(now time.Time) { f.signals.Evict(f.Has, now) }
+// by the rules of backpressure.Table.Evict, and the times of reports that no longer matter.
+func (f *Fleet) PruneSignals(now time.Time) {
+	f.signals.Evict(f.Has, now)
+	maps.DeleteFunc(f.sidecarAt, func(_ string, at time.Time) bool { return now.Sub(at) >= listedChangeDelay })
+}
