fleet, storerelay: gateways tell which load was verified

A sidecar that starts cannot tell which weights its engine has loaded. Reports now carry the engine's count of accepted orders, gateways keep the last load that was reported as verified for an endpoint's id, and answer GET /load for an engine's address. Later reports that call the same load unverified don't remove it, as they are of a restarted sidecar. An endpoint with a new id or start time begins without one.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -37,9 +37,13 @@
 	recentSends []time.Time
 	report      Report
 	reportAt    time.Time
+	// verified is the last load that a report called verified; see VerifiedLoad.
+	verified VerifiedLoad
 	// sidecarAt is when the last report arrived from the endpoint's address, also if it
 	// was of a former process of the endpoint; zero if none has.
 	sidecarAt time.Time
+	// firstReportAt is when the first report arrived for this id.
+	firstReportAt time.Time
 	// roundTrip is the last round-trip time measured to the sidecar, and
 	// roundTripAt when that was.
 	roundTrip   time.Duration
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -50,6 +50,9 @@
 	Version int    `json:"v"`
 	// StartedMS is Record.StartedMS as reported by the engine.
 	StartedMS int64 `json:"n,omitempty"`
+	// Orders is the number of orders that the engine's process has accepted. With
+	// StartedMS it identifies a load of the engine.
+	Orders int64 `json:"f,omitempty"`
 	// Busy is set while the engine must get no new requests, because it executes an
 	// order, such as a load, or is being drained for one.
 	Busy bool `json:"b,omitempty"`
@@ -335,6 +338,7 @@
 	e.report = r
 	e.reportAt = now
 	e.sidecarAt, f.sidecarAt[r.Address] = now, now
+	e.recordVerified(&r, now)
 	e.Signals.ObserveReport(backpressure.Signal{Draining: r.Draining, Limit: backpressure.Limit{Set: r.Limited, Rate: r.Limit}}, now)
 	e.receivedAt = now
 	if roundTrip >= 0 {
--- a/ingress/list.go
+++ b/ingress/list.go
@@ -122,6 +122,16 @@
 // list has been read at least once.
 func (s *Server) List() (List, bool) { return s.ListSince("") }
 
+// VerifiedLoad returns the last load of the engine at an address that was reported as
+// verified, and when the store last confirmed that the engine's id is listed there. It
+// returns false if there is none.
+func (s *Server) VerifiedLoad(address string) (load fleet.VerifiedLoad, listConfirmed time.Time, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	load, ok = s.fleet.VerifiedLoad(address)
+	return load, s.list.confirmedAt, ok
+}
+
 // ListState returns the state of the list, and a channel that is closed when it changes.
 // The last result reports whether the list has been read at least once.
 func (s *Server) ListState() (state string, changed <-chan struct{}, known bool) {
--- a/storerelay/list.go
+++ b/storerelay/list.go
@@ -25,6 +25,7 @@
 
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/ingress"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/internal/tcpconn"
 	"github.com/mintlift/mintlift/loadreport"
@@ -36,6 +37,7 @@
 	pathList    = "/list"      // the whole endpoint list
 	pathRecords = "/records"   // the operator's records
 	pathNotice  = "/notice"    // the notice for sidecars of the service in the query
+	pathLoad    = "/load"      // the verified load of the engine at the address in the query
 )
 
 // Limits of the client.
@@ -65,6 +67,9 @@
 	// ListState returns the state of the list, and a channel that is closed when it
 	// changes; false while there is no list.
 	ListState() (string, <-chan struct{}, bool)
+	// VerifiedLoad returns the last load of the engine at an address that was reported
+	// as verified, and when the list was last confirmed; false if there is none.
+	VerifiedLoad(address string) (fleet.VerifiedLoad, time.Time, bool)
 }
 
 // NoticeSource makes the notices that sidecars get from gateways.
@@ -93,6 +98,14 @@
 		}
 		writeJSON(w, notice)
 	})
+	mux.HandleFunc("GET "+pathLoad, func(w http.ResponseWriter, r *http.Request) {
+		load, confirmed, ok := source.VerifiedLoad(r.URL.Query().Get("address"))
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		writeJSON(w, EngineLoad{VerifiedLoad: load, ListAgeMS: clock.Since(confirmed).Milliseconds()})
+	})
 	mux.HandleFunc("GET "+pathList, func(w http.ResponseWriter, r *http.Request) { serveList(w, r, source) })
 	cache := &recordsCache{}
 	mux.HandleFunc("GET "+pathRecords, func(w http.ResponseWriter, r *http.Request) { serveRecords(w, r, operator, cache) })
@@ -151,6 +164,22 @@
 	return out, err
 }
 
+// EngineLoad is what a gateway knows of the load of an engine.
+type EngineLoad struct {
+	fleet.VerifiedLoad
+	// ListAgeMS is the time since the store last confirmed the gateway's endpoint list,
+	// in milliseconds.
+	ListAgeMS int64 `json:"list_age_ms"`
+}
+
+// EngineLoad returns the last load of the engine at an address that the gateway, given by
+// IP:PORT, received a report of as verified.
+func (c *Client) EngineLoad(ctx context.Context, gateway, address string) (EngineLoad, error) {
+	var out EngineLoad
+	err := c.get(ctx, gateway, pathLoad, url.Values{"address": {address}}, callTimeout, &out)
+	return out, err
+}
+
 // get makes a request to the gateway at address and decodes its response into out.
 func (c *Client) get(ctx context.Context, address, path string, query url.Values, timeout time.Duration, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/storerelay/list_test.go
+++ b/storerelay/list_test.go
@@ -301,3 +301,17 @@
 	readers.SetMembers(twoReaders)
 	assert.Assert(t, f.Poll(context.Background()))
 }
+
+// Guards against a restarted sidecar that cannot learn from a gateway which load of its
+// engine was verified, or takes a gateway without a report for one that knows.
+func TestClientEngineLoad(t *testing.T) {
+	server, address := startGateway(t, records)
+	c := NewClient(network.System{})
+	_, err := c.EngineLoad(context.Background(), address, "127.0.0.1:9")
+	assert.ErrorContains(t, err, "status 404")
+	server.HandleReport(fleet.Report{Address: "127.0.0.1:9", Model: "m", Version: 2, Orders: 3, StartedMS: 7}, -1)
+	got, err := c.EngineLoad(context.Background(), address, "127.0.0.1:9")
+	assert.NilError(t, err)
+	assert.Equal(t, got.VerifiedLoad, fleet.VerifiedLoad{StartedMS: 7, Orders: 3, Version: 2})
+	assert.Assert(t, got.ListAgeMS < time.Minute.Milliseconds())
+}
