installer: a new sidecar trusts a load only with evidence

The engine had accepted an order that was sent to its former process, while chunks of a newer version were staged, and the new sidecar took the load in the engine's first report as verified.

Such a load is now reviewed. It is trusted if all staged chunks match the manifest of the reported version, or if a gateway has had a report of the same load (start time, count of orders, version) as verified. Without a start time the gateway must have had reports for the endpoint's id for 2 s, and a list that was confirmed 2 s after the review began, so that neither a lagging list nor a delayed report of the former process counts. Until the decision, at most 1 s, no report is published. After that the engine counts as empty and is loaded again, but a gateway may still confirm the load.

While a load is not verified no chunk is staged, and chunks that this process has staged since are no evidence: otherwise chunks staged after the load could confirm it. Without a start time a sidecar also forgets a verified load when the count of orders begins anew, and reviews it if it has read no state for 500 ms.

TestSidecarRestartDuringRolloutKeepsLoads: all sidecars restart while a chunk of the next version is staged, and no engine is loaded again.

--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -16,6 +16,7 @@
 	"github.com/mintlift/mintlift/installer"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/loadreport"
+	"github.com/mintlift/mintlift/loadtrust"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/routing"
 	"github.com/mintlift/mintlift/storerelay"
@@ -158,6 +159,25 @@
 	return storerelay.EndpointsOf(list, s.settings.Service), nil
 }
 
+// loadMemories asks gateways of the region which load of the engine at address they last
+// knew as verified. Gateways that do not answer or know none are left out.
+func loadMemories(ctx context.Context, address string, lists *storerelay.Client, gateways *sidecarGateways) []loadtrust.Memory {
+	var out []loadtrust.Memory
+	for _, gateway := range gateways.pick(ctx) {
+		asked := clock.Now()
+		l, err := lists.EngineLoad(ctx, gateway, address)
+		if err != nil {
+			continue // another gateway is asked at the next attempt
+		}
+		out = append(out, loadtrust.Memory{
+			Load:          loadtrust.Load{StartedMS: l.StartedMS, Orders: l.Orders, Version: l.Version},
+			ReportedFor:   time.Duration(l.ReportedMS) * time.Millisecond,
+			ListConfirmed: asked.Add(-time.Duration(l.ListAgeMS) * time.Millisecond),
+		})
+	}
+	return out
+}
+
 // reportInterval is the interval at which the engine's state is read and published.
 const reportInterval = 40 * time.Millisecond
 
@@ -189,7 +209,10 @@
 	lists := storerelay.NewClient(p.network)
 	group.addCloser(lists.Close)
 	group.addCloser(p.watcher.Close)
-	state.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone, LinkRate: s.LinkRate(), Network: p.network}, engine, origin,
+	memories := func(ctx context.Context) []loadtrust.Memory {
+		return loadMemories(ctx, s.EngineAddress, lists, gateways)
+	}
+	state.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone, LinkRate: s.LinkRate(), Network: p.network, LoadMemories: memories}, engine, origin,
 		func(ctx context.Context) ([]installer.Peer, error) { return state.listPeers(ctx, p, lists, gateways) }, p.log, p.metrics)
 	group.addCloser(state.installer.Close)
 	group.spawn(func() { publisher.Run(state.handleNotice) })
@@ -202,17 +225,21 @@
 }
 
 // reportLoad reads the engine's state every reportInterval and publishes it, until ctx
-// ends. A state that cannot be read is not published.
+// ends. A state that cannot be read is not published, nor one with a load of which it is
+// not known yet whether to trust it: gateways then go on with what they know.
 func reportLoad(ctx context.Context, sidecar *sidecarState, engine *platform.Engine, publisher *loadreport.Publisher) {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	i := sidecar.installer
 	for {
-		if state, err := engine.State(ctx); err == nil {
+		state, err := engine.State(ctx)
+		if err == nil {
 			i.UpdateEngineState(state)
+		}
+		if err == nil && !i.Undecided() {
 			publisher.Publish(fleet.Report{
 				Address: sidecar.settings.EngineAddress, Model: state.Model, Version: state.Version, Busy: state.Busy || i.Draining(), UpdateScheduled: i.UpdateScheduled(),
-				Unverified: i.Unverified(), Running: state.Running, Queued: state.Queued, Pace: state.Pace, StartedMS: state.StartedMS, WeightsChecksum: sidecar.weightsChecksum(),
+				Unverified: i.Unverified(), Running: state.Running, Queued: state.Queued, Pace: state.Pace, StartedMS: state.StartedMS, Orders: state.Orders, WeightsChecksum: sidecar.weightsChecksum(),
 				Draining: state.Signal.Draining, Limited: state.Signal.Limit.Set, Limit: state.Signal.Limit.Rate,
 			}, i.UpdatePending(), clock.Now())
 		}
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -28,6 +28,7 @@
 
 	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/internal/network"
+	"github.com/mintlift/mintlift/loadtrust"
 	"github.com/mintlift/mintlift/telemetry"
 	"github.com/mintlift/mintlift/transfer"
 )
@@ -143,6 +144,9 @@
 	// Network opens the connections to other sidecars; nil stands for the operating
 	// system's.
 	Network network.Network
+	// LoadMemories returns what gateways remember of the engine, to be called while the
+	// engine has a load that this process has not verified; may be nil.
+	LoadMemories func(ctx context.Context) []loadtrust.Memory
 }
 
 // Installer fetches target versions and loads them into the engine of one sidecar.
@@ -163,8 +167,9 @@
 	log                logr.Logger
 	metrics            *telemetry.Metrics
 
-	// stagingMu guards the staged chunks. It is locked before mu.
+	// stagingMu guards the staged chunks and stagedAt. It is locked before mu.
 	stagingMu sync.Mutex
+	stagedAt  time.Time // when this process last staged a chunk; zero if it has not
 
 	mu            sync.Mutex
 	params        Params
@@ -176,6 +181,12 @@
 	// load command (Start). verifiedLoad identifies the last load that counts as
 	// verified.
 	expectedLoad, verifiedLoad loadID
+	verifiedAt                 time.Time // when this process last verified a load
+	// inherited is the load that was found when this process, or possibly the engine's,
+	// started; nil if there is none or it is trusted. loadManifest is the manifest of
+	// its version, if it was fetched without a replica.
+	inherited    *inheritedLoad
+	loadManifest *Manifest
 	// updateScheduled is set while an update of the engine with a preceding drain is
 	// planned or in progress.
 	updateScheduled bool
--- a/installer/manifest.go
+++ b/installer/manifest.go
@@ -102,9 +102,9 @@
 		i.mu.Lock()
 		changed := i.changed
 		i.mu.Unlock()
-		if found := i.requestedReplica(r); found != nil {
+		if found := i.requestedManifest(r); found != nil {
 			w.Header().Set("Content-Type", "application/json")
-			_ = json.NewEncoder(w).Encode(found.manifest) // a peer whose connection broke requests it again
+			_ = json.NewEncoder(w).Encode(found) // a peer whose connection broke requests it again
 			return
 		}
 		select {
@@ -117,3 +117,16 @@
 		}
 	}
 }
+
+// requestedManifest returns the manifest of the model and version in the path of r, or nil.
+func (i *Installer) requestedManifest(r *http.Request) *Manifest {
+	if found := i.requestedReplica(r); found != nil {
+		return found.manifest
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if m := i.loadManifest; m != nil && m.Model == r.PathValue("model") && strconv.Itoa(m.Version) == r.PathValue("version") {
+		return m
+	}
+	return nil
+}
--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -49,6 +49,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { i.runUpdates(ctx) })
+	group.Go(func() { i.reviewLoads(ctx) })
 	jobs := make(map[int]job)
 	ended := make(chan int)
 	for ctx.Err() == nil {
--- a/installer/stage.go
+++ b/installer/stage.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+
+	"github.com/mintlift/mintlift/internal/clock"
 )
 
 // Staged chunks are stored by the engine, which has room for one copy of the model in
@@ -37,9 +39,14 @@
 
 // shouldStage reports whether arriving chunks of r are stored at the engine for the
 // next load (staged). They are if r is newer
-// than the engine's verified version and no other such replica holds more chunks.
+// than the engine's verified version and no other such replica holds more chunks. While
+// the engine's load is not verified, none is staged: a sidecar that starts now would take
+// chunks staged after the load for those that were loaded.
 // Installer.mu is held.
 func (i *Installer) shouldStage(r *replica) bool {
+	if i.engineState.Orders != 0 && i.verifiedLoad != loadIDOf(i.engineState) {
+		return false
+	}
 	if r.manifest.Version <= i.verifiedVersion() {
 		return false
 	}
@@ -93,5 +100,6 @@
 
 // put stages a chunk; stagingMu is held.
 func (i *Installer) put(ctx context.Context, m *Manifest, chunk int, data []byte) error {
+	i.stagedAt = clock.Now()
 	return i.engine.Put(ctx, m.Model, chunk, data)
 }
--- a/installer/start.go
+++ b/installer/start.go
@@ -102,7 +102,7 @@
 func (i *Installer) nextUpdate(now time.Time) (*updateStep, <-chan struct{}) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.params.Chunks == 0 || i.engineStateAt.IsZero() || i.engineState.Busy {
+	if i.params.Chunks == 0 || i.engineStateAt.IsZero() || i.engineState.Busy || i.reloadHeld() {
 		return nil, i.changed
 	}
 	position := i.slotPositionLocked()
--- a/installer/verify.go
+++ b/installer/verify.go
@@ -16,7 +16,7 @@
 // three cases:
 //
 //   - The sidecar has verified the staged chunks after the engine accepted the order.
-//   - It is the load in the engine's first report to this sidecar process.
+//   - A review trusts the load that this sidecar process found; see package loadtrust.
 //   - The engine's process has accepted no order: it started with its version.
 //
 // Any other load is unverified, such as one by a delayed Start of an earlier
@@ -42,9 +42,10 @@
 
 // unverified reports whether the engine has a version loaded that is not verified: its
 // weights may be of another version than it reports.
+// It is false while that is undecided, as nothing is done about the load then.
 // Installer.mu is held.
 func (i *Installer) unverified() bool {
-	return i.engineState.Version != 0 && i.engineState.Orders != 0 && i.verifiedLoad != loadIDOf(i.engineState)
+	return i.engineState.Version != 0 && i.engineState.Orders != 0 && i.verifiedLoad != loadIDOf(i.engineState) && !i.undecided()
 }
 
 // Unverified reports whether the engine has a version loaded that is not verified,
@@ -88,7 +89,7 @@
 	}
 	i.log.Info("version verified", "version", m.Version, "orders", state.Orders, "ms", clock.Since(began).Milliseconds())
 	i.mu.Lock()
-	i.verifiedLoad = loadIDOf(state)
+	i.verifiedLoad, i.verifiedAt = loadIDOf(state), clock.Now()
 	i.notifyLocked()
 	i.mu.Unlock()
 	i.awaitReport(ctx, state)
@@ -156,7 +157,7 @@
 // is complete. Installer.mu is held.
 func (i *Installer) intermediateVersion() int {
 	newest := i.newestTarget().version
-	if !i.unverified() || i.engineState.Busy || i.engineState.Version != newest || i.otherReplica() != nil {
+	if !i.unverified() || i.reloadHeld() || i.engineState.Busy || i.engineState.Version != newest || i.otherReplica() != nil {
 		return 0
 	}
 	if len(i.targets) > 1 {
@@ -194,17 +195,17 @@
 	i.log.Info("staged chunks by version", "engine_version", version, "of_versions", versions, "of_others", other, "missing", missing)
 }
 
-// UpdateEngineState records a state that the engine reported. The load in the first
-// report counts as verified.
+// UpdateEngineState records a state that the engine reported. A load that the engine's
+// process was ordered to carry out before the first report is reviewed; see inheritedLoad.
 func (i *Installer) UpdateEngineState(s EngineState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	now := clock.Now()
 	old, first := i.engineState, i.engineStateAt.IsZero()
+	i.observeProcess(s, now)
 	i.engineState = s
-	i.engineStateAt = clock.Now()
-	if first {
-		i.verifiedLoad = loadIDOf(s) // load stages no other version while the engine may still accept a Start
-	}
+	i.engineStateAt = now
+	i.updateReview(now)
 	if first || old.Version != s.Version || old.Busy != s.Busy || old.Orders != s.Orders || old.StartedMS != s.StartedMS {
 		i.log.Info("engine state changed", "model", s.Model, "version", s.Version, "was", old.Version, "busy", s.Busy, "orders", s.Orders, "born", s.StartedMS,
 			"vouched", !i.unverified())
