loadreport: outdated reports don't count as new

A gateway could believe an outdated state of an engine in two cases, and send it requests on a version that it no longer has, or while it is updated.

A datagram may overtake an older one, which then replaced the newer state for up to 300 ms. Reports now carry the start of the sidecar's process and a number, and a subscriber drops a report with a lower one.

A sidecar answers each subscription with its last report, also while its next read of the engine's state hangs, for up to 2 s. That counted as new. A report now tells from 100 ms on how long before the engine's state was read.

--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -232,6 +232,7 @@
 	defer ticker.Stop()
 	i := sidecar.installer
 	for {
+		began := clock.Now()
 		state, err := engine.State(ctx)
 		if err == nil {
 			i.UpdateEngineState(state)
@@ -241,7 +242,7 @@
 				Address: sidecar.settings.EngineAddress, Model: state.Model, Version: state.Version, Busy: state.Busy || i.Draining(), UpdateScheduled: i.UpdateScheduled(),
 				Unverified: i.Unverified(), Running: state.Running, Queued: state.Queued, Pace: state.Pace, StartedMS: state.StartedMS, Orders: state.Orders, WeightsChecksum: sidecar.weightsChecksum(),
 				Draining: state.Signal.Draining, Limited: state.Signal.Limit.Set, Limit: state.Signal.Limit.Rate,
-			}, i.UpdatePending(), clock.Now())
+			}, i.UpdatePending(), began)
 		}
 		select {
 		case <-ticker.C:
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -36,7 +36,7 @@
 	// arriving report may not include yet.
 	recentSends []time.Time
 	report      Report
-	reportAt    time.Time
+	reportAt    time.Time // when the engine's state in report was read, without delays
 	// verified is the last load that a report called verified; see VerifiedLoad.
 	verified VerifiedLoad
 	// sidecarAt is when the last report arrived from the endpoint's address, also if it
@@ -181,10 +181,10 @@
 // transit.
 const reportLag = 40 * time.Millisecond
 
-// unreported returns the number of this gateway's attempts that a report
-// arriving now does not include yet.
-func (e *Endpoint) unreported(now time.Time) int {
-	since := now.Add(-reportLag - e.Delay(now))
+// unreported returns the number of this gateway's attempts that a report of the given age
+// that arrives now does not include yet.
+func (e *Endpoint) unreported(age time.Duration, now time.Time) int {
+	since := now.Add(-reportLag - e.Delay(now) - age)
 	e.recentSends = slices.DeleteFunc(e.recentSends, func(at time.Time) bool { return at.Before(since) })
 	return min(len(e.recentSends), e.inFlight)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -77,6 +77,9 @@
 	// Pace is how many times slower than normal the engine works; values below 1
 	// count as 1.
 	Pace float64 `json:"p,omitempty"`
+	// AgeMS is how long before the report was sent the engine's state was read, in
+	// milliseconds; 0 if that was just before.
+	AgeMS int64 `json:"y,omitempty"`
 	// WeightsChecksum is the checksum of the routing.WeightsConfig that the sidecar
 	// has, or 0 if it has none.
 	WeightsChecksum uint32 `json:"w,omitempty"`
@@ -94,6 +97,8 @@
 const (
 	// reportTTL is the maximum age of a load report that is used.
 	reportTTL = 900 * time.Millisecond
+	// maxReportAge bounds Report.AgeMS, which a corrupt datagram may have too large.
+	maxReportAge = time.Minute
 	// recentReport is the age from which a report no longer shows that the engine can
 	// begin a request at once: the box may have been suspended since.
 	recentReport = 150 * time.Millisecond
@@ -336,7 +341,8 @@
 	changed = e.reportAt.IsZero() || e.report.Version != r.Version || e.report.Busy != r.Busy || e.report.Unverified != r.Unverified ||
 		e.report.Draining != r.Draining || e.report.Limited != r.Limited || e.report.Limit != r.Limit
 	e.report = r
-	e.reportAt = now
+	age := time.Duration(min(max(r.AgeMS, 0), maxReportAge.Milliseconds())) * time.Millisecond
+	e.reportAt = now.Add(-age)
 	e.sidecarAt, f.sidecarAt[r.Address] = now, now
 	e.recordVerified(&r, now)
 	e.Signals.ObserveReport(backpressure.Signal{Draining: r.Draining, Limit: backpressure.Limit{Set: r.Limited, Rate: r.Limit}}, now)
@@ -344,7 +350,7 @@
 	if roundTrip >= 0 {
 		e.roundTrip, e.roundTripAt = roundTrip, now
 	}
-	unreported := e.unreported(now)
+	unreported := e.unreported(age, now)
 	e.othersInFlight = math.Max(0, float64(r.Running+r.Queued-(e.inFlight-unreported)))
 	e.othersUnanswered = math.Max(0, float64(r.Queued-max(0, e.unanswered-unreported)))
 	e.sentSinceReport = 0
--- a/fleet/verified_test.go
+++ b/fleet/verified_test.go
@@ -45,3 +45,23 @@
 	_, known = f.VerifiedLoad("a:1")
 	assert.Assert(t, !known, "another start time")
 }
+
+// Guards against requests to an engine that is being updated or has restarted: a sidecar
+// whose read of the engine's state hangs repeats its last report, which must not count as
+// new.
+func TestReportCountsFromWhenItWasRead(t *testing.T) {
+	f := New(Place{Zone: "z"})
+	f.Put(Record{ID: "a", Service: "s", Address: "a:1"})
+	r := report("a", 1, 0, 0)
+	r.UpdateScheduled = true
+	r.AgeMS = recentReport.Milliseconds()
+	e, _ := f.ApplyReport(r, -1, start)
+	assert.Equal(t, e.ReportAge(start), recentReport)
+	assert.Assert(t, !e.MayServe(1, 2, 1, start))
+	r.AgeMS = 0
+	f.ApplyReport(r, -1, start)
+	assert.Assert(t, e.MayServe(1, 2, 1, start))
+	r.AgeMS = reportTTL.Milliseconds()
+	f.ApplyReport(r, -1, start)
+	assert.Assert(t, !e.fresh(start))
+}
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -122,6 +122,9 @@
 // empty if the datagram contains no report.
 type sidecarDatagram struct {
 	fleet.Report
+	// Epoch and Number order the reports of a sidecar; see reportNumber.
+	Epoch  int64 `json:"j,omitempty"`
+	Number int64 `json:"z,omitempty"`
 	// Echo is the stamp of the subscription that this responds to, or 0 if this is no
 	// response to a subscription.
 	Echo int64 `json:"e,omitempty"`
--- a/loadreport/publisher.go
+++ b/loadreport/publisher.go
@@ -43,6 +43,10 @@
 	// last is the last report sent, and lastSent when it was sent.
 	last     fleet.Report
 	lastSent time.Time
+	// lastRead is when the state in last was last read from the engine. number is the
+	// number of last, which begins anew at each epoch, the start of the process.
+	lastRead      time.Time
+	epoch, number int64
 }
 
 // NewPublisher listens for subscriptions at address, IP:PORT. Run handles them.
@@ -51,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Publisher{conn: conn, read: history.Unread, subs: make(map[netip.AddrPort]subscriber), suspects: quarantine.NewRelayed(), quotas: backpressure.NewQuotas()}, nil
+	return &Publisher{conn: conn, epoch: clock.Now().UnixMilli(), read: history.Unread, subs: make(map[netip.AddrPort]subscriber), suspects: quarantine.NewRelayed(), quotas: backpressure.NewQuotas()}, nil
 }
 
 // Run handles subscriptions and permit requests until Close. It calls onNotice with
@@ -82,7 +86,7 @@
 		p.read = history.Later(p.read, history.Position{Era: datagram.Era, Offset: datagram.Read})
 		p.versionTimes.merge(datagram.Notice, now)
 		response := sidecarDatagram{
-			Report: withDemandPosition(p.last, p.demandPositionsLocked()[from]), Echo: datagram.Stamp, Read: p.read.Offset, Era: p.read.Era,
+			Report: p.reportFor(p.demandPositionsLocked()[from], now), Epoch: p.epoch, Number: p.number, Echo: datagram.Stamp, Read: p.read.Offset, Era: p.read.Era,
 			Suspects: p.suspects.Records(now), Endpoints: p.quotas.Records(now),
 		}
 		if response.TargetVersions = p.versionTimes.missing(datagram.Notice, now); response.TargetVersions != nil {
@@ -134,8 +138,8 @@
 }
 
 // Publish sends r to the subscribers if it differs from the last report sent, or if that
-// was sent longer ago than the repeat interval. updating selects updateRepeatInterval
-// instead of repeatInterval.
+// was sent longer ago than the repeat interval. now is when the sidecar began to read the
+// engine's state. updating selects updateRepeatInterval instead of repeatInterval.
 func (p *Publisher) Publish(r fleet.Report, updating bool, now time.Time) {
 	interval := repeatInterval
 	if updating {
@@ -144,21 +148,33 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r.Gateways = len(p.subs)
+	p.lastRead = now
 	if r == p.last && now.Sub(p.lastSent) < interval {
 		return
 	}
 	p.last = r
 	p.lastSent = now
+	p.number++
 	for to, s := range p.subs {
 		if now.Sub(s.subscribedAt) > subscriptionTTL {
 			delete(p.subs, to)
 		}
 	}
 	for to, position := range p.demandPositionsLocked() {
-		p.send(sidecarDatagram{Report: withDemandPosition(r, position)}, to)
+		p.send(sidecarDatagram{Report: p.reportFor(position, clock.Now()), Epoch: p.epoch, Number: p.number}, to)
 	}
 }
 
+// reportFor returns the last report for a subscriber with the given demand position, with
+// its age. Publisher.mu must be held.
+func (p *Publisher) reportFor(position demandPosition, now time.Time) fleet.Report {
+	r := withDemandPosition(p.last, position)
+	if age := now.Sub(p.lastRead); age >= minReportAge {
+		r.AgeMS = age.Milliseconds()
+	}
+	return r
+}
+
 // send sends a datagram to a gateway. Write errors are ignored.
 func (p *Publisher) send(m sidecarDatagram, to netip.AddrPort) {
 	data, err := json.Marshal(m)
--- a/loadreport/subscriber.go
+++ b/loadreport/subscriber.go
@@ -126,8 +126,9 @@
 // datagrams.
 func (s *Subscriber) receive(h Handler) {
 	buffer := make([]byte, maxDatagram)
+	order := newReportOrder()
 	for {
-		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -145,7 +146,7 @@
 			h.HandleGrant(*m.Grant)
 		}
 		switch {
-		case m.Address == "":
+		case m.Address == "", !order.accept(from.String(), reportNumber{m.Epoch, m.Number}, clock.Now()):
 		case m.Echo <= 0:
 			h.HandleReport(m.Report, nil)
 		default:
