--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -39,7 +39,14 @@
 	// arriving report may not include yet.
 	recentSends []time.Time
 	report      Report
-	reportAt    time.Time
+	reportAt    time.Time // when the engine's state in report was read, without delays
+	// verified is the last load that a report called verified; see VerifiedLoad.
+	verified VerifiedLoad
+	// sidecarAt is when the last report arrived from the endpoint's address, also if it
+	// was of a former process of the endpoint; zero if none has.
+	sidecarAt time.Time
+	// firstReportAt is when the first report arrived for this id.
+	firstReportAt time.Time
 	// roundTrip is the last round-trip time measured to the sidecar, and
 	// roundTripAt when that was.
 	roundTrip   time.Duration
@@ -68,17 +75,32 @@
 // HeldVersion returns the version of model that the endpoint holds completely, or 0 if
 // there is none. It is also 0 if the last report, of any age, called the engine's
 // weights unverified: the engine may then hold other weights than the report or the
-// record lists.
+// record lists. A version that only the record lists is ignored for listedChangeDelay after
+// the last report from the endpoint's address.
 func (e *Endpoint) HeldVersion(model string, now time.Time) int {
 	if e.report.Unverified {
 		return 0
 	}
-	if e.fresh(now) && e.report.Model == model {
+	if e.fresh(now) && (e.report.Model == model || e.report.Version == 0) {
 		return e.report.Version
 	}
-	return e.Models[model]
+	listed := e.Models[model]
+	switch {
+	case e.sidecarAt.IsZero(), now.Sub(e.sidecarAt) >= listedChangeDelay:
+		return listed
+	case e.report.Version != 0 && (e.report.Model != model || e.report.Version == listed):
+		return listed
+	default:
+		return 0
+	}
 }
 
+// listedChangeDelay is how long after the last report of an engine's sidecar a version that
+// the sidecar has not reported is ignored in the list. The engine may have accepted a
+// delayed order of the sidecar's former process meanwhile, and hold other weights than the
+// list shows. Orders were seen to be accepted up to 11 s after they were sent.
+const listedChangeDelay = 15 * time.Second
+
 // fresh reports whether the last report is younger than reportTTL.
 func (e *Endpoint) fresh(now time.Time) bool { return e.reportedWithin(reportTTL, now) }
 
@@ -162,10 +184,10 @@
 // transit.
 const reportLag = 40 * time.Millisecond
 
-// unreported returns the number of this gateway's attempts that a report
-// arriving now does not include yet.
-func (e *Endpoint) unreported(now time.Time) int {
-	since := now.Add(-reportLag - e.Delay(now))
+// unreported returns the number of this gateway's attempts that a report of the given age
+// that arrives now does not include yet.
+func (e *Endpoint) unreported(age time.Duration, now time.Time) int {
+	since := now.Add(-reportLag - e.Delay(now) - age)
 	e.recentSends = slices.DeleteFunc(e.recentSends, func(at time.Time) bool { return at.Before(since) })
 	return min(len(e.recentSends), e.inFlight)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -50,6 +50,9 @@
 	Version int    `json:"v"`
 	// StartedMS is Record.StartedMS as reported by the engine.
 	StartedMS int64 `json:"n,omitempty"`
+	// Orders is the number of orders that the engine's process has accepted. With
+	// StartedMS it identifies a load of the engine.
+	Orders int64 `json:"f,omitempty"`
 	// Busy is set while the engine must get no new requests, because it executes an
 	// order, such as a load, or is being drained for one.
 	Busy bool `json:"b,omitempty"`
@@ -74,6 +77,9 @@
 	// Pace is how many times slower than normal the engine works; values below 1
 	// count as 1.
 	Pace float64 `json:"p,omitempty"`
+	// AgeMS is how long before the report was sent the engine's state was read, in
+	// milliseconds; 0 if that was just before.
+	AgeMS int64 `json:"y,omitempty"`
 	// WeightsChecksum is the checksum of the routing.WeightsConfig that the sidecar
 	// has, or 0 if it has none.
 	WeightsChecksum uint32 `json:"w,omitempty"`
@@ -91,6 +97,8 @@
 const (
 	// reportTTL is the maximum age of a load report that is used.
 	reportTTL = 900 * time.Millisecond
+	// maxReportAge bounds Report.AgeMS, which a corrupt datagram may have too large.
+	maxReportAge = time.Minute
 	// recentReport is the age from which a report no longer shows that the engine can
 	// begin a request at once: the box may have been suspended since.
 	recentReport = 150 * time.Millisecond
@@ -108,6 +116,8 @@
 	place     Place
 	byID      map[string]*Endpoint
 	byAddress map[string]*Endpoint
+	// sidecarAt holds Endpoint.sidecarAt by address.
+	sidecarAt map[string]time.Time
 	byService map[string][]*Endpoint
 	// watchedByService caches the results of watched for large services. An entry is
 	// removed when the service's endpoints change.
@@ -135,6 +145,7 @@
 		signals:          backpressure.NewTable(),
 		byID:             make(map[string]*Endpoint),
 		byAddress:        make(map[string]*Endpoint),
+		sidecarAt:        make(map[string]time.Time),
 		byService:        make(map[string][]*Endpoint),
 	}
 }
@@ -164,7 +175,7 @@
 		if old := f.byAddress[r.Address]; old != nil {
 			f.Remove(old.ID)
 		}
-		e = &Endpoint{Record: r, Signals: f.signals.State(r.ID, r.StartedMS)}
+		e = &Endpoint{Record: r, Signals: f.signals.State(r.ID, r.StartedMS), sidecarAt: f.sidecarAt[r.Address]}
 		f.locate(e)
 		f.byID[r.ID] = e
 		f.byAddress[r.Address] = e
@@ -330,13 +341,16 @@
 	changed = e.reportAt.IsZero() || e.report.Version != r.Version || e.report.Busy != r.Busy || e.report.Unverified != r.Unverified ||
 		e.report.Draining != r.Draining || e.report.Limited != r.Limited || e.report.Limit != r.Limit
 	e.report = r
-	e.reportAt = now
+	age := time.Duration(min(max(r.AgeMS, 0), maxReportAge.Milliseconds())) * time.Millisecond
+	e.reportAt = now.Add(-age)
+	e.sidecarAt, f.sidecarAt[r.Address] = now, now
+	e.recordVerified(&r, now)
 	e.Signals.ObserveReport(backpressure.Signal{Draining: r.Draining, Limit: backpressure.Limit{Set: r.Limited, Rate: r.Limit}}, now)
 	e.receivedAt = now
 	if roundTrip >= 0 {
 		e.roundTrip, e.roundTripAt = roundTrip, now
 	}
-	unreported := e.unreported(now)
+	unreported := e.unreported(age, now)
 	e.othersInFlight = math.Max(0, float64(r.Running+r.Queued-(e.inFlight-unreported)))
 	e.othersUnanswered = math.Max(0, float64(r.Queued-max(0, e.unanswered-unreported)))
 	e.sentSinceReport = 0
