--- a/installer/load.go
+++ b/installer/load.go
@@ -78,7 +78,10 @@
 		case sent && state.Version == m.Version && i.startAccepted(state):
 			return i.verifyLoad(ctx, s, state)
 		case state.Version == m.Version:
-			return true // the engine does not load a version that it has loaded
+			// The engine does not load a version that it has loaded. Until the engine's
+			// report shows that, the next update is the same one again.
+			i.awaitReport(ctx, state)
+			return true
 		}
 		checked := clock.Now()
 		if staged := i.stageReplica(ctx, s); !staged && !sent {
--- a/installer/start_test.go
+++ b/installer/start_test.go
@@ -3,7 +3,9 @@
 package installer
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -288,3 +290,30 @@
 	c.awaitVersion(2)
 	assert.Assert(t, time.Since(resumed) < 5*time.Second, "%s", time.Since(resumed))
 }
+
+// Guards against a sidecar that uses a whole core, and calls its engine all the time, while
+// the engine's reports lag behind: the engine has loaded the version, but the next update is
+// planned with its last report.
+func TestNoBusyLoopWhileReportsLag(t *testing.T) {
+	i := newLoadedInstaller([]target{{version: 2, setAt: time.Now().Add(-testDeadline)}}, 2)
+	i.replicas[0].completedAt = time.Now()
+	e := &countingEngine{}
+	e.load(2)
+	i.engine = e
+	ctx, cancel := context.WithTimeout(t.Context(), 3*reportTimeout)
+	defer cancel()
+	i.runUpdates(ctx)
+	assert.Assert(t, e.states.Load() > 0 && e.states.Load() < 10, "%d reads of the engine's state", e.states.Load())
+}
+
+// countingEngine counts the reads of the engine's state.
+type countingEngine struct {
+	fakeEngine
+	states atomic.Int64
+}
+
+// State implements Engine.
+func (e *countingEngine) State(ctx context.Context) (EngineState, error) {
+	e.states.Add(1)
+	return e.fakeEngine.State(ctx)
+}
