installer: cancelled tasks don't ask the origin for manifests

When a newer version is named while boxes still fetch the manifest of the older one, their tasks are cancelled. TestCancelledTaskDoesNotReachOrigin failed before.

--- a/installer/manifest.go
+++ b/installer/manifest.go
@@ -69,8 +69,14 @@
 		if err == nil && len(m.Digests) == task.params.Chunks {
 			return m
 		}
+		if ctx.Err() != nil {
+			return nil // the task was cancelled
+		}
 		i.log.Info("manifest fetch from peer failed", "version", task.version, "peer", p.Box, "error", errorText(err))
 	}
+	if ctx.Err() != nil {
+		return nil
+	}
 	m, err := i.origin.Manifest(ctx, task.params.Model, task.version)
 	if err != nil {
 		i.log.Info("manifest fetch from origin failed", "version", task.version, "error", err.Error())
--- a/installer/start_test.go
+++ b/installer/start_test.go
@@ -317,3 +317,17 @@
 	e.states.Add(1)
 	return e.fakeEngine.State(ctx)
 }
+
+// Guards against requests to the origin by tasks that have been cancelled: no ancestor
+// answers them, so each box would ask the origin when a newer version is named.
+func TestCancelledTaskDoesNotReachOrigin(t *testing.T) {
+	origin := &limitedOrigin{fakeOrigin: &fakeOrigin{}, connections: 1}
+	peers := []Peer{{Box: "a", Region: "r"}, {Box: "b", Region: "r"}}
+	for _, p := range peers {
+		i := New(Settings{Box: p.Box, Region: "r"}, &fakeEngine{}, origin, func(context.Context) ([]Peer, error) { return peers, nil }, logr.Discard(), telemetry.NewMetrics())
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		assert.Assert(t, i.openReplica(ctx, fetchTask{params: Params{Model: testModel, Chunks: testChunks}, version: 1}) == nil)
+	}
+	assert.Equal(t, origin.manifests.Load(), int64(0))
+}
