--- a/installer/start_test.go
+++ b/installer/start_test.go
@@ -3,7 +3,9 @@
 package installer
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -361,3 +363,44 @@
 		assert.Assert(t, !latest.After(bound), "the last drain starts %s after the version is complete, %s before the cutoff", latest.Sub(now), left)
 	}
 }
+
+// Guards against a sidecar that uses a whole core, and calls its engine all the time, while
+// the engine's reports lag behind: the engine has loaded the version, but the next update is
+// planned with its last report.
+func TestNoBusyLoopWhileReportsLag(t *testing.T) {
+	i := newLoadedInstaller([]target{{version: 2, setAt: time.Now().Add(-testDeadline)}}, 2)
+	i.replicas[0].completedAt = time.Now()
+	e := &countingEngine{}
+	e.load(2)
+	i.engine = e
+	ctx, cancel := context.WithTimeout(t.Context(), 3*reportTimeout)
+	defer cancel()
+	i.runUpdates(ctx)
+	assert.Assert(t, e.states.Load() > 0 && e.states.Load() < 10, "%d reads of the engine's state", e.states.Load())
+}
+
+// countingEngine counts the reads of the engine's state.
+type countingEngine struct {
+	fakeEngine
+	states atomic.Int64
+}
+
+// State implements Engine.
+func (e *countingEngine) State(ctx context.Context) (EngineState, error) {
+	e.states.Add(1)
+	return e.fakeEngine.State(ctx)
+}
+
+// Guards against requests to the origin by tasks that have been cancelled: no ancestor
+// answers them, so each box would ask the origin when a newer version is named.
+func TestCancelledTaskDoesNotReachOrigin(t *testing.T) {
+	origin := &limitedOrigin{fakeOrigin: &fakeOrigin{}, connections: 1}
+	peers := []Peer{{Box: "a", Region: "r"}, {Box: "b", Region: "r"}}
+	for _, p := range peers {
+		i := New(Settings{Box: p.Box, Region: "r"}, &fakeEngine{}, origin, func(context.Context) ([]Peer, error) { return peers, nil }, logr.Discard(), telemetry.NewMetrics())
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		assert.Assert(t, i.openReplica(ctx, fetchTask{params: Params{Model: testModel, Chunks: testChunks}, version: 1}) == nil)
+	}
+	assert.Equal(t, origin.manifests.Load(), int64(0))
+}
