ingress: bound the prompt time of a late cutoff

A caller that stated more than 1.7e14 prompt tokens was sent to engines with older versions after the deadline in contended services: the prefill time exceeded the range of time.Duration, and the cutoff lay centuries after the deadline. The time is limited to 60 s, longer than every margin, before the conversion, so such requests get the usual cutoff.

--- a/ingress/cutoff.go
+++ b/ingress/cutoff.go
@@ -40,6 +40,10 @@
 	// (docs/design/version-bound.md). A request that is sent earlier than that before the
 	// withdrawal is rarely withdrawn.
 	longestQueueTime = 2300 * time.Millisecond
+	// maxPrefillMS limits the prefill time, in milliseconds, that beginTime counts. It is
+	// longer than every margin. Callers state any number of prompt tokens, and a
+	// time.Duration of too many would overflow.
+	maxPrefillMS = 60e3
 )
 
 // lateMargins returns the margins of a request that is withdrawn if it has brought no
@@ -60,7 +64,7 @@
 // a response. It includes a prompt of mean length, because another gateway's request may
 // begin in the same pass.
 func beginTime(prefillMS, meanPrefillMS float64) time.Duration {
-	return enginePassTime + time.Duration((prefillMS+meanPrefillMS)*float64(time.Millisecond))
+	return enginePassTime + time.Duration(min(prefillMS+meanPrefillMS, maxPrefillMS)*float64(time.Millisecond))
 }
 
 // versionBounds are the versions of a model that an attempt requires; see the fields of
--- a/ingress/cutoff_test.go
+++ b/ingress/cutoff_test.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"math"
 	"net/http"
 	"testing"
 	"time"
@@ -76,6 +77,17 @@
 	assert.Assert(t, m.atOnce <= usual.atOnce)
 }
 
+// Guards against a number of prompt tokens, which is any number that a caller sends, whose
+// prefill time exceeds the range of time.Duration, and with which older versions would be
+// used after the deadline.
+func TestLateMarginsOfHugePrompt(t *testing.T) {
+	usual := newTestGateway(t).server.usualMargins()
+	for _, tokens := range []int{1 << 40, 1 << 50, math.MaxInt} {
+		prefill := prefillMS(&routing.Engine{PrefillRate: 19100}, tokens)
+		assert.Equal(t, lateMargins(usual, beginTime(prefill, 47.1)).last, usual.last, "%d tokens", tokens)
+	}
+}
+
 // The stages in which an older version gets fewer requests before a deadline: streams of
 // a contended service are served longer than others, and any engine that may queue them
 // needs a recent report from the time at which others are sent only to free slots.
