ingress: count a request once in the return plan

A caller that returned as told lost its place, or took that of another, when the connection to its endpoint was refused: attempts that reach no endpoint are not counted, so the request was counted as a new arrival before each of them. New requests were counted several times likewise, which left fewer places. Each request is now counted once, whatever becomes of its attempts.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -61,6 +61,9 @@
 	// hasPlace reports that a caller's retry is served before new requests of the same
 	// priority, by a promise of this gateway's return plan.
 	hasPlace bool
+	// arrivalCounted and servedCounted report that the return plan has counted the request
+	// and its first attempt.
+	arrivalCounted, servedCounted bool
 	// retryAfter is the Retry-After of the refusal for lack of capacity, or 0.
 	retryAfter time.Duration
 
--- a/ingress/returns.go
+++ b/ingress/returns.go
@@ -26,12 +26,14 @@
 	return p
 }
 
-// countArrival counts x, before its first attempt, in the return plan of its service. For a
-// caller's retry, it sets hasPlace if a promise of this gateway is open.
+// countArrival counts x once, before its first attempt, in the return plan of its service.
+// For a caller's retry, it sets hasPlace if a promise of this gateway is open. Attempts
+// that reached no endpoint do not count, so x.attempts may be 0 several times.
 func (s *Server) countArrival(x *exchange, now time.Time) {
-	if x.attempts > 0 {
+	if x.arrivalCounted {
 		return
 	}
+	x.arrivalCounted = true
 	s.mu.Lock()
 	p := s.returnPlanLocked(x, now)
 	switch {
@@ -47,11 +49,12 @@
 	}
 }
 
-// countServed counts the first attempt of x in the return plan of its service.
+// countServed counts the first attempt of x, once, in the return plan of its service.
 func (s *Server) countServed(x *exchange, now time.Time) {
-	if x.attempts > 0 {
+	if x.servedCounted {
 		return
 	}
+	x.servedCounted = true
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.returnPlanLocked(x, now); p != nil {
--- a/ingress/returns_test.go
+++ b/ingress/returns_test.go
@@ -160,3 +160,26 @@
 	late, fresh, place, urgent := add(1, true, false), add(1, false, false), add(1, true, true), add(0, false, false)
 	assert.Assert(t, slices.Equal(q.waiters, []*waiter{urgent, place, fresh, late}))
 }
+
+// Load: engines that refuse connections while callers return. Guards against a request
+// that is counted once more, and loses its place or takes a second one, because its first
+// attempt reached no endpoint.
+func TestRequestIsCountedOnce(t *testing.T) {
+	s, now := newPlannedServer(t, 300)
+	plan := s.returnPlans["engine"]
+	at := now
+	for range 2 {
+		after, kept := plan.Promise(retryAfterMin, retryAfterMin+200*time.Millisecond, now)
+		assert.Assert(t, kept)
+		at = slices.MaxFunc([]time.Time{at, now.Add(after)}, time.Time.Compare)
+	}
+	back := newRefused(s, 5*time.Second, at)
+	back.callerRetry = true
+	for range 3 { // attempts is 0 again after each attempt that reached no endpoint
+		s.countArrival(back, at)
+		s.countServed(back, at)
+		assert.Equal(t, back.stage(), stagePlace)
+	}
+	assert.Equal(t, s.returns("kept"), uint64(1))
+	assert.Assert(t, plan.Redeem(at), "the other place is open")
+}
