ingress: learn versions before the newest with a late cutoff

A gateway that restarted, or recovered its records from another process, while two versions were in force used engines with older versions after the deadline of the first of them, until the late cutoff of the second. The store holds the newest version only, and sidecars told the times only of versions that the gateway listed. With the usual cutoff the margin had room for most of that.

Sidecars now also tell gateways with a late cutoff of versions before the newest that they lack, and these gateways add them. Nothing changes elsewhere: no such version is sent to, or accepted by, a gateway with the usual cutoff.

--- a/ingress/cutoff_test.go
+++ b/ingress/cutoff_test.go
@@ -273,3 +273,30 @@
 		assert.Equal(t, moved, map[int]time.Duration{testSlots: 0, testSlots + 1: time.Second}[gateways])
 	}
 }
+
+// Guards against a gateway that has read only the newest of two versions, as after its
+// restart, and uses engines with older versions after the deadline of the one before.
+func TestVersionBeforeNewestIsLearned(t *testing.T) {
+	for _, gateways := range []int{testSlots, testSlots + 1} {
+		g := newTestGateway(t)
+		g.configure(1)
+		g.server.raiseGateways(gateways)
+		now := time.Now()
+		g.server.SetTargetVersion(testModel, 3, true, now)
+		g.server.SetVersionTime(testModel, 3, now.Add(-time.Second))
+		for range 2 {
+			g.server.SetVersionTime(testModel, 2, now.Add(-3*time.Second))
+		}
+		g.server.SetVersionTime(testModel, 4, now) // to be read first
+		x := &exchange{server: g.server, model: testModel, route: route(routing.Streaming, "/", "engine", 2), prefillMS: 50, meanPrefillMS: 50}
+		deadline := now.Add(g.server.settings.VersionDeadline - 3*time.Second)
+		lowest := g.server.versionBounds(x, deadline).lowest
+		if gateways == testSlots {
+			assert.Equal(t, len(g.server.targetVersions[testModel]), 1, "the usual cutoff is as before")
+			continue
+		}
+		assert.Equal(t, lowest, 2)
+		assert.Equal(t, len(g.server.targetVersions[testModel]), 2)
+		assert.Equal(t, g.server.versionBounds(x, deadline.Add(2*time.Second)).lowest, 3)
+	}
+}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -15,6 +15,7 @@
 package ingress
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"sync"
@@ -259,25 +260,45 @@
 // SetVersionTime sets when a target version of model was set, as another process knows. It
 // is ignored unless this gateway does not know it, or uses a late cutoff, and has known
 // the version only since a later time. The cutoff of older versions becomes at most the
-// one of that time.
+// one of that time. With a late cutoff, a version before the newest that this gateway
+// lacks is added.
 func (s *Server) SetVersionTime(model string, version int, setAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := clock.Now()
 	list := s.targetVersions[model]
-	for i := range list {
-		n := &list[i]
-		if n.Version != version || !n.AgeUnknown && !n.late || !setAt.Before(n.LearnedAt) {
-			continue
+	at, found := slices.BinarySearchFunc(list, version, func(n TargetVersion, version int) int { return cmp.Compare(n.Version, version) })
+	if !found {
+		if at < len(list) {
+			s.addOlderTarget(model, at, TargetVersion{Version: version, LearnedAt: setAt, deadline: setAt.Add(s.settings.VersionDeadline)}, now)
 		}
-		n.LearnedAt, n.AgeUnknown = setAt, false
-		if deadline := setAt.Add(s.settings.VersionDeadline); deadline.Before(n.deadline) {
-			n.deadline = deadline
-			s.scheduleWithdrawal(model, version, deadline)
-		}
-		s.updateCutoff(model, n, clock.Now())
-		s.events.Info("time of version received", "model", model, "version", version, "due", n.cutoff)
-		s.requestNoticeLocked()
+		return
+	}
+	n := &list[at]
+	if !n.AgeUnknown && !n.late || !setAt.Before(n.LearnedAt) {
+		return
 	}
+	n.LearnedAt, n.AgeUnknown = setAt, false
+	if deadline := setAt.Add(s.settings.VersionDeadline); deadline.Before(n.deadline) {
+		n.deadline = deadline
+		s.scheduleWithdrawal(model, version, deadline)
+	}
+	s.updateCutoff(model, n, now)
+	s.events.Info("time of version received", "model", model, "version", version, "due", n.cutoff)
+	s.requestNoticeLocked()
+}
+
+// addOlderTarget inserts n, which this gateway has not read, at an index before the end of
+// a model's target versions, if the gateway uses a late cutoff. With the usual cutoff the
+// newest version alone counts. Server.mu must be held.
+func (s *Server) addOlderTarget(model string, at int, n TargetVersion, now time.Time) {
+	if _, late := s.lateMarginLocked(model); !late {
+		return
+	}
+	s.updateCutoff(model, &n, now)
+	s.targetVersions[model] = slices.Insert(s.targetVersions[model], at, n)
+	s.scheduleWithdrawal(model, n.Version, n.deadline)
+	s.events.Info("time of version received", "model", model, "version", n.Version, "due", n.cutoff)
 }
 
 // maxVersionMargin is the longest time from the cutoff of a target version, when the
--- a/loadreport/cutoff_test.go
+++ b/loadreport/cutoff_test.go
@@ -72,3 +72,29 @@
 	assert.Equal(t, len(times.missing(notice(2990, 800), now)), 0, "the transmission takes longer")
 	assert.Equal(t, len(times.missing(notice(4000, 800), now)), 0, "it knows an earlier time")
 }
+
+// Guards against a gateway that has read only the newest of several versions, as after its
+// restart, and with a late cutoff sends requests to engines that the deadline of an older
+// one forbids. Other gateways, and those that have them, get no such versions.
+func TestVersionsThatGatewayLacks(t *testing.T) {
+	now := time.Now()
+	var times versionTimes
+	known := []TargetVersion{{Version: 2, AgeMS: 5000}, {Version: 3, AgeMS: 3000}, {Version: 4, AgeMS: 1000}}
+	times.merge(Notice{Model: "m", TargetVersions: known}, now)
+	for _, test := range []struct {
+		margin int64
+		listed []TargetVersion
+		want   []TargetVersion
+	}{
+		{800, known[2:], known[:2]},
+		{800, known[1:2], known[:1]}, // it reads version 4 by itself
+		{800, []TargetVersion{known[0], known[2]}, known[1:2]},
+		{800, known[1:], nil}, // gateways list the two newest only
+		{800, nil, nil},
+		{0, known[2:], nil},
+	} {
+		got := times.missing(Notice{Model: "m", CutoffMarginMS: test.margin, TargetVersions: test.listed}, now)
+		assert.DeepEqual(t, got, test.want)
+	}
+	assert.Equal(t, len(times.missing(Notice{Model: "other", CutoffMarginMS: 800, TargetVersions: known[2:]}, now)), 0)
+}
--- a/loadreport/subscriber.go
+++ b/loadreport/subscriber.go
@@ -43,8 +43,9 @@
 	VersionSum        int64
 	VersionSumGateway string
 	// TargetVersions are the target versions of the subscription that had an unknown age
-	// in it, or a lower one with a late cutoff, with the ages that other gateways have
-	// reported to the sidecar. TargetModel is their model.
+	// in it, or with a late cutoff a lower one, and with a late cutoff also those that the
+	// gateway lacks. Their ages are those that other gateways have reported to the sidecar.
+	// TargetModel is their model.
 	TargetModel    string
 	TargetVersions []TargetVersion
 }
--- a/loadreport/versions.go
+++ b/loadreport/versions.go
@@ -54,19 +54,40 @@
 // target version that counts. It covers the transmission of notices.
 const minLearnedLater = 50 * time.Millisecond
 
+// listedVersions is the number of target versions that a gateway lists in its notices, the
+// newest, if it holds as many.
+const listedVersions = 2
+
 // missing returns the known ages of the target versions that have an unknown age in a
 // gateway's notice. If the gateway uses a late cutoff, which leaves little time for
 // versions that it learned of late, it also returns those that another gateway learned of
-// earlier.
+// earlier, and those before the newest that the gateway lacks. A gateway that starts reads
+// the newest version only, but the deadlines of those before it hold, too.
 func (t *versionTimes) missing(n Notice, now time.Time) []TargetVersion {
 	var out []TargetVersion
+	late := n.CutoffMarginMS > 0
 	for _, known := range t.times {
+		tell := late && n.Model == t.model && lacks(n.TargetVersions, known.version)
 		for _, target := range n.TargetVersions {
-			earlier := n.CutoffMarginMS > 0 && known.setAt.Add(minLearnedLater).Before(target.SetAt(now))
-			if target.Version == known.version && (target.AgeMS < 0 || earlier) {
-				out = append(out, TargetVersion{Version: known.version, AgeMS: now.Sub(known.setAt).Milliseconds()})
-			}
+			earlier := late && known.setAt.Add(minLearnedLater).Before(target.SetAt(now))
+			tell = tell || target.Version == known.version && (target.AgeMS < 0 || earlier)
+		}
+		if tell {
+			out = append(out, TargetVersion{Version: known.version, AgeMS: now.Sub(known.setAt).Milliseconds()})
 		}
 	}
 	return out
 }
+
+// lacks reports whether a gateway that lists the given target versions, in ascending order,
+// lacks a version before the newest of them. It may hold further ones before the oldest if
+// it lists listedVersions.
+func lacks(listed []TargetVersion, version int) bool {
+	if len(listed) == 0 || version >= listed[len(listed)-1].Version {
+		return false
+	}
+	if len(listed) >= listedVersions && version < listed[0].Version {
+		return false
+	}
+	return !slices.ContainsFunc(listed, func(t TargetVersion) bool { return t.Version == version })
+}
