ingress: drop undelivered requests when callers leave near a deadline

A caller that left between the usual cutoff and the withdrawal ended its attempt by a plain close. If the packets of the request had been lost, the kernel went on to send them for up to 1.5 s, so that an engine with an older version could begin the request after the deadline. The withdrawal, which resets such a connection, came too late for it.

After the usual cutoff of a version with a late cutoff, the end of an attempt at an engine with an older version drops what is not acknowledged, whatever the cause. Otherwise the connection is closed as before, since a FIN is sent again.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -35,14 +35,15 @@
 		resetOn = errWithdrawn
 	}
 	return x.server.pool.Do(ctx, e.Address, &upstream.Request{
-		ResetOn: resetOn,
-		Method:  x.request.Method,
-		URI:     x.target(),
-		Host:    x.request.Host,
-		Header:  h,
-		Body:    x.body,
-		Fresh:   !x.route.Idempotent(),
-		Proceed: func() bool { return !x.callerLeft() && x.server.stillEligible(x, e) },
+		ResetOn:         resetOn,
+		DropUndelivered: func() bool { return x.dropsUndelivered(e, clock.Now()) },
+		Method:          x.request.Method,
+		URI:             x.target(),
+		Host:            x.request.Host,
+		Header:          h,
+		Body:            x.body,
+		Fresh:           !x.route.Idempotent(),
+		Proceed:         func() bool { return !x.callerLeft() && x.server.stillEligible(x, e) },
 		Accept: func(header http.Header) bool {
 			id := header.Get(names.RequestID)
 			return id == x.id
--- a/ingress/cutoff.go
+++ b/ingress/cutoff.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/routing"
 )
@@ -132,6 +133,20 @@
 	return x.showsBeginning() && slices.ContainsFunc(s.targetVersions[x.model], func(n TargetVersion) bool { return n.late })
 }
 
+// dropsUndelivered reports whether what the kernel has not delivered yet of an attempt of x
+// at e must be dropped at the end of the attempt, whatever its cause, for example if the
+// caller leaves. It must after the usual cutoff, if the cutoff is late: packets that are
+// sent again might arrive after the deadline.
+func (x *exchange) dropsUndelivered(e *fleet.Endpoint, now time.Time) bool {
+	s := x.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	holds, margin := e.HeldVersion(x.model, now), s.versionMargin()
+	return slices.ContainsFunc(s.targetVersions[x.model], func(n TargetVersion) bool {
+		return n.late && holds < n.Version && now.After(n.deadline.Add(-margin)) && now.Before(n.deadline)
+	})
+}
+
 // CutoffMargin returns how long before the deadline of a target version the gateway stops
 // sending requests to older versions of the model, or 0 for the usual time. It is the
 // latest such time of all requests.
--- a/ingress/cutoff_test.go
+++ b/ingress/cutoff_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/routing"
 )
 
@@ -300,3 +301,31 @@
 		assert.Equal(t, g.server.versionBounds(x, deadline.Add(2*time.Second)).lowest, 3)
 	}
 }
+
+// Guards against a request that the kernel delivers to an engine with an older version
+// after the deadline because its caller left after the usual cutoff, and against resets in
+// other cases, where a FIN that is sent again is better.
+func TestUndeliveredRequestIsDroppedNearDeadline(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		late    bool
+		version int // that the engine holds
+		before  time.Duration
+		want    bool
+	}{
+		{"after the usual cutoff", true, 1, maxVersionMargin - 100*time.Millisecond, true},
+		{"before the usual cutoff", true, 1, maxVersionMargin + 100*time.Millisecond, false},
+		{"after the deadline", true, 1, -100 * time.Millisecond, false},
+		{"usual cutoff", false, 1, time.Second, false},
+		{"engine with the new version", true, 2, time.Second, false},
+	} {
+		g := newTestGateway(t)
+		g.configure(1)
+		g.startEndpoint("e", "engine", respondNotRun)
+		g.reportFrom("e", test.version, 1)
+		now := clock.Now()
+		g.server.targetVersions[testModel] = []TargetVersion{{Version: 2, deadline: now.Add(test.before), late: test.late}}
+		x := &exchange{server: g.server, model: testModel}
+		assert.Equal(t, x.dropsUndelivered(g.server.fleet.ByID("e"), now), test.want, test.name)
+	}
+}
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -56,3 +56,24 @@
 		assert.Equal(t, string(body), "body")
 	}
 }
+
+// Guards against an endpoint that receives the rest of a request after its caller has left,
+// although undelivered bytes were to be dropped, and against a reset where they are not.
+func TestDropUndeliveredOnOtherCause(t *testing.T) {
+	for _, drop := range []bool{true, false} {
+		proceed, ended := make(chan struct{}), make(chan error, 1)
+		address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+			<-proceed // the request stays in the kernel until then
+			_, err := io.Copy(io.Discard, r)
+			ended <- err
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		q := request("1")
+		q.Method, q.Body, q.DropUndelivered = "POST", make([]byte, 32<<20), func() bool { return drop }
+		time.AfterFunc(200*time.Millisecond, cancel)
+		_, err := pool().Do(ctx, address, q)
+		assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
+		close(proceed)
+		assert.Equal(t, errors.Is(<-ended, syscall.ECONNRESET), drop)
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -72,8 +72,12 @@
 	// ResetOn is the cause of the end of the context that withdraws the request: bytes of
 	// it that the endpoint has not acknowledged are then dropped, by a reset of the
 	// connection. For other causes, and if it is nil, the connection is closed, and the
-	// kernel may still deliver them.
+	// kernel may still deliver them, unless DropUndelivered returns true.
 	ResetOn error
+	// DropUndelivered is called when the context ends with a cause other than ResetOn. It
+	// reports whether bytes that the endpoint has not acknowledged are to be dropped all
+	// the same. Nil stands for false.
+	DropUndelivered func() bool
 }
 
 // Options configure a Pool.
@@ -183,10 +187,12 @@
 	c.once.Do(func() { _ = c.Close() })
 }
 
-// closeFor is like closeOnce, but drops undelivered bytes if cause is resetOn.
-func (c *conn) closeFor(cause, resetOn error) {
+// closeFor is like closeOnce, for the end of the context of q. Undelivered bytes are
+// dropped if q requires that for the cause.
+func (c *conn) closeFor(cause error, q *Request) {
+	drop := q.ResetOn != nil && errors.Is(cause, q.ResetOn) || q.DropUndelivered != nil && q.DropUndelivered()
 	c.once.Do(func() {
-		if resetOn != nil && errors.Is(cause, resetOn) {
+		if drop {
 			tcpconn.DropUndelivered(c.Conn)
 		}
 		_ = c.Close()
@@ -341,7 +347,7 @@
 		c.closeOnce()
 		return nil, &Error{Err: ErrWithheld}
 	}
-	stopWatch := context.AfterFunc(ctx, func() { c.closeFor(context.Cause(ctx), q.ResetOn) })
+	stopWatch := context.AfterFunc(ctx, func() { c.closeFor(context.Cause(ctx), q) })
 	r, err := c.exchange(q)
 	if err != nil {
 		stopWatch()
