installer: a change of the cutoff does not restart fetches

Chunks were sent twice when the gateways' cutoff changed during a fetch, as when the first report raises a gateway's count of gateways or a new configuration has another mean prompt: the cutoff margin was a part of each fetch task, so that all fetches were cancelled with their pulls in flight. Fetches do not depend on it, so tasks no longer contain it.

--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -113,11 +113,13 @@
 		return nil, i.changed
 	}
 	var out []fetchTask
-	newest := fetchTask{params: i.params, version: i.newestTarget().version}
+	params := i.params
+	params.CutoffMargin = 0 // no fetch depends on it, and a change would restart all
+	newest := fetchTask{params: params, version: i.newestTarget().version}
 	plan := i.refreshPlan(clock.Now())
 	for _, version := range plan.Fetch {
 		if r := i.replicaLocked(version); version != newest.version && r != nil && !r.complete() {
-			out = append(out, fetchTask{params: i.params, version: version})
+			out = append(out, fetchTask{params: params, version: version})
 		}
 	}
 	newest.stagedOnly = i.verifiedVersion() >= newest.version
@@ -125,11 +127,11 @@
 		out = append(out, newest)
 	}
 	if version := i.intermediateVersion(); version > 0 {
-		out = append(out, fetchTask{params: i.params, version: version})
+		out = append(out, fetchTask{params: params, version: version})
 	}
 	for _, version := range plan.Keep {
 		if r := i.replicaLocked(version); (r == nil || r.askPartners) && !slices.ContainsFunc(out, func(t fetchTask) bool { return t.version == version }) {
-			out = append(out, fetchTask{params: i.params, version: version, openOnly: true})
+			out = append(out, fetchTask{params: params, version: version, openOnly: true})
 		}
 	}
 	return out, i.changed
--- a/installer/plan_test.go
+++ b/installer/plan_test.go
@@ -3,6 +3,7 @@
 package installer
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -104,3 +105,16 @@
 	assert.Equal(t, i.nextPull(newer, task, later).Kind, transfer.FromPeer)
 	assert.Equal(t, i.nextPull(newer, task, later).Kind, transfer.None)
 }
+
+// Guards against pulls that are cancelled, and chunks that are sent again, because the
+// gateways' cutoff has changed during a fetch.
+func TestFetchOutlivesChangeOfCutoff(t *testing.T) {
+	now := time.Now()
+	i := newPartialInstaller(now.Add(-2*time.Second), now, testChunks/2, 50*time.Millisecond)
+	before, _ := i.fetchTasks()
+	p := i.params
+	p.CutoffMargin = 800 * time.Millisecond
+	i.Configure(p)
+	after, _ := i.fetchTasks()
+	assert.Assert(t, slices.Equal(before, after), "%+v, then %+v", before, after)
+}
