installer: a change of the fetch plan wakes Run

No chunk was fetched for up to a second when the plan changed to complete an older version first, such as at the return of the origin: the pulls of the newer version stop at once, but the fetch of the older one started only when Run woke by itself. Run is now woken when the plan changes.

--- a/installer/plan.go
+++ b/installer/plan.go
@@ -21,15 +21,18 @@
 	serveDelay = fetchSpread + earlyDrainTimeout + loadTime
 )
 
-// refreshPlan computes the plan for the versions that are newer than the engine's, and
-// logs it if other versions are fetched than before. Installer.mu is held.
+// refreshPlan computes the plan for the versions that are newer than the engine's. If other
+// versions are fetched or dropped than before, it logs the plan and wakes Run, which starts
+// and ends the fetches. Installer.mu is held.
 func (i *Installer) refreshPlan(now time.Time) fetchplan.Plan {
 	in := i.planInput(now)
 	p := fetchplan.Choose(in)
-	if !slices.Equal(p.Fetch, i.plan.Fetch) || !slices.Equal(p.Drop, i.plan.Drop) {
+	changed := !slices.Equal(p.Fetch, i.plan.Fetch) || !slices.Equal(p.Drop, i.plan.Drop)
+	i.plan = p
+	if changed {
 		i.logPlan(in, p)
+		i.notifyLocked()
 	}
-	i.plan = p
 	return p
 }
 
--- a/installer/plan_test.go
+++ b/installer/plan_test.go
@@ -118,3 +118,24 @@
 	after, _ := i.fetchTasks()
 	assert.Assert(t, slices.Equal(before, after), "%+v, then %+v", before, after)
 }
+
+// Guards against a pause of up to idleInterval in which no chunk is fetched: pulls of the
+// newer version stop as soon as the plan includes the older one, whose fetch must start.
+func TestChangeOfPlanWakesRun(t *testing.T) {
+	now := time.Now()
+	i := newPartialInstaller(now.Add(-2*time.Second), now, testChunks/2, 50*time.Millisecond)
+	newer := newReplica(manifestOf(3), "box0")
+	i.replicas = append(i.replicas, newer)
+	i.plan.Fetch = []int{3}
+	changed := i.changed
+	assert.Equal(t, i.pullLimit(newer, fetchTask{version: 3}, now), 0)
+	assert.DeepEqual(t, i.plan.Fetch, []int{2, 3})
+	select {
+	case <-changed:
+	default:
+		t.Fatal("Run is not woken")
+	}
+	changed = i.changed
+	i.refreshPlan(now)
+	assert.Equal(t, changed, i.changed, "the plan is the same")
+}
