installer: pull a newer version if the older one makes no progress

A box could fetch nothing for seconds: its plan completed the older version first, while the plans of the other boxes, which see other chunks or serve another version, did not. Nobody sent it the missing chunks. Its own reads from the origin are those of which it is the first in order, as take-over is paused while a transfer is idle, and as no read failed, it did not count as an outage.

After chunkLostAfter without a chunk, and with a query in vain since, chunks of the newer version are pulled from other boxes, one at a time, as in an outage.

--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -73,8 +73,8 @@
 }
 
 // nextPull returns the next pull for r and counts it, unless its kind is None. While an
-// older version waits for an unavailable origin, r is pulled from other boxes.
-// Installer.mu is held.
+// older version waits for an unavailable origin, or for boxes that do not fetch it by their
+// plans, r is pulled from other boxes. Installer.mu is held.
 func (i *Installer) nextPull(r *replica, task fetchTask, now time.Time) transfer.Pull {
 	p := transfer.Pull{Wait: pullPollInterval}
 	switch limit := i.pullLimit(r, task, now); {
@@ -82,7 +82,7 @@
 		p = r.swarm.Next(now)
 	case limit > 1 && r.pulls < limit+extraFirstFetches:
 		p = r.swarm.NextFirstFetch(now)
-	case limit == 0 && r.pulls == 0 && i.originDownTime(now) > 0:
+	case limit == 0 && r.pulls == 0 && (i.originDownTime(now) > 0 || i.olderIdle(task.version, now)):
 		p = r.swarm.NextFromBoxes(now)
 	}
 	if p.Kind != transfer.None {
@@ -91,6 +91,13 @@
 	return p
 }
 
+// olderIdle reports whether the fetch of the version that is completed before the given one
+// makes no progress: queried boxes have none of its missing chunks. Installer.mu is held.
+func (i *Installer) olderIdle(version int, now time.Time) bool {
+	older := i.olderFirst(version, now)
+	return older != nil && older.swarm != nil && older.swarm.Idle(now)
+}
+
 // isComplete reports whether r holds all chunks. It takes Installer.mu.
 func (i *Installer) isComplete(r *replica) bool {
 	i.mu.Lock()
--- a/installer/plan_test.go
+++ b/installer/plan_test.go
@@ -139,3 +139,26 @@
 	i.refreshPlan(now)
 	assert.Equal(t, changed, i.changed, "the plan is the same")
 }
+
+// Guards against a box that fetches nothing because its plan completes the older version
+// first and those of the other boxes do not: nobody sends its chunks, and no read fails.
+func TestNewerVersionIsPulledIfOlderMakesNoProgress(t *testing.T) {
+	now := time.Now()
+	i := newPartialInstaller(now.Add(-2*time.Second), now, testChunks/2, 50*time.Millisecond)
+	newer := newReplica(manifestOf(3), "box0")
+	i.replicas = append(i.replicas, newer)
+	params := transfer.Params{Chunks: testChunks, Peers: []transfer.Peer{{Box: "box0", Region: "r"}, {Box: "box1", Region: "r"}}, OriginRegions: []string{"r"}, IdleTimeout: chunkLostAfter}
+	order := transfer.NewOrder(params)
+	for _, r := range i.replicas {
+		r.swarm = transfer.NewSwarm(params, order, "box0", r.held, now)
+	}
+	older, task := i.replicas[0].swarm, fetchTask{version: 3}
+	query := older.NextFromBoxes(now)
+	assert.Equal(t, query.Kind, transfer.FromPeer)
+	older.NoUsefulChunk(query, transfer.Availability{}, now.Add(time.Millisecond))
+	assert.Equal(t, i.nextPull(newer, task, now.Add(chunkLostAfter)).Kind, transfer.None, "the older version's chunks may be on their way")
+	later := now.Add(chunkLostAfter + time.Millisecond)
+	assert.Equal(t, i.originDownTime(later), time.Duration(0))
+	assert.Equal(t, i.nextPull(newer, task, later).Kind, transfer.FromPeer)
+	assert.Equal(t, i.nextPull(newer, task, later).Kind, transfer.None)
+}
--- a/transfer/results.go
+++ b/transfer/results.go
@@ -86,6 +86,7 @@
 // is queried again after an exponential backoff.
 func (s *Swarm) NoUsefulChunk(p Pull, a Availability, now time.Time) {
 	s.endPull(p)
+	s.lastRefusal = now
 	if p.Kind == FromRemoteRegion {
 		s.lastSenderFailure = now
 	}
--- a/transfer/swarm.go
+++ b/transfer/swarm.go
@@ -206,6 +206,8 @@
 	// lastSenderFailure is the later of two times: of the last failed read from the
 	// origin, and of the last response of a remote box that did not hold the chunk.
 	lastSenderFailure time.Time
+	// lastRefusal is when a box last had no useful chunk.
+	lastRefusal time.Time
 	// chunkTime is the smoothed duration of a chunk's transfer.
 	chunkTime time.Duration
 	// localStall is set while this box's own link seems to be stalled, because a pull
@@ -291,6 +293,7 @@
 	s.catchUpAt = earlier.catchUpAt
 	s.originRetry = earlier.originRetry
 	s.lastSenderFailure = earlier.lastSenderFailure
+	s.lastRefusal = earlier.lastRefusal
 	s.chunkTime = earlier.chunkTime
 }
 
@@ -386,6 +389,12 @@
 // zero if there was none.
 func (s *Swarm) LastSenderFailure() time.Time { return s.lastSenderFailure }
 
+// Idle reports whether no chunk has arrived for Params.IdleTimeout, although boxes were
+// queried: at least one had no useful chunk since.
+func (s *Swarm) Idle(now time.Time) bool {
+	return now.Sub(s.lastArrival) > s.params.IdleTimeout && s.lastRefusal.After(s.lastArrival)
+}
+
 // Held returns a copy of the bitmap of verified chunks.
 func (s *Swarm) Held() *bitset.BitSet { return s.held.Clone() }
 
--- a/transfer/swarm_test.go
+++ b/transfer/swarm_test.go
@@ -618,3 +618,22 @@
 		}
 	}
 }
+
+// Guards against a transfer that counts as idle before boxes were queried, while chunks
+// arrive, or no longer after its swarm was replaced.
+func TestIdle(t *testing.T) {
+	p := testParams(4, 8)
+	s := newTestSwarm(p, "b0")
+	late := epoch.Add(time.Hour)
+	assert.Equal(t, s.Idle(late), false, "no query")
+	s.NoUsefulChunk(s.NextFromBoxes(epoch), Availability{}, epoch.Add(time.Millisecond))
+	assert.Equal(t, s.Idle(epoch.Add(s.params.IdleTimeout)), false)
+	assert.Equal(t, s.Idle(late), true)
+	next := newTestSwarm(p, "b0")
+	next.Continue(s)
+	assert.Equal(t, next.Idle(late), true)
+	read := s.Next(late)
+	assert.Equal(t, read.Kind, FromOrigin)
+	s.Arrived(read, Availability{}, time.Millisecond, late)
+	assert.Equal(t, s.Idle(late.Add(time.Hour)), false)
+}
