installer: load a complete older version into an empty engine

An engine that restarted while two versions were in force served nothing for seconds, although its box held the older version: the engine waited for the newer one because that was expected before the older one's cutoff. That reason holds for an engine that serves meanwhile.

--- a/installer/start.go
+++ b/installer/start.go
@@ -252,7 +252,8 @@
 // canSkip reports whether the engine need not be updated to t, of which newer are the
 // newer targets. It need not if a newer version is complete, if t would hardly be served
 // before its last use or the next version, or if the next target is expected to be served
-// before gateways stop routing to engines with versions older than t.
+// before gateways stop routing to engines with versions older than t. The last does not
+// apply to an engine without a verified version, if the plan includes t.
 // Installer.mu is held.
 func (i *Installer) canSkip(t target, newer []target, position float64, now time.Time) bool {
 	if len(newer) == 0 {
@@ -267,6 +268,9 @@
 	if slices.Contains(plan.Drop, t.version) {
 		return true
 	}
+	if i.verifiedVersion() == 0 && slices.Contains(plan.Fetch, t.version) {
+		return false
+	}
 	if i.servedInTime(t, newer[0], position, plan, now) {
 		return true
 	}
--- a/installer/start_test.go
+++ b/installer/start_test.go
@@ -61,6 +61,21 @@
 	assert.Equal(t, nextVersion(busy, now), 0, "the engine executes an order")
 }
 
+// Guards against an engine that serves nothing, such as after its restart, until a newer
+// version is complete, although an older one is.
+func TestEmptyEngineLoadsCompleteOlderVersion(t *testing.T) {
+	now := time.Now()
+	targets := []target{{version: 2, setAt: now}, {version: 3, setAt: now.Add(time.Second)}}
+	i := newLoadedInstaller(targets, 2)
+	assert.Equal(t, nextVersion(i, now), 0, "version 3 will be served in time, version 1 meanwhile")
+	i.engineState = EngineState{}
+	assert.Equal(t, nextVersion(i, now), 2)
+	assert.Equal(t, nextVersion(i, now.Add(testDeadline+time.Second)), 0, "its last use has passed")
+	i = newLoadedInstaller(targets, 2, 3)
+	i.engineState = EngineState{}
+	assert.Equal(t, nextVersion(i, now), 3, "both are complete")
+}
+
 // The slots of the engines must be spread between the first slot and the last.
 // Updates with slots after the routing cutoff must be reported as scheduled, too.
 func TestSlotsAreSpread(t *testing.T) {
