--- a/ingress/cutoff_test.go
+++ b/ingress/cutoff_test.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"math"
 	"net/http"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/routing"
 )
 
@@ -76,6 +78,17 @@
 	assert.Assert(t, m.atOnce <= usual.atOnce)
 }
 
+// Guards against a number of prompt tokens, which is any number that a caller sends, whose
+// prefill time exceeds the range of time.Duration, and with which older versions would be
+// used after the deadline.
+func TestLateMarginsOfHugePrompt(t *testing.T) {
+	usual := newTestGateway(t).server.usualMargins()
+	for _, tokens := range []int{1 << 40, 1 << 50, math.MaxInt} {
+		prefill := prefillMS(&routing.Engine{PrefillRate: 19100}, tokens)
+		assert.Equal(t, lateMargins(usual, beginTime(prefill, 47.1)).last, usual.last, "%d tokens", tokens)
+	}
+}
+
 // The stages in which an older version gets fewer requests before a deadline: streams of
 // a contended service are served longer than others, and any engine that may queue them
 // needs a recent report from the time at which others are sent only to free slots.
@@ -261,3 +274,58 @@
 		assert.Equal(t, moved, map[int]time.Duration{testSlots: 0, testSlots + 1: time.Second}[gateways])
 	}
 }
+
+// Guards against a gateway that has read only the newest of two versions, as after its
+// restart, and uses engines with older versions after the deadline of the one before.
+func TestVersionBeforeNewestIsLearned(t *testing.T) {
+	for _, gateways := range []int{testSlots, testSlots + 1} {
+		g := newTestGateway(t)
+		g.configure(1)
+		g.server.raiseGateways(gateways)
+		now := time.Now()
+		g.server.SetTargetVersion(testModel, 3, true, now)
+		g.server.SetVersionTime(testModel, 3, now.Add(-time.Second))
+		for range 2 {
+			g.server.SetVersionTime(testModel, 2, now.Add(-3*time.Second))
+		}
+		g.server.SetVersionTime(testModel, 4, now) // to be read first
+		x := &exchange{server: g.server, model: testModel, route: route(routing.Streaming, "/", "engine", 2), prefillMS: 50, meanPrefillMS: 50}
+		deadline := now.Add(g.server.settings.VersionDeadline - 3*time.Second)
+		lowest := g.server.versionBounds(x, deadline).lowest
+		if gateways == testSlots {
+			assert.Equal(t, len(g.server.targetVersions[testModel]), 1, "the usual cutoff is as before")
+			continue
+		}
+		assert.Equal(t, lowest, 2)
+		assert.Equal(t, len(g.server.targetVersions[testModel]), 2)
+		assert.Equal(t, g.server.versionBounds(x, deadline.Add(2*time.Second)).lowest, 3)
+	}
+}
+
+// Guards against a request that the kernel delivers to an engine with an older version
+// after the deadline because its caller left after the usual cutoff, and against resets in
+// other cases, where a FIN that is sent again is better.
+func TestUndeliveredRequestIsDroppedNearDeadline(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		late    bool
+		version int // that the engine holds
+		before  time.Duration
+		want    bool
+	}{
+		{"after the usual cutoff", true, 1, maxVersionMargin - 100*time.Millisecond, true},
+		{"before the usual cutoff", true, 1, maxVersionMargin + 100*time.Millisecond, false},
+		{"after the deadline", true, 1, -100 * time.Millisecond, false},
+		{"usual cutoff", false, 1, time.Second, false},
+		{"engine with the new version", true, 2, time.Second, false},
+	} {
+		g := newTestGateway(t)
+		g.configure(1)
+		g.startEndpoint("e", "engine", respondNotRun)
+		g.reportFrom("e", test.version, 1)
+		now := clock.Now()
+		g.server.targetVersions[testModel] = []TargetVersion{{Version: 2, deadline: now.Add(test.before), late: test.late}}
+		x := &exchange{server: g.server, model: testModel}
+		assert.Equal(t, x.dropsUndelivered(g.server.fleet.ByID("e"), now), test.want, test.name)
+	}
+}
--- a/installer/plan_test.go
+++ b/installer/plan_test.go
@@ -3,6 +3,7 @@
 package installer
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -104,3 +105,60 @@
 	assert.Equal(t, i.nextPull(newer, task, later).Kind, transfer.FromPeer)
 	assert.Equal(t, i.nextPull(newer, task, later).Kind, transfer.None)
 }
+
+// Guards against pulls that are cancelled, and chunks that are sent again, because the
+// gateways' cutoff has changed during a fetch.
+func TestFetchOutlivesChangeOfCutoff(t *testing.T) {
+	now := time.Now()
+	i := newPartialInstaller(now.Add(-2*time.Second), now, testChunks/2, 50*time.Millisecond)
+	before, _ := i.fetchTasks()
+	p := i.params
+	p.CutoffMargin = 800 * time.Millisecond
+	i.Configure(p)
+	after, _ := i.fetchTasks()
+	assert.Assert(t, slices.Equal(before, after), "%+v, then %+v", before, after)
+}
+
+// Guards against a pause of up to idleInterval in which no chunk is fetched: pulls of the
+// newer version stop as soon as the plan includes the older one, whose fetch must start.
+func TestChangeOfPlanWakesRun(t *testing.T) {
+	now := time.Now()
+	i := newPartialInstaller(now.Add(-2*time.Second), now, testChunks/2, 50*time.Millisecond)
+	newer := newReplica(manifestOf(3), "box0")
+	i.replicas = append(i.replicas, newer)
+	i.plan.Fetch = []int{3}
+	changed := i.changed
+	assert.Equal(t, i.pullLimit(newer, fetchTask{version: 3}, now), 0)
+	assert.DeepEqual(t, i.plan.Fetch, []int{2, 3})
+	select {
+	case <-changed:
+	default:
+		t.Fatal("Run is not woken")
+	}
+	changed = i.changed
+	i.refreshPlan(now)
+	assert.Equal(t, changed, i.changed, "the plan is the same")
+}
+
+// Guards against a box that fetches nothing because its plan completes the older version
+// first and those of the other boxes do not: nobody sends its chunks, and no read fails.
+func TestNewerVersionIsPulledIfOlderMakesNoProgress(t *testing.T) {
+	now := time.Now()
+	i := newPartialInstaller(now.Add(-2*time.Second), now, testChunks/2, 50*time.Millisecond)
+	newer := newReplica(manifestOf(3), "box0")
+	i.replicas = append(i.replicas, newer)
+	params := transfer.Params{Chunks: testChunks, Peers: []transfer.Peer{{Box: "box0", Region: "r"}, {Box: "box1", Region: "r"}}, OriginRegions: []string{"r"}, IdleTimeout: chunkLostAfter}
+	order := transfer.NewOrder(params)
+	for _, r := range i.replicas {
+		r.swarm = transfer.NewSwarm(params, order, "box0", r.held, now)
+	}
+	older, task := i.replicas[0].swarm, fetchTask{version: 3}
+	query := older.NextFromBoxes(now)
+	assert.Equal(t, query.Kind, transfer.FromPeer)
+	older.NoUsefulChunk(query, transfer.Availability{}, now.Add(time.Millisecond))
+	assert.Equal(t, i.nextPull(newer, task, now.Add(chunkLostAfter)).Kind, transfer.None, "the older version's chunks may be on their way")
+	later := now.Add(chunkLostAfter + time.Millisecond)
+	assert.Equal(t, i.originDownTime(later), time.Duration(0))
+	assert.Equal(t, i.nextPull(newer, task, later).Kind, transfer.FromPeer)
+	assert.Equal(t, i.nextPull(newer, task, later).Kind, transfer.None)
+}
