--- a/installer/outage_test.go
+++ b/installer/outage_test.go
@@ -19,92 +19,92 @@
 // The figures of pinecrest in docs/contended-fleets.md. Times count from the
 // announcement of version 2.
 const (
-	dayChunks    = 64
-	dayBoxes     = 60
-	dayRegions   = 3
-	dayNamed3    = 2 * time.Second
-	dayDown      = 2500 * time.Millisecond
-	dayUp        = 8500 * time.Millisecond
-	dayOrigin    = 44100 * time.Microsecond // of a chunk on the origin's link
-	dayLink      = 39200 * time.Microsecond // of a chunk on a box's link, paced
-	dayCutoff    = 9450 * time.Millisecond  // of version 2
-	dayTick      = 10 * time.Millisecond
-	dayHoldQueue = maxUploads + maxQueuedUploads
+	outageChunks     = 64
+	outageBoxes      = 60
+	outageRegions    = 3
+	outageAnnounced3 = 2 * time.Second
+	outageDown       = 2500 * time.Millisecond
+	outageUp         = 8500 * time.Millisecond
+	outageOrigin     = 44100 * time.Microsecond // of a chunk on the origin's link
+	outageLink       = 39200 * time.Microsecond // of a chunk on a box's link, paced
+	outageCutoff     = 9450 * time.Millisecond  // of version 2
+	outageTick       = 10 * time.Millisecond
+	outageHoldQueue  = maxUploads + maxQueuedUploads
 )
 
-// dayBox is a box of the day, or its origin, with the number of chunks that it sends and
+// outageBox is a box of an outageFleet, or its origin, with the number of chunks that it sends and
 // receives. A link is shared equally in each direction.
-type dayBox struct {
+type outageBox struct {
 	*Installer
 	interval time.Duration // that its link takes for a chunk
 	up, down int
-	queue    []*dayTransfer // that wait for an upload slot
+	queue    []*outageTransfer // that wait for an upload slot
 }
 
-// dayTransfer is a chunk on its way.
-type dayTransfer struct {
-	from, to *dayBox
+// outageTransfer is a chunk on its way.
+type outageTransfer struct {
+	from, to *outageBox
 	left     float64 // share of the chunk that has not been sent
 	end      func()
 }
 
-// day is a fleet whose installers decide on their pulls. The pulls take the time that
+// outageFleet is a fleet whose installers decide on their pulls. The pulls take the time that
 // the links of the origin and of the boxes need.
-type day struct {
+type outageFleet struct {
 	now       time.Time
 	epoch     time.Time
-	boxes     []*dayBox
-	events    []dayEvent
-	origin    *dayBox
-	transfers []*dayTransfer
+	boxes     []*outageBox
+	events    []outageEvent
+	origin    *outageBox
+	transfers []*outageTransfer
 	idle      time.Duration // of the origin's link since its return
 	sent      map[int]int   // chunks sent by the origin, by version
 }
 
-// dayEvent is the end of a pull.
-type dayEvent struct {
+// outageEvent is the end of a pull.
+type outageEvent struct {
 	at  time.Time
 	run func()
 }
 
-// newDay returns a fleet in which all boxes hold the given number of chunks of
+// newOutageFleet returns a fleet in which all boxes hold the given number of chunks of
 // version 2, at the time at which the origin becomes unavailable.
-func newDay(held int) *day {
-	d := &day{epoch: time.Now(), sent: make(map[int]int), origin: &dayBox{interval: dayOrigin}}
-	d.now = d.epoch.Add(dayDown)
-	params := transfer.Params{Chunks: dayChunks, OriginRegions: []string{"r0"}, ChunkInterval: dayOrigin, TakeOverDelay: takeOverDelay, IdleTimeout: chunkLostAfter, PauseTakeOver: true}
-	for k := range dayBoxes {
-		params.Peers = append(params.Peers, transfer.Peer{Box: fmt.Sprint("box", k), Region: fmt.Sprint("r", k%dayRegions)})
+func newOutageFleet(held int) *outageFleet {
+	d := &outageFleet{epoch: time.Now(), sent: make(map[int]int), origin: &outageBox{interval: outageOrigin}}
+	d.now = d.epoch.Add(outageDown)
+	params := transfer.Params{Chunks: outageChunks, OriginRegions: []string{"r0"}, ChunkInterval: outageOrigin, TakeOverDelay: takeOverDelay, IdleTimeout: chunkLostAfter, PauseTakeOver: true}
+	for k := range outageBoxes {
+		params.Peers = append(params.Peers, transfer.Peer{Box: fmt.Sprint("box", k), Region: fmt.Sprint("r", k%outageRegions)})
 	}
 	order := transfer.NewOrder(params)
 	for _, peer := range params.Peers {
 		i := New(Settings{Box: peer.Box, Region: peer.Region}, nil, nil, nil, logr.Discard(), telemetry.NewMetrics())
-		i.params = Params{Model: testModel, Chunks: dayChunks, ChunkBytes: 32768, OriginRate: 32768 / dayOrigin.Seconds(), Deadline: dayCutoff + routingCutoffMargin}
-		i.settings.LinkRate = 32768 / dayLink.Seconds() / linkShare
+		i.params = Params{Model: testModel, Chunks: outageChunks, ChunkBytes: 32768, OriginRate: 32768 / outageOrigin.Seconds(), Deadline: outageCutoff + routingCutoffMargin}
+		i.settings.LinkRate = 32768 / outageLink.Seconds() / linkShare
 		i.engineState = EngineState{Model: testModel, Version: 1}
-		for n, named := range []time.Duration{0, dayNamed3} {
-			i.targets = append(i.targets, target{version: n + 2, setAt: d.epoch.Add(named)})
-			r := newReplica(&Manifest{Model: testModel, Version: n + 2, ChunkBytes: 32768, Digests: make([]Digest, dayChunks)}, peer.Box)
+		for n, announced := range []time.Duration{0, outageAnnounced3} {
+			i.targets = append(i.targets, target{version: n + 2, setAt: d.epoch.Add(announced)})
+			r := newReplica(&Manifest{Model: testModel, Version: n + 2, ChunkBytes: 32768, Digests: make([]Digest, outageChunks)}, peer.Box)
 			if n == 0 {
-				r.held = bitset.New(dayChunks).FlipRange(0, uint(held))
+				r.held = bitset.New(outageChunks).FlipRange(0, uint(held))
 			}
-			r.swarm = transfer.NewSwarm(params, order, peer.Box, r.held, d.epoch.Add(named))
+			r.swarm = transfer.NewSwarm(params, order, peer.Box, r.held, d.epoch.Add(announced))
 			i.replicas = append(i.replicas, r)
 		}
-		d.boxes = append(d.boxes, &dayBox{Installer: i, interval: dayLink})
+		d.boxes = append(d.boxes, &outageBox{Installer: i, interval: outageLink})
 	}
 	return d
 }
 
 // after schedules run.
-func (d *day) after(wait time.Duration, run func()) {
-	d.events = append(d.events, dayEvent{d.now.Add(wait), run})
+func (d *outageFleet) after(wait time.Duration, run func()) {
+	d.events = append(d.events, outageEvent{d.now.Add(wait), run})
 }
 
 // step ends the pulls that are due and starts others.
-func (d *day) step() {
+func (d *outageFleet) step() {
 	due := slices.Clone(d.events)
-	d.events = slices.DeleteFunc(d.events, func(e dayEvent) bool { return !e.at.After(d.now) })
+	d.events = slices.DeleteFunc(d.events, func(e outageEvent) bool { return !e.at.After(d.now) })
 	for _, e := range due {
 		if !e.at.After(d.now) {
 			e.run()
@@ -122,15 +122,15 @@
 			}
 		}
 	}
-	if d.now.After(d.epoch.Add(dayUp)) && d.origin.up+len(d.origin.queue) == 0 {
-		d.idle += dayTick
+	if d.now.After(d.epoch.Add(outageUp)) && d.origin.up+len(d.origin.queue) == 0 {
+		d.idle += outageTick
 	}
 	d.progress()
-	d.now = d.now.Add(dayTick)
+	d.now = d.now.Add(outageTick)
 }
 
 // progress moves the transfers on by one tick.
-func (d *day) progress() {
+func (d *outageFleet) progress() {
 	for _, b := range append(d.boxes, d.origin) {
 		for len(b.queue) > 0 && (b == d.origin || b.up < maxUploads) {
 			b.up++
@@ -139,7 +139,7 @@
 		}
 	}
 	for _, t := range d.transfers {
-		t.left -= min(dayTick.Seconds()/t.from.interval.Seconds()/float64(t.from.up), dayTick.Seconds()/t.to.interval.Seconds()/float64(t.to.down))
+		t.left -= min(outageTick.Seconds()/t.from.interval.Seconds()/float64(t.from.up), outageTick.Seconds()/t.to.interval.Seconds()/float64(t.to.down))
 	}
 	for _, t := range d.transfers {
 		if t.left <= 0 {
@@ -148,20 +148,20 @@
 			t.end()
 		}
 	}
-	d.transfers = slices.DeleteFunc(d.transfers, func(t *dayTransfer) bool { return t.left <= 0 })
+	d.transfers = slices.DeleteFunc(d.transfers, func(t *outageTransfer) bool { return t.left <= 0 })
 }
 
 // start carries out a pull.
-func (d *day) start(b *dayBox, r *replica, p transfer.Pull) {
+func (d *outageFleet) start(b *outageBox, r *replica, p transfer.Pull) {
 	end := func(wait time.Duration, report func()) {
 		d.after(wait, func() {
 			r.pulls--
 			report()
 		})
 	}
-	arrive := func(from *dayBox, p transfer.Pull, a transfer.Availability) {
+	arrive := func(from *outageBox, p transfer.Pull, a transfer.Availability) {
 		began := d.now
-		from.queue = append(from.queue, &dayTransfer{from, b, 1, func() {
+		from.queue = append(from.queue, &outageTransfer{from, b, 1, func() {
 			end(0, func() {
 				r.held.Set(uint(p.Chunk))
 				if r.complete() {
@@ -172,7 +172,7 @@
 		}})
 	}
 	if p.Kind == transfer.FromOrigin {
-		if d.now.Before(d.epoch.Add(dayUp)) {
+		if d.now.Before(d.epoch.Add(outageUp)) {
 			end(20*time.Millisecond, func() { r.swarm.ConnectionFailed(p, d.now) })
 			return
 		}
@@ -180,7 +180,7 @@
 		arrive(d.origin, p, transfer.Availability{})
 		return
 	}
-	sender := d.boxes[slices.IndexFunc(d.boxes, func(o *dayBox) bool { return o.settings.Box == p.Peer })]
+	sender := d.boxes[slices.IndexFunc(d.boxes, func(o *outageBox) bool { return o.settings.Box == p.Peer })]
 	held := sender.replicaLocked(r.manifest.Version)
 	has := r.swarm.HeldOrInFlight()
 	hold := chunkWaitTimeout
@@ -193,7 +193,7 @@
 		switch {
 		case chunk < 0:
 			end(time.Millisecond, func() { r.swarm.NoUsefulChunk(p, a, d.now) })
-		case sender.up+len(sender.queue) >= dayHoldQueue:
+		case sender.up+len(sender.queue) >= outageHoldQueue:
 			end(time.Millisecond, func() { r.swarm.Busy(p, 0, d.now) })
 		case !r.swarm.Offered(&p, chunk):
 			end(time.Millisecond, func() { r.swarm.Drop(p) })
@@ -205,9 +205,9 @@
 
 // serve calls respond with the chunk that the sender sends for a pull, or -1, at the
 // time at which Installer.Handler responds.
-func (d *day) serve(sender *dayBox, held *replica, chunk int, has *bitset.BitSet, until time.Time, respond func(chunk int)) {
+func (d *outageFleet) serve(sender *outageBox, held *replica, chunk int, has *bitset.BitSet, until time.Time, respond func(chunk int)) {
 	if !held.canRespond(chunk, has) && d.now.Before(until) {
-		d.after(dayTick, func() { d.serve(sender, held, chunk, has, until, respond) })
+		d.after(outageTick, func() { d.serve(sender, held, chunk, has, until, respond) })
 		return
 	}
 	switch {
@@ -221,12 +221,12 @@
 
 // complete returns the number of boxes that hold a version completely, and when after
 // the return of the origin the first of them did.
-func (d *day) complete(version int) (boxes int, first time.Duration) {
+func (d *outageFleet) complete(version int) (boxes int, first time.Duration) {
 	first = time.Hour
 	for _, b := range d.boxes {
 		if r := b.replicaLocked(version); r.complete() {
 			boxes++
-			first = min(first, r.completedAt.Sub(d.epoch)-dayUp)
+			first = min(first, r.completedAt.Sub(d.epoch)-outageUp)
 		}
 	}
 	return boxes, first
@@ -238,24 +238,24 @@
 // region holds, and against a plan that abandons the version meanwhile.
 func TestSpreadAfterOutage(t *testing.T) {
 	for _, held := range []int{51, 57} {
-		d := newDay(held)
+		d := newOutageFleet(held)
 		idle := time.Duration(0)
-		for d.sent[3] < dayChunks {
+		for d.sent[3] < outageChunks {
 			d.step()
-			assert.Assert(t, d.now.Before(d.epoch.Add(dayUp+10*time.Second)), "%d chunks held, %v sent", held, d.sent)
+			assert.Assert(t, d.now.Before(d.epoch.Add(outageUp+10*time.Second)), "%d chunks held, %v sent", held, d.sent)
 			idle = d.idle
 		}
-		for boxes := 0; boxes < dayBoxes && d.now.Before(d.epoch.Add(dayUp+10*time.Second)); boxes, _ = d.complete(3) {
+		for boxes := 0; boxes < outageBoxes && d.now.Before(d.epoch.Add(outageUp+10*time.Second)); boxes, _ = d.complete(3) {
 			d.step()
 		}
 		older, first2 := d.complete(2)
 		newer, first3 := d.complete(3)
 		t.Logf("%d of version 2 held: version 2 on %d boxes, first after %s; version 3 on %d, first after %s, last %s; sent %v; origin idle %s",
-			held, older, first2, newer, first3, d.now.Sub(d.epoch)-dayUp, d.sent, idle)
-		assert.Assert(t, older >= dayBoxes*9/10, "version 2 on %d boxes", older)
-		assert.Equal(t, newer, dayBoxes)
+			held, older, first2, newer, first3, d.now.Sub(d.epoch)-outageUp, d.sent, idle)
+		assert.Assert(t, older >= outageBoxes*9/10, "version 2 on %d boxes", older)
+		assert.Equal(t, newer, outageBoxes)
 		assert.Assert(t, first2 < 1500*time.Millisecond && first3 < 5*time.Second, "%s, %s", first2, first3)
-		assert.Assert(t, d.sent[2] <= (dayChunks-held)*4/3 && d.sent[3] <= dayChunks*11/10, "%v", d.sent)
+		assert.Assert(t, d.sent[2] <= (outageChunks-held)*4/3 && d.sent[3] <= outageChunks*11/10, "%v", d.sent)
 		assert.Assert(t, idle <= 300*time.Millisecond, "%s", idle)
 	}
 }
