installer: engines of a service without weights need no verified load

An engine whose configuration has no weights got no requests after a restart of its sidecar, because no sidecar sends it an order that could be verified. Gateways now say in their notices that the configuration has no weights, and such a load is trusted. TestLoadWithoutWeightsIsTrusted failed before.

--- a/cmd/mintlift/platform_notices.go
+++ b/cmd/mintlift/platform_notices.go
@@ -65,8 +65,10 @@
 func (n *notices) notice(c *routing.Configuration, service string, now time.Time) loadreport.Notice {
 	progress := operatorProgressOf(n.watcher)
 	model := c.Services[service].Engine.Model
+	_, hasWeights := c.Weights(service)
 	return loadreport.Notice{
-		Model: model, Region: n.settings.Region, Read: progress.position.Offset, Era: progress.position.Era, VersionSum: progress.versionSum,
+		NoWeights: !hasWeights,
+		Model:     model, Region: n.settings.Region, Read: progress.position.Offset, Era: progress.position.Era, VersionSum: progress.versionSum,
 		Demand: math.Round(n.server.Demand(service, now)), TargetVersions: targetVersions(n.server, model, now),
 		CutoffMarginMS: n.server.CutoffMargin(model).Milliseconds(),
 	}
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -39,7 +39,9 @@
 
 // HandleConfiguration implements platform.OperatorHandler.
 func (s *sidecarState) HandleConfiguration(c *routing.Configuration) {
-	if weights, ok := c.Weights(s.settings.Service); ok {
+	weights, ok := c.Weights(s.settings.Service)
+	s.installer.SetNoWeights(!ok)
+	if ok {
 		s.apply(weights)
 	}
 }
@@ -100,6 +102,7 @@
 // handleNotice applies a notice, the message in which a gateway sends a sidecar the
 // weights configuration and the target versions.
 func (s *sidecarState) handleNotice(n loadreport.Notice) {
+	s.installer.SetNoWeights(n.NoWeights)
 	if n.Weights != nil {
 		s.apply(*n.Weights)
 	}
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -191,6 +191,9 @@
 	// its version, if it was fetched without a replica.
 	inherited    *inheritedLoad
 	loadManifest *Manifest
+	// noWeights is set if the service's configuration has no weights, so that nothing
+	// orders the engine to load a version.
+	noWeights bool
 	// updateScheduled is set while an update of the engine with a preceding drain is
 	// planned or in progress.
 	updateScheduled bool
@@ -271,6 +274,18 @@
 	i.notifyLocked()
 }
 
+// SetNoWeights sets whether the service's configuration has no weights. Configure
+// overrides it.
+func (i *Installer) SetNoWeights(none bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.noWeights = none
+}
+
+// unmanaged reports whether no sidecar loads the service's engines. Each load is then the
+// engine's own, and nothing is verified. Installer.mu is held.
+func (i *Installer) unmanaged() bool { return i.noWeights && i.params.Chunks == 0 }
+
 // AddTarget records that the operator has set a version of the model to be served.
 // setAt is when, or zero if unknown. If several calls give different times, the
 // earliest is used.
--- a/installer/review.go
+++ b/installer/review.go
@@ -98,7 +98,7 @@
 // whether to trust it. Installer.mu is held.
 func (i *Installer) undecided() bool {
 	in, s := i.inherited, i.engineState
-	return in != nil && in.review != nil && in.status == loadtrust.Undecided && !s.Busy && s.Version != 0
+	return !i.unmanaged() && in != nil && in.review != nil && in.status == loadtrust.Undecided && !s.Busy && s.Version != 0
 }
 
 // reloadHeld reports whether the engine must not be loaded, as its load may still be
--- a/installer/review_test.go
+++ b/installer/review_test.go
@@ -177,3 +177,15 @@
 	i.UpdateEngineState(state)
 	assert.Assert(t, !i.Unverified() && !i.Undecided(), "verified since the last report")
 }
+
+// Guards against engines without requests where the configuration has no weights: no sidecar
+// sends orders there, whatever count of orders the engines report.
+func TestLoadWithoutWeightsIsTrusted(t *testing.T) {
+	i := New(Settings{Box: "box0"}, &fakeEngine{}, nil, nil, logr.Discard(), telemetry.NewMetrics())
+	i.UpdateEngineState(inheritedState)
+	assert.Assert(t, i.Undecided(), "the configuration is not known yet")
+	i.SetNoWeights(true)
+	assert.Assert(t, !i.Undecided() && !i.Unverified())
+	i.Configure(Params{Model: testModel, Chunks: testChunks})
+	assert.Assert(t, i.Undecided())
+}
--- a/installer/verify.go
+++ b/installer/verify.go
@@ -13,11 +13,12 @@
 // An engine reports the version number in the load command (Start) that it
 // accepted. The chunks that were staged at that time may be of another version. So gateways send
 // requests only to an engine whose load is verified. A load is verified in one of
-// three cases:
+// these cases:
 //
 //   - The sidecar has verified the staged chunks after the engine accepted the order.
 //   - A review trusts the load that this sidecar process found; see package loadtrust.
 //   - The engine's process has accepted no order: it started with its version.
+//   - The service's configuration has no weights, so that no sidecar sends orders.
 //
 // Any other load is unverified, such as one by a delayed Start of an earlier
 // sidecar process. The engine then counts as empty and is loaded again.
@@ -45,7 +46,10 @@
 // It is false while that is undecided, as nothing is done about the load then.
 // Installer.mu is held.
 func (i *Installer) unverified() bool {
-	return i.engineState.Version != 0 && i.engineState.Orders != 0 && i.verifiedLoad != loadIDOf(i.engineState) && !i.undecided()
+	if i.engineState.Version == 0 || i.engineState.Orders == 0 || i.unmanaged() {
+		return false
+	}
+	return i.verifiedLoad != loadIDOf(i.engineState) && !i.undecided()
 }
 
 // Unverified reports whether the engine has a version loaded that is not verified,
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -75,6 +75,9 @@
 	// deadline, in milliseconds, or 0 for the usual time. Gateways of the former release
 	// do not send it.
 	CutoffMarginMS int64 `json:"cutoff_ms,omitempty"`
+	// NoWeights is set if the gateway's configuration has no weights for the service: no
+	// sidecar loads its engines.
+	NoWeights bool `json:"no_weights,omitempty"`
 	// Unwatched is set if the gateway sends the engine no requests. It then gets the
 	// responses to its subscriptions, and no other reports.
 	Unwatched bool `json:"unwatched,omitempty"`
