mintlift: test engines refuse requests for a former process

TestStartCarriedOutAfterRestartsIsNotTrusted failed under load with tokens of version 1 and chunks of version 2. The gateway reads the endpoint list once a second.

An engine's process has an id of its own, which gateways send with each request and which the engine checks. The test's engine kept one id over restarts and checked none, so it served such requests. It now has an id for each process, lists it and refuses others with 421. A load that a sidecar trusts wrongly still shows, as the new id is listed within a second.

--- a/cmd/mintlift/weights_test.go
+++ b/cmd/mintlift/weights_test.go
@@ -154,8 +154,17 @@
 	store   *storetest.Store
 	engine  *enginetest.Engine
 	address string
+
+	mu sync.Mutex // held while the entry in the endpoint list is written
+	// listed is the id in the endpoint list, empty if there is none. The list keeps its
+	// entry while listLags is set.
+	listed   string
+	listLags bool
 }
 
+// id returns the id of the engine's process. It is new at each start.
+func (b *weightsBox) id() string { return fmt.Sprintf("i-%s-%d", b.address, b.engine.Incarnation()) }
+
 // startWeights starts a deployment of one gateway and count engines without weights, on
 // a loopback network of its own.
 func startWeights(t *testing.T, count int) *weightsDeployment {
@@ -206,9 +215,15 @@
 	return listener.Addr().String()
 }
 
-// writeEntry writes the engine's entry in the endpoint list.
+// writeEntry writes the engine's entry in the endpoint list, in place of the entry of a
+// former process.
 func (b *weightsBox) writeEntry() {
-	state := b.engine.State()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.listLags {
+		return
+	}
+	state, id := b.engine.State(), b.id()
 	entry, err := json.Marshal(map[string]any{
 		"service": "e", "address": b.address, "zone": "z", "version": "v1", "slots": 16, "state": "ready", "cold_remaining_ms": 0,
 		"sequence": state.Orders, "born": state.StartedMS, "models": b.engine.Models(),
@@ -216,10 +231,15 @@
 	if err != nil {
 		panic(err)
 	}
-	b.store.Put(storetest.Endpoints, "i-"+b.address, string(entry))
+	if b.listed != "" && b.listed != id {
+		b.store.Put(storetest.Endpoints, b.listed, "")
+	}
+	b.listed = id
+	b.store.Put(storetest.Endpoints, id, string(entry))
 }
 
-// serve handles requests of gateways and of the sidecar.
+// serve handles requests of gateways and of the sidecar. As an engine does, it refuses
+// requests for another process than its own.
 func (b *weightsBox) serve(w http.ResponseWriter, r *http.Request) {
 	if enginetest.IsEngineCall(r) {
 		b.engine.ServeHTTP(w, r)
@@ -227,6 +247,11 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set(platform.Headers().RequestID, r.Header.Get(platform.Headers().RequestID))
+	if r.Header.Get(platform.Headers().ExpectEndpoint) != b.id() {
+		w.Header().Set(platform.Headers().NotRun, "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	version := b.engine.Token()
 	if expected := r.Header.Get(platform.Headers().ExpectVersion); version == 0 || expected != "" && expected != strconv.Itoa(version) {
 		w.Header().Set(platform.Headers().NotRun, "1")
@@ -345,3 +370,28 @@
 	d.sendRequestsFor(8 * time.Second)
 	d.checkVersions(t, delayedVersion+1)
 }
+
+// Guards against tokens of wrong weights from an engine that has restarted, while the
+// endpoint list and the gateway's last report still show its former process: its sidecar
+// is silent, so that only the id of the process in a request tells the two apart.
+func TestRequestsForFormerProcessAreNotServed(t *testing.T) {
+	t.Parallel()
+	d := startWeights(t, 1)
+	b := d.boxes[0]
+	b.engine.StageAndLoad(1)
+	d.sendRequestsFor(time.Second)
+	closeNow(d.daemons[0])
+	b.mu.Lock()
+	b.listLags = true
+	b.mu.Unlock()
+	b.engine.Restart(false)
+	b.stageChunk(t, weightsModel.Chunk(2, 0))
+	response, err := http.Post("http://"+b.address+"/order", "application/json", strings.NewReader(`{"operation":"start","version":1}`))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	for began := time.Now(); b.engine.State().Version != 1; time.Sleep(20 * time.Millisecond) {
+		assert.Assert(t, time.Since(began) < 5*time.Second, "the version is not loaded")
+	}
+	d.sendRequestsFor(time.Second)
+	d.checkVersions(t, 1)
+}
