installer: don't take an order of a former process for the sidecar's own

Callers could get tokens of mixed versions. An order of the sidecar's former process may be accepted while the sidecar replaces staged chunks of another version before its own order for the same version. The engine then refuses the sidecar's order. If that refusal is lost, the engine's count of orders is the one that the sidecar expects, the staged chunks are all right by then, and the mixture counted as verified.

The state is now read again after the chunks are staged, before the order. An order accepted before that is seen; one accepted later loads chunks that are all of the version.

--- a/installer/load.go
+++ b/installer/load.go
@@ -89,6 +89,12 @@
 		} else if !staged || clock.Since(checked) > maxCheckDuration {
 			continue
 		}
+		// An order of a former process of the sidecar may have been accepted while chunks
+		// were staged. The engine then has a mixture of versions loaded, which an order
+		// whose refusal is lost must not be taken for.
+		if now, err := i.engine.State(ctx); err != nil || loadIDOf(now) != loadIDOf(state) {
+			continue
+		}
 		switch i.sendStart(ctx, s, state, checked) {
 		case Accepted:
 			return i.awaitStart(ctx, s, state)
