slotgrant: ignore a request without the number of slots

A gateway whose configuration lacks the engine sends 0 slots, for example when it returns grants after a change. The ledger then granted nothing to any gateway until another one sent the number again. It now keeps the last known number.

--- a/slotgrant/ledger.go
+++ b/slotgrant/ledger.go
@@ -147,7 +147,9 @@
 	if r.Number <= g.number {
 		return // delayed or duplicated
 	}
-	l.slots = r.Slots
+	if r.Slots > 0 {
+		l.slots = r.Slots // 0 if the configuration of the gateway lacks the engine
+	}
 	g.number, g.seenAt = r.Number, now
 	for _, number := range r.Returned {
 		at := slices.IndexFunc(l.granted, func(s grantedSlot) bool { return s.gateway == from && s.number == number })
--- a/slotgrant/ledger_test.go
+++ b/slotgrant/ledger_test.go
@@ -318,3 +318,12 @@
 	}
 	return n
 }
+
+// Guards against an engine whose slots are not granted because a gateway's configuration
+// lacks their number.
+func TestUnknownNumberOfSlotsIsIgnored(t *testing.T) {
+	l := newLedger()
+	l.Request(gatewayAddress(1), Request{Number: 1, Slots: 12, Wishes: wishes(1, 100)}, at(110))
+	l.Request(gatewayAddress(2), Request{Number: 1}, at(110))
+	assert.Equal(t, len(l.Grants(at(110))), 1)
+}
