slotgrant: grant slots of an engine whose state is read slowly

If a reading of the engine's state took more than 150 ms, it was too old to grant by when it arrived. The sidecar then granted nothing at all, but answered wishes, so gateways kept waiting for grants of an engine that had slots free. The 150 ms now count from the end of the reading.

--- a/slotgrant/ledger.go
+++ b/slotgrant/ledger.go
@@ -24,8 +24,10 @@
 	wishTTL = 250 * time.Millisecond
 	// gatewayTTL is the time after which a gateway without requests is forgotten.
 	gatewayTTL = time.Second
-	// observationTTL is the age from which a reading of the engine's state is not used:
-	// an engine that does not answer may not begin requests either.
+	// observationTTL is the time after a reading of the engine's state from which it is
+	// not used: an engine that does not answer may not begin requests either. It counts
+	// from the end of the reading, as an engine whose answers are slow would get no grants
+	// otherwise. Older readings are safe: a grant counts until one that begins later.
 	observationTTL = 150 * time.Millisecond
 	// extraSlots is the number of requests that may wait in the engine's queue. The
 	// engine begins one when a slot ends, so no slot is idle until the next reading.
@@ -74,6 +76,7 @@
 	slots      int
 	engine     Observation
 	readAt     time.Time // when the reading of engine began; zero if there is none
+	readEnd    time.Time // when that reading ended
 	quietSince time.Time // see quietTime
 	gateways   map[netip.AddrPort]*gateway
 	// granted holds the slots that count against the engine's slots.
@@ -118,7 +121,7 @@
 	if o.StartedMS == 0 {
 		o.StartedMS = l.engine.StartedMS // this answer lacks it
 	}
-	l.engine, l.readAt = o, began
+	l.engine, l.readAt, l.readEnd = o, began, now
 	l.forecast.observe(o.Running, o.Queued, l.takeArrived(), began)
 	l.expire(now)
 }
@@ -205,7 +208,7 @@
 // mayGrant reports whether enough is known of the engine to grant its slots.
 func (l *Ledger) mayGrant(now time.Time) bool {
 	switch {
-	case l.readAt.IsZero(), now.Sub(l.readAt) > observationTTL:
+	case l.readAt.IsZero(), now.Sub(l.readEnd) > observationTTL:
 		return false
 	case now.Sub(l.quietSince) < quietTime, l.readAt.Sub(l.quietSince) < arrivalTime:
 		return false
--- a/slotgrant/ledger_test.go
+++ b/slotgrant/ledger_test.go
@@ -327,3 +327,17 @@
 	l.Request(gatewayAddress(2), Request{Number: 1}, at(110))
 	assert.Equal(t, len(l.Grants(at(110))), 1)
 }
+
+// Guards against gateways that wait for the grants of an engine with free slots whose state
+// takes longer to read than a reading is used, and against more grants than slots then.
+func TestSlowReadingGrantsSlots(t *testing.T) {
+	l := newLedger()
+	l.Observe(Observation{StartedMS: 1, Running: 10}, at(300), at(480))
+	l.Request(gatewayAddress(1), Request{Number: 1, Slots: 12, Wishes: wishes(8, 100)}, at(480))
+	assert.Equal(t, slotsByGateway(l.Grants(at(480)))[gatewayAddress(1)], 3)
+	l.Observe(Observation{StartedMS: 1, Running: 10}, at(490), at(670))
+	l.Request(gatewayAddress(1), Request{Number: 2, Slots: 12, Wishes: wishes(8, 100)}, at(670))
+	assert.Equal(t, len(l.Grants(at(670))), 0, "the reading began before the granted requests arrived")
+	l.Observe(Observation{StartedMS: 1, Running: 11}, at(680), at(860))
+	assert.Equal(t, len(l.Grants(at(1011))), 0, "the engine does not answer")
+}
