ingress: requests near a version's deadline name the version they need

From the cutoff of a target version until 15 s after its deadline each request to an engine now names the version that the gateway believes it holds. An engine with another one refuses it without running it, and it is sent elsewhere. At other times nothing is named, since an engine that has just been updated would refuse for nothing.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -24,6 +24,13 @@
 		left := max(clock.Until(x.expiresAt).Milliseconds(), 1)
 		h.Set(names.Deadline, strconv.FormatInt(left, 10))
 	}
+	s := x.server
+	s.mu.Lock()
+	expected := s.expectedVersion(x, e, clock.Now())
+	s.mu.Unlock()
+	if expected > 0 {
+		h.Set(names.ExpectVersion, strconv.Itoa(expected))
+	}
 	if lastEvent != "" {
 		h.Set("Last-Event-Id", lastEvent)
 	}
--- a/ingress/cutoff.go
+++ b/ingress/cutoff.go
@@ -225,3 +225,28 @@
 	at := deadline.Add(-withdrawalMargin(s.usualMargins()))
 	clock.AfterFunc(at, func() { s.withdrawUnbegun(model, version) })
 }
+
+// expectVersionTime is how long after the deadline of a target version requests still name
+// the version that their engine is expected to hold. Delayed orders to load were seen to be
+// accepted up to 11 s after they were sent.
+const expectVersionTime = 15 * time.Second
+
+// expectedVersion returns the version that the engine e must hold to run x, or 0 if x need
+// not name one. From the cutoff of a target version on, an engine that holds an older one
+// than its gateway believes, because a report or a list entry was too early, must refuse
+// the request rather than begin it after the deadline. Server.mu must be held.
+func (s *Server) expectedVersion(x *exchange, e *fleet.Endpoint, now time.Time) int {
+	if x.model == "" {
+		return 0
+	}
+	lowest, held := s.versionBounds(x, now).lowest, e.HeldVersion(x.model, now)
+	if lowest == 0 || held < lowest {
+		return 0
+	}
+	for _, n := range s.targetVersions[x.model] {
+		if n.Version == lowest && now.Before(n.deadline.Add(expectVersionTime)) {
+			return held
+		}
+	}
+	return 0
+}
