installer: expected time until the engine serves a permitted version

After the cutoff of an older version, while a newer one is fetched, no gateway knows when engines will serve again, and callers return too early. ServesIn gives the time: by the fetch plan for a version whose chunks are missing, by the slot, drain and load for a complete one. Versions that are past their last use by then do not count.

--- a/fetchplan/fetchplan.go
+++ b/fetchplan/fetchplan.go
@@ -272,6 +272,10 @@
 	return last
 }
 
+// MayServe reports whether a version may serve at the given time: it is not past its last
+// use.
+func (in Input) MayServe(version int, at time.Time) bool { return at.Before(in.lastUse(version)) }
+
 // lastUsePassed reports whether a version could not serve even if it were complete now.
 func (in Input) lastUsePassed(version int) bool {
 	return !in.Now.Add(in.Load).Before(in.lastUse(version))
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -196,7 +196,10 @@
 	updateScheduled bool
 	replicas        []*replica
 	// plan is the fetch plan as last computed.
-	plan       fetchplan.Plan
+	plan fetchplan.Plan
+	// expected is the result of the last servesAt, and updating the update in progress.
+	expected   expectation
+	updating   update
 	peerList   []Peer    // the sidecar list as last read
 	peerListAt time.Time // when peerList was read
 	// peersMissingSince is when the list could first not be read; zero if it could.
--- a/installer/start.go
+++ b/installer/start.go
@@ -329,6 +329,8 @@
 // execute carries out the update s: it drains the engine, if s provides for that, and
 // loads the version of s.
 func (i *Installer) execute(ctx context.Context, s *updateStep) {
+	i.setUpdating(s, clock.Now())
+	defer func() { i.setUpdating(nil, clock.Now()) }()
 	if !s.engineEmpty && s.drainLimit > 0 {
 		i.drain(ctx, s.drainLimit)
 		defer i.setDraining(false)
