loadreport: reports carry when the engine is expected to serve

Report.ServesInMS is in steps of 100 ms and absent while the engine serves. The JSON key is not a single letter: the report and its datagram use all of them, and z is the datagram's number, which would replace it.

--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -264,10 +264,12 @@
 			i.UpdateEngineState(state)
 			busy, undecided := state.Busy || i.Draining(), i.Undecided()
 			if !undecided {
+				servesIn, _ := i.ServesIn(clock.Now())
 				publisher.Publish(fleet.Report{
 					Address: sidecar.settings.EngineAddress, Model: state.Model, Version: state.Version, Busy: busy, UpdateScheduled: i.UpdateScheduled(),
 					Unverified: i.Unverified(), Running: state.Running, Queued: state.Queued, Pace: state.Pace, StartedMS: state.StartedMS, Orders: state.Orders, WeightsChecksum: sidecar.weightsChecksum(),
 					Draining: state.Signal.Draining, Limited: state.Signal.Limit.Set, Limit: state.Signal.Limit.Rate,
+					ServesInMS: servesIn.Milliseconds(),
 				}, i.UpdatePending(), began)
 			}
 			publisher.ObserveEngine(slotgrant.Observation{
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -40,6 +40,9 @@
 	recentSends []time.Time
 	report      Report
 	reportAt    time.Time // when the engine's state in report was read, without delays
+	// servesAt is when the engine is expected to serve a permitted version, by the last
+	// report; zero if that has no expectation.
+	servesAt time.Time
 	// verified is the last load that a report called verified; see VerifiedLoad.
 	verified VerifiedLoad
 	// sidecarAt is when the last report arrived from the endpoint's address, also if it
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,11 @@
 	// AgeMS is how long before the report was sent the engine's state was read, in
 	// milliseconds; 0 if that was just before.
 	AgeMS int64 `json:"y,omitempty"`
+	// ServesInMS is the time until the engine is expected to serve a version that may serve
+	// by then, in milliseconds and in steps of 100; 0 if it serves one or if nothing is
+	// known. While the origin is unavailable it is a lower bound. The single letters are
+	// used up by this type and the datagram that embeds it.
+	ServesInMS int64 `json:"serves_in,omitempty"`
 	// WeightsChecksum is the checksum of the routing.WeightsConfig that the sidecar
 	// has, or 0 if it has none.
 	WeightsChecksum uint32 `json:"w,omitempty"`
@@ -346,6 +351,7 @@
 	e.sidecarAt, f.sidecarAt[r.Address] = now, now
 	e.recordVerified(&r, now)
 	e.Signals.ObserveReport(backpressure.Signal{Draining: r.Draining, Limit: backpressure.Limit{Set: r.Limited, Rate: r.Limit}}, now)
+	e.recordExpectation(&r, now)
 	e.receivedAt = now
 	if roundTrip >= 0 {
 		e.roundTrip, e.roundTripAt = roundTrip, now
--- a/loadreport/publisher.go
+++ b/loadreport/publisher.go
@@ -46,6 +46,8 @@
 	// last is the last report sent, and lastSent when it was sent.
 	last     fleet.Report
 	lastSent time.Time
+	// expected is the engine's expectation, in place of last.ServesInMS, which is 0.
+	expected expectation
 	// lastRead is when the state in last was last read from the engine. number is the
 	// number of last, which begins anew at each epoch, the start of the process.
 	lastRead      time.Time
@@ -145,7 +147,8 @@
 }
 
 // Publish sends r to the subscribers if it differs from the last report sent, or if that
-// was sent longer ago than the repeat interval. now is when the sidecar began to read the
+// was sent longer ago than the repeat interval. A ServesInMS that decreases with the time
+// does not count as a difference. now is when the sidecar began to read the
 // engine's state. updating selects updateRepeatInterval instead of repeatInterval.
 func (p *Publisher) Publish(r fleet.Report, updating bool, now time.Time) {
 	interval := repeatInterval
@@ -156,11 +159,14 @@
 	defer p.mu.Unlock()
 	r.Gateways = len(p.subs)
 	p.lastRead = now
-	if r == p.last && now.Sub(p.lastSent) < interval {
+	moved := p.expected.observe(r.ServesInMS, now)
+	r.ServesInMS = 0
+	if r == p.last && !moved && now.Sub(p.lastSent) < interval {
 		return
 	}
 	p.last = r
 	p.lastSent = now
+	p.expected.sent = p.expected.current
 	p.number++
 	for to, s := range p.subs {
 		if now.Sub(s.subscribedAt) > subscriptionTTL {
@@ -176,6 +182,7 @@
 // its age. Publisher.mu must be held.
 func (p *Publisher) reportFor(position demandPosition, now time.Time) fleet.Report {
 	r := withDemandPosition(p.last, position)
+	r.ServesInMS = p.expected.remainingMS(now)
 	if age := now.Sub(p.lastRead); age >= minReportAge {
 		r.AgeMS = age.Milliseconds()
 	}
