ingress: refused callers return when engines are expected to serve

After the cutoff of an older version, while no engine has the newer one, callers were told to return after about 1 s, before any engine could serve, and were refused again after a wait of up to 1.2 s. In a contended service without a usable engine, Retry-After is now not before a tenth of the engines is expected to serve, at most what the caller honors. The return plan chooses the time after that. A caller's retry, whose caller does not return again, waits while it can still be served, and is refused at once if the first engine is expected too late.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -229,8 +229,15 @@
 // acquireEndpoint waits for an endpoint for the next attempt of x. It returns nil if x
 // is to be refused. A request first waits for an endpoint that meets the target latency.
 // A retry, by the gateway or by the caller, then waits a second time and accepts late
-// endpoints.
+// endpoints. A caller's retry that no engine can serve before an expected time waits for
+// that time, or is refused.
 func (s *Server) acquireEndpoint(ctx context.Context, x *exchange) *fleet.Endpoint {
+	if x.attempts == 0 && x.callerRetry {
+		if wait, known := s.expectedWait(x, clock.Now()); known {
+			x.acceptsLate = true
+			return s.waitForEndpoint(ctx, x, wait)
+		}
+	}
 	if x.attempts > 0 && !x.acceptsLate {
 		if e := s.waitForEndpoint(ctx, x, min(retryOnTimeWait, clock.Until(x.expiresAt))); e != nil {
 			return e
@@ -273,8 +280,9 @@
 
 // retryAfter returns how long a refused caller should wait before it retries, and records
 // it in x. If no endpoint accepts requests because all are draining, in backoff or at their
-// rate limits, the Closure describes this; else its Reason is Open. A return plan chooses
-// the time where there is one.
+// rate limits, the Closure describes this; else its Reason is Open. If no engine is expected
+// to serve before an instant, the caller returns after it. A return plan chooses the time
+// where there is one.
 func (s *Server) retryAfter(x *exchange) (fleet.Closure, time.Duration) {
 	now := clock.Now()
 	s.mu.Lock()
@@ -283,10 +291,13 @@
 	usable := s.fleet.Usable(q, now, now)
 	closure := s.fleet.Closure(q, now, now)
 	s.mu.Unlock()
+	expected, known := s.expectation(x, now)
 	earliest := retryAfterMin
 	switch {
 	case closure.Reason != fleet.Open && !closure.Until.IsZero():
 		earliest += min(closure.Until.Sub(now), maxRetryAfterClosed)
+	case known:
+		earliest = earliestReturn(expected, now)
 	case usable == 0:
 		earliest += retryAfterUnservable
 	}
@@ -295,6 +306,9 @@
 		spread := float64(retryAfterSpread) + float64(retryAfterRefusedSpread)*s.statsOf(x.service).refusedShare(now)
 		after = earliest + time.Duration(rand.Float64()*spread)
 	}
+	if known {
+		after = x.honored(after, now)
+	}
 	x.retryAfter = after
 	return closure, after
 }
