ingress: a void grant costs no retry

A gateway with little processor time may come to write a request more than 20 ms after its grant. The request was withheld, which is right, but then took from the retry budget although nothing had been sent, and could not go to that engine any more. With the budget used up, or one engine left, the caller was refused. The request now waits again within its usual limits, and the engine is not excluded. Other withheld attempts are as before.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -63,7 +63,14 @@
 		s.events.Info("attempt withheld", "request", x.id, "endpoint", e.ID, "zone", e.Zone, "regions", x.regions.String())
 		return false
 	}
-	if e.Signals.Draining() || e.Signals.BackingOff(now) || x.quarantined(now) || x.grantVoid(e, now) || !x.takePermit(e, now) {
+	if e.Signals.Draining() || e.Signals.BackingOff(now) || x.quarantined(now) {
+		return false
+	}
+	if x.grantVoid(e, now) {
+		x.grantLapsed = true
+		return false
+	}
+	if !x.takePermit(e, now) {
 		return false
 	}
 	if x.model == "" {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -93,6 +93,8 @@
 	// grantedAt is when the grant arrived.
 	granted   bool
 	grantedAt time.Time
+	// grantLapsed is set if the attempt was withheld because its grant was void by then.
+	grantLapsed bool
 	// crashes is the number of endpoints that crashed during attempts of this exchange.
 	crashes   int
 	lastCause string // why the last attempt failed
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -74,6 +74,9 @@
 			failure = response
 		}
 		x.mayHaveRun = x.mayHaveRun || v != verdictNotRun
+		if x.takeLapsedGrant(e) && !x.finished(ctx) && !clock.Now().After(x.expiresAt) {
+			continue // nothing was sent, so that the next attempt is no retry
+		}
 		if x.mayHaveRun && !x.route.Idempotent() || x.finished(ctx) || x.crashLimitReached() || !x.mayRetry(clock.Now()) {
 			return failure, v
 		}
--- a/ingress/slots.go
+++ b/ingress/slots.go
@@ -213,3 +213,14 @@
 	engine := engineConfig(x.config, e.Service)
 	return engine != nil && e.Load(now) > float64(engine.Slots) // the load includes x
 }
+
+// takeLapsedGrant reports whether the last attempt of x, at e, was withheld only because
+// its grant was void. It may then be sent to e later.
+func (x *exchange) takeLapsedGrant(e *fleet.Endpoint) bool {
+	lapsed := x.grantLapsed
+	x.grantLapsed = false
+	if lapsed {
+		delete(x.tried, e.ID)
+	}
+	return lapsed
+}
--- a/ingress/slots_test.go
+++ b/ingress/slots_test.go
@@ -3,6 +3,9 @@
 package ingress
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -235,3 +238,39 @@
 		}
 	})
 }
+
+// Guards against a request that is refused, or takes from the retry budget, because a
+// gateway with little processor time used its first grant too late: nothing was sent.
+func TestVoidGrantCostsNoRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newContendedServer(1)
+		reportLoad(s, "a", 12, 26)
+		x := newContendedExchange(s)
+		x.request = httptest.NewRequest(http.MethodPost, "/stream/1", nil)
+		for now := time.Now(); s.budget("engine", now).Take(now); { // no retries are left
+		}
+		sent := 0
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			x.runAttempts(t.Context(), func(_ context.Context, e *fleet.Endpoint) (*reply, verdict) {
+				if sent == 0 {
+					time.Sleep(slotgrant.Validity + time.Millisecond)
+				}
+				sent++
+				assert.Equal(t, s.stillEligible(x, e), sent > 1)
+				x.finishAttempt(e, fleet.Abandoned)
+				x.attempts--
+				return nil, verdictNotRun
+			})
+		}()
+		for number := range int64(2) {
+			synctest.Wait()
+			s.TakeSlotRequests()
+			s.HandleSlotGrant(slotgrant.Grant{Number: number + 1, Address: "a:1", Slots: 1})
+			time.Sleep(slotgrant.Validity + 2*time.Millisecond)
+		}
+		<-done
+		assert.Equal(t, sent, 2)
+	})
+}
