fetchplan: a plan in use is replaced only for more than the spread

A plan is now kept unless another is better by more than the time in which boxes learn of each other's chunks. TestRegionsAgreeDuringReturnOfOrigin failed before.

--- a/fetchplan/fetchplan.go
+++ b/fetchplan/fetchplan.go
@@ -20,10 +20,6 @@
 	// minUseful is the shortest time of service that is worth the chunks of a version.
 	// An engine that loads a version for less time loses more to the load itself.
 	minUseful = 250 * time.Millisecond
-	// switchGain is how much better than the current plan another one must be to
-	// replace it. Estimates vary by a few chunk intervals, and a plan that alternates
-	// completes neither version.
-	switchGain = 100 * time.Millisecond
 	// unknownMinShare is the share of a version's chunks that boxes must hold for its
 	// fetch to be continued if a cutoff is unknown.
 	unknownMinShare = 0.6
@@ -145,7 +141,10 @@
 			best = p
 		}
 	}
-	if slices.Equal(current.Fetch, in.Current) && !best.betterBy(current, switchGain) {
+	// Boxes of different regions see each other's chunks with a delay of about Spread. If
+	// a smaller gain replaced the plan in use, some would abandon a version that the origin
+	// is sending to the others, and both versions would be late.
+	if slices.Equal(current.Fetch, in.Current) && !best.betterBy(current, in.Spread) {
 		return current
 	}
 	return best
--- a/fetchplan/fetchplan_test.go
+++ b/fetchplan/fetchplan_test.go
@@ -203,3 +203,17 @@
 		assert.Assert(t, (gap-p.Gap).Abs() <= 4*step, "%s by sampling, %s planned", gap, p.Gap)
 	})
 }
+
+// At the return of the origin, the boxes of its region see the chunks of version 2 arrive,
+// and those of other regions do not yet. Guards against the latter abandoning version 2
+// when its cutoff passes meanwhile: the origin would have sent it for a part of the boxes
+// only, and version 3 would be late for all.
+func TestRegionsAgreeDuringReturnOfOrigin(t *testing.T) {
+	d := deployments[1]
+	in := d.input(9600 * time.Millisecond) // just after the cutoff of version 1
+	in.Versions = []Version{d.version(2, 0, 50), d.version(3, 2*time.Second, 0)}
+	in.OriginDown, in.Current = 4300*time.Millisecond, []int{2, 3}
+	assert.DeepEqual(t, Choose(in).Fetch, []int{2, 3})
+	in.Versions = []Version{d.version(2, 0, 30), d.version(3, 2*time.Second, 0)}
+	assert.DeepEqual(t, Choose(in).Fetch, []int{3}) // the gain exceeds the uncertainty
+}
