ingress: route priorities count among requests of equal workspace priority

Requests with a key were ranked by their workspace's priority alone. Where all workspaces have the same priority, routes of different priority were therefore served as equals, and the most urgent route was refused as often as the others.

Requests are now ranked by the workspace's priority and then by the route's. Engines are sent the route's priority if all workspaces of the configuration have the same one. Neither changes for a service whose streaming routes have equal priorities, nor for requests without a key.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -169,7 +169,7 @@
 	now := clock.Now()
 	w := &waiter{
 		exchange: x,
-		rank:     rank{priority: x.priority, stage: x.stage(), responseDue: x.start.Add(x.route.TargetLatency)},
+		rank:     rank{urgency: x.urgency(), stage: x.stage(), responseDue: x.start.Add(x.route.TargetLatency)},
 		deadline: now.Add(maxWait),
 		assigned: make(chan *fleet.Endpoint, 1),
 	}
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/admission"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/residency"
@@ -54,7 +55,8 @@
 	// callerDeadline is the caller's own deadline, or zero. If set, endpoints are
 	// sent the time left until expiresAt.
 	callerDeadline time.Time
-	priority       int
+	// priority is the workspace's priority, or the route's for requests without a key.
+	priority int
 	// callerRetry reports that this request is probably the caller's retry of a request
 	// that was refused.
 	callerRetry bool
@@ -238,10 +240,29 @@
 		}
 		x.prefillMS = prefillMS(engine, tokens)
 		x.meanPrefillMS = prefillMS(engine, engine.MeanPromptTokens)
-		h.Set(names.Priority, strconv.Itoa(min(max(x.priority, 0), maxPriority)))
+		h.Set(names.Priority, strconv.Itoa(min(max(x.enginePriority(), 0), maxPriority)))
 	}
 }
 
+// urgency returns the urgency of x. The route's priority counts only if the streaming
+// routes of the service differ in it.
+func (x *exchange) urgency() admission.Urgency {
+	u := admission.Urgency{Priority: x.priority}
+	if x.config.RoutePrioritiesDiffer(x.service) {
+		u.RoutePriority = x.route.Priority
+	}
+	return u
+}
+
+// enginePriority returns the priority that engines are sent. It is the workspace's, unless
+// that distinguishes no requests and the route's does.
+func (x *exchange) enginePriority() int {
+	if x.config.WorkspacePrioritiesEqual() && x.config.RoutePrioritiesDiffer(x.service) {
+		return x.route.Priority
+	}
+	return x.priority
+}
+
 // readBody reads the request body into x.body. If it returns false, it has already
 // responded.
 func (x *exchange) readBody() bool {
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/mintlift/mintlift/admission"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 )
@@ -24,14 +25,14 @@
 // rank is the position of a waiter in its queue: waiters with lower ranks are served
 // first. The fields are compared one after the other.
 type rank struct {
-	priority int
-	stage    stage
-	// responseDue is when the response should start. Of waiters of equal priority and
+	urgency admission.Urgency
+	stage   stage
+	// responseDue is when the response should start. Of waiters of equal urgency and
 	// stage, the one with the earliest responseDue is served first.
 	responseDue time.Time
 }
 
-// stage orders waiters of the same priority. The gateway's own retries are served
+// stage orders waiters of the same urgency. The gateway's own retries are served
 // first, because their streams may already have started. First attempts of new requests
 // are served before callers' retries, because they can still meet the target latency.
 type stage int
@@ -57,7 +58,7 @@
 
 // compareRank orders ranks; a negative result means that a is served before b.
 func compareRank(a, b rank) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.stage, b.stage), a.responseDue.Compare(b.responseDue))
+	return cmp.Or(a.urgency.Compare(b.urgency), cmp.Compare(a.stage, b.stage), a.responseDue.Compare(b.responseDue))
 }
 
 // queue holds the waiters of a service, ordered by rank. Server.mu guards it.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -166,6 +166,10 @@
 	hosts      map[string][]*Route
 	keys       map[string]*Workspace
 	workspaces int
+	// mixed holds the services whose streaming routes differ in priority, and
+	// equalWorkspaces is set if no two workspaces do.
+	mixed           map[string]bool
+	equalWorkspaces bool
 }
 
 // New builds a configuration. It takes ownership of the slices and what they point to.
@@ -177,6 +181,10 @@
 		hosts:      make(map[string][]*Route),
 		keys:       make(map[string]*Workspace),
 		workspaces: len(workspaces),
+		mixed:      mixedServices(routes),
+		equalWorkspaces: !slices.ContainsFunc(workspaces, func(w *Workspace) bool {
+			return w.Priority != workspaces[0].Priority
+		}),
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
@@ -196,6 +204,31 @@
 	return c
 }
 
+// mixedServices returns the services whose streaming routes differ in priority.
+func mixedServices(routes []*Route) map[string]bool {
+	first, mixed := make(map[string]int), make(map[string]bool)
+	for _, r := range routes {
+		if r.Kind != Streaming {
+			continue
+		}
+		for _, s := range r.Shares {
+			if p, ok := first[s.Service]; !ok {
+				first[s.Service] = r.Priority
+			} else if p != r.Priority {
+				mixed[s.Service] = true
+			}
+		}
+	}
+	return mixed
+}
+
+// RoutePrioritiesDiffer reports whether the streaming routes of a service differ in
+// priority.
+func (c *Configuration) RoutePrioritiesDiffer(service string) bool { return c.mixed[service] }
+
+// WorkspacePrioritiesEqual reports whether all workspaces have the same priority.
+func (c *Configuration) WorkspacePrioritiesEqual() bool { return c.equalWorkspaces }
+
 // Match returns the route of host with the longest matching path prefix, or nil. It
 // ignores case and a port in host.
 func (c *Configuration) Match(host, path string) *Route {
