admission, ingress: slots reserved for more urgent requests

In a contended service, less urgent requests took slots that more urgent ones needed: a route with a longer target latency may wait longer and use busier engines, so it is served more often.

A controller per service counts, by urgency, which first attempts were sent and refused and which responses were late.

The request line names why a request was refused.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -103,6 +103,9 @@
 		q.MaxLoad *= lateLoadShare
 		q.MaxBacklogMS = lateBacklogPrompts * x.meanPrefillMS
 	}
+	if x.attempts == 0 {
+		q.MaxLoad = min(q.MaxLoad, q.Slots-s.reserveLocked(x, now))
+	}
 	q.MaxFirstByteMS = x.maxFirstByteMS(now)
 	q.MinVersion = s.minVersion(x.model, now)
 	q.MinVersionBeforeUpdate = s.minVersion(x.model, now.Add(-scheduledUpdateLead))
@@ -174,6 +177,7 @@
 		assigned: make(chan *fleet.Endpoint, 1),
 	}
 	s.mu.Lock()
+	w.rank.belowFloor = s.belowFloorLocked(x, now)
 	q := s.queues[x.service]
 	if q == nil {
 		q = &queue{}
@@ -187,6 +191,7 @@
 	}
 	s.mu.Unlock()
 	if unservable {
+		x.refusal = refusalUnservable
 		return nil
 	}
 
@@ -206,6 +211,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	q.remove(w)
+	x.refusal = refusalNoSlot
+	if s.reserveLocked(x, clock.Now()) > 0 {
+		x.refusal = refusalReserve
+	}
 	select {
 	case e := <-w.assigned:
 		if ctx.Err() == nil || e == nil {
@@ -220,10 +229,21 @@
 }
 
 // acquireEndpoint waits for an endpoint for the next attempt of x. It returns nil if x
-// is to be refused. A request first waits for an endpoint that meets the target latency.
+// is to be refused.
+func (s *Server) acquireEndpoint(ctx context.Context, x *exchange) *fleet.Endpoint {
+	x.refusal = refusalClosed
+	e := s.acquire(ctx, x)
+	if ctx.Err() != nil {
+		x.refusal = ""
+	}
+	s.recordDecision(x, e != nil)
+	return e
+}
+
+// acquire is acquireEndpoint without counting the result. A request first waits for an endpoint that meets the target latency.
 // A retry, by the gateway or by the caller, then waits a second time and accepts late
 // endpoints.
-func (s *Server) acquireEndpoint(ctx context.Context, x *exchange) *fleet.Endpoint {
+func (s *Server) acquire(ctx context.Context, x *exchange) *fleet.Endpoint {
 	if x.attempts > 0 && !x.acceptsLate {
 		if e := s.waitForEndpoint(ctx, x, min(retryOnTimeWait, clock.Until(x.expiresAt))); e != nil {
 			return e
--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -40,8 +40,15 @@
 	if x.config != nil {
 		version = x.config.Version
 	}
+	x.recordResponse(outcome == outcomeAnswered)
+	if outcome != outcomeRefused {
+		x.refusal = ""
+	}
+	if x.refusal != "" {
+		s.metrics.Counter("mintlift_admission_refused_total", "reason", string(x.refusal)).Inc()
+	}
 	s.log.Info("request", "request", x.id, "identity", x.identity.String(), "body_bytes", len(x.body), "outcome", outcome, "cause", cause, "status", status, "route", route,
-		"service", x.service, "config", version, "config_age_ms", x.configAge.Milliseconds(), "attempts", x.attempts, "priority", x.priority, "returned", x.callerRetry, "ms", took.Milliseconds())
+		"service", x.service, "config", version, "config_age_ms", x.configAge.Milliseconds(), "attempts", x.attempts, "priority", x.priority, "returned", x.callerRetry, "refusal", string(x.refusal), "ms", took.Milliseconds())
 	s.metrics.Counter("mintlift_ingress_requests_total", "service", x.service, "outcome", outcome).Inc()
 	s.metrics.Histogram("mintlift_ingress_request_seconds", "service", x.service, "outcome", outcome).Update(took.Seconds())
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -23,6 +23,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/mintlift/mintlift/admission"
 	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
@@ -99,7 +100,8 @@
 	budgets        map[string]*retrybudget.Budget
 	targetVersions map[string][]TargetVersion // by model, oldest first
 	stats          map[string]*requestStats
-	timeouts       map[string]*timeoutHistogram // by route
+	admission      map[string]*admission.Controller // of contended services
+	timeouts       map[string]*timeoutHistogram     // by route
 	// gateways is the number of gateways among which shared limits are divided.
 	gateways  int
 	listKnown bool // the endpoint list has been read at least once
@@ -151,6 +153,7 @@
 		budgets:               make(map[string]*retrybudget.Budget),
 		targetVersions:        make(map[string][]TargetVersion),
 		stats:                 make(map[string]*requestStats),
+		admission:             make(map[string]*admission.Controller),
 		timeouts:              make(map[string]*timeoutHistogram),
 		crashedAt:             make(map[string]time.Time),
 		unconfigured:          make(map[string]fleet.Record),
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -25,8 +25,11 @@
 // rank is the position of a waiter in its queue: waiters with lower ranks are served
 // first. The fields are compared one after the other.
 type rank struct {
-	urgency admission.Urgency
-	stage   stage
+	// belowFloor is set if the request goes first because too few of its urgency were
+	// served. See admission.Controller.BelowFloor.
+	belowFloor bool
+	urgency    admission.Urgency
+	stage      stage
 	// responseDue is when the response should start. Of waiters of equal urgency and
 	// stage, the one with the earliest responseDue is served first.
 	responseDue time.Time
@@ -58,6 +61,12 @@
 
 // compareRank orders ranks; a negative result means that a is served before b.
 func compareRank(a, b rank) int {
+	if a.belowFloor != b.belowFloor {
+		if a.belowFloor {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(a.urgency.Compare(b.urgency), cmp.Compare(a.stage, b.stage), a.responseDue.Compare(b.responseDue))
 }
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -189,6 +189,7 @@
 func (t *streamExchange) recordEvent(now time.Time) {
 	if t.eventCount == 0 {
 		t.firstAt = now
+		t.recordResponse(true)
 	} else {
 		t.maxGap = max(t.maxGap, now.Sub(t.lastAt))
 	}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -107,8 +107,11 @@
 	return m.set.GetOrCreateHistogram(series(name, labels))
 }
 
-// Gauge registers a gauge whose value is read at each scrape.
-func (m *Metrics) Gauge(name string, read func() float64) { m.set.GetOrCreateGauge(name, read) }
+// Gauge registers a gauge whose value is read at each scrape, unless it exists. labels
+// alternates names and values.
+func (m *Metrics) Gauge(name string, read func() float64, labels ...string) {
+	m.set.GetOrCreateGauge(series(name, labels), read)
+}
 
 // RegisterTraffic registers the gauges of received and sent bytes of a meter.
 func (m *Metrics) RegisterTraffic(t *meter.Meter) {
