ingress: late requests get only slots that no request in time waits for

Callers that had been refused came back within their target latency as counted from their return, although it had passed since their first try. They took the slots of requests that could still be in time.

In a contended service the target of a caller's retry now counts from its first try, as its deadline header shows it. Late requests rank after all others, accept late endpoints from the start, get no slot while a request that can be in time waits, and beyond a bound are refused at once.

The reserve now rises evenly from the most to the least urgent class: with equal reserves, the class between them was in time less often than the one below it.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -107,16 +107,22 @@
 }
 
 // Reserve returns how many of an engine's slots requests of urgency u must leave free. It
-// is 0 while the class is below its floor; see BelowFloor.
+// is 0 for the most urgent class and rises evenly to the least urgent one, so that a class
+// between them keeps an advantage over those below it. It is 0 while the class is below its
+// floor; see BelowFloor.
 func (c *Controller) Reserve(u Urgency, slots int, now time.Time) float64 {
 	c.update(now)
 	at, ok := c.find(u)
 	if !ok || c.belowFloor(at) {
 		return 0
 	}
-	return c.classes[at].reserve * float64(slots)
+	return c.classes[at].reserve * float64(slots) * c.gradient(at)
 }
 
+// gradient returns the part of the reserve that applies to the class at an index, from 0 for
+// the most urgent class to 1 for the least urgent one.
+func (c *Controller) gradient(at int) float64 { return float64(at) / float64(max(len(c.classes)-1, 1)) }
+
 // BelowFloor reports whether requests of urgency u are served too rarely in comparison with
 // more urgent ones. They then go first until they are not.
 func (c *Controller) BelowFloor(u Urgency, now time.Time) bool {
@@ -134,6 +140,16 @@
 	})
 }
 
+// SendRate returns the recent first attempts per second that got an engine.
+func (c *Controller) SendRate(now time.Time) float64 {
+	c.update(now)
+	sent := 0.0
+	for _, k := range c.classes {
+		sent += k.counts.Sent
+	}
+	return sent / countDecay.Seconds()
+}
+
 // Change is a reserve that has changed.
 type Change struct {
 	Urgency Urgency
@@ -148,8 +164,8 @@
 func (c *Controller) Changes(slots int, now time.Time) (changes []Change) {
 	c.update(now)
 	var above Counts
-	for _, k := range c.classes {
-		n := int(math.Round(k.reserve * float64(slots)))
+	for at, k := range c.classes {
+		n := int(math.Round(k.reserve * float64(slots) * c.gradient(at)))
 		if (n == 0) != (k.logged == 0) || max(n-k.logged, k.logged-n) >= loggedStep {
 			k.logged = n
 			changes = append(changes, Change{Urgency: k.urgency, Slots: n, Counts: above})
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -177,7 +177,7 @@
 		assigned: make(chan *fleet.Endpoint, 1),
 	}
 	s.mu.Lock()
-	w.rank.belowFloor = s.belowFloorLocked(x, now)
+	w.rank.belowFloor, w.rank.late = s.belowFloorLocked(x, now), s.lateLocked(x, now)
 	q := s.queues[x.service]
 	if q == nil {
 		q = &queue{}
@@ -185,6 +185,9 @@
 	}
 	q.add(w)
 	s.dispatch(x.service, now)
+	if w.rank.late {
+		s.limitLate(x, q, now)
+	}
 	unservable := x.attempts == 0 && !x.callerRetry && len(w.assigned) == 0 && s.fleet.Usable(s.servableQuery(x, now), w.deadline, now) == 0
 	if unservable {
 		q.remove(w)
@@ -264,15 +267,17 @@
 }
 
 // cannotMeetTarget reports whether even an idle engine would respond to x after the
-// target latency. Such a request accepts late endpoints from the start, since refusing
+// target latency. In a contended service, that of a caller's retry counts from the first try.
+// Such a request accepts late endpoints from the start, since refusing
 // it would only make its caller retry.
 func (x *exchange) cannotMeetTarget() bool {
 	s := x.server
 	now := clock.Now()
 	s.mu.Lock()
 	q := s.attemptQuery(x, now)
+	late := s.lateLocked(x, now)
 	s.mu.Unlock()
-	return q.MaxFirstByteMS > 0 && q.PrefillMS > 0 && q.MinFirstByteMS() > q.MaxFirstByteMS
+	return late || q.MaxFirstByteMS > 0 && q.PrefillMS > 0 && q.MinFirstByteMS() > q.MaxFirstByteMS
 }
 
 // queueTimeout returns how long x may wait for an endpoint that meets the target latency.
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -60,6 +60,9 @@
 	// callerRetry reports that this request is probably the caller's retry of a request
 	// that was refused.
 	callerRetry bool
+	// age is the time from the caller's first try until start, as far as its deadline
+	// header shows it; 0 for first tries.
+	age time.Duration
 
 	// prefillMS is the expected prefill time of the prompt, in milliseconds.
 	prefillMS float64
@@ -204,6 +207,9 @@
 		x.expiresAt = x.callerDeadline
 	}
 	x.callerRetry = x.server.isCallerRetry(x.route, x.service, left, timeout, x.start)
+	if x.callerRetry {
+		x.age = x.server.callerAge(x.route, left, timeout)
+	}
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -25,6 +25,9 @@
 // rank is the position of a waiter in its queue: waiters with lower ranks are served
 // first. The fields are compared one after the other.
 type rank struct {
+	// late is set in contended services if the request's target latency can no longer be
+	// met.
+	late bool
 	// belowFloor is set if the request goes first because too few of its urgency were
 	// served. See admission.Controller.BelowFloor.
 	belowFloor bool
@@ -61,13 +64,19 @@
 
 // compareRank orders ranks; a negative result means that a is served before b.
 func compareRank(a, b rank) int {
-	if a.belowFloor != b.belowFloor {
-		if a.belowFloor {
-			return -1
-		}
+	return cmp.Or(compareBool(a.late, b.late), compareBool(b.belowFloor, a.belowFloor), a.urgency.Compare(b.urgency), cmp.Compare(a.stage, b.stage), a.responseDue.Compare(b.responseDue))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
 		return 1
 	}
-	return cmp.Or(a.urgency.Compare(b.urgency), cmp.Compare(a.stage, b.stage), a.responseDue.Compare(b.responseDue))
 }
 
 // queue holds the waiters of a service, ordered by rank. Server.mu guards it.
@@ -92,7 +101,7 @@
 }
 
 // dispatch assigns endpoints with spare capacity to the waiters of a service, in the
-// order of their ranks. It builds each waiter's query anew, because the cutoff of a
+// order of their ranks. A late waiter gets none while another waits that is not. It builds each waiter's query anew, because the cutoff of a
 // target version may have passed since the last dispatch. Server.mu must be held.
 //
 // Endpoints that have no capacity for any waiter are excluded once for all waiters.
@@ -116,9 +125,15 @@
 	free := s.fleet.Free(s.widestQuery(q.waiters[0].exchange, now), now)
 	defer s.queuePermitRequests(service, now)
 	kept := q.waiters[:0]
+	inTimeWaits := false
 	for _, w := range q.waiters {
+		if w.rank.late && inTimeWaits {
+			kept = append(kept, w)
+			continue
+		}
 		restricted := s.regionsOf(w.exchange).Restricted()
 		if len(free) == 0 && !restricted {
+			inTimeWaits = inTimeWaits || !w.rank.late
 			kept = append(kept, w)
 			continue
 		}
@@ -128,6 +143,9 @@
 			e = s.fleet.Choose(q, now) // its regions may have endpoints that are not watched
 		}
 		if e == nil {
+			// Restricted and suspected requests are not counted: they may wait for other
+			// endpoints than those that are free.
+			inTimeWaits = inTimeWaits || !w.rank.late && !restricted && !q.Isolated
 			kept = append(kept, w)
 			continue
 		}
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -18,9 +18,15 @@
 	refusalClosed     refusal = "closed"     // all endpoints are closed, or elsewhere
 	refusalUnservable refusal = "unservable" // no endpoint could serve it at any load
 	refusalNoSlot     refusal = "no_slot"    // no slot was free in time
+	refusalLateQueue  refusal = "late_queue" // too many late requests waited
 	refusalReserve    refusal = "reserve"    // no_slot while a reserve for more urgent requests was in force
 )
 
+// scarce reports whether the request could have been sent if there had been more slots.
+func (r refusal) scarce() bool {
+	return r == refusalNoSlot || r == refusalReserve || r == refusalLateQueue
+}
+
 // controllerLocked returns the admission controller of x's service, or nil if the service
 // is not contended. Server.mu must be held.
 func (s *Server) controllerLocked(x *exchange) *admission.Controller {
@@ -58,7 +64,7 @@
 	if sent {
 		x.refusal = ""
 	}
-	if x.decided || x.attempts > 0 || !sent && x.refusal != refusalNoSlot && x.refusal != refusalReserve {
+	if x.decided || x.attempts > 0 || !sent && !x.refusal.scarce() {
 		return
 	}
 	x.decided = true
@@ -81,12 +87,12 @@
 // having started. Further calls have no effect, as have those for requests that were never
 // sent, or sent although they would be late.
 func (x *exchange) recordResponse(started bool) {
-	if x.timed || x.attempts == 0 || x.acceptsLate || x.route == nil || x.route.TargetLatency <= 0 {
+	if x.timed || x.attempts == 0 || x.acceptsLate || x.age > x.route.TargetLatency || x.route == nil || x.route.TargetLatency <= 0 {
 		return
 	}
 	x.timed = true
 	now := clock.Now()
-	inTime := now.Sub(x.start) <= x.route.TargetLatency
+	inTime := now.Sub(x.start)+x.age <= x.route.TargetLatency
 	if inTime && !started {
 		return // the caller left, or the endpoint failed
 	}
--- a/ingress/timeouts.go
+++ b/ingress/timeouts.go
@@ -102,3 +102,15 @@
 	}
 	return retry
 }
+
+// callerAge returns the least time since the first try of a caller's retry, for which
+// isCallerRetry has returned true.
+func (s *Server) callerAge(r *routing.Route, left, timeout time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.timeouts[r.Name]
+	if p == nil {
+		return 0
+	}
+	return max(0, time.Duration(p.firstTryMin()*float64(timeout))-left)
+}
