--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -104,6 +104,9 @@
 		q.MaxLoad *= lateLoadShare
 		q.MaxBacklogMS = lateBacklogPrompts * x.meanPrefillMS
 	}
+	if x.attempts == 0 {
+		q.MaxLoad = min(q.MaxLoad, q.Slots-s.reserveLocked(x, now))
+	}
 	q.MaxFirstByteMS = x.maxFirstByteMS(now)
 	setVersionBounds(&q, s.versionBounds(x, now))
 	return q
@@ -174,11 +177,12 @@
 	now := clock.Now()
 	w := &waiter{
 		exchange: x,
-		rank:     rank{priority: x.priority, stage: x.stage(), responseDue: x.start.Add(x.route.TargetLatency)},
+		rank:     rank{urgency: x.urgency(), stage: x.stage(), responseDue: x.start.Add(x.route.TargetLatency)},
 		deadline: now.Add(maxWait),
 		assigned: make(chan *fleet.Endpoint, 1),
 	}
 	s.mu.Lock()
+	w.rank.belowFloor, w.rank.late = s.belowFloorLocked(x, now), s.lateLocked(x, now)
 	q := s.queues[x.service]
 	if q == nil {
 		q = &queue{}
@@ -186,6 +190,9 @@
 	}
 	q.add(w)
 	s.dispatch(x.service, now)
+	if w.rank.late {
+		s.limitLate(x, q, now)
+	}
 	unservable := x.attempts == 0 && !x.callerRetry && len(w.assigned) == 0 && s.fleet.Usable(s.servableQuery(x, now), w.deadline, now) == 0
 	if unservable {
 		q.remove(w)
@@ -193,6 +200,7 @@
 	}
 	s.mu.Unlock()
 	if unservable {
+		x.refusal = refusalUnservable
 		return nil
 	}
 
@@ -213,6 +221,10 @@
 	defer s.mu.Unlock()
 	q.remove(w)
 	s.updateSlotWishes(x.service, q, clock.Now())
+	x.refusal = refusalNoSlot
+	if s.reserveLocked(x, clock.Now()) > 0 {
+		x.refusal = refusalReserve
+	}
 	select {
 	case e := <-w.assigned:
 		if ctx.Err() == nil || e == nil {
@@ -227,10 +239,21 @@
 }
 
 // acquireEndpoint waits for an endpoint for the next attempt of x. It returns nil if x
-// is to be refused. A request first waits for an endpoint that meets the target latency.
+// is to be refused.
+func (s *Server) acquireEndpoint(ctx context.Context, x *exchange) *fleet.Endpoint {
+	x.refusal = refusalClosed
+	e := s.acquire(ctx, x)
+	if ctx.Err() != nil {
+		x.refusal = ""
+	}
+	s.recordDecision(x, e != nil)
+	return e
+}
+
+// acquire is acquireEndpoint without counting the result. A request first waits for an endpoint that meets the target latency.
 // A retry, by the gateway or by the caller, then waits a second time and accepts late
 // endpoints.
-func (s *Server) acquireEndpoint(ctx context.Context, x *exchange) *fleet.Endpoint {
+func (s *Server) acquire(ctx context.Context, x *exchange) *fleet.Endpoint {
 	if x.attempts > 0 && !x.acceptsLate {
 		if e := s.waitForEndpoint(ctx, x, min(retryOnTimeWait, clock.Until(x.expiresAt))); e != nil {
 			return e
@@ -251,15 +274,17 @@
 }
 
 // cannotMeetTarget reports whether even an idle engine would respond to x after the
-// target latency. Such a request accepts late endpoints from the start, since refusing
+// target latency. In a contended service, that of a caller's retry counts from the first try.
+// Such a request accepts late endpoints from the start, since refusing
 // it would only make its caller retry.
 func (x *exchange) cannotMeetTarget() bool {
 	s := x.server
 	now := clock.Now()
 	s.mu.Lock()
 	q := s.attemptQuery(x, now)
+	late := s.lateLocked(x, now)
 	s.mu.Unlock()
-	return q.MaxFirstByteMS > 0 && q.PrefillMS > 0 && q.MinFirstByteMS() > q.MaxFirstByteMS
+	return late || q.MaxFirstByteMS > 0 && q.PrefillMS > 0 && q.MinFirstByteMS() > q.MaxFirstByteMS
 }
 
 // queueTimeout returns how long x may wait for an endpoint that meets the target latency.
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/admission"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/residency"
@@ -54,7 +55,8 @@
 	// callerDeadline is the caller's own deadline, or zero. If set, endpoints are
 	// sent the time left until expiresAt.
 	callerDeadline time.Time
-	priority       int
+	// priority is the workspace's priority, or the route's for requests without a key.
+	priority int
 	// callerRetry reports that this request is probably the caller's retry of a request
 	// that was refused.
 	callerRetry bool
@@ -63,6 +65,9 @@
 	hasPlace bool
 	// retryAfter is the Retry-After of the refusal for lack of capacity, or 0.
 	retryAfter time.Duration
+	// age is the time from the caller's first try until start, as far as its deadline
+	// header shows it; 0 for first tries.
+	age time.Duration
 
 	// prefillMS is the expected prefill time of the prompt, in milliseconds.
 	prefillMS float64
@@ -82,6 +87,11 @@
 	tried         map[string]bool // IDs of the endpoints of previous attempts
 	mayHaveRun    bool            // an endpoint may have run the request, or may still run it
 	retryReserved bool            // the retry budget has been charged for the next attempt
+	// refusal is why the request got no endpoint at its first attempt.
+	refusal refusal
+	// decided reports that the result of the first attempt's wait for an endpoint has been
+	// counted, and timed that the time of the response has been.
+	decided, timed bool
 	// isolated reports that the endpoint of the current attempt was chosen with
 	// Query.Isolated, so that it runs no other suspected request. hasPermit reports that
 	// the attempt has used a permit of an endpoint with a rate limit.
@@ -206,6 +216,9 @@
 		x.expiresAt = x.callerDeadline
 	}
 	x.callerRetry = x.server.isCallerRetry(x.route, x.service, left, timeout, x.start)
+	if x.callerRetry {
+		x.age = x.server.callerAge(x.route, left, timeout)
+	}
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -247,8 +260,27 @@
 		}
 		x.prefillMS = prefillMS(engine, tokens)
 		x.meanPrefillMS = prefillMS(engine, engine.MeanPromptTokens)
-		h.Set(names.Priority, strconv.Itoa(min(max(x.priority, 0), maxPriority)))
+		h.Set(names.Priority, strconv.Itoa(min(max(x.enginePriority(), 0), maxPriority)))
+	}
+}
+
+// urgency returns the urgency of x. The route's priority counts only if the streaming
+// routes of the service differ in it.
+func (x *exchange) urgency() admission.Urgency {
+	u := admission.Urgency{Priority: x.priority}
+	if x.config.RoutePrioritiesDiffer(x.service) {
+		u.RoutePriority = x.route.Priority
+	}
+	return u
+}
+
+// enginePriority returns the priority that engines are sent. It is the workspace's, unless
+// that distinguishes no requests and the route's does.
+func (x *exchange) enginePriority() int {
+	if x.config.WorkspacePrioritiesEqual() && x.config.RoutePrioritiesDiffer(x.service) {
+		return x.route.Priority
 	}
+	return x.priority
 }
 
 // readBody reads the request body into x.body. If it returns false, it has already
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/mintlift/mintlift/admission"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 )
@@ -27,14 +28,20 @@
 // rank is the position of a waiter in its queue: waiters with lower ranks are served
 // first. The fields are compared one after the other.
 type rank struct {
-	priority int
-	stage    stage
-	// responseDue is when the response should start. Of waiters of equal priority and
+	// late is set in contended services if the request's target latency can no longer be
+	// met.
+	late bool
+	// belowFloor is set if the request goes first because too few of its urgency were
+	// served. See admission.Controller.BelowFloor.
+	belowFloor bool
+	urgency    admission.Urgency
+	stage      stage
+	// responseDue is when the response should start. Of waiters of equal urgency and
 	// stage, the one with the earliest responseDue is served first.
 	responseDue time.Time
 }
 
-// stage orders waiters of the same priority. The gateway's own retries are served
+// stage orders waiters of the same urgency. The gateway's own retries are served
 // first, because their streams may already have started. First attempts of new requests
 // are served before callers' retries, because they can still meet the target latency,
 // except for the few retries that have a place in the return plan.
@@ -64,7 +71,30 @@
 
 // compareRank orders ranks; a negative result means that a is served before b.
 func compareRank(a, b rank) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.stage, b.stage), a.responseDue.Compare(b.responseDue))
+	return cmp.Or(compareBool(a.late, b.late), compareBool(b.belowFloor, a.belowFloor), a.urgency.Compare(b.urgency), cmp.Compare(a.stage, b.stage), a.responseDue.Compare(b.responseDue))
+}
+
+// wishPriority returns the priority of a waiter's wish for a slot: late requests come after
+// all others, and requests in time in the order of their urgency.
+func (r rank) wishPriority() int {
+	const levels = maxPriority + 1
+	p := min(max(r.urgency.Priority, 0), maxPriority)*levels + min(max(r.urgency.RoutePriority, 0), maxPriority)
+	if r.late {
+		p += levels * levels
+	}
+	return p
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // queue holds the waiters of a service, ordered by rank. Server.mu guards it.
@@ -93,7 +123,7 @@
 }
 
 // dispatch assigns endpoints with spare capacity to the waiters of a service, in the
-// order of their ranks. It builds each waiter's query anew, because the cutoff of a
+// order of their ranks. A late waiter gets none while another waits that is not. It builds each waiter's query anew, because the cutoff of a
 // target version may have passed since the last dispatch. Server.mu must be held.
 //
 // Endpoints that have no capacity for any waiter are excluded once for all waiters.
@@ -121,9 +151,15 @@
 	free := s.fleet.Free(s.widestQuery(q.waiters[0].exchange, now), now)
 	defer s.queuePermitRequests(service, now)
 	kept := q.waiters[:0]
+	inTimeWaits := false
 	for _, w := range q.waiters {
+		if w.rank.late && inTimeWaits {
+			kept = append(kept, w)
+			continue
+		}
 		restricted := s.regionsOf(w.exchange).Restricted()
 		if len(free) == 0 && !restricted {
+			inTimeWaits = inTimeWaits || !w.rank.late
 			kept = append(kept, w)
 			continue
 		}
@@ -133,6 +169,9 @@
 			e = s.fleet.Choose(q, now) // its regions may have endpoints that are not watched
 		}
 		if e == nil {
+			// Restricted and suspected requests are not counted: they may wait for other
+			// endpoints than those that are free.
+			inTimeWaits = inTimeWaits || !w.rank.late && !restricted && !q.Isolated
 			kept = append(kept, w)
 			continue
 		}
