ingress: refuse late requests at once only if no slot is expected in their wait

The bound now follows from the wait: a late request is refused at once if it cannot be expected to get a slot before its deadline, at the rate at which late requests got slots lately, or at the rate of all sends while fewer than two were counted (package admission). 10 requests sent per second let 12 late ones wait for 1.2 s; it was 3.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -43,7 +43,9 @@
 // requests of a class are refused or late, less urgent ones must leave a reserve of each
 // engine's slots free. It is not safe for concurrent use.
 type Controller struct {
-	classes   []*class // most urgent first
+	classes []*class // most urgent first
+	// lateSent is the decaying number of late requests that got a slot; see LateRate.
+	lateSent  float64
 	updatedAt time.Time
 }
 
@@ -208,6 +210,7 @@
 	}
 	c.updatedAt = now
 	keep := math.Exp(-float64(elapsed) / float64(countDecay))
+	c.lateSent *= keep
 	troubled := false // whether a more urgent class is
 	for _, k := range c.classes {
 		k.counts.each(func(n float64) float64 { return n * keep })
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -191,7 +191,7 @@
 	q.add(w)
 	s.dispatch(x.service, now)
 	if w.rank.late {
-		s.limitLate(x, q, now)
+		s.limitLate(w, q, now)
 	}
 	unservable := x.attempts == 0 && !x.callerRetry && len(w.assigned) == 0 && s.fleet.Usable(s.servableQuery(x, now), w.deadline, now) == 0
 	if unservable {
--- a/ingress/late.go
+++ b/ingress/late.go
@@ -2,15 +2,15 @@
 
 package ingress
 
-import "time"
-
-// Bound on the late requests that wait: as many as the gateway sends in lateQueueTime, but at
-// least lateQueueMin. Further ones are refused at once, while their callers have time left.
-const (
-	lateQueueTime = 300 * time.Millisecond
-	lateQueueMin  = 2
+import (
+	"slices"
+	"time"
 )
 
+// lateQueueMin is the number of late requests that may wait whatever the rate at which they
+// get slots. A gateway that has sent nothing yet knows no rate.
+const lateQueueMin = 2
+
 // lateLocked reports whether x waits for its first attempt in a contended service although
 // its target latency can no longer be met, and has no place in the return plan. Server.mu
 // must be held.
@@ -26,16 +26,31 @@
 	return x.age > 0 && x.route.TargetLatency > 0 && q.MinFirstByteMS() > float64(left)/float64(time.Millisecond)
 }
 
-// limitLate refuses the last late request that waits if there are too many. x is any of
-// them. Server.mu must be held.
-func (s *Server) limitLate(x *exchange, q *queue, now time.Time) {
-	limit := max(lateQueueMin, int(s.controllerLocked(x).SendRate(now)*lateQueueTime.Seconds()))
-	first := len(q.waiters) - 1 - limit // of the late ones, if they are too many
-	if first < 0 || !q.waiters[first].rank.late {
-		return
+// limitLate refuses each late request, from the waiter w on, that cannot be expected to get
+// a slot before its deadline. Those before w wait no longer because of it. Server.mu must be
+// held.
+func (s *Server) limitLate(w *waiter, q *queue, now time.Time) {
+	from := slices.Index(q.waiters, w)
+	if from < 0 {
+		return // it has an endpoint, or is refused
+	}
+	c := s.controllerLocked(w.exchange)
+	before := 0 // late requests that are served before
+	for _, other := range q.waiters[:from] {
+		if other.rank.late {
+			before++
+		}
+	}
+	kept := q.waiters[:from]
+	for _, other := range q.waiters[from:] {
+		if before >= lateQueueMin && !c.LateMayWait(before, other.deadline.Sub(now), now) {
+			other.exchange.refusal = refusalLateQueue
+			other.assigned <- nil
+			continue
+		}
+		before++
+		kept = append(kept, other)
 	}
-	last := q.waiters[len(q.waiters)-1]
-	q.remove(last)
-	last.exchange.refusal = refusalLateQueue
-	last.assigned <- nil
+	clear(q.waiters[len(kept):])
+	q.waiters = kept
 }
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -181,6 +181,9 @@
 		if e.Signals.Limited(now) {
 			s.metrics.Counter("mintlift_ingress_limited_requests_total", "service", service).Inc()
 		}
+		if w.rank.late {
+			s.controllerLocked(w.exchange).RecordLateSent(now)
+		}
 		w.assigned <- e
 	}
 	clear(q.waiters[len(kept):])
