fleet, ingress: test a reserve together with grants

The reserve holds also for a request that wishes for a slot: SlotTargets and the use of a grant compare the load with Query.MaxLoad, which the reserve lowers, and a grant for a request that may not use it is returned.

--- a/fleet/slots_test.go
+++ b/fleet/slots_test.go
@@ -143,3 +143,28 @@
 		assert.Assert(t, id == "b" || id == "c", id)
 	}
 }
+
+// Load: a reserve keeps slots free for more urgent requests. Guards against a less urgent
+// request that wishes for one of them, or that gets one by a grant.
+func TestGrantLeavesReservedSlotsFree(t *testing.T) {
+	const reserve = 2
+	for _, test := range []struct {
+		running int
+		want    string
+	}{{9, "a"}, {10, ""}, {11, ""}, {12, ""}} {
+		f := engines(1)
+		q := scarceQuery()
+		q.MaxLoad = q.Slots - reserve
+		r := report("a", 1, test.running, 0)
+		r.Gateways, r.DemandShare, r.DemandAhead = 26, 1.0/26, 1
+		f.ApplyReport(r, 0, start)
+		wishFor(f.ByID("a"), start)
+		f.ApplySlotGrant(slotgrant.Grant{Number: 1, Address: "a:1", Slots: 1}, start)
+		assert.Equal(t, len(f.SlotTargets(q, noWishes, start)), len(test.want), "%d running", test.running)
+		assert.Equal(t, chosen(f, q, start), test.want, "%d running", test.running)
+		q.MaxLoad = q.Slots
+		f.ByID("a").SlotGrants.ReturnUnused()
+		f.ApplySlotGrant(slotgrant.Grant{Number: 2, Address: "a:1", Slots: 1}, start)
+		assert.Equal(t, chosen(f, q, start), "a", "%d running, without a reserve", test.running)
+	}
+}
