ingress: shorten dispatch and what the merges left long

dispatch had three places that decide whether a request in time still waits; assign now says so once for each waiter. lateLocked builds a query only for callers' retries, which alone need it. Long comments and lines are reflowed. Behaviour is unchanged.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -250,9 +250,9 @@
 	return e
 }
 
-// acquire is acquireEndpoint without counting the result. A request first waits for an endpoint that meets the target latency.
-// A retry, by the gateway or by the caller, then waits a second time and accepts late
-// endpoints.
+// acquire is acquireEndpoint without counting the result. A request first waits for an
+// endpoint that meets the target latency. A retry, by the gateway or by the caller, then
+// waits a second time and accepts late endpoints.
 func (s *Server) acquire(ctx context.Context, x *exchange) *fleet.Endpoint {
 	if x.attempts > 0 && !x.acceptsLate {
 		if e := s.waitForEndpoint(ctx, x, min(retryOnTimeWait, clock.Until(x.expiresAt))); e != nil {
@@ -274,9 +274,9 @@
 }
 
 // cannotMeetTarget reports whether even an idle engine would respond to x after the
-// target latency. In a contended service, that of a caller's retry counts from the first try.
-// Such a request accepts late endpoints from the start, since refusing
-// it would only make its caller retry.
+// target latency. In a contended service, that of a caller's retry counts from the first
+// try. Such a request accepts late endpoints from the start, since refusing it would only
+// make its caller retry.
 func (x *exchange) cannotMeetTarget() bool {
 	s := x.server
 	now := clock.Now()
--- a/ingress/late.go
+++ b/ingress/late.go
@@ -18,12 +18,12 @@
 	if x.attempts > 0 || x.hasPlace || s.controllerLocked(x) == nil {
 		return false
 	}
-	if x.acceptsLate {
-		return true
+	if x.acceptsLate || x.age <= 0 || x.route.TargetLatency <= 0 {
+		return x.acceptsLate
 	}
 	q := s.attemptQuery(x, now)
 	left := x.route.TargetLatency - x.age - now.Sub(x.start)
-	return x.age > 0 && x.route.TargetLatency > 0 && q.MinFirstByteMS() > float64(left)/float64(time.Millisecond)
+	return q.MinFirstByteMS() > float64(left)/float64(time.Millisecond)
 }
 
 // limitLate refuses each late request, from the waiter w on, that cannot be expected to get
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -71,7 +71,13 @@
 
 // compareRank orders ranks; a negative result means that a is served before b.
 func compareRank(a, b rank) int {
-	return cmp.Or(compareBool(a.late, b.late), compareBool(b.belowFloor, a.belowFloor), a.urgency.Compare(b.urgency), cmp.Compare(a.stage, b.stage), a.responseDue.Compare(b.responseDue))
+	return cmp.Or(
+		compareBool(a.late, b.late),
+		compareBool(b.belowFloor, a.belowFloor),
+		a.urgency.Compare(b.urgency),
+		cmp.Compare(a.stage, b.stage),
+		a.responseDue.Compare(b.responseDue),
+	)
 }
 
 // wishPriority returns the priority of a waiter's wish for a slot: late requests come after
@@ -122,9 +128,9 @@
 	}
 }
 
-// dispatch assigns endpoints with spare capacity to the waiters of a service, in the
-// order of their ranks. A late waiter gets none while another waits that is not. It builds each waiter's query anew, because the cutoff of a
-// target version may have passed since the last dispatch. Server.mu must be held.
+// dispatch assigns endpoints with spare capacity to the waiters of a service, in the order
+// of their ranks. A late waiter gets none while one that is not late waits. Server.mu must
+// be held.
 //
 // Endpoints that have no capacity for any waiter are excluded once for all waiters.
 // Searching all endpoints for each waiter would be too slow: dispatch runs at each
@@ -150,44 +156,46 @@
 	}
 	free := s.fleet.Free(s.widestQuery(q.waiters[0].exchange, now), now)
 	defer s.queuePermitRequests(service, now)
-	kept := q.waiters[:0]
 	inTimeWaits := false
-	for _, w := range q.waiters {
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
 		if w.rank.late && inTimeWaits {
-			kept = append(kept, w)
-			continue
-		}
-		restricted := s.regionsOf(w.exchange).Restricted()
-		if len(free) == 0 && !restricted {
-			inTimeWaits = inTimeWaits || !w.rank.late
-			kept = append(kept, w)
-			continue
-		}
-		q := s.attemptQuery(w.exchange, now)
-		e := s.fleet.ChooseAmong(free, q, now)
-		if e == nil && restricted {
-			e = s.fleet.Choose(q, now) // its regions may have endpoints that are not watched
-		}
-		if e == nil {
-			// Restricted and suspected requests are not counted: they may wait for other
-			// endpoints than those that are free.
-			inTimeWaits = inTimeWaits || !w.rank.late && !restricted && !q.Isolated
-			kept = append(kept, w)
-			continue
-		}
-		w.exchange.isolated = q.Isolated
-		w.exchange.hasPermit = e.Signals.Limited(now)
-		w.exchange.granted, w.exchange.grantedAt = q.SlotGrants && e.SlotGrants.Take(now), now
-		if e.Signals.Limited(now) {
-			s.metrics.Counter("mintlift_ingress_limited_requests_total", "service", service).Inc()
-		}
-		if w.rank.late {
-			s.controllerLocked(w.exchange).RecordLateSent(now)
+			return false
 		}
-		w.assigned <- e
+		assigned, anyEndpoint := s.assign(w, free, now)
+		inTimeWaits = inTimeWaits || !assigned && anyEndpoint && !w.rank.late
+		return assigned
+	})
+}
+
+// assign assigns w one of the free endpoints, if one has capacity for it. The query is built
+// anew each time, because the cutoff of a target version may have passed since the last
+// dispatch. anyEndpoint is false if w may wait for other endpoints than those that are free,
+// because it is restricted to regions or suspected. Server.mu must be held.
+func (s *Server) assign(w *waiter, free []*fleet.Endpoint, now time.Time) (assigned, anyEndpoint bool) {
+	x := w.exchange
+	restricted := s.regionsOf(x).Restricted()
+	if len(free) == 0 && !restricted {
+		return false, true
+	}
+	q := s.attemptQuery(x, now)
+	e := s.fleet.ChooseAmong(free, q, now)
+	if e == nil && restricted {
+		e = s.fleet.Choose(q, now) // its regions may have endpoints that are not watched
+	}
+	if e == nil {
+		return false, !restricted && !q.Isolated
+	}
+	x.isolated = q.Isolated
+	x.hasPermit = e.Signals.Limited(now)
+	x.granted, x.grantedAt = q.SlotGrants && e.SlotGrants.Take(now), now
+	if x.hasPermit {
+		s.metrics.Counter("mintlift_ingress_limited_requests_total", "service", x.service).Inc()
+	}
+	if w.rank.late {
+		s.controllerLocked(x).RecordLateSent(now)
 	}
-	clear(q.waiters[len(kept):])
-	q.waiters = kept
+	w.assigned <- e
+	return true, false
 }
 
 // refuseUnplaced refuses each waiter that no endpoint on the list may serve because of its
--- a/ingress/slots.go
+++ b/ingress/slots.go
@@ -147,7 +147,10 @@
 		}
 		for _, e := range w.targets.engines {
 			if len(out[e]) < slotgrant.MaxWishes {
-				out[e] = append(out[e], slotgrant.Wish{Priority: w.rank.wishPriority(), DueMS: w.rank.responseDue.Sub(now).Milliseconds()})
+				out[e] = append(out[e], slotgrant.Wish{
+					Priority: w.rank.wishPriority(),
+					DueMS:    w.rank.responseDue.Sub(now).Milliseconds(),
+				})
 			}
 		}
 	}
