--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -24,6 +24,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/mintlift/mintlift/admission"
 	"github.com/mintlift/mintlift/backpressure"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
@@ -102,7 +103,8 @@
 	budgets        map[string]*retrybudget.Budget
 	targetVersions map[string][]TargetVersion // by model, oldest first
 	stats          map[string]*requestStats
-	timeouts       map[string]*timeoutHistogram // by route
+	admission      map[string]*admission.Controller // of contended services
+	timeouts       map[string]*timeoutHistogram     // by route
 	returnPlans    map[string]*returnplan.Plan
 	// gateways is the number of gateways among which shared limits are divided.
 	gateways  int
@@ -163,6 +165,7 @@
 		budgets:               make(map[string]*retrybudget.Budget),
 		targetVersions:        make(map[string][]TargetVersion),
 		stats:                 make(map[string]*requestStats),
+		admission:             make(map[string]*admission.Controller),
 		timeouts:              make(map[string]*timeoutHistogram),
 		returnPlans:           make(map[string]*returnplan.Plan),
 		crashedAt:             make(map[string]time.Time),
