fleet: one request without a grant to an engine that has not reported

In a contended service, gateways filled an engine that had just been listed: its first report and the answers to their subscriptions were on the way, and without a report an engine needed no grant, so each gateway counted only what it had sent itself, up to all slots. Each gateway now sends such an engine one request, as its sidecar may not run, and wishes for slots for the others; without an answer within 150 ms it goes on as before. Gateways times slots at most become one request per gateway, until the first report arrives. Services that are not contended are as before.

--- a/fleet/slots.go
+++ b/fleet/slots.go
@@ -20,9 +20,17 @@
 
 // needsGrant reports whether the attempt needs a grant of the engine's sidecar. It does not
 // if the engine is clearly free, or if its sidecar is silent, so that the engine is used by
-// the last report.
+// the last report. An engine without a report has just been listed; each gateway sends it one
+// attempt without a grant, because none knows yet what the others send, and its sidecar may
+// not run.
 func (e *Endpoint) needsGrant(q *Query, now time.Time) bool {
-	return q.SlotGrants && e.fresh(now) && !e.SlotGrants.ByReports(now) && e.loadInTurn() >= q.Slots-reservedSlots
+	if !q.SlotGrants || e.SlotGrants.ByReports(now) {
+		return false
+	}
+	if e.reportAt.IsZero() {
+		return e.inFlight > 0
+	}
+	return e.fresh(now) && e.loadInTurn() >= q.Slots-reservedSlots
 }
 
 // grantedFirstByteMS is like firstByteMS, for an engine of which a slot is granted: the
--- a/fleet/slots_test.go
+++ b/fleet/slots_test.go
@@ -84,6 +84,22 @@
 	assert.Equal(t, chosen(f, q, start.Add(reportTTL)), "a")
 }
 
+// Guards against gateways that each fill an engine that has just been listed, before their
+// subscriptions to its sidecar are answered: none knows what the others send.
+func TestUnreportedEngineNeedsGrant(t *testing.T) {
+	f := engines(1)
+	q := scarceQuery()
+	assert.Equal(t, chosen(f, q, start), "a", "the first attempt")
+	assert.Equal(t, chosen(f, q, start), "")
+	assert.DeepEqual(t, ids(f.SlotTargets(q, noWishes, start)), []string{"a"})
+	wishFor(f.ByID("a"), start)
+	assert.Equal(t, chosen(f, q, start.Add(150*time.Millisecond)), "a", "its sidecar is silent")
+	e := f.ApplySlotGrant(slotgrant.Grant{Number: 1, Address: "a:1", Slots: 1}, start)
+	assert.Equal(t, chosen(f, q, start), "a", "granted")
+	assert.Assert(t, e.SlotGrants.Take(start))
+	assert.Equal(t, chosen(f, q, start), "")
+}
+
 // Guards against a granted slot that an on-time request cannot use because the estimate
 // counts a queue, and against an engine that is granted to a request which cannot be in
 // time there.
