fleet: gateways share the engine of a silent sidecar

While a sidecar was suspended, killed or cut off, the gateways of a contended service used its engine by the last report, which does not show what the others send: each could fill all slots. Each gateway now sends at most twice the slots divided by the gateways of the last report, and at least one request. That is at most twice the slots while there are no more gateways than that, else one request per gateway, and never less than the slots in all. Services that are not contended are as before.

--- a/fleet/slots.go
+++ b/fleet/slots.go
@@ -33,6 +33,16 @@
 	return e.fresh(now) && e.loadInTurn() >= q.Slots-reservedSlots
 }
 
+// silentFull reports whether the engine of a silent sidecar has its share of this gateway's
+// attempts: twice the slots divided by the gateways, and at least one. The last report does
+// not show what the other gateways send meanwhile, and each could fill the engine alone.
+func (e *Endpoint) silentFull(q *Query, now time.Time) bool {
+	if !q.SlotGrants || e.reportAt.IsZero() || e.fresh(now) && !e.SlotGrants.ByReports(now) {
+		return false
+	}
+	return e.inFlight >= max(1, int(2*q.Slots)/max(1, e.report.Gateways))
+}
+
 // grantedFirstByteMS is like firstByteMS, for an engine of which a slot is granted: the
 // attempt waits for no other one's end, and no other gateway has been granted that slot.
 func (e *Endpoint) grantedFirstByteMS(q *Query, load float64, now time.Time) float64 {
--- a/fleet/slots_test.go
+++ b/fleet/slots_test.go
@@ -100,6 +100,24 @@
 	assert.Equal(t, chosen(f, q, start), "")
 }
 
+// Guards against gateways that each fill the engine of a silent sidecar by its last report:
+// the soak's seed 50104 saw eight requests at an engine with three slots and four gateways.
+func TestSilentSidecarSharesEngine(t *testing.T) {
+	for _, test := range []struct{ gateways, want int }{{26, 1}, {14, 1}, {8, 3}} {
+		f := engines(1)
+		q := scarceQuery()
+		r := report("a", 1, 0, 0)
+		r.Gateways = test.gateways
+		f.ApplyReport(r, 0, start)
+		wishFor(f.ByID("a"), start)
+		silent, sent := start.Add(200*time.Millisecond), 0
+		for chosen(f, q, silent) == "a" {
+			sent++
+		}
+		assert.Equal(t, sent, test.want, "%d gateways", test.gateways)
+	}
+}
+
 // Guards against a granted slot that an on-time request cannot use because the estimate
 // counts a queue, and against an engine that is granted to a request which cannot be in
 // time there.
