fleet: share the engine of a silent sidecar that has not reported

The share of an engine without a report is now one attempt per gateway, as the number of gateways is not known from it.

--- a/fleet/slots.go
+++ b/fleet/slots.go
@@ -36,10 +36,14 @@
 // silentFull reports whether the engine of a silent sidecar has its share of this gateway's
 // attempts: twice the slots divided by the gateways, and at least one. The last report does
 // not show what the other gateways send meanwhile, and each could fill the engine alone.
+// Without a report, the number of gateways is not known, and the share is one attempt.
 func (e *Endpoint) silentFull(q *Query, now time.Time) bool {
-	if !q.SlotGrants || e.reportAt.IsZero() || e.fresh(now) && !e.SlotGrants.ByReports(now) {
+	if !q.SlotGrants || e.fresh(now) && !e.SlotGrants.ByReports(now) {
 		return false
 	}
+	if e.reportAt.IsZero() {
+		return e.inFlight > 0
+	}
 	return e.inFlight >= max(1, int(2*q.Slots)/max(1, e.report.Gateways))
 }
 
--- a/fleet/slots_test.go
+++ b/fleet/slots_test.go
@@ -93,7 +93,7 @@
 	assert.Equal(t, chosen(f, q, start), "")
 	assert.DeepEqual(t, ids(f.SlotTargets(q, noWishes, start)), []string{"a"})
 	wishFor(f.ByID("a"), start)
-	assert.Equal(t, chosen(f, q, start.Add(150*time.Millisecond)), "a", "its sidecar is silent")
+	assert.Equal(t, chosen(f, q, start.Add(150*time.Millisecond)), "", "its sidecar is silent")
 	e := f.ApplySlotGrant(slotgrant.Grant{Number: 1, Address: "a:1", Slots: 1}, start)
 	assert.Equal(t, chosen(f, q, start), "a", "granted")
 	assert.Assert(t, e.SlotGrants.Take(start))
