admission: a reserve never exceeds the share of more urgent requests

A reserve is now at most the share of requests that are more urgent. TestReserveIsBoundedByUrgentDemand failed before (4 slots for one request in 50).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -12,7 +12,9 @@
 const (
 	// countDecay is the time constant with which counts decay.
 	countDecay = 1500 * time.Millisecond
-	// maxReserve is the highest reserve, as a share of an engine's slots.
+	// maxReserve is the highest reserve, as a share of an engine's slots. A reserve also
+	// never exceeds the share of the requests that are more urgent: slots beyond that would
+	// stay empty, or go to nobody who needs them more.
 	maxReserve = 1.0 / 3
 	// raiseTime and lowerTime are how long a reserve takes to rise from 0 to maxReserve
 	// and to fall back. It must be in force before a burst has taken all slots. A slow
@@ -78,10 +80,12 @@
 // servedShare returns the share of the requests that were sent. ok is false if too few
 // were decided.
 func (c *Counts) servedShare() (share float64, ok bool) {
-	decided := c.Sent + c.Refused
-	return c.Sent / max(decided, 1), decided >= floorMin
+	return c.Sent / max(c.decided(), 1), c.decided() >= floorMin
 }
 
+// decided returns the number of requests that were sent or refused.
+func (c *Counts) decided() float64 { return c.Sent + c.Refused }
+
 // RecordSent counts a first attempt that got an engine.
 func (c *Controller) RecordSent(u Urgency, now time.Time) {
 	if k := c.class(u, now); k != nil {
@@ -211,15 +215,22 @@
 	c.updatedAt = now
 	keep := math.Exp(-float64(elapsed) / float64(countDecay))
 	c.lateSent *= keep
-	troubled := false // whether a more urgent class is
+	total := 0.0 // requests of all classes
 	for _, k := range c.classes {
 		k.counts.each(func(n float64) float64 { return n * keep })
+		total += k.counts.decided()
+	}
+	troubled := false // whether a more urgent class is
+	above := 0.0      // requests of more urgent classes
+	for _, k := range c.classes {
 		if troubled {
-			k.reserve = min(k.reserve+maxReserve*float64(elapsed)/float64(raiseTime), maxReserve)
+			limit := min(maxReserve, above/max(total, 1))
+			k.reserve = min(k.reserve+maxReserve*float64(elapsed)/float64(raiseTime), limit)
 		} else {
 			k.reserve = max(k.reserve-maxReserve*float64(elapsed)/float64(lowerTime), 0)
 		}
 		troubled = troubled || k.counts.troubled()
+		above += k.counts.decided()
 	}
 	c.classes = slices.DeleteFunc(c.classes, func(k *class) bool {
 		return k.counts.Sent+k.counts.Refused+k.counts.InTime+k.counts.Late < negligible && k.reserve == 0 && k.logged == 0
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -184,3 +184,23 @@
 		}
 	})
 }
+
+// Load: one request in 50 is urgent, and half of these are refused. Guards against a reserve
+// that takes a third of the slots from nearly all requests for the sake of a few.
+func TestReserveIsBoundedByUrgentDemand(t *testing.T) {
+	c := &Controller{}
+	for i := range 1000 {
+		now := ms(2 * i)
+		switch {
+		case i%50 > 0:
+			c.RecordSent(least, now)
+			c.RecordResponse(least, true, now)
+		case i%100 == 0:
+			c.RecordRefused(urgent, now)
+		default:
+			c.RecordSent(urgent, now)
+		}
+	}
+	reserve := c.Reserve(least, slots, ms(2000))
+	assert.Assert(t, reserve > 0 && reserve < 0.03*slots, "%.2f slots", reserve)
+}
