ingress: late requests leave a part of the slots, as before

The bound is back, and a caller's return first waits as a request in time again. Late requests still come after all others, at the gateway and in the sidecars' ledgers.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -100,8 +100,6 @@
 	switch {
 	case x.attempts > 0:
 		q.MaxLoad += retryExtraLoad
-	case x.acceptsLate && s.contendedLocked(service):
-		// Sidecars grant slots to late requests after all others, so none need be kept free.
 	case x.acceptsLate:
 		q.MaxLoad *= lateLoadShare
 		q.MaxBacklogMS = lateBacklogPrompts * x.meanPrefillMS
@@ -184,7 +182,7 @@
 		assigned: make(chan *fleet.Endpoint, 1),
 	}
 	s.mu.Lock()
-	w.rank.belowFloor, w.rank.late = s.belowFloorLocked(x, now), s.lateLocked(x, now)
+	w.rank.belowFloor, w.rank.late = s.belowFloorLocked(x, now), s.lateLocked(x)
 	q := s.queues[x.service]
 	if q == nil {
 		q = &queue{}
@@ -280,17 +278,15 @@
 }
 
 // cannotMeetTarget reports whether even an idle engine would respond to x after the
-// target latency. In a contended service, that of a caller's retry counts from the first
-// try. Such a request accepts late endpoints from the start, since refusing it would only
-// make its caller retry.
+// target latency. Such a request accepts late endpoints from the start, since refusing it
+// would only make its caller retry.
 func (x *exchange) cannotMeetTarget() bool {
 	s := x.server
 	now := clock.Now()
 	s.mu.Lock()
 	q := s.attemptQuery(x, now)
-	late := s.lateLocked(x, now)
 	s.mu.Unlock()
-	return late || q.MaxFirstByteMS > 0 && q.PrefillMS > 0 && q.MinFirstByteMS() > q.MaxFirstByteMS
+	return q.MaxFirstByteMS > 0 && q.PrefillMS > 0 && q.MinFirstByteMS() > q.MaxFirstByteMS
 }
 
 // queueTimeout returns how long x may wait for an endpoint that meets the target latency.
