--- a/fetchplan/fetchplan_test.go
+++ b/fetchplan/fetchplan_test.go
@@ -26,8 +26,8 @@
 
 // deployments are those of docs/contended-fleets.md.
 var deployments = []deployment{
-	{"hearth", 96, 44900 * time.Microsecond, 30600 * time.Microsecond, 13400 * time.Millisecond},
-	{"pinecrest", 64, 44100 * time.Microsecond, 39200 * time.Microsecond, 10300 * time.Millisecond},
+	{"larger copies", 96, 44900 * time.Microsecond, 30600 * time.Microsecond, 13400 * time.Millisecond},
+	{"smaller copies", 64, 44100 * time.Microsecond, 39200 * time.Microsecond, 10300 * time.Millisecond},
 }
 
 // epoch is the time at which version 2 is announced.
@@ -57,12 +57,12 @@
 	// want has a row for each share that is held. Its columns are a return of the origin
 	// 1, 3 and 5 s before the deadline of version 2.
 	want := map[string]map[float64][][]int{
-		"hearth": {
+		"larger copies": {
 			0.3: {newer, newer, newer},
 			0.6: {newer, newer, older},
 			0.9: {older, older, older},
 		},
-		"pinecrest": { // its copies are smaller
+		"smaller copies": {
 			0.3: {newer, newer, older},
 			0.6: {newer, older, older},
 			0.9: {older, older, older},
--- a/ingress/scarcity_test.go
+++ b/ingress/scarcity_test.go
@@ -25,7 +25,7 @@
 	"github.com/mintlift/mintlift/telemetry"
 )
 
-// Parameters of a contended fleet, of the size of half of hearth (docs/contended-fleets.md).
+// Parameters of a contended fleet, half as large as the larger one of (docs/contended-fleets.md).
 const (
 	simGateways = 13
 	simEngines  = 17
@@ -308,19 +308,19 @@
 	return inTime / max(count, 1), answered / max(count, 1), count
 }
 
-// hearthRoutes and pinecrestRoutes are the routes of the two deployments.
+// equalRoutes have one priority, and mixedRoutes three (docs/contended-fleets.md).
 var (
-	hearthRoutes    = []simRoute{{0.41, 1290, 500 * time.Millisecond, 1}, {0.30, 787, 400 * time.Millisecond, 1}, {0.29, 607, 400 * time.Millisecond, 1}}
-	pinecrestRoutes = []simRoute{{0.43, 787, 400 * time.Millisecond, 0}, {0.23, 607, 400 * time.Millisecond, 1}, {0.34, 1290, time.Second, 2}}
+	equalRoutes = []simRoute{{0.41, 1290, 500 * time.Millisecond, 1}, {0.30, 787, 400 * time.Millisecond, 1}, {0.29, 607, 400 * time.Millisecond, 1}}
+	mixedRoutes = []simRoute{{0.43, 787, 400 * time.Millisecond, 0}, {0.23, 607, 400 * time.Millisecond, 1}, {0.34, 1290, time.Second, 2}}
 )
 
-// Load: 1.1 times the capacity with hearth's routes, and engine queues of 2 s at the start.
+// Load: 1.1 times the capacity with routes of one priority, and engine queues of 2 s at the start.
 // Guards against late requests that keep the slots from those that can still be in time.
 // At most 1/1.1 of the requests can be in time. Service in time is back if nine tenths of
 // that, 0.82, are in time from the fourth second on, and 0.75 at each second.
 func TestServiceInTimeReturnsAfterBurst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newSimFleet(hearthRoutes, 17)
+		f := newSimFleet(equalRoutes, 17)
 		f.run(1.1, 9*time.Second)
 		for from := 3 * time.Second; from < 8*time.Second; from += time.Second {
 			inTime, answered, _ := f.share(-1, from, from+time.Second)
@@ -332,14 +332,14 @@
 	})
 }
 
-// Load: 1.1 and 1.5 times the capacity with pinecrest's routes, whose least urgent requests
+// Load: 1.1 and 1.5 times the capacity with routes of three priorities, whose least urgent requests
 // have the longest target. Guards against the most urgent route being served less often than
 // others, as without urgency and reserve, and against other routes or large requests that
 // starve.
 func TestUrgentRequestsAreServedFirst(t *testing.T) {
 	for _, load := range []float64{1.1, 1.5} {
 		synctest.Test(t, func(t *testing.T) {
-			f := newSimFleet(pinecrestRoutes, 0)
+			f := newSimFleet(mixedRoutes, 0)
 			f.run(load, 9*time.Second)
 			for route := range 3 {
 				_, answered, _ := f.share(route, 3*time.Second, 8*time.Second)
--- a/installer/outage_test.go
+++ b/installer/outage_test.go
@@ -16,7 +16,7 @@
 	"github.com/mintlift/mintlift/transfer"
 )
 
-// The figures of pinecrest in docs/contended-fleets.md. Times count from the
+// Figures of the second deployment in docs/contended-fleets.md. Times count from the
 // announcement of version 2.
 const (
 	outageChunks     = 64
--- a/returnplan/returnplan.go
+++ b/returnplan/returnplan.go
@@ -34,8 +34,8 @@
 	rateDecay = 1500 * time.Millisecond
 	// returnShare is the share of the served requests that is kept for returns even if
 	// new requests could use all places. Each such return displaces a new request that
-	// would be in time. In the model of TestPlanAgainstRandomReturns, a share of 0.1
-	// costs 4 per cent of the requests in time.
+	// would be in time. A larger share costs more of them than it
+	// serves returns; see docs/design/returns.md.
 	returnShare = 0.02
 	// spreadAfterLatest is the length of the period after the earliest instant over which
 	// returns are spread if the earliest instant is not before the latest.
