--- a/installer/newestload_test.go
+++ b/installer/newestload_test.go
@@ -25,6 +25,7 @@
 		i.Configure(Params{Model: testModel, Chunks: testChunks, ChunkBytes: testBytes, OriginRate: 1 << 20, OriginRegion: "r", Deadline: testDeadline})
 		i.AddTarget(testModel, 1, time.Now().Add(-age))
 		i.UpdateEngineState(inheritedState)
+		assert.Assert(t, i.Undecided())
 		go i.Run(t.Context())
 		assert.Assert(t, awaitDecision(t, i) < loadtrust.DecisionTime)
 		assert.Assert(t, !i.Unverified())
--- a/installer/review_test.go
+++ b/installer/review_test.go
@@ -32,6 +32,7 @@
 	t.Cleanup(cancel)
 	s, _ := e.State(ctx)
 	i.UpdateEngineState(s)
+	assert.Assert(t, i.Undecided())
 	go i.Run(ctx)
 	go func() {
 		for ctx.Err() == nil {
@@ -46,7 +47,6 @@
 // awaitDecision waits until the load is no longer undecided, and returns how long it was.
 func awaitDecision(t *testing.T, i *Installer) time.Duration {
 	t.Helper()
-	assert.Assert(t, i.Undecided())
 	began := time.Now()
 	for ; i.Undecided(); time.Sleep(time.Millisecond) {
 		assert.Assert(t, time.Since(began) < 10*time.Second, "the load is not decided")
