ingress: callers' retries are late by their age

A caller's retry counted its target latency anew, so that it took slots as a request in time although it is late for its caller. In contended services its target now counts from the first try: it waits behind all requests that can be in time and leaves a part of the slots, as other late requests do; one with a place in the return plan goes first as before.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -182,7 +182,7 @@
 		assigned: make(chan *fleet.Endpoint, 1),
 	}
 	s.mu.Lock()
-	w.rank.belowFloor, w.rank.late = s.belowFloorLocked(x, now), s.lateLocked(x)
+	w.rank.belowFloor, w.rank.late = s.belowFloorLocked(x, now), s.lateLocked(x, now)
 	q := s.queues[x.service]
 	if q == nil {
 		q = &queue{}
@@ -278,15 +278,17 @@
 }
 
 // cannotMeetTarget reports whether even an idle engine would respond to x after the
-// target latency. Such a request accepts late endpoints from the start, since refusing it
-// would only make its caller retry.
+// target latency. In a contended service, that of a caller's retry counts from the first
+// try. Such a request accepts late endpoints from the start, since refusing it would only
+// make its caller retry.
 func (x *exchange) cannotMeetTarget() bool {
 	s := x.server
 	now := clock.Now()
 	s.mu.Lock()
 	q := s.attemptQuery(x, now)
+	late := s.lateLocked(x, now)
 	s.mu.Unlock()
-	return q.MaxFirstByteMS > 0 && q.PrefillMS > 0 && q.MinFirstByteMS() > q.MaxFirstByteMS
+	return late || q.MaxFirstByteMS > 0 && q.PrefillMS > 0 && q.MinFirstByteMS() > q.MaxFirstByteMS
 }
 
 // queueTimeout returns how long x may wait for an endpoint that meets the target latency.
