ingress: divide shared limits before the first load report

A retry budget that was created before the first load report replaced the assumed number of gateways by 0, which counts as 1: each gateway allowed itself the whole slack of all gateways, and in a service without engines it did so for ever. The share of an endpoint's connections was divided by 0, whose conversion to int depends on the processor: one connection, or no limit.

Until a sidecar reports the number of gateways, the number assumed by the settings is used, as for rate limits.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -167,7 +167,7 @@
 	if service.MaxConnections <= 0 {
 		return 0
 	}
-	return max(1, int(connectionShare*float64(service.MaxConnections)/float64(s.gateways)))
+	return max(1, int(connectionShare*float64(service.MaxConnections)/float64(s.sharingGateways())))
 }
 
 // waitForEndpoint waits up to maxWait for an endpoint for x. It returns nil if none had
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -106,7 +106,8 @@
 	admission      map[string]*admission.Controller // of contended services
 	timeouts       map[string]*timeoutHistogram     // by route
 	returnPlans    map[string]*returnplan.Plan
-	// gateways is the number of gateways among which shared limits are divided.
+	// gateways is the largest number of gateways that a sidecar has reported, or 0 before
+	// the first report. See sharingGateways.
 	gateways  int
 	listKnown bool // the endpoint list has been read at least once
 	list      listState
@@ -395,6 +396,16 @@
 	s.events.Info("gateway count increased", "gateways", n)
 }
 
+// sharingGateways returns the number of gateways among which shared limits are divided.
+// Before the first report, it is the number that the settings assume. Server.mu must be
+// held.
+func (s *Server) sharingGateways() int {
+	if s.gateways > 0 {
+		return s.gateways
+	}
+	return max(s.settings.Budget.Gateways, 1)
+}
+
 // NoticeDue returns a channel that receives when sidecars should be notified at once:
 // a target version was set, an endpoint was added, or the suspects have changed, which
 // are the requests that may have crashed endpoints.
@@ -487,7 +498,7 @@
 	b := s.budgets[service]
 	if b == nil {
 		b = retrybudget.New(s.settings.Budget, now)
-		b.SetGateways(s.gateways)
+		b.SetGateways(s.sharingGateways())
 		s.budgets[service] = b
 	}
 	return b
