ingress: a service is contended by the recent number of gateways

The number of gateways that decides whether a service is contended was the largest ever reported, so it never fell. Sidecars count a gateway for 3.5 s after its last subscription. If the gateways are replaced at new addresses, the number is up to twice as high for that time, and a service with as many gateways as slots was contended from then on, until all gateways had restarted.

The number is now the largest of the current period of 30 s and the one before. Periods end only when reports arrive, and not while a late cutoff is in force: attempts that were sent after the usual cutoff depend on withdrawals that reset the connection. Limits on connections, retries and rates are still divided by the largest number ever reported.

--- a/ingress/contended_test.go
+++ b/ingress/contended_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/routing"
 	"github.com/mintlift/mintlift/telemetry"
 )
@@ -32,9 +33,9 @@
 	} {
 		s := New(Settings{VersionDeadline: 8 * time.Second}, logr.Discard(), logr.Discard(), telemetry.NewMetrics())
 		s.mu.Lock()
-		s.raiseGateways(test.gateways)
+		s.recordGateways(test.gateways, clock.Now())
 		assert.Equal(t, s.contendedLocked(test.service), test.want, test.name)
-		s.raiseGateways(test.gateways - 5)
+		s.recordGateways(test.gateways-5, clock.Now())
 		assert.Equal(t, s.contendedLocked(test.service), test.want, "%s: a smaller number is ignored", test.name)
 		s.mu.Unlock()
 	}
--- a/ingress/cutoff_test.go
+++ b/ingress/cutoff_test.go
@@ -152,7 +152,7 @@
 // Guards against a cutoff that becomes later after it has refused a request, or that stays
 // late when the service is no longer contended.
 func TestCutoffChangesWithNumberOfGateways(t *testing.T) {
-	contend := func(g *testGateway) { g.server.raiseGateways(testSlots + 1) }
+	contend := func(g *testGateway) { g.server.recordGateways(testSlots+1, clock.Now()) }
 	cutoff := func(g *testGateway, deadline time.Time) time.Duration {
 		return deadline.Sub(g.server.targetVersions[testModel][0].cutoff)
 	}
@@ -166,7 +166,7 @@
 	margin := withdrawalLead + deliveryTime + beginTime(0, 50)
 
 	g, deadline := setUp(maxVersionMargin + time.Second)
-	g.server.raiseGateways(testSlots)
+	g.server.recordGateways(testSlots, clock.Now())
 	assert.Equal(t, cutoff(g, deadline), maxVersionMargin)
 	assert.Equal(t, g.server.CutoffMargin(testModel), time.Duration(0))
 	contend(g)
@@ -264,7 +264,7 @@
 	for _, gateways := range []int{testSlots, testSlots + 1} {
 		g := newTestGateway(t)
 		g.configure(1)
-		g.server.raiseGateways(gateways)
+		g.server.recordGateways(gateways, clock.Now())
 		now := time.Now()
 		g.server.SetTargetVersion(testModel, 2, false, now)
 		before := g.server.targetVersions[testModel][0]
@@ -281,7 +281,7 @@
 	for _, gateways := range []int{testSlots, testSlots + 1} {
 		g := newTestGateway(t)
 		g.configure(1)
-		g.server.raiseGateways(gateways)
+		g.server.recordGateways(gateways, clock.Now())
 		now := time.Now()
 		g.server.SetTargetVersion(testModel, 3, true, now)
 		g.server.SetVersionTime(testModel, 3, now.Add(-time.Second))
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -108,10 +108,12 @@
 	returnPlans    map[string]*returnplan.Plan
 	// gateways is the largest number of gateways that a sidecar has reported, or 0 before
 	// the first report. See sharingGateways.
-	gateways  int
-	listKnown bool // the endpoint list has been read at least once
-	list      listState
-	rollback  storeRollback
+	gateways int
+	// recentGateways decides which services are contended.
+	recentGateways gatewayCount
+	listKnown      bool // the endpoint list has been read at least once
+	list           listState
+	rollback       storeRollback
 	// unconfigured holds the listed endpoints whose service the configuration
 	// lacks, by endpoint ID.
 	unconfigured map[string]fleet.Record
@@ -373,7 +375,7 @@
 	if e == nil {
 		return
 	}
-	s.raiseGateways(r.Gateways)
+	s.recordGateways(r.Gateways, now)
 	if changed {
 		s.cutOffOlderVersions(r.Model, e.HeldVersion(r.Model, now), now)
 		s.events.Info("engine reported", "endpoint", e.ID, "model", r.Model, "version", r.Version, "busy", r.Busy, "doubted", r.Unverified, "draining", r.Draining, "limited", r.Limited, "rate", r.Limit)
@@ -381,19 +383,26 @@
 	s.dispatch(e.Service, now)
 }
 
-// raiseGateways processes the number of gateways that a sidecar has reported. Shared
-// limits are divided by the largest number ever reported. Server.mu must be held.
-func (s *Server) raiseGateways(n int) {
-	if n <= s.gateways {
+// recordGateways processes the number of gateways that a sidecar has reported. Shared
+// limits are divided by the largest number ever reported, and services are contended by the
+// largest recent one. Server.mu must be held.
+func (s *Server) recordGateways(n int, now time.Time) {
+	if n <= 0 {
 		return
 	}
-	s.gateways = n
-	s.fleet.SetGateways(n)
-	for _, b := range s.budgets {
-		b.SetGateways(n)
+	before := s.recentGateways.largest()
+	s.recentGateways.observe(n, s.lateCutoffInForce(now), now)
+	if n > s.gateways {
+		s.gateways = n
+		s.fleet.SetGateways(n)
+		for _, b := range s.budgets {
+			b.SetGateways(n)
+		}
+	}
+	if recent := s.recentGateways.largest(); recent != before {
+		s.updateCutoffs(now)
+		s.events.Info("gateway count changed", "gateways", recent, "largest", s.gateways)
 	}
-	s.updateCutoffs(clock.Now())
-	s.events.Info("gateway count increased", "gateways", n)
 }
 
 // sharingGateways returns the number of gateways among which shared limits are divided.
--- a/ingress/reserve_test.go
+++ b/ingress/reserve_test.go
@@ -19,7 +19,7 @@
 func contendedServer(t *testing.T, gateways int) *testGateway {
 	g := newTestGateway(t)
 	g.server.Apply(urgencyConfig([]int{0, 2}, []int{1}))
-	g.server.raiseGateways(gateways)
+	g.server.recordGateways(gateways, clock.Now())
 	return g
 }
 
--- a/ingress/returns_test.go
+++ b/ingress/returns_test.go
@@ -68,7 +68,7 @@
 // answered as before.
 func TestServiceThatIsNotContendedHasNoReturnPlan(t *testing.T) {
 	s, _ := newFullServer(t, 2, 0)
-	s.gateways = 4 // as many as slots
+	s.recentGateways = gatewayCount{current: 4} // as many as slots
 	now := clock.Now()
 	x := newRefused(s, 6*time.Second, now)
 	s.countArrival(x, now)
@@ -110,7 +110,7 @@
 	g := newTestGateway(t)
 	g.decodeSignals()
 	g.configure(1)
-	g.server.gateways = 13
+	g.server.recordGateways(13, clock.Now())
 	g.server.returnPlans["engine"] = s.returnPlans["engine"]
 	g.startEndpoint("a", "engine", addHeader(backoffHeader, "1.2", respondNotRun))
 	opens := clock.Now().Add(backoff)
