ingress: remove the admission state of uncontended services

Admission controllers and return plans stayed for ever after their service had been removed from the configuration or was no longer contended. A return plan that was used again hours later counted as having measured already, and answered by counts that had decayed to nothing. The gauge of a reserve kept the controller and the number of slots with which it was registered, so that it was wrong after a change of the configuration.

Maintain now removes both, and the gauge looks up the controller and the slots.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -497,6 +497,9 @@
 	defer s.mu.Unlock()
 	s.expireRollback(now)
 	s.fleet.PruneSignals(now)
+	if c := s.routes.Get(); c != nil {
+		s.removeUncontended(c)
+	}
 }
 
 // Close closes the idle connections to endpoints.
--- /dev/null
+++ b/ingress/removed_test.go
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ingress
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/routing"
+)
+
+// raiseReserve makes the reserve of the route of priority 2 as high as possible, and returns
+// when it is.
+func raiseReserve(s *testGateway) time.Time {
+	now := clock.Now()
+	s.server.recordDecision(s.newExchange("1", now), true)
+	for range 20 {
+		x := s.newExchange("0", now)
+		x.refusal = refusalNoSlot
+		s.server.recordDecision(x, false)
+	}
+	later := clock.Now().Add(400 * time.Millisecond)
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	s.server.logReserves("engine", s.server.admission["engine"], 4, later)
+	return later
+}
+
+// Guards against admission controllers and return plans that remain after their service was
+// removed or is no longer contended.
+func TestStateOfUncontendedServiceIsRemoved(t *testing.T) {
+	removed := routing.New(2, nil, nil, nil, routing.Limits{})
+	moreSlots := urgencyConfig([]int{0, 2}, []int{1})
+	moreSlots.Version = 2
+	moreSlots.Services["engine"].Engine.Slots = 5
+	for name, c := range map[string]*routing.Configuration{"removed": removed, "as many slots as gateways": moreSlots} {
+		g := contendedServer(t, 5)
+		now := clock.Now()
+		x := g.newExchange("0", now)
+		g.server.countArrival(x, now)
+		g.server.recordDecision(x, true)
+		g.server.Maintain(now)
+		assert.Assert(t, len(g.server.admission) == 1 && len(g.server.returnPlans) == 1, name)
+		g.server.Apply(c)
+		g.server.Maintain(now)
+		assert.Assert(t, len(g.server.admission) == 0 && len(g.server.returnPlans) == 0, name)
+	}
+}
+
+// Guards against a metric of the reserve that goes on showing the slots of an earlier
+// configuration, or a controller that has been replaced.
+func TestReserveMetricFollowsConfiguration(t *testing.T) {
+	g := contendedServer(t, 13)
+	metric := func() string {
+		w := httptest.NewRecorder()
+		g.server.metrics.Handler(w, nil)
+		for line := range strings.Lines(w.Body.String()) {
+			if name, value, _ := strings.Cut(strings.TrimSpace(line), " "); strings.HasPrefix(name, "mintlift_admission_reserve") {
+				return value
+			}
+		}
+		return ""
+	}
+	u := g.newExchange("1", clock.Now()).urgency()
+	later := raiseReserve(g)
+	before := g.server.reserveInForce("engine", u, later)
+	assert.Assert(t, before > 1)
+	c := urgencyConfig([]int{0, 2}, []int{1})
+	c.Version = 2
+	c.Services["engine"].Engine.Slots = 12
+	g.server.Apply(c)
+	assert.Equal(t, g.server.reserveInForce("engine", u, later), 3*before)
+	assert.Assert(t, metric() != "0" && metric() != "", metric())
+	g.server.Apply(routing.New(3, nil, nil, nil, routing.Limits{}))
+	g.server.Maintain(later)
+	assert.Equal(t, metric(), "0")
+}
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -3,11 +3,14 @@
 package ingress
 
 import (
+	"maps"
 	"strconv"
 	"time"
 
 	"github.com/mintlift/mintlift/admission"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/returnplan"
+	"github.com/mintlift/mintlift/routing"
 )
 
 // refusal is why a request got no endpoint at its first attempt.
@@ -110,10 +113,29 @@
 		u, n := change.Urgency, change.Counts
 		s.events.Info("admission reserve changed", "service", service, "priority", u.Priority, "route_priority", u.RoutePriority, "slots", change.Slots,
 			"sent", n.Sent, "refused", n.Refused, "in_time", n.InTime, "late", n.Late)
-		s.metrics.Gauge("mintlift_admission_reserve", func() float64 {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			return c.Reserve(u, slots, clock.Now())
-		}, "service", service, "priority", strconv.Itoa(u.Priority), "route_priority", strconv.Itoa(u.RoutePriority))
+		s.metrics.Gauge("mintlift_admission_reserve", func() float64 { return s.reserveInForce(service, u, clock.Now()) },
+			"service", service, "priority", strconv.Itoa(u.Priority), "route_priority", strconv.Itoa(u.RoutePriority))
 	}
 }
+
+// reserveInForce returns how many slots of each engine of a service requests of urgency u
+// must leave free, by the configuration in force.
+func (s *Server) reserveInForce(service string, u admission.Urgency, now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, engine := s.admission[service], engineConfig(s.routes.Get(), service)
+	if c == nil || engine == nil {
+		return 0
+	}
+	return c.Reserve(u, engine.Slots, now)
+}
+
+// removeUncontended removes the admission controllers and return plans of services that
+// have been removed or are no longer contended. If a service is contended again later, its
+// counts start anew: those of before would make a return plan promise places at once that it
+// has not measured. Server.mu must be held.
+func (s *Server) removeUncontended(c *routing.Configuration) {
+	uncontended := func(service string) bool { return !s.contendedLocked(c.Services[service]) }
+	maps.DeleteFunc(s.admission, func(service string, _ *admission.Controller) bool { return uncontended(service) })
+	maps.DeleteFunc(s.returnPlans, func(service string, _ *returnplan.Plan) bool { return uncontended(service) })
+}
