ingress: remove the histograms of removed routes

At most 64 routes have a histogram of their callers' remaining times. Those of routes that the configuration no longer contains remained, so that after 64 names no callers' retries of new routes were recognized: they were ranked and refused like first tries.

A new configuration now removes them.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -212,6 +213,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
+	maps.DeleteFunc(s.timeouts, func(route string, _ *timeoutHistogram) bool { return !c.HasRoute(route) })
 	s.updateCutoffs(now)
 	s.dispatchAll(now) // the regions of waiting requests may have changed
 }
--- a/ingress/removed_test.go
+++ b/ingress/removed_test.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -80,3 +81,21 @@
 	g.server.Maintain(later)
 	assert.Equal(t, metric(), "0")
 }
+
+// Load: configurations that replace all routes. Guards against routes whose callers' retries
+// are not recognized because the histograms of routes that have been removed remain.
+func TestRemovedRoutesLeaveNoHistograms(t *testing.T) {
+	g := newTestGateway(t)
+	retry := false
+	for n := range 2 * maxTimeoutRoutes {
+		r := route(routing.Streaming, fmt.Sprint("/stream/", n), "engine", 2)
+		g.configure(int64(n+1), r)
+		now := clock.Now()
+		for range 2 * minTimeoutSamples {
+			g.server.isCallerRetry(r, "engine", 6*time.Second, 6*time.Second, now)
+		}
+		retry = g.server.isCallerRetry(r, "engine", 4*time.Second, 6*time.Second, now)
+	}
+	assert.Assert(t, retry)
+	assert.Equal(t, len(g.server.timeouts), 1)
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -222,6 +222,16 @@
 	return mixed
 }
 
+// HasRoute reports whether the configuration has a route with a name.
+func (c *Configuration) HasRoute(name string) bool {
+	for _, list := range c.hosts {
+		if slices.ContainsFunc(list, func(r *Route) bool { return r.Name == name }) {
+			return true
+		}
+	}
+	return false
+}
+
 // RoutePrioritiesDiffer reports whether the streaming routes of a service differ in
 // priority.
 func (c *Configuration) RoutePrioritiesDiffer(service string) bool { return c.mixed[service] }
