ingress: remove the queues and counts of removed services

The queue and the request counts of a service remained after the service had been removed from the configuration, so that they grew with the number of names ever used. Maintain now removes them once no request waits.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -501,9 +501,20 @@
 	s.fleet.PruneSignals(now)
 	if c := s.routes.Get(); c != nil {
 		s.removeUncontended(c)
+		s.removeUnused(c)
 	}
 }
 
+// removeUnused removes the request counts and the empty queues of services that the
+// configuration lacks. A retry budget remains: requests of the former configuration may be
+// in progress, and would start a new one with each retry. Server.mu must be held.
+func (s *Server) removeUnused(c *routing.Configuration) {
+	maps.DeleteFunc(s.stats, func(service string, _ *requestStats) bool { return c.Services[service] == nil })
+	maps.DeleteFunc(s.queues, func(service string, q *queue) bool {
+		return c.Services[service] == nil && len(q.waiters) == 0 && len(q.wishing) == 0
+	})
+}
+
 // Close closes the idle connections to endpoints.
 func (s *Server) Close() { s.pool.CloseAllIdle() }
 
--- a/ingress/removed_test.go
+++ b/ingress/removed_test.go
@@ -99,3 +99,21 @@
 	assert.Assert(t, retry)
 	assert.Equal(t, len(g.server.timeouts), 1)
 }
+
+// Guards against queues and counts of services that were removed, and against a queue that is
+// removed while a request waits in it.
+func TestQueuesOfRemovedServicesAreRemoved(t *testing.T) {
+	g := newTestGateway(t)
+	g.configure(1)
+	s, now := g.server, clock.Now()
+	_ = s.Demand("engine", now)
+	w := &waiter{exchange: &exchange{server: s, config: s.Configuration(), service: "engine", route: s.Configuration().Match("h.example", "/stream/1")}}
+	q := &queue{waiters: []*waiter{w}}
+	s.queues["engine"], s.queues["plain"] = q, &queue{}
+	s.Apply(routing.New(2, nil, nil, nil, routing.Limits{}))
+	s.Maintain(now)
+	assert.Assert(t, s.queues["engine"] == q && len(s.queues) == 1 && len(s.stats) == 0)
+	q.remove(w)
+	s.Maintain(now)
+	assert.Equal(t, len(s.queues), 0)
+}
