ingress: do not count returns that no engine could serve as lack of slots

A caller's retry waits although no engine may serve, as before a new version is complete, and was then refused as no_slot. These refusals counted in the admission controller, where those of new requests do not.

Such a refusal is now unservable, and is not counted.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -218,10 +218,7 @@
 	defer s.mu.Unlock()
 	q.remove(w)
 	s.updateSlotWishes(x.service, q, clock.Now())
-	x.refusal = refusalNoSlot
-	if s.reserveLocked(x, clock.Now()) > 0 {
-		x.refusal = refusalReserve
-	}
+	x.refusal = s.waitRefusal(x, clock.Now())
 	select {
 	case e := <-w.assigned:
 		if ctx.Err() == nil || e == nil {
@@ -235,6 +232,18 @@
 	return nil
 }
 
+// waitRefusal returns why x got no endpoint in a wait that has ended. Server.mu must be held.
+func (s *Server) waitRefusal(x *exchange, now time.Time) refusal {
+	switch {
+	case x.attempts == 0 && s.fleet.Usable(s.servableQuery(x, now), now, now) == 0:
+		return refusalUnservable
+	case s.reserveLocked(x, now) > 0:
+		return refusalReserve
+	default:
+		return refusalNoSlot
+	}
+}
+
 // acquireEndpoint waits for an endpoint for the next attempt of x. It returns nil if x
 // is to be refused.
 func (s *Server) acquireEndpoint(ctx context.Context, x *exchange) *fleet.Endpoint {
--- /dev/null
+++ b/ingress/refusal_test.go
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ingress
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mintlift/mintlift/fleet"
+)
+
+// reportRunning processes a report of the engine "a" of a server of newContendedServer.
+func reportRunning(s *Server, version, running int) {
+	s.HandleReport(fleet.Report{Address: "a:1", Model: testModel, Version: version, StartedMS: 1, Running: running, Gateways: contendedSlots + 1, DemandShare: 1}, 0)
+}
+
+// Load: callers return while no engine holds a permitted version. Guards against refusals
+// that count as a lack of slots: they would raise a reserve, which takes slots from less
+// urgent requests as soon as engines serve again.
+func TestReturnsWithoutUsableEngineAreNotCounted(t *testing.T) {
+	for name, test := range map[string]struct {
+		version, running int
+		want             refusal
+		counted          bool
+	}{
+		"no version":   {0, 0, refusalUnservable, false},
+		"full engines": {1, contendedSlots + retryExtraLoad, refusalNoSlot, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newContendedServer(1)
+			for range 5 {
+				reportRunning(s, test.version, test.running)
+				x := newContendedExchange(s)
+				x.callerRetry, x.expiresAt = true, x.start.Add(200*time.Millisecond)
+				assert.Assert(t, s.acquireEndpoint(context.Background(), x) == nil, name)
+				assert.Equal(t, x.refusal, test.want, name)
+			}
+			less := newContendedExchange(s)
+			less.priority = 1
+			s.recordDecision(less, true)
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, s.reserveInForce("engine", less.urgency(), time.Now()) > 0, test.counted, name)
+		})
+	}
+}
