ingress: name the reason of the last wait of a refused request

A caller's retry that first waited for a slot, and then was refused because all endpoints had closed, kept the reason of the first wait: it was logged as no_slot and counted as a lack of slots in the admission controller. So was one that was refused at the moment at which its wait ended.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -174,6 +174,7 @@
 // capacity in time or ctx ended. A new request that no endpoint could serve at any load
 // does not wait, because this usually lasts longer than maxWait.
 func (s *Server) waitForEndpoint(ctx context.Context, x *exchange, maxWait time.Duration) *fleet.Endpoint {
+	x.refusal = refusalClosed // unless the wait ends otherwise
 	now := clock.Now()
 	w := &waiter{
 		exchange: x,
@@ -218,7 +219,6 @@
 	defer s.mu.Unlock()
 	q.remove(w)
 	s.updateSlotWishes(x.service, q, clock.Now())
-	x.refusal = s.waitRefusal(x, clock.Now())
 	select {
 	case e := <-w.assigned:
 		if ctx.Err() == nil || e == nil {
@@ -228,6 +228,7 @@
 		s.endAttemptLocked(x, e, fleet.Abandoned, clock.Now())
 		s.dispatch(x.service, clock.Now())
 	default:
+		x.refusal = s.waitRefusal(x, clock.Now())
 	}
 	return nil
 }
@@ -247,7 +248,6 @@
 // acquireEndpoint waits for an endpoint for the next attempt of x. It returns nil if x
 // is to be refused.
 func (s *Server) acquireEndpoint(ctx context.Context, x *exchange) *fleet.Endpoint {
-	x.refusal = refusalClosed
 	e := s.acquire(ctx, x)
 	if ctx.Err() != nil {
 		x.refusal = ""
--- a/ingress/refusal_test.go
+++ b/ingress/refusal_test.go
@@ -47,3 +47,20 @@
 		})
 	}
 }
+
+// Guards against a request whose refusal is said to be for lack of slots because it has
+// waited for one before all endpoints closed.
+func TestRefusalAfterEnginesClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newContendedServer(1)
+		reportRunning(s, 1, contendedSlots+retryExtraLoad)
+		x := newContendedExchange(s)
+		x.callerRetry = true
+		go func() {
+			time.Sleep(200 * time.Millisecond) // after the first wait
+			s.HandleReport(fleet.Report{Address: "a:1", Model: testModel, Version: 1, StartedMS: 1, Running: contendedSlots + retryExtraLoad, Draining: true, Gateways: contendedSlots + 1, DemandShare: 1}, 0)
+		}()
+		assert.Assert(t, s.acquireEndpoint(context.Background(), x) == nil)
+		assert.Equal(t, x.refusal, refusalClosed)
+	})
+}
