admission: return each change of a reserve at most once a second

A reserve is bounded by the share of more urgent requests, which varies with each request. Where that share is near half a slot, the reserve in whole slots alternated between 0 and 1, and the gateway logged nearly each request that was decided while it held its lock: 172 lines in 20 s at 100 requests a second.

Each reserve is now returned once a second at most. The last change is returned later, as before, since a class remains until then.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -38,6 +38,10 @@
 	maxClasses = 16
 	// loggedStep is the change of a reserve, in slots, that is logged.
 	loggedStep = 2
+	// minChangeInterval is the minimum time between two changes of a reserve that are
+	// logged. A reserve that is bounded by the share of more urgent requests varies with
+	// each request.
+	minChangeInterval = time.Second
 )
 
 // Controller reserves slots of a service's engines for more urgent requests, at one
@@ -54,9 +58,10 @@
 	urgency Urgency
 	counts  Counts
 	// reserve is a share of an engine's slots. logged is the reserve that Changes last
-	// returned, in slots.
-	reserve float64
-	logged  int
+	// returned, in slots, and loggedAt is when it did.
+	reserve  float64
+	logged   int
+	loggedAt time.Time
 }
 
 // Counts are the decaying numbers of first attempts of a class. A request is sent or
@@ -164,14 +169,15 @@
 }
 
 // Changes returns the reserves that have changed since they were last returned: from or to
-// 0, or by at least loggedStep.
+// 0, or by at least loggedStep. Each reserve is returned once per minChangeInterval at most.
 func (c *Controller) Changes(slots int, now time.Time) (changes []Change) {
 	c.update(now)
 	var above Counts
 	for at, k := range c.classes {
 		n := int(math.Round(k.reserve * float64(slots) * c.gradient(at)))
-		if (n == 0) != (k.logged == 0) || max(n-k.logged, k.logged-n) >= loggedStep {
-			k.logged = n
+		changed := (n == 0) != (k.logged == 0) || max(n-k.logged, k.logged-n) >= loggedStep
+		if changed && (k.loggedAt.IsZero() || now.Sub(k.loggedAt) >= minChangeInterval) {
+			k.logged, k.loggedAt = n, now
 			changes = append(changes, Change{Urgency: k.urgency, Slots: n, Counts: above})
 		}
 		above.Sent += k.counts.Sent
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -204,3 +204,30 @@
 	reserve := c.Reserve(least, slots, ms(2000))
 	assert.Assert(t, reserve > 0 && reserve < 0.03*slots, "%.2f slots", reserve)
 }
+
+// Load: the urgent share of the requests, by which the reserve is bounded, varies around half
+// a slot. Guards against a log line for nearly every request, and against a last change that
+// is never returned.
+func TestChangesAreBounded(t *testing.T) {
+	c := &Controller{}
+	changes, last, at := 0, 0, 0
+	for ; at < 20000; at += 10 {
+		if at%230 == 0 {
+			c.RecordRefused(urgent, ms(at))
+		} else {
+			c.RecordSent(least, ms(at))
+		}
+		for _, change := range c.Changes(slots, ms(at)) {
+			changes++
+			last = change.Slots
+		}
+	}
+	assert.Assert(t, changes > 0 && changes <= 20, "%d changes", changes)
+	for ; at < 40000; at += 100 {
+		for _, change := range c.Changes(slots, ms(at)) {
+			last = change.Slots
+		}
+	}
+	assert.Equal(t, last, 0)
+	assert.Equal(t, len(c.classes), 0)
+}
