admission: hold uncounted urgencies to the reserve of more urgent ones

A request whose urgency had no class had no reserve. Those were the first requests of a rare urgency, whose class is removed after some seconds without requests, and all requests of a 17th urgency. The least urgent requests could so take slots that more urgent ones had to leave free, and a 17th urgency had no floor either.

They now have the reserve and the floor of the next more urgent class, and requests beyond 16 urgencies are counted with it.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -34,7 +34,7 @@
 	// negligible is the number of requests below which a class is removed.
 	negligible = 0.01
 	// maxClasses bounds the classes of a Controller. Requests of further urgencies are
-	// not counted and have no reserve.
+	// counted with the next more urgent class.
 	maxClasses = 16
 	// loggedStep is the change of a reserve, in slots, that is logged.
 	loggedStep = 2
@@ -91,26 +91,20 @@
 
 // RecordSent counts a first attempt that got an engine.
 func (c *Controller) RecordSent(u Urgency, now time.Time) {
-	if k := c.class(u, now); k != nil {
-		k.counts.Sent++
-	}
+	c.class(u, now).counts.Sent++
 }
 
 // RecordRefused counts a request that got no engine.
 func (c *Controller) RecordRefused(u Urgency, now time.Time) {
-	if k := c.class(u, now); k != nil {
-		k.counts.Refused++
-	}
+	c.class(u, now).counts.Refused++
 }
 
 // RecordResponse counts a request that was sent, by whether its response started in time.
 func (c *Controller) RecordResponse(u Urgency, inTime bool, now time.Time) {
 	k := c.class(u, now)
-	switch {
-	case k == nil:
-	case inTime:
+	if inTime {
 		k.counts.InTime++
-	default:
+	} else {
 		k.counts.Late++
 	}
 }
@@ -121,7 +115,7 @@
 // floor; see BelowFloor.
 func (c *Controller) Reserve(u Urgency, slots int, now time.Time) float64 {
 	c.update(now)
-	at, ok := c.find(u)
+	at, ok := c.nearest(u)
 	if !ok || c.belowFloor(at) {
 		return 0
 	}
@@ -136,7 +130,7 @@
 // more urgent ones. They then go first until they are not.
 func (c *Controller) BelowFloor(u Urgency, now time.Time) bool {
 	c.update(now)
-	at, ok := c.find(u)
+	at, ok := c.nearest(u)
 	return ok && c.belowFloor(at)
 }
 
@@ -193,14 +187,27 @@
 	return slices.BinarySearchFunc(c.classes, u, func(k *class, u Urgency) int { return k.urgency.Compare(u) })
 }
 
-// class returns the class of u, which it adds if needed, with the state at now. It returns
-// nil if there are too many classes.
+// nearest returns the index of the class of u. If there is none, it returns that of the next
+// more urgent class, or of the most urgent one if u is more urgent than all, so that requests
+// that are not counted have no advantage over more urgent ones. It returns false if there are
+// no classes.
+func (c *Controller) nearest(u Urgency) (at int, ok bool) {
+	at, ok = c.find(u)
+	if !ok {
+		at = max(at-1, 0)
+	}
+	return at, len(c.classes) > 0
+}
+
+// class returns the class of u, which it adds if needed, with the state at now. If there are
+// too many classes, it returns the nearest one.
 func (c *Controller) class(u Urgency, now time.Time) *class {
 	c.update(now)
 	at, ok := c.find(u)
 	if !ok {
 		if len(c.classes) >= maxClasses {
-			return nil
+			at, _ = c.nearest(u)
+			return c.classes[at]
 		}
 		c.classes = slices.Insert(c.classes, at, &class{urgency: u})
 	}
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -231,3 +231,26 @@
 	assert.Equal(t, last, 0)
 	assert.Equal(t, len(c.classes), 0)
 }
+
+// Load: urgent requests are refused, and requests of further urgencies come too rarely to be
+// counted at all times, or are of more urgencies than are counted. Guards against requests
+// that escape the reserve although more urgent ones are held to it, and against a class
+// without a floor.
+func TestUncountedUrgencyHasReserveAndFloor(t *testing.T) {
+	c := &Controller{}
+	serve(c, 0, 2000, 4)
+	further := Urgency{Priority: least.Priority, RoutePriority: least.RoutePriority + 1}
+	assert.Equal(t, c.Reserve(further, slots, ms(2000)), c.Reserve(least, slots, ms(2000)))
+	assert.Equal(t, c.Reserve(Urgency{}, slots, ms(2000)), 0.0, "more urgent than all")
+
+	c = &Controller{}
+	for n := range maxClasses {
+		c.RecordSent(Urgency{Priority: n}, start)
+	}
+	for range 10 {
+		c.RecordSent(Urgency{}, start)
+		c.RecordRefused(Urgency{Priority: maxClasses + 1}, start)
+	}
+	assert.Assert(t, c.BelowFloor(Urgency{Priority: maxClasses + 1}, start))
+	assert.Equal(t, len(c.classes), maxClasses)
+}
