ingress: a request for an unknown model does not block its queue

A dispatch searched the free endpoints once for all waiting requests, for the model of the first one. If that request named a model that no engine holds, no endpoint was free, and no other request of the service got a slot. A new request of this kind is refused at once, but a caller's retry waits for up to 1.2 s, and a few callers with an urgent priority could stop a service.

The free endpoints are now searched once for each model that is requested.

--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -132,7 +132,8 @@
 // of their ranks. A late waiter gets none while one that is not late waits. Server.mu must
 // be held.
 //
-// Endpoints that have no capacity for any waiter are excluded once for all waiters.
+// Endpoints that have no capacity for any waiter are excluded once for all waiters with the
+// same model, since engines that hold other models cannot serve them.
 // Searching all endpoints for each waiter would be too slow: dispatch runs at each
 // report, and reports are most frequent during a version update, when many requests
 // wait and hardly any endpoint has capacity.
@@ -154,14 +155,22 @@
 	if len(q.waiters) == 0 {
 		return
 	}
-	free := s.fleet.Free(s.widestQuery(q.waiters[0].exchange, now), now)
+	model, free := q.waiters[0].exchange.model, s.fleet.Free(s.widestQuery(q.waiters[0].exchange, now), now)
+	others := make(map[string][]*fleet.Endpoint) // free endpoints for other models
 	defer s.queuePermitRequests(service, now)
 	inTimeWaits := false
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
 		if w.rank.late && inTimeWaits {
 			return false
 		}
-		assigned, anyEndpoint := s.assign(w, free, now)
+		candidates := free
+		if m := w.exchange.model; m != model {
+			if _, ok := others[m]; !ok {
+				others[m] = s.fleet.Free(s.widestQuery(w.exchange, now), now)
+			}
+			candidates = others[m]
+		}
+		assigned, anyEndpoint := s.assign(w, candidates, now)
 		inTimeWaits = inTimeWaits || !assigned && anyEndpoint && !w.rank.late
 		return assigned
 	})
--- a/ingress/refusal_test.go
+++ b/ingress/refusal_test.go
@@ -64,3 +64,23 @@
 		assert.Equal(t, x.refusal, refusalClosed)
 	})
 }
+
+// Load: a request for a model that no engine holds waits before others. Guards against others
+// that get no free slot because the first one in the queue cannot use it.
+func TestUnknownModelDoesNotBlockQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newContendedServer(1)
+		reportRunning(s, 1, contendedSlots+retryExtraLoad)
+		unknown, x := newContendedExchange(s), newContendedExchange(s)
+		unknown.model, unknown.callerRetry, unknown.acceptsLate, unknown.hasPlace = "unknown", true, true, true
+		x.start = x.start.Add(time.Millisecond) // is due later
+		go s.waitForEndpoint(context.Background(), unknown, time.Second)
+		var got *fleet.Endpoint
+		go func() { got = s.waitForEndpoint(context.Background(), x, time.Second) }()
+		synctest.Wait()
+		reportRunning(s, 1, 0)
+		synctest.Wait()
+		assert.Assert(t, got != nil)
+		time.Sleep(2 * time.Second)
+	})
+}
