ingress: count a request once in the demand of its service

A request whose attempt reached no endpoint, for example because its grant had lapsed, waits again, and was counted once more. The demand, by which sidecars divide free capacity among gateways, was too high at gateways whose grants lapse, and the share of refused requests too low.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -66,6 +66,9 @@
 	// arrivalCounted and servedCounted report that the return plan has counted the request
 	// and its first attempt.
 	arrivalCounted, servedCounted bool
+	// requestCounted and refusalCounted report that requestStats has counted the request
+	// and its refusal.
+	requestCounted, refusalCounted bool
 	// retryAfter is the Retry-After of the refusal for lack of capacity, or 0.
 	retryAfter time.Duration
 	// age is the time from the caller's first try until start, as far as its deadline
--- a/ingress/reserve_test.go
+++ b/ingress/reserve_test.go
@@ -5,6 +5,7 @@
 import (
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr/funcr"
@@ -99,3 +100,24 @@
 	got := changes[0].Counts
 	assert.Check(t, got.InTime > 0 && got.Late > 1.99*got.InTime && got.Late < 2.01*got.InTime, "%+v", got)
 }
+
+// Load: a request gets an engine, its attempt is withheld, for example because its grant has
+// lapsed, and no engine is free after that. Guards against requests that count twice in
+// the demand.
+func TestUnsentRequestIsCountedAsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newContendedServer(1)
+		reportRunning(s, 1, 0)
+		for range 5 {
+			x := newContendedExchange(s)
+			e := s.acquireEndpoint(t.Context(), x) // attempts is 0 again after an attempt that reached no endpoint
+			s.endAttemptLocked(x, e, fleet.Abandoned, time.Now())
+			reportRunning(s, 1, contendedSlots+retryExtraLoad)
+			assert.Assert(t, s.acquireEndpoint(t.Context(), x) == nil)
+			reportRunning(s, 1, 0)
+		}
+		now := time.Now()
+		assert.Assert(t, s.Demand("engine", now) <= 5/statsDecay.Seconds())
+		assert.Equal(t, s.statsOf("engine").refusedShare(now), 1.0)
+	})
+}
--- a/ingress/stats.go
+++ b/ingress/stats.go
@@ -29,13 +29,18 @@
 	p.updatedAt = now
 }
 
-// record counts a request.
-func (p *requestStats) record(refused bool, now time.Time) {
+// record counts x, and whether it was refused, each once. It is called again if an attempt
+// has reached no endpoint.
+func (p *requestStats) record(x *exchange, refused bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.decay(now)
-	p.requests++
-	if refused {
+	if !x.requestCounted {
+		x.requestCounted = true
+		p.requests++
+	}
+	if refused && !x.refusalCounted {
+		x.refusalCounted = true
 		p.refused++
 	}
 }
@@ -49,7 +54,7 @@
 	if p.requests < 1 {
 		return 0
 	}
-	return p.refused / p.requests
+	return min(p.refused/p.requests, 1)
 }
 
 // requestRate returns the recent requests per second.
--- a/ingress/timeouts_test.go
+++ b/ingress/timeouts_test.go
@@ -36,7 +36,7 @@
 		assert.Assert(t, g.server.isCallerRetry(r, "engine", lowest-retryAfterMin, timeout, now))
 		// While requests are refused, no times are recorded.
 		for range 20 {
-			g.server.statsOf("engine").record(true, now)
+			g.server.statsOf("engine").record(&exchange{}, true, now)
 		}
 		for range 500 {
 			g.server.isCallerRetry(r, "engine", lowest/2, timeout, now)
