ingress: count a request as refused if its attempt reached no engine

The first decision on a request was the only one counted. A request that got a slot, was withheld because its grant had lapsed or its connection failed, and was refused after that, counted as sent. So a class that is refused in this way was not in trouble, and had no floor.

Such a request now counts as refused.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -99,6 +99,14 @@
 	c.class(u, now).counts.Refused++
 }
 
+// RecordUnsent counts a request that was counted as sent, but has reached no engine and got
+// no other one, as refused.
+func (c *Controller) RecordUnsent(u Urgency, now time.Time) {
+	k := c.class(u, now)
+	k.counts.Sent = max(k.counts.Sent-1, 0)
+	k.counts.Refused++
+}
+
 // RecordResponse counts a request that was sent, by whether its response started in time.
 func (c *Controller) RecordResponse(u Urgency, inTime bool, now time.Time) {
 	k := c.class(u, now)
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -95,9 +95,10 @@
 	retryReserved bool            // the retry budget has been charged for the next attempt
 	// refusal is why the request got no endpoint at its first attempt.
 	refusal refusal
-	// decided reports that the result of the first attempt's wait for an endpoint has been
-	// counted, and timed that the time of the response has been.
-	decided, timed bool
+	// decided is the counted result of the first attempt's wait for an endpoint. timed
+	// reports that the time of the response has been counted.
+	decided decision
+	timed   bool
 	// isolated reports that the endpoint of the current attempt was chosen with
 	// Query.Isolated, so that it runs no other suspected request. hasPermit reports that
 	// the attempt has used a permit of an endpoint with a rate limit.
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -29,6 +29,16 @@
 	return r == refusalNoSlot || r == refusalReserve
 }
 
+// decision is what the admission controller has counted of a request.
+type decision int
+
+// The decisions.
+const (
+	undecided decision = iota
+	decidedSent
+	decidedRefused
+)
+
 // controllerLocked returns the admission controller of x's service, or nil if the service
 // is not contended. Server.mu must be held.
 func (s *Server) controllerLocked(x *exchange) *admission.Controller {
@@ -60,16 +70,21 @@
 	return c != nil && x.attempts == 0 && c.BelowFloor(x.urgency(), now)
 }
 
-// recordDecision counts whether x got an endpoint at its first attempt. Requests that no
+// recordDecision counts whether x got an endpoint at its first attempt. If that reached no
+// endpoint and x is refused then, it counts as refused. Requests that no
 // endpoint could have served are not counted: a reserve would not help them.
 func (s *Server) recordDecision(x *exchange, sent bool) {
 	if sent {
 		x.refusal = ""
 	}
-	if x.decided || x.attempts > 0 || !sent && !x.refusal.scarce() {
+	if x.decided == decidedRefused || x.decided == decidedSent && sent || x.attempts > 0 || !sent && !x.refusal.scarce() {
 		return
 	}
-	x.decided = true
+	unsent := x.decided == decidedSent // the attempt has reached no endpoint
+	x.decided = decidedRefused
+	if sent {
+		x.decided = decidedSent
+	}
 	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,6 +94,8 @@
 		return
 	case sent:
 		c.RecordSent(x.urgency(), now)
+	case unsent:
+		c.RecordUnsent(x.urgency(), now)
 	default:
 		c.RecordRefused(x.urgency(), now)
 	}
--- a/ingress/reserve_test.go
+++ b/ingress/reserve_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/admission"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 )
@@ -103,7 +104,7 @@
 
 // Load: a request gets an engine, its attempt is withheld, for example because its grant has
 // lapsed, and no engine is free after that. Guards against requests that count twice in
-// the demand.
+// the demand, and against refused ones that count as sent in the admission controller.
 func TestUnsentRequestIsCountedAsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newContendedServer(1)
@@ -119,5 +120,9 @@
 		now := time.Now()
 		assert.Assert(t, s.Demand("engine", now) <= 5/statsDecay.Seconds())
 		assert.Equal(t, s.statsOf("engine").refusedShare(now), 1.0)
+		s.admission["engine"].RecordSent(admission.Urgency{Priority: 1}, now)
+		changes := s.admission["engine"].Changes(contendedSlots, now.Add(100*time.Millisecond))
+		assert.Equal(t, len(changes), 1)
+		assert.Assert(t, changes[0].Counts.Refused > 3 && changes[0].Counts.Sent < 0.1, "%+v", changes[0].Counts)
 	})
 }
