returnplan: do not count refused requests as served

A request counted as served in the return plan when it was sent. If its attempt was withheld, or the engine refused it, and the request was refused then, it still counted. The plan promised returning callers places at a rate that included those that it had refused.

A refusal now takes the count back.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -314,6 +314,7 @@
 // where there is one.
 func (s *Server) retryAfter(x *exchange) (fleet.Closure, time.Duration) {
 	now := clock.Now()
+	s.countUnserved(x, now)
 	s.mu.Lock()
 	q := s.servableQuery(x, now)
 	q.Exclude = nil
--- a/ingress/reserve_test.go
+++ b/ingress/reserve_test.go
@@ -104,7 +104,8 @@
 
 // Load: a request gets an engine, its attempt is withheld, for example because its grant has
 // lapsed, and no engine is free after that. Guards against requests that count twice in
-// the demand, and against refused ones that count as sent in the admission controller.
+// the demand, and against refused ones that count as sent in the admission
+// controller or as served in the return plan.
 func TestUnsentRequestIsCountedAsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newContendedServer(1)
@@ -112,14 +113,18 @@
 		for range 5 {
 			x := newContendedExchange(s)
 			e := s.acquireEndpoint(t.Context(), x) // attempts is 0 again after an attempt that reached no endpoint
+			s.countServed(x, time.Now())
 			s.endAttemptLocked(x, e, fleet.Abandoned, time.Now())
 			reportRunning(s, 1, contendedSlots+retryExtraLoad)
 			assert.Assert(t, s.acquireEndpoint(t.Context(), x) == nil)
+			_, _ = s.retryAfter(x)
 			reportRunning(s, 1, 0)
 		}
 		now := time.Now()
 		assert.Assert(t, s.Demand("engine", now) <= 5/statsDecay.Seconds())
 		assert.Equal(t, s.statsOf("engine").refusedShare(now), 1.0)
+		_, kept := s.returnPlans["engine"].Promise(retryAfterMin, 2*time.Second, now)
+		assert.Assert(t, !kept)
 		s.admission["engine"].RecordSent(admission.Urgency{Priority: 1}, now)
 		changes := s.admission["engine"].Changes(contendedSlots, now.Add(100*time.Millisecond))
 		assert.Equal(t, len(changes), 1)
--- a/ingress/returns.go
+++ b/ingress/returns.go
@@ -62,6 +62,19 @@
 	}
 }
 
+// countUnserved takes back countServed for x, which is refused after all.
+func (s *Server) countUnserved(x *exchange, now time.Time) {
+	if !x.servedCounted {
+		return
+	}
+	x.servedCounted = false
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.returnPlanLocked(x, now); p != nil {
+		p.RecordUnserved(now)
+	}
+}
+
 // planReturn returns the Retry-After of x, at least earliest, by the return plan of its
 // service. It returns false if there is no plan, if the plan has measured for too short a
 // time, or if x is a caller's retry already: its caller does not return again.
--- a/returnplan/returnplan.go
+++ b/returnplan/returnplan.go
@@ -73,6 +73,12 @@
 	p.served++
 }
 
+// RecordUnserved takes back a request that was counted as served.
+func (p *Plan) RecordUnserved(now time.Time) {
+	p.decay(now)
+	p.served = max(p.served-1, 0)
+}
+
 // decay applies the decay of the counts since the last update.
 func (p *Plan) decay(now time.Time) {
 	keep := math.Exp(-float64(max(now.Sub(p.updatedAt), 0)) / float64(rateDecay))
--- a/returnplan/returnplan_test.go
+++ b/returnplan/returnplan_test.go
@@ -134,3 +134,18 @@
 	_, ok := p.Promise(350*time.Millisecond, 1900*time.Millisecond, now.Add(rateDecay))
 	assert.Equal(t, ok, false)
 }
+
+// Load: requests count as served when they are sent, and are refused without having reached
+// an engine. Guards against places that are promised for the rate of these.
+func TestUnservedRequestsGiveNoPlaces(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(now.Add(-10 * time.Second))
+	for range 300 {
+		p.RecordServed(now)
+		p.RecordUnserved(now)
+	}
+	_, kept := p.Promise(time.Second, 2*time.Second, now)
+	assert.Assert(t, !kept)
+	p.RecordUnserved(now)
+	assert.Equal(t, p.served, 0.0)
+}
