fleet: Usable stops at the first usable endpoint

Each refused request, and each caller's retry, counted the usable endpoints of its service up to three times while it held the gateway's lock. Only whether there are any is needed, and mostly the first one is.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -330,17 +330,12 @@
 	return e.unansweredMS + math.Max(0, others)
 }
 
-// Usable returns the number of endpoints that could take a request, regardless of
-// their load. An endpoint that has requested a backoff is counted if the backoff
-// ends by the given time.
-func (f *Fleet) Usable(q Query, by, now time.Time) int {
-	count := 0
-	for _, e := range f.byService[q.Service] {
-		if e.usable(&q, now) && !e.ejected(now) && !e.Signals.Closed(by) {
-			count++
-		}
-	}
-	return count
+// Usable reports whether an endpoint could take a request, regardless of its load. An
+// endpoint that has requested a backoff counts if the backoff ends by the given time.
+func (f *Fleet) Usable(q Query, by, now time.Time) bool {
+	return slices.ContainsFunc(f.byService[q.Service], func(e *Endpoint) bool {
+		return e.usable(&q, now) && !e.ejected(now) && !e.Signals.Closed(by)
+	})
 }
 
 // NoPlace reports whether none of a service's endpoints may receive requests that may be
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -191,7 +191,7 @@
 	}
 	q.add(w)
 	s.dispatch(x.service, now)
-	unservable := x.attempts == 0 && !x.callerRetry && len(w.assigned) == 0 && s.fleet.Usable(s.servableQuery(x, now), w.deadline, now) == 0
+	unservable := x.attempts == 0 && !x.callerRetry && len(w.assigned) == 0 && !s.fleet.Usable(s.servableQuery(x, now), w.deadline, now)
 	if unservable {
 		q.remove(w)
 		s.updateSlotWishes(x.service, q, now)
@@ -236,7 +236,7 @@
 // waitRefusal returns why x got no endpoint in a wait that has ended. Server.mu must be held.
 func (s *Server) waitRefusal(x *exchange, now time.Time) refusal {
 	switch {
-	case x.attempts == 0 && s.fleet.Usable(s.servableQuery(x, now), now, now) == 0:
+	case x.attempts == 0 && !s.fleet.Usable(s.servableQuery(x, now), now, now):
 		return refusalUnservable
 	case s.reserveLocked(x, now) > 0:
 		return refusalReserve
@@ -328,7 +328,7 @@
 		earliest += min(closure.Until.Sub(now), maxRetryAfterClosed)
 	case known:
 		earliest = earliestReturn(expected, now)
-	case usable == 0:
+	case !usable:
 		earliest += retryAfterUnservable
 	}
 	after, planned := s.planReturn(x, earliest, now)
--- a/ingress/dispatch_test.go
+++ b/ingress/dispatch_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
 )
 
 // newFullServer returns a server on which requests wait because all engines are at
@@ -68,3 +69,16 @@
 		assert.NilError(b, response.Body.Close())
 	}
 }
+
+// BenchmarkRefusal measures the Retry-After of a refused request by the number of engines,
+// all of which are full.
+func BenchmarkRefusal(b *testing.B) {
+	for _, engines := range []int{34, 340, 3400} {
+		b.Run(fmt.Sprint(engines, " engines"), func(b *testing.B) {
+			s, _ := newFullServer(b, engines, 0)
+			for b.Loop() {
+				_, _ = s.retryAfter(newRefused(s, 4*time.Second, clock.Now()))
+			}
+		})
+	}
+}
--- a/ingress/expected.go
+++ b/ingress/expected.go
@@ -19,7 +19,7 @@
 	}
 	q := s.servableQuery(x, now)
 	q.Exclude = nil
-	if s.fleet.Usable(q, now, now) > 0 || s.fleet.Closure(q, now, now).Reason != fleet.Open {
+	if s.fleet.Usable(q, now, now) || s.fleet.Closure(q, now, now).Reason != fleet.Open {
 		return fleet.Expectation{}, false
 	}
 	return s.fleet.Expected(q, now)
