ingress: count a request whose time ends while it waits as refused

The context of a request ends when its caller leaves or when its time is up. In both cases the refusal lost its reason and was not counted. A request whose time is up gets a 503: it is now logged with its reason, and counts in the admission controller if it lacked a slot.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/residency"
@@ -224,6 +226,7 @@
 		if ctx.Err() == nil || e == nil {
 			return e
 		}
+		x.refusal = refusalNoSlot
 		s.fleet.RecordFirstByte(e, x.prefillMS, unknownLateness, clock.Now())
 		s.endAttemptLocked(x, e, fleet.Abandoned, clock.Now())
 		s.dispatch(x.service, clock.Now())
@@ -249,8 +252,8 @@
 // is to be refused.
 func (s *Server) acquireEndpoint(ctx context.Context, x *exchange) *fleet.Endpoint {
 	e := s.acquire(ctx, x)
-	if ctx.Err() != nil {
-		x.refusal = ""
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		x.refusal = "" // the caller has left
 	}
 	s.recordDecision(x, e != nil)
 	return e
--- a/ingress/refusal_test.go
+++ b/ingress/refusal_test.go
@@ -84,3 +84,24 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// Load: callers with little time left wait for a slot. Guards against a request whose time
+// ends while it waits, and that is refused without a reason and without being counted, and
+// against one that is counted although its caller has left.
+func TestRequestWhoseTimeEndsIsRefused(t *testing.T) {
+	for name, left := range map[string]bool{"time is up": false, "caller left": true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newContendedServer(1)
+			reportRunning(s, 1, contendedSlots+retryExtraLoad)
+			x := newContendedExchange(s)
+			x.expiresAt = x.start.Add(20 * time.Millisecond)
+			ctx, cancel := context.WithCancelCause(t.Context())
+			time.AfterFunc(10*time.Millisecond, func() {
+				cancel(map[bool]error{false: context.DeadlineExceeded, true: context.Canceled}[left])
+			})
+			assert.Assert(t, s.acquireEndpoint(ctx, x) == nil)
+			assert.Equal(t, x.refusal, map[bool]refusal{false: refusalNoSlot, true: ""}[left], name)
+			assert.Equal(t, x.decided == decidedRefused, !left, name)
+		})
+	}
+}
