ingress: log the end of a reserve without requests

A change of a reserve was logged only at a decision on a request. If a service got no more requests, the log showed its last reserve for ever, and its classes were kept. Maintain now logs the changes as well, each second.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -500,7 +500,7 @@
 	s.expireRollback(now)
 	s.fleet.PruneSignals(now)
 	if c := s.routes.Get(); c != nil {
-		s.removeUncontended(c)
+		s.maintainAdmission(c, now)
 		s.removeUnused(c)
 	}
 }
--- a/ingress/removed_test.go
+++ b/ingress/removed_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/internal/clock"
@@ -117,3 +118,26 @@
 	s.Maintain(now)
 	assert.Equal(t, len(s.queues), 0)
 }
+
+// Load: a service gets no more requests while a reserve is in force. Guards against a log in
+// which the reserve remains.
+func TestEndOfReserveIsLoggedWithoutRequests(t *testing.T) {
+	lines := make(chan string, 10)
+	g := contendedServer(t, 5)
+	g.server.events = funcr.New(func(_, args string) {
+		if strings.Contains(args, `"admission reserve changed"`) {
+			lines <- args
+		}
+	}, funcr.Options{})
+	later := raiseReserve(g)
+	assert.Assert(t, !strings.Contains(<-lines, `"slots"=0`))
+	for n := range 10 {
+		g.server.Maintain(later.Add(time.Duration(n) * time.Second))
+	}
+	close(lines)
+	last := ""
+	for line := range lines {
+		last = line
+	}
+	assert.Assert(t, strings.Contains(last, `"slots"=0`), last)
+}
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -147,12 +147,16 @@
 	return c.Reserve(u, engine.Slots, now)
 }
 
-// removeUncontended removes the admission controllers and return plans of services that
-// have been removed or are no longer contended. If a service is contended again later, its
-// counts start anew: those of before would make a return plan promise places at once that it
-// has not measured. Server.mu must be held.
-func (s *Server) removeUncontended(c *routing.Configuration) {
+// maintainAdmission logs the reserves that have changed without requests, and removes the
+// admission controllers and return plans of services that have been removed or are no longer
+// contended. If a service is contended again later, its counts start anew: those of before
+// would make a return plan promise places at once that it has not measured. Server.mu must be
+// held.
+func (s *Server) maintainAdmission(c *routing.Configuration, now time.Time) {
 	uncontended := func(service string) bool { return !s.contendedLocked(c.Services[service]) }
 	maps.DeleteFunc(s.admission, func(service string, _ *admission.Controller) bool { return uncontended(service) })
+	for service, controller := range s.admission {
+		s.logReserves(service, controller, c.Services[service].Engine.Slots, now)
+	}
 	maps.DeleteFunc(s.returnPlans, func(service string, _ *returnplan.Plan) bool { return uncontended(service) })
 }
