ingress: a late request waits as such after an unsent attempt

A request that accepts late endpoints, and whose attempt was withheld because its grant had lapsed, waited again like one that can be in time: until a share of its target latency had passed since its start, which is over then. It was refused at once, and a caller's retry waited for that time first.

It now waits as a late one again.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -275,7 +275,7 @@
 			return e
 		}
 	}
-	if x.attempts == 0 && !x.cannotMeetTarget() {
+	if x.attempts == 0 && !x.acceptsLate && !x.cannotMeetTarget() {
 		if e := s.waitForEndpoint(ctx, x, queueTimeout(x, clock.Now())); e != nil || !x.callerRetry {
 			s.statsOf(x.service).record(x, e == nil, clock.Now())
 			return e
--- a/ingress/refusal_test.go
+++ b/ingress/refusal_test.go
@@ -105,3 +105,25 @@
 		})
 	}
 }
+
+// Load: a request whose target latency cannot be met accepts late endpoints, and its attempt
+// is withheld, for example because its grant has lapsed. Guards against a request that is
+// then refused at once, because the time in which it could have met its target is over.
+func TestLateRequestWaitsAgainAfterUnsentAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newContendedServer(1)
+		reportRunning(s, 1, 0)
+		x := newContendedExchange(s)
+		x.prefillMS = 5000
+		e := s.acquireEndpoint(t.Context(), x)
+		assert.Assert(t, e != nil && x.acceptsLate)
+		x.finishAttempt(e, fleet.Abandoned)
+		time.Sleep(200 * time.Millisecond)
+		reportRunning(s, 1, contendedSlots+retryExtraLoad)
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			reportRunning(s, 1, 0)
+		}()
+		assert.Assert(t, s.acquireEndpoint(t.Context(), x) != nil, x.refusal)
+	})
+}
