--- a/admission/admission.go
+++ b/admission/admission.go
@@ -34,10 +34,14 @@
 	// negligible is the number of requests below which a class is removed.
 	negligible = 0.01
 	// maxClasses bounds the classes of a Controller. Requests of further urgencies are
-	// not counted and have no reserve.
+	// counted with the next more urgent class.
 	maxClasses = 16
 	// loggedStep is the change of a reserve, in slots, that is logged.
 	loggedStep = 2
+	// minChangeInterval is the minimum time between two changes of a reserve that are
+	// logged. A reserve that is bounded by the share of more urgent requests varies with
+	// each request.
+	minChangeInterval = time.Second
 )
 
 // Controller reserves slots of a service's engines for more urgent requests, at one
@@ -54,9 +58,10 @@
 	urgency Urgency
 	counts  Counts
 	// reserve is a share of an engine's slots. logged is the reserve that Changes last
-	// returned, in slots.
-	reserve float64
-	logged  int
+	// returned, in slots, and loggedAt is when it did.
+	reserve  float64
+	logged   int
+	loggedAt time.Time
 }
 
 // Counts are the decaying numbers of first attempts of a class. A request is sent or
@@ -86,26 +91,28 @@
 
 // RecordSent counts a first attempt that got an engine.
 func (c *Controller) RecordSent(u Urgency, now time.Time) {
-	if k := c.class(u, now); k != nil {
-		k.counts.Sent++
-	}
+	c.class(u, now).counts.Sent++
 }
 
 // RecordRefused counts a request that got no engine.
 func (c *Controller) RecordRefused(u Urgency, now time.Time) {
-	if k := c.class(u, now); k != nil {
-		k.counts.Refused++
-	}
+	c.class(u, now).counts.Refused++
+}
+
+// RecordUnsent counts a request that was counted as sent, but has reached no engine and got
+// no other one, as refused.
+func (c *Controller) RecordUnsent(u Urgency, now time.Time) {
+	k := c.class(u, now)
+	k.counts.Sent = max(k.counts.Sent-1, 0)
+	k.counts.Refused++
 }
 
 // RecordResponse counts a request that was sent, by whether its response started in time.
 func (c *Controller) RecordResponse(u Urgency, inTime bool, now time.Time) {
 	k := c.class(u, now)
-	switch {
-	case k == nil:
-	case inTime:
+	if inTime {
 		k.counts.InTime++
-	default:
+	} else {
 		k.counts.Late++
 	}
 }
@@ -116,7 +123,7 @@
 // floor; see BelowFloor.
 func (c *Controller) Reserve(u Urgency, slots int, now time.Time) float64 {
 	c.update(now)
-	at, ok := c.find(u)
+	at, ok := c.nearest(u)
 	if !ok || c.belowFloor(at) {
 		return 0
 	}
@@ -131,7 +138,7 @@
 // more urgent ones. They then go first until they are not.
 func (c *Controller) BelowFloor(u Urgency, now time.Time) bool {
 	c.update(now)
-	at, ok := c.find(u)
+	at, ok := c.nearest(u)
 	return ok && c.belowFloor(at)
 }
 
@@ -164,14 +171,15 @@
 }
 
 // Changes returns the reserves that have changed since they were last returned: from or to
-// 0, or by at least loggedStep.
+// 0, or by at least loggedStep. Each reserve is returned once per minChangeInterval at most.
 func (c *Controller) Changes(slots int, now time.Time) (changes []Change) {
 	c.update(now)
 	var above Counts
 	for at, k := range c.classes {
 		n := int(math.Round(k.reserve * float64(slots) * c.gradient(at)))
-		if (n == 0) != (k.logged == 0) || max(n-k.logged, k.logged-n) >= loggedStep {
-			k.logged = n
+		changed := (n == 0) != (k.logged == 0) || max(n-k.logged, k.logged-n) >= loggedStep
+		if changed && (k.loggedAt.IsZero() || now.Sub(k.loggedAt) >= minChangeInterval) {
+			k.logged, k.loggedAt = n, now
 			changes = append(changes, Change{Urgency: k.urgency, Slots: n, Counts: above})
 		}
 		above.Sent += k.counts.Sent
@@ -187,14 +195,27 @@
 	return slices.BinarySearchFunc(c.classes, u, func(k *class, u Urgency) int { return k.urgency.Compare(u) })
 }
 
-// class returns the class of u, which it adds if needed, with the state at now. It returns
-// nil if there are too many classes.
+// nearest returns the index of the class of u. If there is none, it returns that of the next
+// more urgent class, or of the most urgent one if u is more urgent than all, so that requests
+// that are not counted have no advantage over more urgent ones. It returns false if there are
+// no classes.
+func (c *Controller) nearest(u Urgency) (at int, ok bool) {
+	at, ok = c.find(u)
+	if !ok {
+		at = max(at-1, 0)
+	}
+	return at, len(c.classes) > 0
+}
+
+// class returns the class of u, which it adds if needed, with the state at now. If there are
+// too many classes, it returns the nearest one.
 func (c *Controller) class(u Urgency, now time.Time) *class {
 	c.update(now)
 	at, ok := c.find(u)
 	if !ok {
 		if len(c.classes) >= maxClasses {
-			return nil
+			at, _ = c.nearest(u)
+			return c.classes[at]
 		}
 		c.classes = slices.Insert(c.classes, at, &class{urgency: u})
 	}
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/residency"
@@ -167,13 +169,14 @@
 	if service.MaxConnections <= 0 {
 		return 0
 	}
-	return max(1, int(connectionShare*float64(service.MaxConnections)/float64(s.gateways)))
+	return max(1, int(connectionShare*float64(service.MaxConnections)/float64(s.sharingGateways())))
 }
 
 // waitForEndpoint waits up to maxWait for an endpoint for x. It returns nil if none had
 // capacity in time or ctx ended. A new request that no endpoint could serve at any load
 // does not wait, because this usually lasts longer than maxWait.
 func (s *Server) waitForEndpoint(ctx context.Context, x *exchange, maxWait time.Duration) *fleet.Endpoint {
+	x.refusal = refusalClosed // unless the wait ends otherwise
 	now := clock.Now()
 	w := &waiter{
 		exchange: x,
@@ -190,7 +193,7 @@
 	}
 	q.add(w)
 	s.dispatch(x.service, now)
-	unservable := x.attempts == 0 && !x.callerRetry && len(w.assigned) == 0 && s.fleet.Usable(s.servableQuery(x, now), w.deadline, now) == 0
+	unservable := x.attempts == 0 && !x.callerRetry && len(w.assigned) == 0 && !s.fleet.Usable(s.servableQuery(x, now), w.deadline, now)
 	if unservable {
 		q.remove(w)
 		s.updateSlotWishes(x.service, q, now)
@@ -218,30 +221,39 @@
 	defer s.mu.Unlock()
 	q.remove(w)
 	s.updateSlotWishes(x.service, q, clock.Now())
-	x.refusal = refusalNoSlot
-	if s.reserveLocked(x, clock.Now()) > 0 {
-		x.refusal = refusalReserve
-	}
 	select {
 	case e := <-w.assigned:
 		if ctx.Err() == nil || e == nil {
 			return e
 		}
+		x.refusal = refusalNoSlot
 		s.fleet.RecordFirstByte(e, x.prefillMS, unknownLateness, clock.Now())
 		s.endAttemptLocked(x, e, fleet.Abandoned, clock.Now())
 		s.dispatch(x.service, clock.Now())
 	default:
+		x.refusal = s.waitRefusal(x, clock.Now())
 	}
 	return nil
 }
 
+// waitRefusal returns why x got no endpoint in a wait that has ended. Server.mu must be held.
+func (s *Server) waitRefusal(x *exchange, now time.Time) refusal {
+	switch {
+	case x.attempts == 0 && !s.fleet.Usable(s.servableQuery(x, now), now, now):
+		return refusalUnservable
+	case s.reserveLocked(x, now) > 0:
+		return refusalReserve
+	default:
+		return refusalNoSlot
+	}
+}
+
 // acquireEndpoint waits for an endpoint for the next attempt of x. It returns nil if x
 // is to be refused.
 func (s *Server) acquireEndpoint(ctx context.Context, x *exchange) *fleet.Endpoint {
-	x.refusal = refusalClosed
 	e := s.acquire(ctx, x)
-	if ctx.Err() != nil {
-		x.refusal = ""
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		x.refusal = "" // the caller has left
 	}
 	s.recordDecision(x, e != nil)
 	return e
@@ -263,9 +275,9 @@
 			return e
 		}
 	}
-	if x.attempts == 0 && !x.cannotMeetTarget() {
+	if x.attempts == 0 && !x.acceptsLate && !x.cannotMeetTarget() {
 		if e := s.waitForEndpoint(ctx, x, queueTimeout(x, clock.Now())); e != nil || !x.callerRetry {
-			s.statsOf(x.service).record(e == nil, clock.Now())
+			s.statsOf(x.service).record(x, e == nil, clock.Now())
 			return e
 		}
 	}
@@ -307,6 +319,7 @@
 // where there is one.
 func (s *Server) retryAfter(x *exchange) (fleet.Closure, time.Duration) {
 	now := clock.Now()
+	s.countUnserved(x, now)
 	s.mu.Lock()
 	q := s.servableQuery(x, now)
 	q.Exclude = nil
@@ -320,7 +333,7 @@
 		earliest += min(closure.Until.Sub(now), maxRetryAfterClosed)
 	case known:
 		earliest = earliestReturn(expected, now)
-	case usable == 0:
+	case !usable:
 		earliest += retryAfterUnservable
 	}
 	after, planned := s.planReturn(x, earliest, now)
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -66,6 +66,9 @@
 	// arrivalCounted and servedCounted report that the return plan has counted the request
 	// and its first attempt.
 	arrivalCounted, servedCounted bool
+	// requestCounted and refusalCounted report that requestStats has counted the request
+	// and its refusal.
+	requestCounted, refusalCounted bool
 	// retryAfter is the Retry-After of the refusal for lack of capacity, or 0.
 	retryAfter time.Duration
 	// age is the time from the caller's first try until start, as far as its deadline
@@ -92,9 +95,10 @@
 	retryReserved bool            // the retry budget has been charged for the next attempt
 	// refusal is why the request got no endpoint at its first attempt.
 	refusal refusal
-	// decided reports that the result of the first attempt's wait for an endpoint has been
-	// counted, and timed that the time of the response has been.
-	decided, timed bool
+	// decided is the counted result of the first attempt's wait for an endpoint. timed
+	// reports that the time of the response has been counted.
+	decided decision
+	timed   bool
 	// isolated reports that the endpoint of the current attempt was chosen with
 	// Query.Isolated, so that it runs no other suspected request. hasPermit reports that
 	// the attempt has used a permit of an endpoint with a rate limit.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -107,11 +108,14 @@
 	timeouts       map[string]*timeoutHistogram     // by route
 	allTimeouts    timeoutHistogram                 // of the routes in timeouts
 	returnPlans    map[string]*returnplan.Plan
-	// gateways is the number of gateways among which shared limits are divided.
-	gateways  int
-	listKnown bool // the endpoint list has been read at least once
-	list      listState
-	rollback  storeRollback
+	// gateways is the largest number of gateways that a sidecar has reported, or 0 before
+	// the first report. See sharingGateways.
+	gateways int
+	// recentGateways decides which services are contended.
+	recentGateways gatewayCount
+	listKnown      bool // the endpoint list has been read at least once
+	list           listState
+	rollback       storeRollback
 	// unconfigured holds the listed endpoints whose service the configuration
 	// lacks, by endpoint ID.
 	unconfigured map[string]fleet.Record
@@ -210,6 +214,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := clock.Now()
+	maps.DeleteFunc(s.timeouts, func(route string, _ *timeoutHistogram) bool { return !c.HasRoute(route) })
 	s.updateCutoffs(now)
 	s.dispatchAll(now) // the regions of waiting requests may have changed
 }
@@ -373,7 +378,7 @@
 	if e == nil {
 		return
 	}
-	s.raiseGateways(r.Gateways)
+	s.recordGateways(r.Gateways, now)
 	if changed {
 		s.cutOffOlderVersions(r.Model, e.HeldVersion(r.Model, now), now)
 		s.events.Info("engine reported", "endpoint", e.ID, "model", r.Model, "version", r.Version, "busy", r.Busy, "doubted", r.Unverified, "draining", r.Draining, "limited", r.Limited, "rate", r.Limit)
@@ -381,19 +386,36 @@
 	s.dispatch(e.Service, now)
 }
 
-// raiseGateways processes the number of gateways that a sidecar has reported. Shared
-// limits are divided by the largest number ever reported. Server.mu must be held.
-func (s *Server) raiseGateways(n int) {
-	if n <= s.gateways {
+// recordGateways processes the number of gateways that a sidecar has reported. Shared
+// limits are divided by the largest number ever reported, and services are contended by the
+// largest recent one. Server.mu must be held.
+func (s *Server) recordGateways(n int, now time.Time) {
+	if n <= 0 {
 		return
 	}
-	s.gateways = n
-	s.fleet.SetGateways(n)
-	for _, b := range s.budgets {
-		b.SetGateways(n)
+	before := s.recentGateways.largest()
+	s.recentGateways.observe(n, s.lateCutoffInForce(now), now)
+	if n > s.gateways {
+		s.gateways = n
+		s.fleet.SetGateways(n)
+		for _, b := range s.budgets {
+			b.SetGateways(n)
+		}
+	}
+	if recent := s.recentGateways.largest(); recent != before {
+		s.updateCutoffs(now)
+		s.events.Info("gateway count changed", "gateways", recent, "largest", s.gateways)
+	}
+}
+
+// sharingGateways returns the number of gateways among which shared limits are divided.
+// Before the first report, it is the number that the settings assume. Server.mu must be
+// held.
+func (s *Server) sharingGateways() int {
+	if s.gateways > 0 {
+		return s.gateways
 	}
-	s.updateCutoffs(clock.Now())
-	s.events.Info("gateway count increased", "gateways", n)
+	return max(s.settings.Budget.Gateways, 1)
 }
 
 // NoticeDue returns a channel that receives when sidecars should be notified at once:
@@ -478,6 +500,20 @@
 	defer s.mu.Unlock()
 	s.expireRollback(now)
 	s.fleet.PruneSignals(now)
+	if c := s.routes.Get(); c != nil {
+		s.maintainAdmission(c, now)
+		s.removeUnused(c)
+	}
+}
+
+// removeUnused removes the request counts and the empty queues of services that the
+// configuration lacks. A retry budget remains: requests of the former configuration may be
+// in progress, and would start a new one with each retry. Server.mu must be held.
+func (s *Server) removeUnused(c *routing.Configuration) {
+	maps.DeleteFunc(s.stats, func(service string, _ *requestStats) bool { return c.Services[service] == nil })
+	maps.DeleteFunc(s.queues, func(service string, q *queue) bool {
+		return c.Services[service] == nil && len(q.waiters) == 0 && len(q.wishing) == 0
+	})
 }
 
 // Close closes the idle connections to endpoints.
@@ -488,7 +524,7 @@
 	b := s.budgets[service]
 	if b == nil {
 		b = retrybudget.New(s.settings.Budget, now)
-		b.SetGateways(s.gateways)
+		b.SetGateways(s.sharingGateways())
 		s.budgets[service] = b
 	}
 	return b
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -3,11 +3,14 @@
 package ingress
 
 import (
+	"maps"
 	"strconv"
 	"time"
 
 	"github.com/mintlift/mintlift/admission"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/returnplan"
+	"github.com/mintlift/mintlift/routing"
 )
 
 // refusal is why a request got no endpoint at its first attempt.
@@ -26,6 +29,16 @@
 	return r == refusalNoSlot || r == refusalReserve
 }
 
+// decision is what the admission controller has counted of a request.
+type decision int
+
+// The decisions.
+const (
+	undecided decision = iota
+	decidedSent
+	decidedRefused
+)
+
 // controllerLocked returns the admission controller of x's service, or nil if the service
 // is not contended. Server.mu must be held.
 func (s *Server) controllerLocked(x *exchange) *admission.Controller {
@@ -57,16 +70,21 @@
 	return c != nil && x.attempts == 0 && c.BelowFloor(x.urgency(), now)
 }
 
-// recordDecision counts whether x got an endpoint at its first attempt. Requests that no
+// recordDecision counts whether x got an endpoint at its first attempt. If that reached no
+// endpoint and x is refused then, it counts as refused. Requests that no
 // endpoint could have served are not counted: a reserve would not help them.
 func (s *Server) recordDecision(x *exchange, sent bool) {
 	if sent {
 		x.refusal = ""
 	}
-	if x.decided || x.attempts > 0 || !sent && !x.refusal.scarce() {
+	if x.decided == decidedRefused || x.decided == decidedSent && sent || x.attempts > 0 || !sent && !x.refusal.scarce() {
 		return
 	}
-	x.decided = true
+	unsent := x.decided == decidedSent // the attempt has reached no endpoint
+	x.decided = decidedRefused
+	if sent {
+		x.decided = decidedSent
+	}
 	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,6 +94,8 @@
 		return
 	case sent:
 		c.RecordSent(x.urgency(), now)
+	case unsent:
+		c.RecordUnsent(x.urgency(), now)
 	default:
 		c.RecordRefused(x.urgency(), now)
 	}
@@ -110,10 +130,33 @@
 		u, n := change.Urgency, change.Counts
 		s.events.Info("admission reserve changed", "service", service, "priority", u.Priority, "route_priority", u.RoutePriority, "slots", change.Slots,
 			"sent", n.Sent, "refused", n.Refused, "in_time", n.InTime, "late", n.Late)
-		s.metrics.Gauge("mintlift_admission_reserve", func() float64 {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			return c.Reserve(u, slots, clock.Now())
-		}, "service", service, "priority", strconv.Itoa(u.Priority), "route_priority", strconv.Itoa(u.RoutePriority))
+		s.metrics.Gauge("mintlift_admission_reserve", func() float64 { return s.reserveInForce(service, u, clock.Now()) },
+			"service", service, "priority", strconv.Itoa(u.Priority), "route_priority", strconv.Itoa(u.RoutePriority))
+	}
+}
+
+// reserveInForce returns how many slots of each engine of a service requests of urgency u
+// must leave free, by the configuration in force.
+func (s *Server) reserveInForce(service string, u admission.Urgency, now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, engine := s.admission[service], engineConfig(s.routes.Get(), service)
+	if c == nil || engine == nil {
+		return 0
+	}
+	return c.Reserve(u, engine.Slots, now)
+}
+
+// maintainAdmission logs the reserves that have changed without requests, and removes the
+// admission controllers and return plans of services that have been removed or are no longer
+// contended. If a service is contended again later, its counts start anew: those of before
+// would make a return plan promise places at once that it has not measured. Server.mu must be
+// held.
+func (s *Server) maintainAdmission(c *routing.Configuration, now time.Time) {
+	uncontended := func(service string) bool { return !s.contendedLocked(c.Services[service]) }
+	maps.DeleteFunc(s.admission, func(service string, _ *admission.Controller) bool { return uncontended(service) })
+	for service, controller := range s.admission {
+		s.logReserves(service, controller, c.Services[service].Engine.Slots, now)
 	}
+	maps.DeleteFunc(s.returnPlans, func(service string, _ *returnplan.Plan) bool { return uncontended(service) })
 }
--- a/ingress/reserve_test.go
+++ b/ingress/reserve_test.go
@@ -5,11 +5,13 @@
 import (
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/admission"
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 )
@@ -19,7 +21,7 @@
 func contendedServer(t *testing.T, gateways int) *testGateway {
 	g := newTestGateway(t)
 	g.server.Apply(urgencyConfig([]int{0, 2}, []int{1}))
-	g.server.raiseGateways(gateways)
+	g.server.recordGateways(gateways, clock.Now())
 	return g
 }
 
@@ -99,3 +101,33 @@
 	got := changes[0].Counts
 	assert.Check(t, got.InTime > 0 && got.Late > 1.99*got.InTime && got.Late < 2.01*got.InTime, "%+v", got)
 }
+
+// Load: a request gets an engine, its attempt is withheld, for example because its grant has
+// lapsed, and no engine is free after that. Guards against requests that count twice in
+// the demand, and against refused ones that count as sent in the admission
+// controller or as served in the return plan.
+func TestUnsentRequestIsCountedAsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newContendedServer(1)
+		reportRunning(s, 1, 0)
+		for range 5 {
+			x := newContendedExchange(s)
+			e := s.acquireEndpoint(t.Context(), x) // attempts is 0 again after an attempt that reached no endpoint
+			s.countServed(x, time.Now())
+			s.endAttemptLocked(x, e, fleet.Abandoned, time.Now())
+			reportRunning(s, 1, contendedSlots+retryExtraLoad)
+			assert.Assert(t, s.acquireEndpoint(t.Context(), x) == nil)
+			_, _ = s.retryAfter(x)
+			reportRunning(s, 1, 0)
+		}
+		now := time.Now()
+		assert.Assert(t, s.Demand("engine", now) <= 5/statsDecay.Seconds())
+		assert.Equal(t, s.statsOf("engine").refusedShare(now), 1.0)
+		_, kept := s.returnPlans["engine"].Promise(retryAfterMin, 2*time.Second, now)
+		assert.Assert(t, !kept)
+		s.admission["engine"].RecordSent(admission.Urgency{Priority: 1}, now)
+		changes := s.admission["engine"].Changes(contendedSlots, now.Add(100*time.Millisecond))
+		assert.Equal(t, len(changes), 1)
+		assert.Assert(t, changes[0].Counts.Refused > 3 && changes[0].Counts.Sent < 0.1, "%+v", changes[0].Counts)
+	})
+}
