--- a/admission/admission.go
+++ b/admission/admission.go
@@ -47,6 +47,8 @@
 type Controller struct {
 	classes   []*class // most urgent first
 	updatedAt time.Time
+	// shareChangesAt is when ShareChanges last returned changes.
+	shareChangesAt time.Time
 }
 
 // class holds the decaying counts of one urgency, and its reserve.
@@ -57,6 +59,8 @@
 	// returned, in slots.
 	reserve float64
 	logged  int
+	// shares divides the class among workspaces.
+	shares shares
 }
 
 // Counts are the decaying numbers of first attempts of a class. A request is sent or
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -105,7 +105,7 @@
 		q.MaxBacklogMS = lateBacklogPrompts * x.meanPrefillMS
 	}
 	if x.attempts == 0 {
-		q.MaxLoad = min(q.MaxLoad, q.Slots-s.reserveLocked(x, now))
+		q.MaxLoad = min(q.MaxLoad, q.Slots-s.reserveLocked(x, now)-s.shareReserveLocked(x, now))
 	}
 	q.MaxFirstByteMS = x.maxFirstByteMS(now)
 	setVersionBounds(&q, s.versionBounds(x, now))
@@ -183,6 +183,7 @@
 	}
 	s.mu.Lock()
 	w.rank.belowFloor, w.rank.late = s.belowFloorLocked(x, now), s.lateLocked(x)
+	w.rank.overShare = s.putBackOverShare(x, now)
 	q := s.queues[x.service]
 	if q == nil {
 		q = &queue{}
@@ -222,6 +223,9 @@
 	if s.reserveLocked(x, clock.Now()) > 0 {
 		x.refusal = refusalReserve
 	}
+	if x.overShare {
+		x.refusal = refusalShare
+	}
 	select {
 	case e := <-w.assigned:
 		if ctx.Err() == nil || e == nil {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -29,6 +29,11 @@
 	service string
 	// key is the caller's key, or empty if the route is public.
 	key string
+	// workspace is the name of the key's owner, or empty if the route is public.
+	workspace string
+	// overShare reports that the request waits, or has waited, after others of the same
+	// urgency because its workspace is over its share.
+	overShare bool
 	// regions are the regions in which the request may be served under regionsConfig, the
 	// newest configuration so far. Server.mu guards both once the request waits.
 	regions       residency.Regions
@@ -176,6 +181,7 @@
 			return false
 		}
 		workspace = owner.Name
+		x.workspace = workspace
 		x.priority = owner.Priority
 	}
 	x.regionsConfig, x.regions = x.config, allowedRegions(x.config, x.route, x.key)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -477,6 +477,7 @@
 	defer s.mu.Unlock()
 	s.expireRollback(now)
 	s.fleet.PruneSignals(now)
+	s.logShares(now)
 }
 
 // Close closes the idle connections to endpoints.
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -35,7 +35,10 @@
 	// served. See admission.Controller.BelowFloor.
 	belowFloor bool
 	urgency    admission.Urgency
-	stage      stage
+	// overShare is set if the request's workspace is over its share. See
+	// admission.Controller.OverShare.
+	overShare bool
+	stage     stage
 	// responseDue is when the response should start. Of waiters of equal urgency and
 	// stage, the one with the earliest responseDue is served first.
 	responseDue time.Time
@@ -75,6 +78,7 @@
 		compareBool(a.late, b.late),
 		compareBool(b.belowFloor, a.belowFloor),
 		a.urgency.Compare(b.urgency),
+		compareBool(a.overShare, b.overShare),
 		cmp.Compare(a.stage, b.stage),
 		a.responseDue.Compare(b.responseDue),
 	)
--- a/ingress/reserve.go
+++ b/ingress/reserve.go
@@ -19,11 +19,12 @@
 	refusalUnservable refusal = "unservable" // no endpoint could serve it at any load
 	refusalNoSlot     refusal = "no_slot"    // no slot was free in time
 	refusalReserve    refusal = "reserve"    // no_slot while a reserve for more urgent requests was in force
+	refusalShare      refusal = "share"      // no_slot while the workspace was over its share
 )
 
 // scarce reports whether the request could have been sent if there had been more slots.
 func (r refusal) scarce() bool {
-	return r == refusalNoSlot || r == refusalReserve
+	return r == refusalNoSlot || r == refusalReserve || r == refusalShare
 }
 
 // controllerLocked returns the admission controller of x's service, or nil if the service
@@ -79,6 +80,7 @@
 	default:
 		c.RecordRefused(x.urgency(), now)
 	}
+	s.recordShare(c, x, sent, now)
 	s.logReserves(x.service, c, x.config.Services[x.service].Engine.Slots, now)
 }
 
--- a/ingress/scarcity_test.go
+++ b/ingress/scarcity_test.go
@@ -95,10 +95,12 @@
 
 // simResult is what became of a caller's request.
 type simResult struct {
-	route   int
-	size    float64       // of the prompt, as a multiple of the route's mean
-	at      time.Duration // of the first try
-	latency time.Duration // until the first event, from the first try; 0 if refused
+	route int
+	// workspace is the index in simFleet.workspaces.
+	workspace int
+	size      float64       // of the prompt, as a multiple of the route's mean
+	at        time.Duration // of the first try
+	latency   time.Duration // until the first event, from the first try; 0 if refused
 }
 
 // simFleet is a fleet of gateways and engines in virtual time, without network.
@@ -106,9 +108,13 @@
 	servers []*Server
 	engines []*simEngine
 	routes  []simRoute
-	start   time.Time
-	mu      sync.Mutex
-	results []simResult
+	// workspaces are the shares of the load by workspace; without any, there is one.
+	workspaces []float64
+	// commonWorkspace is set if the gateways do not tell workspaces apart.
+	commonWorkspace bool
+	start           time.Time
+	mu              sync.Mutex
+	results         []simResult
 }
 
 // newSimFleet returns a fleet whose engines have queued requests each, besides those that
@@ -197,14 +203,17 @@
 
 // try sends a request to a gateway. If it is refused, retryAfter is the time after which the
 // caller returns.
-func (f *simFleet) try(s *Server, route int, size float64, expiresAt time.Time, again bool) (first time.Time, retryAfter time.Duration) {
+func (f *simFleet) try(s *Server, route, workspace int, size float64, expiresAt time.Time, again bool) (first time.Time, retryAfter time.Duration) {
 	c, r := s.Configuration(), f.routes[route]
 	ctx, cancel := context.WithDeadline(context.Background(), expiresAt)
 	defer cancel()
 	tokens := int(float64(r.tokens) * size)
 	engine := c.Services["engine"].Engine
 	x := &exchange{server: s, config: c, regionsConfig: c, route: c.Match("h", "/"+strconv.Itoa(route)), service: "engine", model: testModel, priority: 1,
-		start: time.Now(), expiresAt: expiresAt, callerRetry: again, prefillMS: prefillMS(engine, tokens), meanPrefillMS: prefillMS(engine, engine.MeanPromptTokens)}
+		workspace: strconv.Itoa(workspace), start: time.Now(), expiresAt: expiresAt, callerRetry: again, prefillMS: prefillMS(engine, tokens), meanPrefillMS: prefillMS(engine, engine.MeanPromptTokens)}
+	if f.commonWorkspace {
+		x.workspace = ""
+	}
 	if again {
 		x.age = simTimeout - time.Until(expiresAt)
 	}
@@ -228,14 +237,14 @@
 }
 
 // call sends a caller's request, and once more if it is refused.
-func (f *simFleet) call(route int) {
+func (f *simFleet) call(route, workspace int) {
 	at := time.Now()
 	expiresAt := at.Add(simTimeout)
-	result := simResult{route: route, size: 0.3 + 0.7*rand.ExpFloat64(), at: at.Sub(f.start)}
-	first, after := f.try(f.servers[rand.IntN(simGateways)], route, result.size, expiresAt, false)
+	result := simResult{route: route, workspace: workspace, size: 0.3 + 0.7*rand.ExpFloat64(), at: at.Sub(f.start)}
+	first, after := f.try(f.servers[rand.IntN(simGateways)], route, workspace, result.size, expiresAt, false)
 	if after > 0 {
 		time.Sleep(min(after, time.Until(expiresAt)/3))
-		first, _ = f.try(f.servers[rand.IntN(simGateways)], route, result.size, expiresAt, true)
+		first, _ = f.try(f.servers[rand.IntN(simGateways)], route, workspace, result.size, expiresAt, true)
 	}
 	if !first.IsZero() {
 		result.latency = first.Sub(at)
@@ -262,7 +271,11 @@
 			for ; route < len(f.routes)-1 && draw >= f.routes[route].share; route++ {
 				draw -= f.routes[route].share
 			}
-			group.Go(func() { f.call(route) })
+			draw, workspace := rand.Float64(), 0
+			for ; workspace < len(f.workspaces)-1 && draw >= f.workspaces[workspace]; workspace++ {
+				draw -= f.workspaces[workspace]
+			}
+			group.Go(func() { f.call(route, workspace) })
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/ingress/slots.go
+++ b/ingress/slots.go
@@ -149,7 +149,7 @@
 			if len(out[e]) < slotgrant.MaxWishes {
 				out[e] = append(out[e], slotgrant.Wish{
 					Priority: w.rank.wishPriority(),
-					DueMS:    w.rank.responseDue.Sub(now).Milliseconds(),
+					DueMS:    w.rank.wishDue(now).Milliseconds(),
 				})
 			}
 		}
