--- a/admission/shares.go
+++ b/admission/shares.go
@@ -23,11 +23,14 @@
 	minOverDemand = 4.0
 	// overFactor and overDeviations are by how much the demand of a workspace must exceed
 	// the mean demand of the others: by a quarter, so that workspaces with slightly
-	// different loads count as alike, and by 3 standard deviations of the difference
+	// different loads count as alike, and by 4 standard deviations of the difference
 	// of such counts. Without the latter, random variation of a few requests would put
 	// requests back.
 	overFactor     = 1.25
-	overDeviations = 3
+	overDeviations = 4
+	// shareMargin is by how much the demand must exceed the share. Without it, rounding
+	// would decide where nearly all requests are served.
+	shareMargin = 1.01
 	// underFactor is the multiple of the others' mean demand below which a workspace is no
 	// longer over its share, and underDemand the count. They are lower than the values
 	// above, so that a workspace with a steady load does not change between both states.
@@ -199,7 +202,7 @@
 func (s *shares) mergeSmallest() {
 	smallest, least := "", math.Inf(1)
 	for name, d := range s.workspaces {
-		if total := d.total(); total < least {
+		if total := d.total(); total < least || total == least && name < smallest {
 			smallest, least = name, total
 		}
 	}
@@ -263,7 +266,7 @@
 	total := d.total()
 	alone := len(s.workspaces) == 1 && s.others.total() < negligibleDemand
 	switch {
-	case alone || total <= s.share:
+	case alone || total <= shareMargin*s.share:
 		return false
 	case d.over:
 		return total >= max(underDemand, underFactor*mean)
