--- a/ingress/shares.go
+++ b/ingress/shares.go
@@ -32,10 +32,11 @@
 // shareReserveLocked returns how many slots of each engine x must leave free at its first
 // attempt because its workspace is over its share. Server.mu must be held.
 func (s *Server) shareReserveLocked(x *exchange, now time.Time) float64 {
-	if !x.overShare {
+	c := s.controllerLocked(x)
+	if c == nil || !x.overShare {
 		return 0
 	}
-	return s.controllerLocked(x).ShareReserve(x.urgency(), x.config.Services[x.service].Engine.Slots, now)
+	return c.ShareReserve(x.urgency(), x.config.Services[x.service].Engine.Slots, now)
 }
 
 // recordShare counts whether x got an endpoint at its first attempt for the share of its
--- a/ingress/shares_test.go
+++ b/ingress/shares_test.go
@@ -116,7 +116,8 @@
 // Load: one workspace floods a contended service, whose engines are full, while another
 // asks little. Guards against requests of the flood that wait before others of the same
 // urgency, at the gateway or at the sidecar, against requests of the other workspace or
-// retries of started streams that are put back, against any effect in a service that is
+// retries of started streams that are put back, against a flood that leaves no slot free for
+// others, against any effect in a service that is
 // not contended, and against a change that is not logged.
 func TestRequestsOverShareWaitAfterOthers(t *testing.T) {
 	for _, gateways := range []int{1, 2 * contendedSlots} {
@@ -135,6 +136,12 @@
 			logged := strings.Contains(strings.Join(lines, "\n"), `"workspace share changed" "service"="engine" "priority"=0 "route_priority"=0 "workspace"="hot" "over"=true`)
 			assert.Equal(t, logged, contended, "%q", lines)
 
+			for range 5 { // the flood takes slots of the other workspace
+				x := *other
+				x.refusal = refusalNoSlot
+				s.recordDecision(&x, false)
+			}
+			time.Sleep(400 * time.Millisecond)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			now := time.Now()
@@ -146,7 +153,10 @@
 			place := *hot
 			place.hasPlace = true
 			assert.Equal(t, s.putBackOverShare(&place, now), false)
-			assert.Equal(t, s.shareReserveLocked(other, now), 0.0)
+			assert.Equal(t, s.attemptQuery(other, now).MaxLoad, float64(contendedSlots))
+			maxLoad := s.attemptQuery(hot, now).MaxLoad
+			assert.Check(t, maxLoad >= contendedSlots-1.001 && (maxLoad < contendedSlots-0.5) == contended, "hot workspace up to a load of %.2f", maxLoad)
+			assert.Equal(t, s.attemptQuery(&retry, now).MaxLoad, float64(contendedSlots+retryExtraLoad))
 		})
 	}
 }
