--- a/admission/admission.go
+++ b/admission/admission.go
@@ -51,6 +51,8 @@
 type Controller struct {
 	classes   []*class // most urgent first
 	updatedAt time.Time
+	// shareChangesAt is when ShareChanges last returned changes.
+	shareChangesAt time.Time
 }
 
 // class holds the decaying counts of one urgency, and its reserve.
@@ -62,6 +64,8 @@
 	reserve  float64
 	logged   int
 	loggedAt time.Time
+	// shares divides the class among workspaces.
+	shares shares
 }
 
 // Counts are the decaying numbers of first attempts of a class. A request is sent or
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -107,7 +107,7 @@
 		q.MaxBacklogMS = lateBacklogPrompts * x.meanPrefillMS
 	}
 	if x.attempts == 0 {
-		q.MaxLoad = min(q.MaxLoad, q.Slots-s.reserveLocked(x, now))
+		q.MaxLoad = min(q.MaxLoad, q.Slots-s.reserveLocked(x, now)-s.shareReserveLocked(x, now))
 	}
 	q.MaxFirstByteMS = x.maxFirstByteMS(now)
 	setVersionBounds(&q, s.versionBounds(x, now))
@@ -186,6 +186,7 @@
 	}
 	s.mu.Lock()
 	w.rank.belowFloor, w.rank.late = s.belowFloorLocked(x, now), s.lateLocked(x, now)
+	w.rank.overShare = s.putBackOverShare(x, now)
 	q := s.queues[x.service]
 	if q == nil {
 		q = &queue{}
@@ -241,6 +242,8 @@
 	switch {
 	case x.attempts == 0 && !s.fleet.Usable(s.servableQuery(x, now), now, now):
 		return refusalUnservable
+	case x.overShare:
+		return refusalShare
 	case s.reserveLocked(x, now) > 0:
 		return refusalReserve
 	default:
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -500,6 +500,7 @@
 	defer s.mu.Unlock()
 	s.expireRollback(now)
 	s.fleet.PruneSignals(now)
+	s.logShares(now)
 	if c := s.routes.Get(); c != nil {
 		s.maintainAdmission(c, now)
 		s.removeUnused(c)
--- a/ingress/timeouts_test.go
+++ b/ingress/timeouts_test.go
@@ -73,7 +73,7 @@
 		now := time.Now()
 		if refusing {
 			for range 20 {
-				g.server.statsOf("engine").record(true, now)
+				g.server.statsOf("engine").record(&exchange{}, true, now)
 			}
 		}
 		misdetected, count := 0, 0
