cmd/mintlift: run the rollout tests in virtual time

The tests of weightsDeployment measured a real deployment against fixed times, and TestCorruptNewestVersionIsReloaded failed once on a busy machine. They now run on a network in memory in a bubble of testing/synctest, with the same bounds. TestClosedDaemonReleasesResources stays on loopback, as it checks that real addresses are free again.

installer: the lock of the staged chunks is held during calls of the engine. It is now a channel, so that a goroutine that waits for it does not stop the virtual time. With sync.Mutex, five of the moved tests did not end.

--- a/cmd/mintlift/latewrite_test.go
+++ b/cmd/mintlift/latewrite_test.go
@@ -3,8 +3,6 @@
 package main
 
 import (
-	"fmt"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -40,20 +38,21 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			d := startWeights(t, 2)
-			for _, b := range d.boxes {
-				b.engine.StageAndLoad(1)
-			}
-			d.setTargetVersion(3)
-			d.awaitLoaded(t, 3)
-			writeAndRestart(t, d)
-			d.sendRequestsFor(8 * time.Second)
-			d.checkVersions(t, 3)
-			assert.Equal(t, d.served[2], 0, "requests served by the older version")
-			for _, b := range d.boxes {
-				assert.DeepEqual(t, b.engine.Starts(), []int{3, 3})
-			}
+			inVirtualTime(t, func(t *testing.T) {
+				d := startWeights(t, 2)
+				for _, b := range d.boxes {
+					b.engine.StageAndLoad(1)
+				}
+				d.setTargetVersion(3)
+				d.awaitLoaded(t, 3)
+				writeAndRestart(t, d)
+				d.sendRequestsFor(8 * time.Second)
+				d.checkVersions(t, 3)
+				assert.Equal(t, d.served[2], 0, "requests served by the older version")
+				for _, b := range d.boxes {
+					assert.DeepEqual(t, b.engine.Starts(), []int{3, 3})
+				}
+			})
 		})
 	}
 }
@@ -61,20 +60,21 @@
 // Guards against a revoked key that becomes valid again after a restart of all processes:
 // the operator's write of an older configuration was carried out after that of a newer one.
 func TestConfigurationWrittenLateIsIgnoredAfterRestart(t *testing.T) {
-	t.Parallel()
-	d := startWeights(t, 1)
-	d.startGateway(t)
-	d.boxes[0].engine.StageAndLoad(1)
-	d.configureKey(3, "after")
-	d.awaitStatus(t, "after", http.StatusOK, 10*time.Second)
-	d.configureKey(2, "before")
-	time.Sleep(time.Second)
-	d.restart(t)
-	d.boxes[0].engine.StageAndLoad(1)
-	d.awaitStatus(t, "after", http.StatusOK, 10*time.Second)
-	for _, gateway := range d.gateways {
-		assert.Equal(t, d.requestWithKey(gateway, "before"), http.StatusUnauthorized)
-	}
+	inVirtualTime(t, func(t *testing.T) {
+		d := startWeights(t, 1)
+		d.startGateway(t)
+		d.boxes[0].engine.StageAndLoad(1)
+		d.configureKey(3, "after")
+		d.awaitStatus(t, "after", http.StatusOK, 10*time.Second)
+		d.configureKey(2, "before")
+		time.Sleep(time.Second)
+		d.restart(t)
+		d.boxes[0].engine.StageAndLoad(1)
+		d.awaitStatus(t, "after", http.StatusOK, 10*time.Second)
+		for _, gateway := range d.gateways {
+			assert.Equal(t, d.requestWithKey(gateway, "before"), http.StatusUnauthorized)
+		}
+	})
 }
 
 // awaitLoaded waits until each engine has loaded a version.
@@ -104,11 +104,9 @@
 	d.stop()
 	for _, b := range d.boxes {
 		b.engine.Restart(false)
-		host, _, err := net.SplitHostPort(b.address)
-		assert.NilError(t, err)
-		d.daemons = append(d.daemons, startSidecar(t, host, d.storeAddress, b.address))
+		d.daemons = append(d.daemons, d.newSidecar(t, b))
 	}
 	for n := range d.gateways {
-		d.daemons = append(d.daemons, startGateway(t, fmt.Sprintf("%s.%d", d.network, 1+n), d.storeAddress))
+		d.daemons = append(d.daemons, d.newGateway(t, n))
 	}
 }
--- a/cmd/mintlift/sidecarrestart_test.go
+++ b/cmd/mintlift/sidecarrestart_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -29,34 +28,33 @@
 		"no start time": {true, 0.6},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			d := startWeights(t, 3)
-			for _, b := range d.boxes {
-				b.engine.StageAndLoad(1)
-				b.engine.Change(func(f *enginetest.Faults) { f.NoStartTime = c.noStartTime })
-			}
-			d.setTargetVersion(2)
-			d.awaitLoaded(t, 2)
-			time.Sleep(3 * time.Second)
-			for n, b := range d.boxes {
-				closeNow(d.daemons[n])
-				b.stageChunk(t, weightsModel.Chunk(3, 0))
-			}
-			for n, b := range d.boxes {
-				host, _, err := net.SplitHostPort(b.address)
-				assert.NilError(t, err)
-				d.daemons[n] = startSidecar(t, host, d.storeAddress, b.address)
-			}
-			d.sendRequestsFor(6 * time.Second)
-			d.checkVersions(t, 2)
-			for _, b := range d.boxes {
-				assert.DeepEqual(t, b.engine.Starts(), []int{2})
-			}
-			refused := float64(d.served[0]) / float64(d.served[0]+d.served[2])
-			assert.Assert(t, refused <= c.maxRefused, "%.3f of the requests were refused", refused)
-			d.served[2] = 0
-			d.sendRequestsFor(time.Second)
-			d.checkVersions(t, 2)
+			inVirtualTime(t, func(t *testing.T) {
+				d := startWeights(t, 3)
+				for _, b := range d.boxes {
+					b.engine.StageAndLoad(1)
+					b.engine.Change(func(f *enginetest.Faults) { f.NoStartTime = c.noStartTime })
+				}
+				d.setTargetVersion(2)
+				d.awaitLoaded(t, 2)
+				time.Sleep(3 * time.Second)
+				for n, b := range d.boxes {
+					closeNow(d.daemons[n])
+					b.stageChunk(t, weightsModel.Chunk(3, 0))
+				}
+				for n, b := range d.boxes {
+					d.daemons[n] = d.newSidecar(t, b)
+				}
+				d.sendRequestsFor(6 * time.Second)
+				d.checkVersions(t, 2)
+				for _, b := range d.boxes {
+					assert.DeepEqual(t, b.engine.Starts(), []int{2})
+				}
+				refused := float64(d.served[0]) / float64(d.served[0]+d.served[2])
+				assert.Assert(t, refused <= c.maxRefused, "%.3f of the requests were refused", refused)
+				d.served[2] = 0
+				d.sendRequestsFor(time.Second)
+				d.checkVersions(t, 2)
+			})
 		})
 	}
 }
@@ -66,7 +64,7 @@
 	t.Helper()
 	r, err := http.NewRequest(http.MethodPut, "http://"+b.address+"/stage-put/m?number=0", bytes.NewReader(data))
 	assert.NilError(t, err)
-	response, err := http.DefaultClient.Do(r)
+	response, err := b.client.Do(r)
 	assert.NilError(t, err)
 	assert.NilError(t, response.Body.Close())
 	assert.Equal(t, response.StatusCode, http.StatusOK)
--- a/cmd/mintlift/storerollback_test.go
+++ b/cmd/mintlift/storerollback_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -36,7 +35,7 @@
 	r.Header.Set(platform.Headers().Model, "m")
 	r.Header.Set(platform.Headers().Deadline, "1000")
 	r.Header.Set("Authorization", "Bearer "+key)
-	response, err := http.DefaultClient.Do(r)
+	response, err := d.client.Do(r)
 	if err != nil {
 		return 0
 	}
@@ -60,52 +59,54 @@
 // from an older copy (a rollback). Gateways that applied the revocation must keep
 // rejecting the key, and a gateway that starts later must get the revocation from them.
 func TestRevokedKeyAfterStoreRollback(t *testing.T) {
-	t.Parallel()
-	d := startWeights(t, 2)
-	for _, b := range d.boxes {
-		b.engine.StageAndLoad(1)
-	}
-	d.configureKey(2, "before")
-	d.awaitStatus(t, "before", http.StatusOK, 10*time.Second)
-	backup := d.store.Copy()
-	d.configureKey(3, "after")
-	d.awaitStatus(t, "after", http.StatusOK, 5*time.Second)
-	d.awaitStatus(t, "before", http.StatusUnauthorized, 5*time.Second)
-	d.store.Restore(backup)
-	for began := time.Now(); time.Since(began) < 2*time.Second; time.Sleep(20 * time.Millisecond) {
-		status := d.requestWithKey(d.gateways[0], "before")
-		assert.Assert(t, status == http.StatusUnauthorized || status == http.StatusServiceUnavailable, "status %d", status)
-	}
-	d.startGateway(t)
-	d.awaitStatus(t, "before", http.StatusUnauthorized, 6*time.Second)
-	d.awaitStatus(t, "after", http.StatusOK, time.Second)
-	d.configureKey(4, "after")
-	d.awaitStatus(t, "after", http.StatusOK, 5*time.Second)
+	inVirtualTime(t, func(t *testing.T) {
+		d := startWeights(t, 2)
+		for _, b := range d.boxes {
+			b.engine.StageAndLoad(1)
+		}
+		d.configureKey(2, "before")
+		d.awaitStatus(t, "before", http.StatusOK, 10*time.Second)
+		backup := d.store.Copy()
+		d.configureKey(3, "after")
+		d.awaitStatus(t, "after", http.StatusOK, 5*time.Second)
+		d.awaitStatus(t, "before", http.StatusUnauthorized, 5*time.Second)
+		d.store.Restore(backup)
+		for began := time.Now(); time.Since(began) < 2*time.Second; time.Sleep(20 * time.Millisecond) {
+			status := d.requestWithKey(d.gateways[0], "before")
+			assert.Assert(t, status == http.StatusUnauthorized || status == http.StatusServiceUnavailable, "status %d", status)
+		}
+		d.startGateway(t)
+		d.awaitStatus(t, "before", http.StatusUnauthorized, 6*time.Second)
+		d.awaitStatus(t, "after", http.StatusOK, time.Second)
+		d.configureKey(4, "after")
+		d.awaitStatus(t, "after", http.StatusOK, 5*time.Second)
+	})
 }
 
 // Guards against engines that load an older version because a store rollback has
 // restored the record of an older target version and a new gateway reads it.
 func TestTargetVersionAfterStoreRollback(t *testing.T) {
-	t.Parallel()
-	d := startWeights(t, 2)
-	for _, b := range d.boxes {
-		b.engine.StageAndLoad(1)
-	}
-	backup := d.store.Copy()
-	d.setTargetVersion(2)
-	for began := time.Now(); d.boxes[0].engine.State().Version != 2 || d.boxes[1].engine.State().Version != 2; time.Sleep(20 * time.Millisecond) {
-		assert.Assert(t, time.Since(began) < 15*time.Second, "version 2 is not loaded")
-	}
-	d.store.Restore(backup)
-	time.Sleep(time.Second)
-	d.startGateway(t)
-	d.sendRequestsFor(4 * time.Second)
-	d.setTargetVersion(2)
-	d.sendRequestsFor(2 * time.Second)
-	d.checkVersions(t, 2)
-	for _, b := range d.boxes {
-		assert.DeepEqual(t, b.engine.Starts(), []int{2})
-	}
+	inVirtualTime(t, func(t *testing.T) {
+		d := startWeights(t, 2)
+		for _, b := range d.boxes {
+			b.engine.StageAndLoad(1)
+		}
+		backup := d.store.Copy()
+		d.setTargetVersion(2)
+		for began := time.Now(); d.boxes[0].engine.State().Version != 2 || d.boxes[1].engine.State().Version != 2; time.Sleep(20 * time.Millisecond) {
+			assert.Assert(t, time.Since(began) < 15*time.Second, "version 2 is not loaded")
+		}
+		d.store.Restore(backup)
+		time.Sleep(time.Second)
+		d.startGateway(t)
+		d.sendRequestsFor(4 * time.Second)
+		d.setTargetVersion(2)
+		d.sendRequestsFor(2 * time.Second)
+		d.checkVersions(t, 2)
+		for _, b := range d.boxes {
+			assert.DeepEqual(t, b.engine.Starts(), []int{2})
+		}
+	})
 }
 
 // rollbackGatewaysEnv is the environment variable that overrides the number of gateways
@@ -116,45 +117,45 @@
 // Guards against a burst of store calls after a store rollback, and against gateways
 // that repeat reads forever because other gateways report offsets from before it.
 func TestStoreCallsAfterRollback(t *testing.T) {
-	t.Parallel()
-	gateways := 5
-	if n, err := strconv.Atoi(os.Getenv(rollbackGatewaysEnv)); err == nil {
-		gateways = n
-	}
-	d := startWeights(t, 2)
-	for _, b := range d.boxes {
-		b.engine.StageAndLoad(1)
-	}
-	for len(d.gateways) < gateways {
-		d.startGateway(t)
-	}
-	d.awaitStatus(t, "", http.StatusOK, 20*time.Second)
-	backup := d.store.Copy()
-	for n := range 20 {
-		d.store.Put(storetest.Operator, "other", strconv.Itoa(n))
-		d.store.Put(storetest.Endpoints, "gone", "")
-	}
-	time.Sleep(4 * time.Second)
-	calls := func(duration time.Duration) (operator, list int) {
-		operator, list = d.store.CallsFor(storetest.Operator), d.store.CallsFor(storetest.Endpoints)
-		time.Sleep(duration)
-		return d.store.CallsFor(storetest.Operator) - operator, d.store.CallsFor(storetest.Endpoints) - list
-	}
-	operatorBefore, listBefore := calls(4 * time.Second)
-	d.store.Restore(backup)
-	operatorFirst, listFirst := calls(2 * time.Second)
-	time.Sleep(4 * time.Second)
-	operatorAfter, listAfter := calls(4 * time.Second)
-	t.Logf("%d gateways, calls for operator's records, and for the list: 4 s before %d, %d; first 2 s %d, %d; 6 to 10 s after %d, %d",
-		gateways, operatorBefore, listBefore, operatorFirst, listFirst, operatorAfter, listAfter)
-	assert.Assert(t, operatorFirst <= operatorBefore/2+3*gateways && listFirst <= listBefore/2+3*gateways, "calls in the first 2 s")
-	assert.Assert(t, operatorAfter <= operatorBefore+gateways && listAfter <= listBefore+gateways, "calls later")
+	inVirtualTime(t, func(t *testing.T) {
+		gateways := 5
+		if n, err := strconv.Atoi(os.Getenv(rollbackGatewaysEnv)); err == nil {
+			gateways = n
+		}
+		d := startWeights(t, 2)
+		for _, b := range d.boxes {
+			b.engine.StageAndLoad(1)
+		}
+		for len(d.gateways) < gateways {
+			d.startGateway(t)
+		}
+		d.awaitStatus(t, "", http.StatusOK, 20*time.Second)
+		backup := d.store.Copy()
+		for n := range 20 {
+			d.store.Put(storetest.Operator, "other", strconv.Itoa(n))
+			d.store.Put(storetest.Endpoints, "gone", "")
+		}
+		time.Sleep(4 * time.Second)
+		calls := func(duration time.Duration) (operator, list int) {
+			operator, list = d.store.CallsFor(storetest.Operator), d.store.CallsFor(storetest.Endpoints)
+			time.Sleep(duration)
+			return d.store.CallsFor(storetest.Operator) - operator, d.store.CallsFor(storetest.Endpoints) - list
+		}
+		operatorBefore, listBefore := calls(4 * time.Second)
+		d.store.Restore(backup)
+		operatorFirst, listFirst := calls(2 * time.Second)
+		time.Sleep(4 * time.Second)
+		operatorAfter, listAfter := calls(4 * time.Second)
+		t.Logf("%d gateways, calls for operator's records, and for the list: 4 s before %d, %d; first 2 s %d, %d; 6 to 10 s after %d, %d",
+			gateways, operatorBefore, listBefore, operatorFirst, listFirst, operatorAfter, listAfter)
+		assert.Assert(t, operatorFirst <= operatorBefore/2+3*gateways && listFirst <= listBefore/2+3*gateways, "calls in the first 2 s")
+		assert.Assert(t, operatorAfter <= operatorBefore+gateways && listAfter <= listBefore+gateways, "calls later")
+	})
 }
 
 // startGateway starts one more gateway of the deployment.
 func (d *weightsDeployment) startGateway(t *testing.T) {
 	t.Helper()
-	ip := fmt.Sprintf("%s.%d", d.network, 1+len(d.gateways))
-	d.daemons = append(d.daemons, startGateway(t, ip, d.storeAddress))
-	d.gateways = append(d.gateways, net.JoinHostPort(ip, "8005"))
+	d.daemons = append(d.daemons, d.newGateway(t, len(d.gateways)))
+	d.gateways = append(d.gateways, fmt.Sprintf("%s.%d:8005", d.network, 1+len(d.gateways)))
 }
--- a/cmd/mintlift/taskgroup_test.go
+++ b/cmd/mintlift/taskgroup_test.go
@@ -37,7 +37,7 @@
 func TestClosedDaemonReleasesResources(t *testing.T) {
 	before := len(moduleGoroutines(t))
 	for range 2 {
-		d := startWeights(t, 1)
+		d := startWeightsOnLoopback(t, 1)
 		d.boxes[0].engine.StageAndLoad(1)
 		for began := time.Now(); d.request() != 1; time.Sleep(20 * time.Millisecond) {
 			assert.Assert(t, time.Since(began) < 15*time.Second, "the gateway does not serve")
--- a/cmd/mintlift/weights_test.go
+++ b/cmd/mintlift/weights_test.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,10 +16,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/internal/memnet"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/platform/enginetest"
 	"github.com/mintlift/mintlift/platform/storetest"
@@ -27,92 +31,97 @@
 // Guards against an engine that loads wrong weights because it accepts the command to
 // start a load late, after chunks of a newer version have been staged.
 func TestDelayedStartOrderDoesNotLoadWrongChunks(t *testing.T) {
-	t.Parallel()
-	d := startWeights(t, 4)
-	ordered := make(chan struct{}, len(d.boxes))
-	for _, b := range d.boxes {
-		var starts atomic.Int32
-		b.engine.Change(func(f *enginetest.Faults) {
-			f.StartDelay = func(version int) time.Duration {
-				if version != 2 || starts.Add(1) > 1 {
-					return 0
+	inVirtualTime(t, func(t *testing.T) {
+		d := startWeights(t, 4)
+		ordered := make(chan struct{}, len(d.boxes))
+		for _, b := range d.boxes {
+			var starts atomic.Int32
+			b.engine.Change(func(f *enginetest.Faults) {
+				f.StartDelay = func(version int) time.Duration {
+					if version != 2 || starts.Add(1) > 1 {
+						return 0
+					}
+					ordered <- struct{}{}
+					return 4 * time.Second
 				}
-				ordered <- struct{}{}
-				return 4 * time.Second
-			}
-		})
-	}
-	d.setTargetVersion(2)
-	for range d.boxes {
-		<-ordered
-	}
-	d.setTargetVersion(3)
-	d.sendRequestsFor(9 * time.Second)
-	d.checkVersions(t, 3)
+			})
+		}
+		d.setTargetVersion(2)
+		for range d.boxes {
+			<-ordered
+		}
+		d.setTargetVersion(3)
+		d.sendRequestsFor(9 * time.Second)
+		d.checkVersions(t, 3)
+	})
 }
 
 // Guards against requests being served with a chunk that was corrupted after its
 // verification and before the load.
 func TestChunkCorruptedAfterVerification(t *testing.T) {
-	t.Parallel()
-	d := startWeights(t, 2)
-	d.onFirstStart(2, func(b *weightsBox) { b.engine.Corrupt(3, enginetest.CorruptionGrace+time.Second) })
-	d.setTargetVersion(2)
-	d.sendRequestsFor(2 * time.Second)
-	d.setTargetVersion(3)
-	d.sendRequestsFor(9 * time.Second)
-	d.checkVersions(t, 3)
+	inVirtualTime(t, func(t *testing.T) {
+		d := startWeights(t, 2)
+		d.onFirstStart(2, func(b *weightsBox) { b.engine.Corrupt(3, enginetest.CorruptionGrace+time.Second) })
+		d.setTargetVersion(2)
+		d.sendRequestsFor(2 * time.Second)
+		d.setTargetVersion(3)
+		d.sendRequestsFor(9 * time.Second)
+		d.checkVersions(t, 3)
+	})
 }
 
 // Guards against corrupted weights of the newest target version, the version that the
 // operator has set to be served last: the engine reports the
 // version as loaded, and can only load it again after it has loaded another version.
 func TestCorruptNewestVersionIsReloaded(t *testing.T) {
-	t.Parallel()
-	d := startWeights(t, 2)
-	for _, b := range d.boxes {
-		b.engine.StageAndLoad(1)
-	}
-	d.onFirstStart(2, func(b *weightsBox) { b.engine.Corrupt(3, enginetest.CorruptionGrace+time.Second) })
-	d.setTargetVersion(2)
-	d.sendRequestsFor(12 * time.Second)
-	d.checkVersions(t, 2)
+	inVirtualTime(t, func(t *testing.T) {
+		d := startWeights(t, 2)
+		for _, b := range d.boxes {
+			b.engine.StageAndLoad(1)
+		}
+		d.onFirstStart(2, func(b *weightsBox) { b.engine.Corrupt(3, enginetest.CorruptionGrace+time.Second) })
+		d.setTargetVersion(2)
+		d.sendRequestsFor(12 * time.Second)
+		d.checkVersions(t, 2)
+	})
 }
 
 // Guards against an engine that restarts after the verification of its staged chunks
 // and loses them: the restarted engine would accept the command to load them.
 func TestEngineRestartBeforeStartOrder(t *testing.T) {
-	t.Parallel()
-	d := startWeights(t, 2)
-	d.onFirstStart(2, func(b *weightsBox) { b.engine.Restart(true) })
-	d.setTargetVersion(2)
-	d.sendRequestsFor(9 * time.Second)
-	d.checkVersions(t, 2)
+	inVirtualTime(t, func(t *testing.T) {
+		d := startWeights(t, 2)
+		d.onFirstStart(2, func(b *weightsBox) { b.engine.Restart(true) })
+		d.setTargetVersion(2)
+		d.sendRequestsFor(9 * time.Second)
+		d.checkVersions(t, 2)
+	})
 }
 
 // Guards against wrong weights when the write of a chunk of version 2 is delayed until
 // version 3 is being verified or loaded. The delay differs among the engines, and every
 // second engine loads its chunks one by one, the others all at once.
 func TestDelayedChunkWriteOfOlderVersion(t *testing.T) {
-	t.Parallel()
-	d := startWeights(t, 8)
-	for n, b := range d.boxes {
-		b.engine.Change(func(f *enginetest.Faults) {
-			var puts atomic.Int32
-			f.LoadGradually = n%2 == 1
-			f.PutDelay = func(int) time.Duration {
-				if puts.Add(1) > 1 {
-					return 0
+	inVirtualTime(t, func(t *testing.T) {
+		d := startWeights(t, 8)
+		for n, b := range d.boxes {
+			b.engine.Change(func(f *enginetest.Faults) {
+				var puts atomic.Int32
+				f.LoadGradually = n%2 == 1
+				f.PutDelay = func(int) time.Duration {
+					if puts.Add(1) > 1 {
+						return 0
+					}
+					return 2*time.Second + time.Duration(n/2)*150*time.Millisecond
 				}
-				return 2*time.Second + time.Duration(n/2)*150*time.Millisecond
-			}
-		})
-	}
-	d.setTargetVersion(2)
-	time.Sleep(time.Second)
-	d.setTargetVersion(3)
-	d.sendRequestsFor(9 * time.Second)
-	d.checkVersions(t, 3)
+			})
+		}
+		d.setTargetVersion(2)
+		time.Sleep(time.Second)
+		d.setTargetVersion(3)
+		d.sendRequestsFor(9 * time.Second)
+		d.checkVersions(t, 3)
+	})
 }
 
 // onFirstStart makes each engine call do once, before it accepts its first command to
@@ -133,11 +142,14 @@
 // weightsModel is small, so that transfers add little to the duration of a rollout.
 var weightsModel = enginetest.Weights{Model: "m", Chunks: 16, ChunkBytes: 4096, Layers: 4}
 
-// weightsDeployment is a set of gateways and of engines with sidecars, on loopback
-// addresses, for tests of the rollout of weights.
+// weightsDeployment is a set of gateways and of engines with sidecars, for tests of the
+// rollout of weights.
 type weightsDeployment struct {
 	network string // the first three numbers of all addresses
-	store   *storetest.Store
+	// at returns the network as the box with an IP address uses it.
+	at     func(ip string) network.Network
+	client *http.Client // of the callers
+	store  *storetest.Store
 	// storeAddress is the IP:PORT of the store. config is the first configuration in it.
 	storeAddress, config string
 	boxes                []*weightsBox
@@ -151,6 +163,7 @@
 
 // weightsBox is an engine with its sidecar.
 type weightsBox struct {
+	client  *http.Client // for calls of the engine by the test
 	store   *storetest.Store
 	engine  *enginetest.Engine
 	address string
@@ -165,14 +178,51 @@
 // id returns the id of the engine's process. It is new at each start.
 func (b *weightsBox) id() string { return fmt.Sprintf("i-%s-%d", b.address, b.engine.Incarnation()) }
 
+// inVirtualTime runs a test in a bubble of testing/synctest, in parallel with other tests.
+// Its time advances only while the whole deployment waits, so that the verdict does not
+// depend on how fast the machine is.
+func inVirtualTime(t *testing.T, test func(t *testing.T)) {
+	t.Helper()
+	t.Parallel()
+	synctest.Test(t, test)
+}
+
 // startWeights starts a deployment of one gateway and count engines without weights, on
-// a loopback network of its own.
+// a network in memory. It must be called in virtual time.
 func startWeights(t *testing.T, count int) *weightsDeployment {
 	t.Helper()
-	network := fmt.Sprintf("127.78.%d", loopbackNetworks.Add(1))
-	d := &weightsDeployment{network: network, store: storetest.New(), served: make(map[int]int)}
-	d.storeAddress = serveAt(t, "127.0.0.1:0", d.store, d.store.Close)
-	origin := serveAt(t, "127.0.0.1:0", weightsModel, func() {})
+	memory := memnet.New(memnet.Config{Delay: 300 * time.Microsecond})
+	boxes := make(map[string]*memnet.Box)
+	return startWeightsOn(t, count, "10.0.0", func(ip string) network.Network {
+		if boxes[ip] == nil {
+			boxes[ip] = memory.Box(ip, "r")
+		}
+		return boxes[ip]
+	})
+}
+
+// startWeightsOnLoopback is like startWeights, on a loopback network of its own and in
+// real time.
+func startWeightsOnLoopback(t *testing.T, count int) *weightsDeployment {
+	t.Helper()
+	return startWeightsOn(t, count, fmt.Sprintf("127.78.%d", loopbackNetworks.Add(1)), func(string) network.Network { return network.System{} })
+}
+
+// maxStandInTail is longer than anything that the stand-ins still do after their servers
+// have been closed, such as a load.
+const maxStandInTail = 2 * time.Second
+
+// startWeightsOn starts a deployment; see weightsDeployment.
+func startWeightsOn(t *testing.T, count int, prefix string, at func(ip string) network.Network) *weightsDeployment {
+	t.Helper()
+	d := &weightsDeployment{network: prefix, at: at, store: storetest.New(), served: make(map[int]int)}
+	t.Cleanup(func() { time.Sleep(maxStandInTail) }) // goroutines of a bubble must end with the test
+	d.client = &http.Client{Transport: &http.Transport{DialContext: at(prefix+".250").Dialer(time.Second, 0), MaxIdleConnsPerHost: 100}}
+	t.Cleanup(d.client.CloseIdleConnections)
+	d.storeAddress = prefix + ".251:8007"
+	d.serveAt(t, d.storeAddress, d.store, d.store.Close)
+	origin := prefix + ".252:8008"
+	d.serveAt(t, origin, weightsModel, func() {})
 	d.config = fmt.Sprintf(`{"version":1,
 		"routes":[{"name":"s","host":"h.example","path_prefix":"/s/","kind":"streaming","timeout_ms":3000,"target_latency_ms":800,"target_gap_ms":400,"service":"e","max_attempts":2,"public":true,"resumable":true}],
 		"services":[{"name":"weights","origin":%q,"zone":"z","link_mbps":80},
@@ -180,39 +230,60 @@
 		"limits":{"max_body_bytes":1048576,"idle_timeout_ms":15000}}`, origin, weightsModel.Layers, weightsModel.Chunks, weightsModel.ChunkBytes)
 	d.store.Put(storetest.Operator, "config", d.config)
 	for n := range count {
-		d.startBox(t, fmt.Sprintf("%s.%d", network, 100+n), d.storeAddress)
+		d.startBox(t, fmt.Sprintf("%s.%d", prefix, 100+n))
 	}
 	d.startGateway(t)
 	return d
 }
 
 // startBox starts an engine and its sidecar.
-func (d *weightsDeployment) startBox(t *testing.T, ip, store string) {
+func (d *weightsDeployment) startBox(t *testing.T, ip string) {
 	t.Helper()
-	b := &weightsBox{store: d.store, address: net.JoinHostPort(ip, "8320")}
+	b := &weightsBox{client: d.client, store: d.store, address: net.JoinHostPort(ip, "8320")}
 	b.engine = enginetest.New(weightsModel, b.writeEntry)
 	d.boxes = append(d.boxes, b)
-	serveAt(t, b.address, http.HandlerFunc(b.serve), func() {})
+	d.serveAt(t, b.address, http.HandlerFunc(b.serve), func() {})
 	b.writeEntry()
-	d.daemons = append(d.daemons, startSidecar(t, ip, store, b.address))
+	d.daemons = append(d.daemons, d.newSidecar(t, b))
+}
+
+// newSidecar starts the sidecar of a box. It is closed when the test ends.
+func (d *weightsDeployment) newSidecar(t *testing.T, b *weightsBox) *taskGroup {
+	t.Helper()
+	ip := hostOf(t, b.address)
+	group, err := startPlatformSidecar(context.Background(), d.newProcess(t, ip, fmt.Sprintf(`,"app":%q,"service":"e"`, b.address)))
+	assert.NilError(t, err)
+	t.Cleanup(func() { closeNow(group) })
+	return group
 }
 
-// serveAt serves at a loopback address, and returns the address with the actual port.
-// When the test ends it calls end, then closes the server.
-func serveAt(t *testing.T, address string, h http.Handler, end func()) string {
+// newGateway starts the gateway with index n. It is closed when the test ends.
+func (d *weightsDeployment) newGateway(t *testing.T, n int) *taskGroup {
 	t.Helper()
-	listener, err := net.Listen("tcp4", address)
+	group, err := startPlatformGateway(context.Background(), d.newProcess(t, fmt.Sprintf("%s.%d", d.network, 1+n), ""))
 	assert.NilError(t, err)
-	server := httptest.NewUnstartedServer(h)
-	assert.NilError(t, server.Listener.Close())
-	server.Listener = listener
+	t.Cleanup(func() { closeNow(group) })
+	return group
+}
+
+// newProcess is like newPlatformProcess, for a daemon of the deployment.
+func (d *weightsDeployment) newProcess(t *testing.T, ip, extra string) *platformProcess {
+	t.Helper()
+	return newProcessOn(t, d.at(ip), place{ip, "z", map[string]string{"z": "r"}}, d.storeAddress, extra)
+}
+
+// serveAt serves at an address. When the test ends it calls end, then closes the server.
+func (d *weightsDeployment) serveAt(t *testing.T, address string, h http.Handler, end func()) {
+	t.Helper()
+	listener, err := d.at(hostOf(t, address)).Listen(t.Context(), "tcp4", address, 0)
+	assert.NilError(t, err)
+	server := &httptest.Server{Listener: listener, Config: &http.Server{Handler: h}}
 	server.Start()
 	t.Cleanup(func() {
 		end()
 		server.CloseClientConnections()
 		server.Close()
 	})
-	return listener.Addr().String()
 }
 
 // writeEntry writes the engine's entry in the endpoint list, in place of the entry of a
@@ -300,7 +371,7 @@
 	r.Header.Set(platform.Headers().RequestID, "id")
 	r.Header.Set(platform.Headers().Model, "m")
 	r.Header.Set(platform.Headers().Deadline, "1000")
-	response, err := http.DefaultClient.Do(r)
+	response, err := d.client.Do(r)
 	if err != nil {
 		return 0
 	}
@@ -334,64 +405,64 @@
 // its sidecar: it accepts a command to start a load that was sent to it before, while
 // chunks of a newer version are staged, and the new sidecar does not know of it.
 func TestStartCarriedOutAfterRestartsIsNotTrusted(t *testing.T) {
-	t.Parallel()
-	const startDelay = 5 * time.Second
-	d := startWeights(t, 1)
-	b := d.boxes[0]
-	b.engine.StageAndLoad(1)
-	d.sendRequestsFor(time.Second)
-	var sent time.Time
-	var delayedVersion int
-	delayed := make(chan struct{})
-	var once sync.Once
-	b.engine.Change(func(f *enginetest.Faults) {
-		f.StartDelay = func(version int) (delay time.Duration) {
-			once.Do(func() {
-				delay, delayedVersion, sent = startDelay, version, time.Now()
-				close(delayed)
-			})
-			return delay
+	inVirtualTime(t, func(t *testing.T) {
+		const startDelay = 5 * time.Second
+		d := startWeights(t, 1)
+		b := d.boxes[0]
+		b.engine.StageAndLoad(1)
+		d.sendRequestsFor(time.Second)
+		var sent time.Time
+		var delayedVersion int
+		delayed := make(chan struct{})
+		var once sync.Once
+		b.engine.Change(func(f *enginetest.Faults) {
+			f.StartDelay = func(version int) (delay time.Duration) {
+				once.Do(func() {
+					delay, delayedVersion, sent = startDelay, version, time.Now()
+					close(delayed)
+				})
+				return delay
+			}
+		})
+		b.engine.Restart(false) // its count of accepted commands is 0, as it is after the next restart
+		<-delayed
+		d.awaitLoaded(t, delayedVersion)
+		d.setTargetVersion(delayedVersion + 1)
+		d.awaitLoaded(t, delayedVersion+1)
+		time.Sleep(time.Until(sent.Add(startDelay - 200*time.Millisecond)))
+		closeNow(d.daemons[0])
+		b.engine.Restart(false)
+		for began := time.Now(); b.engine.State().Version != delayedVersion; time.Sleep(20 * time.Millisecond) {
+			assert.Assert(t, time.Since(began) < 5*time.Second, "the delayed command has not taken effect")
 		}
+		d.daemons[0] = d.newSidecar(t, b)
+		d.sendRequestsFor(8 * time.Second)
+		d.checkVersions(t, delayedVersion+1)
 	})
-	b.engine.Restart(false) // its count of accepted commands is 0, as it is after the next restart
-	<-delayed
-	d.awaitLoaded(t, delayedVersion)
-	d.setTargetVersion(delayedVersion + 1)
-	d.awaitLoaded(t, delayedVersion+1)
-	time.Sleep(time.Until(sent.Add(startDelay - 200*time.Millisecond)))
-	closeNow(d.daemons[0])
-	b.engine.Restart(false)
-	for began := time.Now(); b.engine.State().Version != delayedVersion; time.Sleep(20 * time.Millisecond) {
-		assert.Assert(t, time.Since(began) < 5*time.Second, "the delayed command has not taken effect")
-	}
-	host, _, err := net.SplitHostPort(b.address)
-	assert.NilError(t, err)
-	d.daemons[0] = startSidecar(t, host, d.storeAddress, b.address)
-	d.sendRequestsFor(8 * time.Second)
-	d.checkVersions(t, delayedVersion+1)
 }
 
 // Guards against tokens of wrong weights from an engine that has restarted, while the
 // endpoint list and the gateway's last report still show its former process: its sidecar
 // is silent, so that only the id of the process in a request tells the two apart.
 func TestRequestsForFormerProcessAreNotServed(t *testing.T) {
-	t.Parallel()
-	d := startWeights(t, 1)
-	b := d.boxes[0]
-	b.engine.StageAndLoad(1)
-	d.sendRequestsFor(time.Second)
-	closeNow(d.daemons[0])
-	b.mu.Lock()
-	b.listLags = true
-	b.mu.Unlock()
-	b.engine.Restart(false)
-	b.stageChunk(t, weightsModel.Chunk(2, 0))
-	response, err := http.Post("http://"+b.address+"/order", "application/json", strings.NewReader(`{"operation":"start","version":1}`))
-	assert.NilError(t, err)
-	assert.NilError(t, response.Body.Close())
-	for began := time.Now(); b.engine.State().Version != 1; time.Sleep(20 * time.Millisecond) {
-		assert.Assert(t, time.Since(began) < 5*time.Second, "the version is not loaded")
-	}
-	d.sendRequestsFor(time.Second)
-	d.checkVersions(t, 1)
+	inVirtualTime(t, func(t *testing.T) {
+		d := startWeights(t, 1)
+		b := d.boxes[0]
+		b.engine.StageAndLoad(1)
+		d.sendRequestsFor(time.Second)
+		closeNow(d.daemons[0])
+		b.mu.Lock()
+		b.listLags = true
+		b.mu.Unlock()
+		b.engine.Restart(false)
+		b.stageChunk(t, weightsModel.Chunk(2, 0))
+		response, err := d.client.Post("http://"+b.address+"/order", "application/json", strings.NewReader(`{"operation":"start","version":1}`))
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		for began := time.Now(); b.engine.State().Version != 1; time.Sleep(20 * time.Millisecond) {
+			assert.Assert(t, time.Since(began) < 5*time.Second, "the version is not loaded")
+		}
+		d.sendRequestsFor(time.Second)
+		d.checkVersions(t, 1)
+	})
 }
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -172,7 +172,7 @@
 	metrics            *telemetry.Metrics
 
 	// stagingMu guards the staged chunks and stagedAt. It is locked before mu.
-	stagingMu sync.Mutex
+	stagingMu callLock
 	stagedAt  time.Time // when this process last staged a chunk; zero if it has not
 
 	mu            sync.Mutex
@@ -262,7 +262,7 @@
 	return &Installer{
 		settings: s, engine: e, origin: o, peers: peers, log: log, metrics: m,
 		client: newPeerClient(network.OrSystem(s.Network), down), upPacer: newPacer(s.LinkRate), downPacer: down, manifestHopTimeout: manifestHopTimeout,
-		changed: make(chan struct{}),
+		stagingMu: newCallLock(), changed: make(chan struct{}),
 	}
 }
 
--- a/installer/stage.go
+++ b/installer/stage.go
@@ -14,6 +14,20 @@
 // load, from the first check of the staged chunks to the last, so that no chunk of
 // another version is staged in between.
 
+// callLock is a lock that may be held during calls to other processes. Use newCallLock.
+// In contrast to sync.Mutex, a goroutine that waits for it does not hold up the virtual
+// time of testing/synctest, in which the holder waits for its response.
+type callLock chan struct{}
+
+// newCallLock returns an unlocked callLock.
+func newCallLock() callLock { return make(callLock, 1) }
+
+// Lock implements sync.Locker.
+func (l callLock) Lock() { l <- struct{}{} }
+
+// Unlock implements sync.Locker.
+func (l callLock) Unlock() { <-l }
+
 // stageSampleSize is the number of staged chunks that are read as a sample. If none
 // of them matches the manifest, the staged chunks are of another version and the
 // rest is not read.
