installer: load engines that respond slowly

A check of the staged chunks that took longer than a second was repeated without end, so that an engine whose calls take 63 ms (16 chunks) was drained and never loaded. Such a check is now repeated once; the check after the load detects a chunk that became corrupt meanwhile.

--- a/installer/load.go
+++ b/installer/load.go
@@ -42,7 +42,9 @@
 const (
 	// maxCheckDuration is the maximum duration of the check of all staged chunks that
 	// precedes a Start, the order to the engine to load the version. A check that took
-	// longer is repeated, as the chunks that it read first may have become corrupt since.
+	// longer is repeated, as the chunks that it read first may have become corrupt since,
+	// but only once: an engine that responds so slowly would never be loaded, and the
+	// check after the load detects such a chunk as well.
 	maxCheckDuration = time.Second
 	// enginePollInterval is the pause between two reads of the engine's state while
 	// the sidecar waits for the engine to load a version.
@@ -67,6 +69,7 @@
 	defer i.stagingMu.Unlock()
 	m := s.replica.manifest
 	sent := false // the engine may still accept an order sent earlier
+	repeated := false
 	for ; ctx.Err() == nil; clock.Sleep(ctx, enginePollInterval) {
 		state, err := i.engine.State(ctx)
 		switch {
@@ -86,7 +89,11 @@
 		checked := clock.Now()
 		if staged := i.stageReplica(ctx, s); !staged && !sent {
 			return false
-		} else if !staged || clock.Since(checked) > maxCheckDuration {
+		} else if !staged {
+			continue
+		}
+		if clock.Since(checked) > maxCheckDuration && !repeated {
+			repeated = true
 			continue
 		}
 		// An order of a former process of the sidecar may have been accepted while chunks
