internal/linksim: change the scheduled end of a transfer in place

Each change of a transfer's rate left an outdated event in the queue. The queue is now a 4-ary heap in which an event's time can be changed, and the transfers of a box are kept in order instead of being sorted at each change. The rows of docs/transfer.json are reproduced as before.

--- a/internal/linksim/faults.go
+++ b/internal/linksim/faults.go
@@ -35,7 +35,7 @@
 	b.crashed = true
 	s.running--
 	s.res.Crashes++
-	for _, t := range s.sorted(b.transfers) {
+	for _, t := range slices.Clone(b.transfers) {
 		s.endTransfer(t, false)
 	}
 	for _, id := range sortedIDs(b.queued) {
@@ -133,7 +133,7 @@
 	if c >= s.Chunks || !b.held.Test(uint(c)) {
 		return
 	}
-	for t := range b.transfers {
+	for _, t := range b.transfers {
 		if t.from == b && t.to.id == child {
 			return
 		}
--- a/internal/linksim/linksim.go
+++ b/internal/linksim/linksim.go
@@ -13,7 +13,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
@@ -98,8 +97,8 @@
 	swarm         *transfer.Swarm
 	picker        *transfer.Picker
 	queue         *prio.Queue
-	transfers     map[*chunkTransfer]bool // in both directions
-	up, down      int                     // number of transfers in each direction
+	transfers     transferSet // in both directions
+	up, down      int         // number of transfers in each direction
 	crashed       bool
 	stalled       bool
 	doneAt        time.Duration
@@ -132,36 +131,12 @@
 	rate      float64 // chunks per second
 	updated   time.Duration
 	started   time.Duration
-	revision  int // of rate; events of older revisions are ignored
+	end       *event // its end or its stall timeout at the current rate
 	corrupt   bool
 	ended     bool
 	stalled   bool
 }
 
-// event is a function to run at a virtual time. Events of the same time run in
-// the order of seq.
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-// eventQueue is a heap of events.
-type eventQueue []event
-
-func (e eventQueue) Len() int { return len(e) }
-func (e eventQueue) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e eventQueue) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *eventQueue) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *eventQueue) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // sim is the state of a run.
 type sim struct {
 	Config
@@ -172,7 +147,7 @@
 	rng               *rand.Rand
 	boxes             []*box
 	byName            map[string]*box
-	originTransfers   map[*chunkTransfer]bool
+	originTransfers   transferSet
 	boxRate           float64       // of a box's link in each direction, in chunks per second
 	minTime           time.Duration // T*
 	res               Result
@@ -197,7 +172,7 @@
 // Run simulates one transfer until all boxes that have not crashed hold all
 // chunks, at most for stopAfter.
 func Run(c Config) Result {
-	s := &sim{Config: c, rng: rand.New(rand.NewPCG(c.Seed, 7)), byName: make(map[string]*box), originTransfers: make(map[*chunkTransfer]bool)}
+	s := &sim{Config: c, rng: rand.New(rand.NewPCG(c.Seed, 7)), byName: make(map[string]*box)}
 	s.epoch = time.Unix(0, 0)
 	s.minTime = c.MinTime()
 	s.boxRate = 2 / c.Window.Seconds() * float64(c.Chunks)
@@ -205,17 +180,22 @@
 	s.build()
 	s.scheduleFaults()
 	for len(s.events) > 0 && s.finished < s.running && s.now < stopAfter*s.minTime {
-		e := heap.Pop(&s.events).(event)
-		s.now = e.at
-		e.run()
+		at, run := s.events.pop()
+		s.now = at
+		run()
 	}
 	return s.result()
 }
 
 // schedule runs a function after virtual time d.
-func (s *sim) schedule(d time.Duration, run func()) {
+func (s *sim) schedule(d time.Duration, run func()) { s.reschedule(&event{index: unscheduled}, d, run) }
+
+// reschedule schedules an event after virtual time d, in place of its previous
+// schedule, if any.
+func (s *sim) reschedule(e *event, d time.Duration, run func()) {
 	s.seq++
-	heap.Push(&s.events, event{at: s.now + d, seq: s.seq, run: run})
+	e.run = run
+	s.events.set(e, s.now+d, s.seq)
 }
 
 // build creates the boxes and schedules their first events.
@@ -232,7 +212,7 @@
 	}
 	for i := range s.Boxes {
 		zone := i % s.Zones
-		b := &box{id: i, name: boxName(i), zone: zone, region: zone % s.Regions, transfers: make(map[*chunkTransfer]bool), queued: make(map[uint64]*pullRequest), held: bitset.New(uint(s.Chunks))}
+		b := &box{id: i, name: boxName(i), zone: zone, region: zone % s.Regions, queued: make(map[uint64]*pullRequest), held: bitset.New(uint(s.Chunks))}
 		s.boxes = append(s.boxes, b)
 		s.byName[b.name] = b
 		p.Peers = append(p.Peers, transfer.Peer{Box: b.name, Region: regionName(b.region), Zone: zoneName(zone)})
@@ -400,12 +380,13 @@
 func (s *sim) startTransfer(t *chunkTransfer) {
 	t.remaining, t.updated, t.started = 1, s.now, s.now
 	t.corrupt = s.rng.Float64() < s.CorruptShare
-	t.to.transfers[t] = true
+	t.end = &event{index: unscheduled}
+	t.to.transfers.add(t)
 	t.to.down++
 	if t.from == nil {
-		s.originTransfers[t] = true
+		s.originTransfers.add(t)
 	} else {
-		t.from.transfers[t] = true
+		t.from.transfers.add(t)
 		t.from.up++
 	}
 	s.updateRates(t.from, t.to)
@@ -419,42 +400,18 @@
 		if b != nil {
 			transfers = b.transfers
 		}
-		for _, t := range s.sorted(transfers) {
+		for _, t := range transfers {
 			s.updateRate(t)
 		}
 	}
 }
 
-// sorted returns the elements of a set in an order that does not depend on
-// map iteration, so that runs are reproducible.
-func (s *sim) sorted(set map[*chunkTransfer]bool) []*chunkTransfer {
-	out := make([]*chunkTransfer, 0, len(set))
-	for t := range set {
-		out = append(out, t)
-	}
-	for i := 1; i < len(out); i++ {
-		for j := i; j > 0 && less(out[j], out[j-1]); j-- {
-			out[j], out[j-1] = out[j-1], out[j]
-		}
-	}
-	return out
-}
-
-// less orders transfers by receiver, then by chunk.
-func less(a, b *chunkTransfer) bool {
-	if a.to.id != b.to.id {
-		return a.to.id < b.to.id
-	}
-	return a.chunk < b.chunk
-}
-
 // updateRate accounts for the progress of a transfer at its old rate and
 // computes the new rate. It schedules the transfer's end, or its stall timeout
 // if the new rate is 0.
 func (s *sim) updateRate(t *chunkTransfer) {
 	t.remaining -= t.rate * (s.now - t.updated).Seconds()
 	t.updated = s.now
-	t.revision++
 	t.rate = s.boxRate / float64(t.to.down)
 	switch {
 	case t.from == nil:
@@ -465,21 +422,15 @@
 	if t.to.stalled || t.from != nil && t.from.stalled {
 		t.rate = 0
 	}
-	revision := t.revision
 	if t.rate == 0 {
-		s.schedule(s.stallTimeout(t), func() {
-			if t.revision == revision && !t.ended {
-				t.stalled = true
-				s.endTransfer(t, false)
-			}
+		s.reschedule(t.end, s.stallTimeout(t), func() {
+			t.stalled = true
+			s.endTransfer(t, false)
 		})
 		return
 	}
-	s.schedule(time.Duration(max(t.remaining, 0)/t.rate*float64(time.Second))+1, func() {
-		if t.revision == revision && !t.ended {
-			s.endTransfer(t, true)
-		}
-	})
+	left := time.Duration(max(t.remaining, 0)/t.rate*float64(time.Second)) + 1
+	s.reschedule(t.end, left, func() { s.endTransfer(t, true) })
 }
 
 // stallTimeout returns the stall timeout of the receiver, or an hour for the
@@ -498,15 +449,16 @@
 		return
 	}
 	t.ended = true
+	s.events.remove(t.end)
 	t.remaining -= t.rate * (s.now - t.updated).Seconds()
 	t.rate = 0
-	delete(t.to.transfers, t)
+	t.to.transfers.remove(t)
 	t.to.down--
 	s.countBytes(t)
 	if t.from == nil {
-		delete(s.originTransfers, t)
+		s.originTransfers.remove(t)
 	} else {
-		delete(t.from.transfers, t)
+		t.from.transfers.remove(t)
 		t.from.up--
 		if s.Strategy == Swarm {
 			s.releaseSlot(t.from)
