--- a/cmd/mintlift/backoff_test.go
+++ b/cmd/mintlift/backoff_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -24,9 +25,10 @@
 // Guards against gateways that send requests to an engine during the backoff that it
 // requested. The engine looks least loaded, since it has nothing in flight.
 func TestEndpointBackoffIsHonored(t *testing.T) {
-	t.Parallel()
-	d, engines := startSignalingEngines(t, 3, 3)
-	checkBackoff(t, d, engines[0], enginePath, 3)
+	synctest.Test(t, func(t *testing.T) {
+		d, engines := startSignalingEngines(t, 3, 3)
+		checkBackoff(t, d, engines[0], enginePath, 3)
+	})
 }
 
 // Checks that gateways honor the backoff of an endpoint without a sidecar, with other
@@ -35,10 +37,12 @@
 	for _, seconds := range []float64{0.7, 1.5} {
 		t.Run(strconv.FormatFloat(seconds, 'f', -1, 64), func(t *testing.T) {
 			t.Parallel()
-			d, _ := startSignalingEngines(t, 2, 1)
-			backingOff := startPlainEndpoint(t, d)
-			startPlainEndpoint(t, d)
-			checkBackoff(t, d, backingOff, plainPath, seconds)
+			synctest.Test(t, func(t *testing.T) {
+				d, _ := startSignalingEngines(t, 2, 1)
+				backingOff := startPlainEndpoint(t, d)
+				startPlainEndpoint(t, d)
+				checkBackoff(t, d, backingOff, plainPath, seconds)
+			})
 		})
 	}
 }
--- a/cmd/mintlift/cold_test.go
+++ b/cmd/mintlift/cold_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -66,21 +67,26 @@
 	for _, rate := range []float64{4, 10, 40} {
 		t.Run(fmt.Sprintf("plain, %g a second", rate), func(t *testing.T) {
 			t.Parallel()
-			d, _ := startSignalingEngines(t, 3, 2)
-			d.configureCold(rate)
-			time.Sleep(configApplyTimeout)
-			e := serveEndpoint(t, &signalingEndpoint{deployment: d, service: "p", address: "127.0.0.1:0", cold: coldLength})
-			checkCold(t, d, e, plainPath, rate, time.Now())
+			synctest.Test(t, func(t *testing.T) {
+				d, _ := startSignalingEngines(t, 3, 2)
+				d.configureCold(rate)
+				time.Sleep(configApplyTimeout)
+				e := serveEndpoint(t, &signalingEndpoint{deployment: d, service: "p", address: d.plainAddress(), cold: coldLength})
+				checkCold(t, d, e, plainPath, rate, time.Now())
+			})
 		})
 		t.Run(fmt.Sprintf("engine, %g a second", rate), func(t *testing.T) {
 			t.Parallel()
-			d, engines := startSignalingEngines(t, 3, 1)
-			d.configureCold(rate)
-			time.Sleep(configApplyTimeout)
-			e := serveEndpoint(t, &signalingEndpoint{deployment: d, service: "e", address: net.JoinHostPort(hostOf(t, engines[0].address), "8321"), cold: coldLength})
-			d.store.Put(storetest.Endpoints, engines[0].id, "")
-			startSidecar(t, hostAfter(t, engines[0].address), d.storeAddress, e.address)
-			checkCold(t, d, e, enginePath, rate, time.Now())
+			synctest.Test(t, func(t *testing.T) {
+				d, engines := startSignalingEngines(t, 3, 1)
+				d.configureCold(rate)
+				time.Sleep(configApplyTimeout)
+				e := serveEndpoint(t, &signalingEndpoint{deployment: d, service: "e", address: net.JoinHostPort(hostOf(t, engines[0].address), "8321"), cold: coldLength})
+				d.store.Put(storetest.Endpoints, engines[0].id, "")
+				ip := hostAfter(t, engines[0].address)
+				startSidecarOn(t, d.on(ip), ip, d.storeAddress, e.address)
+				checkCold(t, d, e, enginePath, rate, time.Now())
+			})
 		})
 	}
 }
@@ -91,26 +97,28 @@
 	for _, gateways := range []int{3, 6, 20} {
 		t.Run(fmt.Sprint(gateways, " gateways"), func(t *testing.T) {
 			t.Parallel()
-			d, _ := startSignalingEngines(t, gateways, 2)
-			limited := startPlainEndpoint(t, d)
-			for n := range d.gateways {
-				d.awaitPath(t, plainPath, n)
-			}
-			limited.signals.Limit(rate)
-			set := time.Now()
-			d.sendLoad(plainPath, propagationTimeout+2*limitWindow, time.Duration(gateways)*8*time.Millisecond)
-			most := maxInWindow(limited.arrivals(), set.Add(propagationTimeout), limitWindow)
-			count := 0
-			for _, a := range limited.arrivals() {
-				if a.at.After(set.Add(propagationTimeout)) && a.at.Before(set.Add(propagationTimeout+2*limitWindow)) {
-					count++
+			synctest.Test(t, func(t *testing.T) {
+				d, _ := startSignalingEngines(t, gateways, 2)
+				limited := startPlainEndpoint(t, d)
+				for n := range d.gateways {
+					d.awaitPath(t, plainPath, n)
 				}
-			}
-			used := float64(count) / (rate * 2 * limitWindow.Seconds())
-			allowed := int(limitFactor*rate*limitWindow.Seconds()) + limitSlack
-			t.Logf("at most %d in %s, allowed %d; %.2f used", most, limitWindow, allowed, used)
-			assert.Check(t, most <= allowed, "%d in %s, allowed %d", most, limitWindow, allowed)
-			assert.Check(t, used >= minUsage, "%.2f used", used)
+				limited.signals.Limit(rate)
+				set := time.Now()
+				d.sendLoad(plainPath, propagationTimeout+2*limitWindow, time.Duration(gateways)*8*time.Millisecond)
+				most := maxInWindow(limited.arrivals(), set.Add(propagationTimeout), limitWindow)
+				count := 0
+				for _, a := range limited.arrivals() {
+					if a.at.After(set.Add(propagationTimeout)) && a.at.Before(set.Add(propagationTimeout+2*limitWindow)) {
+						count++
+					}
+				}
+				used := float64(count) / (rate * 2 * limitWindow.Seconds())
+				allowed := int(limitFactor*rate*limitWindow.Seconds()) + limitSlack
+				t.Logf("at most %d in %s, allowed %d; %.2f used", most, limitWindow, allowed, used)
+				assert.Check(t, most <= allowed, "%d in %s, allowed %d", most, limitWindow, allowed)
+				assert.Check(t, used >= minUsage, "%.2f used", used)
+			})
 		})
 	}
 }
--- a/cmd/mintlift/crash_test.go
+++ b/cmd/mintlift/crash_test.go
@@ -8,15 +8,17 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/internal/memnet"
+	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/platform/storetest"
 	"github.com/mintlift/mintlift/quarantine"
@@ -37,8 +39,7 @@
 // retries it, with a new request ID and at any gateway. Gateways must share the crashes
 // and quarantine the request, which they recognize by its content.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
-	t.Parallel()
-	checkQuarantine(t, 3, 6)
+	synctest.Test(t, func(t *testing.T) { checkQuarantine(t, 3, 6) })
 }
 
 // Checks quarantine with other numbers of gateways and engines.
@@ -46,7 +47,7 @@
 	for _, size := range []struct{ gateways, engines int }{{1, 3}, {9, 4}, {5, 15}} {
 		t.Run(fmt.Sprintf("%d gateways, %d engines", size.gateways, size.engines), func(t *testing.T) {
 			t.Parallel()
-			checkQuarantine(t, size.gateways, size.engines)
+			synctest.Test(t, func(t *testing.T) { checkQuarantine(t, size.gateways, size.engines) })
 		})
 	}
 }
@@ -55,7 +56,7 @@
 // gateways in turn. It checks that few engines crash.
 func checkQuarantine(t *testing.T, gateways, count int) {
 	t.Helper()
-	d := startEngines(t, gateways, count)
+	d := startEngines(t, newMemoryNetwork(), gateways, count)
 	end := time.Now().Add(propagationTimeout + 2*time.Second)
 	for n := 0; time.Now().Before(end); n++ {
 		go d.send(n, crashingBody)
@@ -77,22 +78,23 @@
 // and that they serve other requests. The response to a request that may have run must
 // not state that it did not run.
 func TestCrashesAreSharedWithoutStore(t *testing.T) {
-	t.Parallel()
-	d := startEngines(t, 2, 6)
-	d.store.Change(func(f *storetest.Faults) { f.Unresponsive = map[string]bool{"": true} })
-	for n := range 3 {
-		checkCrashingResponse(t, d, n)
-		assert.Equal(t, d.send(n, "text"), http.StatusOK)
-	}
-	for began := time.Now(); time.Since(began) < time.Second; time.Sleep(20 * time.Millisecond) {
-		for gateway := range d.gateways {
-			checkCrashingResponse(t, d, gateway)
-			assert.Equal(t, d.send(gateway, "text"), http.StatusOK)
+	synctest.Test(t, func(t *testing.T) {
+		d := startEngines(t, newMemoryNetwork(), 2, 6)
+		d.store.Change(func(f *storetest.Faults) { f.Unresponsive = map[string]bool{"": true} })
+		for n := range 3 {
+			checkCrashingResponse(t, d, n)
+			assert.Equal(t, d.send(n, "text"), http.StatusOK)
 		}
-	}
-	// A second attempt, at a gateway that does not have the first crashes yet, crashes
-	// two more engines.
-	assert.Assert(t, len(d.crashTimes()) <= crashThreshold+maxCrashesAfterPropagation, "%d engines have crashed", len(d.crashTimes()))
+		for began := time.Now(); time.Since(began) < time.Second; time.Sleep(20 * time.Millisecond) {
+			for gateway := range d.gateways {
+				checkCrashingResponse(t, d, gateway)
+				assert.Equal(t, d.send(gateway, "text"), http.StatusOK)
+			}
+		}
+		// A second attempt, at a gateway that does not have the first crashes yet, crashes
+		// two more engines.
+		assert.Assert(t, len(d.crashTimes()) <= crashThreshold+maxCrashesAfterPropagation, "%d engines have crashed", len(d.crashTimes()))
+	})
 }
 
 // checkCrashingResponse sends the request that crashes endpoints and checks the
@@ -119,42 +121,102 @@
 const crashingBody = "crash"
 
 // engineDeployment is a set of gateways, and engines with sidecars, on loopback
-// addresses.
+// addresses or on a network in memory.
 type engineDeployment struct {
 	store    *storetest.Store
-	gateways []string // IP:PORT of the gateways' listeners for callers
+	memory   *memnet.Network // nil on loopback addresses
+	client   *http.Client    // of the callers
+	gateways []string        // IP:PORT of the gateways' listeners for callers
 	// storeAddress is the IP:PORT of store, and config the first configuration in it.
 	storeAddress, config string
 
 	mu           sync.Mutex
-	crashes      []time.Time // times of the engines' crashes
-	incarnations int         // number of starts of engines so far
+	crashes      []time.Time            // times of the engines' crashes
+	incarnations int                    // number of starts of engines so far
+	boxes        map[string]*memnet.Box // of memory, by IP address
+	plain        int                    // number of endpoints without a sidecar
+}
+
+// newMemoryNetwork returns the network of a deployment on virtual time.
+func newMemoryNetwork() *memnet.Network {
+	return memnet.New(memnet.Config{Delay: 300 * time.Microsecond})
+}
+
+// on returns the network as seen from the box with an IP address.
+func (d *engineDeployment) on(ip string) network.Network {
+	if d.memory == nil {
+		return network.System{}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.boxes[ip] == nil {
+		d.boxes[ip] = d.memory.Box(ip, "r")
+	}
+	return d.boxes[ip]
+}
+
+// listen listens at an IP:PORT.
+func (d *engineDeployment) listen(address string) (net.Listener, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	return d.on(host).Listen(context.Background(), "tcp4", address, 0)
+}
+
+// IP addresses on a network in memory, beside those of gateways and engines.
+const (
+	memoryStoreIP  = "10.0.0.1"
+	memoryCallerIP = "10.0.0.2"
+)
+
+// startStore serves the store, and sets the callers' client.
+func (d *engineDeployment) startStore(t *testing.T) {
+	t.Helper()
+	d.client = http.DefaultClient
+	address := "127.0.0.1:0"
+	if d.memory != nil {
+		d.boxes = make(map[string]*memnet.Box)
+		address = net.JoinHostPort(memoryStoreIP, "8007")
+		transport := &http.Transport{DialContext: d.on(memoryCallerIP).Dialer(time.Second, 0), MaxIdleConnsPerHost: 100}
+		d.client = &http.Client{Transport: transport}
+		t.Cleanup(func() {
+			transport.CloseIdleConnections()
+			time.Sleep(5 * time.Second) // virtual, until what callers have begun has ended
+		})
+	}
+	listener, err := d.listen(address)
+	assert.NilError(t, err)
+	server := &http.Server{Handler: d.store}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() {
+		d.store.Close()
+		_ = server.Close()
+	})
+	d.storeAddress = listener.Addr().String()
 }
 
 // loopbackNetworks counts the loopback networks in use.
 var loopbackNetworks atomic.Int32
 
-// startEngines starts gateways and engines on a /24 loopback network of their own,
-// and waits until all gateways serve.
-func startEngines(t *testing.T, gateways, count int) *engineDeployment {
+// startEngines starts gateways and engines on a network in memory, or, if that is nil,
+// on a /24 loopback network of their own, and waits until all gateways serve.
+func startEngines(t *testing.T, memory *memnet.Network, gateways, count int) *engineDeployment {
 	t.Helper()
-	return startEnginesWith(t, gateways, count, (*engineDeployment).startEngine)
+	return startEnginesWith(t, memory, gateways, count, (*engineDeployment).startEngine)
 }
 
 // startEnginesWith is like startEngines, but calls start to start each engine with its
 // sidecar, at the given IP address and for the store at the given address.
-func startEnginesWith(t *testing.T, gateways, count int, start func(d *engineDeployment, t *testing.T, ip, store string)) *engineDeployment {
+func startEnginesWith(t *testing.T, memory *memnet.Network, gateways, count int, start func(d *engineDeployment, t *testing.T, ip, store string)) *engineDeployment {
 	t.Helper()
-	network := fmt.Sprintf("127.78.%d", loopbackNetworks.Add(1))
-	d := &engineDeployment{store: storetest.New()}
-	server := httptest.NewServer(d.store)
-	t.Cleanup(func() {
-		d.store.Close()
-		server.CloseClientConnections()
-		server.Close()
-	})
-	store := strings.TrimPrefix(server.URL, "http://")
-	d.storeAddress = store
+	prefix := fmt.Sprintf("127.78.%d", loopbackNetworks.Add(1))
+	if memory != nil {
+		prefix = "10.78.1"
+	}
+	d := &engineDeployment{store: storetest.New(), memory: memory}
+	d.startStore(t)
+	store := d.storeAddress
 	d.config = `{"version":1,
 		"routes":[{"name":"s","host":"h.example","path_prefix":"/s/","kind":"streaming","timeout_ms":3000,"target_latency_ms":800,"target_gap_ms":400,"service":"e","max_attempts":2,"public":true,"resumable":true},
 			{"name":"p","host":"h.example","path_prefix":"/p/","kind":"safe","timeout_ms":3000,"target_latency_ms":800,"service":"p","max_attempts":2,"public":true}],
@@ -163,11 +225,11 @@
 		"limits":{"max_body_bytes":1048576,"idle_timeout_ms":15000}}`
 	d.store.Put(storetest.Operator, "config", d.config)
 	for n := range count {
-		start(d, t, fmt.Sprintf("%s.%d", network, 100+n), store)
+		start(d, t, fmt.Sprintf("%s.%d", prefix, 100+n), store)
 	}
 	for n := range gateways {
-		ip := fmt.Sprintf("%s.%d", network, 1+n)
-		startGateway(t, ip, store)
+		ip := fmt.Sprintf("%s.%d", prefix, 1+n)
+		startGatewayOn(t, d.on(ip), ip, store)
 		d.gateways = append(d.gateways, net.JoinHostPort(ip, "8005"))
 	}
 	for n := range gateways {
@@ -186,14 +248,20 @@
 	e := &crashingEngine{deployment: d, address: address}
 	assert.NilError(t, e.start())
 	t.Cleanup(e.stop)
-	startSidecar(t, ip, store, address)
+	startSidecarOn(t, d.on(ip), ip, store, address)
 }
 
 // startSidecar starts the sidecar of the engine at address. It is closed when the test
 // ends.
 func startSidecar(t *testing.T, ip, store, address string) *taskGroup {
 	t.Helper()
-	group, err := startPlatformSidecar(context.Background(), newPlatformProcess(t, ip, store, fmt.Sprintf(`,"app":%q,"service":"e"`, address)))
+	return startSidecarOn(t, network.System{}, ip, store, address)
+}
+
+// startSidecarOn is like startSidecar, on a given network.
+func startSidecarOn(t *testing.T, n network.Network, ip, store, address string) *taskGroup {
+	t.Helper()
+	group, err := startPlatformSidecar(context.Background(), newProcessOn(t, n, inZone(ip), store, fmt.Sprintf(`,"app":%q,"service":"e"`, address)))
 	assert.NilError(t, err)
 	t.Cleanup(func() { closeNow(group) })
 	return group
@@ -220,7 +288,7 @@
 	r.Host = "h.example"
 	r.Header.Set(platform.Headers().RequestID, fmt.Sprintf("id-%d-%s", n, body))
 	r.Header.Set(platform.Headers().Deadline, "2500")
-	response, err := http.DefaultClient.Do(r)
+	response, err := d.client.Do(r)
 	if err != nil {
 		return 0, nil
 	}
@@ -281,7 +349,7 @@
 	if e.stopped {
 		return nil
 	}
-	listener, err := net.Listen("tcp4", e.address)
+	listener, err := e.deployment.listen(e.address)
 	if err != nil {
 		return err
 	}
@@ -346,7 +414,7 @@
 // released at all gateways.
 func TestClearSuspectReachesAllGateways(t *testing.T) {
 	t.Parallel()
-	d := startEngines(t, 2, 6)
+	d := startEngines(t, nil, 2, 6)
 	d.send(0, crashingBody)
 	d.send(0, crashingBody)
 	for n := range d.gateways {
--- a/cmd/mintlift/draining_test.go
+++ b/cmd/mintlift/draining_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -20,32 +21,34 @@
 // Guards against gateways that ignore the drain signal in an engine's responses. The
 // store is unresponsive, so the endpoint list does not show that the engine is draining.
 func TestDrainSignalInResponses(t *testing.T) {
-	t.Parallel()
-	d, engines := startSignalingEngines(t, 3, 3)
-	d.store.Change(func(f *storetest.Faults) { f.Unresponsive = map[string]bool{"": true} })
-	checkNoRequestsAfterDrain(t, d, engines[0], enginePath)
+	synctest.Test(t, func(t *testing.T) {
+		d, engines := startSignalingEngines(t, 3, 3)
+		d.store.Change(func(f *storetest.Faults) { f.Unresponsive = map[string]bool{"": true} })
+		checkNoRequestsAfterDrain(t, d, engines[0], enginePath)
+	})
 }
 
 // Checks that gateways honor the drain signal of an endpoint without a sidecar, although
 // the endpoint list keeps stating that the endpoint is ready.
 func TestDrainSignalOfPlainEndpoint(t *testing.T) {
-	t.Parallel()
-	d, _ := startSignalingEngines(t, 3, 2)
-	draining := startPlainEndpoint(t, d)
-	startPlainEndpoint(t, d)
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(300 * time.Millisecond):
-				draining.writeEntry("ready")
+	synctest.Test(t, func(t *testing.T) {
+		d, _ := startSignalingEngines(t, 3, 2)
+		draining := startPlainEndpoint(t, d)
+		startPlainEndpoint(t, d)
+		stop := make(chan struct{})
+		defer close(stop)
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(300 * time.Millisecond):
+					draining.writeEntry("ready")
+				}
 			}
-		}
-	}()
-	checkNoRequestsAfterDrain(t, d, draining, plainPath)
+		}()
+		checkNoRequestsAfterDrain(t, d, draining, plainPath)
+	})
 }
 
 // checkNoRequestsAfterDrain makes an endpoint signal that it drains, and checks that
--- a/cmd/mintlift/limit_test.go
+++ b/cmd/mintlift/limit_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -33,9 +34,10 @@
 // Guards against gateways that ignore the rate limit in an engine's responses, or that
 // each send requests up to the whole limit instead of sharing it.
 func TestLimitIsSharedByAllGateways(t *testing.T) {
-	t.Parallel()
-	d, engines := startSignalingEngines(t, 3, 3)
-	checkLimit(t, d, engines[0], enginePath, 2)
+	synctest.Test(t, func(t *testing.T) {
+		d, engines := startSignalingEngines(t, 3, 3)
+		checkLimit(t, d, engines[0], enginePath, 2)
+	})
 }
 
 // Checks other rates, among them 0, which allows no requests.
@@ -43,8 +45,10 @@
 	for _, rate := range []float64{0, 0.4, 20} {
 		t.Run(fmt.Sprint(rate), func(t *testing.T) {
 			t.Parallel()
-			d, engines := startSignalingEngines(t, 5, 2)
-			checkLimit(t, d, engines[0], enginePath, rate)
+			synctest.Test(t, func(t *testing.T) {
+				d, engines := startSignalingEngines(t, 5, 2)
+				checkLimit(t, d, engines[0], enginePath, rate)
+			})
 		})
 	}
 }
@@ -53,11 +57,12 @@
 // own. The sidecar of some engine then allocates the endpoint's permits, which divide
 // the limit among the gateways.
 func TestLimitOfPlainEndpointIsShared(t *testing.T) {
-	t.Parallel()
-	d, _ := startSignalingEngines(t, 3, 2)
-	limited := startPlainEndpoint(t, d)
-	startPlainEndpoint(t, d)
-	checkLimit(t, d, limited, plainPath, 2)
+	synctest.Test(t, func(t *testing.T) {
+		d, _ := startSignalingEngines(t, 3, 2)
+		limited := startPlainEndpoint(t, d)
+		startPlainEndpoint(t, d)
+		checkLimit(t, d, limited, plainPath, 2)
+	})
 }
 
 // Paths of requests for engines, and for endpoints without a sidecar.
@@ -157,12 +162,13 @@
 	seen []arrival
 }
 
-// startSignalingEngines starts gateways and engines. The engines send no signals until
-// the test sets them.
+// startSignalingEngines starts gateways and engines on a network in memory. It must be
+// called within a bubble of testing/synctest, so that the test does not depend on how
+// fast the machine is. The engines send no signals until the test sets them.
 func startSignalingEngines(t *testing.T, gateways, count int) (*engineDeployment, []*signalingEndpoint) {
 	t.Helper()
 	var started []*signalingEndpoint
-	d := startEnginesWith(t, gateways, count, func(d *engineDeployment, t *testing.T, ip, store string) {
+	d := startEnginesWith(t, newMemoryNetwork(), gateways, count, func(d *engineDeployment, t *testing.T, ip, store string) {
 		started = append(started, startSignalingEngine(t, d, ip, store))
 	})
 	return d, started
@@ -172,14 +178,25 @@
 func startSignalingEngine(t *testing.T, d *engineDeployment, ip, store string) *signalingEndpoint {
 	t.Helper()
 	e := serveEndpoint(t, &signalingEndpoint{deployment: d, service: "e", address: net.JoinHostPort(ip, "8320")})
-	startSidecar(t, ip, store, e.address)
+	startSidecarOn(t, d.on(ip), ip, store, e.address)
 	return e
 }
 
 // startPlainEndpoint starts an endpoint without a sidecar.
 func startPlainEndpoint(t *testing.T, d *engineDeployment) *signalingEndpoint {
 	t.Helper()
-	return serveEndpoint(t, &signalingEndpoint{deployment: d, service: "p", address: "127.0.0.1:0"})
+	return serveEndpoint(t, &signalingEndpoint{deployment: d, service: "p", address: d.plainAddress()})
+}
+
+// plainAddress returns the address of the next endpoint without a sidecar.
+func (d *engineDeployment) plainAddress() string {
+	if d.memory == nil {
+		return "127.0.0.1:0"
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.plain++
+	return fmt.Sprintf("10.78.2.%d:8320", d.plain)
 }
 
 // serveEndpoint starts an endpoint at its address and adds it to the endpoint list. The
@@ -187,7 +204,7 @@
 func serveEndpoint(t *testing.T, e *signalingEndpoint) *signalingEndpoint {
 	t.Helper()
 	e.id = e.deployment.newIncarnationID()
-	listener, err := net.Listen("tcp4", e.address)
+	listener, err := e.deployment.listen(e.address)
 	assert.NilError(t, err)
 	e.address = listener.Addr().String()
 	server := &http.Server{Handler: e}
--- a/cmd/mintlift/outage_test.go
+++ b/cmd/mintlift/outage_test.go
@@ -161,7 +161,7 @@
 // holds further settings as JSON fields, each preceded by a comma.
 func newPlatformProcess(t *testing.T, ip, store, extra string) *platformProcess {
 	t.Helper()
-	return newProcessOn(t, network.System{}, place{ip, "z", map[string]string{"z": "r"}}, store, extra)
+	return newProcessOn(t, network.System{}, inZone(ip), store, extra)
 }
 
 // place is where a daemon runs. regions are the regions of all availability zones.
@@ -170,6 +170,9 @@
 	regions  map[string]string
 }
 
+// inZone returns the place of a daemon at an IP address in the only zone.
+func inZone(ip string) place { return place{ip, "z", map[string]string{"z": "r"}} }
+
 // newProcessOn is like newPlatformProcess, for a daemon at a place of a network.
 func newProcessOn(t *testing.T, n network.Network, at place, store, extra string) *platformProcess {
 	t.Helper()
@@ -190,7 +193,13 @@
 // startGateway starts a gateway at a loopback address. It is closed when the test ends.
 func startGateway(t *testing.T, ip, store string) *taskGroup {
 	t.Helper()
-	group, err := startPlatformGateway(context.Background(), newPlatformProcess(t, ip, store, ""))
+	return startGatewayOn(t, network.System{}, ip, store)
+}
+
+// startGatewayOn is like startGateway, on a given network.
+func startGatewayOn(t *testing.T, n network.Network, ip, store string) *taskGroup {
+	t.Helper()
+	group, err := startPlatformGateway(context.Background(), newProcessOn(t, n, inZone(ip), store, ""))
 	assert.NilError(t, err)
 	t.Cleanup(func() { closeNow(group) })
 	return group
