--- a/cmd/mintlift/platform_test.go
+++ b/cmd/mintlift/platform_test.go
@@ -6,10 +6,9 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -48,46 +47,55 @@
 // Checks that a sidecar reads nothing from the store while a gateway sends notices.
 // Without notices it must read all newest records once, and then only new records.
 func TestSidecarReadsStoreOnlyWithoutGateways(t *testing.T) {
-	var newest, reads atomic.Int32
-	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/log-newest" {
-			if r.URL.Query().Get("topic") == storetest.Operator {
-				newest.Add(1)
+	synctest.Test(t, func(t *testing.T) {
+		var newest, reads atomic.Int32
+		defer time.Sleep(time.Second) // virtual, until the closed connections have been noticed
+		memory := newMemoryNetwork()
+		storeBox, sidecarBox, gatewayBox := memory.Box(memoryStoreIP, "r"), memory.Box("10.78.1.100", "r"), memory.Box("10.78.1.1", "r")
+		storeAddress, sidecarAddress := memoryStoreIP+":8007", "10.78.1.100:17701"
+		listener, err := storeBox.Listen(t.Context(), "tcp4", storeAddress, 0)
+		assert.NilError(t, err)
+		store := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/log-newest" {
+				if r.URL.Query().Get("topic") == storetest.Operator {
+					newest.Add(1)
+				}
+				_, _ = io.WriteString(w, `{"items":[],"more":false,"end":0}`)
+				return
 			}
-			_, _ = io.WriteString(w, `{"items":[],"more":false,"end":0}`)
-			return
+			reads.Add(1)
+			_, _ = w.Write(make([]byte, 16))
+		})}
+		go func() { _ = store.Serve(listener) }()
+		defer store.Close()
+		publisher, err := loadreport.NewPublisher(sidecarBox, sidecarAddress)
+		assert.NilError(t, err)
+		go publisher.Run(func(loadreport.Notice) {})
+		defer publisher.Close()
+		subscriber, err := loadreport.NewSubscriber(gatewayBox, "10.78.1.1:0")
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		subscribing, stopNotices := context.WithCancel(ctx)
+		group := loadreport.SubscriptionGroup{Sidecars: []string{sidecarAddress}}
+		go subscriber.Run(subscribing, func() []loadreport.SubscriptionGroup { return []loadreport.SubscriptionGroup{group} }, nil, discardReports{})
+		for publisher.LastSubscribed().IsZero() {
+			time.Sleep(5 * time.Millisecond)
 		}
-		reads.Add(1)
-		_, _ = w.Write(make([]byte, 16))
-	}))
-	defer store.Close()
-	publisher, err := loadreport.NewPublisher(network.System{}, "127.0.0.1:17701")
-	assert.NilError(t, err)
-	go publisher.Run(func(loadreport.Notice) {})
-	defer publisher.Close()
-	subscriber, err := loadreport.NewSubscriber(network.System{}, "127.0.0.1:0")
-	assert.NilError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	subscribing, stopNotices := context.WithCancel(ctx)
-	group := loadreport.SubscriptionGroup{Sidecars: []string{"127.0.0.1:17701"}}
-	go subscriber.Run(subscribing, func() []loadreport.SubscriptionGroup { return []loadreport.SubscriptionGroup{group} }, nil, discardReports{})
-	for publisher.LastSubscribed().IsZero() {
-		time.Sleep(5 * time.Millisecond)
-	}
-	p := &platformProcess{
-		settings: &platform.Settings{},
-		log:      logr.Discard(),
-		watcher:  platform.NewWatcher(platform.NewStore(network.System{}, strings.TrimPrefix(store.URL, "http://")), logr.Discard(), telemetry.NewMetrics()),
-	}
-	go newFallback(p, discardOperator{}, func(loadreport.Notice) {}, newSidecarGateways(p, publisher), storerelay.NewClient(network.System{})).run(ctx)
-	time.Sleep(gatewayTimeout + gatewayTimeoutJitter + time.Second)
-	assert.Equal(t, newest.Load()+reads.Load(), int32(0))
-	stopNotices()
-	for began := time.Now(); reads.Load() < 2; time.Sleep(20 * time.Millisecond) {
-		assert.Assert(t, time.Since(began) < 20*time.Second, "the sidecar does not read the store")
-	}
-	assert.Equal(t, newest.Load(), int32(1))
+		p := &platformProcess{
+			settings: &platform.Settings{},
+			log:      logr.Discard(),
+			watcher:  platform.NewWatcher(platform.NewStore(sidecarBox, storeAddress), logr.Discard(), telemetry.NewMetrics()),
+		}
+		go newFallback(p, discardOperator{}, func(loadreport.Notice) {}, newSidecarGateways(p, publisher), storerelay.NewClient(sidecarBox)).run(ctx)
+		time.Sleep(gatewayTimeout + gatewayTimeoutJitter + time.Second)
+		assert.Equal(t, newest.Load()+reads.Load(), int32(0))
+		stopNotices()
+		for began := time.Now(); reads.Load() < 2; time.Sleep(20 * time.Millisecond) {
+			assert.Assert(t, time.Since(began) < 20*time.Second, "the sidecar does not read the store")
+		}
+		assert.Equal(t, newest.Load(), int32(1))
+	})
 }
 
 // Checks that a sidecar gets the weights configuration and the target versions from a
