internal/lab: run light tests in parallel, each lab at its own IP address

Tests that mostly wait, and whose verdicts do not depend on time, run beside each other and beside the pairs of failures, at most as many at a time as before. Labs of tests no longer share 127.0.0.1, where the port of a killed process could go to a process of another lab.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
 // Package lab runs gateways, sidecars and stand-ins for the platform in one
-// process, each on its own TCP port of 127.0.0.1, for the demo and for tests.
+// process, each on its own TCP port of a loopback address, for the demo and for
+// tests.
 // Gateways and sidecars are the daemons that also run in production.
 package lab
 
@@ -10,6 +11,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -32,15 +34,22 @@
 // OperatorKey is the bootstrap operator's key in a lab.
 const OperatorKey = "lab-operator-key-0123456789"
 
+// defaultIP is the IP address of labs whose configuration has none.
+const defaultIP = "127.0.0.1"
+
 // anyLoopbackPort is a listen address of 127.0.0.1 with a free port, which the
 // system chooses.
-const anyLoopbackPort = "127.0.0.1:0"
+const anyLoopbackPort = defaultIP + ":0"
 
 // Config describes a lab.
 type Config struct {
 	Gateways int
 	Engines  int
 	Services int
+	// IP is the loopback address of all listeners. The default is 127.0.0.1. Labs
+	// that run at the same time need one each: otherwise one of them may get the
+	// port of a killed process of another, and the calls meant for that process.
+	IP string
 	// Zones are assigned to the boxes round-robin. By default there is one
 	// zone.
 	Zones []membership.AvailabilityZone
@@ -162,7 +171,7 @@
 func (l *Lab) startPlatform() error {
 	addresses := make([]string, 3)
 	for i, h := range []http.Handler{l.Log.Handler(), l.Store.Handler(), l.BoxList.Handler()} {
-		s, err := standin.Serve(anyLoopbackPort, h)
+		s, err := standin.Serve(l.anyPort(), h)
 		if err != nil {
 			return err
 		}
@@ -176,6 +185,9 @@
 // zone returns the zone with the given index, modulo the number of zones.
 func (l *Lab) zone(i int) membership.AvailabilityZone { return l.Zones[i%len(l.Zones)] }
 
+// anyPort returns a listen address with a free port, which the system chooses.
+func (l *Lab) anyPort() string { return net.JoinHostPort(cmp.Or(l.IP, defaultIP), "0") }
+
 // nodeSettings returns the settings of a process on the given box and zone.
 func nodeSettings(box string, z membership.AvailabilityZone) settings.Node {
 	return settings.Node{Box: box, Region: z.Region, Zone: z.Zone}
@@ -186,7 +198,7 @@
 	z := l.zone(len(l.Gateways))
 	s := settings.DefaultGateway()
 	s.Node, s.Platform, s.Links = nodeSettings(box, z), l.platform, l.Links
-	s.CallerListen, s.AdminListen, s.PeerListen = anyLoopbackPort, anyLoopbackPort, anyLoopbackPort
+	s.CallerListen, s.AdminListen, s.PeerListen = l.anyPort(), l.anyPort(), l.anyPort()
 	s.OperatorKeyFile = l.keyFile()
 	if l.GatewaySettings != nil {
 		l.GatewaySettings(&s)
@@ -216,7 +228,7 @@
 		h = b.Service.Handler()
 	}
 	var err error
-	if b.endpoint, err = standin.Serve(anyLoopbackPort, h); err != nil {
+	if b.endpoint, err = standin.Serve(l.anyPort(), h); err != nil {
 		return err
 	}
 	l.Boxes = append(l.Boxes, b)
@@ -228,7 +240,7 @@
 func (l *Lab) StartSidecar(b *Box) error {
 	s := settings.DefaultSidecar()
 	s.Node, s.Platform, s.Links = nodeSettings(b.Entry.ID, b.Entry.Zone), l.platform, l.Links
-	s.PeerListen, s.Endpoint, s.Service = anyLoopbackPort, b.endpoint.Address(), b.Entry.Service
+	s.PeerListen, s.Endpoint, s.Service = l.anyPort(), b.endpoint.Address(), b.Entry.Service
 	if l.SidecarSettings != nil {
 		l.SidecarSettings(&s)
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,10 +23,18 @@
 // v1 is the first version of the model weights that the tests install.
 var v1 = weights.Ref{Model: "celeste-draft", Version: "v1"}
 
-// startLab starts a lab for a test and waits until its gateways reach its
-// boxes. The returned context, for the test's calls, ends after a minute.
+// lastLab is the number of the last lab started by startLab.
+var lastLab atomic.Uint32
+
+// startLab starts a lab for a test, at an IP address of its own unless c has one,
+// and waits until its gateways reach its boxes. The returned context, for the
+// test's calls, ends after a minute.
 func startLab(t *testing.T, c Config) (*Lab, context.Context) {
 	t.Helper()
+	if c.IP == "" {
+		n := lastLab.Add(1)
+		c.IP = fmt.Sprintf("127.90.%d.%d", n/250, 1+n%250)
+	}
 	l, err := Start(c)
 	assert.NilError(t, err)
 	t.Cleanup(l.Close)
@@ -54,6 +64,7 @@
 // six engines is loaded once by each, and that callers get streamed responses
 // from it through both gateways.
 func TestRolloutServesBothGateways(t *testing.T) {
+	t.Parallel()
 	l, ctx := startLab(t, Config{Gateways: 2, Engines: 6, ChecksFences: true, Zones: []membership.AvailabilityZone{{Region: "r1", Zone: "a"}, {Region: "r2", Zone: "b"}}})
 	l.Store.Publish(standin.NewManifest(v1, 4<<20, 64<<10))
 	assert.NilError(t, l.AddWorkspace(ctx, "liceo", 40, 1))
--- a/internal/lab/log_test.go
+++ b/internal/lab/log_test.go
@@ -34,6 +34,7 @@
 // caller gets a conflict with a new proposed plan. Log responses are lost
 // meanwhile.
 func TestConcurrentConfirm(t *testing.T) {
+	t.Parallel()
 	l, ctx := startLab(t, Config{Gateways: 2, Engines: 2})
 	assert.NilError(t, l.AddWorkspace(ctx, "liceo", 40, 0))
 	for round := range 5 {
@@ -79,6 +80,7 @@
 // TestPlanErrors checks the error codes of invalid intents and confirmations,
 // and that a refused intent creates no plan.
 func TestPlanErrors(t *testing.T) {
+	t.Parallel()
 	l, ctx := startLab(t, Config{Gateways: 1, Engines: 2, EngineMemory: 1 << 20})
 	assert.NilError(t, l.AddWorkspace(ctx, "liceo", 40, 0))
 	l.Store.Publish(standin.NewManifest(v1, 256<<10, 64<<10))
@@ -114,6 +116,7 @@
 // are refused as unavailable, and a restarted sidecar gets the state from its
 // peers. Changes succeed once the log is available again.
 func TestLogOutage(t *testing.T) {
+	t.Parallel()
 	l, ctx := startServing(t, Config{Gateways: 2, Engines: 3})
 	l.Log.Faults.Set(standin.FaultSettings{Down: true})
 	resp, text := chat(t, l, 0, "liceo", v1.Model)
@@ -172,6 +175,7 @@
 // TestStartAfterLogTruncation checks that a gateway started after the event log
 // has deleted its first records reads the complete state from a checkpoint.
 func TestStartAfterLogTruncation(t *testing.T) {
+	t.Parallel()
 	l, ctx := startLab(t, Config{Gateways: 1, Engines: 1})
 	for i := range state.CheckpointEvery + 50 {
 		assert.NilError(t, l.AddWorkspace(ctx, fmt.Sprintf("w%d", i%40), 1+i%100, 0))
@@ -204,6 +208,7 @@
 // TestKeysAreRequired checks that callers and operators without a valid key are
 // refused, and that a request for an unknown model gets status 404.
 func TestKeysAreRequired(t *testing.T) {
+	t.Parallel()
 	l, ctx := startServing(t, Config{Gateways: 1, Engines: 1})
 	for key, want := range map[string]int{"": http.StatusUnauthorized, "Bearer wrong-key-of-nobody": http.StatusForbidden} {
 		for _, address := range []string{l.Gateways[0].CallerAddress() + "/v1/models", l.Gateways[0].AdminAddress() + "/admin/v1/status"} {
--- a/internal/lab/once_test.go
+++ b/internal/lab/once_test.go
@@ -77,6 +77,7 @@
 // TestSameKeyThroughAllGateways checks that a request runs once if it is sent
 // concurrently through several gateways with one idempotency key.
 func TestSameKeyThroughAllGateways(t *testing.T) {
+	t.Parallel()
 	l, _ := startServices(t, Config{Gateways: 3, Services: 3})
 	for range 20 {
 		key := newKey()
@@ -101,6 +102,7 @@
 // response was lost after the run and the caller sends it again with the same
 // idempotency key.
 func TestLostResponseIsNotRetried(t *testing.T) {
+	t.Parallel()
 	l, _ := startServices(t, Config{Gateways: 2, Services: 2})
 	for _, b := range l.Boxes {
 		b.Service.Faults.Set(standin.FaultSettings{DropResponses: 10})
@@ -118,6 +120,7 @@
 // assigns another home. The home is the sidecar that stores what is known of the
 // request's idempotency key.
 func TestRetryAfterHomeCrash(t *testing.T) {
+	t.Parallel()
 	l, ctx := startServices(t, Config{Gateways: 2, Services: 3})
 	key := newKey()
 	_, o, text := l.callService(t, 0, http.MethodPost, "caption", map[string]string{"Idempotency-Key": key})
@@ -144,6 +147,7 @@
 // TestRetryAfterHomeRestart checks that a request is not run again after the
 // home of its idempotency key, the sidecar that stored it, has restarted and lost it.
 func TestRetryAfterHomeRestart(t *testing.T) {
+	t.Parallel()
 	l, ctx := startServices(t, Config{Gateways: 2, Services: 2})
 	key := newKey()
 	_, o, text := l.callService(t, 0, http.MethodPost, "caption", map[string]string{"Idempotency-Key": key})
@@ -164,6 +168,7 @@
 // the endpoint reads it and then closes a reused connection. By default,
 // net/http retries some of these requests.
 func TestReplayGuard(t *testing.T) {
+	t.Parallel()
 	f := newFaultyService(t)
 	f.setCut(cutsNever)
 	l, _ := startServices(t, Config{Gateways: 1, Services: 1, SidecarSettings: func(s *settings.Sidecar) { s.Endpoint = f.ln.Addr().String() }})
--- a/internal/lab/outcome_test.go
+++ b/internal/lab/outcome_test.go
@@ -177,13 +177,18 @@
 	}
 }
 
+// closedIP is the IP address of ports that are closed for a test. Nothing else may
+// listen there, since it could get one of these ports.
+const closedIP = "127.91.0.1"
+
 // TestOutcomeTable checks the outcome reported to the caller and how often the
 // endpoint ran the request, for each point at which the endpoint may close the
 // connection.
 func TestOutcomeTable(t *testing.T) {
+	t.Parallel()
 	f := newFaultyService(t)
 	f.setCut(cutsNever)
-	closed, err := net.Listen("tcp", anyLoopbackPort)
+	closed, err := net.Listen("tcp", closedIP+":0")
 	assert.NilError(t, err)
 	closedAddress := closed.Addr().String()
 	assert.NilError(t, closed.Close())
@@ -259,9 +264,10 @@
 // after one endpoint read it and closed the connection, even if a second
 // endpoint refuses the retry.
 func TestUnknownOutcomeIfRetryIsRefused(t *testing.T) {
+	t.Parallel()
 	f := newFaultyService(t)
 	f.setCut(cutsNever)
-	closed, err := net.Listen("tcp", anyLoopbackPort)
+	closed, err := net.Listen("tcp", closedIP+":0")
 	assert.NilError(t, err)
 	closedAddress := closed.Addr().String()
 	targets := []string{f.ln.Addr().String(), closedAddress}
--- a/internal/lab/pairs_test.go
+++ b/internal/lab/pairs_test.go
@@ -64,6 +64,7 @@
 // TestPairsOfFailures checks the invariants after each pair of failures that
 // overlap during a version change under traffic.
 func TestPairsOfFailures(t *testing.T) {
+	t.Parallel()
 	all := failures()
 	for i, a := range all {
 		for _, b := range all[i+1:] {
--- a/internal/lab/rollover_test.go
+++ b/internal/lab/rollover_test.go
@@ -109,6 +109,7 @@
 // TestFloorRefusesPlan checks that an intent is refused if fewer boxes than the
 // workspace's floor would serve during its rollout.
 func TestFloorRefusesPlan(t *testing.T) {
+	t.Parallel()
 	const size = 1 << 20
 	l, ctx := startLab(t, Config{Gateways: 1, Engines: 2, EngineMemory: size * 3 / 2})
 	for _, ref := range []weights.Ref{v1, v2} {
--- a/internal/lab/signals_test.go
+++ b/internal/lab/signals_test.go
@@ -51,6 +51,7 @@
 // drain or a backoff gets no more requests than it allows, and that the other
 // engine serves the rest.
 func TestEngineBackpressure(t *testing.T) {
+	t.Parallel()
 	const duration = 4 * time.Second
 	for _, test := range []struct {
 		name    string
--- a/internal/lab/stream_test.go
+++ b/internal/lab/stream_test.go
@@ -96,6 +96,7 @@
 // connection between gateway and sidecar, or between sidecar and engine, is cut
 // in the middle of a stream.
 func TestCutStreamResumes(t *testing.T) {
+	t.Parallel()
 	const tokens = 60
 	l, ctx := startServing(t, Config{Gateways: 1, Engines: 1, TokenTime: 2 * time.Millisecond})
 	b := l.Boxes[0]
@@ -127,6 +128,7 @@
 // TestCancelReachesEngine checks that the engine stops generating when the
 // caller closes the connection in the middle of a stream.
 func TestCancelReachesEngine(t *testing.T) {
+	t.Parallel()
 	l, ctx := startServing(t, Config{Gateways: 1, Engines: 1, TokenTime: 5 * time.Millisecond})
 	callCtx, cancel := context.WithCancel(ctx)
 	resp, err := openChat(callCtx, l, 0, 1000000, nil)
@@ -152,6 +154,7 @@
 // TestMismatchedResponseIsRejected checks that an engine's response with the ID
 // of another request is not forwarded, and that the caller gets outcome unknown.
 func TestMismatchedResponseIsRejected(t *testing.T) {
+	t.Parallel()
 	l, ctx := startServing(t, Config{Gateways: 1, Engines: 1})
 	l.Boxes[0].Engine.Faults.Set(standin.FaultSettings{MismatchedResponses: true})
 	resp, err := openChat(ctx, l, 0, 3, nil)
@@ -167,6 +170,7 @@
 // another request is not forwarded, and that the stream ends with outcome
 // unknown.
 func TestMismatchedEventIsRejected(t *testing.T) {
+	t.Parallel()
 	l, ctx := startServing(t, Config{Gateways: 1, Engines: 1})
 	l.Boxes[0].Engine.Faults.Set(standin.FaultSettings{MismatchedEvents: true})
 	resp, err := openChat(ctx, l, 0, 3, nil)
--- a/internal/lab/tls_test.go
+++ b/internal/lab/tls_test.go
@@ -72,6 +72,7 @@
 // requests and reject a client that lacks the certificate or the key. A replaced
 // certificate is loaded without a restart.
 func TestTLSAndPeerKey(t *testing.T) {
+	t.Parallel()
 	a := newTestCA(t)
 	pair := a.issue(t)
 	key := filepath.Join(a.dir, "peer.key")
@@ -79,6 +80,7 @@
 	l, ctx := startServing(t, Config{
 		Gateways:        1,
 		Engines:         2,
+		IP:              defaultIP, // of the certificates
 		GatewaySettings: func(s *settings.Gateway) { s.PeerTLS, s.PeerKeyFile = pair, key },
 		SidecarSettings: func(s *settings.Sidecar) { s.PeerTLS, s.PeerKeyFile = pair, key },
 	})
