ingress: run the cases of two tests in parallel

The cases of TestAllEnginesWithoutVersionFor2500msAt300RequestsPerSecond are simulations on virtual time, and those of TestRequestsStayInTheirRegions check no time.

--- a/ingress/expected_test.go
+++ b/ingress/expected_test.go
@@ -108,12 +108,15 @@
 		{"480 requests a second", 60 * time.Millisecond, 600 * time.Millisecond},
 		{"360 requests a second", 60 * time.Millisecond, 800 * time.Millisecond},
 	} {
-		unknown, known := refusedAgain(t, c.firstByte, c.service, false), refusedAgain(t, c.firstByte, c.service, true)
-		t.Logf("%s: %+v without expectations, %+v with them", c.name, unknown, known)
-		assert.Assert(t, unknown.again > 0, "%s: the load does not show the failure", c.name)
-		// A tenth allows for chance: which callers find the slots taken is random.
-		assert.Assert(t, float64(known.again) <= 1.1*float64(unknown.again), c.name)
-		assert.Assert(t, known.vain <= unknown.vain, c.name)
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			unknown, known := refusedAgain(t, c.firstByte, c.service, false), refusedAgain(t, c.firstByte, c.service, true)
+			t.Logf("%s: %+v without expectations, %+v with them", c.name, unknown, known)
+			assert.Assert(t, unknown.again > 0, "%s: the load does not show the failure", c.name)
+			// A tenth allows for chance: which callers find the slots taken is random.
+			assert.Assert(t, float64(known.again) <= 1.1*float64(unknown.again), c.name)
+			assert.Assert(t, known.vain <= unknown.vain, c.name)
+		})
 	}
 }
 
--- a/ingress/regions_test.go
+++ b/ingress/regions_test.go
@@ -71,6 +71,7 @@
 	zones := []string{"west-1", "east-1", "north-1"}
 	for seed := uint64(1); seed <= 6; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			rng := rand.New(rand.NewPCG(seed, 1))
 			allowed := []string{"east", "north", "west"}[rng.IntN(3)]
 			g := newTestGatewayAt(t, threeRegions)
