--- a/storerelay/list_test.go
+++ b/storerelay/list_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -19,6 +20,7 @@
 	"github.com/mintlift/mintlift/freshness"
 	"github.com/mintlift/mintlift/ingress"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/internal/memnet"
 	"github.com/mintlift/mintlift/internal/network"
 	"github.com/mintlift/mintlift/readerset"
 	"github.com/mintlift/mintlift/telemetry"
@@ -35,14 +37,51 @@
 // records is nil. It returns the server and the address of its Handler.
 func startGateway(t *testing.T, records []fleet.Record) (*ingress.Server, string) {
 	t.Helper()
+	server := newGateway(records)
+	s := httptest.NewServer(Handler(server, &fakeRecordSource{}, nil))
+	t.Cleanup(s.Close)
+	return server, strings.TrimPrefix(s.URL, "http://")
+}
+
+// newGateway returns the server of startGateway.
+func newGateway(records []fleet.Record) *ingress.Server {
 	server := ingress.New(ingress.Settings{}, logr.Discard(), logr.Discard(), telemetry.NewMetrics())
 	if records != nil {
 		server.SetEndpoints(records)
 		server.ConfirmList(time.Now())
 	}
-	s := httptest.NewServer(Handler(server, &fakeRecordSource{}, nil))
-	t.Cleanup(s.Close)
-	return server, strings.TrimPrefix(s.URL, "http://")
+	return server
+}
+
+// Addresses on the network of startGatewaysInMemory.
+const (
+	respondingAddress   = "10.0.0.1:7702"
+	unresponsiveAddress = "10.0.0.2:7702"
+)
+
+// startGatewaysInMemory starts a gateway with the endpoint list records, and one that
+// accepts requests and does not respond, on a network in memory. It returns the server
+// of the former, and the network as a follower sees it. It must be called within a bubble
+// of testing/synctest, so that bounds on time do not depend on the load of the machine.
+func startGatewaysInMemory(t *testing.T) (*ingress.Server, network.Network) {
+	t.Helper()
+	memory := memnet.New(memnet.Config{Delay: 300 * time.Microsecond})
+	server := newGateway(records)
+	for address, h := range map[string]http.Handler{
+		respondingAddress:   Handler(server, &fakeRecordSource{}, nil),
+		unresponsiveAddress: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }),
+	} {
+		host, _, _ := strings.Cut(address, ":")
+		listener, err := memory.Box(host, "r").Listen(t.Context(), "tcp4", address, 0)
+		assert.NilError(t, err)
+		s := &http.Server{Handler: h}
+		go func() { _ = s.Serve(listener) }()
+		t.Cleanup(func() {
+			_ = s.Close()
+			time.Sleep(time.Second) // virtual, until the closed connections have been noticed
+		})
+	}
+	return server, memory.Box("10.0.0.3", "r")
 }
 
 // records is an endpoint list with two services, for startGateway.
@@ -214,45 +253,47 @@
 // A follower gives up on unresponsive gateways early enough to read the store before its
 // list is stale, even if all reader gateways are unresponsive.
 func TestUnresponsiveGatewaysAreSkippedWithinBound(t *testing.T) {
-	reader, address := startGateway(t, records)
-	unresponsive := unresponsiveGateway(t)
-	var list fakeTarget
-	at := address
-	readers := NewReaders("self", func(string) string { return at }, readerset.StartTimeout, network.System{}, logr.Discard())
-	f := NewFollower(readers, &list, budget, logr.Discard())
-	readers.SetMembers(twoReaders)
-	reader.ConfirmList(time.Now())
-	confirmed := time.Now()
-	assert.Assert(t, f.Poll(context.Background()))
-	at = unresponsive
-	assert.Assert(t, !f.Poll(context.Background()))
-	assert.Assert(t, time.Since(confirmed) < budget.StaleAfter()+100*time.Millisecond, "gave up after %s", time.Since(confirmed))
+	synctest.Test(t, func(t *testing.T) {
+		reader, follower := startGatewaysInMemory(t)
+		var list fakeTarget
+		at := respondingAddress
+		readers := NewReaders("self", func(string) string { return at }, readerset.StartTimeout, follower, logr.Discard())
+		f := NewFollower(readers, &list, budget, logr.Discard())
+		readers.SetMembers(twoReaders)
+		reader.ConfirmList(time.Now())
+		confirmed := time.Now()
+		assert.Assert(t, f.Poll(context.Background()))
+		at = unresponsiveAddress
+		assert.Assert(t, !f.Poll(context.Background()))
+		assert.Assert(t, time.Since(confirmed) < budget.StaleAfter()+100*time.Millisecond, "gave up after %s", time.Since(confirmed))
+	})
 }
 
 // Guards against followers that read the store because one reader gateway is
 // unresponsive: there must be time left to query the other one.
 func TestSecondGatewayIsTriedAfterUnresponsiveOne(t *testing.T) {
-	reader, address := startGateway(t, records)
-	unresponsive := unresponsiveGateway(t)
-	first := ""
-	var list fakeTarget
-	down := false
-	readers := NewReaders("self", func(ip string) string {
-		if down && ip == first {
-			return unresponsive
-		}
-		return address
-	}, readerset.StartTimeout, network.System{}, logr.Discard())
-	f := NewFollower(readers, &list, budget, logr.Discard())
-	readers.SetMembers(twoReaders)
-	reader.ConfirmList(time.Now())
-	confirmed := time.Now()
-	assert.Assert(t, f.Poll(context.Background()))
-	first = readers.sources()[0]
-	down = true
-	time.AfterFunc(time.Second, func() { reader.ConfirmList(time.Now()) })
-	assert.Assert(t, f.Poll(context.Background()))
-	assert.Assert(t, time.Since(confirmed) < budget.StaleAfter(), "%s", time.Since(confirmed))
+	synctest.Test(t, func(t *testing.T) {
+		reader, follower := startGatewaysInMemory(t)
+		first := ""
+		var list fakeTarget
+		down := false
+		readers := NewReaders("self", func(ip string) string {
+			if down && ip == first {
+				return unresponsiveAddress
+			}
+			return respondingAddress
+		}, readerset.StartTimeout, follower, logr.Discard())
+		f := NewFollower(readers, &list, budget, logr.Discard())
+		readers.SetMembers(twoReaders)
+		reader.ConfirmList(time.Now())
+		confirmed := time.Now()
+		assert.Assert(t, f.Poll(context.Background()))
+		first = readers.sources()[0]
+		down = true
+		time.AfterFunc(time.Second, func() { reader.ConfirmList(time.Now()) })
+		assert.Assert(t, f.Poll(context.Background()))
+		assert.Assert(t, time.Since(confirmed) < budget.StaleAfter(), "%s", time.Since(confirmed))
+	})
 }
 
 // unresponsiveGateway accepts requests and does not respond.
