cmd/mintlift: TestProcesses does not depend on the speed of the machine

planned stop: 12 streams of 2 s had to be begun before half of them had ended; a pause of 3 s before the stop failed the test. The engines now hold all streams until gateway and sidecar report that they are draining (new fault HoldAfterTokens of the stand-in). The sidecar that is stopped is one that serves streams; engine-2 often served none.

trace: the test took four spans for all hops, although a repeated attempt has spans of its own. It now waits for each hop.

Addresses of processes are on a loopback address of the test process. A port of 127.0.0.1 that was free before could be taken by a connection, and the process ended with 'address already in use'. crash: both gateways must serve after their restart.

A confirmation without a response is repeated, and may then find the plan confirmed.

--- a/cmd/mintlift/process_test.go
+++ b/cmd/mintlift/process_test.go
@@ -14,8 +14,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -43,6 +45,10 @@
 // testKey is the operator key with which the tests call the admin API.
 const testKey = "operator-key-0123456789"
 
+// processDrainTimeout is the DrainTimeout of the tests' daemons. It exceeds the time that the
+// streams of testPlannedStop take on a busy machine.
+const processDrainTimeout = time.Minute
+
 // process is a mintlift process of a test.
 type process struct {
 	cmd    *exec.Cmd
@@ -92,13 +98,18 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
-// freeAddress returns a loopback address that was free at the time of the call.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+// lastPort is the port of the last address that newAddress has returned.
+var lastPort atomic.Int32
+
+// newAddress returns a new address for a mintlift process. Its IP address is a loopback
+// address that only this test process uses, as it contains the process ID. A port of
+// 127.0.0.1 that was free before could be taken meanwhile, also by a connection of another
+// test.
+func newAddress() string {
+	const firstPort = 20000
+	pid := os.Getpid()
+	ip := net.IPv4(127, byte(128|pid>>16&127), byte(pid>>8), byte(pid))
+	return net.JoinHostPort(ip.String(), strconv.Itoa(firstPort+int(lastPort.Add(1))))
 }
 
 // system is a set of gateways, sidecars and stand-ins, each a process of its own.
@@ -110,6 +121,7 @@
 	gateways []settings.Gateway
 	sidecars []settings.Sidecar
 	engines  []string            // addresses
+	stopped  int                 // index of the sidecar that testPlannedStop has stopped
 	procs    map[string]*process // by name: the box of a daemon, or the kind of stand-in
 }
 
@@ -167,9 +179,9 @@
 func (s *system) addGateway(box string) {
 	g := settings.DefaultGateway()
 	g.Node, g.Platform = settings.Node{Box: box, Region: "r1", Zone: "a"}, s.platform
-	g.CallerListen, g.AdminListen, g.PeerListen = freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
+	g.CallerListen, g.AdminListen, g.PeerListen = newAddress(), newAddress(), newAddress()
 	g.OperatorKeyFile = s.path("operator.key")
-	g.DrainTimeout = 20 * time.Second
+	g.DrainTimeout = processDrainTimeout
 	g.Trace = telemetry.TraceSettings{Exporter: telemetry.ExportFile, Target: s.path(box + ".trace"), Sample: s.sample}
 	s.gateways = append(s.gateways, g)
 	s.startGateway(len(s.gateways) - 1)
@@ -187,8 +199,8 @@
 func (s *system) addSidecar(box, engine string) {
 	c := settings.DefaultSidecar()
 	c.Node, c.Platform, c.Endpoint = settings.Node{Box: box, Region: "r1", Zone: "a"}, s.platform, engine
-	c.PeerListen = freeAddress(s.t)
-	c.DrainTimeout = 20 * time.Second
+	c.PeerListen = newAddress()
+	c.DrainTimeout = processDrainTimeout
 	c.Trace = telemetry.TraceSettings{Exporter: telemetry.ExportFile, Target: s.path(box + ".trace"), Sample: s.sample}
 	s.sidecars = append(s.sidecars, c)
 	s.engines = append(s.engines, engine)
@@ -213,7 +225,8 @@
 }
 
 // mustRunOperatorCommand runs an operator's command and returns its output. It repeats
-// the command after the exit codes exitUnavailable and exitInvalid; others fail the test.
+// the command after the exit codes exitUnavailable, exitOutcomeUnknown and exitInvalid;
+// others fail the test. The command must have the same effect if it is repeated.
 func (s *system) mustRunOperatorCommand(args ...string) string {
 	s.t.Helper()
 	for {
@@ -221,7 +234,7 @@
 		if code == exitOK {
 			return out
 		}
-		if code != exitUnavailable && code != exitInvalid {
+		if code != exitUnavailable && code != exitOutcomeUnknown && code != exitInvalid {
 			s.t.Fatalf("%v: exit %d: %s", args, code, out)
 		}
 		if s.expired() {
@@ -231,6 +244,22 @@
 	}
 }
 
+// confirm confirms a plan. It repeats the command if the outcome of an attempt is not
+// known, after which the plan may be confirmed already.
+func (s *system) confirm(plan string) {
+	s.t.Helper()
+	for repeated := false; ; repeated = true {
+		code, out := s.runOperatorCommand("plan", "confirm", plan)
+		switch {
+		case code == exitOK, code == exitConflict && repeated && strings.Contains(out, "is confirmed already"):
+			return
+		case code != exitUnavailable && code != exitOutcomeUnknown, s.expired():
+			s.t.Fatalf("plan confirm: exit %d: %s", code, out)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // expired reports whether the test is about to time out: less than 10 s remain until
 // its deadline.
 func (s *system) expired() bool {
@@ -245,7 +274,7 @@
 	var plan struct{ ID string }
 	out := s.mustRunOperatorCommand("intent", "create", "draft@"+version, "--workspace", "liceo", "--json")
 	assert.NilError(s.t, json.Unmarshal([]byte(out), &plan), out)
-	s.mustRunOperatorCommand("plan", "confirm", plan.ID)
+	s.confirm(plan.ID)
 	s.mustRunOperatorCommand("plan", "watch", plan.ID, "--timeout", "60s", "--every", "100ms")
 }
 
@@ -348,6 +377,7 @@
 		return p.ID
 	}
 	first, second := plan(), plan()
+	s.confirm(first)
 	for _, c := range []struct {
 		name string
 		want int
@@ -357,7 +387,6 @@
 		{"workspace that does not exist", exitNotFound, []string{"intent", "create", "draft@v2", "--workspace", "nobody"}},
 		{"broken manifest", exitInvalid, []string{"intent", "create", "draft@broken", "--workspace", "liceo"}},
 		{"plan that does not exist", exitNotFound, []string{"plan", "confirm", "no-such-plan"}},
-		{"first plan", exitOK, []string{"plan", "confirm", first}},
 		{"confirmed twice", exitConflict, []string{"plan", "confirm", first}},
 		{"confirmed after a conflicting one", exitConflict, []string{"plan", "confirm", second}},
 		{"canceled", exitOK, []string{"plan", "cancel", first}},
@@ -384,24 +413,25 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
-	var spans []string
-	for range 200 {
-		spans = nil
+	hops := []string{"server /v1/chat/completions", "client /run/v1/chat/completions", "server /run/v1/chat/completions", "client /v1/chat/completions"}
+	for {
+		var spans []string
 		files, err := filepath.Glob(s.path("*.trace"))
 		assert.NilError(t, err)
 		for _, f := range files {
 			spans = append(spans, spansOf(t, f, traceID)...)
 		}
-		if len(spans) >= 4 {
-			break
+		text := strings.Join(spans, "\n")
+		// A repeated attempt has spans of its own, so the number of spans does not show
+		// that all hops are there.
+		missing := slices.IndexFunc(hops, func(hop string) bool { return !strings.Contains(text, hop) })
+		if missing < 0 {
+			t.Logf("spans of trace %s:\n%s", traceID, text)
+			return
 		}
+		assert.Assert(t, !s.expired(), "no span %q in\n%s", hops[missing], text)
 		time.Sleep(100 * time.Millisecond)
 	}
-	t.Logf("spans of trace %s:\n%s", traceID, strings.Join(spans, "\n"))
-	text := strings.Join(spans, "\n")
-	for _, hop := range []string{"server /v1/chat/completions", "client /run/v1/chat/completions", "server /run/v1/chat/completions", "client /v1/chat/completions"} {
-		assert.Assert(t, strings.Contains(text, hop), "no span %q in\n%s", hop, text)
-	}
 }
 
 // spansOf returns the spans of a trace in an export file, as text.
@@ -436,25 +466,80 @@
 	}
 }
 
-// testPlannedStop checks that SIGTERM to a gateway and a sidecar under streaming load
-// interrupts no stream.
+// setEngineFaults sets the faults of all engines.
+func (s *system) setEngineFaults(f standin.FaultSettings) {
+	body, err := json.Marshal(f)
+	assert.NilError(s.t, err)
+	for _, engine := range s.engines {
+		resp, err := http.Post("http://"+engine+"/faults", "application/json", bytes.NewReader(body))
+		assert.NilError(s.t, err)
+		assert.NilError(s.t, resp.Body.Close())
+		assert.Assert(s.t, resp.StatusCode < 300, "faults of %s: status %d", engine, resp.StatusCode)
+	}
+}
+
+// awaitDraining waits until a gateway and a sidecar report that they are draining.
+func (s *system) awaitDraining(gateway int, sidecar string) {
+	s.t.Helper()
+	draining := func() bool {
+		status, err := admin.NewClient(s.gateways[gateway].AdminListen, testKey, call.Options{}).Status(context.Background())
+		if err != nil || !status.Gateway.Draining {
+			return false
+		}
+		boxes, err := admin.NewClient(s.gateways[0].AdminListen, testKey, call.Options{}).Boxes(context.Background())
+		return err == nil && slices.ContainsFunc(boxes, func(b admin.BoxStatus) bool { return b.Box.ID == sidecar && b.Reached && b.Status.Draining })
+	}
+	for !draining() {
+		assert.Assert(s.t, !s.expired(), "gateway %d and %s are not draining", gateway, sidecar)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// busiestSidecar returns the index of the sidecar with most requests in progress.
+func (s *system) busiestSidecar() int {
+	s.t.Helper()
+	api := admin.NewClient(s.gateways[0].AdminListen, testKey, call.Options{})
+	for {
+		boxes, err := api.Boxes(context.Background())
+		var busiest admin.BoxStatus
+		for _, b := range boxes {
+			if b.Reached && b.Status.Load > busiest.Status.Load {
+				busiest = b
+			}
+		}
+		if err == nil && busiest.Status.Load > 0 {
+			return slices.IndexFunc(s.sidecars, func(c settings.Sidecar) bool { return c.Node.Box == busiest.Box.ID })
+		}
+		assert.Assert(s.t, !s.expired(), "no sidecar has requests in progress")
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// testPlannedStop checks that SIGTERM to a gateway and to a sidecar that serve streams
+// interrupts no stream. The engines hold all streams until both daemons are draining.
 func (s *system) testPlannedStop(t *testing.T) {
 	const streams, tokens = 12, 400
 	ends, started := make(chan error, streams), make(chan struct{}, streams)
+	s.setEngineFaults(standin.FaultSettings{HoldAfterTokens: 1})
 	for i := range streams {
 		go func() { ends <- s.readStream(i%2, tokens, started) }()
 	}
 	for range streams {
 		<-started
 	}
-	assert.Assert(t, len(ends) <= streams/2, "%d streams have ended before the stop", len(ends))
-	for _, name := range []string{"entry-1", "engine-2"} {
+	assert.Equal(t, len(ends), 0, "streams have ended before the stop")
+	s.stopped = s.busiestSidecar()
+	stopped := []string{"entry-1", s.sidecars[s.stopped].Node.Box}
+	for _, name := range stopped {
 		assert.NilError(t, s.procs[name].cmd.Process.Signal(syscall.SIGTERM))
 	}
+	s.awaitDraining(1, stopped[1])
+	assert.Equal(t, len(ends), 0, "streams have ended although their engines hold them")
+	s.setEngineFaults(standin.FaultSettings{})
 	for range streams {
 		assert.NilError(t, <-ends, "a planned stop interrupted a stream")
 	}
-	for _, name := range []string{"entry-1", "engine-2"} {
+	for _, name := range stopped {
 		assert.Equal(t, s.procs[name].exitWithin(t, 25*time.Second), exitOK, s.procs[name].stderr.String())
 	}
 }
@@ -482,17 +567,20 @@
 // testCrash kills a gateway and a sidecar and restarts them on other ports. It also
 // restarts the processes that testPlannedStop stopped. Then a rollout must succeed.
 func (s *system) testCrash(t *testing.T) {
-	assert.NilError(t, s.procs["engine-3"].cmd.Process.Kill())
+	killed := (s.stopped + 1) % len(s.sidecars)
+	killedBox := s.sidecars[killed].Node.Box
+	assert.NilError(t, s.procs[killedBox].cmd.Process.Kill())
 	assert.NilError(t, s.procs["entry-0"].cmd.Process.Kill())
 	s.procs["entry-0"].exitWithin(t, 5*time.Second)
-	s.procs["engine-3"].exitWithin(t, 5*time.Second)
-	s.gateways[0].CallerListen, s.gateways[0].AdminListen, s.gateways[0].PeerListen = freeAddress(t), freeAddress(t), freeAddress(t)
+	s.procs[killedBox].exitWithin(t, 5*time.Second)
+	s.gateways[0].CallerListen, s.gateways[0].AdminListen, s.gateways[0].PeerListen = newAddress(), newAddress(), newAddress()
 	s.startGateway(0)
 	s.startGateway(1)
-	s.sidecars[3].PeerListen = freeAddress(t)
-	s.startSidecar(3)
-	s.startSidecar(2)
+	s.sidecars[killed].PeerListen = newAddress()
+	s.startSidecar(killed)
+	s.startSidecar(s.stopped)
 	s.awaitChat(0)
+	s.awaitChat(1)
 	s.prepare()
 	s.deploy("v2")
 	s.awaitChat(0)
@@ -503,7 +591,7 @@
 func (s *system) testPause(t *testing.T) {
 	paused := s.procs["engine-4"]
 	assert.NilError(t, paused.cmd.Process.Signal(syscall.SIGSTOP))
-	s.sidecars[4].PeerListen = freeAddress(t)
+	s.sidecars[4].PeerListen = newAddress()
 	s.startSidecar(4)
 	s.deploy("v1") // back to v1; the paused sidecar has v2
 	assert.NilError(t, paused.cmd.Process.Signal(syscall.SIGCONT))
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -37,6 +37,9 @@
 	// CutAfterTokens, if positive, cuts the next stream when it has sent this
 	// many tokens.
 	CutAfterTokens int `json:"die_after_tokens"`
+	// HoldAfterTokens, if positive, pauses each generation that has this many tokens
+	// while it is set.
+	HoldAfterTokens int `json:"hold_after_tokens"`
 	// MismatchedResponses sends responses with another request's ID.
 	MismatchedResponses bool `json:"foreign_answers"`
 	// MismatchedEvents replaces the second event of each stream by an event of
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -131,14 +131,22 @@
 	e.waiting = e.waiting[1:]
 }
 
+// holdInterval is the interval at which a paused generation checks whether the fault
+// HoldAfterTokens has ended.
+const holdInterval = 5 * time.Millisecond
+
 // generateTokens adds tokens until the response is complete or cancelled.
 func (e *Engine) generateTokens(g *generation) {
 	pause := e.FirstTokenTime
 	for i := range g.total {
-		select {
-		case <-time.After(pause):
-		case <-g.cancel:
-			return
+		for held := true; held; pause = holdInterval {
+			select {
+			case <-time.After(pause):
+			case <-g.cancel:
+				return
+			}
+			hold := e.Faults.Get().HoldAfterTokens
+			held = hold > 0 && i >= hold
 		}
 		version := g.version.String()
 		if !g.whole {
