--- a/cmd/mintlift/process_test.go
+++ b/cmd/mintlift/process_test.go
@@ -534,7 +534,7 @@
 		assert.NilError(t, s.procs[name].cmd.Process.Signal(syscall.SIGTERM))
 	}
 	s.awaitDraining(1, stopped[1])
-	assert.Equal(t, len(ends), 0, "streams have ended at the begin of the stop")
+	assert.Equal(t, len(ends), 0, "streams have ended although their engines hold them")
 	s.setEngineFaults(standin.FaultSettings{})
 	for range streams {
 		assert.NilError(t, <-ends, "a planned stop interrupted a stream")
