cmd/mintlift: virtual-time tests do not run in parallel

They use the processors without pauses. In a full run of the package beside them, and a load average of 31 to 38, a test of evacuations in real time failed (stream 22: 15 events, unexpected EOF).

--- a/cmd/mintlift/latewrite_test.go
+++ b/cmd/mintlift/latewrite_test.go
@@ -18,7 +18,6 @@
 // Guards against engines that load an older version after a restart of all processes: the
 // operator's write of that version was carried out after that of a newer one.
 func TestVersionWrittenLateIsIgnoredAfterRestart(t *testing.T) {
-	t.Parallel()
 	for name, writeAndRestart := range map[string]func(*testing.T, *weightsDeployment){
 		"before the restart": func(t *testing.T, d *weightsDeployment) {
 			d.setTargetVersion(2)
--- a/cmd/mintlift/sidecarrestart_test.go
+++ b/cmd/mintlift/sidecarrestart_test.go
@@ -17,7 +17,6 @@
 // a restart of all sidecars during a rollout: chunks of the next version are staged, so
 // only the gateways know that the loads were verified.
 func TestSidecarRestartDuringRolloutKeepsLoads(t *testing.T) {
-	t.Parallel()
 	for name, c := range map[string]struct {
 		noStartTime bool
 		maxRefused  float64 // of the requests
--- a/cmd/mintlift/weights_test.go
+++ b/cmd/mintlift/weights_test.go
@@ -178,12 +178,12 @@
 // id returns the id of the engine's process. It is new at each start.
 func (b *weightsBox) id() string { return fmt.Sprintf("i-%s-%d", b.address, b.engine.Incarnation()) }
 
-// inVirtualTime runs a test in a bubble of testing/synctest, in parallel with other tests.
-// Its time advances only while the whole deployment waits, so that the verdict does not
-// depend on how fast the machine is.
+// inVirtualTime runs a test in a bubble of testing/synctest. Its time advances only while
+// the whole deployment waits, so that the verdict does not depend on how fast the machine
+// is. Such a test uses the processors without pauses, so it does not run in parallel with
+// those in real time.
 func inVirtualTime(t *testing.T, test func(t *testing.T)) {
 	t.Helper()
-	t.Parallel()
 	synctest.Test(t, test)
 }
 
