--- a/cmd/mintlift/crash_test.go
+++ b/cmd/mintlift/crash_test.go
@@ -251,14 +251,8 @@
 	startSidecarOn(t, d.on(ip), ip, store, address)
 }
 
-// startSidecar starts the sidecar of the engine at address. It is closed when the test
-// ends.
-func startSidecar(t *testing.T, ip, store, address string) *taskGroup {
-	t.Helper()
-	return startSidecarOn(t, network.System{}, ip, store, address)
-}
-
-// startSidecarOn is like startSidecar, on a given network.
+// startSidecarOn starts the sidecar of the engine at address, on a network. It is closed
+// when the test ends.
 func startSidecarOn(t *testing.T, n network.Network, ip, store, address string) *taskGroup {
 	t.Helper()
 	group, err := startPlatformSidecar(context.Background(), newProcessOn(t, n, inZone(ip), store, fmt.Sprintf(`,"app":%q,"service":"e"`, address)))
