--- a/admission/admission.go
+++ b/admission/admission.go
@@ -155,16 +155,6 @@
 	})
 }
 
-// SendRate returns the recent first attempts per second that got an engine.
-func (c *Controller) SendRate(now time.Time) float64 {
-	c.update(now)
-	sent := 0.0
-	for _, k := range c.classes {
-		sent += k.counts.Sent
-	}
-	return sent / countDecay.Seconds()
-}
-
 // Change is a reserve that has changed.
 type Change struct {
 	Urgency Urgency
