ingress: do not withdraw attempts that have just begun

The attempts to withdraw were listed under the lock and canceled after it, so a stream whose first event arrived in between was broken off. The canceler now checks again, and cancels while it holds the lock. The log line and the counter count only attempts that were canceled.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -10,8 +10,8 @@
 //
 // Server.mu guards all mutable tables: the fleet, queues of waiting requests, retry
 // budgets, target versions. Nothing blocks while it is held, and no other locks are
-// taken under it except those inside telemetry and quarantine. The configuration is
-// read without a lock.
+// taken under it except those inside telemetry, quarantine and contexts. The
+// configuration is read without a lock.
 package ingress
 
 import (
--- a/ingress/withdraw.go
+++ b/ingress/withdraw.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"maps"
 	"time"
 
 	"github.com/juju/errors"
@@ -50,34 +51,40 @@
 // withdrawUnbegun cancels the attempts that engines with versions of model older than
 // version have not visibly begun.
 func (s *Server) withdrawUnbegun(model string, version int) {
-	now := clock.Now()
-	s.mu.Lock()
-	var cancelers []*attemptCanceler
-	for x, a := range s.unbegun {
-		holds := a.endpoint.HeldVersion(model, now)
-		if x.model != model || holds >= version {
-			continue
-		}
-		cancelers = append(cancelers, a.canceler)
-		running, queued := a.endpoint.Reported()
-		s.log.Info("attempt withdrawn", "request", x.id, "attempt", a.number, "endpoint", a.endpoint.ID, "holds", holds, "version", version,
-			"running", running, "queued", queued, "report_ms", a.endpoint.ReportAge(now).Milliseconds(), "ms", now.Sub(a.sentAt).Milliseconds())
-	}
-	s.mu.Unlock()
-	s.metrics.Counter("mintlift_ingress_withdrawn_attempts_total").Add(len(cancelers))
-	for _, b := range cancelers {
-		b.withdraw()
+	for x, a := range s.unbegunBelow(model, version, clock.Now()) {
+		s.withdraw(x, a, version)
 	}
 }
 
-// withdraw cancels the attempt with errWithdrawn, unless it has ended. Server.mu must not
-// be held, because cancelForRetry takes it while it holds attemptCanceler.mu.
-func (b *attemptCanceler) withdraw() {
+// unbegunBelow returns the attempts that engines with versions of model older than version
+// have not visibly begun.
+func (s *Server) unbegunBelow(model string, version int, now time.Time) map[*exchange]unbegunAttempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	attempts := maps.Clone(s.unbegun)
+	maps.DeleteFunc(attempts, func(x *exchange, a unbegunAttempt) bool {
+		return x.model != model || a.endpoint.HeldVersion(model, now) >= version
+	})
+	return attempts
+}
+
+// withdraw cancels an attempt with errWithdrawn, unless it has ended or received its first
+// event since unbegunBelow returned it. It takes attemptCanceler.mu before Server.mu, as
+// cancelForRetry does.
+func (s *Server) withdraw(x *exchange, a unbegunAttempt, version int) {
+	b := a.canceler
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.ended {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b.ended || s.unbegun[x].canceler != b {
 		return
 	}
 	b.ended = true
 	b.cancel(errWithdrawn)
+	now := clock.Now()
+	running, queued := a.endpoint.Reported()
+	s.log.Info("attempt withdrawn", "request", x.id, "attempt", a.number, "endpoint", a.endpoint.ID, "holds", a.endpoint.HeldVersion(x.model, now), "version", version,
+		"running", running, "queued", queued, "report_ms", a.endpoint.ReportAge(now).Milliseconds(), "ms", now.Sub(a.sentAt).Milliseconds())
+	s.metrics.Counter("mintlift_ingress_withdrawn_attempts_total").Inc()
 }
--- a/ingress/withdraw_test.go
+++ b/ingress/withdraw_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/fleet"
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/routing"
 )
 
@@ -153,3 +154,28 @@
 		assert.Assert(t, time.Now().After(deadline), "the stream was too short to tell")
 	})
 }
+
+// Load: an attempt receives its first event while attempts are withdrawn one after the
+// other. Guards against a stream that is broken off although it has visibly begun, and
+// against one that is not withdrawn although it has not.
+func TestAttemptBegunDuringWithdrawalContinues(t *testing.T) {
+	for name, begun := range map[string]bool{"begun": true, "not begun": false} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newContendedServer(1)
+			reportRunning(s, 1, 0)
+			x := newContendedExchange(s)
+			e := s.acquireEndpoint(t.Context(), x)
+			assert.Assert(t, e != nil)
+			ctx, b := x.withCanceler(t.Context())
+			defer b.end()
+			s.addUnbegun(x, e, b)
+			attempts := s.unbegunBelow(testModel, 2, clock.Now())
+			assert.Equal(t, len(attempts), 1)
+			if begun {
+				x.recordFirstBytes(e)
+			}
+			s.withdraw(x, attempts[x], 2)
+			assert.Equal(t, ctx.Err() == nil, begun, name)
+		})
+	}
+}
