admission, ingress, loadreport: correct comments on shares of workspaces

The limits below which a workspace is no longer over its share, the fall of the reserve, and the condition under which the added due time keeps the order were described wrongly.

--- a/admission/shares.go
+++ b/admission/shares.go
@@ -10,11 +10,12 @@
 
 // Parameters of the shares of workspaces.
 const (
-	// sharesInterval is how often the counts decay and the shares are computed. It keeps
-	// the cost of a request independent of the number of workspaces.
+	// sharesInterval is how often the counts decay and the shares are computed. Doing so for
+	// each request would cost time in proportion to the number of workspaces.
 	sharesInterval = 40 * time.Millisecond
 	// maxWorkspaces bounds the workspaces that are counted one by one in a class. When
-	// there are more, the one with the smallest demand is added to the others.
+	// there are more, the one with the smallest demand is added to the others, and finding it
+	// costs a pass over all that are counted.
 	maxWorkspaces = 256
 	// minOverDemand is the demand, as a decaying count, below which a workspace is never
 	// over its share. With a time constant of 1.5 s, the count of a workspace whose
@@ -32,8 +33,9 @@
 	// would decide where nearly all requests are served.
 	shareMargin = 1.01
 	// underFactor is the multiple of the others' mean demand below which a workspace is no
-	// longer over its share, and underDemand the count. They are lower than the values
-	// above, so that a workspace with a steady load does not change between both states.
+	// longer over its share, and underDemand the count. No deviations are added, so the limit
+	// is lower than the one above, and a workspace with a steady load does not change between
+	// both states.
 	underFactor = 1.25
 	underDemand = 2.0
 	// workspaceFloor is how often a workspace over its share is served at least, as a share
@@ -164,7 +166,8 @@
 }
 
 // ShareReserve returns how many of an engine's slots the requests of urgency u that are
-// put back must leave free. It is 0 while no other requests of the urgency are refused.
+// put back must leave free. It rises while requests of the urgency that are not put back are
+// refused, and then falls to 0 within lowerTime.
 func (c *Controller) ShareReserve(u Urgency, slots int, now time.Time) float64 {
 	c.update(now)
 	at, ok := c.countedIn(u)
--- a/ingress/shares.go
+++ b/ingress/shares.go
@@ -10,9 +10,9 @@
 )
 
 // overShareDelay is added to the time at which a wish for a slot is due if its workspace is
-// over its share. It exceeds the differences between the due times of requests, so that the
-// wish comes after others of the same priority. Priorities have no values left between
-// those that gateways of other releases send.
+// over its share, so that the wish comes after others of the same priority. That holds while
+// the target latencies of a service's routes differ by less. Priorities have no values left
+// between those that gateways of other releases send.
 const overShareDelay = 10 * time.Second
 
 // putBackOverShare sets x.overShare and returns it: whether x waits for its first attempt
--- a/loadreport/demand.go
+++ b/loadreport/demand.go
@@ -40,7 +40,8 @@
 	// share is the gateway's fraction of the sum of all weights. ahead is the demand
 	// of the gateways that come first, in units of the average gateway's demand.
 	share, ahead float64
-	// gatewaysAhead is the number of the gateways that come first.
+	// gatewaysAhead is the number of the gateways that come first. Unlike ahead, it counts
+	// those with little demand in full.
 	gatewaysAhead int
 }
 
