ingress, storerelay: run four more tests of deadlines in virtual time

TestQueuedRequestDoesNotBeginAfterVersionDeadline, TestSilentRequestNearVersionDeadlineIsNotCalledNotRun, TestLateRequestDoesNotBeginAfterVersionDeadline and TestUnresponsiveRecordGatewaysAreSkippedWithinBound left 100 ms of real time as a margin, which a busy machine can use up. Bounds and assertions are unchanged. The first and the third fail without the withdrawal of attempts, the second without exchange.mayHaveRun, and the last without each of the limits in Readers.tryEach and Readers.fetch. unresponsiveGateway has no more users.

--- a/ingress/cutoff_test.go
+++ b/ingress/cutoff_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -227,31 +228,35 @@
 // or the caller gets no status that says that it has not run. After 2.2 s without an event
 // a stream is moved in any case (firstEventTimeout), so a shorter queue shows that the
 // request is withdrawn, and 2.5 s that it stays so.
+// Time is virtual, because the request is sent only 100 ms before the cutoff, which a busy
+// machine can use up.
 func TestLateRequestDoesNotBeginAfterVersionDeadline(t *testing.T) {
 	for _, delay := range []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond} {
 		for _, hasNew := range []bool{true, false} {
 			t.Run(delay.String()+map[bool]string{true: ", new version", false: ", no new version"}[hasNew], func(t *testing.T) {
 				t.Parallel()
-				g := newTestGateway(t)
-				old := &queueingEngine{delay: delay}
-				deadline := g.setUpContended(old, testSlots+1, withdrawalLead+deliveryTime+beginTime(50, 50)+100*time.Millisecond, longRoute(routing.Streaming, "/long/", 2))
-				if hasNew {
-					time.AfterFunc(600*time.Millisecond, func() {
-						g.startEndpoint("new", "engine", respondEvents(lastEvent, lastEvent))
-						g.reportFrom("new", 2, testSlots+1)
-					})
-				}
-				r, body := g.do("POST", "/long/1", "x", withHeader(testHeaders.Deadline, "6000"))
-				assert.Equal(t, g.requests()[0].endpoint, "old")
-				time.Sleep(time.Until(deadline.Add(delay)))
-				began := old.began.Load()
-				assert.Assert(t, began == nil || began.Before(deadline), "began %s after the deadline", sinceDeadline(began, deadline))
-				if hasNew {
-					assert.Equal(t, r.StatusCode, http.StatusOK)
-					assert.Equal(t, body, eventsText(lastEvent))
-					return
-				}
-				assert.Assert(t, r.StatusCode == http.StatusBadGateway || r.StatusCode == http.StatusGatewayTimeout, "status %d", r.StatusCode)
+				synctest.Test(t, func(t *testing.T) {
+					g := newVirtualGateway(t, fleet.Place{Zone: "z"})
+					old := &queueingEngine{delay: delay}
+					deadline := g.setUpContended(old, testSlots+1, withdrawalLead+deliveryTime+beginTime(50, 50)+100*time.Millisecond, longRoute(routing.Streaming, "/long/", 2))
+					if hasNew {
+						time.AfterFunc(600*time.Millisecond, func() {
+							g.startEndpoint("new", "engine", respondEvents(lastEvent, lastEvent))
+							g.reportFrom("new", 2, testSlots+1)
+						})
+					}
+					r, body := g.do("POST", "/long/1", "x", withHeader(testHeaders.Deadline, "6000"))
+					assert.Equal(t, g.requests()[0].endpoint, "old")
+					time.Sleep(time.Until(deadline.Add(delay)))
+					began := old.began.Load()
+					assert.Assert(t, began == nil || began.Before(deadline), "began %s after the deadline", sinceDeadline(began, deadline))
+					if hasNew {
+						assert.Equal(t, r.StatusCode, http.StatusOK)
+						assert.Equal(t, body, eventsText(lastEvent))
+						return
+					}
+					assert.Assert(t, r.StatusCode == http.StatusBadGateway || r.StatusCode == http.StatusGatewayTimeout, "status %d", r.StatusCode)
+				})
 			})
 		}
 	}
--- a/ingress/withdraw_test.go
+++ b/ingress/withdraw_test.go
@@ -89,30 +89,33 @@
 
 // A request that an engine with an older version queues for longer than its reports say
 // must not begin there after the version's deadline. If it may be repeated, another engine
-// serves it.
+// serves it. Time is virtual, because the request is sent only 100 ms before the cutoff,
+// which a busy machine can use up.
 func TestQueuedRequestDoesNotBeginAfterVersionDeadline(t *testing.T) {
 	for path, delay := range map[string]time.Duration{"/resumable/1": 2200 * time.Millisecond, "/resumable/2": 2500 * time.Millisecond, "/once/1": 2500 * time.Millisecond} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
-			g := newTestGateway(t)
-			old := &queueingEngine{delay: delay}
-			deadline := g.setUpNearDeadline(old)
-			time.AfterFunc(time.Second, func() {
-				g.startEndpoint("new", "engine", respondEvents(lastEvent, lastEvent))
-				g.reportIdle("new", 2)
+			synctest.Test(t, func(t *testing.T) {
+				g := newVirtualGateway(t, fleet.Place{Zone: "z"})
+				old := &queueingEngine{delay: delay}
+				deadline := g.setUpNearDeadline(old)
+				time.AfterFunc(time.Second, func() {
+					g.startEndpoint("new", "engine", respondEvents(lastEvent, lastEvent))
+					g.reportIdle("new", 2)
+				})
+				r, body := g.do("POST", path, "x", withHeader(testHeaders.Deadline, "6000"))
+				time.Sleep(time.Until(deadline.Add(delay - maxVersionMargin + 100*time.Millisecond)))
+				began := old.began.Load()
+				assert.Assert(t, began == nil || began.Before(deadline), "began %s after the deadline", sinceDeadline(began, deadline))
+				assert.Equal(t, g.requests()[0].endpoint, "old")
+				if path == "/once/1" {
+					assert.Equal(t, len(g.requests()), 1)
+					assert.Equal(t, r.StatusCode, http.StatusBadGateway, "whether it ran is unknown")
+					return
+				}
+				assert.Equal(t, r.StatusCode, http.StatusOK)
+				assert.Equal(t, body, eventsText(lastEvent))
 			})
-			r, body := g.do("POST", path, "x", withHeader(testHeaders.Deadline, "6000"))
-			time.Sleep(time.Until(deadline.Add(delay - maxVersionMargin + 100*time.Millisecond)))
-			began := old.began.Load()
-			assert.Assert(t, began == nil || began.Before(deadline), "began %s after the deadline", sinceDeadline(began, deadline))
-			assert.Equal(t, g.requests()[0].endpoint, "old")
-			if path == "/once/1" {
-				assert.Equal(t, len(g.requests()), 1)
-				assert.Equal(t, r.StatusCode, http.StatusBadGateway, "whether it ran is unknown")
-				return
-			}
-			assert.Equal(t, r.StatusCode, http.StatusOK)
-			assert.Equal(t, body, eventsText(lastEvent))
 		})
 	}
 }
@@ -126,15 +129,18 @@
 }
 
 // A request that runs without having sent an event when the version's deadline comes near
-// must not be called not run.
+// must not be called not run. Time is virtual, because the request is sent only 100 ms
+// before the cutoff, which a busy machine can use up.
 func TestSilentRequestNearVersionDeadlineIsNotCalledNotRun(t *testing.T) {
 	t.Parallel()
-	g := newTestGateway(t)
-	old := &queueingEngine{silent: true}
-	g.setUpNearDeadline(old)
-	r, _ := g.do("POST", "/once/1", "x", withHeader(testHeaders.Deadline, "3000"))
-	assert.Assert(t, old.began.Load() != nil)
-	assert.Assert(t, r.StatusCode == http.StatusBadGateway || r.StatusCode == http.StatusGatewayTimeout, "status %d", r.StatusCode)
+	synctest.Test(t, func(t *testing.T) {
+		g := newVirtualGateway(t, fleet.Place{Zone: "z"})
+		old := &queueingEngine{silent: true}
+		g.setUpNearDeadline(old)
+		r, _ := g.do("POST", "/once/1", "x", withHeader(testHeaders.Deadline, "3000"))
+		assert.Assert(t, old.began.Load() != nil)
+		assert.Assert(t, r.StatusCode == http.StatusBadGateway || r.StatusCode == http.StatusGatewayTimeout, "status %d", r.StatusCode)
+	})
 }
 
 // A stream that has begun on an older version before the attempts are withdrawn must be
--- a/storerelay/list_test.go
+++ b/storerelay/list_test.go
@@ -296,23 +296,6 @@
 	})
 }
 
-// unresponsiveGateway accepts requests and does not respond.
-func unresponsiveGateway(t *testing.T) (address string) {
-	t.Helper()
-	done := make(chan struct{})
-	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		select {
-		case <-r.Context().Done():
-		case <-done:
-		}
-	}))
-	t.Cleanup(func() {
-		close(done)
-		s.Close()
-	})
-	return strings.TrimPrefix(s.URL, "http://")
-}
-
 // A list also ages while the host is suspended, both at the gateway that serves it and at
 // the follower.
 func TestListAgeIncludesSuspension(t *testing.T) {
--- a/storerelay/records_test.go
+++ b/storerelay/records_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -138,22 +139,25 @@
 	}
 }
 
-// A follower gives up on unresponsive gateways before its records are stale.
+// A follower gives up on unresponsive gateways before its records are stale. Time is
+// virtual, because a busy machine can use up the 100 ms that the bounds allow.
 func TestUnresponsiveRecordGatewaysAreSkippedWithinBound(t *testing.T) {
-	unresponsive := unresponsiveGateway(t)
-	readers := NewReaders("self", func(string) string { return unresponsive }, readerset.StartTimeout, network.System{}, logr.Discard())
-	readers.SetMembers(twoReaders)
-	f := NewRecordFollower(readers, budget, logr.Discard())
-	const age = 400 * time.Millisecond
-	began := time.Now()
-	_, ok := f.Since(context.Background(), position(2), age)
-	assert.Assert(t, !ok)
-	assert.Assert(t, age+time.Since(began) < budget.StaleAfter()+100*time.Millisecond, "gave up after %s", time.Since(began))
-	readers.SetMembers(append([]readerset.Member{{IP: "three", LinkRate: 2e9}, {IP: "four", LinkRate: 2e9}}, twoReaders...))
-	began = time.Now()
-	_, ok = f.Since(context.Background(), position(2), budget.StaleAfter())
-	assert.Assert(t, !ok)
-	assert.Assert(t, time.Since(began) < 2*(minWait+budget.RelayTimeout())+100*time.Millisecond, "with stale records the requests do not wait for a change")
+	synctest.Test(t, func(t *testing.T) {
+		_, follower := startGatewaysInMemory(t)
+		readers := NewReaders("self", func(string) string { return unresponsiveAddress }, readerset.StartTimeout, follower, logr.Discard())
+		readers.SetMembers(twoReaders)
+		f := NewRecordFollower(readers, budget, logr.Discard())
+		const age = 400 * time.Millisecond
+		began := time.Now()
+		_, ok := f.Since(context.Background(), position(2), age)
+		assert.Assert(t, !ok)
+		assert.Assert(t, age+time.Since(began) < budget.StaleAfter()+100*time.Millisecond, "gave up after %s", time.Since(began))
+		readers.SetMembers(append([]readerset.Member{{IP: "three", LinkRate: 2e9}, {IP: "four", LinkRate: 2e9}}, twoReaders...))
+		began = time.Now()
+		_, ok = f.Since(context.Background(), position(2), budget.StaleAfter())
+		assert.Assert(t, !ok)
+		assert.Assert(t, time.Since(began) < 2*(minWait+budget.RelayTimeout())+100*time.Millisecond, "with stale records the requests do not wait for a change")
+	})
 }
 
 // Guards against comparing offsets of different eras; an era begins when the store is
