ingress: check that attempts are withdrawn in time

TestQueuedRequestDoesNotBeginAfterVersionDeadline and TestLateRequestDoesNotBeginAfterVersionDeadline passed with a withdrawal 1 ms after the deadline: no queue ended between the planned withdrawal and the deadline. In virtual time a queue can end 1 ms after the withdrawal. The new cases fail if it is 2 ms late.

--- a/ingress/cutoff_test.go
+++ b/ingress/cutoff_test.go
@@ -227,18 +227,19 @@
 // than its reports say must not begin there after the deadline. Another engine serves it,
 // or the caller gets no status that says that it has not run. After 2.2 s without an event
 // a stream is moved in any case (firstEventTimeout), so a shorter queue shows that the
-// request is withdrawn, and 2.5 s that it stays so.
-// Time is virtual, because the request is sent only 100 ms before the cutoff, which a busy
-// machine can use up.
+// request is withdrawn, and 2.5 s that it stays so. The queue that ends right after the
+// withdrawal shows that the request is withdrawn in time. Time is virtual, because the
+// request is sent only 100 ms before the cutoff, which a busy machine can use up.
 func TestLateRequestDoesNotBeginAfterVersionDeadline(t *testing.T) {
-	for _, delay := range []time.Duration{1500 * time.Millisecond, 2500 * time.Millisecond} {
+	toDeadline := withdrawalLead + deliveryTime + beginTime(50, 50) + 100*time.Millisecond
+	for _, delay := range []time.Duration{toDeadline - withdrawalLead + time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
 		for _, hasNew := range []bool{true, false} {
 			t.Run(delay.String()+map[bool]string{true: ", new version", false: ", no new version"}[hasNew], func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					g := newVirtualGateway(t, fleet.Place{Zone: "z"})
 					old := &queueingEngine{delay: delay}
-					deadline := g.setUpContended(old, testSlots+1, withdrawalLead+deliveryTime+beginTime(50, 50)+100*time.Millisecond, longRoute(routing.Streaming, "/long/", 2))
+					deadline := g.setUpContended(old, testSlots+1, toDeadline, longRoute(routing.Streaming, "/long/", 2))
 					if hasNew {
 						time.AfterFunc(600*time.Millisecond, func() {
 							g.startEndpoint("new", "engine", respondEvents(lastEvent, lastEvent))
--- a/ingress/withdraw_test.go
+++ b/ingress/withdraw_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -92,7 +93,14 @@
 // serves it. Time is virtual, because the request is sent only 100 ms before the cutoff,
 // which a busy machine can use up.
 func TestQueuedRequestDoesNotBeginAfterVersionDeadline(t *testing.T) {
-	for path, delay := range map[string]time.Duration{"/resumable/1": 2200 * time.Millisecond, "/resumable/2": 2500 * time.Millisecond, "/once/1": 2500 * time.Millisecond} {
+	// The queue of /once/2 ends right after the withdrawal, which must not be later.
+	const toDeadline = maxVersionMargin + 100*time.Millisecond // see setUpNearDeadline
+	for path, delay := range map[string]time.Duration{
+		"/resumable/1": 2200 * time.Millisecond,
+		"/resumable/2": 2500 * time.Millisecond,
+		"/once/1":      2500 * time.Millisecond,
+		"/once/2":      toDeadline - withdrawalLead + time.Millisecond,
+	} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
@@ -108,7 +116,7 @@
 				began := old.began.Load()
 				assert.Assert(t, began == nil || began.Before(deadline), "began %s after the deadline", sinceDeadline(began, deadline))
 				assert.Equal(t, g.requests()[0].endpoint, "old")
-				if path == "/once/1" {
+				if strings.HasPrefix(path, "/once/") {
 					assert.Equal(t, len(g.requests()), 1)
 					assert.Equal(t, r.StatusCode, http.StatusBadGateway, "whether it ran is unknown")
 					return
