ingress: drop undelivered requests of callers that have left

If the caller left or its time was up, the connection of its attempt was closed, and the kernel went on to deliver the request.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -43,7 +43,7 @@
 	}
 	return x.server.pool.Do(ctx, e.Address, &upstream.Request{
 		ResetOn:         resetOn,
-		DropUndelivered: func() bool { return x.dropsUndelivered(e, clock.Now()) },
+		DropUndelivered: func() bool { return x.abandoned() || x.dropsUndelivered(e, clock.Now()) },
 		Method:          x.request.Method,
 		URI:             x.target(),
 		Host:            x.request.Host,
--- a/ingress/caller.go
+++ b/ingress/caller.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 
+	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/internal/tcpconn"
 )
 
@@ -33,3 +34,10 @@
 // finished reports whether no further attempt may be made because the time is up or
 // the caller has disconnected.
 func (x *exchange) finished(ctx context.Context) bool { return ctx.Err() != nil || x.callerLeft() }
+
+// abandoned reports whether the caller has left or its time is up. What the kernel has not
+// delivered of an attempt must then be dropped: an engine whose box was frozen would receive
+// it long afterwards.
+func (x *exchange) abandoned() bool {
+	return x.request.Context().Err() != nil || !clock.Now().Before(x.expiresAt)
+}
