--- a/fetchplan/fetchplan_test.go
+++ b/fetchplan/fetchplan_test.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// The case of the heaviest day: at 26.5 s the origin returns, 13 of 64 chunks of
+// Load: at 26.5 s the origin returns, 13 of 64 chunks of
 // version 2 are missing and version 3 has none. Guards against the abandonment of
 // version 2, which is served sooner and does not delay the newer one beyond its use.
 func TestHeaviestDay(t *testing.T) {
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -101,7 +101,7 @@
 // listedChangeDelay is how long after the last report of an engine's sidecar a version that
 // the sidecar has not reported is ignored in the list. The engine may have accepted a
 // delayed order of the sidecar's former process meanwhile, and hold other weights than the
-// list shows. Orders were seen to be accepted up to 11 s after they were sent.
+// list shows. It exceeds the time for which an order may be delayed on the way.
 const listedChangeDelay = 15 * time.Second
 
 // fresh reports whether the last report is younger than reportTTL.
--- a/fleet/slots_test.go
+++ b/fleet/slots_test.go
@@ -101,8 +101,8 @@
 	assert.Equal(t, chosen(f, q, start), "")
 }
 
-// Guards against gateways that each fill the engine of a silent sidecar by its last report:
-// the soak's seed 50104 saw eight requests at an engine with three slots and four gateways.
+// Guards against gateways that each fill the engine of a silent sidecar by its last report,
+// so that together they exceed twice its slots.
 func TestSilentSidecarSharesEngine(t *testing.T) {
 	for _, test := range []struct{ gateways, want int }{{26, 1}, {14, 1}, {8, 3}} {
 		f := engines(1)
@@ -205,8 +205,8 @@
 }
 
 // Guards against gateways of little demand that each count as first at an idle engine: with
-// the grants that the sidecar gives by the same reading, the soak's seed 50218 saw seven
-// requests at an engine with three slots.
+// the grants that the sidecar gives by the same reading, it would get more than twice its
+// slots.
 func TestIdleEngineGetsAtMostTwiceItsSlots(t *testing.T) {
 	const slots = 3
 	sent := 0
--- a/ingress/cutoff.go
+++ b/ingress/cutoff.go
@@ -36,10 +36,9 @@
 	// deliveryTime bounds the time until a request reaches the engine. It is the delay
 	// from which an engine gets no requests that must begin at once (fleet.delayHigh).
 	deliveryTime = 100 * time.Millisecond
-	// longestQueueTime is the longest time that requests were seen to wait in an engine's
-	// queue after many gateways had used the same free slot, 2.3 s
-	// (docs/design/version-bound.md). A request that is sent earlier than that before the
-	// withdrawal is rarely withdrawn.
+	// longestQueueTime is how long requests may wait in an engine's queue after many
+	// gateways have used the same free slot (docs/design/version-bound.md). A request that is
+	// sent earlier than that before the withdrawal is rarely withdrawn.
 	longestQueueTime = 2300 * time.Millisecond
 	// maxPrefillMS limits the prefill time, in milliseconds, that beginTime counts. It is
 	// longer than every margin. Callers state any number of prompt tokens, and a
@@ -227,8 +226,8 @@
 }
 
 // expectVersionTime is how long after the deadline of a target version requests still name
-// the version that their engine is expected to hold. Delayed orders to load were seen to be
-// accepted up to 11 s after they were sent.
+// the version that their engine is expected to hold. It exceeds the time for which an order
+// to load may be delayed on the way.
 const expectVersionTime = 15 * time.Second
 
 // expectedVersion returns the version that the engine e must hold to run x, or 0 if x need
