ingress: part the attempt from the exchange

An exchange held some forty fields, those of the request and of its current attempt mixed, so that it could have one attempt at a time. Type attempt has its endpoint, number, times, grant and permit; who owns them stands on the type. No change of behaviour: the tests of the package pass, with attempts in place of endpoints in those that look inside.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -172,17 +172,18 @@
 	return max(1, int(connectionShare*float64(service.MaxConnections)/float64(s.sharingGateways())))
 }
 
-// waitForEndpoint waits up to maxWait for an endpoint for x. It returns nil if none had
+// waitForEndpoint waits up to maxWait for an endpoint for x, and returns an attempt at it,
+// which the caller must end. It returns nil if no endpoint had
 // capacity in time or ctx ended. A new request that no endpoint could serve at any load
 // does not wait, because this usually lasts longer than maxWait.
-func (s *Server) waitForEndpoint(ctx context.Context, x *exchange, maxWait time.Duration) *fleet.Endpoint {
+func (s *Server) waitForEndpoint(ctx context.Context, x *exchange, maxWait time.Duration) *attempt {
 	x.refusal = refusalClosed // unless the wait ends otherwise
 	now := clock.Now()
 	w := &waiter{
 		exchange: x,
 		rank:     rank{urgency: x.urgency(), stage: x.stage(), responseDue: x.start.Add(x.route.TargetLatency)},
 		deadline: now.Add(maxWait),
-		assigned: make(chan *fleet.Endpoint, 1),
+		assigned: make(chan *attempt, 1),
 	}
 	s.mu.Lock()
 	w.rank.belowFloor, w.rank.late = s.belowFloorLocked(x, now), s.lateLocked(x, now)
@@ -206,15 +207,15 @@
 	}
 
 	select {
-	case e := <-w.assigned:
-		return e
+	case a := <-w.assigned:
+		return a
 	default:
 	}
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
 	select {
-	case e := <-w.assigned:
-		return e
+	case a := <-w.assigned:
+		return a
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -223,13 +224,13 @@
 	q.remove(w)
 	s.updateSlotWishes(x.service, q, clock.Now())
 	select {
-	case e := <-w.assigned:
-		if ctx.Err() == nil || e == nil {
-			return e
+	case a := <-w.assigned:
+		if ctx.Err() == nil || a == nil {
+			return a
 		}
 		x.refusal = refusalNoSlot
-		s.fleet.RecordFirstByte(e, x.prefillMS, unknownLateness, clock.Now())
-		s.endAttemptLocked(x, e, fleet.Abandoned, clock.Now())
+		s.fleet.RecordFirstByte(a.endpoint, x.prefillMS, unknownLateness, clock.Now())
+		s.endAttemptLocked(a, fleet.Abandoned, clock.Now())
 		s.dispatch(x.service, clock.Now())
 	default:
 		x.refusal = s.waitRefusal(x, clock.Now())
@@ -253,20 +254,20 @@
 
 // acquireEndpoint waits for an endpoint for the next attempt of x. It returns nil if x
 // is to be refused.
-func (s *Server) acquireEndpoint(ctx context.Context, x *exchange) *fleet.Endpoint {
-	e := s.acquire(ctx, x)
+func (s *Server) acquireEndpoint(ctx context.Context, x *exchange) *attempt {
+	a := s.acquire(ctx, x)
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		x.refusal = "" // the caller has left
 	}
-	s.recordDecision(x, e != nil)
-	return e
+	s.recordDecision(x, a != nil)
+	return a
 }
 
 // acquire is acquireEndpoint without counting the result. A request first waits for an
 // endpoint that meets the target latency. A retry, by the gateway or by the caller, then
 // waits a second time and accepts late endpoints. A caller's retry that no engine is
 // expected to serve within its wait is refused at once.
-func (s *Server) acquire(ctx context.Context, x *exchange) *fleet.Endpoint {
+func (s *Server) acquire(ctx context.Context, x *exchange) *attempt {
 	if x.attempts == 0 && x.callerRetry {
 		if wait, known := s.expectedWait(x, clock.Now()); known {
 			x.acceptsLate = true
@@ -274,14 +275,14 @@
 		}
 	}
 	if x.attempts > 0 && !x.acceptsLate {
-		if e := s.waitForEndpoint(ctx, x, min(retryOnTimeWait, clock.Until(x.expiresAt))); e != nil {
-			return e
+		if a := s.waitForEndpoint(ctx, x, min(retryOnTimeWait, clock.Until(x.expiresAt))); a != nil {
+			return a
 		}
 	}
 	if x.attempts == 0 && !x.acceptsLate && !x.cannotMeetTarget() {
-		if e := s.waitForEndpoint(ctx, x, queueTimeout(x, clock.Now())); e != nil || !x.callerRetry {
-			s.statsOf(x.service).record(x, e == nil, clock.Now())
-			return e
+		if a := s.waitForEndpoint(ctx, x, queueTimeout(x, clock.Now())); a != nil || !x.callerRetry {
+			s.statsOf(x.service).record(x, a == nil, clock.Now())
+			return a
 		}
 	}
 	x.acceptsLate = true
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -13,10 +13,39 @@
 	"github.com/mintlift/mintlift/upstream"
 )
 
-// send sends the request to e and reads the response header. lastEvent is the
-// Last-Event-Id to send, after which e resumes a stream. If it is empty, the caller's own
+// attempt is one sending of an exchange's request to an endpoint. The goroutine that makes
+// the attempt owns its fields; while the request waits for the endpoint, Server.mu guards
+// them.
+type attempt struct {
+	exchange *exchange
+	endpoint *fleet.Endpoint
+	number   int // counts the attempts of the exchange from 1
+	// isolated reports that the endpoint was chosen with Query.Isolated, so that it runs no
+	// other suspected request. hasPermit reports that the attempt has used a permit of an
+	// endpoint with a rate limit.
+	isolated, hasPermit bool
+	// granted reports that the attempt uses a slot granted by the engine's sidecar, and
+	// grantedAt is when the grant arrived.
+	granted   bool
+	grantedAt time.Time
+	// grantLapsed is set if the attempt was withheld because its grant was void by then.
+	grantLapsed bool
+	// endpointStartedMS is the start time of the endpoint's process when the attempt was
+	// sent, in Unix milliseconds, or 0 if unknown.
+	endpointStartedMS int64
+	// sentAt is when the attempt started, and expectedFirstByte is the expected time from
+	// then until the first bytes of its response.
+	sentAt            time.Time
+	expectedFirstByte time.Duration
+	// gotBytes reports that bytes of the response have been received.
+	gotBytes bool
+}
+
+// send sends the request to the endpoint and reads the response header. lastEvent is the
+// Last-Event-Id to send, after which the endpoint resumes a stream. If it is empty, the caller's own
 // Last-Event-Id, if any, is sent.
-func (x *exchange) send(ctx context.Context, e *fleet.Endpoint, lastEvent string) (*upstream.Response, error) {
+func (a *attempt) send(ctx context.Context, lastEvent string) (*upstream.Response, error) {
+	x, e := a.exchange, a.endpoint
 	names := &x.server.settings.Headers
 	h := x.header.Clone()
 	h.Set(names.ExpectEndpoint, e.ID)
@@ -50,7 +79,7 @@
 		Header:          h,
 		Body:            x.body,
 		Fresh:           !x.route.Idempotent(),
-		Proceed:         func() bool { return !x.callerLeft() && x.server.stillEligible(x, e) },
+		Proceed:         func() bool { return !x.callerLeft() && x.server.stillEligible(a) },
 		Accept: func(header http.Header) bool {
 			id := header.Get(names.RequestID)
 			return id == x.id
@@ -58,11 +87,13 @@
 	})
 }
 
-// stillEligible reports whether x may still be sent to e, which was chosen for it. In
-// the meantime the cutoff of a target version may have passed, x may have been
-// quarantined, e's zone may have been evacuated, a new configuration may keep x out of
-// e's region, or e may have sent a signal that forbids the request.
-func (s *Server) stillEligible(x *exchange, e *fleet.Endpoint) bool {
+// stillEligible reports whether the request may still be sent to the endpoint that was
+// chosen for it. In the meantime the cutoff of a target version may have passed, the
+// request may have been quarantined, the zone may have been evacuated, a new configuration
+// may keep the request out of the endpoint's region, or the endpoint may have sent a signal
+// that forbids the request.
+func (s *Server) stillEligible(a *attempt) bool {
+	x, e := a.exchange, a.endpoint
 	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -73,11 +104,11 @@
 	if e.Signals.Draining() || e.Signals.BackingOff(now) || x.quarantined(now) {
 		return false
 	}
-	if x.grantVoid(e, now) {
-		x.grantLapsed = true
+	if a.grantVoid(now) {
+		a.grantLapsed = true
 		return false
 	}
-	if !x.takePermit(e, now) {
+	if !a.takePermit(now) {
 		return false
 	}
 	if x.model == "" {
@@ -153,26 +184,27 @@
 	s.budget(x.service, x.start).AddRequest(x.start)
 }
 
-// finishAttempt reports the result of an attempt to the fleet.
-func (x *exchange) finishAttempt(e *fleet.Endpoint, result fleet.Result) {
+// finish reports the result of the attempt to the fleet.
+func (a *attempt) finish(result fleet.Result) {
+	x := a.exchange
 	s := x.server
 	now := clock.Now()
 	s.mu.Lock()
-	if !x.gotBytes {
-		s.fleet.RecordFirstByte(e, x.prefillMS, unknownLateness, now)
+	if !a.gotBytes {
+		s.fleet.RecordFirstByte(a.endpoint, x.prefillMS, unknownLateness, now)
 	}
-	s.endAttemptLocked(x, e, result, now)
+	s.endAttemptLocked(a, result, now)
 	s.dispatch(x.service, now)
 	s.mu.Unlock()
 }
 
-// endAttemptLocked ends the attempt of x at e. Server.mu must be held.
-func (s *Server) endAttemptLocked(x *exchange, e *fleet.Endpoint, result fleet.Result, now time.Time) {
-	s.fleet.End(e, result, now)
-	delete(s.unbegun, x)
-	if x.isolated {
-		x.isolated = false
-		s.fleet.EndIsolated(e)
+// endAttemptLocked ends an attempt. Server.mu must be held.
+func (s *Server) endAttemptLocked(a *attempt, result fleet.Result, now time.Time) {
+	s.fleet.End(a.endpoint, result, now)
+	delete(s.unbegun, a)
+	if a.isolated {
+		a.isolated = false
+		s.fleet.EndIsolated(a.endpoint)
 	}
 }
 
@@ -183,34 +215,36 @@
 // addition to the prefill time.
 const enginePassTime = 120 * time.Millisecond
 
-// recordFirstBytes reports to the fleet that the attempt at e has received its
-// first bytes. Further calls for the same attempt have no effect.
-func (x *exchange) recordFirstBytes(e *fleet.Endpoint) {
-	if x.gotBytes {
+// recordFirstBytes reports to the fleet that the attempt has received its first bytes.
+// Further calls have no effect.
+func (a *attempt) recordFirstBytes() {
+	if a.gotBytes {
 		return
 	}
-	x.gotBytes = true
-	s := x.server
+	a.gotBytes = true
+	s := a.exchange.server
 	s.mu.Lock()
 	now := clock.Now()
-	lateness := now.Sub(x.sentAt) - x.expectedFirstByte
-	s.fleet.RecordFirstByte(e, x.prefillMS, max(lateness, 0), now)
-	delete(s.unbegun, x)
+	lateness := now.Sub(a.sentAt) - a.expectedFirstByte
+	s.fleet.RecordFirstByte(a.endpoint, a.exchange.prefillMS, max(lateness, 0), now)
+	delete(s.unbegun, a)
 	s.mu.Unlock()
 }
 
-// recordAttempt sets the fields of x that describe the attempt at e, such as its start
-// and expected first-byte time, and logs the attempt.
-func (x *exchange) recordAttempt(e *fleet.Endpoint) {
+// begin sets the fields that describe the attempt, such as its start and expected
+// first-byte time, and logs it.
+func (a *attempt) begin() {
+	x, e := a.exchange, a.endpoint
 	s := x.server
 	now := clock.Now()
 	s.mu.Lock()
 	backlog, delay := e.Backlog(x.meanPrefillMS, now), e.Delay(now)
-	x.sentAt = now
-	x.endpointStartedMS = s.fleet.StartedMSAt(e.Address)
-	x.expectedFirstByte = enginePassTime + time.Duration((backlog+x.prefillMS)*float64(time.Millisecond))
+	a.number = x.attempts
+	a.sentAt = now
+	a.endpointStartedMS = s.fleet.StartedMSAt(e.Address)
+	a.expectedFirstByte = enginePassTime + time.Duration((backlog+x.prefillMS)*float64(time.Millisecond))
 	load, age, holds, lowest := e.Load(now), e.ReportAge(now), e.HeldVersion(x.model, now), s.versionBounds(x, now).lowest
 	s.mu.Unlock()
-	s.log.Info("attempt", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "service", x.service,
-		"load", load, "backlog_ms", int(backlog), "work_ms", int(x.prefillMS), "report_ms", age.Milliseconds(), "delay_ms", delay.Milliseconds(), "holds", holds, "min_version", lowest, "at_ms", now.Sub(x.start).Milliseconds(), "granted", x.granted)
+	s.log.Info("attempt", "request", x.id, "attempt", a.number, "endpoint", e.ID, "service", x.service,
+		"load", load, "backlog_ms", int(backlog), "work_ms", int(x.prefillMS), "report_ms", age.Milliseconds(), "delay_ms", delay.Milliseconds(), "holds", holds, "min_version", lowest, "at_ms", now.Sub(x.start).Milliseconds(), "granted", a.granted)
 }
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -14,7 +14,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/quarantine"
 )
@@ -32,26 +31,27 @@
 	suspectCrashLimit = 2
 )
 
-// checkCrash determines whether an attempt failed because its endpoint crashed, and
+// checkCrash determines whether the attempt failed because its endpoint crashed, and
 // if so records the crash against the request. A lost connection alone does not show
 // this. After a crash, the endpoint's address also refuses connections, or its process
 // has a new start time.
-func (x *exchange) checkCrash(ctx context.Context, e *fleet.Endpoint, cause error) {
+func (a *attempt) checkCrash(ctx context.Context, cause error) {
+	x, e := a.exchange, a.endpoint
 	s := x.server
 	if !connectionLost(cause) {
 		return
 	}
-	c := crashedAttempt{endpoint: e.ID, request: x.id, identity: x.identity, service: x.service, attempt: x.attempts, sentAt: x.sentAt}
+	c := crashedAttempt{endpoint: e.ID, request: x.id, identity: x.identity, service: x.service, attempt: a.number, sentAt: a.sentAt}
 	if s.pool.Refuses(ctx, e.Address, crashProbeTimeout) {
 		if s.recordCrash(c, clock.Now()) {
 			x.crashes++
 		}
 		return
 	}
-	if x.endpointStartedMS == 0 {
+	if a.endpointStartedMS == 0 {
 		return
 	}
-	address, startedMS := e.Address, x.endpointStartedMS
+	address, startedMS := e.Address, a.endpointStartedMS
 	go func() { // does not delay the next attempt
 		if s.restartedSince(address, startedMS) {
 			s.recordCrash(c, clock.Now())
--- a/ingress/dispatch_test.go
+++ b/ingress/dispatch_test.go
@@ -35,7 +35,7 @@
 	q := &queue{}
 	for range waiters {
 		x := &exchange{server: s, config: c, service: "engine", model: testModel, start: time.Now(), route: c.Match("h.example", "/stream/1"), prefillMS: 50, meanPrefillMS: 50}
-		q.add(&waiter{exchange: x, assigned: make(chan *fleet.Endpoint, 1)})
+		q.add(&waiter{exchange: x, assigned: make(chan *attempt, 1)})
 	}
 	s.queues["engine"] = q
 	return s, reports
--- a/ingress/expected_test.go
+++ b/ingress/expected_test.go
@@ -151,17 +151,17 @@
 		try := func(x *exchange) bool {
 			began := time.Now()
 			s.countArrival(x, began)
-			if e := s.acquireEndpoint(t.Context(), x); e != nil {
+			if a := s.acquireEndpoint(t.Context(), x); a != nil {
 				s.countServed(x, time.Now())
 				callers.Go(func() {
 					time.Sleep(firstByte)
 					s.mu.Lock()
-					s.fleet.RecordFirstByte(e, x.prefillMS, unknownLateness, time.Now())
+					s.fleet.RecordFirstByte(a.endpoint, x.prefillMS, unknownLateness, time.Now())
 					s.mu.Unlock()
 					time.Sleep(service - firstByte)
 					s.mu.Lock()
 					defer s.mu.Unlock()
-					s.endAttemptLocked(x, e, fleet.Responded, time.Now())
+					s.endAttemptLocked(a, fleet.Responded, time.Now())
 					s.dispatch("engine", time.Now())
 				})
 				return true
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -45,13 +45,10 @@
 	identity quarantine.ID
 	// trial reports that the request is allowed to run once although it is in
 	// quarantine.
-	trial bool
-	// endpointStartedMS is the start time of the endpoint's process when the attempt was
-	// sent, in Unix milliseconds, or 0 if unknown.
-	endpointStartedMS int64
-	body              []byte
-	header            http.Header // for the endpoint, without per-attempt headers
-	start             time.Time
+	trial  bool
+	body   []byte
+	header http.Header // for the endpoint, without per-attempt headers
+	start  time.Time
 	// configAge is the time from when the configuration was last known to be the newest
 	// until start.
 	configAge time.Duration
@@ -84,12 +81,6 @@
 	prefillMS float64
 	// meanPrefillMS is the prefill time of a prompt of mean length.
 	meanPrefillMS float64
-	// sentAt is when the current attempt started, and expectedFirstByte is the expected
-	// time from then until the first bytes of its response.
-	sentAt            time.Time
-	expectedFirstByte time.Duration
-	// gotBytes reports that bytes of the current attempt's response have been received.
-	gotBytes bool
 
 	// acceptsLate reports that the request may be sent to endpoints that are expected
 	// to respond after the target latency.
@@ -104,16 +95,6 @@
 	// reports that the time of the response has been counted.
 	decided decision
 	timed   bool
-	// isolated reports that the endpoint of the current attempt was chosen with
-	// Query.Isolated, so that it runs no other suspected request. hasPermit reports that
-	// the attempt has used a permit of an endpoint with a rate limit.
-	isolated, hasPermit bool
-	// granted reports that the attempt uses a slot granted by the engine's sidecar, and
-	// grantedAt is when the grant arrived.
-	granted   bool
-	grantedAt time.Time
-	// grantLapsed is set if the attempt was withheld because its grant was void by then.
-	grantLapsed bool
 	// crashes is the number of endpoints that crashed during attempts of this exchange.
 	crashes   int
 	lastCause string // why the last attempt failed
--- a/ingress/late_test.go
+++ b/ingress/late_test.go
@@ -36,7 +36,7 @@
 			s.queues["engine"] = q
 			waiters := make(map[*exchange]*waiter)
 			for _, x := range []*exchange{late, inTime} {
-				w := &waiter{exchange: x, rank: rank{late: s.lateLocked(x, now), urgency: x.urgency()}, deadline: now.Add(time.Second), assigned: make(chan *fleet.Endpoint, 1)}
+				w := &waiter{exchange: x, rank: rank{late: s.lateLocked(x, now), urgency: x.urgency()}, deadline: now.Add(time.Second), assigned: make(chan *attempt, 1)}
 				waiters[x] = w
 				q.add(w)
 			}
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -45,7 +45,7 @@
 // can be retried if the route allows it.
 func (x *exchange) servePlain(ctx context.Context) {
 	x.countRequest()
-	response, v := x.runAttempts(ctx, x.attempt)
+	response, v := x.runAttempts(ctx, x.attemptPlain)
 	switch {
 	case v == verdictOK:
 		x.sendReply(response, outcomeAnswered)
@@ -58,14 +58,14 @@
 
 // runAttempts makes attempts until one succeeds or no more are allowed. It returns
 // the successful reply, or the last error response of an endpoint, if any.
-func (x *exchange) runAttempts(ctx context.Context, attempt func(context.Context, *fleet.Endpoint) (*reply, verdict)) (*reply, verdict) {
+func (x *exchange) runAttempts(ctx context.Context, attempt func(context.Context, *attempt) (*reply, verdict)) (*reply, verdict) {
 	var failure *reply
 	for {
-		e := x.nextEndpoint(ctx)
-		if e == nil {
+		a := x.nextAttempt(ctx)
+		if a == nil {
 			return failure, verdictNotRun
 		}
-		response, v := attempt(ctx, e)
+		response, v := attempt(ctx, a)
 		if v == verdictOK {
 			x.recordCompletion()
 			return response, verdictOK
@@ -74,7 +74,10 @@
 			failure = response
 		}
 		x.mayHaveRun = x.mayHaveRun || v != verdictNotRun
-		if x.takeLapsedGrant(e) && !x.finished(ctx) && !clock.Now().After(x.expiresAt) {
+		if a.grantLapsed {
+			delete(x.tried, a.endpoint.ID) // the endpoint may be chosen again
+		}
+		if a.grantLapsed && !x.finished(ctx) && !clock.Now().After(x.expiresAt) {
 			continue // nothing was sent, so that the next attempt is no retry
 		}
 		if x.mayHaveRun && !x.route.Idempotent() || x.finished(ctx) || x.crashLimitReached() || !x.mayRetry(clock.Now()) {
@@ -83,26 +86,25 @@
 	}
 }
 
-// nextEndpoint waits for an endpoint for the next attempt, and counts the attempt. It
+// nextAttempt waits for an endpoint for the next attempt, and counts the attempt. It
 // returns nil if the request is refused or in quarantine.
-func (x *exchange) nextEndpoint(ctx context.Context) *fleet.Endpoint {
+func (x *exchange) nextAttempt(ctx context.Context) *attempt {
 	if x.quarantined(clock.Now()) {
 		return nil
 	}
 	x.server.countArrival(x, clock.Now())
-	e := x.server.acquireEndpoint(ctx, x)
-	if e == nil {
+	a := x.server.acquireEndpoint(ctx, x)
+	if a == nil {
 		return nil
 	}
 	x.server.countServed(x, clock.Now())
 	if x.tried == nil {
 		x.tried = make(map[string]bool, 2)
 	}
-	x.tried[e.ID] = true
+	x.tried[a.endpoint.ID] = true
 	x.attempts++
-	x.gotBytes = false
-	x.recordAttempt(e)
-	return e
+	a.begin()
+	return a
 }
 
 // canFailOver reports whether the route allows canceling the current attempt and
@@ -168,69 +170,71 @@
 	}
 }
 
-// attemptStalled ends an attempt that was canceled with errStalled. It closes the idle
+// stalled ends the attempt, which was canceled with errStalled. It closes the idle
 // connections to the endpoint, which may be stalled as well.
-func (x *exchange) attemptStalled(e *fleet.Endpoint) verdict {
+func (a *attempt) stalled() verdict {
+	x, e := a.exchange, a.endpoint
 	x.lastCause = errStalled.Error()
 	x.server.pool.CloseIdle(e.Address)
-	x.finishAttempt(e, fleet.Broken)
-	x.server.log.Info("attempt stalled", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "begun", x.gotBytes, "ms", clock.Since(x.sentAt).Milliseconds())
+	a.finish(fleet.Broken)
+	x.server.log.Info("attempt stalled", "request", x.id, "attempt", a.number, "endpoint", e.ID, "begun", a.gotBytes, "ms", clock.Since(a.sentAt).Milliseconds())
 	return verdictInvalid
 }
 
-// attempt sends the request to e and reads the complete response.
-func (x *exchange) attempt(ctx context.Context, e *fleet.Endpoint) (*reply, verdict) {
+// attemptPlain sends the request to the endpoint and reads the complete response.
+func (x *exchange) attemptPlain(ctx context.Context, a *attempt) (*reply, verdict) {
 	ctx, cancel := x.withAttemptTimeout(ctx)
 	defer cancel()
-	response, err := x.send(ctx, e, "")
+	response, err := a.send(ctx, "")
 	if err != nil {
-		return nil, x.attemptFailed(ctx, e, err)
+		return nil, a.failed(ctx, err)
 	}
 	defer response.Close()
-	x.recordSignals(e, response)
+	a.recordSignals(response)
 	v := x.classify(response)
 	if v == verdictNotRun || v == verdictInvalid {
-		x.discardResponse(e, response, v)
+		a.discard(response, v)
 		return nil, v
 	}
 	body, err := readResponseBody(response)
 	if errors.Is(context.Cause(ctx), errStalled) {
-		return nil, x.attemptStalled(e)
+		return nil, a.stalled()
 	}
 	if err != nil {
 		x.lastCause = "answer broke off: " + err.Error()
-		x.server.log.Info("response incomplete", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "error", err.Error())
+		x.server.log.Info("response incomplete", "request", x.id, "attempt", a.number, "endpoint", a.endpoint.ID, "error", err.Error())
 		if ctx.Err() != nil {
-			x.finishAttempt(e, fleet.Abandoned)
+			a.finish(fleet.Abandoned)
 		} else {
-			x.checkCrash(ctx, e, err)
-			x.finishAttempt(e, fleet.Failed)
+			a.checkCrash(ctx, err)
+			a.finish(fleet.Failed)
 		}
 		return nil, verdictInvalid
 	}
 	response.MarkBodyRead()
 	if v == verdictOK {
-		x.finishAttempt(e, fleet.Responded)
+		a.finish(fleet.Responded)
 	} else {
 		x.lastCause = "endpoint failed"
-		x.finishAttempt(e, fleet.Failed)
+		a.finish(fleet.Failed)
 	}
 	return &reply{status: response.Status, header: response.Header, body: body}, v
 }
 
-// discardResponse ends an attempt whose response is not forwarded, because the endpoint
+// discard ends an attempt whose response is not forwarded, because the endpoint
 // did not run the request or the response is invalid.
-func (x *exchange) discardResponse(e *fleet.Endpoint, response *upstream.Response, v verdict) {
+func (a *attempt) discard(response *upstream.Response, v verdict) {
+	x, e := a.exchange, a.endpoint
 	if v == verdictNotRun {
 		x.lastCause = "endpoint refused"
-		x.server.log.Info("attempt refused", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "status", response.Status)
+		x.server.log.Info("attempt refused", "request", x.id, "attempt", a.number, "endpoint", e.ID, "status", response.Status)
 		x.drainBody(response)
-		x.finishAttempt(e, rejectionResult(response.Status))
+		a.finish(rejectionResult(response.Status))
 		return
 	}
 	x.lastCause = "answer without seal"
-	x.server.log.Info("response invalid", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "status", response.Status)
-	x.finishAttempt(e, fleet.Failed)
+	x.server.log.Info("response invalid", "request", x.id, "attempt", a.number, "endpoint", e.ID, "status", response.Status)
+	a.finish(fleet.Failed)
 }
 
 // rejectionResult returns the fleet.Result for an endpoint that did not run a request
@@ -242,24 +246,25 @@
 	return fleet.Rejected
 }
 
-// attemptFailed ends an attempt that got no response.
-func (x *exchange) attemptFailed(ctx context.Context, e *fleet.Endpoint, err error) verdict {
+// failed ends an attempt that got no response.
+func (a *attempt) failed(ctx context.Context, err error) verdict {
+	x, e := a.exchange, a.endpoint
 	if errors.Is(context.Cause(ctx), errStalled) {
-		return x.attemptStalled(e)
+		return a.stalled()
 	}
 	x.lastCause = err.Error()
 	var failure *upstream.Error
 	sent := !errors.As(err, &failure) || failure.Sent
 	switch {
 	case ctx.Err() != nil, errors.Is(err, upstream.ErrWithheld):
-		x.finishAttempt(e, fleet.Abandoned)
+		a.finish(fleet.Abandoned)
 	default:
 		if sent {
-			x.checkCrash(ctx, e, err)
+			a.checkCrash(ctx, err)
 		}
-		x.finishAttempt(e, fleet.Broken)
+		a.finish(fleet.Broken)
 	}
-	x.server.log.Info("attempt failed", "request", x.id, "attempt", x.attempts, "endpoint", e.ID, "sent", sent, "error", err.Error())
+	x.server.log.Info("attempt failed", "request", x.id, "attempt", a.number, "endpoint", e.ID, "sent", sent, "error", err.Error())
 	if !sent {
 		x.attempts-- // no endpoint received it
 		return verdictNotRun
--- a/ingress/queue.go
+++ b/ingress/queue.go
@@ -17,9 +17,9 @@
 	exchange *exchange
 	rank     rank
 	deadline time.Time // when the request is refused
-	// assigned has capacity 1 and receives the endpoint, or nil if the request is
-	// refused.
-	assigned chan *fleet.Endpoint
+	// assigned has capacity 1 and receives an attempt at the endpoint, or nil if the
+	// request is refused.
+	assigned chan *attempt
 	// targets are the engines at which the waiter wishes for a slot, in a contended
 	// service.
 	targets slotTargets
@@ -198,13 +198,14 @@
 	if e == nil {
 		return false, !restricted && !q.Isolated
 	}
-	x.isolated = q.Isolated
-	x.hasPermit = e.Signals.Limited(now)
-	x.granted, x.grantedAt = q.SlotGrants && e.SlotGrants.Take(now), now
-	if x.hasPermit {
+	a := &attempt{
+		exchange: x, endpoint: e, isolated: q.Isolated, hasPermit: e.Signals.Limited(now),
+		granted: q.SlotGrants && e.SlotGrants.Take(now), grantedAt: now,
+	}
+	if a.hasPermit {
 		s.metrics.Counter("mintlift_ingress_limited_requests_total", "service", x.service).Inc()
 	}
-	w.assigned <- e
+	w.assigned <- a
 	return true, false
 }
 
--- a/ingress/refusal_test.go
+++ b/ingress/refusal_test.go
@@ -75,7 +75,7 @@
 		unknown.model, unknown.callerRetry, unknown.acceptsLate, unknown.hasPlace = "unknown", true, true, true
 		x.start = x.start.Add(time.Millisecond) // is due later
 		go s.waitForEndpoint(context.Background(), unknown, time.Second)
-		var got *fleet.Endpoint
+		var got *attempt
 		go func() { got = s.waitForEndpoint(context.Background(), x, time.Second) }()
 		synctest.Wait()
 		reportRunning(s, 1, 0)
@@ -115,9 +115,9 @@
 		reportRunning(s, 1, 0)
 		x := newContendedExchange(s)
 		x.prefillMS = 5000
-		e := s.acquireEndpoint(t.Context(), x)
-		assert.Assert(t, e != nil && x.acceptsLate)
-		x.finishAttempt(e, fleet.Abandoned)
+		a := s.acquireEndpoint(t.Context(), x)
+		assert.Assert(t, a != nil && x.acceptsLate)
+		a.finish(fleet.Abandoned)
 		time.Sleep(200 * time.Millisecond)
 		reportRunning(s, 1, contendedSlots+retryExtraLoad)
 		go func() {
--- a/ingress/reserve_test.go
+++ b/ingress/reserve_test.go
@@ -112,9 +112,9 @@
 		reportRunning(s, 1, 0)
 		for range 5 {
 			x := newContendedExchange(s)
-			e := s.acquireEndpoint(t.Context(), x) // attempts is 0 again after an attempt that reached no endpoint
+			a := s.acquireEndpoint(t.Context(), x) // attempts is 0 again after an attempt that reached no endpoint
 			s.countServed(x, time.Now())
-			s.endAttemptLocked(x, e, fleet.Abandoned, time.Now())
+			s.endAttemptLocked(a, fleet.Abandoned, time.Now())
 			reportRunning(s, 1, contendedSlots+retryExtraLoad)
 			assert.Assert(t, s.acquireEndpoint(t.Context(), x) == nil)
 			_, _ = s.retryAfter(x)
--- a/ingress/returns_test.go
+++ b/ingress/returns_test.go
@@ -154,7 +154,7 @@
 	add := func(priority int, returned, hasPlace bool) *waiter {
 		x := newRefused(s, 6*time.Second, now)
 		x.priority, x.callerRetry, x.hasPlace = priority, returned, hasPlace
-		w := &waiter{exchange: x, rank: rank{urgency: admission.Urgency{Priority: priority}, stage: x.stage(), responseDue: now}, deadline: now.Add(time.Second), assigned: make(chan *fleet.Endpoint, 1)}
+		w := &waiter{exchange: x, rank: rank{urgency: admission.Urgency{Priority: priority}, stage: x.stage(), responseDue: now}, deadline: now.Add(time.Second), assigned: make(chan *attempt, 1)}
 		q.add(w)
 		return w
 	}
--- a/ingress/scarcity_test.go
+++ b/ingress/scarcity_test.go
@@ -217,22 +217,22 @@
 	if again {
 		x.age = simTimeout - time.Until(expiresAt)
 	}
-	e := x.nextEndpoint(ctx)
-	if e == nil {
+	a := x.nextAttempt(ctx)
+	if a == nil {
 		_, retryAfter = s.retryAfter(x)
 		return first, retryAfter
 	}
 	request := &simRequest{prefill: time.Duration(x.prefillMS * float64(time.Millisecond)), hold: simHold, begun: make(chan struct{}), ended: make(chan struct{})}
 	time.Sleep(2 * time.Millisecond)
 	var n int
-	_, _ = fmt.Sscanf(e.ID, "e%d", &n)
+	_, _ = fmt.Sscanf(a.endpoint.ID, "e%d", &n)
 	f.engines[n].submit(request)
 	<-request.begun
 	first = time.Now()
-	x.recordFirstBytes(e)
+	a.recordFirstBytes()
 	x.recordResponse(true)
 	<-request.ended
-	x.finishAttempt(e, fleet.Responded)
+	a.finish(fleet.Responded)
 	return first, 0
 }
 
--- a/ingress/signals.go
+++ b/ingress/signals.go
@@ -13,8 +13,9 @@
 	"github.com/mintlift/mintlift/upstream"
 )
 
-// recordSignals records the signals in a response of e.
-func (x *exchange) recordSignals(e *fleet.Endpoint, r *upstream.Response) {
+// recordSignals records the signals in a response of the endpoint.
+func (a *attempt) recordSignals(r *upstream.Response) {
+	x, e := a.exchange, a.endpoint
 	s := x.server
 	if s.settings.DecodeSignal == nil || r.Status == http.StatusMisdirectedRequest {
 		return // a 421 may come from another endpoint at the same address
@@ -23,10 +24,10 @@
 	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changes := e.Signals.Observe(signal, x.sentAt, now)
+	changes := e.Signals.Observe(signal, a.sentAt, now)
 	if signal.ColdReported {
 		cold := backpressure.Cold{Remaining: signal.ColdRemaining, Rate: x.config.ColdRate(e.Service)}
-		changes = append(changes, e.Signals.ObserveCold(cold, x.sentAt, now)...)
+		changes = append(changes, e.Signals.ObserveCold(cold, a.sentAt, now)...)
 	}
 	s.logSignalChanges(e.ID, x.id, changes)
 	if len(changes) > 0 {
@@ -60,18 +61,19 @@
 	m.Gauge("mintlift_ingress_limits_allowed", of(func(w fleet.Signals) float64 { return w.Allowed }))
 }
 
-// takePermit reports whether the rate limit of e, if any, allows x to be sent to e. If
-// x has no permit to be sent to e, because the limit was set after e was chosen, it
+// takePermit reports whether the rate limit of the endpoint, if any, allows the attempt. If
+// the attempt has no permit, because the limit was set after the endpoint was chosen, it
 // takes one. Server.mu must be held.
-func (x *exchange) takePermit(e *fleet.Endpoint, now time.Time) bool {
-	if x.hasPermit || !e.Signals.Limited(now) {
+func (a *attempt) takePermit(now time.Time) bool {
+	e := a.endpoint
+	if a.hasPermit || !e.Signals.Limited(now) {
 		return true
 	}
 	if e.Signals.AvailableAt(now).After(now) {
 		return false
 	}
 	e.Signals.Take(now)
-	x.hasPermit = true
+	a.hasPermit = true
 	return true
 }
 
--- a/ingress/signals_test.go
+++ b/ingress/signals_test.go
@@ -208,10 +208,10 @@
 		g.configure(1)
 		g.startEndpoint("a", "plain", respondOK("body"))
 		e := g.server.fleet.ByID("a")
-		x := &exchange{server: g.server}
-		assert.Assert(t, g.server.stillEligible(x, e))
+		a := &attempt{exchange: &exchange{server: g.server}, endpoint: e}
+		assert.Assert(t, g.server.stillEligible(a))
 		now := time.Now()
 		e.Signals.Observe(signal, now, now)
-		assert.Assert(t, !g.server.stillEligible(x, e), "%+v", signal)
+		assert.Assert(t, !g.server.stillEligible(a), "%+v", signal)
 	}
 }
--- a/ingress/slots.go
+++ b/ingress/slots.go
@@ -206,24 +206,13 @@
 	})
 }
 
-// grantVoid reports whether x was to use a granted slot of e, but is sent so late that the
+// grantVoid reports whether a was to use a granted slot, but is sent so late that the
 // sidecar may have granted the slot again, and the engine has no other one free. Server.mu
 // must be held.
-func (x *exchange) grantVoid(e *fleet.Endpoint, now time.Time) bool {
-	if !x.granted || now.Sub(x.grantedAt) <= slotgrant.Validity {
+func (a *attempt) grantVoid(now time.Time) bool {
+	if !a.granted || now.Sub(a.grantedAt) <= slotgrant.Validity {
 		return false
 	}
-	engine := engineConfig(x.config, e.Service)
-	return engine != nil && e.Load(now) > float64(engine.Slots) // the load includes x
-}
-
-// takeLapsedGrant reports whether the last attempt of x, at e, was withheld only because
-// its grant was void. It may then be sent to e later.
-func (x *exchange) takeLapsedGrant(e *fleet.Endpoint) bool {
-	lapsed := x.grantLapsed
-	x.grantLapsed = false
-	if lapsed {
-		delete(x.tried, e.ID)
-	}
-	return lapsed
+	engine := engineConfig(a.exchange.config, a.endpoint.Service)
+	return engine != nil && a.endpoint.Load(now) > float64(engine.Slots) // the load includes a
 }
--- a/ingress/slots_load_test.go
+++ b/ingress/slots_load_test.go
@@ -152,14 +152,14 @@
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Duration(rand.ExpFloat64() / rate * float64(time.Second))) {
 		requests.Go(func() {
 			x := newContendedExchange(servers[rand.N(gateways)])
-			to := x.server.acquireEndpoint(ctx, x)
-			if to == nil {
+			a := x.server.acquireEndpoint(ctx, x)
+			if a == nil {
 				return
 			}
-			x.recordAttempt(to)
+			a.begin()
 			time.Sleep(way)
-			e.run(service, func() { x.recordFirstBytes(to) })
-			x.finishAttempt(to, fleet.Responded)
+			e.run(service, func() { a.recordFirstBytes() })
+			a.finish(fleet.Responded)
 		})
 	}
 	requests.Wait()
--- a/ingress/slots_test.go
+++ b/ingress/slots_test.go
@@ -27,13 +27,13 @@
 // waitingRequest is a request that waits for an endpoint.
 type waitingRequest struct {
 	*exchange
-	assigned chan *fleet.Endpoint
+	assigned chan *attempt
 }
 
 // startWaiting makes a request wait for at most 400 ms. It returns once it waits or has an
 // endpoint.
 func startWaiting(t *testing.T, s *Server, priority int) waitingRequest {
-	w := waitingRequest{newContendedExchange(s), make(chan *fleet.Endpoint, 1)}
+	w := waitingRequest{newContendedExchange(s), make(chan *attempt, 1)}
 	w.priority = priority
 	go func() { w.assigned <- s.waitForEndpoint(t.Context(), w.exchange, 400*time.Millisecond) }()
 	synctest.Wait()
@@ -45,11 +45,12 @@
 func (w waitingRequest) endpoint() string {
 	synctest.Wait()
 	select {
-	case e := <-w.assigned:
-		if e == nil {
+	case a := <-w.assigned:
+		w.assigned <- a // endpoint and finish may be called again
+		if a == nil {
 			return "none"
 		}
-		return e.ID
+		return a.endpoint.ID
 	default:
 		return "waits"
 	}
@@ -99,7 +100,7 @@
 		}
 		s.HandleSlotGrant(slotgrant.Grant{Number: 1, Address: "a:1", Slots: 1})
 		assert.Equal(t, most.endpoint(), "a")
-		assert.Assert(t, most.granted)
+		assert.Assert(t, (<-most.assigned).granted)
 		assert.Equal(t, less.endpoint(), "waits")
 		assert.Equal(t, len(s.TakeSlotRequests()), 0, "the sidecar knows the wishes")
 		s.HandleSlotGrant(slotgrant.Grant{Number: 2, Address: "a:1", Slots: 2})
@@ -188,10 +189,10 @@
 
 // finish ends the attempt of a request that has an endpoint.
 func (w waitingRequest) finish() {
-	e := w.server.fleet.ByID("a")
-	w.recordAttempt(e)
-	w.recordFirstBytes(e)
-	w.finishAttempt(e, fleet.Responded)
+	a := <-w.assigned
+	a.begin()
+	a.recordFirstBytes()
+	a.finish(fleet.Responded)
 }
 
 // Guards against requests that get no endpoint while a sidecar is silent, suspended or cut
@@ -260,7 +261,7 @@
 			s.HandleSlotGrant(slotgrant.Grant{Number: 1, Address: "a:1", Slots: 1})
 			assert.Equal(t, w.endpoint(), "a")
 			time.Sleep(test.after)
-			assert.Equal(t, s.stillEligible(w.exchange, s.fleet.ByID("a")), test.want, "%+v", test)
+			assert.Equal(t, s.stillEligible(<-w.assigned), test.want, "%+v", test)
 		}
 	})
 }
@@ -279,13 +280,13 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			x.runAttempts(t.Context(), func(_ context.Context, e *fleet.Endpoint) (*reply, verdict) {
+			x.runAttempts(t.Context(), func(_ context.Context, a *attempt) (*reply, verdict) {
 				if sent == 0 {
 					time.Sleep(slotgrant.Validity + time.Millisecond)
 				}
 				sent++
-				assert.Equal(t, s.stillEligible(x, e), sent > 1)
-				x.finishAttempt(e, fleet.Abandoned)
+				assert.Equal(t, s.stillEligible(a), sent > 1)
+				a.finish(fleet.Abandoned)
 				x.attempts--
 				return nil, verdictNotRun
 			})
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -92,29 +92,29 @@
 	t.respondUnanswered(ctx)
 }
 
-// attempt sends the request to e and forwards its events.
-func (t *streamExchange) attempt(ctx context.Context, e *fleet.Endpoint) (*reply, verdict) {
+// attempt sends the request to the endpoint and forwards its events.
+func (t *streamExchange) attempt(ctx context.Context, a *attempt) (*reply, verdict) {
 	ctx, b := t.withCanceler(ctx)
 	defer b.end()
 	if t.model != "" {
-		t.server.addUnbegun(t.exchange, e, b)
+		t.server.addUnbegun(a, b)
 	}
-	watch := t.startIdleWatch(e, b)
+	watch := t.startIdleWatch(a.endpoint, b)
 	defer watch.stop()
-	response, err := t.send(ctx, e, t.lastEventID)
+	response, err := a.send(ctx, t.lastEventID)
 	if err != nil {
-		return nil, t.attemptFailed(ctx, e, err)
+		return nil, a.failed(ctx, err)
 	}
 	defer response.Close()
-	t.recordSignals(e, response)
+	a.recordSignals(response)
 	v := t.classify(response)
 	switch v {
 	case verdictNotRun, verdictInvalid:
-		t.discardResponse(e, response, v)
+		a.discard(response, v)
 		return nil, v
 	case verdictFailed:
 		t.lastCause = "endpoint failed"
-		t.finishAttempt(e, fleet.Failed)
+		a.finish(fleet.Failed)
 		body, err := readResponseBody(response)
 		if err != nil {
 			return nil, verdictInvalid
@@ -122,39 +122,39 @@
 		response.MarkBodyRead()
 		return &reply{status: response.Status, header: response.Header, body: body}, verdictFailed
 	}
-	return nil, t.relayEvents(ctx, e, response, watch)
+	return nil, t.relayEvents(ctx, a, response, watch)
 }
 
 // relayEvents forwards events until the stream ends.
-func (t *streamExchange) relayEvents(ctx context.Context, e *fleet.Endpoint, response *upstream.Response, watch *idleWatch) verdict {
+func (t *streamExchange) relayEvents(ctx context.Context, a *attempt, response *upstream.Response, watch *idleWatch) verdict {
 	events := eventstream.NewReader(response.Body)
 	for {
 		event, err := events.Next()
 		readErr := err
 		if err == io.EOF && t.started {
 			response.MarkBodyRead()
-			t.finishAttempt(e, fleet.Responded)
+			a.finish(fleet.Responded)
 			return verdictOK
 		}
 		if err == nil {
 			watch.touch()
-			t.recordFirstBytes(e)
+			a.recordFirstBytes()
 			err = t.forwardEvent(response, event)
 		}
 		if err == nil {
 			continue
 		}
 		if errors.Is(context.Cause(ctx), errStalled) {
-			return t.attemptStalled(e)
+			return a.stalled()
 		}
 		t.lastCause = "stream broke off: " + err.Error()
 		if ctx.Err() != nil {
-			t.finishAttempt(e, fleet.Abandoned)
+			a.finish(fleet.Abandoned)
 			return verdictInvalid
 		}
-		t.checkCrash(ctx, e, readErr)
-		t.finishAttempt(e, fleet.Failed)
-		t.server.log.Info("stream interrupted", "request", t.id, "attempt", t.attempts, "endpoint", e.ID, "events", t.eventCount, "error", err.Error())
+		a.checkCrash(ctx, readErr)
+		a.finish(fleet.Failed)
+		t.server.log.Info("stream interrupted", "request", t.id, "attempt", a.number, "endpoint", a.endpoint.ID, "events", t.eventCount, "error", err.Error())
 		return verdictInvalid
 	}
 }
--- a/ingress/stream_test.go
+++ b/ingress/stream_test.go
@@ -295,18 +295,18 @@
 	g := newTestGateway(t)
 	g.configure(1)
 	g.startEndpoint("old", "engine", respondEvents(lastEvent, lastEvent))
-	x := &exchange{server: g.server, model: testModel}
 	g.server.mu.Lock()
 	e := g.server.fleet.Choose(fleet.Query{Service: "engine", Model: testModel}, time.Now())
 	g.server.mu.Unlock()
-	assert.Assert(t, g.server.stillEligible(x, e))
+	a := &attempt{exchange: &exchange{server: g.server, model: testModel}, endpoint: e}
+	assert.Assert(t, g.server.stillEligible(a))
 	g.server.SetTargetVersion(testModel, 2, false, time.Now().Add(-g.server.settings.VersionDeadline))
-	assert.Assert(t, !g.server.stillEligible(x, e))
+	assert.Assert(t, !g.server.stillEligible(a))
 	draining := g.records["old"]
 	draining.Draining = true
 	draining.Models = map[string]int{testModel: 2}
 	g.server.PutEndpoint(draining)
-	assert.Assert(t, !g.server.stillEligible(x, e), "the endpoint drains")
+	assert.Assert(t, !g.server.stillEligible(a), "the endpoint drains")
 }
 
 // A request to an engine with an older version must start before the version deadline,
--- a/ingress/withdraw.go
+++ b/ingress/withdraw.go
@@ -8,7 +8,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 )
 
@@ -34,36 +33,35 @@
 
 // unbegunAttempt is an attempt at an engine that has sent no event yet.
 type unbegunAttempt struct {
-	endpoint *fleet.Endpoint
 	canceler *attemptCanceler
 	number   int // of the attempt
 	sentAt   time.Time
 }
 
-// addUnbegun makes the attempt of x at e one that may be withdrawn, until its first event
-// arrives or it ends.
-func (s *Server) addUnbegun(x *exchange, e *fleet.Endpoint, b *attemptCanceler) {
+// addUnbegun makes an attempt one that may be withdrawn, until its first event arrives or
+// it ends.
+func (s *Server) addUnbegun(a *attempt, b *attemptCanceler) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.unbegun[x] = unbegunAttempt{endpoint: e, canceler: b, number: x.attempts, sentAt: x.sentAt}
+	s.unbegun[a] = unbegunAttempt{canceler: b, number: a.number, sentAt: a.sentAt}
 }
 
 // withdrawUnbegun cancels the attempts that engines with versions of model older than
 // version have not visibly begun.
 func (s *Server) withdrawUnbegun(model string, version int) {
-	for x, a := range s.unbegunBelow(model, version, clock.Now()) {
-		s.withdraw(x, a, version)
+	for a, u := range s.unbegunBelow(model, version, clock.Now()) {
+		s.withdraw(a, u, version)
 	}
 }
 
 // unbegunBelow returns the attempts that engines with versions of model older than version
 // have not visibly begun.
-func (s *Server) unbegunBelow(model string, version int, now time.Time) map[*exchange]unbegunAttempt {
+func (s *Server) unbegunBelow(model string, version int, now time.Time) map[*attempt]unbegunAttempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	attempts := maps.Clone(s.unbegun)
-	maps.DeleteFunc(attempts, func(x *exchange, a unbegunAttempt) bool {
-		return x.model != model || a.endpoint.HeldVersion(model, now) >= version
+	maps.DeleteFunc(attempts, func(a *attempt, _ unbegunAttempt) bool {
+		return a.exchange.model != model || a.endpoint.HeldVersion(model, now) >= version
 	})
 	return attempts
 }
@@ -71,20 +69,20 @@
 // withdraw cancels an attempt with errWithdrawn, unless it has ended or received its first
 // event since unbegunBelow returned it. It takes attemptCanceler.mu before Server.mu, as
 // cancelForRetry does.
-func (s *Server) withdraw(x *exchange, a unbegunAttempt, version int) {
-	b := a.canceler
+func (s *Server) withdraw(a *attempt, u unbegunAttempt, version int) {
+	x, b := a.exchange, u.canceler
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if b.ended || s.unbegun[x].canceler != b {
+	if b.ended || s.unbegun[a].canceler != b {
 		return
 	}
 	b.ended = true
 	b.cancel(errWithdrawn)
 	now := clock.Now()
 	running, queued := a.endpoint.Reported()
-	s.log.Info("attempt withdrawn", "request", x.id, "attempt", a.number, "endpoint", a.endpoint.ID, "holds", a.endpoint.HeldVersion(x.model, now), "version", version,
-		"running", running, "queued", queued, "report_ms", a.endpoint.ReportAge(now).Milliseconds(), "ms", now.Sub(a.sentAt).Milliseconds())
+	s.log.Info("attempt withdrawn", "request", x.id, "attempt", u.number, "endpoint", a.endpoint.ID, "holds", a.endpoint.HeldVersion(x.model, now), "version", version,
+		"running", running, "queued", queued, "report_ms", a.endpoint.ReportAge(now).Milliseconds(), "ms", now.Sub(u.sentAt).Milliseconds())
 	s.metrics.Counter("mintlift_ingress_withdrawn_attempts_total").Inc()
 }
--- a/ingress/withdraw_test.go
+++ b/ingress/withdraw_test.go
@@ -178,17 +178,17 @@
 			s := newContendedServer(1)
 			reportRunning(s, 1, 0)
 			x := newContendedExchange(s)
-			e := s.acquireEndpoint(t.Context(), x)
-			assert.Assert(t, e != nil)
+			a := s.acquireEndpoint(t.Context(), x)
+			assert.Assert(t, a != nil)
 			ctx, b := x.withCanceler(t.Context())
 			defer b.end()
-			s.addUnbegun(x, e, b)
+			s.addUnbegun(a, b)
 			attempts := s.unbegunBelow(testModel, 2, clock.Now())
 			assert.Equal(t, len(attempts), 1)
 			if begun {
-				x.recordFirstBytes(e)
+				a.recordFirstBytes()
 			}
-			s.withdraw(x, attempts[x], 2)
+			s.withdraw(a, attempts[a], 2)
 			assert.Equal(t, ctx.Err() == nil, begun, name)
 		})
 	}
