ingress: begin a standby beside a silent attempt in place of cancelling it

Callers lost streams, and got 502 or 504, at engines that were sound and went on after 1.5 to 2.5 s: the gateway cancelled an attempt without events for 1.2 s (0.9 s if its box was silent, half of the time of a plain request) and only then looked for another endpoint. Beside a change of the configuration, under load, or close to a version's cutoff there often is none.

The silent attempt now goes on and a standby is begun beside it; whichever delivers first is the caller's and the other one is cancelled at once. A pause of the gateway itself does not count as silence: after one, timers had expired before what lay in the sockets was read.

Why it holds: nothing cancels an attempt any more but its caller, its time, a version's deadline before its first event, and an attempt that has delivered.

The log line of a request says why no further attempt was made (ending), and counters count standbys by result and cut streams by reason.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -20,6 +20,9 @@
 	exchange *exchange
 	endpoint *fleet.Endpoint
 	number   int // counts the attempts of the exchange from 1
+	// ctx ends the attempt, and cancel does so with a cause.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 	// isolated reports that the endpoint was chosen with Query.Isolated, so that it runs no
 	// other suspected request. hasPermit reports that the attempt has used a permit of an
 	// endpoint with a rate limit.
@@ -44,7 +47,7 @@
 // send sends the request to the endpoint and reads the response header. lastEvent is the
 // Last-Event-Id to send, after which the endpoint resumes a stream. If it is empty, the caller's own
 // Last-Event-Id, if any, is sent.
-func (a *attempt) send(ctx context.Context, lastEvent string) (*upstream.Response, error) {
+func (a *attempt) send(lastEvent string) (*upstream.Response, error) {
 	x, e := a.exchange, a.endpoint
 	names := &x.server.settings.Headers
 	h := x.header.Clone()
@@ -70,7 +73,7 @@
 	if x.withdrawalResets() {
 		resetOn = errWithdrawn
 	}
-	return x.server.pool.Do(ctx, e.Address, &upstream.Request{
+	return x.server.pool.Do(a.ctx, e.Address, &upstream.Request{
 		ResetOn:         resetOn,
 		DropUndelivered: func() bool { return x.abandoned() || x.dropsUndelivered(e, clock.Now()) },
 		Method:          x.request.Method,
@@ -146,36 +149,23 @@
 	}
 }
 
-// mayRetry reports whether another attempt may be made after a failed one. If so, it
-// charges the retry budget, unless reserveRetry has already done so.
-func (x *exchange) mayRetry(now time.Time) bool {
-	if x.retryReserved {
-		x.retryReserved = false
-		return true
-	}
-	return x.takeRetry(now)
-}
-
-// reserveRetry charges the retry budget for the next attempt before the current one is
-// canceled, and reports whether the budget allows the next attempt. An attemptCanceler
-// calls it concurrently with the current attempt, but not after that has ended.
-func (x *exchange) reserveRetry(now time.Time) bool {
-	x.retryReserved = x.takeRetry(now)
-	return x.retryReserved
-}
-
-// takeRetry charges the retry budget for one attempt. It returns false if the budget is
-// used up, the route allows no more attempts, or the request has expired.
+// takeRetry charges the retry budget for one attempt, and reports whether the budget
+// allows it.
 func (x *exchange) takeRetry(now time.Time) bool {
-	if x.attempts >= max(x.route.MaxAttempts, 1) || now.After(x.expiresAt) {
-		return false
-	}
 	s := x.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.budget(x.service, now).Take(now)
 }
 
+// refundRetry takes back the charge of takeRetry for an attempt that was not sent.
+func (x *exchange) refundRetry() {
+	s := x.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget(x.service, clock.Now()).Refund()
+}
+
 // countRequest counts a new request towards the service's retry budget.
 func (x *exchange) countRequest() {
 	s := x.server
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -3,7 +3,6 @@
 package ingress
 
 import (
-	"context"
 	"io"
 	"maps"
 	"math"
@@ -35,21 +34,20 @@
 // if so records the crash against the request. A lost connection alone does not show
 // this. After a crash, the endpoint's address also refuses connections, or its process
 // has a new start time.
-func (a *attempt) checkCrash(ctx context.Context, cause error) {
+//
+// It returns true only if the crash shows at once.
+func (a *attempt) checkCrash(cause error) bool {
 	x, e := a.exchange, a.endpoint
 	s := x.server
 	if !connectionLost(cause) {
-		return
+		return false
 	}
 	c := crashedAttempt{endpoint: e.ID, request: x.id, identity: x.identity, service: x.service, attempt: a.number, sentAt: a.sentAt}
-	if s.pool.Refuses(ctx, e.Address, crashProbeTimeout) {
-		if s.recordCrash(c, clock.Now()) {
-			x.crashes++
-		}
-		return
+	if s.pool.Refuses(a.ctx, e.Address, crashProbeTimeout) {
+		return s.recordCrash(c, clock.Now())
 	}
 	if a.endpointStartedMS == 0 {
-		return
+		return false
 	}
 	address, startedMS := e.Address, a.endpointStartedMS
 	go func() { // does not delay the next attempt
@@ -57,6 +55,7 @@
 			s.recordCrash(c, clock.Now())
 		}
 	}()
+	return false
 }
 
 // crashedAttempt describes an attempt to run a request at an endpoint that crashed
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -84,11 +84,10 @@
 
 	// acceptsLate reports that the request may be sent to endpoints that are expected
 	// to respond after the target latency.
-	acceptsLate   bool
-	attempts      int             // attempts that may have reached an endpoint
-	tried         map[string]bool // IDs of the endpoints of previous attempts
-	mayHaveRun    bool            // an endpoint may have run the request, or may still run it
-	retryReserved bool            // the retry budget has been charged for the next attempt
+	acceptsLate bool
+	attempts    int             // attempts that may have reached an endpoint
+	tried       map[string]bool // IDs of the endpoints of previous attempts
+	mayHaveRun  bool            // an endpoint may have run the request, or may still run it
 	// refusal is why the request got no endpoint at its first attempt.
 	refusal refusal
 	// decided is the counted result of the first attempt's wait for an endpoint. timed
@@ -98,6 +97,8 @@
 	// crashes is the number of endpoints that crashed during attempts of this exchange.
 	crashes   int
 	lastCause string // why the last attempt failed
+	failure   *reply // the last error response of an endpoint, or nil
+	ending    ending // why no further attempt was made
 }
 
 // Limits on reading a request.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -126,7 +126,7 @@
 	// slotRequestNumber is the number of slot requests sent to all sidecars.
 	slotRequestNumber int64
 	// unbegun holds the attempts at streaming engines that have received no event yet.
-	unbegun map[*attempt]unbegunAttempt
+	unbegun map[*attempt]bool
 }
 
 // TargetVersion is a version of a model that the operator has set to be served.
@@ -175,7 +175,7 @@
 		returnPlans:           make(map[string]*returnplan.Plan),
 		crashedAt:             make(map[string]time.Time),
 		unconfigured:          make(map[string]fleet.Record),
-		unbegun:               make(map[*attempt]unbegunAttempt),
+		unbegun:               make(map[*attempt]bool),
 		suspects:              quarantine.New(),
 		noticeDue:             make(chan struct{}, 1),
 		permitRequestsPending: make(chan struct{}, 1),
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,12 +21,12 @@
 // is complete.
 const maxResponseBytes = 8 << 20
 
-// errStalled is the cause with which an attempt is canceled if its endpoint has sent
-// nothing for too long.
+// errStalled is the cause with which a silent attempt is canceled when its standby has
+// delivered.
 const errStalled = errors.ConstError("the endpoint has fallen silent")
 
-// attemptTimeShare is the share of the request's remaining time that an attempt may
-// take if it can be retried. The rest is left for the retry.
+// attemptTimeShare is the share of the request's remaining time after which a standby is
+// begun for an attempt. The rest is left for the standby.
 const attemptTimeShare = 0.5
 
 // errResponseTooLarge is the error for a response body longer than maxResponseBytes.
@@ -45,7 +44,7 @@
 // can be retried if the route allows it.
 func (x *exchange) servePlain(ctx context.Context) {
 	x.countRequest()
-	response, v := x.runAttempts(ctx, x.attemptPlain)
+	response, v := x.runAttempts(ctx, &plainExchange{exchange: x})
 	switch {
 	case v == verdictOK:
 		x.sendReply(response, outcomeAnswered)
@@ -56,185 +55,63 @@
 	}
 }
 
-// runAttempts makes attempts until one succeeds or no more are allowed. It returns
-// the successful reply, or the last error response of an endpoint, if any.
-func (x *exchange) runAttempts(ctx context.Context, attempt func(context.Context, *attempt) (*reply, verdict)) (*reply, verdict) {
-	var failure *reply
-	for {
-		a := x.nextAttempt(ctx)
-		if a == nil {
-			return failure, verdictNotRun
-		}
-		response, v := attempt(ctx, a)
-		if v == verdictOK {
-			x.recordCompletion()
-			return response, verdictOK
-		}
-		if v == verdictFailed {
-			failure = response
-		}
-		x.mayHaveRun = x.mayHaveRun || v != verdictNotRun
-		if a.grantLapsed {
-			delete(x.tried, a.endpoint.ID) // the endpoint may be chosen again
-		}
-		if a.grantLapsed && !x.finished(ctx) && !clock.Now().After(x.expiresAt) {
-			continue // nothing was sent, so that the next attempt is no retry
-		}
-		if x.mayHaveRun && !x.route.Idempotent() || x.finished(ctx) || x.crashLimitReached() || !x.mayRetry(clock.Now()) {
-			return failure, v
-		}
-	}
-}
-
-// nextAttempt waits for an endpoint for the next attempt, and counts the attempt. It
-// returns nil if the request is refused or in quarantine.
-func (x *exchange) nextAttempt(ctx context.Context) *attempt {
-	if x.quarantined(clock.Now()) {
-		return nil
-	}
-	x.server.countArrival(x, clock.Now())
-	a := x.server.acquireEndpoint(ctx, x)
-	if a == nil {
-		return nil
-	}
-	x.server.countServed(x, clock.Now())
-	if x.tried == nil {
-		x.tried = make(map[string]bool, 2)
-	}
-	x.tried[a.endpoint.ID] = true
-	x.attempts++
-	a.begin()
-	return a
-}
-
-// canFailOver reports whether the route allows canceling the current attempt and
-// retrying it at another endpoint.
-func (x *exchange) canFailOver() bool {
-	return x.route.Idempotent() && x.attempts < max(x.route.MaxAttempts, 1)
-}
-
-// attemptCanceler cancels an attempt that takes too long, if the retry budget allows
-// another attempt.
-type attemptCanceler struct {
-	exchange *exchange
-	cancel   context.CancelCauseFunc
-	mu       sync.Mutex // guards ended
-	ended    bool
-}
-
-// withCanceler returns a context for an attempt, and the canceler of that context. The
-// caller must call end when the attempt has ended.
-func (x *exchange) withCanceler(ctx context.Context) (context.Context, *attemptCanceler) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	return ctx, &attemptCanceler{exchange: x, cancel: cancel}
-}
-
-// cancelForRetry cancels the attempt with errStalled if the retry budget allows another
-// attempt. It returns true if the attempt has been canceled or had already ended.
-func (b *attemptCanceler) cancelForRetry(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.ended {
-		return true
-	}
-	if !b.exchange.reserveRetry(now) {
-		return false
-	}
-	b.ended = true
-	b.cancel(errStalled)
-	return true
-}
-
-// end records that the attempt has ended and cancels its context.
-func (b *attemptCanceler) end() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.ended = true
-	b.cancel(nil)
+// plainExchange is an exchange whose response is a single one.
+type plainExchange struct {
+	*exchange
 }
 
-// withAttemptTimeout returns a context for an attempt. If the attempt can be retried at
-// another endpoint, the context limits it to attemptTimeShare of the request's remaining
-// time.
-func (x *exchange) withAttemptTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, b := x.withCanceler(ctx)
-	if !x.canFailOver() {
-		return ctx, b.end
-	}
-	now := clock.Now()
-	limit := now.Add(time.Duration(attemptTimeShare * float64(x.expiresAt.Sub(now))))
-	timer := clock.AfterFunc(limit, func() { b.cancelForRetry(clock.Now()) })
-	return ctx, func() {
-		timer.Stop()
-		b.end()
-	}
+// checkDelay implements protocol.
+func (x *plainExchange) checkDelay(now time.Time) time.Duration {
+	return time.Duration(attemptTimeShare * float64(x.expiresAt.Sub(now)))
 }
 
-// stalled ends the attempt, which was canceled with errStalled. It closes the idle
-// connections to the endpoint, which may be stalled as well.
-func (a *attempt) stalled() verdict {
-	x, e := a.exchange, a.endpoint
-	x.lastCause = errStalled.Error()
-	x.server.pool.CloseIdle(e.Address)
-	a.finish(fleet.Broken)
-	x.server.log.Info("attempt stalled", "request", x.id, "attempt", a.number, "endpoint", e.ID, "begun", a.gotBytes, "ms", clock.Since(a.sentAt).Milliseconds())
-	return verdictInvalid
-}
+// silent implements protocol. Nothing shows whether an endpoint works on a plain request.
+func (x *plainExchange) silent(*attempt, bool, time.Duration, time.Time) bool { return true }
 
-// attemptPlain sends the request to the endpoint and reads the complete response.
-func (x *exchange) attemptPlain(ctx context.Context, a *attempt) (*reply, verdict) {
-	ctx, cancel := x.withAttemptTimeout(ctx)
-	defer cancel()
-	response, err := a.send(ctx, "")
+// open implements protocol. It reads the complete response.
+func (x *plainExchange) open(a *attempt) opening {
+	response, err := a.send("")
 	if err != nil {
-		return nil, a.failed(ctx, err)
+		return opening{result: a.failed(err)}
 	}
 	defer response.Close()
 	a.recordSignals(response)
 	v := x.classify(response)
 	if v == verdictNotRun || v == verdictInvalid {
-		a.discard(response, v)
-		return nil, v
+		return opening{result: a.discard(response, v)}
 	}
 	body, err := readResponseBody(response)
-	if errors.Is(context.Cause(ctx), errStalled) {
-		return nil, a.stalled()
-	}
 	if err != nil {
-		x.lastCause = "answer broke off: " + err.Error()
 		x.server.log.Info("response incomplete", "request", x.id, "attempt", a.number, "endpoint", a.endpoint.ID, "error", err.Error())
-		if ctx.Err() != nil {
-			a.finish(fleet.Abandoned)
-		} else {
-			a.checkCrash(ctx, err)
-			a.finish(fleet.Failed)
-		}
-		return nil, verdictInvalid
+		return opening{result: a.brokenOff("answer broke off: "+err.Error(), err)}
 	}
 	response.MarkBodyRead()
+	o := opening{result: result{verdict: v, reply: &reply{status: response.Status, header: response.Header, body: body}}}
 	if v == verdictOK {
 		a.finish(fleet.Responded)
 	} else {
-		x.lastCause = "endpoint failed"
+		o.cause = "endpoint failed"
 		a.finish(fleet.Failed)
 	}
-	return &reply{status: response.Status, header: response.Header, body: body}, v
+	return o
 }
 
-// discard ends an attempt whose response is not forwarded, because the endpoint
-// did not run the request or the response is invalid.
-func (a *attempt) discard(response *upstream.Response, v verdict) {
+// relay implements protocol.
+func (x *plainExchange) relay(o opening, _ *watch) result { return o.result }
+
+// discard ends an attempt whose response is not forwarded, because the endpoint did not
+// run the request or the response is invalid.
+func (a *attempt) discard(response *upstream.Response, v verdict) result {
 	x, e := a.exchange, a.endpoint
 	if v == verdictNotRun {
-		x.lastCause = "endpoint refused"
 		x.server.log.Info("attempt refused", "request", x.id, "attempt", a.number, "endpoint", e.ID, "status", response.Status)
 		x.drainBody(response)
 		a.finish(rejectionResult(response.Status))
-		return
+		return result{verdict: v, cause: "endpoint refused"}
 	}
-	x.lastCause = "answer without seal"
 	x.server.log.Info("response invalid", "request", x.id, "attempt", a.number, "endpoint", e.ID, "status", response.Status)
 	a.finish(fleet.Failed)
+	return result{verdict: v, cause: "answer without seal"}
 }
 
 // rejectionResult returns the fleet.Result for an endpoint that did not run a request
@@ -247,29 +124,52 @@
 }
 
 // failed ends an attempt that got no response.
-func (a *attempt) failed(ctx context.Context, err error) verdict {
-	x, e := a.exchange, a.endpoint
-	if errors.Is(context.Cause(ctx), errStalled) {
+func (a *attempt) failed(err error) result {
+	if errors.Is(context.Cause(a.ctx), errStalled) {
 		return a.stalled()
 	}
-	x.lastCause = err.Error()
+	x, e := a.exchange, a.endpoint
+	o := result{verdict: verdictInvalid, cause: err.Error()}
 	var failure *upstream.Error
-	sent := !errors.As(err, &failure) || failure.Sent
+	o.unsent = errors.As(err, &failure) && !failure.Sent
+	if o.unsent {
+		o.verdict = verdictNotRun
+	}
 	switch {
-	case ctx.Err() != nil, errors.Is(err, upstream.ErrWithheld):
+	case a.ctx.Err() != nil, errors.Is(err, upstream.ErrWithheld):
 		a.finish(fleet.Abandoned)
 	default:
-		if sent {
-			a.checkCrash(ctx, err)
+		if !o.unsent {
+			o.crashed = a.checkCrash(err)
 		}
 		a.finish(fleet.Broken)
 	}
-	x.server.log.Info("attempt failed", "request", x.id, "attempt", a.number, "endpoint", e.ID, "sent", sent, "error", err.Error())
-	if !sent {
-		x.attempts-- // no endpoint received it
-		return verdictNotRun
+	x.server.log.Info("attempt failed", "request", x.id, "attempt", a.number, "endpoint", e.ID, "sent", !o.unsent, "error", err.Error())
+	return o
+}
+
+// brokenOff ends an attempt whose response ended early. readErr is the error of reading it,
+// or nil if the endpoint is not the cause.
+func (a *attempt) brokenOff(cause string, readErr error) result {
+	if errors.Is(context.Cause(a.ctx), errStalled) {
+		return a.stalled()
+	}
+	o := result{verdict: verdictInvalid, cause: cause}
+	if a.ctx.Err() != nil {
+		a.finish(fleet.Abandoned)
+		return o
 	}
-	return verdictInvalid
+	o.crashed = a.checkCrash(readErr)
+	a.finish(fleet.Failed)
+	return o
+}
+
+// stalled ends an attempt that was canceled with errStalled.
+func (a *attempt) stalled() result {
+	x, e := a.exchange, a.endpoint
+	a.finish(fleet.Broken)
+	x.server.log.Info("attempt stalled", "request", x.id, "attempt", a.number, "endpoint", e.ID, "begun", a.gotBytes, "ms", clock.Since(a.sentAt).Milliseconds())
+	return result{verdict: verdictInvalid, cause: errStalled.Error()}
 }
 
 // drainBody reads a short response to its end, so that the connection can be
--- a/ingress/slots_test.go
+++ b/ingress/slots_test.go
@@ -3,7 +3,6 @@
 package ingress
 
 import (
-	"context"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -280,16 +279,15 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			x.runAttempts(t.Context(), func(_ context.Context, a *attempt) (*reply, verdict) {
+			x.runAttempts(t.Context(), openFunc(func(a *attempt) opening {
 				if sent == 0 {
 					time.Sleep(slotgrant.Validity + time.Millisecond)
 				}
 				sent++
 				assert.Equal(t, s.stillEligible(a), sent > 1)
 				a.finish(fleet.Abandoned)
-				x.attempts--
-				return nil, verdictNotRun
-			})
+				return opening{result: result{verdict: verdictNotRun, unsent: true}}
+			}))
 		}()
 		for number := range int64(2) {
 			synctest.Wait()
@@ -301,3 +299,13 @@
 		assert.Equal(t, sent, 2)
 	})
 }
+
+// openFunc is a protocol whose attempts end with open.
+type openFunc func(a *attempt) opening
+
+func (f openFunc) open(a *attempt) opening            { return f(a) }
+func (f openFunc) relay(o opening, _ *watch) result   { return o.result }
+func (f openFunc) checkDelay(time.Time) time.Duration { return time.Hour }
+func (f openFunc) silent(*attempt, bool, time.Duration, time.Time) bool {
+	return false
+}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -17,17 +17,16 @@
 	"github.com/mintlift/mintlift/upstream"
 )
 
-// Timeouts after which a stream without new events is resumed at another endpoint.
+// Timeouts after which a standby is begun for a stream without new events.
 const (
 	// boxStallTimeout applies if nothing at all arrives from the endpoint's box, neither
 	// events nor load reports.
 	boxStallTimeout = 900 * time.Millisecond
 	// firstEventTimeout applies while the box is reachable and the attempt has received
 	// no event. This includes the wait, possibly of seconds, until the engine has
-	// capacity for another request. nextEventTimeout applies after the first event: an
-	// engine that has begun to respond does not pause for so long, and the stream must be
-	// resumed before its caller gives up, which may happen after two seconds without an
-	// event.
+	// capacity for another request. nextEventTimeout applies after the first event: the
+	// standby must deliver before the caller gives up, which may happen after two seconds
+	// without an event.
 	firstEventTimeout = 2200 * time.Millisecond
 	nextEventTimeout  = 1200 * time.Millisecond
 	// idleCheckInterval is the time between two checks of the timeouts.
@@ -65,7 +64,7 @@
 	if id, err := strconv.ParseInt(t.lastEventID, 10, 64); err == nil {
 		t.lastID = id
 	}
-	failure, v := x.runAttempts(ctx, t.attempt)
+	failure, v := x.runAttempts(ctx, t)
 	if v == verdictOK {
 		t.finishStream(outcomeAnswered, http.StatusOK)
 		return
@@ -82,6 +81,7 @@
 		if t.callerLeft() {
 			outcome = outcomeCallerLeft
 		}
+		t.server.metrics.Counter("mintlift_ingress_cut_streams_total", "outcome", outcome, "ending", string(t.ending)).Inc()
 		t.finishStream(outcome, http.StatusOK)
 		panic(http.ErrAbortHandler)
 	}
@@ -92,71 +92,84 @@
 	t.respondUnanswered(ctx)
 }
 
-// attempt sends the request to the endpoint and forwards its events.
-func (t *streamExchange) attempt(ctx context.Context, a *attempt) (*reply, verdict) {
-	ctx, b := t.withCanceler(ctx)
-	defer b.end()
+// checkDelay implements protocol.
+func (t *streamExchange) checkDelay(time.Time) time.Duration { return idleCheckInterval }
+
+// silent implements protocol.
+func (t *streamExchange) silent(a *attempt, opened bool, idle time.Duration, now time.Time) bool {
+	return t.server.streamStalled(a.endpoint, idle, eventTimeout(opened), now)
+}
+
+// open implements protocol. It reads the stream up to the first event.
+func (t *streamExchange) open(a *attempt) opening {
 	if t.model != "" {
-		t.server.addUnbegun(a, b)
+		t.server.addUnbegun(a)
 	}
-	watch := t.startIdleWatch(a.endpoint, b)
-	defer watch.stop()
-	response, err := a.send(ctx, t.lastEventID)
+	response, err := a.send(t.lastEventID)
 	if err != nil {
-		return nil, a.failed(ctx, err)
+		return opening{result: a.failed(err)}
 	}
-	defer response.Close()
 	a.recordSignals(response)
 	v := t.classify(response)
-	switch v {
-	case verdictNotRun, verdictInvalid:
-		a.discard(response, v)
-		return nil, v
-	case verdictFailed:
-		t.lastCause = "endpoint failed"
-		a.finish(fleet.Failed)
-		body, err := readResponseBody(response)
-		if err != nil {
-			return nil, verdictInvalid
-		}
-		response.MarkBodyRead()
-		return &reply{status: response.Status, header: response.Header, body: body}, verdictFailed
+	if v != verdictOK {
+		defer response.Close()
+		return opening{result: a.unopened(response, v)}
+	}
+	o := opening{result: result{verdict: v}, response: response, events: eventstream.NewReader(response.Body)}
+	if o.first, err = o.events.Next(); err != nil {
+		defer response.Close()
+		return opening{result: t.interrupted(a, err, err)}
 	}
-	return nil, t.relayEvents(ctx, a, response, watch)
+	a.recordFirstBytes()
+	return o
 }
 
-// relayEvents forwards events until the stream ends.
-func (t *streamExchange) relayEvents(ctx context.Context, a *attempt, response *upstream.Response, watch *idleWatch) verdict {
-	events := eventstream.NewReader(response.Body)
+// unopened ends an attempt whose response is no stream.
+func (a *attempt) unopened(response *upstream.Response, v verdict) result {
+	if v != verdictFailed {
+		return a.discard(response, v)
+	}
+	a.finish(fleet.Failed)
+	body, err := readResponseBody(response)
+	if err != nil {
+		return result{verdict: verdictInvalid, cause: "endpoint failed"}
+	}
+	response.MarkBodyRead()
+	return result{verdict: v, cause: "endpoint failed", reply: &reply{status: response.Status, header: response.Header, body: body}}
+}
+
+// relay implements protocol. It forwards events until the stream ends.
+func (t *streamExchange) relay(o opening, w *watch) result {
+	defer o.response.Close()
+	a, event := w.attempt, o.first
 	for {
-		event, err := events.Next()
-		readErr := err
-		if err == io.EOF && t.started {
-			response.MarkBodyRead()
-			a.finish(fleet.Responded)
-			return verdictOK
+		if err := t.forwardEvent(o.response, event); err != nil {
+			return t.interrupted(a, err, nil)
 		}
-		if err == nil {
-			watch.touch()
-			a.recordFirstBytes()
-			err = t.forwardEvent(response, event)
-		}
-		if err == nil {
-			continue
-		}
-		if errors.Is(context.Cause(ctx), errStalled) {
+		w.await()
+		var err error
+		event, err = o.events.Next()
+		if (err == nil || err == io.EOF) && !w.received() {
 			return a.stalled()
 		}
-		t.lastCause = "stream broke off: " + err.Error()
-		if ctx.Err() != nil {
-			a.finish(fleet.Abandoned)
-			return verdictInvalid
+		if err == io.EOF {
+			o.response.MarkBodyRead()
+			a.finish(fleet.Responded)
+			return result{verdict: verdictOK}
+		}
+		if err != nil {
+			return t.interrupted(a, err, err)
 		}
-		a.checkCrash(ctx, readErr)
-		a.finish(fleet.Failed)
+	}
+}
+
+// interrupted ends an attempt whose stream ended early. readErr is the error of reading the
+// response, or nil if the cause is another one.
+func (t *streamExchange) interrupted(a *attempt, err, readErr error) result {
+	if a.ctx.Err() == nil {
 		t.server.log.Info("stream interrupted", "request", t.id, "attempt", a.number, "endpoint", a.endpoint.ID, "events", t.eventCount, "error", err.Error())
-		return verdictInvalid
 	}
+	return a.brokenOff("stream broke off: "+err.Error(), readErr)
 }
 
 // forwardEvent sends an event to the caller, unless the caller already has it.
@@ -207,51 +220,6 @@
 	t.recordOutcome(outcome, t.lastCause, status)
 }
 
-// idleWatch cancels an attempt whose endpoint has sent no events for too long, if
-// the attempt can be retried at another endpoint.
-type idleWatch struct {
-	activity chan struct{} // capacity 1
-	done     chan struct{}
-}
-
-// touch records that an event has arrived.
-func (w *idleWatch) touch() {
-	select {
-	case w.activity <- struct{}{}:
-	default:
-	}
-}
-
-// stop ends the watch, so that it no longer cancels the attempt.
-func (w *idleWatch) stop() { close(w.done) }
-
-// startIdleWatch starts the watch of an attempt at e. The caller must call stop.
-func (t *streamExchange) startIdleWatch(e *fleet.Endpoint, b *attemptCanceler) *idleWatch {
-	w := &idleWatch{activity: make(chan struct{}, 1), done: make(chan struct{})}
-	if !t.canFailOver() {
-		return w
-	}
-	go func() {
-		ticker := time.NewTicker(idleCheckInterval)
-		defer ticker.Stop()
-		lastActivity, limit := clock.Now(), eventTimeout(false)
-		for {
-			select {
-			case <-w.done:
-				return
-			case <-w.activity:
-				lastActivity, limit = clock.Now(), eventTimeout(true)
-			case <-ticker.C:
-				now := clock.Now()
-				if t.server.streamStalled(e, now.Sub(lastActivity), limit, now) && b.cancelForRetry(now) {
-					return
-				}
-			}
-		}
-	}()
-	return w
-}
-
 // eventTimeout returns the timeout for the next event while the box is reachable.
 // started tells whether the attempt has received an event.
 func eventTimeout(started bool) time.Duration {
@@ -261,7 +229,7 @@
 	return firstEventTimeout
 }
 
-// streamStalled reports whether a stream should be resumed at another endpoint. idle is
+// streamStalled reports whether a standby should be begun for a stream. idle is
 // the time without events. The stream counts as stalled if idle reaches limit, or
 // boxStallTimeout while nothing at all arrives from the endpoint's box.
 func (s *Server) streamStalled(e *fleet.Endpoint, idle, limit time.Duration, now time.Time) bool {
--- a/ingress/withdraw.go
+++ b/ingress/withdraw.go
@@ -3,7 +3,6 @@
 package ingress
 
 import (
-	"maps"
 	"time"
 
 	"github.com/juju/errors"
@@ -31,58 +30,48 @@
 // when its engine's version is about to pass the deadline.
 const errWithdrawn = errors.ConstError("not begun close to the deadline of a newer version")
 
-// unbegunAttempt is an attempt at an engine that has sent no event yet.
-type unbegunAttempt struct {
-	canceler *attemptCanceler
-	number   int // of the attempt
-	sentAt   time.Time
-}
-
 // addUnbegun makes an attempt one that may be withdrawn, until its first event arrives or
 // it ends.
-func (s *Server) addUnbegun(a *attempt, b *attemptCanceler) {
+func (s *Server) addUnbegun(a *attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.unbegun[a] = unbegunAttempt{canceler: b, number: a.number, sentAt: a.sentAt}
+	s.unbegun[a] = true
 }
 
 // withdrawUnbegun cancels the attempts that engines with versions of model older than
 // version have not visibly begun.
 func (s *Server) withdrawUnbegun(model string, version int) {
-	for a, u := range s.unbegunBelow(model, version, clock.Now()) {
-		s.withdraw(a, u, version)
+	for _, a := range s.unbegunBelow(model, version, clock.Now()) {
+		s.withdraw(a, version)
 	}
 }
 
 // unbegunBelow returns the attempts that engines with versions of model older than version
 // have not visibly begun.
-func (s *Server) unbegunBelow(model string, version int, now time.Time) map[*attempt]unbegunAttempt {
+func (s *Server) unbegunBelow(model string, version int, now time.Time) (attempts []*attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	attempts := maps.Clone(s.unbegun)
-	maps.DeleteFunc(attempts, func(a *attempt, _ unbegunAttempt) bool {
-		return a.exchange.model != model || a.endpoint.HeldVersion(model, now) >= version
-	})
+	for a := range s.unbegun {
+		if a.exchange.model == model && a.endpoint.HeldVersion(model, now) < version {
+			attempts = append(attempts, a)
+		}
+	}
 	return attempts
 }
 
 // withdraw cancels an attempt with errWithdrawn, unless it has ended or received its first
-// event since unbegunBelow returned it. It takes attemptCanceler.mu before Server.mu, as
-// cancelForRetry does.
-func (s *Server) withdraw(a *attempt, u unbegunAttempt, version int) {
-	x, b := a.exchange, u.canceler
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// event since unbegunBelow returned it.
+func (s *Server) withdraw(a *attempt, version int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if b.ended || s.unbegun[a].canceler != b {
+	if !s.unbegun[a] {
 		return
 	}
-	b.ended = true
-	b.cancel(errWithdrawn)
-	now := clock.Now()
+	delete(s.unbegun, a)
+	a.cancel(errWithdrawn)
+	x, now := a.exchange, clock.Now()
 	running, queued := a.endpoint.Reported()
-	s.log.Info("attempt withdrawn", "request", x.id, "attempt", u.number, "endpoint", a.endpoint.ID, "holds", a.endpoint.HeldVersion(x.model, now), "version", version,
-		"running", running, "queued", queued, "report_ms", a.endpoint.ReportAge(now).Milliseconds(), "ms", now.Sub(u.sentAt).Milliseconds())
+	s.log.Info("attempt withdrawn", "request", x.id, "attempt", a.number, "endpoint", a.endpoint.ID, "holds", a.endpoint.HeldVersion(x.model, now), "version", version,
+		"running", running, "queued", queued, "report_ms", a.endpoint.ReportAge(now).Milliseconds(), "ms", now.Sub(a.sentAt).Milliseconds())
 	s.metrics.Counter("mintlift_ingress_withdrawn_attempts_total").Inc()
 }
--- a/ingress/withdraw_test.go
+++ b/ingress/withdraw_test.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -180,16 +181,16 @@
 			x := newContendedExchange(s)
 			a := s.acquireEndpoint(t.Context(), x)
 			assert.Assert(t, a != nil)
-			ctx, b := x.withCanceler(t.Context())
-			defer b.end()
-			s.addUnbegun(a, b)
+			a.ctx, a.cancel = context.WithCancelCause(t.Context())
+			defer a.cancel(nil)
+			s.addUnbegun(a)
 			attempts := s.unbegunBelow(testModel, 2, clock.Now())
 			assert.Equal(t, len(attempts), 1)
 			if begun {
 				a.recordFirstBytes()
 			}
-			s.withdraw(a, attempts[a], 2)
-			assert.Equal(t, ctx.Err() == nil, begun, name)
+			s.withdraw(attempts[0], 2)
+			assert.Equal(t, a.ctx.Err() == nil, begun, name)
 		})
 	}
 }
--- a/retrybudget/retrybudget.go
+++ b/retrybudget/retrybudget.go
@@ -72,6 +72,9 @@
 	b.tokens += ratioMargin * b.params.Ratio
 }
 
+// Refund takes back the consumption of a token by Take, for a retry that was not sent.
+func (b *Budget) Refund() { b.tokens = min(b.tokens+1, b.share()) }
+
 // Take consumes a token for one retry, and reports whether there was one.
 func (b *Budget) Take(now time.Time) bool {
 	b.refill(now)
