--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -42,6 +42,7 @@
 	expectedFirstByte time.Duration
 	// gotBytes reports that bytes of the response have been received.
 	gotBytes bool
+	delivery upstream.Delivery
 }
 
 // send sends the request to the endpoint and reads the response header. lastEvent is the
@@ -81,6 +82,7 @@
 		Host:            x.request.Host,
 		Header:          h,
 		Body:            x.body,
+		Delivery:        &a.delivery,
 		Fresh:           !x.route.Idempotent(),
 		Proceed:         func() bool { return !x.callerLeft() && x.server.stillEligible(a) },
 		Accept: func(header http.Header) bool {
@@ -90,6 +92,12 @@
 	})
 }
 
+// unreachable reports whether the endpoint's box has not acknowledged the request for so long
+// that a standby should be begun.
+func (a *attempt) unreachable(now time.Time) bool {
+	return a.delivery.Unacknowledged(now) >= boxStallTimeout
+}
+
 // stillEligible reports whether the request may still be sent to the endpoint that was
 // chosen for it. In the meantime the cutoff of a target version may have passed, the
 // request may have been quarantined, the zone may have been evacuated, a new configuration
--- a/ingress/helpers_test.go
+++ b/ingress/helpers_test.go
@@ -49,9 +49,12 @@
 
 // testGateway is a gateway with test endpoints.
 type testGateway struct {
-	t        testing.TB
-	network  *memnet.Network // nil stands for the operating system's
-	servers  int             // started on network
+	t       testing.TB
+	network *memnet.Network // nil stands for the operating system's
+	servers int             // started on network
+	// boxes are the boxes on network: the one from which the gateway dials, "gateway", and
+	// those of servers by address.
+	boxes    map[string]*memnet.Box
 	server   *Server
 	address  string
 	client   *http.Client
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -26,7 +26,7 @@
 const errStalled = errors.ConstError("the endpoint has fallen silent")
 
 // attemptTimeShare is the share of the request's remaining time after which a standby is
-// begun for an attempt. The rest is left for the standby.
+// begun for an attempt whose box is reachable. The rest is left for the standby.
 const attemptTimeShare = 0.5
 
 // errResponseTooLarge is the error for a response body longer than maxResponseBytes.
@@ -60,13 +60,24 @@
 	*exchange
 }
 
-// checkDelay implements protocol.
-func (x *plainExchange) checkDelay(now time.Time) time.Duration {
-	return time.Duration(attemptTimeShare * float64(x.expiresAt.Sub(now)))
+// standbyDue returns when a standby is begun for an attempt whose box is reachable. Nothing
+// shows whether an endpoint works on a plain request.
+func (x *plainExchange) standbyDue(a *attempt) time.Time {
+	return a.sentAt.Add(time.Duration(attemptTimeShare * float64(x.expiresAt.Sub(a.sentAt))))
 }
 
-// silent implements protocol. Nothing shows whether an endpoint works on a plain request.
-func (x *plainExchange) silent(*attempt, bool, time.Duration, time.Time) bool { return true }
+// nextCheck implements protocol.
+func (x *plainExchange) nextCheck(a *attempt, now time.Time) time.Duration {
+	if left := x.standbyDue(a).Sub(now); left > 0 {
+		return min(left, idleCheckInterval)
+	}
+	return idleCheckInterval
+}
+
+// silent implements protocol.
+func (x *plainExchange) silent(a *attempt, _ bool, _ time.Duration, now time.Time) bool {
+	return a.unreachable(now) || !now.Before(x.standbyDue(a))
+}
 
 // open implements protocol. It reads the complete response.
 func (x *plainExchange) open(a *attempt) opening {
--- a/ingress/slots_test.go
+++ b/ingress/slots_test.go
@@ -303,9 +303,9 @@
 // openFunc is a protocol whose attempts end with open.
 type openFunc func(a *attempt) opening
 
-func (f openFunc) open(a *attempt) opening            { return f(a) }
-func (f openFunc) relay(o opening, _ *watch) result   { return o.result }
-func (f openFunc) checkDelay(time.Time) time.Duration { return time.Hour }
+func (f openFunc) open(a *attempt) opening                     { return f(a) }
+func (f openFunc) relay(o opening, _ *watch) result            { return o.result }
+func (f openFunc) nextCheck(*attempt, time.Time) time.Duration { return time.Hour }
 func (f openFunc) silent(*attempt, bool, time.Duration, time.Time) bool {
 	return false
 }
--- a/ingress/standby.go
+++ b/ingress/standby.go
@@ -18,9 +18,6 @@
 // first of the two that delivers continues, and the other one is canceled. If no standby
 // can be made, or it fails, the silent attempt goes on.
 
-// standbyRetryInterval is the time between two tries to begin a standby.
-const standbyRetryInterval = 300 * time.Millisecond
-
 // protocol is how a kind of request is sent and its response is forwarded.
 type protocol interface {
 	// open makes an attempt up to the point from which it is preferred to a silent one. It
@@ -28,8 +25,8 @@
 	open(a *attempt) opening
 	// relay forwards a response that open returned with verdictOK, and ends the attempt.
 	relay(o opening, w *watch) result
-	// checkDelay returns how long an attempt that begins at now may be silent at least.
-	checkDelay(now time.Time) time.Duration
+	// nextCheck returns when to check again whether the attempt is silent.
+	nextCheck(a *attempt, now time.Time) time.Duration
 	// silent reports whether an attempt has been silent for so long that a standby should
 	// be begun. idle is the time that the exchange has waited for it.
 	silent(a *attempt, opened bool, idle time.Duration, now time.Time) bool
@@ -85,16 +82,17 @@
 func (x *exchange) startWatch(ctx context.Context, p protocol, a *attempt) *watch {
 	w := &watch{exchange: x, protocol: p, attempt: a, parent: ctx, done: make(chan struct{})}
 	if x.canFailOver() {
-		go w.checkUntilEnd(p.checkDelay(clock.Now()))
+		go w.checkUntilEnd()
 	}
 	return w
 }
 
-// checkUntilEnd checks the attempt until end is called, first after delay.
-func (w *watch) checkUntilEnd(delay time.Duration) {
+// checkUntilEnd checks the attempt until end is called.
+func (w *watch) checkUntilEnd() {
+	last := clock.Now()
+	delay := w.protocol.nextCheck(w.attempt, last)
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
-	last := clock.Now()
 	for {
 		select {
 		case <-w.done:
@@ -103,7 +101,7 @@
 		}
 		now := clock.Now()
 		w.check(now.Sub(last)-delay, now)
-		last, delay = now, standbyRetryInterval
+		last, delay = now, w.protocol.nextCheck(w.attempt, now)
 		timer.Reset(delay)
 	}
 }
--- a/ingress/standby_test.go
+++ b/ingress/standby_test.go
@@ -300,3 +300,39 @@
 	cancel()
 	changes.Wait()
 }
+
+// A request at a connection that is silent for good must get a standby long before half of
+// its time is over, and the request of an endpoint that is merely slow must not.
+func TestUnacknowledgedRequestGetsStandbySoon(t *testing.T) {
+	for _, unreachable := range []bool{true, false} {
+		for _, path := range []string{"/long/", "/resumable/"} {
+			synctest.Test(t, func(t *testing.T) {
+				g := newVirtualGateway(t, fleet.Place{Zone: "z"})
+				long := route(routing.Safe, "/long/", "plain", 2)
+				long.Timeout = 8 * time.Second
+				g.configure(1, long, resumableRoute("/resumable/", 2))
+				service := map[string]string{"/long/": "plain", "/resumable/": "engine"}[path]
+				g.startEndpoint("a", service, func(w http.ResponseWriter, r *http.Request) {
+					if r.RequestURI != path+"1" {
+						sleep(r, 1800*time.Millisecond)
+					}
+					respondEvents(lastEvent, lastEvent)(w, r)
+				})
+				if service == "engine" {
+					g.reportIdle("a", 1) // the box is alive, the connection is not
+				}
+				_, err := g.readStream(path + "1") // leaves an idle connection
+				assert.NilError(t, err)
+				if unreachable {
+					g.network.Silence(g.boxes["gateway"], g.boxes[g.records["a"].Address])
+				}
+				time.AfterFunc(500*time.Millisecond, func() { g.startEndpoint("b", service, respondEvents(lastEvent, lastEvent)) })
+				began := time.Now()
+				body, err := g.readStream(path + "2")
+				assert.NilError(t, err)
+				assert.Equal(t, body, eventsText(lastEvent))
+				assert.Equal(t, time.Since(began) < 1500*time.Millisecond, unreachable, "%s: after %s", path, time.Since(began))
+			})
+		}
+	}
+}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -20,7 +20,7 @@
 // Timeouts after which a standby is begun for a stream without new events.
 const (
 	// boxStallTimeout applies if nothing at all arrives from the endpoint's box, neither
-	// events nor load reports.
+	// events nor load reports, or no acknowledgement of the request.
 	boxStallTimeout = 900 * time.Millisecond
 	// firstEventTimeout applies while the box is reachable and the attempt has received
 	// no event. This includes the wait, possibly of seconds, until the engine has
@@ -92,12 +92,12 @@
 	t.respondUnanswered(ctx)
 }
 
-// checkDelay implements protocol.
-func (t *streamExchange) checkDelay(time.Time) time.Duration { return idleCheckInterval }
+// nextCheck implements protocol.
+func (t *streamExchange) nextCheck(*attempt, time.Time) time.Duration { return idleCheckInterval }
 
 // silent implements protocol.
 func (t *streamExchange) silent(a *attempt, opened bool, idle time.Duration, now time.Time) bool {
-	return t.server.streamStalled(a.endpoint, idle, eventTimeout(opened), now)
+	return a.unreachable(now) || t.server.streamStalled(a.endpoint, idle, eventTimeout(opened), now)
 }
 
 // open implements protocol. It reads the stream up to the first event.
--- a/ingress/virtual_test.go
+++ b/ingress/virtual_test.go
@@ -21,8 +21,9 @@
 // wait, whatever else the machine does.
 func newVirtualGateway(t testing.TB, place fleet.Place) *testGateway {
 	t.Helper()
-	g := &testGateway{t: t, network: memnet.New(memnet.Config{}), records: make(map[string]fleet.Record)}
+	g := &testGateway{t: t, network: memnet.New(memnet.Config{}), boxes: make(map[string]*memnet.Box), records: make(map[string]fleet.Record)}
 	box := g.network.Box("10.0.0.1", "")
+	g.boxes["gateway"] = box
 	g.start(place, box, box.Dialer(time.Second, 0))
 	return g
 }
@@ -37,7 +38,9 @@
 	}
 	g.servers++
 	ip := fmt.Sprintf("10.0.1.%d", g.servers)
-	l, err := g.network.Box(ip, "").Listen(g.t.Context(), "tcp4", ip+":80", 0)
+	box := g.network.Box(ip, "")
+	g.boxes[ip+":80"] = box
+	l, err := box.Listen(g.t.Context(), "tcp4", ip+":80", 0)
 	assert.NilError(g.t, err)
 	s := &httptest.Server{Listener: l, Config: &http.Server{Handler: h}}
 	s.Start()
--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -59,6 +59,8 @@
 	silenceAllowed bool
 	giveUpAt       time.Time
 	giveUpTimer    *time.Timer
+	// unackedSince is when bytes were first sent to an unreachable peer, or zero.
+	unackedSince time.Time
 }
 
 // segment is a part of what an end sends.
@@ -97,6 +99,9 @@
 	c.unread += len(s.data)
 	c.queue = append(c.queue, s)
 	if c.unreachableLocked() {
+		if c.unackedSince.IsZero() {
+			c.unackedSince = s.sent
+		}
 		c.giveUpLocked(s.sent.Add(unackedTimeout))
 	}
 	if len(c.queue) == 1 {
@@ -231,10 +236,20 @@
 	}
 }
 
+// Unacknowledged implements tcpconn.Acknowledger.
+func (c *Conn) Unacknowledged() time.Duration {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	if c.unackedSince.IsZero() {
+		return 0
+	}
+	return time.Since(c.unackedSince)
+}
+
 // restoredLocked is called when a direction is no longer silent. Network.mu is held.
 func (c *Conn) restoredLocked() {
 	if !c.unreachableLocked() {
-		c.giveUpAt = time.Time{}
+		c.giveUpAt, c.unackedSince = time.Time{}, time.Time{}
 	}
 	if len(c.queue) > 0 {
 		c.setTimerLocked(retransmitDelay)
--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -27,6 +27,7 @@
 	_ sendbuffer.Socket      = (*Conn)(nil)
 	_ tcpconn.Peeker         = (*Conn)(nil)
 	_ tcpconn.SilenceAllower = (*Conn)(nil)
+	_ tcpconn.Acknowledger   = (*Conn)(nil)
 	_ net.Listener           = (*listener)(nil)
 	_ network.DatagramConn   = (*datagramConn)(nil)
 )
--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Settings for the detection of unresponsive peers.
@@ -113,6 +114,36 @@
 // AllowSilence itself.
 type SilenceAllower interface{ AllowSilence(allow bool) }
 
+// Unacknowledged returns how long the peer has acknowledged neither what was sent to it nor
+// a keep-alive probe, or 0 if it has acknowledged everything. The time may include one
+// before the last bytes were sent. It returns 0 for connections that are neither TCP
+// connections nor Acknowledgers.
+func Unacknowledged(c net.Conn) time.Duration {
+	if a, ok := c.(Acknowledger); ok {
+		return a.Unacknowledged()
+	}
+	tcp, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var info *unix.TCPInfo
+	_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed
+		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || info == nil || info.Unacked == 0 && info.Probes == 0 {
+		return 0
+	}
+	return time.Duration(info.Last_ack_recv) * time.Millisecond
+}
+
+// Acknowledger is a connection that is no socket of the operating system and implements
+// Unacknowledged itself.
+type Acknowledger interface{ Unacknowledged() time.Duration }
+
 // connState is the state of a connection's receive side, as returned by peek.
 type connState int
 
--- a/internal/tcpconn/tcpconn_test.go
+++ b/internal/tcpconn/tcpconn_test.go
@@ -144,3 +144,15 @@
 	defer a.Close()
 	AllowSilence(a, true)
 }
+
+// Guards against a connection that counts as unacknowledged although its peer's system has
+// acknowledged all, also while the peer does not read.
+func TestReceivedBytesAreAcknowledged(t *testing.T) {
+	_, dialed := pair(t)
+	assert.Equal(t, Unacknowledged(dialed), time.Duration(0))
+	_, err := dialed.Write([]byte("unread"))
+	assert.NilError(t, err)
+	waitFor(t, func() bool { return Unacknowledged(dialed) == 0 })
+	time.Sleep(20 * time.Millisecond)
+	assert.Equal(t, Unacknowledged(dialed), time.Duration(0))
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -78,6 +79,30 @@
 	// reports whether bytes that the endpoint has not acknowledged are to be dropped all
 	// the same. Nil stands for false.
 	DropUndelivered func() bool
+	// Delivery, if not nil, is told when the request is sent.
+	Delivery *Delivery
+}
+
+// Delivery tells whether a request has reached its endpoint's box. The zero value is that of
+// a request that has not been sent. It is safe for concurrent use.
+type Delivery struct {
+	sent atomic.Pointer[sentOn]
+}
+
+// sentOn is the connection on which a request is sent, and since when.
+type sentOn struct {
+	conn net.Conn
+	at   time.Time
+}
+
+// Unacknowledged returns for how long the endpoint's box has acknowledged nothing of what
+// was sent to it since the request; 0 if it has acknowledged everything.
+func (d *Delivery) Unacknowledged(now time.Time) time.Duration {
+	s := d.sent.Load()
+	if s == nil {
+		return 0
+	}
+	return min(tcpconn.Unacknowledged(s.conn), now.Sub(s.at))
 }
 
 // Options configure a Pool.
@@ -350,6 +375,9 @@
 		return nil, &Error{Err: ErrWithheld}
 	}
 	tcpconn.AllowSilence(c.Conn, true)
+	if q.Delivery != nil {
+		q.Delivery.sent.Store(&sentOn{c.Conn, clock.Now()})
+	}
 	stopWatch := context.AfterFunc(ctx, func() { c.closeFor(context.Cause(ctx), q) })
 	r, err := c.exchange(q)
 	if err != nil {
