upstream, tcpconn: let a request outlast the silence of its endpoint's box

Cause: connections to endpoints had TCP_USER_TIMEOUT of 1.5 s and keep-alive probes after 2 s whether or not a request was in progress. A request that was not acknowledged for 1.5 s, or a quiet connection whose probe got no reply within 1 s, a single lost packet included, ended a request that the endpoint still ran.

Now the limits hold for idle connections only. While a request is in progress nothing but its context ends it: the request's own time, a caller that leaves, a cancellation by the gateway. Probes go on, so a peer that has restarted resets the connection. Idle connections in the pool are found as before.

At a connection that is silent for good, a request that may not be repeated now ends with its deadline (504) where it got 502 after 1.5 s; one that may be repeated needs another attempt beside it.

--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -27,8 +27,8 @@
 	probeInterval  = time.Second
 )
 
-// Conn is an end of a connection. It implements net.Conn, sendbuffer.Socket and
-// tcpconn.Peeker.
+// Conn is an end of a connection. It implements net.Conn, sendbuffer.Socket,
+// tcpconn.Peeker and tcpconn.SilenceAllower.
 type Conn struct {
 	n             *Network
 	box           *Box
@@ -54,9 +54,11 @@
 	writeClosed, readClosed bool
 	abort                   bool // Close resets the connection
 	readLimit, writeLimit   deadline
-	// giveUpAt is when this end gives up on a silent peer; zero if that is reachable.
-	giveUpAt    time.Time
-	giveUpTimer *time.Timer
+	// silenceAllowed reports that this end does not give up on a silent peer. giveUpAt is
+	// when it does; zero if the peer is reachable.
+	silenceAllowed bool
+	giveUpAt       time.Time
+	giveUpTimer    *time.Timer
 }
 
 // segment is a part of what an end sends.
@@ -200,7 +202,7 @@
 // giveUpLocked ends this end at a time, unless the peer can be reached again before.
 // Network.mu is held.
 func (c *Conn) giveUpLocked(at time.Time) {
-	if c.idle == 0 || c.err != nil || !c.giveUpAt.IsZero() && !at.Before(c.giveUpAt) {
+	if c.idle == 0 || c.silenceAllowed || c.err != nil || !c.giveUpAt.IsZero() && !at.Before(c.giveUpAt) {
 		return
 	}
 	c.giveUpAt = at
@@ -216,6 +218,19 @@
 	})
 }
 
+// AllowSilence implements tcpconn.SilenceAllower.
+func (c *Conn) AllowSilence(allow bool) {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	c.silenceAllowed = allow
+	switch {
+	case allow:
+		c.giveUpAt = time.Time{}
+	case c.unreachableLocked():
+		c.silencedLocked()
+	}
+}
+
 // restoredLocked is called when a direction is no longer silent. Network.mu is held.
 func (c *Conn) restoredLocked() {
 	if !c.unreachableLocked() {
--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -23,11 +23,12 @@
 )
 
 var (
-	_ network.Network      = (*Box)(nil)
-	_ sendbuffer.Socket    = (*Conn)(nil)
-	_ tcpconn.Peeker       = (*Conn)(nil)
-	_ net.Listener         = (*listener)(nil)
-	_ network.DatagramConn = (*datagramConn)(nil)
+	_ network.Network        = (*Box)(nil)
+	_ sendbuffer.Socket      = (*Conn)(nil)
+	_ tcpconn.Peeker         = (*Conn)(nil)
+	_ tcpconn.SilenceAllower = (*Conn)(nil)
+	_ net.Listener           = (*listener)(nil)
+	_ network.DatagramConn   = (*datagramConn)(nil)
 )
 
 // testNetwork is a network with two boxes of one region and one of another.
--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -19,6 +19,10 @@
 	// userTimeout bounds how long sent bytes may remain unacknowledged. Without
 	// this bound, TCP retransmits for minutes.
 	userTimeout = 1500 * time.Millisecond
+	// silenceTimeout replaces userTimeout while AllowSilence applies. It exceeds the time
+	// of every request. Without any user timeout, probeCount unanswered probes would close
+	// the connection.
+	silenceTimeout = 10 * time.Minute
 	// slowReaderTimeout replaces userTimeout for callers. The timeout also runs while
 	// the peer's receive window is zero, and callers may read slowly.
 	slowReaderTimeout = 10 * time.Second
@@ -37,7 +41,7 @@
 	// unresponsive peer is detected within 2 s.
 	ProbeSoon = time.Second
 	// ProbeLater is for connections on which a response may take long. A lost probe
-	// closes the connection of a request in progress, so probes start later here.
+	// closes the connection unless AllowSilence applies, so probes start later here.
 	ProbeLater = 2 * time.Second
 )
 
@@ -70,14 +74,45 @@
 // control returns a function that sets the TCP user timeout of a new socket.
 func control(timeout time.Duration) func(_, _ string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			// Best effort: without the option, the timeouts of calls detect an
-			// unresponsive peer.
-			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout/time.Millisecond))
-		})
+		return raw.Control(func(fd uintptr) { setUserTimeout(fd, timeout) })
 	}
 }
 
+// setUserTimeout sets the TCP user timeout of a socket, as far as the system has the option.
+// Without it, the timeouts of calls detect an unresponsive peer.
+func setUserTimeout(fd uintptr, timeout time.Duration) {
+	_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout/time.Millisecond))
+}
+
+// AllowSilence sets whether a connection of a Dialer stays open while its peer is
+// unresponsive. A client allows that while a request is in progress, which the peer may
+// still complete, and bounds the request itself. Keep-alive probes go on, so that a peer
+// that no longer knows the connection resets it. It has no effect on connections that are
+// neither TCP connections nor SilenceAllowers.
+func AllowSilence(c net.Conn, allow bool) {
+	if a, ok := c.(SilenceAllower); ok {
+		a.AllowSilence(allow)
+		return
+	}
+	tcp, ok := c.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	timeout := userTimeout
+	if allow {
+		timeout = silenceTimeout
+	}
+	_ = raw.Control(func(fd uintptr) { setUserTimeout(fd, timeout) }) // fails only if the connection is closed
+}
+
+// SilenceAllower is a connection that is no socket of the operating system and implements
+// AllowSilence itself.
+type SilenceAllower interface{ AllowSilence(allow bool) }
+
 // connState is the state of a connection's receive side, as returned by peek.
 type connState int
 
--- a/internal/tcpconn/tcpconn_test.go
+++ b/internal/tcpconn/tcpconn_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -120,3 +121,26 @@
 	assert.NilError(t, peer.Close())
 	waitFor(t, func() bool { return Closed(wrapped) })
 }
+
+// Guards against a connection with a request in progress that ends while its peer is
+// unresponsive, and against one that stays open for as long without a request.
+func TestAllowSilenceSetsUserTimeout(t *testing.T) {
+	_, dialed := pair(t)
+	for _, test := range []struct {
+		allow bool
+		want  time.Duration
+	}{{true, silenceTimeout}, {false, userTimeout}} {
+		AllowSilence(dialed, test.allow)
+		raw, err := dialed.(syscall.Conn).SyscallConn()
+		assert.NilError(t, err)
+		assert.NilError(t, raw.Control(func(fd uintptr) {
+			got, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
+			assert.NilError(t, err)
+			assert.Equal(t, time.Duration(got)*time.Millisecond, test.want)
+		}))
+	}
+	a, b := net.Pipe() // no connection of TCP
+	defer b.Close()
+	defer a.Close()
+	AllowSilence(a, true)
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -205,6 +205,7 @@
 	p := c.pool
 	c.idleSince = now
 	c.idleUntil = now.Add(lifetime)
+	tcpconn.AllowSilence(c.Conn, false)
 	p.mu.Lock()
 	if len(p.idle[c.address]) >= p.options.MaxIdle {
 		p.mu.Unlock()
@@ -333,8 +334,9 @@
 }
 
 // Do sends a request, at most once, and reads the head of its response. When ctx is
-// done, the connection is closed, even while the caller reads the body. Errors are of
-// type *Error.
+// done, the connection is closed, even while the caller reads the body. Until then, an
+// unresponsive peer does not end the request: the endpoint may complete it after a pause.
+// Errors are of type *Error.
 func (p *Pool) Do(ctx context.Context, address string, q *Request) (*Response, error) {
 	c := p.takeIdle(address, q.Fresh, clock.Now())
 	if c == nil {
@@ -347,14 +349,12 @@
 		c.closeOnce()
 		return nil, &Error{Err: ErrWithheld}
 	}
+	tcpconn.AllowSilence(c.Conn, true)
 	stopWatch := context.AfterFunc(ctx, func() { c.closeFor(context.Cause(ctx), q) })
 	r, err := c.exchange(q)
 	if err != nil {
 		stopWatch()
 		c.closeOnce()
-		if timedOut(err) {
-			p.CloseIdle(address)
-		}
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
 		}
@@ -376,13 +376,6 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// timedOut reports whether err is a timeout of the connection, which shows that the
-// peer is unresponsive.
-func timedOut(err error) bool {
-	var failure net.Error
-	return errors.As(err, &failure) && failure.Timeout()
-}
-
 // exchange writes a request and reads the head of its response. A body larger than
 // maxInlineBody is written concurrently.
 func (c *conn) exchange(q *Request) (*Response, error) {
