installer: do not count a pause of the sidecar as a drain

Callers' streams could be aborted by the start of a version that no gateway had been told of in time: a sidecar that stood still at the beginning of a drain found the drain's 0.2 s for telling gateways, or its whole limit, over by the clock when it went on, and ordered the start at once. Likewise it ended a drain early by a report of the engine from before gateways had stopped sending.

Now the time for telling gateways counts without pauses of the process, the limit does not end a drain before it, and only a report that was read after it shows that the engine has no requests left.

The limit still runs by the clock, since the deadline of the version does.

--- a/installer/start.go
+++ b/installer/start.go
@@ -371,20 +371,29 @@
 	i.draining = draining
 }
 
-// drain sets the engine draining and waits until it has no requests left, but at
-// least drainPropagation, or until limit has passed. The caller ends the drain with
-// setDraining.
+// drain sets the engine draining and waits until it has no requests left, but at least
+// until all gateways have received that, or until limit has passed. The caller ends the
+// drain with setDraining.
 func (i *Installer) drain(ctx context.Context, limit time.Duration) {
 	i.setDraining(true)
 	state, _ := i.State()
 	i.log.Info("drain started", "running", state.Running, "queued", state.Queued, "version", state.Version)
 	const pollInterval = 50 * time.Millisecond
 	began := clock.Now()
-	for ctx.Err() == nil && clock.Since(began) < limit {
-		state, _ = i.State()
-		if state.Running+state.Queued == 0 && clock.Since(began) > drainPropagation {
+	last := began
+	// running is the time without the pauses of this process, which tells no gateway meanwhile.
+	// told is when all gateways had been told.
+	running, told := time.Duration(0), time.Time{}
+	for ctx.Err() == nil && (told.IsZero() || clock.Since(began) < limit) {
+		if state, readAt := i.State(); state.Running+state.Queued == 0 && !told.IsZero() && readAt.After(told) {
 			return
 		}
 		clock.Sleep(ctx, pollInterval)
+		now := clock.Now()
+		running += min(now.Sub(last), pollInterval)
+		last = now
+		if told.IsZero() && running >= drainPropagation {
+			told = now
+		}
 	}
 }
