gateway: log and count why a response was cut, with what decided

A caller of our own gateway whose response was not completed could not be told why: no log line named the request. Each such place (stream.go, attempt.go) now has a reason of its own, in the log line with the inputs that decided and in mintlift_responses_cut_total.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -60,7 +60,7 @@
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return d.relayStream(w, q, ep, ref, resp)
 	}
-	return d.relayResponse(w, q, ref, resp)
+	return d.relayResponse(w, q, ep, ref, resp)
 }
 
 // unknownOutcome returns a failure of a request that the endpoint may have run.
@@ -168,7 +168,7 @@
 // relayResponse relays a response that is not a stream. It buffers up to
 // maxBufferedBytes before it sends the header, so that the caller receives no
 // part of a response that is interrupted early.
-func (d *Daemon) relayResponse(w http.ResponseWriter, q *request, ref weights.Ref, resp *http.Response) attemptResult {
+func (d *Daemon) relayResponse(w http.ResponseWriter, q *request, ep route.Endpoint, ref weights.Ref, resp *http.Response) attemptResult {
 	buffered := new(bytes.Buffer)
 	n, err := io.CopyN(buffered, resp.Body, maxBufferedBytes)
 	if err != nil && err != io.EOF {
@@ -193,7 +193,8 @@
 		return result
 	}
 	result.response = nil
-	if err := relayBody(w, resp.Body); err != nil {
+	if relayed, reason, err := relayBody(q.ctx, w, resp.Body); err != nil {
+		d.recordCut(q, ep, reason, "bytes", n+relayed, "error", err.Error())
 		panic(http.ErrAbortHandler) // the caller has part of the response: abort the connection to mark it incomplete
 	}
 	return result
@@ -208,10 +209,10 @@
 	return ""
 }
 
-// relayBody copies the rest of a response through one buffer of fixed size. If the
-// caller reads slowly, the endpoint has to wait, and the gateway needs no more
-// memory.
-func relayBody(w http.ResponseWriter, body io.Reader) error {
+// relayBody copies the rest of a response through one buffer of fixed size, and returns
+// the number of bytes copied. If the caller reads slowly, the endpoint has to wait, and the
+// gateway needs no more memory. reason is set with an error.
+func relayBody(ctx context.Context, w http.ResponseWriter, body io.Reader) (relayed int64, reason cutReason, err error) {
 	rc := http.NewResponseController(w)
 	buf := make([]byte, 64<<10)
 	for {
@@ -219,14 +220,17 @@
 		if n > 0 {
 			_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout)) // if w has no write deadlines, a write may block for longer
 			if _, werr := w.Write(buf[:n]); werr != nil {
-				return werr
+				return relayed, callerCut(werr), werr
 			}
+			relayed += int64(n)
 		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
+		switch {
+		case err == io.EOF:
+			return relayed, "", nil
+		case err != nil && ctx.Err() != nil:
+			return relayed, contextEnded(ctx), err
+		case err != nil:
+			return relayed, cutBrokeOff, err
 		}
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -60,20 +60,28 @@
 	w.Header().Set("Cache-Control", "no-store")
 	s := &streamRelay{w: w, rc: http.NewResponseController(w), q: q}
 	err := s.copyEvents(resp.Body)
-	for attempt := 0; errors.Is(err, errInterrupted) && attempt < maxResumes && q.ctx.Err() == nil; attempt++ {
+	resumes, interruptedAt := 0, clock.Now()
+	for errors.Is(err, errInterrupted) && resumes < maxResumes && q.ctx.Err() == nil {
 		if s.lastID == 0 && !s.headerSent {
 			break // the caller has received nothing: use another attempt instead
 		}
+		resumes++
 		err = d.resume(s, ep, ref)
 	}
-	switch {
-	case err == nil:
+	if err == nil {
 		return attemptResult{responseStarted: true, healthy: true}
-	case errors.Is(err, errCallerGone) || q.ctx.Err() != nil:
+	}
+	callerGone := errors.Is(err, errCallerGone)
+	if callerGone || q.ctx.Err() != nil {
 		d.cancelRun(q, ep)
-		if errors.Is(err, errCallerGone) {
-			return attemptResult{responseStarted: true, healthy: true}
-		}
+	}
+	if s.headerSent {
+		d.recordCut(q, ep, s.cutReason(err), "events", s.lastID, "resumes", resumes, "interrupted_ms", clock.Since(interruptedAt).Milliseconds(), "error", err.Error())
+	}
+	switch {
+	case callerGone:
+		return attemptResult{responseStarted: true, healthy: true}
+	case q.ctx.Err() != nil:
 		return s.abort(unknownOutcome("deadline", "the deadline passed in the middle of the answer"), true)
 	case errors.Is(err, errMismatch):
 		d.Log.Error(err, "requests: stream aborted", "request", q.id, "box", ep.Box)
@@ -83,6 +91,21 @@
 	}
 }
 
+// cutReason returns why a stream of which the caller has received a part ends without its
+// last event.
+func (s *streamRelay) cutReason(err error) cutReason {
+	switch {
+	case errors.Is(err, errCallerGone):
+		return callerCut(err)
+	case s.q.ctx.Err() != nil:
+		return contextEnded(s.q.ctx)
+	case errors.Is(err, errMismatch):
+		return cutMismatch
+	default:
+		return cutNotResumed
+	}
+}
+
 // abort ends a stream with fail. If the response header has been sent to the caller,
 // it writes fail as an error event. Otherwise it writes nothing, so that another
 // attempt or an ordinary error response can follow.
@@ -140,7 +163,7 @@
 			continue // already written
 		}
 		if err := s.write(raw); err != nil {
-			return errCallerGone
+			return errors.WithType(err, errCallerGone)
 		}
 		s.lastID = max(s.lastID, ev.id)
 		if ev.done {
