gateway: resume an interrupted stream for as long as its engine may hold it

Callers' streams were ended with answer_cut half a second after the connection to their box was interrupted, although the engine ran them on: a sidecar that restarts, or that cannot reach its engine for a second, refuses each call at once, and five calls 0.1 s apart were all that was tried.

Now a stream is resumed until it has had no event for 3 s, after which engines stop a run without a reader, or the engine says that it no longer has the run (404), or the request's time is up.

Evidence: TestInterruptedStreamIsResumedAfterASecond (seven refused calls, then the rest of the stream) failed before with answer_cut.

--- a/gateway/cut.go
+++ b/gateway/cut.go
@@ -20,7 +20,8 @@
 	cutCallerStalled cutReason = "caller_stalled" // the caller has read nothing for writeTimeout
 	cutDeadline      cutReason = "deadline"       // the time of the request is up
 	cutMismatch      cutReason = "mismatch"       // an event belongs to another request
-	cutNotResumed    cutReason = "not_resumed"    // an interrupted stream could not be resumed
+	cutRunEnded      cutReason = "run_ended"      // the engine no longer has the run of an interrupted stream
+	cutNotResumed    cutReason = "not_resumed"    // an interrupted stream had no event within resumeTimeout
 	cutBrokeOff      cutReason = "broke_off"      // the body of a response that cannot be resumed broke off
 )
 
--- a/gateway/cut_test.go
+++ b/gateway/cut_test.go
@@ -14,7 +14,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
@@ -42,6 +41,20 @@
 	result attemptResult
 	// aborted reports that the caller's connection was closed.
 	aborted bool
+	// expire ends the time of the request.
+	expire context.CancelFunc
+	ctx    context.Context
+}
+
+// expiringContext is a context whose end is that of a deadline.
+type expiringContext struct{ context.Context }
+
+// Err implements context.Context.
+func (c expiringContext) Err() error {
+	if c.Context.Err() != nil {
+		return context.DeadlineExceeded
+	}
+	return nil
 }
 
 // newCutTest returns a test whose caller reads everything.
@@ -49,20 +62,21 @@
 	t.Helper()
 	c := &cutTest{t: t, body: httptest.NewRecorder()}
 	c.caller = c.body
+	ctx, cancel := context.WithCancel(t.Context())
+	c.ctx, c.expire = expiringContext{ctx}, cancel
 	c.logs.Store("")
 	log := funcr.New(func(_, line string) { c.logs.Store(c.logs.Load().(string) + line + "\n") }, funcr.Options{})
 	c.daemon = &Daemon{Process: &process.Process{Log: log, Metrics: telemetry.NewMetrics(), Peers: call.New("test", call.Options{})}}
 	return c
 }
 
-// relay sends the request to a sidecar, with a time limit, and relays its response.
-func (c *cutTest) relay(timeout time.Duration, sidecar http.HandlerFunc) {
+// relay sends the request to a sidecar and relays its response.
+func (c *cutTest) relay(sidecar http.HandlerFunc) {
 	c.t.Helper()
 	server := httptest.NewServer(sidecar)
 	c.t.Cleanup(server.Close)
-	ctx, cancel := context.WithTimeout(c.t.Context(), timeout)
-	defer cancel()
-	q := &request{id: testRequest, ctx: ctx, method: http.MethodPost, path: "/x", service: "s", header: http.Header{}}
+	c.t.Cleanup(c.expire)
+	q := &request{id: testRequest, ctx: c.ctx, method: http.MethodPost, path: "/x", service: "s", header: http.Header{}}
 	defer func() {
 		if failure := recover(); failure != nil {
 			assert.Equal(c.t, failure, http.ErrAbortHandler)
@@ -116,24 +130,46 @@
 // unreachable is what a sidecar responds while its engine cannot be reached.
 func unreachable(w http.ResponseWriter) { http.Error(w, "unreachable", http.StatusBadGateway) }
 
+// Guards against a stream that is given up, although the engine still runs it, because its
+// sidecar or the connection to the engine is away for a second.
+func TestInterruptedStreamIsResumedAfterASecond(t *testing.T) {
+	t.Parallel()
+	c := newCutTest(t)
+	c.relay(interruptedSidecar(func(w http.ResponseWriter, r *http.Request, n int64) {
+		if n <= 7 {
+			unreachable(w)
+			return
+		}
+		after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+		sendEvents(w, after+1, lastTestEvent, testRequest)
+	}))
+	assert.Assert(t, c.result.failure == nil, "%+v", c.result.failure)
+	assert.Equal(t, strings.Count(c.body.Body.String(), "id: "), lastTestEvent)
+	c.checkCut("")
+}
+
 // Guards against a stream that is cut without a log line that says why, and that is held
 // although it can no longer be resumed.
 func TestCutStreamHasReason(t *testing.T) {
 	t.Parallel()
-	for reason, test := range map[cutReason]struct {
-		timeout time.Duration
-		resume  func(w http.ResponseWriter, r *http.Request, n int64)
-	}{
-		cutNotResumed: {time.Minute, func(w http.ResponseWriter, _ *http.Request, _ int64) { unreachable(w) }},
-		cutMismatch: {time.Minute, func(w http.ResponseWriter, _ *http.Request, _ int64) {
+	for reason, resume := range map[cutReason]func(c *cutTest, w http.ResponseWriter, r *http.Request, n int64){
+		cutRunEnded: func(_ *cutTest, w http.ResponseWriter, r *http.Request, n int64) {
+			assert.Check(t, n == 1)
+			http.NotFound(w, r)
+		},
+		cutNotResumed: func(_ *cutTest, w http.ResponseWriter, _ *http.Request, _ int64) { unreachable(w) },
+		cutMismatch: func(_ *cutTest, w http.ResponseWriter, _ *http.Request, _ int64) {
 			sendEvents(w, 4, 5, "another")
-		}},
-		cutDeadline: {500 * time.Millisecond, func(_ http.ResponseWriter, r *http.Request, _ int64) { <-r.Context().Done() }},
+		},
+		cutDeadline: func(c *cutTest, _ http.ResponseWriter, r *http.Request, _ int64) {
+			c.expire()
+			<-r.Context().Done()
+		},
 	} {
 		t.Run(string(reason), func(t *testing.T) {
 			t.Parallel()
 			c := newCutTest(t)
-			c.relay(test.timeout, interruptedSidecar(test.resume))
+			c.relay(interruptedSidecar(func(w http.ResponseWriter, r *http.Request, n int64) { resume(c, w, r, n) }))
 			assert.Assert(t, c.result.failure != nil && c.result.failure.written && c.result.responseStarted)
 			assert.Assert(t, strings.Contains(c.body.Body.String(), "event: error"), "the caller is told")
 			c.checkCut(reason)
@@ -156,6 +192,18 @@
 	return c.ResponseRecorder.Write(b)
 }
 
+// writeHook is a caller that calls written when it has received a part of the response.
+type writeHook struct {
+	*httptest.ResponseRecorder
+	written func()
+}
+
+// Write implements http.ResponseWriter.
+func (c *writeHook) Write(b []byte) (int, error) {
+	defer c.written()
+	return c.ResponseRecorder.Write(b)
+}
+
 // Guards against responses to callers that have left, or that read nothing, that are cut
 // without a reason.
 func TestCutByCallerHasReason(t *testing.T) {
@@ -167,7 +215,7 @@
 		} {
 			c := newCutTest(t)
 			c.caller = &failingCaller{c.body, 1, err}
-			c.relay(time.Minute, sidecar)
+			c.relay(sidecar)
 			assert.Equal(t, c.aborted, kind == "body")
 			c.checkCut(reason)
 		}
@@ -188,12 +236,13 @@
 func TestCutBodyHasReason(t *testing.T) {
 	t.Parallel()
 	c := newCutTest(t)
-	c.relay(time.Minute, sendBody(3*maxBufferedBytes, 2*maxBufferedBytes))
+	c.relay(sendBody(3*maxBufferedBytes, 2*maxBufferedBytes))
 	assert.Assert(t, c.aborted)
 	c.checkCut(cutBrokeOff)
 
 	c = newCutTest(t)
-	c.relay(500*time.Millisecond, func(w http.ResponseWriter, r *http.Request) {
+	c.caller = &writeHook{c.body, c.expire}
+	c.relay(func(w http.ResponseWriter, r *http.Request) {
 		sendBody(3*maxBufferedBytes, 2*maxBufferedBytes)(w, r)
 		<-r.Context().Done()
 	})
@@ -201,7 +250,7 @@
 	c.checkCut(cutDeadline)
 
 	c = newCutTest(t) // nothing has reached the caller
-	c.relay(time.Minute, sendBody(maxBufferedBytes, maxBufferedBytes/2))
+	c.relay(sendBody(maxBufferedBytes, maxBufferedBytes/2))
 	assert.Assert(t, !c.aborted && c.result.failure != nil)
 	c.checkCut("")
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -24,7 +24,9 @@
 // Bounds of a relayed stream, and the data that ends it.
 const (
 	maxEventBytes = 1 << 20
-	maxResumes    = 5
+	// resumeTimeout bounds the time without an event in which an interrupted stream is
+	// resumed. Engines stop a generation that has had no reader for so long.
+	resumeTimeout = 3 * time.Second
 	resumeDelay   = 100 * time.Millisecond
 	doneSentinel  = "[DONE]"
 )
@@ -33,6 +35,7 @@
 const (
 	errInterrupted = errors.ConstError("stream interrupted")
 	errMismatch    = errors.ConstError("event belongs to another request")
+	errRunEnded    = errors.ConstError("the engine no longer has the run")
 	errCallerGone  = errors.ConstError("caller disconnected")
 )
 
@@ -60,13 +63,16 @@
 	w.Header().Set("Cache-Control", "no-store")
 	s := &streamRelay{w: w, rc: http.NewResponseController(w), q: q}
 	err := s.copyEvents(resp.Body)
-	resumes, interruptedAt := 0, clock.Now()
-	for errors.Is(err, errInterrupted) && resumes < maxResumes && q.ctx.Err() == nil {
+	resumes, lastID, interruptedAt := 0, s.lastID, clock.Now()
+	for errors.Is(err, errInterrupted) && q.ctx.Err() == nil && clock.Since(interruptedAt) < resumeTimeout {
 		if s.lastID == 0 && !s.headerSent {
 			break // the caller has received nothing: use another attempt instead
 		}
 		resumes++
 		err = d.resume(s, ep, ref)
+		if s.lastID > lastID {
+			lastID, interruptedAt = s.lastID, clock.Now()
+		}
 	}
 	if err == nil {
 		return attemptResult{responseStarted: true, healthy: true}
@@ -101,6 +107,8 @@
 		return contextEnded(s.q.ctx)
 	case errors.Is(err, errMismatch):
 		return cutMismatch
+	case errors.Is(err, errRunEnded):
+		return cutRunEnded
 	default:
 		return cutNotResumed
 	}
@@ -137,7 +145,11 @@
 		return errInterrupted
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return errRunEnded
+	default:
 		return errInterrupted
 	}
 	if !matchesRequest(s.q, ref, resp) {
