sendbuffer: a pause of the gateway is no silence of a caller

A gateway that stood still for 10 s while bytes waited for a caller found the deadline of the write passed when it went on, and closed the connection with the response unfinished, although the caller had read what was sent. Now it tries the socket once more: a caller that has read has left room.

Closing a caller that reads nothing for 10 s was neither logged nor counted. `slow reader closed` now has a reason (buffers_full, nothing_read), and mintlift_gateway_slow_readers_closed_total counts by it.

Evidence: TestStalledReaders ("reads during a pause", virtual time) fails without the second try.

--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -146,9 +146,8 @@
 		return group, errors.Trace(err)
 	}
 	group.addCloser(func() { _ = front.Close() })
-	unread := sendbuffer.NewPool(sendBufferBytes(s.MemoryLimit()), func(caller string, buffered int, behind time.Duration) {
-		p.log.Info("slow reader closed", "caller", caller, "buffered", buffered, "behind_ms", behind.Milliseconds())
-	})
+	unread := sendbuffer.NewPool(sendBufferBytes(s.MemoryLimit()), reportSlowReader(p, "buffers_full"))
+	unread.OnStall(reportSlowReader(p, "nothing_read"))
 	registerUnreadGauges(p.metrics, unread)
 	ready, err := group.listen(s.Listen.Ready)
 	if err != nil {
@@ -302,6 +301,15 @@
 	})
 }
 
+// reportSlowReader returns a function that logs and counts a caller whose connection was
+// closed for a reason before it had read its response.
+func reportSlowReader(p *platformProcess, reason string) func(caller string, buffered int, behind time.Duration) {
+	return func(caller string, buffered int, behind time.Duration) {
+		p.log.Info("slow reader closed", "caller", caller, "reason", reason, "buffered", buffered, "behind_ms", behind.Milliseconds())
+		p.metrics.Counter("mintlift_gateway_slow_readers_closed_total", "reason", reason).Inc()
+	}
+}
+
 // drainGateway makes the gateway unready, stops accepting requests after preDrainDelay,
 // and waits until the requests in progress have ended and callers have read their
 // responses, or ctx is done. It does not close
--- a/sendbuffer/sendbuffer.go
+++ b/sendbuffer/sendbuffer.go
@@ -42,8 +42,8 @@
 //
 // Lock order: Conn.mu before Pool.mu.
 type Pool struct {
-	limit   int
-	onEvict func(remote string, buffered int, behind time.Duration)
+	limit            int
+	onEvict, onStall func(remote string, buffered int, behind time.Duration)
 
 	mu    sync.Mutex
 	total int
@@ -59,6 +59,11 @@
 	return &Pool{limit: limit, onEvict: onEvict, behind: make(map[*Conn]time.Time)}
 }
 
+// OnStall sets a function that is called when a connection is closed because the other side
+// has read nothing in time, with the arguments of NewPool's onEvict. It must be called before
+// Listen.
+func (p *Pool) OnStall(f func(remote string, buffered int, behind time.Duration)) { p.onStall = f }
+
 // Buffered returns the number of connections with a non-empty buffer, and the bytes in
 // all buffers.
 func (p *Pool) Buffered() (connections, bytes int) {
@@ -98,6 +103,17 @@
 	}
 }
 
+// behindFor returns for how long a connection has had a non-empty buffer.
+func (p *Pool) behindFor(c *Conn, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since, behind := p.behind[c]
+	if !behind {
+		return 0
+	}
+	return now.Sub(since)
+}
+
 // Listen wraps a listener: the connections that it accepts have buffers of the pool.
 func (p *Pool) Listen(l net.Listener) net.Listener { return &listener{l, p} }
 
@@ -254,13 +270,24 @@
 		if errors.As(err, &timeout) && timeout.Timeout() {
 			err = nil
 			if n == 0 {
-				err = ErrStalled
+				n, err = c.retryStalled(chunk)
 			}
 		}
 		c.drained(n, err)
 	}
 }
 
+// retryStalled writes what the socket takes without blocking, after nothing could be written
+// for stallTimeout. If this process paused meanwhile, the other side may have read. It
+// returns ErrStalled if the socket still takes nothing.
+func (c *Conn) retryStalled(chunk []byte) (int, error) {
+	n, err := c.socket.WriteNow(chunk)
+	if n == 0 && err == nil {
+		err = ErrStalled
+	}
+	return n, err
+}
+
 // drained removes n written bytes from the front of the buffer. If err is not nil, no
 // more can be written: the buffer is dropped.
 func (c *Conn) drained(n int, err error) {
@@ -270,7 +297,11 @@
 		return // dropped meanwhile
 	}
 	if err != nil {
+		size, behind := c.size, c.pool.behindFor(c, clock.Now())
 		c.failLocked(err)
+		if c.pool.onStall != nil && errors.Is(err, ErrStalled) {
+			c.pool.onStall(c.RemoteAddr().String(), size, behind)
+		}
 		return
 	}
 	c.buffer[0] = c.buffer[0][n:]
