sidecar: log and count why a request ended without a complete response

A sidecar that closed its connection to the gateway amid a request said nothing of it, so that a cut response could not be told from an endpoint's own. Each such place (requests.go) now has a reason of its own, in the log line and in mintlift_requests_aborted_total.

--- a/sidecar/requests.go
+++ b/sidecar/requests.go
@@ -178,14 +178,14 @@
 		return
 	}
 	if err != nil {
-		panic(http.ErrAbortHandler) // the request may have run, so no response may claim otherwise
+		d.abort(a, abortReasonOf(a, abortNoResponse), sentAt, err) // the request may have run, so no response may claim otherwise
 	}
 	defer resp.Body.Close()
 	d.observeSignals(a, resp, sentAt)
 	if !d.responseMatches(a, resp) {
-		panic(http.ErrAbortHandler)
+		d.abort(a, abortMismatch, sentAt, nil)
 	}
-	d.writeResponse(w, a, resp)
+	d.writeResponse(w, a, resp, sentAt)
 }
 
 // observeSignals records the backpressure signals in a response of the endpoint, and
@@ -254,7 +254,7 @@
 
 // writeResponse copies the endpoint's response to the gateway. If either connection
 // fails, it aborts the other.
-func (d *Daemon) writeResponse(w http.ResponseWriter, a *admitted, resp *http.Response) {
+func (d *Daemon) writeResponse(w http.ResponseWriter, a *admitted, resp *http.Response, sentAt time.Time) {
 	h := w.Header()
 	for _, name := range []string{"Content-Type", "Content-Length", "Cache-Control"} {
 		if v := resp.Header.Get(name); v != "" {
@@ -266,31 +266,31 @@
 		h.Set(peer.HeaderVersion, a.version.String())
 	}
 	w.WriteHeader(resp.StatusCode)
-	if err := copyFlushing(w, resp.Body); err != nil {
-		panic(http.ErrAbortHandler)
+	if reason, err := copyFlushing(w, resp.Body); err != nil {
+		d.abort(a, abortReasonOf(a, reason), sentAt, err)
 	}
 }
 
 // copyFlushing copies body to w and flushes w after each read, so that the tokens of a
-// stream are not delayed. It buffers at most 16 KiB.
-func copyFlushing(w http.ResponseWriter, body io.Reader) error {
+// stream are not delayed. It buffers at most 16 KiB. An error comes with its reason.
+func copyFlushing(w http.ResponseWriter, body io.Reader) (abortReason, error) {
 	rc := http.NewResponseController(w)
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
 			if _, werr := w.Write(buf[:n]); werr != nil {
-				return werr
+				return abortGatewayGone, werr
 			}
 			if ferr := rc.Flush(); ferr != nil {
-				return ferr
+				return abortGatewayGone, ferr
 			}
 		}
 		if err == io.EOF {
-			return nil
+			return "", nil
 		}
 		if err != nil {
-			return err
+			return abortBrokeOff, err
 		}
 	}
 }
@@ -307,6 +307,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	sentAt := clock.Now()
 	resp, err := d.endpoint.Do(req)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
@@ -314,7 +315,7 @@
 	}
 	defer resp.Body.Close()
 	ref, _ := weights.ParseRef(resp.Header.Get(engine.HeaderVersion)) // checked by the gateway
-	d.writeResponse(w, &admitted{id: resp.Header.Get(engine.HeaderRequest), version: ref}, resp)
+	d.writeResponse(w, &admitted{id: resp.Header.Get(engine.HeaderRequest), version: ref, ctx: r.Context()}, resp, sentAt)
 }
 
 // handleCancel forwards a caller's cancellation to the engine.
