--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -24,7 +24,9 @@
 // Bounds of a relayed stream, and the data that ends it.
 const (
 	maxEventBytes = 1 << 20
-	maxResumes    = 5
+	// resumeTimeout bounds the time without an event in which an interrupted stream is
+	// resumed. Engines stop a generation that has had no reader for so long.
+	resumeTimeout = 3 * time.Second
 	resumeDelay   = 100 * time.Millisecond
 	doneSentinel  = "[DONE]"
 )
@@ -33,6 +35,7 @@
 const (
 	errInterrupted = errors.ConstError("stream interrupted")
 	errMismatch    = errors.ConstError("event belongs to another request")
+	errRunEnded    = errors.ConstError("the engine no longer has the run")
 	errCallerGone  = errors.ConstError("caller disconnected")
 )
 
@@ -60,20 +63,31 @@
 	w.Header().Set("Cache-Control", "no-store")
 	s := &streamRelay{w: w, rc: http.NewResponseController(w), q: q}
 	err := s.copyEvents(resp.Body)
-	for attempt := 0; errors.Is(err, errInterrupted) && attempt < maxResumes && q.ctx.Err() == nil; attempt++ {
+	resumes, lastID, interruptedAt := 0, s.lastID, clock.Now()
+	for errors.Is(err, errInterrupted) && q.ctx.Err() == nil && clock.Since(interruptedAt) < resumeTimeout {
 		if s.lastID == 0 && !s.headerSent {
 			break // the caller has received nothing: use another attempt instead
 		}
+		resumes++
 		err = d.resume(s, ep, ref)
+		if s.lastID > lastID {
+			lastID, interruptedAt = s.lastID, clock.Now()
+		}
 	}
-	switch {
-	case err == nil:
+	if err == nil {
 		return attemptResult{responseStarted: true, healthy: true}
-	case errors.Is(err, errCallerGone) || q.ctx.Err() != nil:
+	}
+	callerGone := errors.Is(err, errCallerGone)
+	if callerGone || q.ctx.Err() != nil {
 		d.cancelRun(q, ep)
-		if errors.Is(err, errCallerGone) {
-			return attemptResult{responseStarted: true, healthy: true}
-		}
+	}
+	if s.headerSent {
+		d.recordCut(q, ep, s.cutReason(err), "events", s.lastID, "resumes", resumes, "interrupted_ms", clock.Since(interruptedAt).Milliseconds(), "error", err.Error())
+	}
+	switch {
+	case callerGone:
+		return attemptResult{responseStarted: true, healthy: true}
+	case q.ctx.Err() != nil:
 		return s.abort(unknownOutcome("deadline", "the deadline passed in the middle of the answer"), true)
 	case errors.Is(err, errMismatch):
 		d.Log.Error(err, "requests: stream aborted", "request", q.id, "box", ep.Box)
@@ -83,6 +97,23 @@
 	}
 }
 
+// cutReason returns why a stream of which the caller has received a part ends without its
+// last event.
+func (s *streamRelay) cutReason(err error) cutReason {
+	switch {
+	case errors.Is(err, errCallerGone):
+		return callerCut(err)
+	case s.q.ctx.Err() != nil:
+		return contextEnded(s.q.ctx)
+	case errors.Is(err, errMismatch):
+		return cutMismatch
+	case errors.Is(err, errRunEnded):
+		return cutRunEnded
+	default:
+		return cutNotResumed
+	}
+}
+
 // abort ends a stream with fail. If the response header has been sent to the caller,
 // it writes fail as an error event. Otherwise it writes nothing, so that another
 // attempt or an ordinary error response can follow.
@@ -114,7 +145,11 @@
 		return errInterrupted
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return errRunEnded
+	default:
 		return errInterrupted
 	}
 	if !matchesRequest(s.q, ref, resp) {
@@ -140,7 +175,7 @@
 			continue // already written
 		}
 		if err := s.write(raw); err != nil {
-			return errCallerGone
+			return errors.WithType(err, errCallerGone)
 		}
 		s.lastID = max(s.lastID, ev.id)
 		if ev.done {
