fleet: a new gateway waits for an engine's sidecar before it believes the list

After a power loss of all machines an engine that had restarted empty carried out a start order that had been sent to its former process: the count of orders begins anew, so 0 fitted. It listed version 8 without having chunk 0. Its new sidecar found that and reported the load unverified 1 s after its start; the gateways, new as well, had no report yet and sent by the list.

A gateway that runs ignores a listed version for 15 s after the last report that did not have it. A gateway that has just started does not know the last report, so it now does the same for 15 s after its own start, or until a report comes, for services whose weights are configured: others have no sidecar that loads versions. Gateways get reports of a sidecar that runs within some 100 ms.

TestNewGatewayWaitsForSidecarBeforeItBelievesList failed before (listed version 2 counted).

--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -131,7 +131,7 @@
 	budget := s.RetryBudget()
 	budget.Gateways = assumedGateways
 	server := ingress.New(ingress.Settings{
-		Place:           fleet.Place{Box: s.IP, Zone: s.Zone, Regions: s.Regions},
+		Place:           fleet.Place{Box: s.IP, Zone: s.Zone, Regions: s.Regions, StartedAt: clock.Now()},
 		Headers:         platform.Headers(),
 		DecodeSignal:    platform.DecodeSignal,
 		Budget:          budget,
--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -48,6 +48,8 @@
 	// sidecarAt is when the last report arrived from the endpoint's address, also if it
 	// was of a former process of the endpoint; zero if none has.
 	sidecarAt time.Time
+	// gatewayStartedAt is Place.StartedAt.
+	gatewayStartedAt time.Time
 	// firstReportAt is when the first report arrived for this id.
 	firstReportAt time.Time
 	// roundTrip is the last round-trip time measured to the sidecar, and
@@ -79,7 +81,8 @@
 // there is none. It is also 0 if the last report, of any age, called the engine's
 // weights unverified: the engine may then hold other weights than the report or the
 // record lists. A version that only the record lists is ignored for listedChangeDelay after
-// the last report from the endpoint's address.
+// the last report from the endpoint's address or, before the first one and if sidecars load
+// versions, after the start of the gateway, which does not know what was reported before.
 func (e *Endpoint) HeldVersion(model string, now time.Time) int {
 	if e.report.Unverified {
 		return 0
@@ -87,9 +90,12 @@
 	if e.fresh(now) && (e.report.Model == model || e.report.Version == 0) {
 		return e.report.Version
 	}
-	listed := e.Models[model]
+	listed, unknownSince := e.Models[model], e.sidecarAt
+	if unknownSince.IsZero() && e.WeightsConfigured {
+		unknownSince = e.gatewayStartedAt
+	}
 	switch {
-	case e.sidecarAt.IsZero(), now.Sub(e.sidecarAt) >= listedChangeDelay:
+	case unknownSince.IsZero(), now.Sub(unknownSince) >= listedChangeDelay:
 		return listed
 	case e.report.Version != 0 && (e.report.Model != model || e.report.Version == listed):
 		return listed
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -39,6 +39,9 @@
 	// Models maps each model that the endpoint holds completely to its version. It
 	// is nil for an endpoint that holds no model or is not an engine.
 	Models map[string]int
+	// WeightsConfigured is set if the configuration has the weights of the service's model:
+	// orders of sidecars may then load other versions.
+	WeightsConfigured bool `json:",omitempty"`
 }
 
 // Report is an engine's load report, sent by its sidecar.
@@ -183,7 +186,7 @@
 		if old := f.byAddress[r.Address]; old != nil {
 			f.Remove(old.ID)
 		}
-		e = &Endpoint{Record: r, Signals: f.signals.State(r.ID, r.StartedMS), sidecarAt: f.sidecarAt[r.Address]}
+		e = &Endpoint{Record: r, Signals: f.signals.State(r.ID, r.StartedMS), sidecarAt: f.sidecarAt[r.Address], gatewayStartedAt: f.place.StartedAt}
 		f.locate(e)
 		f.byID[r.ID] = e
 		f.byAddress[r.Address] = e
--- a/fleet/held_test.go
+++ b/fleet/held_test.go
@@ -54,3 +54,27 @@
 		})
 	}
 }
+
+// Guards against requests of a gateway that has just started to an engine whose listed version
+// no sidecar has verified: the engine may have accepted a delayed order of its former process,
+// and the gateway does not know what the sidecar reported last.
+func TestNewGatewayWaitsForSidecarBeforeItBelievesList(t *testing.T) {
+	f := New(Place{Zone: "z", StartedAt: start})
+	loaded := listed("a", 1000, 2)
+	loaded.WeightsConfigured = true
+	f.Put(loaded)
+	e := f.byAddress["a:1"]
+	assert.Equal(t, e.HeldVersion(model, start), 0)
+	assert.Equal(t, chosen(f, query(), start), "")
+	assert.Equal(t, e.HeldVersion(model, start.Add(listedChangeDelay-time.Millisecond)), 0)
+	assert.Equal(t, e.HeldVersion(model, start.Add(listedChangeDelay)), 2, "the sidecar is gone")
+
+	r := report("a", 2, 0, 0)
+	r.StartedMS = 1000
+	f.ApplyReport(r, -1, start)
+	assert.Equal(t, e.HeldVersion(model, start), 2, "the sidecar has reported it")
+	assert.Equal(t, e.HeldVersion(model, start.Add(reportTTL)), 2, "the list shows what was reported last")
+
+	f.Put(Record{ID: "b", Service: "s", Address: "b:1", Zone: "z", Models: map[string]int{model: 2}})
+	assert.Equal(t, f.byAddress["b:1"].HeldVersion(model, start), 2, "no sidecar loads versions")
+}
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -53,6 +53,9 @@
 	// Regions maps availability zones to regions. A zone without an entry is a
 	// region of its own.
 	Regions map[string]string
+	// StartedAt is when the gateway started. What sidecars reported before that is unknown
+	// to it; see Endpoint.HeldVersion. If it is zero, listed versions are used at once.
+	StartedAt time.Time
 }
 
 // region returns the region of an availability zone.
