gateway: a pause during a stop loses no queued connections

The time to accept now ends with a step of 50 ms in which the process was not paused, ten steps at most; so do the polls that find a gateway idle.

--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -313,22 +313,48 @@
 	case <-time.After(preDrainDelay):
 	case <-ctx.Done():
 	}
+	for range maxDrainSteps {
+		if sleepUnpaused(ctx, drainStep) {
+			break
+		}
+	}
 	server.Refuse()
 	_ = front.Close()
 	for idle := 0; ctx.Err() == nil && idle < idlePolls; idle++ {
 		if slow, _ := unread.Buffered(); server.InFlight() > 0 || slow > 0 {
 			idle = 0
 		}
-		time.Sleep(idlePollInterval)
+		if !sleepUnpaused(ctx, idlePollInterval) {
+			idle = min(idle, idlePolls-minUnpausedPolls-1)
+		}
 	}
 	if n := server.InFlight(); n > 0 {
 		p.log.Info("requests aborted at the end of the grace period", "in_flight", n)
 	}
 }
 
+// sleepUnpaused sleeps for d or until ctx is done. It returns false if that took more than
+// twice as long: the process has been paused meanwhile, and connections and requests that
+// arrived during the pause may not have been read yet.
+func sleepUnpaused(ctx context.Context, d time.Duration) bool {
+	began := time.Now()
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+	return time.Since(began) <= 2*d
+}
+
 // A gateway is drained once idlePolls consecutive polls, idlePollInterval apart, have
 // found no request in progress.
 const (
 	idlePollInterval = 30 * time.Millisecond
 	idlePolls        = 8
+	// minUnpausedPolls is the minimum number of polls after a pause of the process.
+	minUnpausedPolls = 3
+	// Before it stops accepting, drainGateway waits for a step of drainStep without a
+	// pause of the process, but at most for maxDrainSteps steps: a gateway that gets
+	// little processor time may have none.
+	drainStep     = 50 * time.Millisecond
+	maxDrainSteps = 10
 )
