--- a/cmd/mintlift/bubble_test.go
+++ b/cmd/mintlift/bubble_test.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -22,6 +21,7 @@
 	"github.com/mintlift/mintlift/platform"
 	"github.com/mintlift/mintlift/platform/enginetest"
 	"github.com/mintlift/mintlift/platform/storetest"
+	"github.com/mintlift/mintlift/telemetry"
 )
 
 // bubbleRegions are the regions of the availability zones in a bubble.
@@ -39,6 +39,7 @@
 type bubble struct {
 	t         *testing.T
 	network   *memnet.Network
+	boxes     map[string]*memnet.Box // by host, without those of callers
 	store     *storetest.Store
 	daemons   []*taskGroup
 	servers   []*http.Server
@@ -46,6 +47,11 @@
 	endpoints []*bubbleEndpoint
 	callers   []*http.Client // one in the region of each gateway
 	config    map[string]any // the configuration in the store
+	logs      io.Writer      // of the daemons; nil for none
+	settings  string         // further settings of the daemons, as JSON with a leading comma
+	// respond responds to requests at endpoints.
+	respond func(e *bubbleEndpoint, w http.ResponseWriter, r *http.Request)
+	slots   int // that endpoints announce
 
 	mu       sync.Mutex
 	requests []bubbleRequest
@@ -63,7 +69,7 @@
 
 // newBubble returns a deployment without daemons.
 func newBubble(t *testing.T, c memnet.Config) *bubble {
-	b := &bubble{t: t, network: memnet.New(c), store: storetest.New()}
+	b := &bubble{t: t, network: memnet.New(c), boxes: make(map[string]*memnet.Box), store: storetest.New(), respond: (*bubbleEndpoint).respond, slots: bubbleSlots}
 	b.serve(b.box(bubbleStore, "z1"), bubbleStore, b.store)
 	b.serve(b.box(bubbleOrigin, "z1"), bubbleOrigin, weightsModel)
 	b.config = bubbleConfig()
@@ -114,11 +120,15 @@
 	return string(text)
 }
 
-// box adds the box with the host of an address, in a zone.
+// box returns the box with the host of an address. It adds the box, in a zone, if there is
+// none yet.
 func (b *bubble) box(address, zone string) *memnet.Box {
 	host, _, err := net.SplitHostPort(address)
 	assert.NilError(b.t, err)
-	return b.network.Box(host, bubbleRegions[zone])
+	if b.boxes[host] == nil {
+		b.boxes[host] = b.network.Box(host, bubbleRegions[zone])
+	}
+	return b.boxes[host]
 }
 
 // serve serves at an address of a box until the bubble is closed.
@@ -130,11 +140,22 @@
 	go func() { _ = server.Serve(listener) }()
 }
 
+// process returns the process of a daemon with further settings, as JSON with a leading
+// comma.
+func (b *bubble) process(box *memnet.Box, ip, zone, settings string) *platformProcess {
+	p := newProcessOn(b.t, box, place{ip, zone, bubbleRegions}, bubbleStore, settings+b.settings)
+	if b.logs != nil {
+		p.log = telemetry.NamedLogger(telemetry.NewLogger(b.logs, telemetry.LogSettings{}), ip)
+		p.requestLog = p.log
+	}
+	return p
+}
+
 // startGateway starts a gateway, and a caller in its region.
 func (b *bubble) startGateway(ip, callerIP, zone string) {
 	front := net.JoinHostPort(ip, "8005")
 	box := b.box(front, zone)
-	group, err := startPlatformGateway(context.Background(), newProcessOn(b.t, box, place{ip, zone, bubbleRegions}, bubbleStore, `,"bootstrap":true`))
+	group, err := startPlatformGateway(context.Background(), b.process(box, ip, zone, `,"bootstrap":true`))
 	assert.NilError(b.t, err)
 	b.daemons = append(b.daemons, group)
 	b.gateways = append(b.gateways, front)
@@ -149,7 +170,7 @@
 	e.engine.StageAndLoad(1)
 	box := b.box(e.address, zone)
 	b.startEndpoint(box, e)
-	group, err := startPlatformSidecar(context.Background(), newProcessOn(b.t, box, place{ip, zone, bubbleRegions}, bubbleStore, fmt.Sprintf(`,"app":%q,"service":"e"`, e.address)))
+	group, err := startPlatformSidecar(context.Background(), b.process(box, ip, zone, fmt.Sprintf(`,"app":%q,"service":"e"`, e.address)))
 	assert.NilError(b.t, err)
 	b.daemons = append(b.daemons, group)
 }
@@ -185,74 +206,6 @@
 	}
 }
 
-// bubbleEndpoint is an engine or a plain service.
-type bubbleEndpoint struct {
-	bubble  *bubble
-	service string
-	address string
-	zone    string
-	engine  *enginetest.Engine // nil for a plain service
-	started time.Time          // of a plain service
-}
-
-// What endpoints announce, and how long they take for a request.
-const (
-	bubbleSlots     = 16
-	bubbleTokens    = 5 // of a stream
-	bubbleTokenTime = 8 * time.Millisecond
-	bubblePlainTime = 15 * time.Millisecond
-)
-
-// writeEntry writes the entry in the endpoint list.
-func (e *bubbleEndpoint) writeEntry() {
-	entry := map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": bubbleSlots, "state": "ready", "cold_remaining_ms": 0,
-		"sequence": 0, "born": e.started.UnixMilli(),
-	}
-	if e.engine != nil {
-		state := e.engine.State()
-		entry["sequence"], entry["born"], entry["models"] = state.Orders, state.StartedMS, e.engine.Models()
-	}
-	e.bubble.store.Put(storetest.Endpoints, "i-"+e.address, e.bubble.encode(entry))
-}
-
-// ServeHTTP implements http.Handler.
-func (e *bubbleEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if e.engine != nil && enginetest.IsEngineCall(r) {
-		e.engine.ServeHTTP(w, r)
-		return
-	}
-	_, _ = io.Copy(io.Discard, r.Body)
-	h := platform.Headers()
-	w.Header().Set(h.RequestID, r.Header.Get(h.RequestID))
-	w.Header().Set(h.Seal, "seal")
-	if e.engine == nil {
-		time.Sleep(bubblePlainTime)
-		_, _ = io.WriteString(w, "answer")
-		return
-	}
-	run, version := e.engine.BeginRequest()
-	if expected := r.Header.Get(h.ExpectVersion); version == 0 || expected != "" && expected != strconv.Itoa(version) {
-		w.Header().Del(h.Seal)
-		w.Header().Set(h.NotRun, "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for n := from + 1; n <= bubbleTokens; n++ {
-		time.Sleep(bubbleTokenTime)
-		if r.Context().Err() != nil {
-			return
-		}
-		if !e.engine.ContinueRequest(run) {
-			panic(http.ErrAbortHandler)
-		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", n, version)
-		w.(http.Flusher).Flush()
-	}
-}
-
 // request sends a request by the caller in the region of a gateway, and records it.
 func (b *bubble) request(gateway int, id, path string) bubbleRequest {
 	q := bubbleRequest{path: path, sent: time.Now()}
