--- a/cmd/mintlift/day_test.go
+++ b/cmd/mintlift/day_test.go
@@ -72,7 +72,7 @@
 	{silentZone, 4, 300 * time.Millisecond, 2 * time.Second},
 	{silentBox, 3, 300 * time.Millisecond, 1200 * time.Millisecond},
 	{crash, 2, 300 * time.Millisecond, 2 * time.Second},
-	{leave, 2, 500 * time.Millisecond, 4 * time.Second},
+	{leave, 2, 500 * time.Millisecond, longestLeave},
 	{dropRoute, 3, 300 * time.Millisecond, 3 * time.Second},
 	{dropService, 2, 300 * time.Millisecond, 3 * time.Second},
 	{grow, 2, 500 * time.Millisecond, 4 * time.Second},
@@ -82,6 +82,9 @@
 	{silentStore, 1, 300 * time.Millisecond, 2 * time.Second},
 }
 
+// longestLeave is how long an endpoint is missing in the endpoint list at most.
+const longestLeave = 4 * time.Second
+
 // dayStart is the time after the start of a day's load from which troubles come.
 const dayStart = time.Second
 
@@ -127,8 +130,8 @@
 		case storm:
 			x.N = 3 + rng.IntN(8)
 		}
-		if draw.kind == evacuate && d.Zones == 1 {
-			x.Kind, x.N = silentEndpoint, rng.IntN(endpoints)
+		if draw.kind == evacuate && d.Zones == 1 { // nothing would be left
+			x.Kind, x.N, x.For = leave, rng.IntN(endpoints), min(x.For, longestLeave)
 		}
 		out = append(out, x)
 	}
--- a/cmd/mintlift/dayendpoint_test.go
+++ b/cmd/mintlift/dayendpoint_test.go
@@ -119,17 +119,17 @@
 
 // serve responds to a request and records its run.
 func (e *dayEndpoint) serve(w http.ResponseWriter, r *http.Request) {
-	dead, up := e.life()
-	if !up {
-		panic(http.ErrAbortHandler)
-	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		panic(http.ErrAbortHandler) // an incomplete request does not run
 	}
 	h := platform.Headers()
+	dead, up := e.life()
 	x := &dayExchange{dayEndpoint: e, w: w, r: r, dead: dead, run: &daycheck.Run{Request: r.Header.Get(h.RequestID), Service: e.service, Endpoint: e.address, At: time.Now()}}
 	e.day.add(x.run)
+	if !up {
+		x.breakOff(daycheck.Broke)
+	}
 	var plan dayPlan
 	if err := plan.parse(string(body)); err != nil {
 		e.day.t.Errorf("request %s has the body %q", x.run.Request, body)
