daycheck: a request that was canceled on its way was not cut

The checker looked for an event from the arrival on and called it LOST. What is held up on the way now counts from its sending; without an event from elsewhere it is LOST as before.

--- a/internal/daycheck/lost.go
+++ b/internal/daycheck/lost.go
@@ -15,6 +15,9 @@
 	answerSlack = 500 * time.Millisecond
 	// deliverySlack is the time that an event may take from a gateway to its caller.
 	deliverySlack = 5 * time.Millisecond
+	// cancelOnArrival is the length below which a canceled run was canceled before its
+	// request arrived: both were held up on the way.
+	cancelOnArrival = time.Millisecond
 )
 
 // Lost returns what is wrong if a request was accepted and lost. It must get a complete
@@ -50,8 +53,12 @@
 // deliveredBeside reports whether the caller got an event from another run while r went
 // on.
 func deliveredBeside(q *Request, r *Run, runs []*Run) bool {
+	from := r.At
+	if r.Ended.Sub(r.At) < cancelOnArrival {
+		from = q.Sent // the request was on its way until then
+	}
 	for n, id := range q.Got {
-		if at := q.GotAt[n]; at.Before(r.At) || at.After(r.Ended.Add(deliverySlack)) {
+		if at := q.GotAt[n]; at.Before(from) || at.After(r.Ended.Add(deliverySlack)) {
 			continue
 		}
 		for _, other := range runs {
