--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -345,12 +345,12 @@
 // twice as long: the process has been paused meanwhile, and connections and requests that
 // arrived during the pause may not have been read yet.
 func sleepUnpaused(ctx context.Context, d time.Duration) bool {
-	began := time.Now()
+	began := clock.Now()
 	select {
 	case <-time.After(d):
 	case <-ctx.Done():
 	}
-	return time.Since(began) <= 2*d
+	return clock.Since(began) <= 2*d
 }
 
 // A gateway is drained once idlePolls consecutive polls, idlePollInterval apart, have
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -83,8 +83,9 @@
 		Header:          h,
 		Body:            x.body,
 		Delivery:        &a.delivery,
-		Fresh:           !x.route.Idempotent(),
-		Proceed:         func() bool { return !x.callerLeft() && x.server.stillEligible(a) },
+		// The connection of a further attempt must not be silent, like the one before it.
+		Fresh:   !x.route.Idempotent() || a.number > 1,
+		Proceed: func() bool { return !x.callerLeft() && x.server.stillEligible(a) },
 		Accept: func(header http.Header) bool {
 			id := header.Get(names.RequestID)
 			return id == x.id
--- a/ingress/standby.go
+++ b/ingress/standby.go
@@ -75,6 +75,7 @@
 	waitingSince time.Time
 	paused       time.Duration
 	opened       bool // the attempt has delivered
+	denied       bool // the retry budget has allowed no standby
 	standby      *standby
 }
 
@@ -122,11 +123,15 @@
 	if !x.canFailOver() || x.finished(w.parent) || x.crashLimitReached() {
 		return
 	}
-	if !x.takeRetry(now) {
+	allowed := x.takeRetry(now)
+	if allowed || !w.denied {
+		x.server.log.Info("attempt silent", "request", x.id, "attempt", a.number, "endpoint", a.endpoint.ID, "begun", w.opened, "idle_ms", idle.Milliseconds(), "paused_ms", w.paused.Milliseconds(), "ms", now.Sub(a.sentAt).Milliseconds(), "budget", allowed)
+	}
+	if !allowed {
+		w.denied = true
 		x.countStandby(standbyNoBudget)
 		return
 	}
-	x.server.log.Info("attempt silent", "request", x.id, "attempt", a.number, "endpoint", a.endpoint.ID, "begun", w.opened, "idle_ms", idle.Milliseconds(), "paused_ms", w.paused.Milliseconds(), "ms", now.Sub(a.sentAt).Milliseconds())
 	w.standby = newStandby(w)
 	go w.standby.start()
 }
