--- a/ingress/attempts.go
+++ b/ingress/attempts.go
@@ -6,9 +6,48 @@
 	"context"
 	"time"
 
+	"github.com/mintlift/mintlift/eventstream"
+	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/upstream"
 )
 
+// protocol is how a kind of request is sent and its response is forwarded.
+type protocol interface {
+	// open makes an attempt up to the point from which it is preferred to a silent one. It
+	// may run beside another attempt of the same exchange, and changes only a.
+	open(a *attempt) opening
+	// relay forwards a response that open returned with verdictOK, and ends the attempt.
+	relay(o opening, w *watch) result
+	// nextCheck returns when to check again whether the attempt is silent.
+	nextCheck(a *attempt, now time.Time) time.Duration
+	// silent reports whether an attempt has been silent for so long that a standby should
+	// be begun. idle is the time that the exchange has waited for it.
+	silent(a *attempt, opened bool, idle time.Duration, now time.Time) bool
+}
+
+// result is the result of an attempt.
+type result struct {
+	verdict verdict
+	// reply is a complete response: of a plain request with verdictOK, or an error response
+	// with verdictFailed.
+	reply *reply
+	// cause is why the attempt failed. unsent reports that no endpoint received it, and
+	// crashed that its endpoint crashed.
+	cause           string
+	unsent, crashed bool
+}
+
+// opening is what an attempt has delivered so far.
+type opening struct {
+	result
+	// Of a stream with verdictOK: the response, whose body events reads, and its first
+	// event.
+	response *upstream.Response
+	events   *eventstream.Reader
+	first    eventstream.Event
+}
+
 // ending is why no further attempt of a request is made.
 type ending string
 
@@ -110,3 +149,34 @@
 func (x *exchange) canFailOver() bool {
 	return x.route.Idempotent() && x.attempts < max(x.route.MaxAttempts, 1)
 }
+
+// abandon ends an attempt that has delivered although it is not needed.
+func (o *opening) abandon(a *attempt) {
+	if o.response == nil {
+		return // a plain response is complete
+	}
+	a.finish(fleet.Abandoned)
+	o.response.Close()
+	o.verdict = verdictInvalid
+}
+
+// collect applies the result of an attempt to the exchange. It must not be called while
+// another goroutine owns the fields that it changes; see watch.
+func (x *exchange) collect(a *attempt, o result) {
+	if o.cause != "" {
+		x.lastCause = o.cause
+	}
+	if o.unsent {
+		x.attempts--
+	}
+	if a.grantLapsed {
+		delete(x.tried, a.endpoint.ID) // the endpoint may be chosen again
+	}
+	if o.crashed {
+		x.crashes++
+	}
+	if o.verdict == verdictFailed {
+		x.failure = o.reply
+	}
+	x.mayHaveRun = x.mayHaveRun || o.verdict != verdictNotRun
+}
