--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -19,10 +19,11 @@
 	// userTimeout bounds how long sent bytes may remain unacknowledged. Without
 	// this bound, TCP retransmits for minutes.
 	userTimeout = 1500 * time.Millisecond
-	// silenceTimeout replaces userTimeout while AllowSilence applies. It exceeds the time
-	// of every request. Without any user timeout, probeCount unanswered probes would close
-	// the connection.
-	silenceTimeout = 10 * time.Minute
+	// silenceTimeout and silenceProbeCount replace userTimeout and probeCount while
+	// AllowSilence applies. silenceTimeout exceeds the usual time of requests;
+	// silenceProbeCount is the largest value that Linux takes.
+	silenceTimeout    = 10 * time.Minute
+	silenceProbeCount = 127
 	// slowReaderTimeout replaces userTimeout for callers. The timeout also runs while
 	// the peer's receive window is zero, and callers may read slowly.
 	slowReaderTimeout = 10 * time.Second
@@ -102,11 +103,14 @@
 	if err != nil {
 		return
 	}
-	timeout := userTimeout
+	timeout, probes := userTimeout, probeCount
 	if allow {
-		timeout = silenceTimeout
+		timeout, probes = silenceTimeout, silenceProbeCount
 	}
-	_ = raw.Control(func(fd uintptr) { setUserTimeout(fd, timeout) }) // fails only if the connection is closed
+	_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed
+		setUserTimeout(fd, timeout)
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT, probes) // as setUserTimeout
+	})
 }
 
 // SilenceAllower is a connection that is no socket of the operating system and implements
--- a/internal/tcpconn/tcpconn_test.go
+++ b/internal/tcpconn/tcpconn_test.go
@@ -124,12 +124,13 @@
 
 // Guards against a connection with a request in progress that ends while its peer is
 // unresponsive, and against one that stays open for as long without a request.
-func TestAllowSilenceSetsUserTimeout(t *testing.T) {
+func TestAllowSilenceSetsLimits(t *testing.T) {
 	_, dialed := pair(t)
 	for _, test := range []struct {
-		allow bool
-		want  time.Duration
-	}{{true, silenceTimeout}, {false, userTimeout}} {
+		allow  bool
+		want   time.Duration
+		probes int
+	}{{true, silenceTimeout, silenceProbeCount}, {false, userTimeout, probeCount}} {
 		AllowSilence(dialed, test.allow)
 		raw, err := dialed.(syscall.Conn).SyscallConn()
 		assert.NilError(t, err)
@@ -137,6 +138,9 @@
 			got, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
 			assert.NilError(t, err)
 			assert.Equal(t, time.Duration(got)*time.Millisecond, test.want)
+			got, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT)
+			assert.NilError(t, err)
+			assert.Equal(t, got, test.probes)
 		}))
 	}
 	a, b := net.Pipe() // no connection of TCP
