upstream: close idle connections once one like them is silent for good

Cause: nothing but the connection itself was learned from a request of which not a byte is acknowledged. The peer's system acknowledges bytes at once, whatever its process does. Now, if nothing is acknowledged for 0.4 s, a new connection to the address is opened. If that works and the old one is still silent, the idle connections to the address are closed, and all of the pool when that has happened at two addresses within a second. If it does not work, the box or the way to it is silent, and nothing is closed. The request goes on in both cases.

TestSilentBoxKeepsIdleConnections holds the other case. TestSilenceOfBoxEndsNoRequest counts requests at the endpoint where it counted dials, since the check opens a connection; a request that was sent twice fails it as before.

--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -28,7 +28,7 @@
 )
 
 // Conn is an end of a connection. It implements net.Conn, sendbuffer.Socket,
-// tcpconn.Peeker and tcpconn.SilenceAllower.
+// tcpconn.Peeker, tcpconn.SilenceAllower and tcpconn.Acknowledger.
 type Conn struct {
 	n             *Network
 	box           *Box
@@ -54,6 +54,8 @@
 	writeClosed, readClosed bool
 	abort                   bool // Close resets the connection
 	readLimit, writeLimit   deadline
+	// silent reports that what this end sends is lost for good.
+	silent bool
 	// silenceAllowed reports that this end does not give up on a silent peer. giveUpAt is
 	// when it does; zero if the peer is reachable.
 	silenceAllowed bool
@@ -107,7 +109,7 @@
 // deliverLocked passes the segments that have arrived to the peer, and sets the timer for
 // the next one. Network.mu is held.
 func (c *Conn) deliverLocked() {
-	for len(c.queue) > 0 && !c.n.silentLocked(c.box, c.peer.box) {
+	for len(c.queue) > 0 && !c.silentLocked() {
 		s := c.queue[0]
 		if wait := time.Until(s.at); wait > 0 {
 			c.setTimerLocked(wait)
@@ -154,7 +156,7 @@
 // resetLocked resets the peer's end after the delay of the way to it, unless that is
 // silent. Network.mu is held.
 func (c *Conn) resetLocked() {
-	if c.n.silentLocked(c.box, c.peer.box) {
+	if c.silentLocked() {
 		return
 	}
 	time.AfterFunc(c.n.delayLocked(c.box, c.peer.box), func() {
@@ -187,7 +189,12 @@
 // unreachableLocked reports whether the peer is out of reach in one direction or both, so
 // that nothing is acknowledged. Network.mu is held.
 func (c *Conn) unreachableLocked() bool {
-	return c.n.silentLocked(c.box, c.peer.box) || c.n.silentLocked(c.peer.box, c.box)
+	return c.silentLocked() || c.peer.silentLocked()
+}
+
+// silentLocked reports whether what this end sends is lost. Network.mu is held.
+func (c *Conn) silentLocked() bool {
+	return c.silent || c.n.silentLocked(c.box, c.peer.box)
 }
 
 // silencedLocked is called when a direction has become silent. Network.mu is held.
@@ -231,6 +238,18 @@
 	}
 }
 
+// Unacknowledged implements tcpconn.Acknowledger. Bytes are acknowledged when they arrive,
+// whatever the state of the way back.
+func (c *Conn) Unacknowledged() int {
+	c.n.mu.Lock()
+	defer c.n.mu.Unlock()
+	total := 0
+	for _, s := range c.queue {
+		total += len(s.data)
+	}
+	return total
+}
+
 // restoredLocked is called when a direction is no longer silent. Network.mu is held.
 func (c *Conn) restoredLocked() {
 	if !c.unreachableLocked() {
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -199,6 +199,20 @@
 	}
 }
 
+// SilenceConns makes everything get lost that is sent on the open connections of the box, in
+// both directions and for good. New connections work.
+func (b *Box) SilenceConns() {
+	b.n.mu.Lock()
+	defer b.n.mu.Unlock()
+	for c := range b.n.conns {
+		if c.box == b {
+			c.silent, c.peer.silent = true, true
+			c.silencedLocked()
+			c.peer.silencedLocked()
+		}
+	}
+}
+
 // Reset resets all connections of the box. Its own ends fail at once.
 func (b *Box) Reset() {
 	b.n.mu.Lock()
--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -27,6 +27,7 @@
 	_ sendbuffer.Socket      = (*Conn)(nil)
 	_ tcpconn.Peeker         = (*Conn)(nil)
 	_ tcpconn.SilenceAllower = (*Conn)(nil)
+	_ tcpconn.Acknowledger   = (*Conn)(nil)
 	_ net.Listener           = (*listener)(nil)
 	_ network.DatagramConn   = (*datagramConn)(nil)
 )
@@ -284,6 +285,27 @@
 	})
 }
 
+// Open connections that have been silenced stay so; new ones work.
+func TestSilenceConns(t *testing.T) {
+	run(t, Config{Delay: time.Millisecond}, func(t *testing.T, n *testNetwork) {
+		dialed, accepted := connect(t, n.a, n.b)
+		n.a.SilenceConns()
+		start := time.Now()
+		write(t, dialed, "lost")
+		time.Sleep(time.Second)
+		assert.Equal(t, dialed.Unacknowledged(), len("lost"))
+		readable, closed := accepted.Peek()
+		assert.Assert(t, !readable && !closed)
+		_, err := dialed.Read(make([]byte, 1))
+		assert.ErrorIs(t, err, syscall.ETIMEDOUT)
+		assert.Equal(t, time.Since(start), unackedTimeout)
+		dialed, accepted = connect(t, n.a, n.b)
+		write(t, dialed, "x")
+		read(t, accepted, "x")
+		assert.Equal(t, dialed.Unacknowledged(), 0)
+	})
+}
+
 // All traffic of a box, or between two regions, shares one rate.
 func TestRates(t *testing.T) {
 	const rate, bytes = 1e6, 250 << 10
--- a/internal/tcpconn/undelivered.go
+++ b/internal/tcpconn/undelivered.go
@@ -42,3 +42,22 @@
 	})
 	return count
 }
+
+// Unacknowledged returns the number of bytes that were written to c and that the peer's
+// system, which does so even if the peer's process is paused, has not acknowledged. It returns
+// -1 if the number is unknown, as for connections that are neither TCP connections nor
+// Acknowledgers.
+func Unacknowledged(c net.Conn) int {
+	switch c := c.(type) {
+	case Acknowledger:
+		return c.Unacknowledged()
+	case syscall.Conn:
+		return unacknowledged(c)
+	default:
+		return -1
+	}
+}
+
+// Acknowledger is a connection that is no socket of the operating system and implements
+// Unacknowledged itself.
+type Acknowledger interface{ Unacknowledged() int }
--- a/internal/tcpconn/undelivered_test.go
+++ b/internal/tcpconn/undelivered_test.go
@@ -47,3 +47,20 @@
 	assert.NilError(t, a.Close())
 	assert.NilError(t, b.Close())
 }
+
+// Guards against a connection that is taken for silent although its peer has acknowledged
+// everything, whether or not it reads.
+func TestAcknowledgedConnectionIsNotSilent(t *testing.T) {
+	local, peer := pair(t)
+	assert.Equal(t, Unacknowledged(peer), 0)
+	_, err := peer.Write([]byte("x"))
+	assert.NilError(t, err)
+	waitFor(t, func() bool { return Unacknowledged(peer) == 0 })
+	assert.NilError(t, local.Close())
+	assert.NilError(t, peer.Close())
+	assert.Equal(t, Unacknowledged(peer), -1)
+	a, b := net.Pipe() // no connection of TCP
+	defer b.Close()
+	defer a.Close()
+	assert.Equal(t, Unacknowledged(a), -1)
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -114,6 +115,11 @@
 	mu      sync.Mutex
 	idle    map[string][]*conn // idle connections by address, the most recently used last
 	opened  uint64             // number of dials
+	// probing holds the addresses to which checkAcks opens a connection. silent is the
+	// address to which a connection was last found silent, at silentAt.
+	probing  map[string]bool
+	silent   string
+	silentAt time.Time
 }
 
 // conn is a connection of a Pool.
@@ -125,6 +131,8 @@
 	idleSince time.Time // when the connection became idle
 	idleUntil time.Time // when its idle timeout expires
 	once      sync.Once // of closeOnce
+	// written is the size of the request, in bytes, once it has been written.
+	written atomic.Int64
 }
 
 // NewPool returns an empty pool.
@@ -133,6 +141,7 @@
 		options: o,
 		dial:    network.OrSystem(o.Network).Dialer(o.DialTimeout, tcpconn.ProbeLater),
 		idle:    make(map[string][]*conn),
+		probing: make(map[string]bool),
 	}
 	return p
 }
@@ -351,7 +360,10 @@
 	}
 	tcpconn.AllowSilence(c.Conn, true)
 	stopWatch := context.AfterFunc(ctx, func() { c.closeFor(context.Cause(ctx), q) })
+	c.written.Store(0)
+	ackCheck := time.AfterFunc(ackTimeout, c.checkAcks)
 	r, err := c.exchange(q)
+	ackCheck.Stop()
 	if err != nil {
 		stopWatch()
 		c.closeOnce()
@@ -401,7 +413,8 @@
 
 // write writes the head and the body of a request to the connection.
 func (c *conn) write(q *Request) error {
-	w := bufio.NewWriterSize(c.Conn, 2<<10)
+	counter := &byteCounter{w: c.Conn}
+	w := bufio.NewWriterSize(counter, 2<<10)
 	_, _ = fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", q.Method, q.URI, q.Host)
 	if len(q.Body) > 0 || q.Method != http.MethodGet && q.Method != http.MethodHead {
 		_, _ = fmt.Fprintf(w, "Content-Length: %d\r\n", len(q.Body))
@@ -409,7 +422,22 @@
 	_ = q.Header.Write(w)
 	_, _ = w.WriteString("\r\n")
 	_, _ = w.Write(q.Body)
-	return w.Flush() // returns the first error of all writes
+	err := w.Flush() // returns the first error of all writes
+	c.written.Store(counter.n)
+	return err
+}
+
+// byteCounter counts the bytes written to w.
+type byteCounter struct {
+	w io.Writer
+	n int64
+}
+
+// Write implements io.Writer.
+func (c *byteCounter) Write(b []byte) (int, error) {
+	n, err := c.w.Write(b)
+	c.n += int64(n)
+	return n, err
 }
 
 // readHead reads responses until one belongs to the request, and returns its head. It
