--- a/internal/tcpconn/tcpconn.go
+++ b/internal/tcpconn/tcpconn.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
 )
 
 // Settings for the detection of unresponsive peers.
@@ -20,10 +19,11 @@
 	// userTimeout bounds how long sent bytes may remain unacknowledged. Without
 	// this bound, TCP retransmits for minutes.
 	userTimeout = 1500 * time.Millisecond
-	// silenceTimeout replaces userTimeout while AllowSilence applies. It exceeds the time
-	// of every request. Without any user timeout, probeCount unanswered probes would close
-	// the connection.
-	silenceTimeout = 10 * time.Minute
+	// silenceTimeout and silenceProbeCount replace userTimeout and probeCount while
+	// AllowSilence applies. silenceTimeout exceeds the usual time of requests;
+	// silenceProbeCount is the largest value that Linux takes.
+	silenceTimeout    = 10 * time.Minute
+	silenceProbeCount = 127
 	// slowReaderTimeout replaces userTimeout for callers. The timeout also runs while
 	// the peer's receive window is zero, and callers may read slowly.
 	slowReaderTimeout = 10 * time.Second
@@ -103,47 +103,20 @@
 	if err != nil {
 		return
 	}
-	timeout := userTimeout
+	timeout, probes := userTimeout, probeCount
 	if allow {
-		timeout = silenceTimeout
+		timeout, probes = silenceTimeout, silenceProbeCount
 	}
-	_ = raw.Control(func(fd uintptr) { setUserTimeout(fd, timeout) }) // fails only if the connection is closed
+	_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed
+		setUserTimeout(fd, timeout)
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT, probes) // as setUserTimeout
+	})
 }
 
 // SilenceAllower is a connection that is no socket of the operating system and implements
 // AllowSilence itself.
 type SilenceAllower interface{ AllowSilence(allow bool) }
 
-// Unacknowledged returns how long the peer has acknowledged neither what was sent to it nor
-// a keep-alive probe, or 0 if it has acknowledged everything. The time may include one
-// before the last bytes were sent. It returns 0 for connections that are neither TCP
-// connections nor Acknowledgers.
-func Unacknowledged(c net.Conn) time.Duration {
-	if a, ok := c.(Acknowledger); ok {
-		return a.Unacknowledged()
-	}
-	tcp, ok := c.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	var info *unix.TCPInfo
-	_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed
-		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	if err != nil || info == nil || info.Unacked == 0 && info.Probes == 0 {
-		return 0
-	}
-	return time.Duration(info.Last_ack_recv) * time.Millisecond
-}
-
-// Acknowledger is a connection that is no socket of the operating system and implements
-// Unacknowledged itself.
-type Acknowledger interface{ Unacknowledged() time.Duration }
-
 // connState is the state of a connection's receive side, as returned by peek.
 type connState int
 
