installer: an update waits for the requests that run at its engine

Callers saw streams end broken off while a version was rolled out. Each sidecar loaded the version 0.5 to 1 s after it had told gateways to send nothing more, and the load aborted what still ran. Each gateway's retry budget was used up after four or five at once, and streams that had been resumed were cut a second time.

A request that began before the version's deadline may go on after it, so the drain now lasts until the engine has no requests left.

--- /dev/null
+++ b/installer/drain.go
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package installer
+
+import (
+	"context"
+	"time"
+
+	"github.com/mintlift/mintlift/internal/clock"
+)
+
+// drainEnd is the reason for which a drain ended.
+type drainEnd string
+
+// The ends of a drain.
+const (
+	// drainEmpty means that the engine has no requests left.
+	drainEmpty drainEnd = "empty"
+	// drainQueue means that a queued request could begin on the old version after the
+	// deadline.
+	drainQueue drainEnd = "queue"
+	// drainTimedOut means that requests ran longer than any gateway waits for.
+	drainTimedOut drainEnd = "timeout"
+	// drainCanceled means that the sidecar stops.
+	drainCanceled drainEnd = "canceled"
+)
+
+// drainPollInterval is the pause between two looks at the engine's state.
+const drainPollInterval = 50 * time.Millisecond
+
+// Draining reports whether the engine should get no new requests because it is being
+// drained or updated.
+func (i *Installer) Draining() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.draining
+}
+
+// setDraining sets whether gateways are told to send the engine no new requests.
+func (i *Installer) setDraining(draining bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.draining = draining
+}
+
+// drain sets the engine draining and waits until it has no requests left. Requests that
+// began before the deadline of the new version may go on after it, so that only a request
+// that is still queued then, or runs longer than its gateway waits for, is aborted by the
+// load. The caller ends the drain with setDraining.
+func (i *Installer) drain(ctx context.Context, s *updateStep) {
+	i.setDraining(true)
+	state, _ := i.State()
+	i.log.Info("drain started", "running", state.Running, "queued", state.Queued, "version", state.Version)
+	began := clock.Now()
+	end := s.drainEnded(state, began, began)
+	for ; end == ""; end = s.drainEnded(state, began, clock.Now()) {
+		clock.Sleep(ctx, drainPollInterval)
+		if ctx.Err() != nil {
+			end = drainCanceled
+			break
+		}
+		state, _ = i.State()
+		i.postponeUpdate(clock.Now())
+	}
+	queueLeft := time.Duration(-1)
+	if !s.queueUntil.IsZero() {
+		queueLeft = max(clock.Until(s.queueUntil), 0)
+	}
+	i.log.Info("drain ended", "reason", string(end), "running", state.Running, "queued", state.Queued, "version", state.Version,
+		"ms", clock.Since(began).Milliseconds(), "limit_ms", s.runningLimit().Milliseconds(), "queue_left_ms", queueLeft.Milliseconds())
+	i.metrics.Counter("mintlift_installer_drains_total", "reason", string(end)).Inc()
+	if end != drainEmpty {
+		i.metrics.Counter("mintlift_installer_requests_aborted_total").Add(state.Running + state.Queued)
+	}
+}
+
+// drainEnded returns why a drain that began at the given time ends now, with the engine's
+// last state, or an empty string if it does not.
+func (s *updateStep) drainEnded(state EngineState, began, now time.Time) drainEnd {
+	elapsed := now.Sub(began)
+	switch {
+	case state.Running+state.Queued == 0 && elapsed >= min(s.drainLimit, drainPropagation):
+		return drainEmpty
+	case state.Queued > 0 && elapsed >= s.drainLimit && !now.Before(s.queueUntil):
+		return drainQueue
+	case elapsed >= s.runningLimit():
+		return drainTimedOut
+	}
+	return ""
+}
+
+// runningLimit bounds a drain. Gateways end each request within the timeout of its route.
+// The deadline of a version is the limit if that is unknown or shorter: a configuration
+// that shortens a timeout does not apply to requests that run already.
+func (s *updateStep) runningLimit() time.Duration {
+	return max(s.params.RequestTimeout, s.params.Deadline)
+}
