installer: a load after a complete drain lets a late request end

A request that a gateway had sent before it received the report of a drain could reach the engine between the last look at the engine's state and the order to load, which aborted it. The order now aborts running requests only if the drain ended by one of its limits, or if the engine's version is unverified; otherwise the engine ends the request first. Gateways have heard of the drain by then, and each request ends at its deadline, so the load is not held up for long.

--- a/installer/drain.go
+++ b/installer/drain.go
@@ -62,6 +62,7 @@
 		state, _ = i.State()
 		i.postponeUpdate(clock.Now())
 	}
+	s.abortRunning = end != drainEmpty
 	queueLeft := time.Duration(-1)
 	if !s.queueUntil.IsZero() {
 		queueLeft = max(clock.Until(s.queueUntil), 0)
@@ -69,7 +70,7 @@
 	i.log.Info("drain ended", "reason", string(end), "running", state.Running, "queued", state.Queued, "version", state.Version,
 		"ms", clock.Since(began).Milliseconds(), "limit_ms", s.runningLimit().Milliseconds(), "queue_left_ms", queueLeft.Milliseconds())
 	i.metrics.Counter("mintlift_installer_drains_total", "reason", string(end)).Inc()
-	if end != drainEmpty {
+	if s.abortRunning {
 		i.metrics.Counter("mintlift_installer_requests_aborted_total").Add(state.Running + state.Queued)
 	}
 }
@@ -95,3 +96,11 @@
 func (s *updateStep) runningLimit() time.Duration {
 	return max(s.params.RequestTimeout, s.params.Deadline)
 }
+
+// abortsRunning reports whether the load aborts the requests that run at an engine with the
+// given state. After a complete drain only a request can run that a gateway sent before it
+// received the report of the drain; the engine ends it first. An unverified version must
+// not go on.
+func (s *updateStep) abortsRunning(state EngineState) bool {
+	return state.Version != 0 && (s.engineEmpty || s.abortRunning)
+}
--- a/installer/start.go
+++ b/installer/start.go
@@ -77,6 +77,8 @@
 	// queueUntil is the time until which a queued request may begin on the old version;
 	// zero if unknown.
 	queueUntil time.Time
+	// abortRunning is set if the drain ended before the engine had no requests left.
+	abortRunning bool
 	// engineEmpty is set if the engine has no verified version.
 	engineEmpty bool
 }
