installer: a drain does not go by an old report

A drain that ended by a report of a queue could abort all that ran, although the queue had been empty for seconds: the sidecar was suspended, or could not read the engine's state for a while. Once the last report is older than 0.2 s, five intervals, the drain reads the state itself before it decides.

The test failed before: 12 requests were aborted.

--- a/installer/drain.go
+++ b/installer/drain.go
@@ -25,8 +25,13 @@
 	drainCanceled drainEnd = "canceled"
 )
 
-// drainPollInterval is the pause between two looks at the engine's state.
-const drainPollInterval = 50 * time.Millisecond
+const (
+	// drainPollInterval is the pause between two looks at the engine's state.
+	drainPollInterval = 50 * time.Millisecond
+	// maxDrainReportAge is the age from which the last report of the engine's state says
+	// nothing about its requests: several reports are missing.
+	maxDrainReportAge = 200 * time.Millisecond
+)
 
 // Draining reports whether the engine should get no new requests because it is being
 // drained or updated.
@@ -59,7 +64,7 @@
 			end = drainCanceled
 			break
 		}
-		state, _ = i.State()
+		state = i.drainState(ctx, state)
 		i.postponeUpdate(clock.Now())
 	}
 	s.abortRunning = end != drainEmpty
@@ -75,6 +80,19 @@
 	}
 }
 
+// drainState returns the engine's state. It reads the state itself if reports are missing,
+// and returns last if that fails.
+func (i *Installer) drainState(ctx context.Context, last EngineState) EngineState {
+	state, at := i.State()
+	if clock.Since(at) <= maxDrainReportAge {
+		return state
+	}
+	if state, err := i.engine.State(ctx); err == nil {
+		return state
+	}
+	return last
+}
+
 // drainEnded returns why a drain that began at the given time ends now, with the engine's
 // last state, or an empty string if it does not.
 func (s *updateStep) drainEnded(state EngineState, began, now time.Time) drainEnd {
--- a/installer/drain_test.go
+++ b/installer/drain_test.go
@@ -27,6 +27,10 @@
 	// requestTimeout is Params.RequestTimeout.
 	requestTimeout time.Duration
 	ageUnknown     bool
+	// queueEndsAfter is when the queue is empty, if before endsAfter; 0 for no such time.
+	queueEndsAfter time.Duration
+	// reportsEndAfter is when the reports of the engine's state end; 0 for never.
+	reportsEndAfter time.Duration
 }
 
 // run carries out the update. It returns the time until the engine had version 2 loaded
@@ -50,9 +54,14 @@
 		r.completedAt = began.Add(-c.completed)
 		i.replicas = []*replica{r}
 		reports := make(chan struct{})
+		reporting, stopReports := context.WithCancel(ctx)
+		defer stopReports()
+		if c.reportsEndAfter > 0 {
+			time.AfterFunc(c.reportsEndAfter, stopReports)
+		}
 		go func() {
 			defer close(reports)
-			reportState(ctx, i, e)
+			reportState(reporting, i, e)
 		}()
 		at := func(after time.Duration, do func()) {
 			if after > 0 {
@@ -64,6 +73,7 @@
 			}
 		}
 		at(c.endsAfter, func() { e.running, e.state.Queued = 0, 0 })
+		at(c.queueEndsAfter, func() { e.state.Queued = 0 })
 		synctest.Wait()
 		s, _ := i.nextUpdate(began)
 		assert.Assert(t, s != nil && !s.startAt.After(began), "no update is due")
@@ -110,6 +120,19 @@
 	}
 }
 
+// Guards against a load that aborts requests by a report of a queue that is empty by now:
+// the sidecar was suspended, or its reads of the engine's state failed for a while.
+func TestUpdateDoesNotTrustOldReport(t *testing.T) {
+	c := drainCase{
+		running: 12, queued: 1, queueEndsAfter: time.Second, endsAfter: 4 * time.Second, reportsEndAfter: 500 * time.Millisecond,
+		deadlineIn: 3 * time.Second, requestTimeout: 6 * time.Second, completed: 2 * time.Second,
+	}
+	took, aborted := c.run(t)
+	assert.Equal(t, aborted, 0)
+	// After the load, reportTimeout passes without a report.
+	assert.Assert(t, took >= c.endsAfter && took < c.endsAfter+reportTimeout+testSlack, "%s", took)
+}
+
 // Guards against a request that never ends and keeps its engine from the new version.
 func TestUpdateWaitIsBounded(t *testing.T) {
 	for name, c := range map[string]struct {
