installer: after a drain, the version that is next by then is loaded

A drain may last for seconds now. An engine whose next version had been replaced meanwhile by a complete newer one loaded both, and was out of service twice.

--- a/installer/drain_test.go
+++ b/installer/drain_test.go
@@ -29,12 +29,14 @@
 	ageUnknown     bool
 	// queueEndsAfter is when the queue is empty, if before endsAfter; 0 for no such time.
 	queueEndsAfter time.Duration
+	// newerAfter is when version 3 is complete, too; 0 for never.
+	newerAfter time.Duration
 	// reportsEndAfter is when the reports of the engine's state end; 0 for never.
 	reportsEndAfter time.Duration
 }
 
 // run carries out the update. It returns the time until the engine had version 2 loaded
-// and the number of requests that this aborted.
+// (3 if that was complete by then) and the number of requests that this aborted.
 func (c drainCase) run(t *testing.T) (took time.Duration, aborted int) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &fakeEngine{}
@@ -46,13 +48,7 @@
 		began := time.Now()
 		i.params = Params{Model: testModel, Chunks: testChunks, Deadline: testDeadline, RequestTimeout: c.requestTimeout}
 		i.targets = []target{{version: 2, setAt: began.Add(c.deadlineIn - testDeadline), ageUnknown: c.ageUnknown}}
-		r := newReplica(manifestOf(2), "box0")
-		for n := range testChunks {
-			r.chunks[n] = chunkOf(2, n)
-			r.held.Set(uint(n))
-		}
-		r.completedAt = began.Add(-c.completed)
-		i.replicas = []*replica{r}
+		i.replicas = []*replica{completeReplica(2, began.Add(-c.completed))}
 		reports := make(chan struct{})
 		reporting, stopReports := context.WithCancel(ctx)
 		defer stopReports()
@@ -73,12 +69,22 @@
 			}
 		}
 		at(c.endsAfter, func() { e.running, e.state.Queued = 0, 0 })
+		at(c.newerAfter, func() {
+			i.mu.Lock()
+			defer i.mu.Unlock()
+			i.targets = append(i.targets, target{version: 3, setAt: time.Now()})
+			i.replicas = append(i.replicas, completeReplica(3, time.Now()))
+		})
 		at(c.queueEndsAfter, func() { e.state.Queued = 0 })
 		synctest.Wait()
 		s, _ := i.nextUpdate(began)
 		assert.Assert(t, s != nil && !s.startAt.After(began), "no update is due")
 		i.execute(ctx, s)
-		assert.DeepEqual(t, e.started, []int{2})
+		want := 2
+		if c.newerAfter > 0 {
+			want = 3
+		}
+		assert.DeepEqual(t, e.started, []int{want})
 		assert.Assert(t, !i.Draining())
 		took, aborted = time.Since(began), e.cut
 		cancel()
@@ -87,6 +93,17 @@
 	return took, aborted
 }
 
+// completeReplica returns a replica of a version with all its chunks.
+func completeReplica(version int, completedAt time.Time) *replica {
+	r := newReplica(manifestOf(version), "box0")
+	for n := range testChunks {
+		r.chunks[n] = chunkOf(version, n)
+		r.held.Set(uint(n))
+	}
+	r.completedAt = completedAt
+	return r
+}
+
 // reportState reports the engine's state to i, as a sidecar does, until ctx ends.
 func reportState(ctx context.Context, i *Installer, e *fakeEngine) {
 	for ctx.Err() == nil {
@@ -120,6 +137,14 @@
 	}
 }
 
+// Guards against an engine that loads a version that a newer one has replaced while its
+// requests ended, and is out of service twice.
+func TestUpdateTakesNewestVersionAfterWait(t *testing.T) {
+	c := drainCase{running: 3, endsAfter: 2 * time.Second, deadlineIn: 3 * time.Second, requestTimeout: 6 * time.Second, newerAfter: time.Second}
+	_, aborted := c.run(t)
+	assert.Equal(t, aborted, 0)
+}
+
 // Guards against a load that aborts requests by a report of a queue that is empty by now:
 // the sidecar was suspended, or its reads of the engine's state failed for a while.
 func TestUpdateDoesNotTrustOldReport(t *testing.T) {
--- a/installer/start.go
+++ b/installer/start.go
@@ -343,12 +343,25 @@
 	if !s.engineEmpty {
 		i.drain(ctx, s)
 		defer i.setDraining(false)
+		s = i.replan(s)
 	}
 	if !i.load(ctx, s) {
 		clock.Sleep(ctx, retryDelay)
 	}
 }
 
+// replan returns the update to carry out after the drain of s: that to the version that is
+// next now, which is not that of s if a newer one has become complete.
+func (i *Installer) replan(s *updateStep) *updateStep {
+	next, _ := i.nextUpdate(clock.Now())
+	if next == nil || next.replica.manifest.Version <= s.replica.manifest.Version {
+		return s
+	}
+	next.abortRunning = s.abortRunning
+	i.setUpdating(next, clock.Now())
+	return next
+}
+
 // recordSchedule sets updateScheduled: whether s is an update of an engine that has a
 // verified version and is drained first. s is nil if no update is planned.
 func (i *Installer) recordSchedule(s *updateStep) {
