--- a/cmd/mintlift/bubble_test.go
+++ b/cmd/mintlift/bubble_test.go
@@ -51,6 +51,8 @@
 	settings  string         // further settings of the daemons, as JSON with a leading comma
 	// respond responds to requests at endpoints.
 	respond func(e *bubbleEndpoint, w http.ResponseWriter, r *http.Request)
+	// prepare, if not nil, is called with each endpoint before it serves.
+	prepare func(e *bubbleEndpoint)
 	slots   int // that endpoints announce
 
 	mu       sync.Mutex
@@ -184,6 +186,9 @@
 // startEndpoint serves and lists an endpoint.
 func (b *bubble) startEndpoint(box *memnet.Box, e *bubbleEndpoint) {
 	b.endpoints = append(b.endpoints, e)
+	if b.prepare != nil {
+		b.prepare(e)
+	}
 	b.serve(box, e.address, e)
 	e.writeEntry()
 }
--- a/cmd/mintlift/dayrun_test.go
+++ b/cmd/mintlift/dayrun_test.go
@@ -55,6 +55,7 @@
 	b.slots = plan.Slots
 	b.settings = fmt.Sprintf(`,"bounds":{"retry_budget_ratio":%g,"budget_slack":%g,"budget_window_s":%g}`, plan.Ratio, plan.Slack, budgetWindow.Seconds())
 	b.respond = d.respond
+	b.prepare = func(e *bubbleEndpoint) { d.endpoints = append(d.endpoints, newDayEndpoint(d, e)) }
 	if dir := os.Getenv("DAYS_LOGS"); dir != "" {
 		f, err := os.Create(filepath.Join(dir, fmt.Sprintf("day-%d.log", plan.Seed)))
 		assert.NilError(t, err)
@@ -70,9 +71,6 @@
 	for n := range plan.Plain {
 		b.startPlain(fmt.Sprintf("10.%d.2.%d", 1+n%plan.Zones, 1+n), bubbleZones[n%plan.Zones])
 	}
-	for _, e := range b.endpoints {
-		d.endpoints = append(d.endpoints, newDayEndpoint(d, e))
-	}
 	for n := range plan.Gateways {
 		zone := n % plan.Zones
 		b.startGateway(fmt.Sprintf("10.%d.0.%d", 1+zone, 1+n), fmt.Sprintf("10.%d.3.%d", 1+zone, 1+n), bubbleZones[zone])
