--- a/cmd/mintlift/day_test.go
+++ b/cmd/mintlift/day_test.go
@@ -71,8 +71,8 @@
 var troubleDraws = []troubleDraw{
 	{silentEndpoint, 8, 300 * time.Millisecond, 2 * time.Second},
 	{silentZone, 4, 300 * time.Millisecond, 2 * time.Second},
-	{silentBox, 3, 300 * time.Millisecond, 1200 * time.Millisecond},
-	{silentGateway, 2, 300 * time.Millisecond, 1200 * time.Millisecond},
+	{silentBox, 3, 300 * time.Millisecond, 2 * time.Second},
+	{silentGateway, 2, 300 * time.Millisecond, 2 * time.Second},
 	{crash, 2, 300 * time.Millisecond, 2 * time.Second},
 	{leave, 2, 500 * time.Millisecond, longestLeave},
 	{dropRoute, 3, 300 * time.Millisecond, 3 * time.Second},
