--- a/internal/daycheck/daycheck_test.go
+++ b/internal/daycheck/daycheck_test.go
@@ -55,6 +55,8 @@
 		{"canceled before another run delivered", stream(cut), []*Run{run("x", 0, 190, Canceled).events(0, 1), run("y", 150, 1000, Broke).events(1, 2)}, "LOST"},
 		{"standby canceled when the first delivered, which was broken off", stream(cut), []*Run{run("x", 0, 200, Broke).events(0, 2), run("y", 150, 230, Canceled)}, ""},
 		{"standby canceled when the first was broken off", stream(cut), []*Run{run("x", 0, 500, Broke).events(0, 2), run("y", 250, 530, Canceled)}, "LOST"},
+		{"standby canceled for an event that came while its request was on its way", stream(cut), []*Run{run("x", 0, 900, Broke).events(0, 2), run("y", 220, 240, Canceled)}, ""},
+		{"resumed after the last event, then canceled", stream(cut), []*Run{run("x", 0, 210, Broke).events(0, 2), run("y", 220, 900, Canceled)}, "LOST"},
 		{"canceled on its way after another run delivered", stream(cut), []*Run{run("x", 300, 300, Canceled), run("y", 50, 1000, Broke).events(0, 2)}, ""},
 		{"canceled on its way before another run delivered", stream(cut), []*Run{run("x", 40, 40, Canceled), run("y", 50, 1000, Broke).events(0, 2)}, "LOST"},
 		{"broken off by the endpoint", stream(cut), []*Run{run("x", 0, 1000, Broke)}, ""},
