fleet: the share of a silent engine counts all gateways that may watch it

The share now uses the larger of the report's count and the gateway's own, for services of which all gateways watch all engines.

TestSilentSidecarSharesEngine with 2 gateways in the report and 8 known sent 12 before, wanted 3.

--- a/backpressure/table.go
+++ b/backpressure/table.go
@@ -26,6 +26,9 @@
 // SetGateways sets the number of gateways that share limits.
 func (t *Table) SetGateways(gateways int) { t.gateways = max(gateways, 1) }
 
+// Gateways returns the number of gateways that share limits.
+func (t *Table) Gateways() int { return t.gateways }
+
 // NoSignals reports whether no signal of any endpoint is in force.
 func (t *Table) NoSignals() bool { return !t.anySignal }
 
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -245,7 +245,7 @@
 // load is 0 if the bound on connections is reached.
 func (f *Fleet) room(e *Endpoint, q *Query, now time.Time) (load float64, ok bool) {
 	granted := e.granted(q, now)
-	if !granted && (e.needsGrant(q, now) || e.silentFull(q, now)) {
+	if !granted && (e.needsGrant(q, now) || f.silentFull(e, q, now)) {
 		return e.Load(now), false
 	}
 	return f.roomFor(e, q, granted, now)
--- a/fleet/slots.go
+++ b/fleet/slots.go
@@ -44,15 +44,21 @@
 // silentFull reports whether the engine of a silent sidecar has its share of this gateway's
 // attempts: twice the slots divided by the gateways, and at least one. The last report does
 // not show what the other gateways send meanwhile, and each could fill the engine alone.
-// Without a report, the number of gateways is not known, and the share is one attempt.
-func (e *Endpoint) silentFull(q *Query, now time.Time) bool {
+// Without a report, the share is one attempt. The last report may count too few gateways, such
+// as while messages to the sidecar were lost, so all that this gateway knows of count if they
+// all watch the engine.
+func (f *Fleet) silentFull(e *Endpoint, q *Query, now time.Time) bool {
 	if !q.SlotGrants || e.fresh(now) && !e.SlotGrants.ByReports(now) {
 		return false
 	}
 	if e.reportAt.IsZero() {
 		return e.inFlight > 0
 	}
-	return e.inFlight >= max(1, int(2*q.Slots)/max(1, e.report.Gateways))
+	gateways := e.report.Gateways
+	if len(f.byService[e.Service]) <= watchTarget {
+		gateways = max(gateways, f.signals.Gateways())
+	}
+	return e.inFlight >= max(1, int(2*q.Slots)/max(1, gateways))
 }
 
 // grantedFirstByteMS is like firstByteMS, for an engine of which a slot is granted: the
--- a/fleet/slots_test.go
+++ b/fleet/slots_test.go
@@ -104,8 +104,9 @@
 // Guards against gateways that each fill the engine of a silent sidecar by its last report,
 // so that together they exceed twice its slots.
 func TestSilentSidecarSharesEngine(t *testing.T) {
-	for _, test := range []struct{ gateways, want int }{{26, 1}, {14, 1}, {8, 3}} {
+	for _, test := range []struct{ gateways, known, want int }{{26, 0, 1}, {14, 0, 1}, {8, 0, 3}, {8, 2, 3}, {2, 8, 3}} {
 		f := engines(1)
+		f.SetGateways(test.known)
 		q := scarceQuery()
 		r := report("a", 1, 0, 0)
 		r.Gateways = test.gateways
@@ -115,7 +116,7 @@
 		for chosen(f, q, silent) == "a" {
 			sent++
 		}
-		assert.Equal(t, sent, test.want, "%d gateways", test.gateways)
+		assert.Equal(t, sent, test.want, "%d gateways, %d known", test.gateways, test.known)
 	}
 }
 
