--- a/cmd/mintlift/platform_notices.go
+++ b/cmd/mintlift/platform_notices.go
@@ -70,7 +70,7 @@
 		NoWeights: !hasWeights,
 		Model:     model, Region: n.settings.Region, Read: progress.position.Offset, Era: progress.position.Era, VersionSum: progress.versionSum,
 		Demand: math.Round(n.server.Demand(service, now)), TargetVersions: targetVersions(n.server, model, now),
-		CutoffMarginMS: n.server.CutoffMargin(model).Milliseconds(), RequestTimeoutMS: c.LongestTimeout(service).Milliseconds(),
+		CutoffMarginMS: n.server.CutoffMargin(model).Milliseconds(),
 	}
 }
 
--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -33,8 +33,8 @@
 	mu sync.Mutex
 	// weights is the newest weights configuration; Chunks is 0 while there is none.
 	weights routing.WeightsConfig
-	// cutoffMargin is installer.Params.CutoffMargin, requestTimeout RequestTimeout.
-	cutoffMargin, requestTimeout time.Duration
+	// cutoffMargin is installer.Params.CutoffMargin.
+	cutoffMargin time.Duration
 }
 
 // HandleConfiguration implements platform.OperatorHandler.
@@ -58,16 +58,15 @@
 	s.configureInstaller()
 }
 
-// setTimes sets the time from the gateways' routing cutoff to the deadline of a target
-// version, where 0 stands for the usual time, and the longest time for which a gateway
-// lets a request run, where 0 stands for an unknown time.
-func (s *sidecarState) setTimes(cutoffMargin, requestTimeout time.Duration) {
+// setCutoffMargin sets the time from the gateways' routing cutoff to the deadline of a
+// target version; 0 stands for the usual time.
+func (s *sidecarState) setCutoffMargin(margin time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if cutoffMargin == s.cutoffMargin && requestTimeout == s.requestTimeout {
+	if margin == s.cutoffMargin {
 		return
 	}
-	s.cutoffMargin, s.requestTimeout = cutoffMargin, requestTimeout
+	s.cutoffMargin = margin
 	if s.weights.Chunks > 0 {
 		s.configureInstaller()
 	}
@@ -83,7 +82,7 @@
 		Deadline:     s.settings.VersionDeadline(),
 		OriginRate:   w.OriginRate,
 		OriginRegion: s.settings.Regions[w.OriginZone],
-		CutoffMargin: s.cutoffMargin, RequestTimeout: s.requestTimeout,
+		CutoffMargin: s.cutoffMargin,
 	})
 }
 
@@ -261,7 +260,7 @@
 	defer ticker.Stop()
 	i := sidecar.installer
 	for {
-		sidecar.setTimes(publisher.CutoffMargin(clock.Now()), publisher.RequestTimeout(clock.Now()))
+		sidecar.setCutoffMargin(publisher.CutoffMargin(clock.Now()))
 		began := clock.Now()
 		state, err := engine.State(ctx)
 		if err == nil {
--- a/installer/expectation.go
+++ b/installer/expectation.go
@@ -111,13 +111,3 @@
 		i.updating = update{version: s.replica.manifest.Version, ends: s.endsAfter(now)}
 	}
 }
-
-// postponeUpdate records that the engine is still draining at now, so that the update in
-// progress ends loadTime later at the earliest.
-func (i *Installer) postponeUpdate(now time.Time) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if ends := now.Add(loadTime); !i.updating.ends.IsZero() && i.updating.ends.Before(ends) {
-		i.updating.ends = ends
-	}
-}
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -136,9 +136,6 @@
 	// CutoffMargin is the time from the routing cutoff of a target version to its
 	// deadline, as gateways use it; 0 for the usual time, routingCutoffMargin.
 	CutoffMargin time.Duration
-	// RequestTimeout is the longest time for which a gateway lets a request run at the
-	// service; 0 if unknown.
-	RequestTimeout time.Duration
 }
 
 // Settings identify the box of an Installer.
--- a/installer/load.go
+++ b/installer/load.go
@@ -143,7 +143,7 @@
 	m := s.replica.manifest
 	i.expectStart(state)
 	began := clock.Now()
-	outcome, err := i.engine.Start(ctx, Start{Model: m.Model, Version: m.Version, AbortRunning: s.abortsRunning(state), Orders: state.Orders})
+	outcome, err := i.engine.Start(ctx, Start{Model: m.Model, Version: m.Version, AbortRunning: state.Version != 0, Orders: state.Orders})
 	took := clock.Since(began).Milliseconds()
 	switch outcome {
 	case Unknown:
--- a/installer/start.go
+++ b/installer/start.go
@@ -44,13 +44,13 @@
 
 // Timing of an update of the engine.
 const (
-	// drainTimeout is the time from the start of a drain in the last slot until requests
-	// that are still queued are aborted. In a drain, an engine gets no new requests.
+	// drainTimeout bounds a drain: the time in which an engine gets no new requests
+	// before it is updated. Requests that still run at its end are aborted, and
+	// resumed on other engines where that is possible.
 	drainTimeout = 1000 * time.Millisecond
-	// startMargin is the time from then to the deadline.
-	startMargin = lastSlotMargin - drainTimeout
 	// earlyDrainTimeout replaces drainTimeout for the first earlySlotShare of the
-	// slots. These engines soon serve the new version.
+	// slots. These engines soon serve the new version, so that they can resume the
+	// requests that later updates abort.
 	earlyDrainTimeout = 500 * time.Millisecond
 	earlySlotShare    = 0.15
 	// drainPropagation is the maximum time until all gateways have received the report
@@ -70,15 +70,8 @@
 	replica     *replica
 	targetSetAt time.Time // when the operator set the target version; zero if unknown
 	startAt     time.Time // when the drain starts, or the load if there is no drain
-	// drainLimit is the duration of a drain after which queued requests are aborted, unless
-	// queueUntil is later. It is 0 for an engine to which gateways have stopped routing: its
-	// running requests are waited for, too.
+	// drainLimit bounds the drain; 0 means that there is no drain.
 	drainLimit time.Duration
-	// queueUntil is the time until which a queued request may begin on the old version;
-	// zero if unknown.
-	queueUntil time.Time
-	// abortRunning is set if the drain ended before the engine had no requests left.
-	abortRunning bool
 	// engineEmpty is set if the engine has no verified version.
 	engineEmpty bool
 }
@@ -143,9 +136,6 @@
 		s.drainLimit = earlyDrainTimeout
 	}
 	pending := i.oldestPending()
-	if !pending.setAt.IsZero() && !pending.ageUnknown {
-		s.queueUntil = pending.setAt.Add(i.params.Deadline - startMargin)
-	}
 	if cutoff := i.routingCutoff(pending); !cutoff.IsZero() && !now.Before(cutoff) && !r.completedAt.Before(cutoff) {
 		s.drainLimit = 0 // not reported as scheduled, so gateways have stopped routing to this engine
 		return s
@@ -165,9 +155,10 @@
 }
 
 // boundDrain returns the limit of a drain that begins at start. A replica may be complete
-// after the last slot and before the routing cutoff. The limit is shorter, so that queued
-// requests that a gateway could not withdraw are aborted as long before the deadline as
-// after a drain in the last slot. A drain lasts at least drainPropagation.
+// after the last slot and before the routing cutoff. Its drain is shorter, so that the
+// load begins as long before the deadline as after a drain in the last slot: the load
+// also drops requests that a gateway could not withdraw. A drain lasts at least
+// drainPropagation.
 func boundDrain(limit time.Duration, start, setAt time.Time, deadline time.Duration) time.Duration {
 	left := setAt.Add(lastSlot(deadline) + drainTimeout).Sub(start)
 	return min(limit, max(left, drainPropagation))
@@ -335,33 +326,20 @@
 	return float64(r.reachable()) >= float64(len(r.chunks))*elapsed.Seconds()/expected
 }
 
-// execute carries out the update s: it drains the engine, if that has a verified version,
-// and loads the version of s.
+// execute carries out the update s: it drains the engine, if s provides for that, and
+// loads the version of s.
 func (i *Installer) execute(ctx context.Context, s *updateStep) {
 	i.setUpdating(s, clock.Now())
 	defer func() { i.setUpdating(nil, clock.Now()) }()
-	if !s.engineEmpty {
-		i.drain(ctx, s)
+	if !s.engineEmpty && s.drainLimit > 0 {
+		i.drain(ctx, s.drainLimit)
 		defer i.setDraining(false)
-		s = i.replan(s)
 	}
 	if !i.load(ctx, s) {
 		clock.Sleep(ctx, retryDelay)
 	}
 }
 
-// replan returns the update to carry out after the drain of s: that to the version that is
-// next now, which is not that of s if a newer one has become complete.
-func (i *Installer) replan(s *updateStep) *updateStep {
-	next, _ := i.nextUpdate(clock.Now())
-	if next == nil || next.replica.manifest.Version <= s.replica.manifest.Version {
-		return s
-	}
-	next.abortRunning = s.abortRunning
-	i.setUpdating(next, clock.Now())
-	return next
-}
-
 // recordSchedule sets updateScheduled: whether s is an update of an engine that has a
 // verified version and is drained first. s is nil if no update is planned.
 func (i *Installer) recordSchedule(s *updateStep) {
@@ -377,3 +355,45 @@
 	defer i.mu.Unlock()
 	return i.updateScheduled && !i.draining
 }
+
+// Draining reports whether the engine should get no new requests because it is being
+// drained or updated.
+func (i *Installer) Draining() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.draining
+}
+
+// setDraining sets whether gateways are told to send the engine no new requests.
+func (i *Installer) setDraining(draining bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.draining = draining
+}
+
+// drain sets the engine draining and waits until it has no requests left, but at least
+// until all gateways have received that, or until limit has passed. The caller ends the
+// drain with setDraining.
+func (i *Installer) drain(ctx context.Context, limit time.Duration) {
+	i.setDraining(true)
+	state, _ := i.State()
+	i.log.Info("drain started", "running", state.Running, "queued", state.Queued, "version", state.Version)
+	const pollInterval = 50 * time.Millisecond
+	began := clock.Now()
+	last := began
+	// running is the time without the pauses of this process, which tells no gateway meanwhile.
+	// told is when all gateways had been told.
+	running, told := time.Duration(0), time.Time{}
+	for ctx.Err() == nil && (told.IsZero() || clock.Since(began) < limit) {
+		if state, readAt := i.State(); state.Running+state.Queued == 0 && !told.IsZero() && readAt.After(told) {
+			return
+		}
+		clock.Sleep(ctx, pollInterval)
+		now := clock.Now()
+		running += min(now.Sub(last), pollInterval)
+		last = now
+		if told.IsZero() && running >= drainPropagation {
+			told = now
+		}
+	}
+}
--- a/loadreport/cutoff.go
+++ b/loadreport/cutoff.go
@@ -18,17 +18,3 @@
 	}
 	return shortest
 }
-
-// RequestTimeout returns the longest time for which a current subscriber, which is a
-// gateway, lets a request run at the service, or 0 if none has sent it.
-func (p *Publisher) RequestTimeout(now time.Time) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	longest := time.Duration(0)
-	for _, s := range p.subs {
-		if now.Sub(s.subscribedAt) <= subscriptionTTL {
-			longest = max(longest, s.requestTimeout)
-		}
-	}
-	return longest
-}
--- a/loadreport/demand.go
+++ b/loadreport/demand.go
@@ -24,8 +24,6 @@
 	unwatched bool
 	// cutoffMargin is the gateway's Notice.CutoffMarginMS.
 	cutoffMargin time.Duration
-	// requestTimeout is the gateway's Notice.RequestTimeoutMS.
-	requestTimeout time.Duration
 }
 
 // weight returns the subscriber's weight when the endpoint's free capacity is divided
--- a/loadreport/loadreport.go
+++ b/loadreport/loadreport.go
@@ -75,10 +75,6 @@
 	// deadline, in milliseconds, or 0 for the usual time. Gateways of the former release
 	// do not send it.
 	CutoffMarginMS int64 `json:"cutoff_ms,omitempty"`
-	// RequestTimeoutMS is the longest time for which the gateway lets a request run at the
-	// service, in milliseconds, or 0 if it is unbounded or unknown. Gateways of the former
-	// release do not send it.
-	RequestTimeoutMS int64 `json:"timeout_ms,omitempty"`
 	// NoWeights is set if the gateway's configuration has no weights for the service: no
 	// sidecar loads its engines.
 	NoWeights bool `json:"no_weights,omitempty"`
--- a/loadreport/publisher.go
+++ b/loadreport/publisher.go
@@ -91,7 +91,7 @@
 		}
 		p.mu.Lock()
 		p.lastSubscribed = now
-		p.subs[from] = subscriber{subscribedAt: p.lastSubscribed, region: datagram.Region, demand: datagram.Demand, versionSum: datagram.VersionSum, unwatched: datagram.Unwatched, cutoffMargin: time.Duration(datagram.CutoffMarginMS) * time.Millisecond, requestTimeout: time.Duration(datagram.RequestTimeoutMS) * time.Millisecond}
+		p.subs[from] = subscriber{subscribedAt: p.lastSubscribed, region: datagram.Region, demand: datagram.Demand, versionSum: datagram.VersionSum, unwatched: datagram.Unwatched, cutoffMargin: time.Duration(datagram.CutoffMarginMS) * time.Millisecond}
 		p.read = history.Later(p.read, history.Position{Era: datagram.Era, Offset: datagram.Read})
 		p.versionTimes.merge(datagram.Notice, now)
 		response := sidecarDatagram{
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -272,24 +272,6 @@
 	return found
 }
 
-// LongestTimeout returns the longest timeout of the routes that lead to a service. It is 0
-// if there is no such route or one has no timeout.
-func (c *Configuration) LongestTimeout(service string) time.Duration {
-	longest := time.Duration(0)
-	for _, list := range c.hosts {
-		for _, r := range list {
-			if !slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service }) {
-				continue
-			}
-			if r.Timeout <= 0 {
-				return 0
-			}
-			longest = max(longest, r.Timeout)
-		}
-	}
-	return longest
-}
-
 // Authenticated reports whether requests to routes that are not public need a key.
 // They do if any workspace is configured.
 func (c *Configuration) Authenticated() bool { return c.workspaces > 0 }
