--- a/ingress/watch.go
+++ b/ingress/watch.go
@@ -81,9 +81,15 @@
 		w.silent = true
 		x.server.pool.CloseIdle(a.endpoint.Address) // these may be silent as well
 	}
-	if !x.canFailOver() || x.finished(w.parent) || x.crashLimitReached() {
-		return
+	if x.canFailOver() && !x.finished(w.parent) && !x.crashLimitReached() {
+		w.beginStandby(idle, now)
 	}
+}
+
+// beginStandby begins a standby if the retry budget allows one. A standby that is silent as well
+// is canceled first, and the next check begins another one. watch.mu is held.
+func (w *watch) beginStandby(idle time.Duration, now time.Time) {
+	x, a := w.exchange, w.attempt
 	allowed := x.retryAvailable(now)
 	if allowed || !w.denied {
 		x.server.log.Info("attempt silent", "request", x.id, "attempt", a.number, "endpoint", a.endpoint.ID, "begun", w.opened, "idle_ms", idle.Milliseconds(), "paused_ms", w.paused.Milliseconds(), "ms", now.Sub(a.sentAt).Milliseconds(), "budget", allowed)
@@ -93,8 +99,8 @@
 		x.countStandby(standbyNoBudget)
 		return
 	}
-	if s != nil && !s.finished {
-		s.cancel(errStalled) // the next check begins another one
+	if s := w.standby; s != nil && !s.finished {
+		s.cancel(errStalled)
 		return
 	}
 	w.standby = newStandby(w)
