--- a/ingress/standby_faults_test.go
+++ b/ingress/standby_faults_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -91,32 +90,14 @@
 	r := route(routing.Safe, "/frozen/", "plain", 2)
 	r.Timeout, r.TargetLatency = 4*time.Second, 4*time.Second
 	g.configure(1, r)
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var err error
-		_ = c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
-		return err
-	}}
-	l, err := config.Listen(t.Context(), "tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	ended, won := make(chan error, 1), make(chan struct{})
-	go func() {
-		c, err := l.Accept()
-		if err == nil {
-			defer c.Close()
-			<-won // the request stays in the kernel until then
-			_, err = io.Copy(io.Discard, c)
-		}
-		ended <- err
-	}()
-	g.server.PutEndpoint(fleet.Record{ID: "frozen", Service: "plain", Address: l.Addr().String(), Zone: "z"})
+	thaw, ended := g.startFrozenEndpoint()
 	time.AfterFunc(500*time.Millisecond, func() { g.startEndpoint("b", "plain", respondOK("x")) })
 	response, body := g.do("POST", "/frozen/1", strings.Repeat("x", 1<<20), withHeader(testHeaders.Deadline, "4000"))
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 	assert.Equal(t, body, "x")
 	time.Sleep(2 * time.Second) // longer than the user timeout of a connection that may not be silent
-	close(won)
-	err = <-ended
+	close(thaw)
+	err := <-ended
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 }
 
