--- a/installer/start.go
+++ b/installer/start.go
@@ -381,19 +381,19 @@
 	const pollInterval = 50 * time.Millisecond
 	began := clock.Now()
 	last := began
-	// running is the time without the pauses of this process, which tells no gateway meanwhile.
-	// told is when all gateways had been told.
-	running, told := time.Duration(0), time.Time{}
-	for ctx.Err() == nil && (told.IsZero() || clock.Since(began) < limit) {
-		if state, readAt := i.State(); state.Running+state.Queued == 0 && !told.IsZero() && readAt.After(told) {
+	// running is the time without the pauses of this process, in which it sends no reports.
+	// notifiedAt is when all gateways had received a report of the drain.
+	running, notifiedAt := time.Duration(0), time.Time{}
+	for ctx.Err() == nil && (notifiedAt.IsZero() || clock.Since(began) < limit) {
+		if state, readAt := i.State(); state.Running+state.Queued == 0 && !notifiedAt.IsZero() && readAt.After(notifiedAt) {
 			return
 		}
 		clock.Sleep(ctx, pollInterval)
 		now := clock.Now()
 		running += min(now.Sub(last), pollInterval)
 		last = now
-		if told.IsZero() && running >= drainPropagation {
-			told = now
+		if notifiedAt.IsZero() && running >= drainPropagation {
+			notifiedAt = now
 		}
 	}
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -79,7 +79,7 @@
 	// reports whether bytes that the endpoint has not acknowledged are to be dropped all
 	// the same. Nil stands for false.
 	DropUndelivered func() bool
-	// Delivery, if not nil, is told when the request is sent.
+	// Delivery, if not nil, tells about the request once it is sent.
 	Delivery *Delivery
 }
 
