ingress: a silent engine that holds the version keeps its streams at the deadline

Its reports had been missing for 1.2 s, so that its version counted as unknown, and unknown as older.

An engine whose reports are missing now has the version that it had when the attempt was sent, which it cannot lose without losing its connections; one whose report calls its weights unverified has none, as before.

--- a/fleet/endpoint.go
+++ b/fleet/endpoint.go
@@ -110,6 +110,10 @@
 // list shows. It exceeds the time for which an order may be delayed on the way.
 const listedChangeDelay = 15 * time.Second
 
+// ReportsMissing reports whether the last report is too old to show the version that the engine
+// holds, and did not call it unverified.
+func (e *Endpoint) ReportsMissing(now time.Time) bool { return !e.fresh(now) && !e.report.Unverified }
+
 // fresh reports whether the last report is younger than reportTTL.
 func (e *Endpoint) fresh(now time.Time) bool { return e.reportedWithin(reportTTL, now) }
 
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -42,6 +42,8 @@
 	// then until the first bytes of its response.
 	sentAt            time.Time
 	expectedFirstByte time.Duration
+	// heldVersion is the version that the engine held then; 0 if unknown.
+	heldVersion int
 	// gotBytes reports that bytes of the response have been received.
 	gotBytes bool
 	delivery upstream.Delivery
@@ -258,8 +260,9 @@
 	a.sentAt = now
 	a.endpointStartedMS = s.fleet.StartedMSAt(e.Address)
 	a.expectedFirstByte = enginePassTime + time.Duration((backlog+x.prefillMS)*float64(time.Millisecond))
-	load, age, holds, lowest := e.Load(now), e.ReportAge(now), e.HeldVersion(x.model, now), s.versionBounds(x, now).lowest
+	a.heldVersion = e.HeldVersion(x.model, now)
+	load, age, lowest := e.Load(now), e.ReportAge(now), s.versionBounds(x, now).lowest
 	s.mu.Unlock()
 	s.log.Info("attempt", "request", x.id, "attempt", a.number, "endpoint", e.ID, "service", x.service,
-		"load", load, "backlog_ms", int(backlog), "work_ms", int(x.prefillMS), "report_ms", age.Milliseconds(), "delay_ms", delay.Milliseconds(), "holds", holds, "min_version", lowest, "at_ms", now.Sub(x.start).Milliseconds(), "granted", a.granted)
+		"load", load, "backlog_ms", int(backlog), "work_ms", int(x.prefillMS), "report_ms", age.Milliseconds(), "delay_ms", delay.Milliseconds(), "holds", a.heldVersion, "min_version", lowest, "at_ms", now.Sub(x.start).Milliseconds(), "granted", a.granted)
 }
--- a/ingress/withdraw.go
+++ b/ingress/withdraw.go
@@ -52,13 +52,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for a := range s.unbegun {
-		if a.exchange.model == model && a.endpoint.HeldVersion(model, now) < version {
+		if a.exchange.model == model && a.versionNow(now) < version {
 			attempts = append(attempts, a)
 		}
 	}
 	return attempts
 }
 
+// versionNow returns the version that the engine of an attempt holds. One whose reports are
+// missing has the version that it had when the attempt was sent, or a newer one.
+func (a *attempt) versionNow(now time.Time) int {
+	held := a.endpoint.HeldVersion(a.exchange.model, now)
+	if held == 0 && a.endpoint.ReportsMissing(now) {
+		return a.heldVersion
+	}
+	return held
+}
+
 // withdraw cancels an attempt with errWithdrawn, unless it has ended or received its first
 // event since unbegunBelow returned it.
 func (s *Server) withdraw(a *attempt, version int) {
--- a/ingress/withdraw_test.go
+++ b/ingress/withdraw_test.go
@@ -194,3 +194,23 @@
 		})
 	}
 }
+
+// Guards against a stream that is withdrawn before a version's deadline from an engine that
+// holds the version but has fallen silent, so that its version is no longer known.
+func TestSilentEngineWithTheVersionKeepsItsStreams(t *testing.T) {
+	for name, held := range map[string]int{"the version": 2, "an older one": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newVirtualGateway(t, fleet.Place{Zone: "z"})
+				g.configure(1, patientRoutes()...)
+				g.startEndpoint("a", "engine", respondWithPause(0, 1900*time.Millisecond))
+				deadline := time.Now().Add(maxVersionMargin + 100*time.Millisecond)
+				g.server.SetTargetVersion(testModel, 2, false, deadline.Add(-g.server.settings.VersionDeadline))
+				g.server.HandleReport(fleet.Report{Address: g.records["a"].Address, Model: testModel, Version: held}, 0)
+				body, err := g.readStream("/resumable/1")
+				assert.NilError(t, err)
+				assert.Equal(t, body == eventsText(lastEvent), held == 2, body)
+			})
+		})
+	}
+}
