ingress: crashes are logged with the prompt's parts and whether the response had begun

Callers saw 502 and cut streams while one engine after the other ended. The log lines could not tell requests that have nothing in common from those that share a part of their prompts: no line named the parts.

--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -42,7 +42,7 @@
 	if !connectionLost(cause) {
 		return false
 	}
-	c := crashedAttempt{endpoint: e.ID, request: x.id, identity: x.identity, service: x.service, attempt: a.number, sentAt: a.sentAt}
+	c := crashedAttempt{endpoint: e.ID, request: x.id, identity: x.identity, service: x.service, attempt: a.number, sentAt: a.sentAt, begun: a.gotBytes, parts: x.request.Header.Get(s.settings.Headers.PromptParts)}
 	if s.pool.Refuses(a.ctx, e.Address, crashProbeTimeout) {
 		return s.recordCrash(c, clock.Now())
 	}
@@ -66,8 +66,13 @@
 	service           string
 	attempt           int
 	sentAt            time.Time
+	begun             bool   // the endpoint had begun to respond
+	parts             string // the header Headers.PromptParts of the request
 }
 
+// maxLoggedParts is the length, in bytes, to which crashedAttempt.parts is cut in logs.
+const maxLoggedParts = 256
+
 // recordCrash records a crash against the request. It returns false, and records
 // nothing, if the request was sent after the crash and so did not cause it.
 func (s *Server) recordCrash(c crashedAttempt, now time.Time) bool {
@@ -77,7 +82,7 @@
 	s.metrics.Counter("mintlift_ingress_crashes_total", "service", c.service).Inc()
 	status := s.suspects.RecordCrash(c.identity, c.sentAt, now)
 	s.events.Info("endpoint crashed", "endpoint", c.endpoint, "request", c.request, "identity", c.identity.String(), "attempt", c.attempt,
-		"ms", now.Sub(c.sentAt).Milliseconds(), "crashes", status.Crashes, "quarantined", status.Quarantined())
+		"ms", now.Sub(c.sentAt).Milliseconds(), "begun", c.begun, "parts", c.parts[:min(len(c.parts), maxLoggedParts)], "crashes", status.Crashes, "quarantined", status.Quarantined())
 	s.mu.Lock()
 	s.requestNoticeLocked()
 	s.mu.Unlock()
--- a/ingress/helpers_test.go
+++ b/ingress/helpers_test.go
@@ -27,7 +27,7 @@
 var testHeaders = Headers{
 	RequestID: "Test-Id", Deadline: "Test-Deadline", Seal: "Test-Seal", NotRun: "Test-Not-Run",
 	ExpectEndpoint: "Test-Expect", ExpectVersion: "Test-Version", Workspace: "Test-Workspace",
-	Priority: "Test-Priority", Model: "Test-Model", TokenUsage: "Test-Usage",
+	Priority: "Test-Priority", Model: "Test-Model", TokenUsage: "Test-Usage", PromptParts: "Test-Parts",
 }
 
 // testKey is the API key that test requests carry. testModel is the model that all test
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -49,6 +49,7 @@
 	Priority       string
 	Model          string
 	TokenUsage     string // "IN,OUT": number of prompt tokens and maximum number of generated tokens
+	PromptParts    string // "ID:TOKENS,...": parts of the prompt in order; the last is the request's own
 }
 
 // Settings configures a Server.
