--- a/ingress/answer.go
+++ b/ingress/answer.go
@@ -47,7 +47,7 @@
 	if x.refusal != "" {
 		s.metrics.Counter("mintlift_admission_refused_total", "reason", string(x.refusal)).Inc()
 	}
-	s.log.Info("request", "request", x.id, "identity", x.identity.String(), "body_bytes", len(x.body), "outcome", outcome, "cause", cause, "status", status, "route", route,
+	s.log.Info("request", "request", x.id, "identity", x.traits.Identity.String(), "body_bytes", len(x.body), "outcome", outcome, "cause", cause, "status", status, "route", route,
 		"service", x.service, "config", version, "config_age_ms", x.configAge.Milliseconds(), "attempts", x.attempts, "priority", x.priority, "returned", x.callerRetry, "refusal", string(x.refusal), "ending", string(x.ending), "return_ms", x.retryAfter.Milliseconds(), "ms", took.Milliseconds())
 	s.metrics.Counter("mintlift_ingress_requests_total", "service", x.service, "outcome", outcome).Inc()
 	s.metrics.Histogram("mintlift_ingress_request_seconds", "service", x.service, "outcome", outcome).Update(took.Seconds())
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -44,9 +44,11 @@
 	expectedFirstByte time.Duration
 	// heldVersion is the version that the engine held then; 0 if unknown.
 	heldVersion int
-	// gotBytes reports that bytes of the response have been received.
-	gotBytes bool
-	delivery upstream.Delivery
+	// gotBytes reports that bytes of the response have been received, and gotBytesAt is when
+	// the first were.
+	gotBytes   bool
+	gotBytesAt time.Time
+	delivery   upstream.Delivery
 }
 
 // send sends the request to the endpoint and reads the response header. lastEvent is the
@@ -242,6 +244,7 @@
 	s := a.exchange.server
 	s.mu.Lock()
 	now := clock.Now()
+	a.gotBytesAt = now
 	lateness := now.Sub(a.sentAt) - a.expectedFirstByte
 	s.fleet.RecordFirstByte(a.endpoint, a.exchange.prefillMS, max(lateness, 0), now)
 	delete(s.unbegun, a)
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -42,9 +42,8 @@
 	if !connectionLost(cause) {
 		return false
 	}
-	c := crashedAttempt{endpoint: e.ID, request: x.id, identity: x.identity, service: x.service, attempt: a.number, sentAt: a.sentAt, begun: a.gotBytes, parts: x.request.Header.Get(s.settings.Headers.PromptParts)}
 	if s.pool.Refuses(a.ctx, e.Address, crashProbeTimeout) {
-		return s.recordCrash(c, clock.Now())
+		return a.recordCrash(clock.Now())
 	}
 	if a.endpointStartedMS == 0 {
 		return false
@@ -52,43 +51,50 @@
 	address, startedMS := e.Address, a.endpointStartedMS
 	go func() { // does not delay the next attempt
 		if s.restartedSince(address, startedMS) {
-			s.recordCrash(c, clock.Now())
+			a.recordCrash(clock.Now())
 		}
 	}()
 	return false
 }
 
-// crashedAttempt describes an attempt to run a request at an endpoint that crashed
-// during the attempt.
-type crashedAttempt struct {
-	endpoint, request string
-	identity          quarantine.ID
-	service           string
-	attempt           int
-	sentAt            time.Time
-	begun             bool   // the endpoint had begun to respond
-	parts             string // the header Headers.PromptParts of the request
-}
-
-// maxLoggedParts is the length, in bytes, to which crashedAttempt.parts is cut in logs.
+// maxLoggedParts is the length, in bytes, to which the parts of a prompt are cut in logs.
 const maxLoggedParts = 256
 
-// recordCrash records a crash against the request. It returns false, and records
-// nothing, if the request was sent after the crash and so did not cause it.
-func (s *Server) recordCrash(c crashedAttempt, now time.Time) bool {
-	if s.crashedBeforeSend(c.endpoint, c.sentAt, now) {
+// recordCrash records a crash of the endpoint against the request. It returns false, and
+// records nothing, if the request was sent after the crash and so did not cause it.
+func (a *attempt) recordCrash(now time.Time) bool {
+	x, s := a.exchange, a.exchange.server
+	if s.crashedBeforeSend(a.endpoint.ID, a.sentAt, now) {
 		return false
 	}
-	s.metrics.Counter("mintlift_ingress_crashes_total", "service", c.service).Inc()
-	status := s.suspects.RecordCrash(c.identity, c.sentAt, now)
-	s.events.Info("endpoint crashed", "endpoint", c.endpoint, "request", c.request, "identity", c.identity.String(), "attempt", c.attempt,
-		"ms", now.Sub(c.sentAt).Milliseconds(), "begun", c.begun, "parts", c.parts[:min(len(c.parts), maxLoggedParts)], "crashes", status.Crashes, "quarantined", status.Quarantined())
+	s.metrics.Counter("mintlift_ingress_crashes_total", "service", x.service).Inc()
+	o := quarantine.Observation{Endpoint: a.endpoint.ID, Sent: a.sentAt, At: now}
+	if a.gotBytes {
+		o.Responding = now.Sub(a.gotBytesAt)
+	}
+	status := s.suspects.RecordCrash(x.traits, o)
+	parts := x.request.Header.Get(s.settings.Headers.PromptParts)
+	s.events.Info("endpoint crashed", "endpoint", a.endpoint.ID, "request", x.id, "identity", x.traits.Identity.String(), "attempt", a.number,
+		"ms", now.Sub(a.sentAt).Milliseconds(), "begun", a.gotBytes, "responding_ms", o.Responding.Milliseconds(), "parts", parts[:min(len(parts), maxLoggedParts)],
+		"crashes", status.Crashes, "quarantined", status.Quarantined, "trait", x.traitName(status))
 	s.mu.Lock()
 	s.requestNoticeLocked()
 	s.mu.Unlock()
 	return true
 }
 
+// traitName returns the name of the trait of a status for logs and responses: of a part of
+// the prompt, its name and its ID, else the ID. It is empty if the status has no trait.
+func (x *exchange) traitName(s quarantine.Status) string {
+	if !s.Suspected() {
+		return ""
+	}
+	if name := x.traits.PartName(s.Trait); name != "" {
+		return "part " + name + " (" + s.Trait.String() + ")"
+	}
+	return s.Trait.String()
+}
+
 // restartDetectTimeout is how long restartedSince waits after a failed attempt for the
 // endpoint's sidecar to report a new start time of the endpoint's process. The sidecar
 // reads that several times in this period, and reports a change at once.
@@ -138,7 +144,7 @@
 // quarantined reports whether the request must not be sent because it is in
 // quarantine. It is false if the request runs as a trial.
 func (x *exchange) quarantined(now time.Time) bool {
-	return !x.trial && x.suspectStatus(now).Quarantined()
+	return !x.trial && x.suspectStatus(now).Quarantined
 }
 
 // blockedByQuarantine reports whether a new request must not be sent to any endpoint
@@ -149,15 +155,15 @@
 	if !x.quarantined(now) {
 		return false
 	}
-	x.trial = x.server.suspects.Trial(x.identity, now)
+	x.trial = x.server.suspects.Trial(x.traits, now)
 	if x.trial {
-		x.server.events.Info("quarantined request runs as a trial", "request", x.id, "identity", x.identity.String())
+		x.server.events.Info("quarantined request runs as a trial", "request", x.id, "identity", x.traits.Identity.String(), "trait", x.traitName(x.suspectStatus(now)))
 	}
 	return !x.trial
 }
 
-// ClearSuspect deletes the crashes recorded against a request on behalf of an operator,
-// which removes the request from quarantine. It reports whether there were any.
+// ClearSuspect deletes the crashes recorded against a trait on behalf of an operator,
+// which releases its requests from quarantine. It reports whether there were any.
 func (s *Server) ClearSuspect(id quarantine.ID, now time.Time) bool {
 	cleared := s.suspects.Clear(id, now)
 	s.events.Info("request cleared by an operator", "identity", id.String(), "known", cleared)
@@ -169,23 +175,23 @@
 
 // suspectStatus returns the quarantine status of the request.
 func (x *exchange) suspectStatus(now time.Time) quarantine.Status {
-	return x.server.suspects.Status(x.identity, now)
+	return x.server.suspects.Status(x.traits, now)
 }
 
 // crashLimitReached reports whether an endpoint crashed during this exchange and
-// at least suspectCrashLimit crashes are recorded against the request, including those
-// that other exchanges and gateways recorded.
+// at least suspectCrashLimit crashes are recorded against the request or others with one of
+// its traits, at any gateway.
 func (x *exchange) crashLimitReached() bool {
 	return x.crashes > 0 && x.suspectStatus(clock.Now()).Crashes >= suspectCrashLimit
 }
 
 // recordCompletion records that the request completed, which deletes the endpoint
-// crashes recorded against it.
+// crashes recorded against its traits.
 func (x *exchange) recordCompletion() {
-	if !x.server.suspects.RecordCompletion(x.identity, clock.Now()) {
+	if !x.server.suspects.RecordCompletion(x.traits, clock.Now()) {
 		return
 	}
-	x.server.events.Info("request cleared", "request", x.id, "identity", x.identity.String())
+	x.server.events.Info("request cleared", "request", x.id, "identity", x.traits.Identity.String())
 }
 
 // rejectQuarantined responds to a request in quarantine. If the request has certainly
@@ -193,18 +199,24 @@
 // leaves quarantine at the latest. If it may have run, the response is 502 without
 // Retry-After.
 func (x *exchange) rejectQuarantined() {
-	cause := "in quarantine: endpoints crashed under request " + x.identity.String() + ", and it has ended well at none"
+	now := clock.Now()
+	status := x.suspectStatus(now)
+	cause := "in quarantine: endpoints crashed under request " + x.traits.Identity.String() + ", and it has ended well at none"
+	if name := x.traits.PartName(status.Trait); name != "" {
+		cause = "in quarantine: endpoints crashed under requests with " + x.traitName(status) + " of their prompts, and none has ended well"
+	}
+	x.server.suspects.RecordRejection(status.Trait, now)
 	if x.mayHaveRun {
 		x.respond(http.StatusBadGateway, outcomeQuarantined, cause)
 		return
 	}
-	left := x.server.suspects.Remaining(x.identity, clock.Now())
+	left := x.server.suspects.Remaining(status.Trait, now)
 	x.writer.Header().Set("Retry-After", strconv.FormatFloat(math.Ceil(left.Seconds()), 'f', -1, 64))
 	x.respond(http.StatusServiceUnavailable, outcomeQuarantined, cause)
 }
 
-// Suspects returns the crash records to send to other gateways. Each names a request
-// that was in progress when an endpoint crashed, and the crashes.
+// Suspects returns the crash records to send to other gateways. Each names a trait of
+// requests that were in progress when endpoints crashed, and the crashes.
 func (s *Server) Suspects(now time.Time) []quarantine.Record { return s.suspects.Records(now) }
 
 // MergeSuspects adds the crash records that another gateway's Suspects returned to
--- a/ingress/crash_test.go
+++ b/ingress/crash_test.go
@@ -165,7 +165,7 @@
 	for range 4 {
 		_, _ = g.do("GET", "/safe/1", "")
 	}
-	assert.Equal(t, g.server.suspects.Status(quarantine.Identify(quarantine.Request{Method: "GET", Host: "h.example", Target: "/safe/1", Workspace: "w"}), time.Now()).Crashes, 0)
+	assert.Equal(t, g.server.suspects.Status(quarantine.Traits{Identity: quarantine.Identify(quarantine.Request{Method: "GET", Host: "h.example", Target: "/safe/1", Workspace: "w"})}, time.Now()).Crashes, 0)
 	suspected, _ := g.server.suspects.Counts(time.Now())
 	assert.Equal(t, suspected, 0)
 }
@@ -176,18 +176,18 @@
 	g := newTestGateway(t)
 	g.configure(1)
 	g.startCrashableEndpoint("e", "engine", crashOnCrashBody)
-	id := quarantine.Identify(quarantine.Request{Method: "POST", Host: "h.example", Target: "/stream/1", Workspace: "w", Body: []byte("text")})
+	traits := quarantine.Traits{Identity: requestIdentity("/stream/1", "text")}
 	other := quarantine.New()
 	now := time.Now()
 	for n := range quarantine.Threshold {
 		sent := now.Add(time.Duration(n-quarantine.Threshold) * time.Second)
-		other.RecordCrash(id, sent, sent.Add(50*time.Millisecond))
+		other.RecordCrash(traits, quarantine.Observation{Endpoint: fmt.Sprint("other", n), Sent: sent, At: sent.Add(50 * time.Millisecond)})
 	}
 	g.server.MergeSuspects(other.Records(now), now)
 	r, _ := g.do("POST", "/stream/1", "text")
 	assertQuarantineResponse(t, r, false)
 	assert.Equal(t, len(g.requests()), 0)
-	other.RecordCompletion(id, now)
+	other.RecordCompletion(traits, now)
 	g.server.MergeSuspects(other.Records(now), now)
 	r, _ = g.do("POST", "/stream/1", "text")
 	assert.Equal(t, r.StatusCode, http.StatusOK)
@@ -233,7 +233,7 @@
 	for n := range count {
 		target := fmt.Sprint("/slow/", n)
 		id := quarantine.Identify(quarantine.Request{Method: "GET", Host: "h.example", Target: target, Workspace: "w"})
-		g.server.suspects.RecordCrash(id, time.Now().Add(-time.Second), time.Now())
+		g.server.suspects.RecordCrash(quarantine.Traits{Identity: id}, quarantine.Observation{Endpoint: fmt.Sprint("other", n), Sent: time.Now().Add(-time.Second), At: time.Now()})
 		answers.Go(func() {
 			r, _ := g.do("GET", target, "")
 			assert.Check(t, r.StatusCode == http.StatusOK, "%d", r.StatusCode)
@@ -257,10 +257,10 @@
 // quarantine.
 func quarantineRecords(target, body string, now time.Time) []quarantine.Record {
 	other := quarantine.New()
-	id := requestIdentity(target, body)
+	traits := quarantine.Traits{Identity: requestIdentity(target, body)}
 	for n := range quarantine.Threshold {
 		sent := now.Add(time.Duration(n-quarantine.Threshold) * time.Second)
-		other.RecordCrash(id, sent, sent.Add(50*time.Millisecond))
+		other.RecordCrash(traits, quarantine.Observation{Endpoint: fmt.Sprint("other", n), Sent: sent, At: sent.Add(50 * time.Millisecond)})
 	}
 	return other.Records(now)
 }
@@ -283,7 +283,7 @@
 			began := time.Now().Add(-quarantine.TrialAfter - 5*time.Second)
 			for n := range quarantine.Threshold {
 				sent := began.Add(time.Duration(n) * time.Second)
-				g.server.suspects.RecordCrash(requestIdentity("/stream/1", body), sent, sent.Add(50*time.Millisecond))
+				g.server.suspects.RecordCrash(quarantine.Traits{Identity: requestIdentity("/stream/1", body)}, quarantine.Observation{Endpoint: fmt.Sprint("other", n), Sent: sent, At: sent.Add(50 * time.Millisecond)})
 			}
 			r, _ := g.do("POST", "/stream/1", body)
 			assert.Equal(t, len(g.requests()), 1, "the trial runs once")
@@ -334,7 +334,7 @@
 	g.server.RemoveEndpoint("e")
 	g.server.PutEndpoint(record)
 	_, _ = g.do("POST", "/stream/1", "text")
-	for began := time.Now(); g.server.suspects.Status(requestIdentity("/stream/1", "text"), time.Now()).Crashes == 0; time.Sleep(5 * time.Millisecond) {
+	for began := time.Now(); g.server.suspects.Status(quarantine.Traits{Identity: requestIdentity("/stream/1", "text")}, time.Now()).Crashes == 0; time.Sleep(5 * time.Millisecond) {
 		assert.Assert(t, time.Since(began) < 2*time.Second, "no crash recorded against the request")
 	}
 }
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -40,9 +40,9 @@
 	regionsConfig *routing.Configuration
 	model         string // requested model, or empty for plain services
 	id            string // the caller's request ID, or empty
-	// identity is the same for all attempts and caller retries of one request, at every
-	// gateway.
-	identity quarantine.ID
+	// traits are those by which the request may be in quarantine. Their identity is the same
+	// for all attempts and caller retries of one request, at every gateway.
+	traits quarantine.Traits
 	// trial reports that the request is allowed to run once although it is in
 	// quarantine.
 	trial  bool
@@ -181,9 +181,12 @@
 	if !x.readBody() {
 		return false
 	}
-	x.identity = quarantine.Identify(quarantine.Request{
-		Method: x.request.Method, Host: x.request.Host, Target: x.target(), Workspace: workspace, Body: x.body,
-	})
+	x.traits = quarantine.Traits{
+		Identity: quarantine.Identify(quarantine.Request{
+			Method: x.request.Method, Host: x.request.Host, Target: x.target(), Workspace: workspace, Body: x.body,
+		}),
+		Parts: quarantine.Parts(x.model, x.request.Header.Get(x.server.settings.Headers.PromptParts)),
+	}
 	return true
 }
 
--- a/loadreport/suspects_test.go
+++ b/loadreport/suspects_test.go
@@ -25,7 +25,7 @@
 	id := quarantine.Identify(quarantine.Request{Target: "/x"})
 	for n := range quarantine.Threshold {
 		sent := now.Add(time.Duration(n-quarantine.Threshold) * time.Second)
-		table.RecordCrash(id, sent, sent.Add(50*time.Millisecond))
+		table.RecordCrash(quarantine.Traits{Identity: id}, quarantine.Observation{Endpoint: fmt.Sprint("e", n), Sent: sent, At: sent.Add(50 * time.Millisecond)})
 	}
 	return table, id
 }
@@ -84,10 +84,16 @@
 	now := time.Now()
 	table := quarantine.New()
 	for n := range 100 {
-		id := quarantine.Identify(quarantine.Request{Target: string(rune('a' + n))})
-		for crash := range quarantine.Threshold + 2 {
+		traits := quarantine.Traits{
+			Identity: quarantine.Identify(quarantine.Request{Target: string(rune('a' + n))}),
+			Parts:    quarantine.Parts("m", fmt.Sprintf("%x:1,%x:1,", 2*n, 2*n+1)),
+		}
+		for crash := range 4 * quarantine.Threshold {
 			sent := now.Add(time.Duration(10*crash-500) * time.Second)
-			table.RecordCrash(id, sent, sent.Add(9999*time.Millisecond))
+			table.RecordCrash(traits, quarantine.Observation{Endpoint: fmt.Sprint("e", n, "/", crash), Sent: sent, At: sent.Add(9999 * time.Millisecond)})
+		}
+		if s := table.Status(traits, now); s.Quarantined {
+			table.RecordRejection(s.Trait, now.Add(-time.Hour))
 		}
 	}
 	subscription, err := json.Marshal(gatewayDatagram{
@@ -133,7 +139,7 @@
 	go reporting.Run(ctx, func() []SubscriptionGroup {
 		return []SubscriptionGroup{{Sidecars: []string{publisher.conn.LocalAddr().String()}, Notice: Notice{Suspects: table.Records(time.Now())}}}
 	}, nil, &recorder{})
-	await(t, "suspects at the sidecar", func() bool { return publisher.suspects.Status(id, time.Now()).Quarantined() })
+	await(t, "suspects at the sidecar", func() bool { return publisher.suspects.Status(quarantine.Traits{Identity: id}, time.Now()).Quarantined })
 	cancel()
-	assert.Assert(t, !publisher.suspects.Status(id, time.Now().Add(quarantine.CrashTTL)).Suspected())
+	assert.Assert(t, !publisher.suspects.Status(quarantine.Traits{Identity: id}, time.Now().Add(quarantine.CrashTTL)).Suspected())
 }
--- a/quarantine/completed.go
+++ b/quarantine/completed.go
@@ -2,9 +2,9 @@
 
 package quarantine
 
-// completedRequests is the set of the last maxCompleted requests that got a complete
+// completedSet is the set of the last maxCompleted traits of requests that got a complete
 // response.
-type completedRequests struct {
+type completedSet struct {
 	ids map[ID]struct{}
 	// ring holds the same IDs in the order in which they were added. Once it is full,
 	// next is the index of the oldest.
@@ -12,14 +12,14 @@
 	next int
 }
 
-// has reports whether the request completed recently and is still in the set.
-func (c *completedRequests) has(id ID) bool {
+// has reports whether the trait is in the set.
+func (c *completedSet) has(id ID) bool {
 	_, ok := c.ids[id]
 	return ok
 }
 
-// add adds a request, and evicts the oldest if the set is full.
-func (c *completedRequests) add(id ID) {
+// add adds a trait, and evicts the oldest if the set is full.
+func (c *completedSet) add(id ID) {
 	if c.has(id) {
 		return
 	}
--- /dev/null
+++ b/quarantine/evaluate_test.go
@@ -0,0 +1,197 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// prompt returns the traits of the n-th request, whose prompt has the given parts.
+func prompt(n int, parts ...string) Traits {
+	list := ""
+	for _, p := range parts {
+		list += p + ":1,"
+	}
+	return Traits{Identity: nth(1000 + n), Parts: Parts("m", list)}
+}
+
+// crashOf returns the observation of the crash of the n-th endpoint.
+func crashOf(n int) Observation {
+	return Observation{Endpoint: fmt.Sprint("e", n), Sent: at(1000 * n), At: at(1000*n + 60)}
+}
+
+// Different requests that crash endpoints must be quarantined by the part that their
+// prompts have in common, and requests with their other parts must be served.
+func TestCommonPartIsQuarantined(t *testing.T) {
+	table := New()
+	for n := range Threshold {
+		table.RecordCrash(prompt(n, "aa", "bad", fmt.Sprintf("%x", n)), crashOf(n))
+		table.RecordCrash(prompt(100+n, "aa", "cc"), crashOf(n))
+		assert.Assert(t, table.RecordCompletion(prompt(200+n, "aa", "cc"), at(1000*n+100)))
+	}
+	now := at(1000 * Threshold)
+	s := table.Status(prompt(300, "aa", "bad"), now)
+	assert.Assert(t, s.Quarantined)
+	assert.Equal(t, prompt(300, "aa", "bad").PartName(s.Trait), "bad")
+	assert.Assert(t, !table.Status(prompt(301, "aa", "cc"), now).Suspected())
+	assert.Assert(t, !table.Status(prompt(302, "aa", "1"), now).Suspected(), "explained by the bad part")
+}
+
+// Parts whose requests have not completed yet must not be quarantined in place of the one
+// that crashes endpoints, although they are present at the same crashes.
+func TestDeepestOfEquallySuspectedPartsIsQuarantined(t *testing.T) {
+	table := New()
+	for n := range Threshold {
+		table.RecordCrash(prompt(n, "aa", "bad"), crashOf(n))
+	}
+	now := at(1000 * Threshold)
+	assert.Assert(t, table.Status(prompt(300, "aa", "bad"), now).Quarantined)
+	assert.Assert(t, !table.Status(prompt(301, "aa", "cc"), now).Suspected())
+}
+
+// If other requests with a part crash endpoints, too, the part must be quarantined, and no
+// longer those that explained fewer crashes.
+func TestPartWithMostCrashesIsQuarantined(t *testing.T) {
+	table := New()
+	for n := range Threshold {
+		table.RecordCrash(prompt(n, "bad", "cc"), crashOf(n))
+	}
+	table.RecordCrash(prompt(50, "bad", "dd"), crashOf(Threshold))
+	now := at(1000 * (Threshold + 1))
+	assert.Assert(t, table.Status(prompt(300, "bad", "ee"), now).Quarantined)
+	assert.Assert(t, !table.Status(prompt(301, "aa", "cc"), now).Suspected())
+}
+
+// A crash long after an endpoint began to respond must not count against parts.
+func TestLateCrashIsNotHeldAgainstParts(t *testing.T) {
+	table := New()
+	for n := range 2 * Threshold {
+		o := crashOf(n)
+		o.Responding = onsetTime
+		table.RecordCrash(prompt(n, "aa"), o)
+	}
+	assert.Assert(t, !table.Status(prompt(300, "aa"), at(1000*2*Threshold)).Suspected())
+}
+
+// A part of completed requests must be quarantined after completedThreshold crashes, as it
+// may crash endpoints since a change of their weights.
+func TestCompletedPartIsQuarantinedAfterMoreCrashes(t *testing.T) {
+	table := New()
+	table.RecordCompletion(prompt(0, "aa"), at(0))
+	for n := range completedThreshold {
+		assert.Assert(t, !table.Status(prompt(300, "aa"), at(1000*n)).Quarantined)
+		table.RecordCrash(prompt(1+n, "aa"), crashOf(n))
+	}
+	assert.Assert(t, table.Status(prompt(300, "aa"), at(1000*completedThreshold)).Quarantined)
+}
+
+// The crash of one endpoint must count once for a trait, however many processes and requests
+// detect it, and again if an endpoint with the same ID crashes later.
+func TestCrashOfAnIncarnationCountsOnce(t *testing.T) {
+	tables := []*Table{New(), New(), New()}
+	for n, table := range tables {
+		o := crashOf(0)
+		o.At = o.At.Add(time.Duration(n) * time.Second) // detected late
+		for request := range 3 {
+			table.RecordCrash(prompt(10*n+request, "bad"), o)
+		}
+	}
+	for range 2 {
+		for _, from := range tables {
+			for _, to := range tables {
+				to.Merge(from.Records(at(2100)), at(2100))
+			}
+		}
+	}
+	for _, table := range tables {
+		assert.Equal(t, table.Status(prompt(300, "bad"), at(2100)).Crashes, 1)
+	}
+	again := crashOf(3)
+	again.Endpoint = crashOf(0).Endpoint
+	assert.Equal(t, tables[0].RecordCrash(prompt(50, "bad"), again).Crashes, 2)
+}
+
+// A trait must stay in quarantine while requests with it are rejected, in all processes, and
+// its trial must not be repeated.
+func TestQuarantineLastsWhileRequestsAreRejected(t *testing.T) {
+	table, other := New(), New()
+	for n := range Threshold {
+		table.RecordCrash(prompt(n, "bad"), crashOf(n))
+	}
+	now := at(1000 * Threshold)
+	request := prompt(300, "bad")
+	trials := 0
+	for range 100 {
+		if table.Trial(request, now) {
+			trials++
+			table.RecordCrash(request, Observation{Endpoint: fmt.Sprint("trial", trials), Sent: now, At: now.Add(60 * time.Millisecond)})
+		}
+		if other.Trial(request, now) {
+			trials++
+		}
+		s := table.Status(request, now)
+		assert.Assert(t, s.Quarantined)
+		table.RecordRejection(s.Trait, now)
+		now = now.Add(time.Minute)
+		other.Merge(table.Records(now), now)
+		assert.Assert(t, other.Status(request, now).Quarantined)
+	}
+	assert.Equal(t, trials, 1)
+	late := New()
+	late.Merge(table.Records(now), now)
+	assert.Assert(t, late.Status(request, now).Quarantined, "a process that starts later")
+	assert.Assert(t, !table.Status(request, now.Add(CrashTTL)).Suspected())
+}
+
+// Sound parts must not be quarantined by crashes that no request causes, with any mix of
+// common and rare parts.
+func TestSoundPartsAreNotQuarantinedByOtherCrashes(t *testing.T) {
+	const endpoints, rate, seconds, runMS = 20, 40, 60, 1500
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		table := New()
+		type run struct {
+			traits         Traits
+			endpoint       int
+			sent, began    int
+			done, finished bool
+		}
+		var runs []*run
+		crashes := 0
+		for ms := 0; ms < seconds*1000; ms += 1000 / rate {
+			first := "f0" // half of all requests have it
+			if random.IntN(2) == 0 {
+				first = fmt.Sprintf("f%x", 1+random.IntN(100)) // seen once in several seconds
+			}
+			runs = append(runs, &run{traits: prompt(len(runs), first), endpoint: random.IntN(endpoints), sent: ms, began: ms + 100 + random.IntN(300)})
+			crashed := -1
+			if random.IntN(rate) == 0 && crashes < 45 {
+				crashes++
+				crashed = random.IntN(endpoints)
+			}
+			kept := runs[:0]
+			for _, r := range runs {
+				switch {
+				case r.endpoint == crashed:
+					o := Observation{Endpoint: fmt.Sprint(crashed, "/", crashes), Sent: at(r.sent), At: at(ms)}
+					if ms > r.began {
+						o.Responding = time.Duration(ms-r.began) * time.Millisecond
+					}
+					table.RecordCrash(r.traits, o)
+				case ms >= r.began+runMS:
+					table.RecordCompletion(r.traits, at(ms))
+				default:
+					kept = append(kept, r)
+				}
+			}
+			runs = kept
+		}
+		_, quarantined := table.Counts(at(seconds * 1000))
+		assert.Equal(t, quarantined, 0, "seed %d", seed)
+	}
+}
--- a/quarantine/identity.go
+++ b/quarantine/identity.go
@@ -15,8 +15,8 @@
 // that a caller cannot construct a request with the ID of another caller's request.
 const identityBytes = 16
 
-// ID identifies a request by its caller's workspace and its content. All attempts and
-// retries of the request have the same ID, at every gateway.
+// ID identifies a trait. For that of a single request, it depends on the caller's workspace
+// and the content: all attempts and retries of the request have the same ID, at every gateway.
 type ID [identityBytes]byte
 
 // Request holds the properties that identify a request.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,20 +1,24 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package quarantine keeps a request that crashes endpoints (a poison pill, or
-// query of death) from being sent to more of them.
+// Package quarantine keeps requests that crash endpoints (poison pills, or queries of
+// death) from being sent to more of them.
 //
-// A single crash does not identify the request that caused it, since an endpoint
-// runs several requests and all of them fail with it. The request that causes crashes
-// is the one that never completes. For each request that was in progress at a crash,
-// the table records its ID and its crashes. Such a request is a suspect. If it
-// completes, its crashes are cleared. After Threshold crashes without a completion it
-// is put in quarantine, and is sent to no endpoint for CrashTTL. The exception is a
-// trial: one process may run it once after TrialAfter.
+// Requests are recognized by their traits: a request that is sent again has the same
+// identity, and different requests may have a part of their prompts in common. A single
+// crash does not identify the trait that caused it, since an endpoint runs several requests
+// and all of them fail with it. The trait that causes crashes is the one whose requests
+// never complete. For each trait of each request that was in progress at a crash, the table
+// records the crash. Such a trait is suspected. If a request with it completes, its crashes
+// are cleared. After Threshold crashes without a completion it is put in quarantine, unless
+// another one in quarantine explains them; see Table.evaluate. Its requests are sent to no
+// endpoint until none has come for CrashTTL. The exception is a trial: one process may run
+// one of them after TrialAfter.
 //
 // Processes exchange their tables as Records. Merging is idempotent and depends
 // neither on the order of messages nor on synchronised clocks. A completion starts a
-// new epoch of the request's entry, and a higher epoch replaces a lower one. Within an
-// epoch the crashes of all processes are combined, identified by their keys.
+// new epoch of the trait's entry, and a higher epoch replaces a lower one. Within an
+// epoch the crashes of all processes are combined, identified by the incarnation of the
+// endpoint that crashed.
 package quarantine
 
 import (
@@ -27,20 +31,20 @@
 	"time"
 )
 
-// Limits of the quarantine. The crashes of a request are the crashes of endpoints at
-// which it was in progress.
+// Limits of the quarantine. The crashes of a trait are the crashes of endpoints at which a
+// request with it was in progress.
 const (
-	// Threshold is the number of crashes that put a request in quarantine. A single
-	// exchange may cause two before its gateway can know. With three, a request that does
-	// not cause crashes is put in quarantine only if it was in progress at three and did
-	// not complete in between.
+	// Threshold is the number of crashes that put a trait in quarantine. A single
+	// exchange may cause two before its gateway can know. With three, a trait that does
+	// not cause crashes is put in quarantine only if its requests were in progress at three
+	// and none completed in between.
 	Threshold = 3
-	// completedThreshold replaces Threshold for a request that completed recently in
-	// this process and is therefore unlikely to cause crashes. A common request is in
-	// progress at most crashes that another request causes. In quarantine it could no
-	// longer complete and be cleared.
-	completedThreshold = 3 * Threshold
-	// maxCompleted bounds the set of completed requests that is kept.
+	// completedThreshold replaces Threshold for a trait whose requests have completed
+	// recently, and which is therefore unlikely to cause crashes. Requests with a common
+	// trait are in progress at most crashes that another trait causes. In quarantine they
+	// could no longer complete and clear it.
+	completedThreshold = 2 * Threshold
+	// maxCompleted bounds each set of completed traits that is kept.
 	maxCompleted = 4096
 	// correlationWindow is the time within which several crashes count as one, such as
 	// those of a rack that loses power. A crash within it counts separately if the
@@ -50,127 +54,53 @@
 	// A request that is sent to it in the meantime does not run there. The delay covers
 	// a few round trips between regions.
 	detectionDelay = 30 * time.Millisecond
-	// CrashTTL is how long a crash counts, and so how long a request stays in
-	// quarantine after its last crash. Afterwards a request that does cause crashes may
-	// crash up to Threshold further endpoints.
+	// onsetTime is how long an endpoint that crashes may have been responding to a request
+	// for the crash to count against the parts of its prompt: a part crashes endpoints when
+	// they begin to respond to it.
+	onsetTime = time.Second
+	// CrashTTL is how long a crash counts. A trait stays in quarantine until CrashTTL has
+	// passed since its last crash and since the last request that was rejected because of
+	// it. Afterwards a trait that does cause crashes may crash up to Threshold further
+	// endpoints.
 	CrashTTL = 10 * time.Minute
-	// TrialAfter is the time from the last crash of a request in quarantine to its
-	// trial: one process then runs the request once. If it completes, it leaves
+	// TrialAfter is the time from the last crash of a trait in quarantine to its trial:
+	// one process then runs one request with it. If it completes, the trait leaves
 	// quarantine early; if it crashes another endpoint, it stays. Without a trial, a
-	// common request that only was in progress at the crashes would stay for CrashTTL,
-	// for example if all endpoints crash before it has completed anywhere.
+	// common trait that only was present at the crashes would stay in quarantine, for
+	// example if all endpoints crash before a request with it has completed anywhere.
 	TrialAfter = 20 * time.Second
+	// fallbackTrialMin and fallbackTrialMax bound the time from the last crash to the
+	// trial by a process that has not been chosen for it, in case the chosen one has
+	// ended. The time is random, so that few processes run a trial at once.
+	fallbackTrialMin = 2 * time.Minute
+	fallbackTrialMax = 10 * time.Minute
 	// relayedTTL is how long a process that only relays records keeps an entry after a
 	// gateway last sent it. It covers several subscriptions, with which gateways send
 	// their records.
 	relayedTTL = 5 * time.Second
-	// maxRequests bounds the entries of a table.
-	maxRequests = 512
-	// maxCrashes bounds the crashes kept of each request.
-	maxCrashes = completedThreshold + 3
+	// maxTraits bounds the entries of a table.
+	maxTraits = 512
+	// maxCrashes bounds the crashes kept of each trait.
+	maxCrashes = 12
 )
 
 // Status tells whether a request may have caused crashes of endpoints.
 type Status struct {
-	// Crashes is the number of endpoint crashes at which the request was in progress,
-	// since it last completed. Correlated crashes count as one.
+	// Crashes is the number of endpoint crashes that count against the request, by the
+	// suspected trait that has the most. Correlated crashes count as one.
 	Crashes int
-	// Completed reports that the request completed recently in this process.
-	Completed bool
+	// Quarantined reports that the request must be sent to no endpoint.
+	Quarantined bool
+	// Trait is the trait of the request that is in quarantine, or else the suspected one
+	// with the most crashes.
+	Trait ID
 }
 
 // Suspected reports whether the request may have caused the crash of an endpoint.
 func (s Status) Suspected() bool { return s.Crashes > 0 }
 
-// Quarantined reports whether the request must be sent to no endpoint.
-func (s Status) Quarantined() bool {
-	if s.Completed {
-		return s.Crashes >= completedThreshold
-	}
-	return s.Crashes >= Threshold
-}
-
-// crash is the crash of an endpoint during a request, as detected by one gateway.
-type crash struct {
-	key uint32 // random, chosen by the gateway
-	// sent is when the request was sent to the endpoint, and at is when the crash was
-	// detected.
-	sent, at time.Time
-}
-
-// independent reports whether c counts separately from an earlier crash at the time
-// last. If not, the two probably have one cause, such as a power failure.
-func (c crash) independent(last time.Time) bool {
-	apart := c.at.Sub(last)
-	return apart >= correlationWindow || c.sent.After(last) && apart >= detectionDelay
-}
-
-// entry holds the endpoint crashes recorded against one request.
-type entry struct {
-	// epoch is the number of times that the crashes were cleared, by a completion or
-	// by an operator.
-	epoch uint32
-	// crashes holds the crashes of this epoch, ordered by time.
-	crashes []crash
-	// changedAt is when the entry last changed in this process. refreshedAt is when it
-	// last changed or was last received from another process.
-	changedAt, refreshedAt time.Time
-	// ownKeys holds the keys of the crashes that this process detected.
-	ownKeys []uint32
-	// tried reports that this process has run the request as a trial.
-	tried bool
-}
-
-// count returns the number of crashes that count separately; see crash.independent.
-func (e *entry) count() int {
-	count := 0
-	var last time.Time
-	for _, c := range e.crashes {
-		if count == 0 || c.independent(last) {
-			count++
-			last = c.at
-		}
-	}
-	return count
-}
-
-// add adds a crash, and reports whether it is new. If the crash is already known, the
-// earlier of its two times is kept, since message delays make a crash seem later.
-func (e *entry) add(c crash) bool {
-	index := slices.IndexFunc(e.crashes, func(known crash) bool { return known.key == c.key })
-	switch {
-	case index >= 0 && !c.at.Before(e.crashes[index].at):
-		return false
-	case index >= 0:
-		e.crashes[index] = c
-		e.sort()
-		return false
-	case len(e.crashes) >= maxCrashes && e.count() >= completedThreshold:
-		return false
-	case len(e.crashes) >= maxCrashes:
-		e.dropDependent()
-	}
-	e.crashes = append(e.crashes, c)
-	e.sort()
-	return true
-}
-
-// sort orders the crashes by time.
-func (e *entry) sort() {
-	slices.SortFunc(e.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
-}
-
-// dropDependent drops the latest crash that is not independent of the one before it.
-func (e *entry) dropDependent() {
-	for n := len(e.crashes) - 1; n > 0; n-- {
-		if !e.crashes[n].independent(e.crashes[n-1].at) {
-			e.crashes = slices.Delete(e.crashes, n, n+1)
-			return
-		}
-	}
-}
-
-// Table holds the requests that one process knows to have been in progress at a crash.
+// Table holds the traits of the requests that one process knows to have been in progress at
+// a crash.
 // It is safe for concurrent use. It calls nothing that takes a lock while it holds its
 // own, so its methods may be called with other locks held.
 type Table struct {
@@ -180,9 +110,16 @@
 	// usual case that there are none.
 	nonEmpty atomic.Bool
 
-	mu        sync.Mutex // guards the fields below
-	entries   map[ID]*entry
-	completed completedRequests
+	mu      sync.Mutex // guards the fields below
+	entries map[ID]*entry
+	// completedRequests and completedParts hold the traits of requests that completed
+	// recently in this process.
+	completedRequests, completedParts completedSet
+	// changed reports that the entries have changed since evaluate last ran, at
+	// evaluatedAt. candidates is memory that evaluate reuses.
+	changed     bool
+	evaluatedAt time.Time
+	candidates  candidates
 	// rotation is the position of Records in its rotation among the less urgent
 	// entries.
 	rotation int
@@ -195,66 +132,124 @@
 func NewRelayed() *Table { return &Table{relayed: true, entries: make(map[ID]*entry)} }
 
 // Status returns the status of a request, or the zero Status if no crashes are recorded
-// against it.
-func (t *Table) Status(id ID, now time.Time) Status {
+// against its traits.
+func (t *Table) Status(traits Traits, now time.Time) Status {
 	if !t.nonEmpty.Load() {
 		return Status{}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entries[id]
-	if e == nil || t.expired(e, now) {
-		return Status{}
+	return t.status(traits, now)
+}
+
+// status is like Status. Table.mu must be held.
+func (t *Table) status(traits Traits, now time.Time) Status {
+	t.evaluate(now)
+	var s Status
+	for n := range traits.len() {
+		id := traits.at(n)
+		e := t.entries[id]
+		if e == nil || !e.suspected() || t.expired(e, now) {
+			continue
+		}
+		if e.quarantined && !s.Quarantined || e.quarantined == s.Quarantined && e.unexplained > s.Crashes {
+			s = Status{Crashes: e.unexplained, Quarantined: e.quarantined, Trait: id}
+		}
+	}
+	return s
+}
+
+// RecordCrash records that an endpoint crashed while a request was in progress there, and
+// returns the status of the request.
+func (t *Table) RecordCrash(traits Traits, o Observation) Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	blamed := traits
+	if o.Responding >= onsetTime {
+		blamed.Parts = nil
+	}
+	for n := range blamed.len() {
+		id := blamed.at(n)
+		e := t.entries[id]
+		if e == nil || t.expired(e, o.At) {
+			e = &entry{depth: n}
+			t.put(id, e, o.At)
+		}
+		e.completed = e.completed || t.hasCompleted(id, n)
+		e.observe(o)
+		e.changedAt, e.refreshedAt = o.At, o.At
 	}
-	return t.status(id, e)
+	t.changed = true
+	return t.status(traits, o.At)
 }
 
-// status returns the status of a request with entry e. Table.mu must be held.
-func (t *Table) status(id ID, e *entry) Status {
-	return Status{Crashes: e.count(), Completed: t.completed.has(id)}
+// hasCompleted reports whether a request with the trait completed recently in this process.
+// depth is as in entry. Table.mu must be held.
+func (t *Table) hasCompleted(id ID, depth int) bool {
+	if depth == 0 {
+		return t.completedRequests.has(id)
+	}
+	return t.completedParts.has(id)
 }
 
-// RecordCrash records that an endpoint crashed while the request was in progress there,
-// and returns the status of the request. sent is when the request was sent.
-func (t *Table) RecordCrash(id ID, sent, now time.Time) Status {
+// RecordRejection records that a request was rejected because the trait is in quarantine.
+func (t *Table) RecordRejection(id ID, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entries[id]
-	if e == nil || t.expired(e, now) {
-		e = &entry{}
-		t.put(id, e, now)
+	if e := t.entries[id]; e != nil {
+		e.rejectedAt = now
 	}
-	key := rand.Uint32()
-	e.add(crash{key: key, sent: sent, at: now})
-	e.ownKeys = append(e.ownKeys, key)
-	e.changedAt, e.refreshedAt = now, now
-	return t.status(id, e)
 }
 
-// Trial reports whether this process may now run a request in quarantine once, as a
-// trial of whether it completes. If so, it records the trial. Only the process that
-// detected the crash with the lowest key may run it, and only once per entry.
-func (t *Table) Trial(id ID, now time.Time) bool {
+// Trial reports whether this process may now run a request in quarantine once, as a trial
+// of whether it completes. If so, it records the trial. The trial of a trait is due
+// TrialAfter its last crash in the process that detected the crash with the lowest key, and
+// later in others, unless an earlier one has failed.
+func (t *Table) Trial(traits Traits, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entries[id]
-	if e == nil || t.expired(e, now) || e.tried || !t.status(id, e).Quarantined() || now.Sub(e.lastCrash()) < TrialAfter {
+	t.evaluate(now)
+	var due []*entry
+	for n := range traits.len() {
+		e := t.entries[traits.at(n)]
+		if e == nil || !e.quarantined {
+			continue
+		}
+		if !e.trialDue(now) {
+			return false
+		}
+		due = append(due, e)
+	}
+	for _, e := range due {
+		e.tried = true
+	}
+	return len(due) > 0
+}
+
+// trialDue reports whether this process may run a trial of the trait.
+func (e *entry) trialDue(now time.Time) bool {
+	if e.tried || e.trialFailed() {
 		return false
 	}
-	lowest := slices.MinFunc(e.crashes, func(a, b crash) int { return cmp.Compare(a.key, b.key) })
-	e.tried = slices.Contains(e.ownKeys, lowest.key)
-	return e.tried
+	if e.trialDelay == 0 {
+		e.trialDelay = fallbackTrialMin + rand.N(fallbackTrialMax-fallbackTrialMin)
+		lowest := slices.MinFunc(e.crashes, func(a, b crash) int { return cmp.Compare(a.key, b.key) })
+		if slices.Contains(e.ownKeys, lowest.key) {
+			e.trialDelay = TrialAfter
+		}
+	}
+	return now.Sub(e.lastCrash()) >= e.trialDelay
 }
 
-// Clear releases a request from quarantine on behalf of an operator, in all
-// processes. It reports whether crashes were recorded against the request.
+// Clear releases a trait from quarantine on behalf of an operator, in all processes. It
+// reports whether crashes were recorded against the trait.
 func (t *Table) Clear(id ID, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.clear(id, now)
 }
 
-// clear deletes the crashes recorded against a request, and reports whether there were
+// clear deletes the crashes recorded against a trait, and reports whether there were
 // any. If so, it starts a new epoch of the entry, so that other processes delete them,
 // too. Table.mu must be held.
 func (t *Table) clear(id ID, now time.Time) bool {
@@ -262,23 +257,41 @@
 	if e == nil || len(e.crashes) == 0 {
 		return false
 	}
-	e.epoch++
-	e.crashes, e.ownKeys = nil, nil
+	e.reset(e.epoch + 1)
 	e.changedAt, e.refreshedAt = now, now
+	t.changed = true
 	return true
 }
 
-// RecordCompletion records that the request got a complete response, which deletes the
-// crashes recorded against it. It reports whether there were any.
-func (t *Table) RecordCompletion(id ID, now time.Time) bool {
+// reset begins an epoch of an entry.
+func (e *entry) reset(epoch uint32) {
+	e.epoch = epoch
+	e.crashes, e.ownKeys, e.tried, e.trialDelay, e.rejectedAt = nil, nil, false, 0, time.Time{}
+}
+
+// RecordCompletion records that a request got a complete response, which deletes the
+// crashes recorded against its traits. It reports whether there were any.
+func (t *Table) RecordCompletion(traits Traits, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.completed.add(id)
-	return t.clear(id, now)
+	t.completedRequests.add(traits.Identity)
+	cleared := false
+	for n := range traits.len() {
+		id := traits.at(n)
+		if n > 0 {
+			t.completedParts.add(id)
+		}
+		if t.clear(id, now) {
+			t.entries[id].completed = true
+			cleared = true
+		}
+	}
+	return cleared
 }
 
-// Remaining returns the time until a request in quarantine leaves it if it is not
-// cleared before. It returns 0 if the table has no entry for the request.
+// Remaining returns the time until a trait leaves quarantine if it is not cleared before
+// and no further request with it is rejected. It returns 0 if the table has no entry for
+// the trait.
 func (t *Table) Remaining(id ID, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -286,23 +299,20 @@
 	if e == nil {
 		return 0
 	}
-	return max(0, CrashTTL-now.Sub(e.lastCrash()))
+	return max(0, CrashTTL-now.Sub(e.lastActive()))
 }
 
-// Counts returns the number of suspected requests, and how many of them are in
-// quarantine.
+// Counts returns the number of suspected traits, and how many of them are in quarantine.
 func (t *Table) Counts(now time.Time) (suspected, quarantined int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, e := range t.entries {
-		s := t.status(id, e)
-		switch {
-		case t.expired(e, now):
-		case s.Quarantined():
+	t.evaluate(now)
+	for _, e := range t.entries {
+		if e.suspected() {
 			suspected++
+		}
+		if e.quarantined {
 			quarantined++
-		case s.Suspected():
-			suspected++
 		}
 	}
 	return suspected, quarantined
@@ -313,34 +323,26 @@
 	if t.relayed {
 		return now.Sub(e.refreshedAt) > relayedTTL
 	}
-	return now.Sub(e.lastCrash()) > CrashTTL
-}
-
-// lastCrash returns the time of the last crash, or of the last change if there is no
-// crash.
-func (e *entry) lastCrash() time.Time {
-	if n := len(e.crashes); n > 0 {
-		return e.crashes[n-1].at
-	}
-	return e.changedAt
+	return now.Sub(e.lastActive()) > CrashTTL
 }
 
 // put adds an entry, and evicts the least important one if the table is full.
 // Table.mu must be held.
 func (t *Table) put(id ID, e *entry, now time.Time) {
-	if len(t.entries) >= maxRequests {
+	if len(t.entries) >= maxTraits {
 		maps.DeleteFunc(t.entries, func(_ ID, e *entry) bool { return t.expired(e, now) })
 	}
-	if len(t.entries) >= maxRequests {
+	if len(t.entries) >= maxTraits {
 		t.evictLeastImportant()
 	}
 	t.entries[id] = e
 	t.nonEmpty.Store(true)
+	t.changed = true
 }
 
 // evictLeastImportant evicts the entry with the fewest crashes, and among those the one
-// that changed least recently. A caller therefore cannot release a request from
-// quarantine by sending many others. Table.mu must be held.
+// that changed least recently. A caller therefore cannot release a trait from
+// quarantine by sending many other requests. Table.mu must be held.
 func (t *Table) evictLeastImportant() {
 	var id ID
 	var least *entry
@@ -354,5 +356,5 @@
 
 // compareImportance orders entries, the more important first.
 func compareImportance(a, b *entry) int {
-	return cmp.Or(cmp.Compare(b.count(), a.count()), b.changedAt.Compare(a.changedAt))
+	return cmp.Or(cmp.Compare(b.count(nil), a.count(nil)), b.changedAt.Compare(a.changedAt))
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -5,7 +5,9 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,19 +27,30 @@
 	return id
 }
 
+// identity returns the traits of a request that has no parts in common with others.
+func identity(n int) Traits { return Traits{Identity: nth(n)} }
+
+// endpoints counts the endpoints that have crashed in recordCrash.
+var endpoints atomic.Int64
+
+// recordCrash records the crash of another endpoint on each call.
+func recordCrash(table *Table, n int, sent, now time.Time) Status {
+	return table.RecordCrash(identity(n), Observation{Endpoint: fmt.Sprint("e", endpoints.Add(1)), Sent: sent, At: now})
+}
+
 // A request must be in quarantine after Threshold separate endpoint crashes and not
 // before. Other requests must not be affected.
 func TestThreeCrashesPutARequestInQuarantine(t *testing.T) {
 	table := New()
-	assert.Equal(t, table.Status(nth(1), at(0)), Status{})
+	assert.Equal(t, table.Status(identity(1), at(0)), Status{})
 	for n := range Threshold {
-		assert.Assert(t, !table.Status(nth(1), at(1000*n)).Quarantined())
-		s := table.RecordCrash(nth(1), at(1000*n), at(1000*n+50))
-		assert.Equal(t, s, Status{Crashes: n + 1})
+		assert.Assert(t, !table.Status(identity(1), at(1000*n)).Quarantined)
+		s := recordCrash(table, 1, at(1000*n), at(1000*n+50))
+		assert.Equal(t, s, Status{Crashes: n + 1, Quarantined: n+1 == Threshold, Trait: nth(1)})
 		assert.Assert(t, s.Suspected())
 	}
-	assert.Assert(t, table.Status(nth(1), at(5000)).Quarantined())
-	assert.Assert(t, !table.Status(nth(2), at(5000)).Suspected())
+	assert.Assert(t, table.Status(identity(1), at(5000)).Quarantined)
+	assert.Assert(t, !table.Status(identity(2), at(5000)).Suspected())
 	suspected, quarantined := table.Counts(at(5000))
 	assert.Equal(t, suspected, 1)
 	assert.Equal(t, quarantined, 1)
@@ -47,12 +60,12 @@
 // no longer be suspected.
 func TestOneCompletionClears(t *testing.T) {
 	table := New()
-	assert.Assert(t, !table.RecordCompletion(nth(1), at(0)), "no crash to clear")
-	table.RecordCrash(nth(1), at(0), at(50))
-	table.RecordCrash(nth(1), at(100), at(150))
-	assert.Assert(t, table.RecordCompletion(nth(1), at(300)))
-	assert.Assert(t, !table.Status(nth(1), at(300)).Suspected())
-	assert.Equal(t, table.RecordCrash(nth(1), at(400), at(450)).Crashes, 1)
+	assert.Assert(t, !table.RecordCompletion(identity(1), at(0)), "no crash to clear")
+	recordCrash(table, 1, at(0), at(50))
+	recordCrash(table, 1, at(100), at(150))
+	assert.Assert(t, table.RecordCompletion(identity(1), at(300)))
+	assert.Assert(t, !table.Status(identity(1), at(300)).Suspected())
+	assert.Equal(t, recordCrash(table, 1, at(400), at(450)).Crashes, 1)
 }
 
 // Simultaneous crashes, such as those of a rack that loses power, must count as one. A
@@ -60,12 +73,12 @@
 func TestCrashesAtOneMomentCountOnce(t *testing.T) {
 	table := New()
 	for n := range 2 * maxCrashes {
-		s := table.RecordCrash(nth(1), at(0), at(500+n))
+		s := recordCrash(table, 1, at(0), at(500+n))
 		assert.Equal(t, s.Crashes, 1)
 	}
-	assert.Equal(t, table.RecordCrash(nth(1), at(501), at(505)).Crashes, 1, "sent to one of them before its crash was detected")
-	assert.Equal(t, table.RecordCrash(nth(1), at(600), at(650)).Crashes, 2, "sent after them")
-	assert.Equal(t, table.RecordCrash(nth(1), at(0), at(900)).Crashes, 3, "long after them")
+	assert.Equal(t, recordCrash(table, 1, at(501), at(505)).Crashes, 1, "sent to one of them before its crash was detected")
+	assert.Equal(t, recordCrash(table, 1, at(600), at(650)).Crashes, 2, "sent after them")
+	assert.Equal(t, recordCrash(table, 1, at(0), at(900)).Crashes, 3, "long after them")
 }
 
 // A request must leave quarantine CrashTTL after its last crash, and its earlier crashes
@@ -73,33 +86,33 @@
 func TestACrashExpires(t *testing.T) {
 	table := New()
 	for n := range Threshold {
-		table.RecordCrash(nth(1), at(1000*n), at(1000*n+50))
+		recordCrash(table, 1, at(1000*n), at(1000*n+50))
 	}
 	last := at(1000*(Threshold-1) + 50)
-	assert.Assert(t, table.Status(nth(1), last.Add(CrashTTL)).Quarantined())
-	assert.Assert(t, !table.Status(nth(1), last.Add(CrashTTL+1)).Suspected())
-	assert.Equal(t, table.RecordCrash(nth(1), last.Add(CrashTTL), last.Add(CrashTTL+time.Second)).Crashes, 1)
+	assert.Assert(t, table.Status(identity(1), last.Add(CrashTTL)).Quarantined)
+	assert.Assert(t, !table.Status(identity(1), last.Add(CrashTTL+1)).Suspected())
+	assert.Equal(t, recordCrash(table, 1, last.Add(CrashTTL), last.Add(CrashTTL+time.Second)).Crashes, 1)
 }
 
 // The table is bounded, and many other requests do not evict one in quarantine.
 func TestTheTableIsBounded(t *testing.T) {
 	table := New()
 	for n := range Threshold {
-		table.RecordCrash(nth(0), at(1000*n), at(1000*n+50))
+		recordCrash(table, 0, at(1000*n), at(1000*n+50))
 	}
-	for n := range 3 * maxRequests {
-		table.RecordCrash(nth(1+n), at(5000+n), at(5000+n))
+	for n := range 3 * maxTraits {
+		recordCrash(table, 1+n, at(5000+n), at(5000+n))
 	}
-	assert.Equal(t, len(table.entries), maxRequests)
-	assert.Assert(t, table.Status(nth(0), at(9000)).Quarantined())
-	assert.Assert(t, table.Status(nth(3*maxRequests), at(9000)).Suspected(), "the newest is kept")
-	assert.Assert(t, !table.Status(nth(1), at(9000)).Suspected(), "the oldest is evicted")
+	assert.Equal(t, len(table.entries), maxTraits)
+	assert.Assert(t, table.Status(identity(0), at(9000)).Quarantined)
+	assert.Assert(t, table.Status(identity(3*maxTraits), at(9000)).Suspected(), "the newest is kept")
+	assert.Assert(t, !table.Status(identity(1), at(9000)).Suspected(), "the oldest is evicted")
 }
 
 // A process that only relays must evict entries that gateways no longer send.
 func TestARelayEvictsEntries(t *testing.T) {
 	gateway, relay := New(), NewRelayed()
-	gateway.RecordCrash(nth(1), at(0), at(50))
+	recordCrash(gateway, 1, at(0), at(50))
 	assert.Assert(t, relay.Merge(gateway.Records(at(60)), at(60)))
 	assert.Assert(t, !relay.Merge(gateway.Records(at(4000)), at(4000)), "unchanged")
 	assert.Equal(t, len(relay.Records(at(4000).Add(relayedTTL))), 1)
@@ -110,12 +123,12 @@
 // nor change its time to a later one.
 func TestADelayedMessageChangesNothing(t *testing.T) {
 	one, other := New(), New()
-	one.RecordCrash(nth(1), at(0), at(50))
+	recordCrash(one, 1, at(0), at(50))
 	early := one.Records(at(60))
 	assert.Assert(t, other.Merge(early, at(70)))
 	assert.Assert(t, !other.Merge(early, at(8000)))
 	assert.Assert(t, !one.Merge(other.Records(at(8000)), at(12000)))
-	assert.Equal(t, one.Status(nth(1), at(12000)).Crashes, 1)
+	assert.Equal(t, one.Status(identity(1), at(12000)).Crashes, 1)
 	assert.Equal(t, one.entries[nth(1)].crashes[0].at, at(50))
 }
 
@@ -124,15 +137,15 @@
 func TestAClearedRequestStaysCleared(t *testing.T) {
 	one, other := New(), New()
 	for n := range Threshold {
-		one.RecordCrash(nth(1), at(1000*n), at(1000*n+50))
+		recordCrash(one, 1, at(1000*n), at(1000*n+50))
 	}
 	other.Merge(one.Records(at(3000)), at(3000))
-	assert.Assert(t, other.Status(nth(1), at(3000)).Quarantined())
-	other.RecordCompletion(nth(1), at(3100))
+	assert.Assert(t, other.Status(identity(1), at(3000)).Quarantined)
+	other.RecordCompletion(identity(1), at(3100))
 	other.Merge(one.Records(at(3200)), at(3200))
-	assert.Assert(t, !other.Status(nth(1), at(3200)).Suspected())
+	assert.Assert(t, !other.Status(identity(1), at(3200)).Suspected())
 	one.Merge(other.Records(at(3300)), at(3300))
-	assert.Assert(t, !one.Status(nth(1), at(3300)).Suspected())
+	assert.Assert(t, !one.Status(identity(1), at(3300)).Suspected())
 }
 
 // All processes must agree on which requests have reached Threshold, also if messages
@@ -158,9 +171,9 @@
 			switch rapid.SampledFrom([]string{"crash", "crash", "complete", "send", "send", "deliver"}).Draw(t, "event") {
 			case "crash":
 				crashes[request]++
-				tables[process].RecordCrash(nth(request), at(now-100), at(now))
+				recordCrash(tables[process], request, at(now-100), at(now))
 			case "complete":
-				if tables[process].RecordCompletion(nth(request), at(now)) {
+				if tables[process].RecordCompletion(identity(request), at(now)) {
 					crashes[request] = 0
 					for _, other := range tables { // all receive it before the next crash
 						other.Merge(tables[process].Records(at(now)), at(now))
@@ -185,10 +198,11 @@
 		}
 		for request := range requests {
 			for _, table := range tables {
-				s := table.Status(nth(request), at(now))
+				s := table.Status(identity(request), at(now))
 				assert.Assert(t, s.Crashes <= crashes[request])
 				assert.Equal(t, s.Crashes >= Threshold, crashes[request] >= Threshold, "request %d: %d crashes, %v", request, crashes[request], s)
-				assert.Assert(t, s.Completed || s.Quarantined() == (crashes[request] >= Threshold))
+				completed := table.entries[nth(request)] != nil && table.entries[nth(request)].completed
+				assert.Assert(t, completed || s.Quarantined == (crashes[request] >= Threshold))
 			}
 		}
 	})
@@ -198,13 +212,13 @@
 // each call must fit a datagram.
 func TestRecordsFitADatagramAndAllAreSent(t *testing.T) {
 	table := New()
-	for n := range maxRequests * maxCrashes {
-		table.RecordCrash(nth(n%maxRequests), at(n*50), at(n*50+9999))
+	for n := range maxTraits * maxCrashes {
+		recordCrash(table, n%maxTraits, at(n*50), at(n*50+9999))
 	}
 	seen := make(map[ID]bool)
 	const datagram = 1300
-	for range maxRequests {
-		records := table.Records(at(maxRequests * maxCrashes * 50))
+	for range maxTraits {
+		records := table.Records(at(maxTraits * maxCrashes * 50))
 		assert.Equal(t, len(records), maxRecords)
 		assert.Equal(t, len(records[0].Crashes), maxRecordCrashes)
 		text, err := json.Marshal(records)
@@ -214,18 +228,18 @@
 			seen[r.ID] = true
 		}
 	}
-	assert.Equal(t, len(seen), maxRequests)
+	assert.Equal(t, len(seen), maxTraits)
 }
 
 // BenchmarkStatus measures Status, which is called for each attempt, with an empty and a
 // full table.
 func BenchmarkStatus(b *testing.B) {
-	for name, n := range map[string]int{"none": 0, "full": maxRequests} {
+	for name, n := range map[string]int{"none": 0, "full": maxTraits} {
 		table := New()
 		for n := range n {
-			table.RecordCrash(nth(n), begin, begin)
+			recordCrash(table, n, begin, begin)
 		}
-		id := nth(rand.IntN(n + 1))
+		id := identity(rand.IntN(n + 1))
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
 				table.Status(id, begin)
@@ -235,44 +249,46 @@
 }
 
 // A request that completed before must not be quarantined only because it is in progress
-// at each crash that another request causes.
+// at each crash that another request causes, also in a process in which it has not completed.
 func TestACommonRequestIsNotQuarantinedWithTheOneThatCrashes(t *testing.T) {
 	table := New()
-	table.RecordCompletion(nth(1), at(0))
+	table.RecordCompletion(identity(1), at(0))
 	for n := range 2 * Threshold {
-		table.RecordCrash(nth(2), at(1000*n), at(1000*n+50))
-		s := table.RecordCrash(nth(1), at(1000*n), at(1000*n+50))
-		assert.Assert(t, !s.Quarantined(), "after %d crashes", n+1)
-		assert.Assert(t, s.Suspected())
+		o := Observation{Endpoint: fmt.Sprint("e", n), Sent: at(1000 * n), At: at(1000*n + 50)}
+		table.RecordCrash(identity(2), o)
+		s := table.RecordCrash(identity(1), o)
+		assert.Assert(t, !s.Quarantined, "after %d crashes", n+1)
+		assert.Equal(t, s.Suspected(), n+1 < Threshold, "until the other request explains its crashes")
 	}
-	assert.Assert(t, table.Status(nth(2), at(9000)).Quarantined())
+	assert.Assert(t, table.Status(identity(2), at(9000)).Quarantined)
 	other := New()
 	other.Merge(table.Records(at(9000)), at(9000))
-	assert.Assert(t, other.Status(nth(1), at(9000)).Quarantined(), "a gateway in which it has not completed")
-	table.RecordCompletion(nth(1), at(9500))
+	assert.Assert(t, other.Status(identity(2), at(9000)).Quarantined)
+	assert.Assert(t, !other.Status(identity(1), at(9000)).Suspected(), "a gateway in which it has not completed")
+	table.RecordCompletion(identity(1), at(9500))
 	other.Merge(table.Records(at(9600)), at(9600))
-	assert.Assert(t, !other.Status(nth(1), at(9600)).Suspected(), "cleared by a completion elsewhere")
+	assert.Assert(t, !other.Status(identity(1), at(9600)).Suspected(), "cleared by a completion elsewhere")
 }
 
 // A request that completed before must be quarantined after completedThreshold crashes.
 // The set of completed requests must be bounded.
 func TestACompletedRequestIsQuarantinedAfterMoreCrashes(t *testing.T) {
 	table := New()
-	table.RecordCompletion(nth(1), at(0))
+	table.RecordCompletion(identity(1), at(0))
 	crashes := 0
-	for !table.Status(nth(1), at(1000*crashes)).Quarantined() {
+	for !table.Status(identity(1), at(1000*crashes)).Quarantined {
 		assert.Assert(t, crashes < completedThreshold)
-		table.RecordCrash(nth(1), at(1000*crashes), at(1000*crashes+50))
+		recordCrash(table, 1, at(1000*crashes), at(1000*crashes+50))
 		crashes++
 	}
 	assert.Equal(t, crashes, completedThreshold)
-	table.RecordCompletion(nth(2), at(0))
+	table.RecordCompletion(identity(2), at(0))
 	for n := range maxCompleted {
-		table.RecordCompletion(nth(3+n), at(0))
+		table.RecordCompletion(identity(3+n), at(0))
 	}
-	assert.Assert(t, len(table.completed.ids) <= maxCompleted)
-	assert.Assert(t, !table.completed.has(nth(2)), "the oldest is evicted")
-	assert.Assert(t, table.completed.has(nth(2+maxCompleted)))
+	assert.Assert(t, len(table.completedRequests.ids) <= maxCompleted)
+	assert.Assert(t, !table.completedRequests.has(nth(2)), "the oldest is evicted")
+	assert.Assert(t, table.completedRequests.has(nth(2+maxCompleted)))
 }
 
 // BenchmarkRecordCompletion measures RecordCompletion, which is called for each completed
@@ -282,7 +298,7 @@
 	n := 0
 	for b.Loop() {
 		n++
-		table.RecordCompletion(nth(n), begin)
+		table.RecordCompletion(identity(n), begin)
 	}
 }
 
@@ -291,16 +307,16 @@
 func TestSuspectsAreSentForReportTime(t *testing.T) {
 	table := New()
 	for n := range Threshold {
-		table.RecordCrash(nth(0), at(1000*n), at(1000*n+50))
+		recordCrash(table, 0, at(1000*n), at(1000*n+50))
 	}
-	table.RecordCrash(nth(1), at(2000), at(2050))
-	table.RecordCrash(nth(2), at(2000), at(2050))
-	table.RecordCompletion(nth(2), at(2100))
+	recordCrash(table, 1, at(2000), at(2050))
+	recordCrash(table, 2, at(2000), at(2050))
+	table.RecordCompletion(identity(2), at(2100))
 	assert.Equal(t, len(table.Records(at(2050).Add(reportTime))), 3)
 	later := table.Records(at(2101).Add(reportTime))
 	assert.Equal(t, len(later), 1)
 	assert.Equal(t, later[0].ID, nth(0))
-	assert.Assert(t, table.Status(nth(1), at(2101).Add(reportTime)).Suspected(), "still suspected in this process")
+	assert.Assert(t, table.Status(identity(1), at(2101).Add(reportTime)).Suspected(), "still suspected in this process")
 }
 
 // BenchmarkFullTable measures the memory of a full table and set of completed requests.
@@ -309,10 +325,10 @@
 	for b.Loop() {
 		table := New()
 		for n := range maxCompleted {
-			table.RecordCompletion(nth(n), begin)
+			table.RecordCompletion(identity(n), begin)
 		}
-		for n := range maxRequests * maxCrashes {
-			table.RecordCrash(nth(n%maxRequests), at(n*50), at(n*50+9999))
+		for n := range maxTraits * maxCrashes {
+			recordCrash(table, n%maxTraits, at(n*50), at(n*50+9999))
 		}
 	}
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -3,23 +3,32 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 // Record is the message in which a process tells others which endpoint crashes are
-// recorded against a request. Points in time are sent as ages, so the clocks of the
+// recorded against a trait. Points in time are sent as ages, so the clocks of the
 // processes need not agree.
 type Record struct {
 	ID ID `json:"i"`
-	// Epoch increases each time the crashes of the request are cleared.
+	// Depth is the position in a prompt of the part that is the trait, from 1 on, or 0 if
+	// the trait is the identity of a request.
+	Depth int `json:"d,omitempty"`
+	// Epoch increases each time the crashes of the trait are cleared.
 	Epoch   uint32  `json:"e,omitempty"`
 	Crashes []Crash `json:"c,omitempty"`
+	// Completed reports that a request with the trait has completed.
+	Completed bool `json:"s,omitempty"`
+	// RejectedMS is the time since a request with the trait was last rejected, in
+	// milliseconds and at least 1, or 0 if none was.
+	RejectedMS int64 `json:"u,omitempty"`
 }
 
-// Crash is the crash of an endpoint to which the request of a Record was sent.
+// Crash is the crash of an endpoint to which a request with the trait of a Record was sent.
 type Crash struct {
-	// Key identifies the crash. It is random.
+	// Key identifies the incarnation of the endpoint.
 	Key uint32 `json:"k"`
 	// AgeMS is the time since the crash, in milliseconds.
 	AgeMS int64 `json:"a"`
@@ -28,39 +37,42 @@
 }
 
 // Limits on the records of one message, which must fit into a datagram together with a
-// subscription or a load report. A record takes about 40 bytes, and each of its crashes
-// as many.
+// subscription or a load report. A record takes about 60 bytes, and each of its crashes 40.
 const (
 	maxRecords = 6
 	// rotatingRecords is the number of records of a message that do not go to the most
 	// urgent entries, but to each of the others in turn.
 	rotatingRecords = 2
-	// reportTime is how long after its last change the entry of a request that is not
-	// in quarantine is still sent to other processes. Older entries have reached all processes and would only
-	// fill the datagrams.
+	// reportTime is how long after its last change the entry of a trait that is not in
+	// quarantine is still sent to other processes. Older entries have reached all processes
+	// and would only fill the datagrams.
 	reportTime = 30 * time.Second
-	// maxRecordCrashes bounds the crashes of one record. It is sufficient to put the
-	// request in quarantine.
-	maxRecordCrashes = Threshold + 1
+	// maxMessageCrashes bounds the crashes of all records of a message.
+	maxMessageCrashes = 20
+	// minRecordCrashes is the number of crashes that fit into each record at least, and
+	// maxRecordCrashes bounds those of one record. The latter is sufficient to put any
+	// trait in quarantine.
+	minRecordCrashes = 2
+	maxRecordCrashes = completedThreshold + 1
 )
 
 // Records returns up to maxRecords records to send. Most are those of the most urgent
-// entries: requests in quarantine first, then the latest changes. The rest are taken
-// from the other entries in rotation, so that repeated calls return all of them. Expired
-// entries are evicted.
+// entries. The rest are taken from the other entries in rotation, so that repeated calls
+// return all of them. Expired entries are evicted.
 func (t *Table) Records(now time.Time) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.entries) == 0 {
 		return nil
 	}
+	t.evaluate(now)
 	ids := make([]ID, 0, len(t.entries))
 	for id, e := range t.entries {
 		if t.expired(e, now) {
 			delete(t.entries, id)
 			continue
 		}
-		if e.count() >= Threshold || now.Sub(e.changedAt) <= reportTime {
+		if e.quarantined || now.Sub(e.changedAt) <= reportTime {
 			ids = append(ids, id)
 		}
 	}
@@ -75,47 +87,69 @@
 		ids = first
 	}
 	out := make([]Record, len(ids))
+	left := maxMessageCrashes
 	for n, id := range ids {
-		out[n] = t.entries[id].record(id, now)
+		reserved := minRecordCrashes * (len(ids) - 1 - n)
+		out[n] = t.entries[id].record(id, min(left-reserved, maxRecordCrashes), now)
+		left -= len(out[n].Crashes)
 	}
 	return out
 }
 
-// compareUrgency orders entries for Records, the more urgent first.
+// compareUrgency orders entries for Records, the more urgent first: those in quarantine,
+// then those suspected, the ones with the most crashes first, then the latest changes.
 func compareUrgency(a, b *entry) int {
-	quarantinedA, quarantinedB := a.count() >= Threshold, b.count() >= Threshold
 	switch {
-	case quarantinedA && !quarantinedB:
-		return -1
-	case quarantinedB && !quarantinedA:
-		return 1
+	case a.quarantined != b.quarantined:
+		return compareBool(a.quarantined, b.quarantined)
+	case a.suspected() != b.suspected():
+		return compareBool(a.suspected(), b.suspected())
+	case a.suspected() && a.unexplained != b.unexplained:
+		return cmp.Compare(b.unexplained, a.unexplained)
 	default:
 		return b.changedAt.Compare(a.changedAt)
 	}
 }
 
-// record returns the entry as a message to other processes; id identifies its request.
-func (e *entry) record(id ID, now time.Time) Record {
-	r := Record{ID: id, Epoch: e.epoch}
-	for _, c := range e.recordCrashes() {
+// compareBool orders true before false.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// record returns the entry, with at most limit of its crashes, as a message to other
+// processes; id identifies its trait.
+func (e *entry) record(id ID, limit int, now time.Time) Record {
+	r := Record{ID: id, Depth: e.depth, Epoch: e.epoch, Completed: e.completed}
+	if !e.rejectedAt.IsZero() {
+		r.RejectedMS = max(1, now.Sub(e.rejectedAt).Milliseconds())
+	}
+	for _, c := range e.recordCrashes(limit) {
 		r.Crashes = append(r.Crashes, Crash{Key: c.key, AgeMS: now.Sub(c.at).Milliseconds(), RanMS: c.at.Sub(c.sent).Milliseconds()})
 	}
 	return r
 }
 
-// recordCrashes returns up to maxRecordCrashes crashes. If the entry has more, it
-// returns only crashes that count separately; see crash.independent.
-func (e *entry) recordCrashes() []crash {
-	if len(e.crashes) <= maxRecordCrashes {
+// recordCrashes returns up to limit crashes. If the entry has more, it returns only
+// crashes that count separately, see crash.independent, and the last one.
+func (e *entry) recordCrashes(limit int) []crash {
+	if len(e.crashes) <= limit {
 		return e.crashes
 	}
 	out := e.crashes[:1:1]
-	for _, c := range e.crashes[1:] {
-		if len(out) < maxRecordCrashes && c.independent(out[len(out)-1].at) {
+	last := e.crashes[len(e.crashes)-1]
+	for _, c := range e.crashes[1 : len(e.crashes)-1] {
+		if len(out) < limit-1 && c.independent(out[len(out)-1].at) {
 			out = append(out, c)
 		}
 	}
-	return out
+	return append(out, last)
 }
 
 // Merge merges records of another process, and reports whether they changed the
@@ -130,6 +164,9 @@
 	return changed
 }
 
+// maxCrashAge is the maximum age of a crash while requests with its trait are rejected.
+const maxCrashAge = 24 * time.Hour
+
 // mergeRecord merges one record, and reports whether it changed the table; Table.mu
 // is held.
 func (t *Table) mergeRecord(r Record, now time.Time) bool {
@@ -146,23 +183,44 @@
 	case r.Epoch < e.epoch:
 		return false
 	case r.Epoch > e.epoch:
-		e.epoch, e.crashes, e.ownKeys = r.Epoch, nil, nil
+		e.reset(r.Epoch)
 		e.changedAt, known = now, false
 	}
-	added := false
+	e.depth = min(max(e.depth, r.Depth), maxParts)
+	completed := e.completed || r.Completed || t.hasCompleted(r.ID, e.depth)
+	added := completed != e.completed
+	e.completed = completed
+	if rejected, ok := ago(now, r.RejectedMS, CrashTTL); ok && r.RejectedMS > 0 && rejected.After(e.rejectedAt) {
+		e.rejectedAt = rejected
+	}
+	maxAge := CrashTTL
+	if now.Sub(e.rejectedAt) <= CrashTTL {
+		maxAge = maxCrashAge
+	}
 	for _, c := range r.Crashes {
-		at := now.Add(-time.Duration(c.AgeMS) * time.Millisecond)
-		if c.AgeMS >= 0 && c.RanMS >= 0 && now.Sub(at) <= CrashTTL {
-			sent := at.Add(-time.Duration(c.RanMS) * time.Millisecond)
-			added = e.add(crash{key: c.Key, sent: sent, at: at}) || added
+		at, ok := ago(now, c.AgeMS, maxAge)
+		if sent, ran := ago(at, c.RanMS, maxCrashAge); ok && ran {
+			isNew, changed := e.add(crash{key: c.Key, sent: sent, at: at})
+			added = added || isNew
+			t.changed = t.changed || changed
 		}
 	}
 	e.refreshedAt = now
 	if added {
 		e.changedAt = now
 	}
+	t.changed = t.changed || added || !known
 	if t.entries[r.ID] != e {
 		t.put(r.ID, e, now)
 	}
 	return added || !known
 }
+
+// ago returns the time ms milliseconds before now. It returns false if ms is negative or
+// more than limit.
+func ago(now time.Time, ms int64, limit time.Duration) (time.Time, bool) {
+	if ms < 0 || ms > limit.Milliseconds() {
+		return time.Time{}, false
+	}
+	return now.Add(-time.Duration(ms) * time.Millisecond), true
+}
