ingress: a crash is told from the end of a response without length

A response with neither a length nor chunks ends with its connection.

At the end of such a response the gateway now opens a connection to the endpoint, which it needs anyway since the one before has ended. If that is refused, or the process has a new start time, the response is broken off and the crash counts. An endpoint that is draining or no longer listed may end right after its last response, which stays complete.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -80,7 +80,7 @@
 	if x.withdrawalResets() {
 		resetOn = errWithdrawn
 	}
-	return x.server.pool.Do(a.ctx, e.Address, &upstream.Request{
+	response, err := x.server.pool.Do(a.ctx, e.Address, &upstream.Request{
 		ResetOn:         resetOn,
 		DropUndelivered: func() bool { return a.lost() || x.abandoned() || x.dropsUndelivered(e, clock.Now()) },
 		Method:          x.request.Method,
@@ -97,6 +97,10 @@
 			return id == x.id
 		},
 	})
+	if err == nil && response.EndsWithConnection() {
+		response.Body = &unframedBody{Reader: response.Body, attempt: a}
+	}
+	return response, err
 }
 
 // lost reports whether the attempt was canceled because another one has delivered.
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/mintlift/mintlift/eventstream"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/quarantine"
 )
@@ -118,7 +119,7 @@
 
 // connectionLost reports whether err can result from the end of the peer's process.
 func connectionLost(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, eventstream.ErrTruncated) || errors.Is(err, errEndedByCrash) ||
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -330,14 +330,17 @@
 	})
 }
 
+// EndsWithConnection reports whether the end of the connection is the end of the body,
+// since the response has neither a length nor chunks.
+func (r *Response) EndsWithConnection() bool {
+	return r.head.ContentLength < 0 && len(r.head.TransferEncoding) == 0 && r.head.Body != http.NoBody
+}
+
 // reusable reports whether the connection can carry another request. It can if the
 // request was written completely, the length of the response body was delimited, no
 // bytes follow the body, and the endpoint keeps the connection open.
 func (r *Response) reusable() bool {
-	if r.head.Close || r.conn.reader.Buffered() > 0 {
-		return false
-	}
-	if r.head.ContentLength < 0 && len(r.head.TransferEncoding) == 0 {
+	if r.head.Close || r.conn.reader.Buffered() > 0 || r.EndsWithConnection() {
 		return false
 	}
 	select {
@@ -403,6 +406,18 @@
 	return r, nil
 }
 
+// Connect opens a connection to the address, which stays idle until a request needs it.
+func (p *Pool) Connect(ctx context.Context, address string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.putIdle(clock.Now(), p.options.IdleTimeout)
+	return nil
+}
+
 // Refuses reports whether the address refuses connections, which shows that no process
 // listens there. It returns false if the dial times out.
 func (p *Pool) Refuses(ctx context.Context, address string, timeout time.Duration) bool {
