--- a/cmd/mintlift/crashpart_test.go
+++ b/cmd/mintlift/crashpart_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -27,6 +28,8 @@
 	maxPartCrashes = partCrashThreshold + maxCrashesAfterPropagation
 	// partRestartDelay is the duration from a crash of an engine to its restart.
 	partRestartDelay = 2500 * time.Millisecond
+	// leastSoundRequests is the number of sound requests whose served share tells something.
+	leastSoundRequests = 20
 	// soundEvents is the number of events of a sound stream, soundEventInterval apart.
 	soundEvents        = 6
 	soundEventInterval = 60 * time.Millisecond
@@ -57,8 +60,10 @@
 	// unframed reports that responses have neither a length nor chunks, and end with their
 	// connection.
 	unframed bool
+	traffic  partTraffic
 
-	mu sync.Mutex
+	mu      sync.Mutex
+	engines []*partEngine
 	// received are the times at which engines received requests with each bad part.
 	received map[string][]time.Time
 	// crashedBy holds the times of the crashes by each bad part.
@@ -81,6 +86,7 @@
 		e.crashingEngine = crashingEngine{deployment: d, address: ip + ":8320", handler: e, restartDelay: partRestartDelay}
 		assert.NilError(t, e.start())
 		t.Cleanup(e.stop)
+		p.engines = append(p.engines, e)
 		startSidecarOn(t, d.on(ip), ip, store, e.address)
 	})
 }
@@ -121,7 +127,7 @@
 	}
 	control := http.NewResponseController(w)
 	if bad != "" || string(body) == crashingBody {
-		time.Sleep(crashDelay)
+		time.Sleep(p.traffic.crashDelay)
 		switch p.point {
 		case crashAfterHead:
 			_ = control.Flush()
@@ -167,25 +173,43 @@
 	return err == nil && response.StatusCode == http.StatusOK && strings.Count(string(text), "data:") == soundEvents
 }
 
-// Rates of requests per second.
-const (
-	soundRate = 80
-	badRate   = 10
-)
+// partTraffic is the traffic of a partRun.
+type partTraffic struct {
+	soundRate, badRate int // requests per second
+	// sharedEvery is n if every n-th sound request has the first part of all bad ones.
+	sharedEvery int
+	// badPosition is the position of the bad part, from 0 on. The parts before it are
+	// shared with sound requests.
+	badPosition int
+	crashDelay  time.Duration // from the start of a bad request to the crash
+	// otherCrashes is the mean time between crashes that no request causes; 0 for none.
+	otherCrashes time.Duration
+}
+
+// usualPartTraffic is the traffic of most runs.
+var usualPartTraffic = partTraffic{soundRate: 80, badRate: 10, sharedEvery: 4, badPosition: 1, crashDelay: crashDelay}
 
-// sharedFirstPart is the first part of the prompts of all bad requests and of a quarter of
-// the sound ones.
+// sharedFirstPart is the first part of the prompts of all bad requests, unless that is the
+// bad one, and of some sound ones.
 const sharedFirstPart = "f1f1f1f1"
 
+// badPrompt returns the parts of the n-th bad request.
+func (p *partRun) badPrompt(n int, part string) string {
+	parts := []string{sharedFirstPart, fmt.Sprintf("b%07x", n%200), fmt.Sprintf("d%07x", n)}
+	parts = slices.Insert(parts, p.traffic.badPosition, part)
+	return strings.Join(parts, ":40,") + ":77"
+}
+
 // sendTraffic sends sound requests for d, and bad ones from badAfter on.
 func (p *partRun) sendTraffic(d, badAfter time.Duration) {
 	began := time.Now()
-	interval := time.Second / soundRate
+	interval := time.Second / time.Duration(p.traffic.soundRate)
 	var requests sync.WaitGroup
 	bad := 0
+	nextCrash := p.traffic.otherCrashes
 	for n := 0; time.Since(began) < d; n++ {
 		first := sharedFirstPart
-		shares := n%4 == 0
+		shares := n%p.traffic.sharedEvery == 0
 		if !shares {
 			first = fmt.Sprintf("a%07x", rand.IntN(20))
 		}
@@ -198,20 +222,25 @@
 				p.mu.Unlock()
 			}
 		})
-		for ; time.Since(began) >= badAfter+time.Duration(bad)*time.Second/badRate; bad++ {
+		for ; time.Since(began) >= badAfter+time.Duration(bad)*time.Second/time.Duration(p.traffic.badRate); bad++ {
 			part := p.badParts[bad%len(p.badParts)]
 			requests.Go(func() {
-				p.sendParts(bad, fmt.Sprint("bad-", bad), fmt.Sprintf("%s:40,%s:300,d%07x:77", sharedFirstPart, part, bad))
+				p.sendParts(bad, fmt.Sprint("bad-", bad), p.badPrompt(bad, part))
 			})
 		}
+		if nextCrash > 0 && time.Since(began) >= nextCrash {
+			p.engines[rand.IntN(len(p.engines))].crash()
+			nextCrash += time.Duration(rand.ExpFloat64() * float64(p.traffic.otherCrashes))
+		}
 		time.Sleep(interval)
 	}
 	requests.Wait()
 }
 
-// servedShare returns the share of the sound requests sent in a period that were served.
-func (p *partRun) servedShare(from, to time.Time) float64 {
-	served, sent := 0, 0
+// servedShare returns the share of the sound requests sent in a period that were served, and
+// the number of those sent.
+func (p *partRun) servedShare(from, to time.Time) (share float64, sent int) {
+	served := 0
 	for _, s := range p.sound {
 		if s.sent.Before(from) || s.sent.After(to) {
 			continue
@@ -221,7 +250,7 @@
 			served++
 		}
 	}
-	return float64(served) / float64(max(sent, 1))
+	return float64(served) / float64(max(sent, 1)), sent
 }
 
 // badPartNames returns the names of count bad parts.
@@ -242,7 +271,7 @@
 	const badAfter = 4 * time.Second
 	began := time.Now()
 	p.sendTraffic(20*time.Second, badAfter)
-	before := p.servedShare(began, began.Add(badAfter))
+	before, _ := p.servedShare(began, began.Add(badAfter))
 	for _, part := range p.badParts {
 		crashes := p.crashedBy[part]
 		t.Logf("part %s: %d requests received, %d engines have crashed", part, len(p.received[part]), len(crashes))
@@ -256,8 +285,9 @@
 			}
 		}
 		assert.Check(t, late <= maxCrashesAfterPropagation, "%d requests received later than %s", late, propagationTimeout)
-		share := p.servedShare(last.Add(2*propagationTimeout), time.Now())
+		share, sent := p.servedShare(last.Add(2*propagationTimeout), time.Now())
 		t.Logf("%d late; sound requests served: %.2f before, %.2f after", late, before, share)
+		assert.Check(t, sent >= leastSoundRequests, "%d sound requests", sent)
 		assert.Check(t, share >= 0.95*before, "sound requests served: %.2f before, %.2f after", before, share)
 	}
 }
@@ -274,7 +304,7 @@
 		t.Run(fmt.Sprintf("%d gateways, %d engines, %d parts, unframed %t", test.gateways, test.engines, test.parts, test.unframed), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				p := &partRun{badParts: badPartNames(test.parts), point: crashBeforeHead, unframed: test.unframed}
+				p := &partRun{badParts: badPartNames(test.parts), point: crashBeforeHead, unframed: test.unframed, traffic: usualPartTraffic}
 				checkPartQuarantine(t, p, test.gateways, test.engines)
 			})
 		})
@@ -289,7 +319,7 @@
 		t.Run(string(point), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				p := &partRun{point: point, unframed: true}
+				p := &partRun{point: point, unframed: true, traffic: usualPartTraffic}
 				p.start(t, 3, 12)
 				complete := 0
 				for n := range 60 {
@@ -309,11 +339,11 @@
 // restart of the gateway that detected the crashes.
 func TestPartQuarantineHoldsWithoutStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &partRun{badParts: badPartNames(1), point: crashBeforeHead}
+		p := &partRun{badParts: badPartNames(1), point: crashBeforeHead, traffic: usualPartTraffic}
 		p.start(t, 3, 12)
 		p.store.Change(func(f *storetest.Faults) { f.Unresponsive = map[string]bool{"": true} })
 		for n := range 60 {
-			p.sendParts(n, fmt.Sprint("bad-", n), fmt.Sprintf("%s:40,%s:300,d%07x:77", sharedFirstPart, p.badParts[0], n))
+			p.sendParts(n, fmt.Sprint("bad-", n), p.badPrompt(n, p.badParts[0]))
 			time.Sleep(100 * time.Millisecond)
 		}
 		crashes := len(p.crashTimes())
--- a/ingress/crash_test.go
+++ b/ingress/crash_test.go
@@ -280,7 +280,7 @@
 			for n := range 3 {
 				g.startCrashableEndpoint(fmt.Sprint("e", n), "engine", crashOnCrashBody)
 			}
-			began := time.Now().Add(-quarantine.TrialAfter - 5*time.Second)
+			began := time.Now().Add(-quarantine.TrialAfter - quarantine.TrialJitter - 5*time.Second)
 			for n := range quarantine.Threshold {
 				sent := began.Add(time.Duration(n) * time.Second)
 				g.server.suspects.RecordCrash(quarantine.Traits{Identity: requestIdentity("/stream/1", body)}, quarantine.Observation{Endpoint: fmt.Sprint("other", n), Sent: sent, At: sent.Add(50 * time.Millisecond)})
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -63,12 +63,16 @@
 	// it. Afterwards a trait that does cause crashes may crash up to Threshold further
 	// endpoints.
 	CrashTTL = 10 * time.Minute
-	// TrialAfter is the time from the last crash of a trait in quarantine to its trial:
-	// one process then runs one request with it. If it completes, the trait leaves
+	// TrialAfter is the minimum time from the last crash of a trait in quarantine to its
+	// trial: one process then runs one request with it. If it completes, the trait leaves
 	// quarantine early; if it crashes another endpoint, it stays. Without a trial, a
 	// common trait that only was present at the crashes would stay in quarantine, for
 	// example if all endpoints crash before a request with it has completed anywhere.
 	TrialAfter = 20 * time.Second
+	// TrialJitter is the maximum time by which a trial is later. Several processes may be
+	// chosen for it, if an endpoint crashed while it ran requests of each. The first one
+	// whose trial fails keeps the others from theirs.
+	TrialJitter = 10 * time.Second
 	// fallbackTrialMin and fallbackTrialMax bound the time from the last crash to the
 	// trial by a process that has not been chosen for it, in case the chosen one has
 	// ended. The time is random, so that few processes run a trial at once.
@@ -203,8 +207,8 @@
 
 // Trial reports whether this process may now run a request in quarantine once, as a trial
 // of whether it completes. If so, it records the trial. The trial of a trait is due
-// TrialAfter its last crash in the process that detected the crash with the lowest key, and
-// later in others, unless an earlier one has failed.
+// TrialAfter its last crash, or up to TrialJitter later, in the processes that detected the
+// crash with the lowest key, and later in others, unless an earlier one has failed.
 func (t *Table) Trial(traits Traits, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -235,7 +239,7 @@
 		e.trialDelay = fallbackTrialMin + rand.N(fallbackTrialMax-fallbackTrialMin)
 		lowest := slices.MinFunc(e.crashes, func(a, b crash) int { return cmp.Compare(a.key, b.key) })
 		if slices.Contains(e.ownKeys, lowest.key) {
-			e.trialDelay = TrialAfter
+			e.trialDelay = TrialAfter + rand.N(TrialJitter)
 		}
 	}
 	return now.Sub(e.lastCrash()) >= e.trialDelay
