quarantine: parts that crash the same endpoints are all held

Cause: a part was released once the others in quarantine explained most of its crashes, and an entry that held twelve of them took no more, so that its new crashes were not seen. The latest crashes are kept now, and a trait that has reached its threshold is held while any of its crashes is unexplained, at all gateways. 30 of 30 plays pass.

--- a/quarantine/entry.go
+++ b/quarantine/entry.go
@@ -29,6 +29,8 @@
 	// sent is when the request was sent to the endpoint, and at is when the crash was
 	// detected.
 	sent, at time.Time
+	// explained is set by Table.evaluate if another trait in quarantine was present.
+	explained bool
 }
 
 // independent reports whether c counts separately from an earlier crash at the time
@@ -63,6 +65,11 @@
 	// tried reports that this process has run a request as a trial.
 	tried bool
 
+	// held reports that the trait has reached its threshold, in some process. It then stays
+	// in quarantine while any of its crashes is unexplained: of several traits that cause
+	// crashes, one may come to explain most of those of another.
+	held bool
+
 	// Table.evaluate sets the fields below. unexplained is the number of crashes that
 	// count separately and that no trait in quarantine explains.
 	unexplained int
@@ -92,13 +99,22 @@
 	return e.unexplained > 0 && (e.depth == 0 || !e.completed || e.quarantined)
 }
 
-// count returns the number of crashes that count separately, see crash.independent,
-// without those whose keys are in explained.
-func (e *entry) count(explained map[uint32]struct{}) int {
+// explain marks the crashes whose keys are in explained, and returns the number of the
+// others that count separately; see crash.independent.
+func (e *entry) explain(explained map[uint32]struct{}) int {
+	for n := range e.crashes {
+		_, e.crashes[n].explained = explained[e.crashes[n].key]
+	}
+	return e.count()
+}
+
+// count returns the number of unexplained crashes that count separately; see
+// crash.independent.
+func (e *entry) count() int {
 	count := 0
 	var last time.Time
 	for _, c := range e.crashes {
-		if _, ok := explained[c.key]; ok {
+		if c.explained {
 			continue
 		}
 		if count == 0 || c.independent(last) {
@@ -138,14 +154,14 @@
 		e.crashes[n] = c
 		e.sort()
 		return false, true
-	case len(e.crashes) >= maxCrashes && e.count(nil) >= completedThreshold:
-		return false, false
-	case len(e.crashes) >= maxCrashes:
-		e.dropDependent()
 	}
 	e.crashes = append(e.crashes, c)
 	e.sort()
-	return true, true
+	if len(e.crashes) <= maxCrashes {
+		return true, true
+	}
+	kept := e.dropOne() != c.key
+	return kept, kept
 }
 
 // sort orders the crashes by time.
@@ -153,14 +169,19 @@
 	slices.SortFunc(e.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
 }
 
-// dropDependent drops the latest crash that is not independent of the one before it.
-func (e *entry) dropDependent() {
-	for n := len(e.crashes) - 1; n > 0; n-- {
+// dropOne drops the latest crash that is not independent of the one before it, or else the
+// oldest one, and returns its key. The latest crashes show whether requests with the trait
+// still cause any.
+func (e *entry) dropOne() uint32 {
+	drop := 0
+	for n := len(e.crashes) - 1; n > 0 && drop == 0; n-- {
 		if !e.crashes[n].independent(e.crashes[n-1].at) {
-			e.crashes = slices.Delete(e.crashes, n, n+1)
-			return
+			drop = n
 		}
 	}
+	key := e.crashes[drop].key
+	e.crashes = slices.Delete(e.crashes, drop, drop+1)
+	return key
 }
 
 // lastCrash returns the time of the last crash, or of the last change if there is no
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -30,7 +30,7 @@
 		if len(e.crashes) == 0 || t.expired(e, now) {
 			continue
 		}
-		e.unexplained = e.count(nil)
+		e.unexplained = e.explain(nil)
 		if e.reachesThreshold() {
 			t.candidates = append(t.candidates, candidate{id, e})
 		}
@@ -42,7 +42,7 @@
 	explained := make(map[uint32]struct{})
 	for len(t.candidates) > 0 {
 		best := t.candidates[0]
-		if left := best.count(explained); left != best.unexplained {
+		if left := best.explain(explained); left != best.unexplained {
 			best.unexplained = left // has been explained since it was ordered
 			heap.Fix(&t.candidates, 0)
 			continue
@@ -51,20 +51,23 @@
 		if !best.reachesThreshold() {
 			continue
 		}
-		best.quarantined = true
+		best.quarantined, best.held = true, true
 		for _, c := range best.crashes {
 			explained[c.key] = struct{}{}
 		}
 	}
 	for _, e := range t.entries {
 		if !e.quarantined && e.unexplained > 0 {
-			e.unexplained = e.count(explained)
+			e.unexplained = e.explain(explained)
+			e.held = e.held && e.unexplained > 0
 		}
 	}
 }
 
-// reachesThreshold reports whether the trait is to be put in quarantine.
-func (e *entry) reachesThreshold() bool { return e.unexplained >= e.threshold() }
+// reachesThreshold reports whether the trait is to be put, or stays, in quarantine.
+func (e *entry) reachesThreshold() bool {
+	return e.unexplained >= e.threshold() || e.held && e.unexplained > 0
+}
 
 // candidate is an entry that may be put in quarantine.
 type candidate struct {
--- a/quarantine/evaluate_test.go
+++ b/quarantine/evaluate_test.go
@@ -195,3 +195,26 @@
 		assert.Equal(t, quarantined, 0, "seed %d", seed)
 	}
 }
+
+// Of two parts that crash endpoints, often the same ones, each must be quarantined and stay
+// so, although the other explains most of its crashes.
+func TestPartsThatCrashTheSameEndpointsAreBothQuarantined(t *testing.T) {
+	table := New()
+	for n := range 3 * maxCrashes {
+		now := at(1000 * n)
+		for m, part := range []string{"aa", "bb"} {
+			if m == 1 || n%3 > 0 {
+				table.RecordCrash(prompt(10*n+m, part), crashOf(n))
+			}
+		}
+		if n > 6 {
+			assert.Assert(t, table.Status(prompt(900, "bb"), now).Quarantined, "after %d crashes", n+1)
+		}
+	}
+	for n := range Threshold { // aa alone
+		table.RecordCrash(prompt(500+n, "aa"), crashOf(100+n))
+	}
+	now := at(1000 * 110)
+	assert.Assert(t, table.Status(prompt(901, "aa"), now).Quarantined)
+	assert.Assert(t, table.Status(prompt(902, "bb"), now).Quarantined)
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -270,7 +270,7 @@
 // reset begins an epoch of an entry.
 func (e *entry) reset(epoch uint32) {
 	e.epoch = epoch
-	e.crashes, e.ownKeys, e.tried, e.trialDelay, e.rejectedAt = nil, nil, false, 0, time.Time{}
+	e.crashes, e.ownKeys, e.held, e.tried, e.trialDelay, e.rejectedAt = nil, nil, false, false, 0, time.Time{}
 }
 
 // RecordCompletion records that a request got a complete response, which deletes the
@@ -337,17 +337,18 @@
 		maps.DeleteFunc(t.entries, func(_ ID, e *entry) bool { return t.expired(e, now) })
 	}
 	if len(t.entries) >= maxTraits {
-		t.evictLeastImportant()
+		t.evictLeastImportant(now)
 	}
 	t.entries[id] = e
 	t.nonEmpty.Store(true)
 	t.changed = true
 }
 
-// evictLeastImportant evicts the entry with the fewest crashes, and among those the one
+// evictLeastImportant evicts the entry with the fewest unexplained crashes, and among those the one
 // that changed least recently. A caller therefore cannot release a trait from
 // quarantine by sending many other requests. Table.mu must be held.
-func (t *Table) evictLeastImportant() {
+func (t *Table) evictLeastImportant(now time.Time) {
+	t.evaluate(now)
 	var id ID
 	var least *entry
 	for candidate, e := range t.entries {
@@ -360,5 +361,5 @@
 
 // compareImportance orders entries, the more important first.
 func compareImportance(a, b *entry) int {
-	return cmp.Or(cmp.Compare(b.count(nil), a.count(nil)), b.changedAt.Compare(a.changedAt))
+	return cmp.Or(cmp.Compare(b.unexplained, a.unexplained), b.changedAt.Compare(a.changedAt))
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -21,6 +21,8 @@
 	Crashes []Crash `json:"c,omitempty"`
 	// Completed reports that a request with the trait has completed.
 	Completed bool `json:"s,omitempty"`
+	// Held reports that the trait has been put in quarantine.
+	Held bool `json:"q,omitempty"`
 	// RejectedMS is the time since a request with the trait was last rejected, in
 	// milliseconds and at least 1, or 0 if none was.
 	RejectedMS int64 `json:"u,omitempty"`
@@ -126,7 +128,7 @@
 // record returns the entry, with at most limit of its crashes, as a message to other
 // processes; id identifies its trait.
 func (e *entry) record(id ID, limit int, now time.Time) Record {
-	r := Record{ID: id, Depth: e.depth, Epoch: e.epoch, Completed: e.completed}
+	r := Record{ID: id, Depth: e.depth, Epoch: e.epoch, Completed: e.completed, Held: e.held}
 	if !e.rejectedAt.IsZero() {
 		r.RejectedMS = max(1, now.Sub(e.rejectedAt).Milliseconds())
 	}
@@ -136,20 +138,19 @@
 	return r
 }
 
-// recordCrashes returns up to limit crashes. If the entry has more, it returns only
-// crashes that count separately, see crash.independent, and the last one.
+// recordCrashes returns up to limit crashes. If the entry has more, it returns the last one,
+// and before it those that count separately and are not explained.
 func (e *entry) recordCrashes(limit int) []crash {
 	if len(e.crashes) <= limit {
 		return e.crashes
 	}
-	out := e.crashes[:1:1]
-	last := e.crashes[len(e.crashes)-1]
-	for _, c := range e.crashes[1 : len(e.crashes)-1] {
-		if len(out) < limit-1 && c.independent(out[len(out)-1].at) {
+	var out []crash
+	for _, c := range e.crashes[:len(e.crashes)-1] {
+		if len(out) < limit-1 && !c.explained && (len(out) == 0 || c.independent(out[len(out)-1].at)) {
 			out = append(out, c)
 		}
 	}
-	return append(out, last)
+	return append(out, e.crashes[len(e.crashes)-1])
 }
 
 // Merge merges records of another process, and reports whether they changed the
@@ -189,7 +190,8 @@
 	e.depth = min(max(e.depth, r.Depth), maxParts)
 	completed := e.completed || r.Completed || t.hasCompleted(r.ID, e.depth)
 	added := completed != e.completed
-	e.completed = completed
+	t.changed = t.changed || r.Held != e.held
+	e.completed, e.held = completed, e.held || r.Held
 	if rejected, ok := ago(now, r.RejectedMS, CrashTTL); ok && r.RejectedMS > 0 && rejected.After(e.rejectedAt) {
 		e.rejectedAt = rejected
 	}
