--- a/cmd/mintlift/day_test.go
+++ b/cmd/mintlift/day_test.go
@@ -59,6 +59,7 @@
 	nameVersion    troubleKind = "nameVersion"    // the next version is named; no length
 	evacuate       troubleKind = "evacuate"       // zone N is evacuated
 	silentStore    troubleKind = "silentStore"    // the store does not respond
+	badPart        troubleKind = "badPart"        // requests come whose prompts have bad part N
 )
 
 // troubleDraw says how troubles of a kind are drawn.
@@ -111,9 +112,23 @@
 		}
 		d.Troubles = append(d.Troubles, d.drawSeries(rng, troubleDraws[draw])...)
 	}
+	d.drawBadParts(rand.New(rand.NewPCG(seed, 2)))
 	return d
 }
 
+// drawBadParts draws bad parts for some days.
+func (d *day) drawBadParts(rng *rand.Rand) {
+	const oneIn, most = 3, 2
+	if rng.IntN(oneIn) > 0 {
+		return
+	}
+	for n := range 1 + rng.IntN(most) {
+		at := drawDuration(rng, dayStart, d.Length/2)
+		// longer than propagation takes, so that late requests are seen
+		d.Troubles = append(d.Troubles, trouble{At: at, Kind: badPart, N: n, For: drawDuration(rng, 7*time.Second, 10*time.Second)})
+	}
+}
+
 // drawSeries draws a series of troubles of one kind.
 func (d *day) drawSeries(rng *rand.Rand, draw troubleDraw) (out []trouble) {
 	at, interval := drawDuration(rng, dayStart, d.Length), drawDuration(rng, 100*time.Millisecond, 2*time.Second)
--- a/cmd/mintlift/daycallers_test.go
+++ b/cmd/mintlift/daycallers_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -26,6 +27,8 @@
 	gap      time.Duration
 	deadline time.Duration
 	leave    time.Duration // after which the caller leaves, 0 if it stays
+	// parts are those of the prompt but the last; empty for the usual ones.
+	parts string
 }
 
 // body returns what an endpoint needs to know of the plan.
@@ -105,6 +108,7 @@
 	if p.route.service == "e" {
 		r.Header.Set(h.Model, weightsModel.Model)
 		r.Header.Set(h.TokenUsage, fmt.Sprintf("100,%d", p.events))
+		r.Header.Set(h.PromptParts, cmp.Or(p.parts, dayFirstPart)+":40,"+ownPart(id)+":60")
 	}
 	err = d.receive(d.bubble.callers[p.gateway], r, q)
 	q.Complete, q.Ended = err == nil, time.Now()
--- a/cmd/mintlift/dayendpoint_test.go
+++ b/cmd/mintlift/dayendpoint_test.go
@@ -149,6 +149,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	x.crashOnBadPart()
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := from + 1; n <= plan.events; n++ {
 		x.sleep(plan.gap)
--- a/cmd/mintlift/dayrun_test.go
+++ b/cmd/mintlift/dayrun_test.go
@@ -33,8 +33,9 @@
 	version   int            // newest named version of the model
 	evacuated map[string]int // number of troubles that evacuate a zone
 
-	mu   sync.Mutex
-	seen daycheck.Day
+	mu       sync.Mutex
+	seen     daycheck.Day
+	badParts map[string]*daycheck.BadPart // those of seen, by name
 }
 
 // add adds a run to what was seen.
@@ -48,7 +49,7 @@
 // testing/synctest.
 func playDay(t *testing.T, plan day, totals *dayTotals) {
 	const budgetWindow = 5 * time.Second
-	d := &dayRun{day: plan, t: t, version: 1, evacuated: make(map[string]int), changes: configChanges{routes: make(map[int]int), services: make(map[string]int)}}
+	d := &dayRun{day: plan, t: t, version: 1, evacuated: make(map[string]int), changes: configChanges{routes: make(map[int]int), services: make(map[string]int)}, badParts: make(map[string]*daycheck.BadPart)}
 	d.seen.Budget = daycheck.Budget{Ratio: plan.Ratio, Slack: plan.Slack, Window: budgetWindow}
 	b := newBubble(t, memnet.Config{Delay: 300 * time.Microsecond, RegionDelay: 30 * time.Millisecond, BoxRate: 10e6, RegionRate: 3e6, Seed: plan.Seed})
 	d.bubble = b
--- a/cmd/mintlift/daytroubles_test.go
+++ b/cmd/mintlift/daytroubles_test.go
@@ -125,6 +125,8 @@
 		d.bubble.store.Change(func(f *storetest.Faults) { f.Unresponsive = map[string]bool{"": true} })
 		time.Sleep(x.For)
 		d.bubble.store.Change(func(f *storetest.Faults) { f.Unresponsive = nil })
+	case badPart:
+		d.sendBadRequests(x)
 	default:
 		d.t.Errorf("unknown trouble %q", x.Kind)
 	}
--- a/internal/daycheck/daycheck.go
+++ b/internal/daycheck/daycheck.go
@@ -68,6 +68,7 @@
 	Requests []*Request
 	Runs     []*Run
 	Budget   Budget
+	BadParts []*BadPart
 }
 
 // Violation is a broken rule.
@@ -97,6 +98,11 @@
 	for _, text := range d.Budget.Check(d.Requests, d.Runs) {
 		out = append(out, Violation{"BUDGET", text})
 	}
+	for _, p := range d.BadParts {
+		if text := p.check(); text != "" {
+			out = append(out, Violation{"BUDGET", text})
+		}
+	}
 	return out
 }
 
--- a/internal/daycheck/daycheck_test.go
+++ b/internal/daycheck/daycheck_test.go
@@ -119,3 +119,28 @@
 		})
 	}
 }
+
+// The requests with a bad part that are sent to endpoints late must be counted.
+func TestBadParts(t *testing.T) {
+	times := func(ms ...int) (out []time.Time) {
+		for _, n := range ms {
+			out = append(out, at(n))
+		}
+		return out
+	}
+	for _, c := range []struct {
+		name              string
+		crashes, received []time.Time
+		broken            bool
+	}{
+		{"few crashes", times(0, 100, 200, 9000), times(0, 100, 200, 9000), false},
+		{"many at once", times(0, 1, 2, 3, 4, 5, 6, 7, 8, 9), times(0, 1, 2, 3, 4, 5, 6, 7, 8, 3004), false},
+		{"three late", times(0, 1, 2, 3, 4), times(3005, 3006, 3007), false},
+		{"four late", times(0, 1, 2, 3, 4), times(3005, 3006, 3007, 9000), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			violations := Check(&Day{BadParts: []*BadPart{{Name: "a", Crashes: c.crashes, Received: c.received}}})
+			assert.Equal(t, len(violations) > 0, c.broken, "%v", violations)
+		})
+	}
+}
