quarantine: a shared part is not held once a completion is known, and trials run without other suspects

A part that is known to have completed is no longer held, a gateway that knows a completion tells it at once, and a trial of a part runs only with a request that nothing else speaks against. 12 of 12 plays of the two seeds pass.

--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -244,6 +244,11 @@
 	if len(records) == 0 || !s.suspects.Merge(records, now) {
 		return
 	}
+	if s.suspects.KnowsCompletion(records) {
+		s.mu.Lock()
+		s.requestNoticeLocked()
+		s.mu.Unlock()
+	}
 	suspected, quarantined := s.suspects.Counts(now)
 	s.events.Info("suspects merged", "suspected", suspected, "quarantined", quarantined)
 	s.logQuarantine(now)
--- a/quarantine/entry.go
+++ b/quarantine/entry.go
@@ -65,9 +65,10 @@
 	// tried reports that this process has run a request as a trial.
 	tried bool
 
-	// held reports that the trait has reached its threshold, in some process. It then stays
-	// in quarantine while any of its crashes is unexplained: of several traits that cause
-	// crashes, one may come to explain most of those of another.
+	// held reports that the trait has reached its threshold, in some process. Unless it is
+	// found to have completed, it then stays in quarantine while any of its crashes is
+	// unexplained: of several traits that cause crashes, one may come to explain most of
+	// those of another.
 	held bool
 
 	// Table.evaluate sets the fields below. unexplained is the number of crashes that
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -67,7 +67,7 @@
 
 // reachesThreshold reports whether the trait is to be put, or stays, in quarantine.
 func (e *entry) reachesThreshold() bool {
-	return e.unexplained >= e.threshold() || e.held && e.unexplained > 0
+	return e.unexplained >= e.threshold() || e.held && !e.completed && e.unexplained > 0
 }
 
 // candidate is an entry that may be put in quarantine.
--- a/quarantine/evaluate_test.go
+++ b/quarantine/evaluate_test.go
@@ -218,3 +218,35 @@
 	assert.Assert(t, table.Status(prompt(901, "aa"), now).Quarantined)
 	assert.Assert(t, table.Status(prompt(902, "bb"), now).Quarantined)
 }
+
+// A sound part that several bad ones have in common must be released once the others explain
+// all but a few of its crashes, if it is known to have completed elsewhere.
+func TestSharedPartIsReleasedWhenACompletionIsKnown(t *testing.T) {
+	table, other := New(), New()
+	other.RecordCompletion(prompt(0, "aa"), at(0))
+	for n := range 2*Threshold + 1 {
+		bad := []string{"bad0", "bad1", "bad2"}[n/Threshold]
+		table.RecordCrash(prompt(1+n, "aa", bad), crashOf(n))
+	}
+	now := at(1000 * (2*Threshold + 1))
+	records := table.Records(now)
+	assert.Assert(t, table.Status(prompt(900, "aa"), now).Quarantined)
+	assert.Assert(t, other.Merge(records, now))
+	assert.Assert(t, other.KnowsCompletion(records))
+	table.Merge(other.Records(now), now)
+	assert.Assert(t, !table.Status(prompt(900, "aa"), now).Quarantined)
+	assert.Assert(t, table.Status(prompt(901, "aa", "bad0"), now).Quarantined)
+}
+
+// A trial of a part must not run with a request that another trait may crash: it would be
+// blamed for the crash, and not be repeated.
+func TestTrialRunsWithoutOtherSuspects(t *testing.T) {
+	table := New()
+	for n := range Threshold {
+		table.RecordCrash(prompt(n, "aa"), crashOf(n))
+	}
+	table.RecordCrash(prompt(50, "cc"), crashOf(Threshold))
+	now := at(1000 * 60)
+	assert.Assert(t, !table.Trial(prompt(900, "aa", "cc"), now))
+	assert.Assert(t, table.Trial(prompt(901, "aa"), now))
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -220,7 +220,7 @@
 		if e == nil || !e.quarantined {
 			continue
 		}
-		if !e.trialDue(now) {
+		if !e.trialDue(now) || e.depth > 0 && t.mayCrashOtherwise(traits, e) {
 			return false
 		}
 		due = append(due, e)
@@ -231,6 +231,17 @@
 	return len(due) > 0
 }
 
+// mayCrashOtherwise reports whether a request may crash its endpoint because of another
+// trait than that of e, which a trial of e would be blamed for. Table.mu must be held.
+func (t *Table) mayCrashOtherwise(traits Traits, e *entry) bool {
+	for n := range traits.len() {
+		if other := t.entries[traits.at(n)]; other != nil && other != e && !other.completed && len(other.crashes) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // trialDue reports whether this process may run a trial of the trait.
 func (e *entry) trialDue(now time.Time) bool {
 	if e.tried || e.trialFailed() {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -195,6 +195,17 @@
 	return changed
 }
 
+// KnowsCompletion reports whether a request with the trait of one of the records has
+// completed in this process, which the sender of the records does not know. It should be told
+// at once: without a completion, a trait is quarantined after fewer crashes.
+func (t *Table) KnowsCompletion(records []Record) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(records, func(r Record) bool {
+		return len(r.Crashes) > 0 && !r.Completed && t.hasCompleted(r.ID, r.Depth)
+	})
+}
+
 // maxCrashAge is the maximum age of a crash while requests with its trait are rejected.
 const maxCrashAge = 24 * time.Hour
 
