--- a/internal/daycheck/parts.go
+++ b/internal/daycheck/parts.go
@@ -10,8 +10,8 @@
 // BadPart is a part of prompts that crashes each endpoint which begins to respond to it.
 type BadPart struct {
 	Name string
-	// Crashes and Received are when endpoints crashed because of it, and when they received
-	// requests with it, in the order of time.
+	// Crashes and Received are when endpoints crashed because of it, in the order of time, and
+	// when requests with it arrived that endpoints have run.
 	Crashes, Received []time.Time
 }
 
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -92,7 +92,8 @@
 
 // compare orders candidates, the one that best explains the crashes first: one without a
 // completion before others, since a trait that crashes endpoints has none, then that with
-// the most crashes, and among those with the same the one that the fewest requests have.
+// the most crashes, correlated ones included if there are as many others, and among those
+// with the same the one that the fewest requests have.
 func (c candidate) compare(other candidate) int {
 	if c.completed != other.completed {
 		if other.completed {
@@ -100,6 +101,6 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(other.unexplained, c.unexplained), cmp.Compare(other.specificity(), c.specificity()),
+	return cmp.Or(cmp.Compare(other.unexplained, c.unexplained), cmp.Compare(len(other.crashes), len(c.crashes)), cmp.Compare(other.specificity(), c.specificity()),
 		slices.Compare(c.id[:], other.id[:]))
 }
--- a/quarantine/evaluate_test.go
+++ b/quarantine/evaluate_test.go
@@ -250,3 +250,20 @@
 	assert.Assert(t, !table.Trial(prompt(900, "aa", "cc"), now))
 	assert.Assert(t, table.Trial(prompt(901, "aa"), now))
 }
+
+// A part must be quarantined rather than requests with it that come repeatedly, although
+// correlated crashes leave it with no more that count separately.
+func TestPartIsQuarantinedBeforeItsRequests(t *testing.T) {
+	table := New()
+	for n := range Threshold {
+		for m := range 3 { // endpoints that crash at the same time
+			o := crashOf(n)
+			o.Endpoint = fmt.Sprint("e", n, "/", m)
+			table.RecordCrash(prompt(m, "bad"), o)
+		}
+	}
+	now := at(1000 * Threshold)
+	s := table.Status(prompt(900, "bad"), now)
+	assert.Assert(t, s.Quarantined)
+	assert.Equal(t, prompt(900, "bad").PartName(s.Trait), "bad")
+}
