quarantine: an engine that has been responding for half a second clears the parts of the prompt

A part crashes an engine when it begins to respond, so a response that goes on for half a second shows that its parts are sound, as its completion does.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -48,7 +48,9 @@
 	// the first were.
 	gotBytes   bool
 	gotBytesAt time.Time
-	delivery   upstream.Delivery
+	// onsetRecorded reports that recordOnset has taken effect.
+	onsetRecorded bool
+	delivery      upstream.Delivery
 }
 
 // send sends the request to the endpoint and reads the response header. lastEvent is the
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -213,6 +213,19 @@
 	x.server.logQuarantine(clock.Now())
 }
 
+// recordOnset records that the endpoint has been responding for so long that the parts of
+// the prompt do not crash it. Further calls have no effect.
+func (a *attempt) recordOnset(now time.Time) {
+	if a.onsetRecorded || !a.gotBytes || now.Sub(a.gotBytesAt) < quarantine.OnsetTime {
+		return
+	}
+	a.onsetRecorded = true
+	if x := a.exchange; x.server.suspects.RecordOnset(x.traits, now) {
+		x.server.events.Info("parts cleared", "request", x.id, "attempt", a.number, "endpoint", a.endpoint.ID)
+		x.server.logQuarantine(now)
+	}
+}
+
 // rejectQuarantined responds to a request in quarantine. If the request has certainly
 // not run in this exchange, the response is 503, and Retry-After is the time until it
 // leaves quarantine at the latest. If it may have run, the response is 502 without
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -193,6 +193,7 @@
 		if err != nil {
 			return t.interrupted(a, err, err)
 		}
+		a.recordOnset(clock.Now())
 	}
 	o.response.MarkBodyRead()
 	a.finish(fleet.Responded)
--- a/quarantine/evaluate_test.go
+++ b/quarantine/evaluate_test.go
@@ -72,7 +72,7 @@
 	table := New()
 	for n := range 2 * Threshold {
 		o := crashOf(n)
-		o.Responding = onsetTime
+		o.Responding = OnsetTime
 		table.RecordCrash(prompt(n, "aa"), o)
 	}
 	assert.Assert(t, !table.Status(prompt(300, "aa"), at(1000*2*Threshold)).Suspected())
@@ -267,3 +267,22 @@
 	assert.Assert(t, s.Quarantined)
 	assert.Equal(t, prompt(900, "bad").PartName(s.Trait), "bad")
 }
+
+// An endpoint that has been responding for OnsetTime must clear the parts of the prompt, in
+// all processes, but not the request.
+func TestOnsetClearsParts(t *testing.T) {
+	table, other := New(), New()
+	request := prompt(0, "aa")
+	for n := range Threshold {
+		table.RecordCrash(request, crashOf(n))
+		table.RecordCrash(prompt(50+n, "aa"), crashOf(10+n))
+	}
+	now := at(1000 * 20)
+	other.Merge(table.Records(now), now)
+	assert.Assert(t, other.Status(prompt(900, "aa"), now).Quarantined)
+	assert.Assert(t, table.RecordOnset(request, now))
+	assert.Assert(t, !table.Status(prompt(900, "aa"), now).Suspected())
+	assert.Assert(t, table.Status(request, now).Suspected())
+	other.Merge(table.Records(now), now)
+	assert.Assert(t, !other.Status(prompt(900, "aa"), now).Suspected())
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -54,10 +54,10 @@
 	// A request that is sent to it in the meantime does not run there. The delay covers
 	// a few round trips between regions.
 	detectionDelay = 30 * time.Millisecond
-	// onsetTime is how long an endpoint that crashes may have been responding to a request
-	// for the crash to count against the parts of its prompt: a part crashes endpoints when
-	// they begin to respond to it.
-	onsetTime = time.Second
+	// OnsetTime is the time from the first bytes of a response after which the parts of the
+	// prompt are known not to crash the endpoint: they do so when it begins to respond. A
+	// later crash does not count against them.
+	OnsetTime = 500 * time.Millisecond
 	// CrashTTL is how long a crash counts. A trait stays in quarantine until CrashTTL has
 	// passed since its last crash and since the last request that was rejected because of
 	// it. Afterwards a trait that does cause crashes may crash up to Threshold further
@@ -170,7 +170,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	blamed := traits
-	if o.Responding >= onsetTime {
+	if o.Responding >= OnsetTime {
 		blamed.Parts = nil
 	}
 	for n := range blamed.len() {
@@ -291,20 +291,43 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.completedRequests.add(traits.Identity)
+	cleared := t.complete(traits.Identity, now)
+	return t.completeParts(traits, now) || cleared
+}
+
+// RecordOnset records that an endpoint has been responding to a request for OnsetTime, which
+// deletes the crashes recorded against the parts of its prompt. It reports whether there were
+// any.
+func (t *Table) RecordOnset(traits Traits, now time.Time) bool {
+	if len(traits.Parts) == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.completeParts(traits, now)
+}
+
+// completeParts records that the parts of a prompt do not crash endpoints, and reports whether
+// crashes were recorded against them. Table.mu must be held.
+func (t *Table) completeParts(traits Traits, now time.Time) bool {
 	cleared := false
-	for n := range traits.len() {
-		id := traits.at(n)
-		if n > 0 {
-			t.completedParts.add(id)
-		}
-		if t.clear(id, now) {
-			t.entries[id].completed = true
-			cleared = true
-		}
+	for _, p := range traits.Parts {
+		t.completedParts.add(p.ID)
+		cleared = t.complete(p.ID, now) || cleared
 	}
 	return cleared
 }
 
+// complete clears a trait because a request with it has completed. It reports whether crashes
+// were recorded against the trait. Table.mu must be held.
+func (t *Table) complete(id ID, now time.Time) bool {
+	if !t.clear(id, now) {
+		return false
+	}
+	t.entries[id].completed = true
+	return true
+}
+
 // Remaining returns the time until a trait leaves quarantine if it is not cleared before
 // and no further request with it is rejected. It returns 0 if the table has no entry for
 // the trait.
