--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -9,7 +9,7 @@
 // and all of them fail with it. The trait that causes crashes is the one whose requests
 // never complete. For each trait of each request that was in progress at a crash, the table
 // records the crash. Such a trait is suspected. If a request with it completes, its crashes
-// are cleared. After Threshold crashes without a completion it is put in quarantine, unless
+// are cleared; those of a part already if an endpoint has been responding for OnsetTime. After Threshold crashes without a completion it is put in quarantine, unless
 // another one in quarantine explains them; see Table.evaluate. Its requests are sent to no
 // endpoint until none has come for CrashTTL. The exception is a trial: one process may run
 // one of them after TrialAfter.
