--- a/quarantine/entry.go
+++ b/quarantine/entry.go
@@ -60,7 +60,7 @@
 	// ownKeys holds the keys of the crashes that this process detected.
 	ownKeys []uint32
 	// trialDelay is the time from the last crash to the trial by this process; 0 if not
-	// chosen yet.
+	// drawn yet.
 	trialDelay time.Duration
 	// tried reports that this process has run a request as a trial.
 	tried bool
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -196,8 +196,8 @@
 }
 
 // KnowsCompletion reports whether a request with the trait of one of the records has
-// completed in this process, which the sender of the records does not know. It should be told
-// at once: without a completion, a trait is quarantined after fewer crashes.
+// completed in this process, which the records lack. The process should then send its own
+// records at once: without a completion, a trait is quarantined after fewer crashes.
 func (t *Table) KnowsCompletion(records []Record) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
