review: case 1, an answer without length that is reset while its request is being sent looks complete

Tried: long requests (1 MiB) whose runners answer before they have read them, without a length, while half of the connections to runners are reset in every third wave. Rule MIXED: an answer that is reset along the way is not complete, and one that ends early must not look complete.

--- /dev/null
+++ b/review/_standin/main.go
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Command _standin plays the cases of the review. It starts the project's own programs as
+// separate processes, on loopback addresses, and stands in for the platform's store, the
+// runners and the clients. Each case writes what was sent, answered and run to record.txt
+// and exits with 1 if the rule was broken, 0 if it held, and 2 if it could not run.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE DIRECTORY")
+		os.Exit(2)
+	}
+	cases := map[string]func(w *world) (broken int){
+		"reset-without-length": resetWithoutLength,
+	}
+	play := cases[os.Args[1]]
+	if play == nil {
+		fmt.Fprintln(os.Stderr, "no such case")
+		os.Exit(2)
+	}
+	os.Exit(runCase(os.Args[2], play))
+}
