review: case 2, answers without length of a leaving runner that is killed look complete

Tried: one of three runners says that it is draining and is killed two seconds later, amid answers without a length. Rule MIXED: an answer that ends early must not look complete.

--- a/review/_standin/case1.go
+++ b/review/_standin/case1.go
@@ -64,8 +64,8 @@
 // them, without a length, and go on reading later. Connections to runners are reset.
 func resetWithoutLength(w *world) int {
 	connections := &openConnections{open: map[*net.TCPConn]string{}}
-	serve := func(name string) func(c *net.TCPConn, q *http.Request, reader *bufio.Reader) {
-		return func(c *net.TCPConn, q *http.Request, _ *bufio.Reader) {
+	serve := func(name string) func(c *net.TCPConn, q *http.Request, reader *bufio.Reader) bool {
+		return func(c *net.TCPConn, q *http.Request, _ *bufio.Reader) bool {
 			id := q.Header.Get(requestID)
 			w.note("%s runs %s %s %s", name, q.Method, q.URL, id)
 			body := wholeBody(id, answerSize)
@@ -76,10 +76,11 @@
 			n, err := io.Copy(io.Discard, q.Body)
 			if err != nil {
 				w.note("%s: its run of %s ends, the connection is broken: %v", name, id, err)
-				return
+				return false
 			}
 			_, _ = io.WriteString(c, body[answerSize/2:])
 			w.note("%s has read %d bytes of %s and ends its answer of %d", name, n, id, answerSize)
+			return false
 		}
 	}
 	for n, zone := range []string{"mvd-a", "slt-a", "mld-a"} {
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -12,12 +12,17 @@
 )
 
 func main() {
+	if len(os.Args) == 5 && os.Args[1] == "runner" {
+		runChild(os.Args[2], os.Args[3], os.Args[4])
+	}
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE DIRECTORY")
 		os.Exit(2)
 	}
 	cases := map[string]func(w *world) (broken int){
 		"reset-without-length": resetWithoutLength,
+		"crash-while-leaving":  crashWhileLeaving,
+		"born-earlier":         bornEarlier,
 	}
 	play := cases[os.Args[1]]
 	if play == nil {
--- a/review/_standin/runner.go
+++ b/review/_standin/runner.go
@@ -26,8 +26,8 @@
 	instanceID     = "X-Mintlift-Instance-Id"
 )
 
-// runner is a runner of a plain service. serve gets each request that it runs, and owns the
-// connection until it returns.
+// runner is a runner of a plain service. serve gets each request that it runs, and returns
+// whether the connection may be used again.
 type runner struct {
 	world    *world
 	id       string
@@ -42,7 +42,7 @@
 	// on the machines of a small deployment: a caller can't hand a long request over to its
 	// kernel at once, as it can on the loopback interface.
 	ethernet bool
-	serve    func(c *net.TCPConn, q *http.Request, reader *bufio.Reader)
+	serve    func(c *net.TCPConn, q *http.Request, reader *bufio.Reader) bool
 }
 
 // run starts the runner and its entry in the list, which it writes every heartbeat.
@@ -105,8 +105,9 @@
 			answer(c, 421, id, notExecuted+": 1\r\n"+instanceID+": "+r.id+"\r\n", "")
 			continue
 		}
-		r.serve(c, q, reader)
-		return
+		if !r.serve(c, q, reader) {
+			return
+		}
 	}
 }
 
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -41,6 +42,7 @@
 	mu        sync.Mutex
 	record    *os.File
 	processes []*process
+	runs      map[string]int // by runner
 }
 
 // errCannotRun ends a case that can't run.
@@ -214,8 +216,9 @@
 // stopAll ends all processes that the case has started.
 func (w *world) stopAll() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, p := range w.processes {
+	processes := slices.Clone(w.processes)
+	w.mu.Unlock() // the last lines of runners need it
+	for _, p := range processes {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
 		<-p.exited
