--- a/review/_standin/case3.go
+++ b/review/_standin/case3.go
@@ -21,8 +21,8 @@
 	fleetContact = 6 * time.Second
 	// stepped is by how much the clock of the runner's machine is ahead at its first start.
 	stepped     = 2 * time.Second
-	firstLife   = 800 * time.Millisecond
-	restartTime = 400 * time.Millisecond
+	firstLife   = 1400 * time.Millisecond // the gateway reads the list once a second
+	restartTime = 300 * time.Millisecond
 	// servesOn is how long the runner serves after its draining was acknowledged: drain_ms
 	// and a few seconds.
 	servesOn = fleetDrain + 4*time.Second
@@ -39,21 +39,33 @@
 		defer mu.Unlock()
 		r.beat(state[r.id], map[string]any{"born": born[r.id]})
 	}
-	for n, zone := range []string{"mvd-a", "slt-a", "mld-a"} {
+	startRunner := func(n int, zone string) *childRunner {
 		id := fmt.Sprintf("i-%08x", 0x3c200+n)
 		r := w.startChildRunner(id, w.ip(50+n)+":8744", zone, "framed")
+		mu.Lock()
 		state[id], born[id] = "ready", time.Now().UnixMilli()
 		runners = append(runners, r)
+		mu.Unlock()
+		return r
 	}
-	first := runners[0]
+	beat(startRunner(1, "slt-a"))
+	beat(startRunner(2, "mld-a"))
+	w.put(storetest.Operator, "config", plainConfiguration())
+	fleet := maps.Clone(bounds)
+	maps.Copy(fleet, map[string]any{"contact_ms": fleetContact.Milliseconds(), "drain_ms": fleetDrain.Milliseconds(), "config_apply_ms": 5000, "max_skew_ms": 10000, "ack_ms": 10000, "recovery_s": 18})
+	w.startGateway(1, "mvd-a", map[string]any{"bounds": fleet})
+	w.awaitReady(1)
+
+	first := startRunner(0, "mvd-a")
+	mu.Lock()
 	if w.trouble {
 		born[first.id] += stepped.Milliseconds()
-		w.note("the clock of %s is %v ahead at its start: born %d", first.id, stepped, born[first.id])
+		w.note("the clock of %s is %v ahead at its start", first.id, stepped)
 	}
+	w.note("%s: born %d", first.id, born[first.id])
+	mu.Unlock()
 	firstStart := time.Now()
-	for _, r := range runners {
-		beat(r)
-	}
+	beat(first)
 	stopBeats := make(chan struct{})
 	defer close(stopBeats)
 	silent := atomic.Bool{} // the first runner is down
@@ -65,7 +77,8 @@
 					return
 				case <-time.After(1200 * time.Millisecond):
 					mu.Lock()
-					r, gone := runners[n], n == 0 && silent.Load()
+					r := runners[n]
+					gone := r.id == first.id && silent.Load()
 					mu.Unlock()
 					if !gone {
 						beat(r)
@@ -74,11 +87,6 @@
 			}
 		}()
 	}
-	w.put(storetest.Operator, "config", plainConfiguration())
-	fleet := maps.Clone(bounds)
-	maps.Copy(fleet, map[string]any{"contact_ms": fleetContact.Milliseconds(), "drain_ms": fleetDrain.Milliseconds(), "config_apply_ms": 5000, "max_skew_ms": 10000, "ack_ms": 10000, "recovery_s": 18})
-	w.startGateway(1, "mvd-a", map[string]any{"bounds": fleet})
-	w.awaitReady(1)
 	time.Sleep(time.Until(firstStart.Add(firstLife)))
 
 	silent.Store(true)
@@ -88,14 +96,13 @@
 	time.Sleep(restartTime)
 	again := w.startChildRunner(first.id, first.address, first.zone, "framed")
 	mu.Lock()
-	again.beats, runners[0], born[first.id] = first.beats, again, time.Now().UnixMilli()
+	again.beats, runners[len(runners)-1], born[first.id] = first.beats, again, time.Now().UnixMilli()
 	w.note("%s has started again under its id, its clock is right: born %d", first.id, born[first.id])
 	mu.Unlock()
 	beat(again)
 	silent.Store(false)
 
 	var group sync.WaitGroup
-	var acknowledged atomic.Int64 // Unix milliseconds; 0 before
 	stopClients := make(chan struct{})
 	group.Go(func() {
 		for n := 0; ; n++ {
@@ -113,7 +120,6 @@
 	mu.Unlock()
 	beat(again)
 	acknowledgedAt := time.Now()
-	acknowledged.Store(acknowledgedAt.UnixMilli())
 	w.note("store: %s is draining, acknowledged", first.id)
 	time.Sleep(fleetDrain)
 	before := w.runsOf(first.id)
