--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -100,7 +100,7 @@
 		},
 	})
 	if err == nil && response.EndsWithConnection() {
-		response.Body = &unframedBody{Reader: response.Body, attempt: a}
+		response.Body = &unframedBody{Reader: response.Body, attempt: a, response: response}
 	}
 	return response, err
 }
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -304,12 +304,12 @@
 	Length int64
 	Body   io.Reader
 
-	conn        *conn
-	head        *http.Response
-	writeResult <-chan error // receives the result of writing the request
-	stopWatch   func() bool  // stops watching the context; returns false if its end has closed the connection
-	bodyRead    bool         // set by MarkBodyRead
-	once        sync.Once    // of Close
+	conn      *conn
+	head      *http.Response
+	write     *requestWrite
+	stopWatch func() bool // stops watching the context; returns false if its end has closed the connection
+	bodyRead  bool        // set by MarkBodyRead
+	once      sync.Once   // of Close
 }
 
 // MarkBodyRead records that the body has been read to its end, so that Close may
@@ -343,11 +343,20 @@
 	if r.head.Close || r.conn.reader.Buffered() > 0 || r.EndsWithConnection() {
 		return false
 	}
-	select {
-	case err := <-r.writeResult:
-		return err == nil
+	written, err := r.write.ended()
+	return written && err == nil
+}
+
+// WriteState tells how far the request has been written: "complete", "in progress", or the
+// error that ended the write.
+func (r *Response) WriteState() string {
+	switch ended, err := r.write.ended(); {
+	case !ended:
+		return "in progress"
+	case err != nil:
+		return err.Error()
 	default:
-		return false
+		return "complete"
 	}
 }
 
@@ -430,18 +439,11 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// exchange writes a request and reads the head of its response. A body larger than
-// maxInlineBody is written concurrently.
+// exchange writes a request and reads the head of its response.
 func (c *conn) exchange(q *Request) (*Response, error) {
-	writeResult := make(chan error, 1)
-	if len(q.Body) <= maxInlineBody {
-		err := c.write(q)
-		if err != nil {
-			return nil, err
-		}
-		writeResult <- nil
-	} else {
-		go func() { writeResult <- c.write(q) }()
+	write := c.startWrite(q)
+	if len(q.Body) <= maxInlineBody && write.err != nil {
+		return nil, write.err
 	}
 	head, err := c.readHead(q)
 	if err != nil {
@@ -449,39 +451,10 @@
 	}
 	return &Response{
 		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Body: head.Body,
-		conn: c, head: head, writeResult: writeResult,
+		conn: c, head: head, write: write,
 	}, nil
 }
 
-// write writes the head and the body of a request to the connection.
-func (c *conn) write(q *Request) error {
-	counter := &byteCounter{w: c.Conn}
-	w := bufio.NewWriterSize(counter, 2<<10)
-	_, _ = fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", q.Method, q.URI, q.Host)
-	if len(q.Body) > 0 || q.Method != http.MethodGet && q.Method != http.MethodHead {
-		_, _ = fmt.Fprintf(w, "Content-Length: %d\r\n", len(q.Body))
-	}
-	_ = q.Header.Write(w)
-	_, _ = w.WriteString("\r\n")
-	_, _ = w.Write(q.Body)
-	err := w.Flush() // returns the first error of all writes
-	c.written.Store(counter.n)
-	return err
-}
-
-// byteCounter counts the bytes written to w.
-type byteCounter struct {
-	w io.Writer
-	n int64
-}
-
-// Write implements io.Writer.
-func (c *byteCounter) Write(b []byte) (int, error) {
-	n, err := c.w.Write(b)
-	c.n += int64(n)
-	return n, err
-}
-
 // readHead reads responses until one belongs to the request, and returns its head. It
 // skips informational and mismatched responses.
 func (c *conn) readHead(q *Request) (*http.Response, error) {
