upstream: a response that is reset while its request is being sent is not complete

Cause: a body of over 16 KiB is written while the response is read. Linux reports a reset to one call on the socket only. If that is the blocked write, the read returns 0 bytes, which is also the regular end of a response without a length; the error of the write was dropped.

At the end of such a response the write is now asked, and stopped if it still goes on: if it received the error of the connection, the response is incomplete. The write received that before the read could return EOF, so that its result is certain without waiting for the endpoint. EPIPE means that the endpoint had closed its side first: answers that end before their endpoint has read the request stay whole and are passed on at once.

--- a/ingress/unframed_test.go
+++ b/ingress/unframed_test.go
@@ -3,14 +3,19 @@
 package ingress
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/quarantine"
 )
 
@@ -84,3 +89,88 @@
 	assert.Equal(t, r.StatusCode, http.StatusOK)
 	assert.Equal(t, body, "id: 1\ndata: a\n\n")
 }
+
+// startResettingEndpoint starts an endpoint that sends a response while it has not read the
+// request, and then resets the connection. Like those of an Ethernet, its connections do not
+// take a long request at once.
+func (g *testGateway) startResettingEndpoint(id, service, response string) {
+	g.t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 64<<10)
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 1460)
+		})
+	}}
+	listener, err := config.Listen(g.t.Context(), "tcp4", "127.0.0.1:0")
+	assert.NilError(g.t, err)
+	g.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\n\r\n%s", testHeaders.RequestID, r.Header.Get(testHeaders.RequestID), testHeaders.Seal, response)
+				time.Sleep(100 * time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}()
+		}
+	}()
+	r := fleet.Record{ID: id, Service: service, Address: listener.Addr().String(), Zone: "z"}
+	if service == "engine" {
+		r.Models = map[string]int{testModel: 1}
+	}
+	g.server.PutEndpoint(r)
+}
+
+// Guards against a response without a length that is reset while its request is still being
+// sent, and that reaches the caller as a complete one or is not tried again where it may be.
+func TestResetDuringRequestIsNoCompleteResponse(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	for _, test := range []struct {
+		path, service, response string
+		status                  int
+		whole                   bool // what the caller gets looks complete
+	}{
+		{"/unsafe/1", "plain", "half", http.StatusBadGateway, true},
+		{"/safe/1", "plain", "half", http.StatusBadGateway, true},
+		{"/stream/1", "engine", event, http.StatusOK, false},
+		{"/stream/1", "engine", "", http.StatusBadGateway, true},
+	} {
+		t.Run(fmt.Sprint(test.path, " ", len(test.response)), func(t *testing.T) {
+			t.Parallel()
+			for range 4 { // in some, the read receives the error of the reset
+				g := newTestGateway(t)
+				g.configure(1)
+				g.startResettingEndpoint("e", test.service, test.response)
+				r, err := g.send(t.Context(), "POST", test.path, strings.Repeat("x", 1<<20))
+				assert.NilError(t, err)
+				_, err = io.ReadAll(r.Body)
+				_ = r.Body.Close()
+				assert.Equal(t, r.StatusCode, test.status)
+				assert.Equal(t, err == nil, test.whole, "%v", err)
+			}
+		})
+	}
+	t.Run("tried again", func(t *testing.T) {
+		t.Parallel()
+		for range 4 {
+			g := newTestGateway(t)
+			g.configure(1)
+			g.startResettingEndpoint("e", "plain", "half")
+			g.startEndpoint("f", "plain", func(rw http.ResponseWriter, _ *http.Request) {
+				rw.Header().Set(testHeaders.Seal, "seal")
+				_, _ = io.WriteString(rw, "text")
+			})
+			r, body := g.do("POST", "/safe/1", strings.Repeat("x", 1<<20))
+			assert.Equal(t, r.StatusCode, http.StatusOK)
+			assert.Equal(t, body, "text")
+		}
+	})
+}
--- a/upstream/requestwrite.go
+++ b/upstream/requestwrite.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 )
 
 // requestWrite is the writing of a request to its connection. For a long body it goes on
@@ -18,19 +19,19 @@
 }
 
 // startWrite writes a request. It returns when the write has ended, or, for a body larger
-// than maxInlineBody, at once.
-func (c *conn) startWrite(q *Request) *requestWrite {
+// than maxInlineBody, at once and without an error.
+func (c *conn) startWrite(q *Request) (*requestWrite, error) {
 	w := &requestWrite{conn: c, done: make(chan struct{})}
 	run := func() {
 		defer close(w.done)
 		w.err = w.write(q)
 	}
-	if len(q.Body) <= maxInlineBody {
-		run()
-	} else {
+	if len(q.Body) > maxInlineBody {
 		go run()
+		return w, nil
 	}
-	return w
+	run()
+	return w, w.err
 }
 
 // ended reports whether the write has ended, and returns its error.
@@ -43,6 +44,16 @@
 	}
 }
 
+// stop ends the write if it is still in progress, and returns its error. It does not wait for
+// the endpoint.
+func (w *requestWrite) stop() error {
+	if ended, _ := w.ended(); !ended {
+		_ = w.conn.SetWriteDeadline(time.Unix(1, 0)) // fails only if the connection is closed
+		<-w.done
+	}
+	return w.err
+}
+
 // write writes the head and the body of a request to the connection.
 func (w *requestWrite) write(q *Request) error {
 	counter := &byteCounter{w: w.conn.Conn}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -15,6 +15,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -347,12 +348,14 @@
 	return written && err == nil
 }
 
-// WriteState tells how far the request has been written: "complete", "in progress", or the
-// error that ended the write.
+// WriteState tells how far the request has been written: "complete", "in progress", "stopped"
+// since the response had ended, or the error that ended the write.
 func (r *Response) WriteState() string {
 	switch ended, err := r.write.ended(); {
 	case !ended:
 		return "in progress"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "stopped"
 	case err != nil:
 		return err.Error()
 	default:
@@ -441,18 +444,22 @@
 
 // exchange writes a request and reads the head of its response.
 func (c *conn) exchange(q *Request) (*Response, error) {
-	write := c.startWrite(q)
-	if len(q.Body) <= maxInlineBody && write.err != nil {
-		return nil, write.err
+	write, err := c.startWrite(q)
+	if err != nil {
+		return nil, err
 	}
 	head, err := c.readHead(q)
 	if err != nil {
 		return nil, err
 	}
-	return &Response{
+	r := &Response{
 		Status: head.StatusCode, Header: head.Header, Length: head.ContentLength, Body: head.Body,
 		conn: c, head: head, write: write,
-	}, nil
+	}
+	if r.EndsWithConnection() {
+		r.Body = &unframedBody{body: head.Body, write: write}
+	}
+	return r, nil
 }
 
 // readHead reads responses until one belongs to the request, and returns its head. It
