internal/memnet: connections end as those of Linux

The network in memory reported the error of a reset to every call, and after a close of the peer's side, too. Now the first read, write or peek receives the error; later reads return EOF and writes EPIPE; after the peer's close reads return EOF and a reset is EPIPE. Segments that arrive before a reset are no longer lost.

TestResets said otherwise for a write to a closed end and for a write after the error had been read; both rows show the opposite on Linux, and the test requires that now.

--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -48,8 +49,10 @@
 	// received holds the bytes to read; ended reports that the peer sends no more.
 	received []byte
 	ended    bool
-	// err is the error of further reads, once received is empty, and writes.
-	err                     error
+	// failed reports that the connection has ended with an error at this end. failure is that
+	// error until a call has received it, see takeFailureLocked.
+	failed                  bool
+	failure                 error
 	closed                  bool
 	writeClosed, readClosed bool
 	abort                   bool // Close resets the connection
@@ -136,12 +139,11 @@
 
 // receiveLocked takes a segment of the peer. Network.mu is held.
 func (c *Conn) receiveLocked(s segment) {
-	if c.err != nil {
+	if c.failed {
 		return
 	}
 	if c.closed && len(s.data) > 0 {
 		c.resetLocked()
-		c.failLocked(syscall.ECONNRESET)
 		return
 	}
 	if c.readClosed {
@@ -153,15 +155,22 @@
 	c.changed.Broadcast()
 }
 
-// resetLocked resets the peer's end after the delay of the way to it, unless that is
-// silent. Network.mu is held.
+// resetLocked ends the connection at this end and resets the peer's after the delay of the
+// way to it, unless that is silent. Segments that arrive before the reset are not lost.
+// Network.mu is held.
 func (c *Conn) resetLocked() {
+	queue := c.queue
+	c.failLocked(syscall.ECONNRESET)
 	if c.silentLocked() {
 		return
 	}
-	time.AfterFunc(c.n.delayLocked(c.box, c.peer.box), func() {
+	delay := c.n.delayLocked(c.box, c.peer.box)
+	arrival := time.Now().Add(delay)
+	c.queue = slices.DeleteFunc(queue, func(s segment) bool { return s.at.After(arrival) })
+	time.AfterFunc(delay, func() {
 		c.n.mu.Lock()
 		defer c.n.mu.Unlock()
+		c.deliverLocked()
 		c.peer.failLocked(syscall.ECONNRESET)
 	})
 }
@@ -169,8 +178,11 @@
 // failLocked ends the connection at this end with an error. What is on its way to the
 // peer is lost. Network.mu is held.
 func (c *Conn) failLocked(err error) {
-	if c.err == nil {
-		c.err = err
+	if !c.failed {
+		c.failed, c.failure = true, err
+		if c.ended {
+			c.failure = syscall.EPIPE
+		}
 	}
 	c.queue = nil
 	c.giveUpAt = time.Time{}
@@ -181,7 +193,7 @@
 // forgetLocked removes the end from the network once it has nothing more to send.
 // Network.mu is held.
 func (c *Conn) forgetLocked() {
-	if (c.closed || c.err != nil) && len(c.queue) == 0 {
+	if (c.closed || c.failed) && len(c.queue) == 0 {
 		delete(c.n.conns, c)
 	}
 }
@@ -209,7 +221,7 @@
 // giveUpLocked ends this end at a time, unless the peer can be reached again before.
 // Network.mu is held.
 func (c *Conn) giveUpLocked(at time.Time) {
-	if c.idle == 0 || c.silenceAllowed || c.err != nil || !c.giveUpAt.IsZero() && !at.Before(c.giveUpAt) {
+	if c.idle == 0 || c.silenceAllowed || c.failed || !c.giveUpAt.IsZero() && !at.Before(c.giveUpAt) {
 		return
 	}
 	c.giveUpAt = at
@@ -260,8 +272,17 @@
 	}
 }
 
-// failure returns err as an error of package net.
-func (c *Conn) failure(op string, err error) error {
+// takeFailureLocked returns the error with which the connection has ended at this end, on its
+// first call; nil later and if there is none. Like a socket of Linux, a Conn reports it to one
+// call only, whether a read, a write or a peek. Network.mu is held.
+func (c *Conn) takeFailureLocked() error {
+	err := c.failure
+	c.failure = nil
+	return err
+}
+
+// opError returns err as an error of package net.
+func (c *Conn) opError(op string, err error) error {
 	return &net.OpError{Op: op, Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
 }
 
@@ -272,9 +293,9 @@
 	for {
 		switch {
 		case c.closed:
-			return 0, c.failure("read", net.ErrClosed)
+			return 0, c.opError("read", net.ErrClosed)
 		case c.readLimit.passed():
-			return 0, c.failure("read", os.ErrDeadlineExceeded)
+			return 0, c.opError("read", os.ErrDeadlineExceeded)
 		case len(b) == 0:
 			return 0, nil
 		case len(c.received) > 0:
@@ -283,10 +304,13 @@
 			c.peer.unread -= k
 			c.peer.changed.Broadcast()
 			return k, nil
-		case c.err != nil:
-			return 0, c.failure("read", c.err)
 		case c.ended || c.readClosed:
 			return 0, io.EOF
+		case c.failed:
+			if err := c.takeFailureLocked(); err != nil {
+				return 0, c.opError("read", err)
+			}
+			return 0, io.EOF
 		}
 		c.changed.Wait()
 	}
@@ -301,7 +325,7 @@
 			return written, err
 		}
 		if c.writeLimit.passed() {
-			return written, c.failure("write", os.ErrDeadlineExceeded)
+			return written, c.opError("write", os.ErrDeadlineExceeded)
 		}
 		written += c.writeNowLocked(b[written:])
 		if written == len(b) {
@@ -315,11 +339,14 @@
 func (c *Conn) writeErrorLocked() error {
 	switch {
 	case c.closed:
-		return c.failure("write", net.ErrClosed)
-	case c.err != nil:
-		return c.failure("write", c.err)
+		return c.opError("write", net.ErrClosed)
+	case c.failed:
+		if err := c.takeFailureLocked(); err != nil {
+			return c.opError("write", err)
+		}
+		return c.opError("write", syscall.EPIPE)
 	case c.writeClosed:
-		return c.failure("write", syscall.EPIPE)
+		return c.opError("write", syscall.EPIPE)
 	}
 	return nil
 }
@@ -349,7 +376,13 @@
 func (c *Conn) Peek() (readable, closed bool) {
 	c.n.mu.Lock()
 	defer c.n.mu.Unlock()
-	return len(c.received) > 0, c.closed || c.err != nil || c.ended
+	if len(c.received) > 0 {
+		return true, c.closed || c.failed || c.ended
+	}
+	if !c.ended {
+		_ = c.takeFailureLocked() // the peek reports it as closed
+	}
+	return false, c.closed || c.failed || c.ended
 }
 
 // Close implements net.Conn. If received bytes have not been read, the connection is
@@ -358,7 +391,7 @@
 	c.n.mu.Lock()
 	defer c.n.mu.Unlock()
 	if c.closed {
-		return c.failure("close", net.ErrClosed)
+		return c.opError("close", net.ErrClosed)
 	}
 	c.closed = true
 	for _, d := range []*deadline{&c.readLimit, &c.writeLimit} {
@@ -367,10 +400,9 @@
 		}
 	}
 	switch {
-	case c.err != nil:
+	case c.failed:
 	case c.abort || len(c.received) > 0:
 		c.resetLocked()
-		c.failLocked(syscall.ECONNRESET)
 	default:
 		c.closeWriteLocked()
 	}
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -220,7 +220,6 @@
 	for c := range b.n.conns {
 		if c.box == b {
 			c.resetLocked()
-			c.failLocked(syscall.ECONNRESET)
 		}
 	}
 }
@@ -314,7 +313,6 @@
 	delete(n.listeners, l.at)
 	for _, c := range l.waiting {
 		c.resetLocked()
-		c.failLocked(syscall.ECONNRESET)
 	}
 	l.waiting = nil
 	l.changed.Broadcast()
--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -226,7 +226,8 @@
 	})
 }
 
-// A peer that has closed, or closes with unread bytes or with SetLinger(0), resets.
+// A peer that has closed, or closes with unread bytes or with SetLinger(0), resets. The error
+// is reported once; after the peer's close, the end of the stream hides it from reads.
 func TestResets(t *testing.T) {
 	run(t, Config{Delay: time.Millisecond}, func(t *testing.T, n *testNetwork) {
 		for name, end := range map[string]func(dialed, accepted *Conn){
@@ -246,9 +247,13 @@
 			end(dialed, accepted)
 			time.Sleep(10 * time.Millisecond)
 			_, err := dialed.Read(make([]byte, 1))
-			assert.ErrorIs(t, err, syscall.ECONNRESET, name)
+			if name == "write to a closed end" {
+				assert.Equal(t, err, io.EOF, name)
+			} else {
+				assert.ErrorIs(t, err, syscall.ECONNRESET, name)
+			}
 			_, err = dialed.Write([]byte("x"))
-			assert.ErrorIs(t, err, syscall.ECONNRESET, name)
+			assert.ErrorIs(t, err, syscall.EPIPE, name)
 			assert.Assert(t, tcpconn.Closed(dialed), name)
 		}
 	})
