--- a/cmd/mintlift/bubble_test.go
+++ b/cmd/mintlift/bubble_test.go
@@ -137,7 +137,7 @@
 func (b *bubble) serve(box *memnet.Box, address string, h http.Handler) {
 	listener, err := box.Listen(context.Background(), "tcp4", address, 0)
 	assert.NilError(b.t, err)
-	server := &http.Server{Handler: h}
+	server := &http.Server{Handler: h, ConnContext: withConn}
 	b.servers = append(b.servers, server)
 	go func() { _ = server.Serve(listener) }()
 }
--- a/cmd/mintlift/daycallers_test.go
+++ b/cmd/mintlift/daycallers_test.go
@@ -29,20 +29,26 @@
 	leave    time.Duration // after which the caller leaves, 0 if it stays
 	// parts are those of the prompt but the last; empty for the usual ones.
 	parts string
+	form  responseForm
 }
 
-// body returns what an endpoint needs to know of the plan.
-func (p *dayPlan) body() string { return fmt.Sprintf("events=%d gap=%s", p.events, p.gap) }
+// body returns the body of the request. Its first line is what an endpoint needs to know of
+// the plan.
+func (p *dayPlan) body() string {
+	return fmt.Sprintf("events=%d gap=%s %s\n", p.events, p.gap, &p.form) + strings.Repeat("x", p.form.padding)
+}
 
-// parse sets what body returned.
-func (p *dayPlan) parse(body string) error {
+// parse sets what the first line of body returned.
+func (p *dayPlan) parse(line string) error {
 	var gap string
-	if _, err := fmt.Sscanf(body, "events=%d gap=%s", &p.events, &gap); err != nil {
+	if _, err := fmt.Sscanf(line, "events=%d gap=%s", &p.events, &gap); err != nil {
 		return err
 	}
 	var err error
-	p.gap, err = time.ParseDuration(gap)
-	return err
+	if p.gap, err = time.ParseDuration(gap); err != nil {
+		return err
+	}
+	return p.form.scan(line[strings.Index(line, "padding="):])
 }
 
 // Mean lengths of requests, as drawn by drawPlans.
@@ -53,7 +59,7 @@
 
 // drawPlans draws the requests of a day.
 func (d *day) drawPlans() (out []*dayPlan) {
-	rng := rand.New(rand.NewPCG(d.Seed, 1))
+	rng, forms := rand.New(rand.NewPCG(d.Seed, 1)), rand.New(rand.NewPCG(d.Seed, 3))
 	streams := d.Load * float64(d.Engines*d.Slots) / meanStreamTime.Seconds() // a second
 	interval := time.Duration((1 - plainShare) / streams * float64(time.Second))
 	for at := time.Duration(0); at < d.Length; at += time.Duration(rng.ExpFloat64() * float64(interval)) {
@@ -76,6 +82,7 @@
 		if rng.IntN(12) == 0 {
 			p.leave = drawDuration(rng, 20*time.Millisecond, 2*time.Second)
 		}
+		p.form = drawForm(forms)
 		out = append(out, p)
 	}
 	return out
@@ -87,7 +94,7 @@
 // send sends a request as planned and records what its caller sees.
 func (d *dayRun) send(id string, p *dayPlan) {
 	time.Sleep(time.Until(d.started.Add(p.at)))
-	q := &daycheck.Request{ID: id, Service: p.route.service, Repeatable: p.route.kind == "safe" || p.route.resumable, Events: p.events, Sent: time.Now()}
+	q := &daycheck.Request{ID: id, Service: p.route.service, Repeatable: p.route.kind == "safe" || p.route.resumable, Events: p.events, Want: dayAnswer, Sent: time.Now()}
 	q.Limit = q.Sent.Add(min(p.deadline, p.route.timeout))
 	patience := p.deadline + callerPatience
 	if p.leave > 0 {
@@ -131,10 +138,7 @@
 	q.Status = response.StatusCode
 	if response.StatusCode != http.StatusOK || q.Events == 0 {
 		body, err := io.ReadAll(response.Body)
-		q.Failure = string(body)
-		if err == nil && response.StatusCode == http.StatusOK && string(body) != "answer" {
-			d.t.Errorf("%s got the answer %q", q.ID, body)
-		}
+		q.Failure, q.Body = string(body), string(body)
 		return err
 	}
 	lines := bufio.NewReader(response.Body)
--- a/cmd/mintlift/dayendpoint_test.go
+++ b/cmd/mintlift/dayendpoint_test.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
@@ -77,6 +78,9 @@
 	r    *http.Request
 	dead chan struct{}
 	run  *daycheck.Run
+	form responseForm
+	// firstRun is set if this is the first run of the request.
+	firstRun bool
 }
 
 // end records how the run has ended.
@@ -86,9 +90,13 @@
 	x.run.End, x.run.Ended = how, time.Now()
 }
 
-// breakOff ends the run and its connection.
+// breakOff ends the run and its connection. The end of an unframed response is a reset, since
+// a close would complete it.
 func (x *dayExchange) breakOff(how daycheck.End) {
 	x.end(how)
+	if x.form.unframed {
+		abortConn(x.r)
+	}
 	panic(http.ErrAbortHandler)
 }
 
@@ -119,21 +127,26 @@
 
 // serve responds to a request and records its run.
 func (e *dayEndpoint) serve(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body := bufio.NewReader(r.Body)
+	line, err := body.ReadString('\n')
+	var plan dayPlan
+	if err == nil {
+		err = plan.parse(line)
+	}
+	if err == nil && !plan.form.early {
+		_, err = io.Copy(io.Discard, body)
+	}
 	if err != nil {
 		panic(http.ErrAbortHandler) // an incomplete request does not run
 	}
 	h := platform.Headers()
 	dead, up := e.life()
 	x := &dayExchange{dayEndpoint: e, w: w, r: r, dead: dead, run: &daycheck.Run{Request: r.Header.Get(h.RequestID), Service: e.service, Endpoint: e.address, At: time.Now()}}
-	e.day.add(x.run)
+	x.form, x.firstRun = plan.form, e.day.add(x.run)
 	if !up {
 		x.breakOff(daycheck.Broke)
 	}
-	var plan dayPlan
-	if err := plan.parse(string(body)); err != nil {
-		e.day.t.Errorf("request %s has the body %q", x.run.Request, body)
-	}
+	plan.form.prepare(w, e.engine == nil)
 	w.Header().Set(h.RequestID, x.run.Request)
 	x.sleep(0)
 	run, ok := x.take()
@@ -143,8 +156,11 @@
 	defer func() { <-e.slots }()
 	w.Header().Set(h.Seal, "seal")
 	if e.engine == nil {
-		x.sleep(plan.gap)
-		x.respond("answer")
+		x.sleep(plan.gap / 2)
+		x.respond(dayAnswer[:len(dayAnswer)/2])
+		x.sleep(plan.gap / 2)
+		x.interrupt()
+		x.respond(dayAnswer[len(dayAnswer)/2:])
 		x.end(daycheck.Finished)
 		return
 	}
@@ -160,6 +176,10 @@
 		x.run.From, x.run.To = from, n
 		x.day.mu.Unlock()
 		x.respond(fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, x.run.Request, n))
+		if n == (from+1+plan.events)/2 {
+			x.sleep(plan.gap)
+			x.interrupt()
+		}
 	}
 	x.end(daycheck.Finished)
 }
@@ -167,9 +187,7 @@
 // respond sends a part of the response.
 func (x *dayExchange) respond(text string) {
 	_, _ = io.WriteString(x.w, text)
-	if x.engine != nil {
-		x.w.(http.Flusher).Flush()
-	}
+	x.w.(http.Flusher).Flush()
 }
 
 // take waits for a slot. It returns false if the request has been refused.
--- a/cmd/mintlift/dayrun_test.go
+++ b/cmd/mintlift/dayrun_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -38,11 +39,13 @@
 	badParts map[string]*daycheck.BadPart // those of seen, by name
 }
 
-// add adds a run to what was seen.
-func (d *dayRun) add(r *daycheck.Run) {
+// add adds a run to what was seen. It reports whether it is the first of its request.
+func (d *dayRun) add(r *daycheck.Run) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	first := !slices.ContainsFunc(d.seen.Runs, func(other *daycheck.Run) bool { return other.Request == r.Request })
 	d.seen.Runs = append(d.seen.Runs, r)
+	return first
 }
 
 // playDay plays a day and checks it. It must be called within a bubble of
--- a/internal/daycheck/daycheck.go
+++ b/internal/daycheck/daycheck.go
@@ -33,6 +33,8 @@
 	// Got are the numbers of the received events, and GotAt when they came.
 	Got   []int
 	GotAt []time.Time
+	// Body is that of a plain response, and Want what the endpoint sends.
+	Body, Want string
 	// Failure describes what the caller saw, for messages.
 	Failure string
 }
@@ -89,7 +91,7 @@
 		for _, rule := range []struct {
 			name  string
 			check func(*Request, []*Run) string
-		}{{"LOST", Lost}, {"ORDER", func(q *Request, _ []*Run) string { return Order(q) }}, {"TWICE", Twice}, {"REFUSED", Refused}} {
+		}{{"LOST", Lost}, {"ORDER", func(q *Request, _ []*Run) string { return Order(q) }}, {"MIXED", func(q *Request, _ []*Run) string { return Mixed(q) }}, {"TWICE", Twice}, {"REFUSED", Refused}} {
 			if text := rule.check(q, own); text != "" {
 				out = append(out, Violation{rule.name, text + describe(q, own)})
 			}
