ingress: proxies of the stall tests end with their connections

After a stall a proxy read EOF again and again, in a goroutine each that took a processor until the end of the test program. The proxy now stops at the end of a connection, without closing the other side, as before; the test fails with the answer if its request does not run.

--- a/ingress/stall_test.go
+++ b/ingress/stall_test.go
@@ -69,7 +69,10 @@
 	for {
 		n, err := from.Read(buffer)
 		if p.stalls.Load() != stallsAtOpen {
-			continue // discarded, also EOF
+			if err != nil {
+				return // the other side stays open
+			}
+			continue
 		}
 		if n > 0 {
 			_, _ = to.Write(buffer[:n])
@@ -269,13 +272,20 @@
 		ended <- time.Now()
 	})
 	ctx, cancel := context.WithCancel(context.Background())
+	answered := make(chan string, 1)
 	go func() {
-		if response, err := g.send(ctx, "POST", path, "x"); err == nil {
+		response, err := g.send(ctx, "POST", path, "x")
+		if err == nil {
 			_, _ = io.ReadAll(response.Body)
 			_ = response.Body.Close()
 		}
+		answered <- fmt.Sprint(response, err)
 	}()
-	<-running
+	select {
+	case <-running:
+	case text := <-answered:
+		t.Fatalf("the request did not run: %s", text)
+	}
 	closed := time.Now()
 	cancel()
 	return (<-ended).Sub(closed)
