--- a/ingress/unframed_test.go
+++ b/ingress/unframed_test.go
@@ -90,10 +90,10 @@
 	assert.Equal(t, body, "id: 1\ndata: a\n\n")
 }
 
-// startResettingEndpoint starts an endpoint that sends a response while it has not read the
-// request, and then resets the connection. Like those of an Ethernet, its connections do not
-// take a long request at once.
-func (g *testGateway) startResettingEndpoint(id, service, response string) {
+// startNarrowEndpoint starts an endpoint that serves each connection with serve, which may
+// leave the request unread. Like those of an Ethernet, its connections do not take a long
+// request at once.
+func (g *testGateway) startNarrowEndpoint(id, service string, serve func(c *net.TCPConn)) {
 	g.t.Helper()
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
@@ -112,13 +112,7 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\n\r\n%s", testHeaders.RequestID, r.Header.Get(testHeaders.RequestID), testHeaders.Seal, response)
-				time.Sleep(100 * time.Millisecond)
-				_ = c.(*net.TCPConn).SetLinger(0)
+				serve(c.(*net.TCPConn))
 			}()
 		}
 	}()
@@ -129,6 +123,21 @@
 	g.server.PutEndpoint(r)
 }
 
+// startResettingEndpoint starts an endpoint that sends an unframed response while it has not
+// read the request, and then resets the connection.
+func (g *testGateway) startResettingEndpoint(id, service, response string) {
+	g.t.Helper()
+	g.startNarrowEndpoint(id, service, func(c *net.TCPConn) {
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\n\r\n%s", testHeaders.RequestID, r.Header.Get(testHeaders.RequestID), testHeaders.Seal, response)
+		time.Sleep(100 * time.Millisecond)
+		_ = c.SetLinger(0)
+	})
+}
+
 // Guards against a response without a length that is reset while its request is still being
 // sent, and that reaches the caller as a complete one or is not tried again where it may be.
 func TestResetDuringRequestIsNoCompleteResponse(t *testing.T) {
