internal/daycheck: an unframed answer whose end arrives after a crash of its endpoint counts as broken off

A close after which the endpoint has restarted is the end of a crash to its receiver. Only answers without length and chunks are excused, and only if the crash came before the request's end; rows of TestCheck hold both.

--- a/cmd/mintlift/dayendpoint_test.go
+++ b/cmd/mintlift/dayendpoint_test.go
@@ -54,6 +54,7 @@
 	e.down = true
 	close(e.dead)
 	e.mu.Unlock()
+	e.day.recordCrash(e.address, time.Now())
 	if e.engine != nil {
 		e.engine.Restart(false)
 	}
@@ -142,6 +143,7 @@
 	h := platform.Headers()
 	dead, up := e.life()
 	x := &dayExchange{dayEndpoint: e, w: w, r: r, dead: dead, run: &daycheck.Run{Request: r.Header.Get(h.RequestID), Service: e.service, Endpoint: e.address, At: time.Now()}}
+	x.run.Unframed = plan.form.unframed
 	x.form, x.firstRun = plan.form, e.day.add(x.run)
 	if !up {
 		x.breakOff(daycheck.Broke)
--- a/cmd/mintlift/dayrun_test.go
+++ b/cmd/mintlift/dayrun_test.go
@@ -48,6 +48,17 @@
 	return first
 }
 
+// recordCrash records a crash of an endpoint in its runs that have ended.
+func (d *dayRun) recordCrash(endpoint string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range d.seen.Runs {
+		if r.Endpoint == endpoint && !r.Ended.IsZero() && r.Crashed.IsZero() {
+			r.Crashed = now
+		}
+	}
+}
+
 // playDay plays a day and checks it. It must be called within a bubble of
 // testing/synctest.
 func playDay(t *testing.T, plan day, totals *dayTotals) {
--- a/internal/daycheck/daycheck.go
+++ b/internal/daycheck/daycheck.go
@@ -63,6 +63,10 @@
 	From, To int
 	Ended    time.Time
 	End      End
+	// Unframed is set if the response has neither a length nor chunks.
+	Unframed bool
+	// Crashed is when the endpoint first crashed after the run had ended; zero if it has not.
+	Crashed time.Time
 }
 
 // Day is what callers and endpoints saw.
--- a/internal/daycheck/daycheck_test.go
+++ b/internal/daycheck/daycheck_test.go
@@ -39,6 +39,17 @@
 	return r
 }
 
+// unframed makes a run one with an unframed response, whose endpoint crashed later.
+func (r *Run) unframed(crashed int) *Run {
+	r.Unframed, r.Crashed = true, at(crashed)
+	return r
+}
+
+// plain returns a plain request whose answer looks complete.
+func plain(body string) *Request {
+	return &Request{ID: "a", Service: "p", Sent: at(0), Limit: at(3000), Ended: at(1000), Status: 200, Complete: true, Body: body, Want: "answer"}
+}
+
 func TestCheck(t *testing.T) {
 	nothing := func(*Request) {}
 	for _, c := range []struct {
@@ -61,6 +72,11 @@
 		{"canceled on its way before another run delivered", stream(cut), []*Run{run("x", 40, 40, Canceled), run("y", 50, 1000, Broke).events(0, 2)}, "LOST"},
 		{"broken off by the endpoint", stream(cut), []*Run{run("x", 0, 1000, Broke)}, ""},
 		{"closed without a run", stream(cut), nil, "LOST"},
+		{"crashed before the end of an unframed response arrived", stream(cut), []*Run{run("x", 0, 500, Finished).unframed(900)}, ""},
+		{"crashed after the request had ended", stream(cut), []*Run{run("x", 0, 500, Finished).unframed(1100)}, "LOST"},
+		{"crashed after a response with an end of its own", stream(cut), []*Run{run("x", 0, 500, Finished)}, "LOST"},
+		{"half of a plain answer", plain("ans"), []*Run{run("x", 0, 500, Broke)}, "MIXED"},
+		{"a whole plain answer", plain("answer"), []*Run{run("x", 0, 500, Finished)}, ""},
 		{"closed after a refusal", stream(cut), []*Run{run("x", 0, 10, NotRun)}, "LOST"},
 		{"the caller left", stream(func(q *Request) { cut(q); q.Left = true }), []*Run{run("x", 0, 1000, Canceled)}, ""},
 		{"the time was up", stream(func(q *Request) { cut(q); q.Ended = at(2950) }), []*Run{run("x", 0, 2950, Canceled)}, ""},
