--- a/internal/memnet/ends.go
+++ b/internal/memnet/ends.go
@@ -33,10 +33,10 @@
 // peer is lost. Network.mu is held.
 func (c *Conn) failLocked(err error) {
 	if !c.failed {
-		c.failed, c.failure = true, err
-		if c.ended {
-			c.failure = syscall.EPIPE
+		if c.ended && err == syscall.ECONNRESET {
+			err = syscall.EPIPE // after the peer's close
 		}
+		c.failed, c.failure = true, err
 	}
 	c.queue = nil
 	c.giveUpAt = time.Time{}
