--- a/cmd/mintlift/dayendpoint_test.go
+++ b/cmd/mintlift/dayendpoint_test.go
@@ -130,17 +130,23 @@
 func (e *dayEndpoint) serve(w http.ResponseWriter, r *http.Request) {
 	body := bufio.NewReader(r.Body)
 	line, err := body.ReadString('\n')
-	var plan dayPlan
-	if err == nil {
-		err = plan.parse(line)
-	}
-	if err == nil && !plan.form.early {
-		_, err = io.Copy(io.Discard, body)
-	}
 	if err != nil {
 		panic(http.ErrAbortHandler) // an incomplete request does not run
 	}
 	h := platform.Headers()
+	var plan dayPlan
+	if err := plan.parse(line); err != nil {
+		e.day.t.Errorf("request %s has the body %q", r.Header.Get(h.RequestID), line)
+	}
+	if !plan.form.early {
+		n, err := io.Copy(io.Discard, body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if n != int64(plan.form.padding) {
+			e.day.t.Errorf("request %s has %d of %d bytes after its first line", r.Header.Get(h.RequestID), n, plan.form.padding)
+		}
+	}
 	dead, up := e.life()
 	x := &dayExchange{dayEndpoint: e, w: w, r: r, dead: dead, run: &daycheck.Run{Request: r.Header.Get(h.RequestID), Service: e.service, Endpoint: e.address, At: time.Now()}}
 	x.run.Unframed = plan.form.unframed
