--- a/cmd/mintlift/daycallers_test.go
+++ b/cmd/mintlift/daycallers_test.go
@@ -48,7 +48,8 @@
 	if p.gap, err = time.ParseDuration(gap); err != nil {
 		return err
 	}
-	return p.form.scan(line[strings.Index(line, "padding="):])
+	_, form, _ := strings.Cut(line, gap+" ")
+	return p.form.scan(form)
 }
 
 // Mean lengths of requests, as drawn by drawPlans.
