--- a/review/_standin2/clients_test.go
+++ b/review/_standin2/clients_test.go
@@ -18,6 +18,7 @@
 // attempt is a request as its client saw it.
 type attempt struct {
 	id     string
+	route  string
 	sent   time.Time
 	status int // 0 without a complete answer
 	took   time.Duration
@@ -72,7 +73,7 @@
 
 // send sends a request on a new connection to a gateway.
 func (w *world) send(gateway int, q request) attempt {
-	a := attempt{id: fmt.Sprintf("%016x", rand.Uint64()), sent: time.Now()}
+	a := attempt{id: fmt.Sprintf("%016x", rand.Uint64()), route: q.route, sent: time.Now()}
 	dialer := &net.Dialer{Timeout: time.Second}
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 	defer transport.CloseIdleConnections()
@@ -126,6 +127,16 @@
 
 // run sends perSecond requests a second, by turns to the gateways.
 func (t *traffic) run(w *world, perSecond float64, q func() request, stop <-chan struct{}) {
+	t.runTo(w, func(n int) int { return n % gatewayCount }, perSecond, q, stop)
+}
+
+// runAt sends perSecond requests a second to a gateway.
+func (t *traffic) runAt(w *world, gateway int, perSecond float64, q func() request, stop <-chan struct{}) {
+	t.runTo(w, func(int) int { return gateway }, perSecond, q, stop)
+}
+
+// runTo sends the n-th request to the gateway that choose returns.
+func (t *traffic) runTo(w *world, choose func(n int) int, perSecond float64, q func() request, stop <-chan struct{}) {
 	t.group.Go(func() {
 		ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
 		defer ticker.Stop()
@@ -136,7 +147,7 @@
 			case <-ticker.C:
 			}
 			t.group.Go(func() {
-				a := w.send(n%gatewayCount, q())
+				a := w.send(choose(n), q())
 				t.mu.Lock()
 				t.all = append(t.all, a)
 				t.mu.Unlock()
--- a/review/_standin2/main_test.go
+++ b/review/_standin2/main_test.go
@@ -13,6 +13,8 @@
 // cases are the scripts by the number of their folder.
 var cases = map[string]func(*world) verdict{
 	"4": spoiltManifest,
+	"5": outage,
+	"m": memory,
 }
 
 // Exit codes of a script.
--- a/review/_standin2/world_test.go
+++ b/review/_standin2/world_test.go
@@ -45,6 +45,7 @@
 type world struct {
 	trouble bool
 	prefix  string
+	offset  int // of the gateways' addresses
 	dir     string
 	start   time.Time
 	store   *storetest.Store
@@ -82,7 +83,7 @@
 
 func (w *world) storeAddress() string    { return w.prefix + ".5:8007" }
 func (w *world) originAddress() string   { return w.prefix + ".6:8006" }
-func (w *world) gatewayIP(n int) string  { return fmt.Sprintf("%s.%d", w.prefix, 10+n) }
+func (w *world) gatewayIP(n int) string  { return fmt.Sprintf("%s.%d", w.prefix, 10+w.offset+n) }
 func (w *world) sideIP(n int) string     { return fmt.Sprintf("%s.%d", w.prefix, 100+n) }
 func (w *world) plainIP(n int) string    { return fmt.Sprintf("%s.%d", w.prefix, 150+n) }
 func (w *world) front(n int) string      { return w.gatewayIP(n) + ":8005" }
