--- a/review/_standin2/outage_test.go
+++ b/review/_standin2/outage_test.go
@@ -97,7 +97,7 @@
 	return order, func(n int) float64 { return float64(hash(n)%256) / 256 }
 }
 
-// outage is case 5: two of the three gateways of a region are lost, then the store is down
+// outage is case 6: two of the three gateways of a region are lost, then the store is down
 // for a while, and after it a route is taken away.
 func outage(w *world) verdict {
 	const (
