--- a/review/_standin2/servers_test.go
+++ b/review/_standin2/servers_test.go
@@ -76,12 +76,15 @@
 }
 
 // publish writes the runner's entry to the store.
-func (s *runner) publish() {
+func (s *runner) publish() { s.world.put(storetest.Endpoints, s.id, s.entry()) }
+
+// entry returns the runner's entry.
+func (s *runner) entry() map[string]any {
 	entry := map[string]any{"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": cap(s.slots), "state": "ready", "cold_remaining_ms": 0, "sequence": 0}
 	if s.engine != nil {
 		entry["stage"], entry["models"], entry["sequence"] = "unified", s.engine.Models(), s.engine.State().Orders
 	}
-	s.world.put(storetest.Endpoints, s.id, entry)
+	return entry
 }
 
 // addEngine starts a model runner that holds version 1.
--- a/review/_standin2/world_test.go
+++ b/review/_standin2/world_test.go
@@ -52,6 +52,7 @@
 	origin  *origin
 	daemons []*daemon
 	servers []*http.Server
+	ends    []func() // end the child runners
 
 	mu     sync.Mutex
 	record *bufio.Writer
@@ -252,6 +253,9 @@
 // close ends all processes and stand-ins.
 func (w *world) close() {
 	w.killAll()
+	for _, end := range w.ends {
+		end()
+	}
 	for _, s := range w.servers {
 		_ = s.Close()
 	}
