--- a/review/_standin2/main_test.go
+++ b/review/_standin2/main_test.go
@@ -17,6 +17,7 @@
 	"5": originLost,
 	"6": outage,
 	"7": spot,
+	"8": memory,
 }
 
 // Exit codes of a script.
--- /dev/null
+++ b/review/_standin2/memory_test.go
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin2
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The traffic of case 8: requests with bodies just below max_body_bytes, on which a runner
+// works for a while.
+const (
+	uploadBytes   = 4_000_000
+	uploadWork    = 6 * time.Second
+	uploadRate    = 9.0 // a second at each gateway
+	burstFactor   = 1.7
+	burstTime     = 3 * time.Second
+	uploadRunners = 12
+	memoryMB      = 284
+)
+
+// residentMB returns the resident memory of a process in MB.
+func residentMB(pid int) int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(data), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+			return kb / 1024
+		}
+	}
+	return 0
+}
+
+// guardMemory kills a process that uses more memory than its settings allow, as the platform
+// does, and starts it again. It returns the largest memory and the number of kills once stop
+// is closed.
+func (d *daemon) guardMemory(stop <-chan struct{}) (most, kills int) {
+	for {
+		select {
+		case <-stop:
+			return most, kills
+		case <-time.After(20 * time.Millisecond):
+		}
+		d.mu.Lock()
+		pid := d.cmd.Process.Pid
+		d.mu.Unlock()
+		used := residentMB(pid)
+		most = max(most, used)
+		if used > memoryMB {
+			kills++
+			d.kill()
+			d.world.note("platform: %s uses %d MB of %d: killed", d.name, used, memoryMB)
+			time.Sleep(500 * time.Millisecond)
+			d.launch()
+		}
+	}
+}
+
+// keptClient is a client with one kept connection.
+type keptClient struct {
+	transport *http.Transport
+	gateway   int
+}
+
+// post sends a request on the kept connection; status 0 stands for no complete answer.
+func (c *keptClient) post(w *world, body []byte) (id string, status int) {
+	id = fmt.Sprintf("%016x", rand.Uint64())
+	const deadline = 9 * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.front(c.gateway)+"/upload/x", bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.GetBody = nil // the client doesn't send it again by itself
+	r.Host = "h.example"
+	r.Header.Set("X-Mintlift-Request-Id", id)
+	r.Header.Set("X-Mintlift-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set("Authorization", "Bearer key1")
+	sent := time.Now()
+	response, err := c.transport.RoundTrip(r)
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if err == nil {
+			status = response.StatusCode
+		}
+	}
+	w.note("client: %s at gateway %d, %d bytes, status %d after %d ms %s", id, c.gateway, len(body), status, time.Since(sent).Milliseconds(), errorText(err))
+	return id, status
+}
+
+// memory is case 8: many users come at once, with requests that are as large as allowed.
+func memory(w *world) verdict {
+	w.listen(w.storeAddress(), w.store)
+	for n := range uploadRunners {
+		w.addPlain(n, 32, uploadWork)
+	}
+	w.configure(3, []route{{"upload", "unsafe", plainName, 9000, 1}}, nil)
+	for n := range gatewayCount {
+		w.addDaemon("front", "gateway", fmt.Sprintf("front-%d", n), w.gatewayIP(n), w.zoneOf(n))
+	}
+	w.launchAll()
+	w.awaitReady(15 * time.Second)
+	var guards, clients sync.WaitGroup
+	guarded := make(chan struct{})
+	most, kills := make([]int, gatewayCount), make([]int, gatewayCount)
+	for n, d := range w.daemons {
+		guards.Go(func() { most[n], kills[n] = d.guardMemory(guarded) })
+	}
+	body := bytes.Repeat([]byte("x"), uploadBytes)
+	var mu sync.Mutex
+	idle := make([][]*keptClient, gatewayCount)
+	status := make(map[string]int)
+	post := func(gateway int) {
+		mu.Lock()
+		var c *keptClient
+		if last := len(idle[gateway]) - 1; last >= 0 {
+			c, idle[gateway] = idle[gateway][last], idle[gateway][:last]
+		}
+		mu.Unlock()
+		if c == nil {
+			c = &keptClient{&http.Transport{MaxConnsPerHost: 1, DisableCompression: true}, gateway}
+		}
+		id, got := c.post(w, body)
+		mu.Lock()
+		defer mu.Unlock()
+		status[id] = got
+		if got != 0 {
+			idle[gateway] = append(idle[gateway], c)
+		}
+	}
+	send := func(perSecond float64, length time.Duration) {
+		interval := time.Duration(float64(time.Second) / perSecond)
+		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(interval) {
+			for gateway := range gatewayCount {
+				clients.Go(func() { post(gateway) })
+			}
+		}
+	}
+	w.note("clients: %.1f requests a second at each gateway", uploadRate)
+	send(uploadRate, 16*time.Second)
+	if w.trouble {
+		w.note("burst: %.1f times as many for %v", burstFactor, burstTime)
+		send(uploadRate*burstFactor, burstTime)
+		w.note("burst ends")
+	} else {
+		send(uploadRate, burstTime)
+	}
+	send(uploadRate, 4*time.Second)
+	clients.Wait()
+	close(guarded)
+	guards.Wait()
+	lost, answered := 0, 0
+	w.mu.Lock()
+	for id, got := range status {
+		switch {
+		case got != 0:
+			answered++
+		case w.runs[id] > 0:
+			lost++
+		}
+	}
+	w.mu.Unlock()
+	text := fmt.Sprintf("%d requests that a runner had got ended with a closed connection and no answer; %d were answered; the gateways used up to %v MB of %d and were killed for it %v times",
+		lost, answered, most, memoryMB, kills)
+	if answered < 100 {
+		panic("hardly served: " + text)
+	}
+	return verdict{broken: lost > 3, text: text}
+}
