--- a/review/_standin2/clients_test.go
+++ b/review/_standin2/clients_test.go
@@ -68,7 +68,6 @@
 	method, route string
 	body          []byte
 	deadline      time.Duration
-	local         string // address of the client, or empty
 }
 
 // send sends a request on a new connection to a gateway.
