--- a/review/_standin2/main_test.go
+++ b/review/_standin2/main_test.go
@@ -7,7 +7,6 @@
 import (
 	"fmt"
 	"os"
-	"strings"
 	"testing"
 )
 
@@ -16,7 +15,7 @@
 	"4": spoiltManifest,
 	"5": originLost,
 	"6": outage,
-	"7": spot,
+	"7": garble,
 	"8": memory,
 }
 
@@ -30,10 +29,6 @@
 // TestMain runs the script that the first argument names, with the folder of the second one
 // for its record. TROUBLE=0 leaves out the disruption.
 func TestMain(*testing.M) {
-	if len(os.Args) == 3 && os.Args[1] == "runner" {
-		address, id, _ := strings.Cut(os.Args[2], " ")
-		runRunner(address, id)
-	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review2 CASE FOLDER")
 		os.Exit(exitCouldNot)
--- a/review/_standin2/memory_test.go
+++ b/review/_standin2/memory_test.go
@@ -102,6 +102,67 @@
 	return id, status
 }
 
+// poster sends requests with kept connections.
+type poster struct {
+	world  *world
+	body   []byte
+	mu     sync.Mutex
+	idle   [gatewayCount][]*keptClient
+	status map[string]int // of the answers by request id, 0 without an answer
+}
+
+// newPoster returns a poster of requests with a body.
+func newPoster(w *world, body []byte) *poster {
+	return &poster{world: w, body: body, status: make(map[string]int)}
+}
+
+// post sends a request to a gateway, on a connection that is idle or on a new one.
+func (p *poster) post(gateway int) {
+	p.mu.Lock()
+	var c *keptClient
+	if last := len(p.idle[gateway]) - 1; last >= 0 {
+		c, p.idle[gateway] = p.idle[gateway][last], p.idle[gateway][:last]
+	}
+	p.mu.Unlock()
+	if c == nil {
+		c = &keptClient{&http.Transport{MaxConnsPerHost: 1, DisableCompression: true}, gateway}
+	}
+	id, got := c.post(p.world, p.body)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.status[id] = got
+	if got != 0 {
+		p.idle[gateway] = append(p.idle[gateway], c)
+	}
+}
+
+// send sends perSecond requests a second to each gateway for a time.
+func (p *poster) send(group *sync.WaitGroup, perSecond float64, length time.Duration) {
+	interval := time.Duration(float64(time.Second) / perSecond)
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(interval) {
+		for gateway := range gatewayCount {
+			group.Go(func() { p.post(gateway) })
+		}
+	}
+}
+
+// lost returns how many requests got no answer although a runner other than faulty had got
+// them, and how many were answered.
+func (p *poster) lost(faulty string) (lost, answered int) {
+	w := p.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, got := range p.status {
+		switch {
+		case got != 0:
+			answered++
+		case w.runs[id] != "" && w.runs[id] != faulty:
+			lost++
+		}
+	}
+	return lost, answered
+}
+
 // memory is case 8: many users come at once, with requests that are as large as allowed.
 func memory(w *world) verdict {
 	w.listen(w.storeAddress(), w.store)
@@ -120,60 +181,21 @@
 	for n, d := range w.daemons {
 		guards.Go(func() { most[n], kills[n] = d.guardMemory(guarded) })
 	}
-	body := bytes.Repeat([]byte("x"), uploadBytes)
-	var mu sync.Mutex
-	idle := make([][]*keptClient, gatewayCount)
-	status := make(map[string]int)
-	post := func(gateway int) {
-		mu.Lock()
-		var c *keptClient
-		if last := len(idle[gateway]) - 1; last >= 0 {
-			c, idle[gateway] = idle[gateway][last], idle[gateway][:last]
-		}
-		mu.Unlock()
-		if c == nil {
-			c = &keptClient{&http.Transport{MaxConnsPerHost: 1, DisableCompression: true}, gateway}
-		}
-		id, got := c.post(w, body)
-		mu.Lock()
-		defer mu.Unlock()
-		status[id] = got
-		if got != 0 {
-			idle[gateway] = append(idle[gateway], c)
-		}
-	}
-	send := func(perSecond float64, length time.Duration) {
-		interval := time.Duration(float64(time.Second) / perSecond)
-		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(interval) {
-			for gateway := range gatewayCount {
-				clients.Go(func() { post(gateway) })
-			}
-		}
-	}
+	p := newPoster(w, bytes.Repeat([]byte("x"), uploadBytes))
 	w.note("clients: %.1f requests a second at each gateway", uploadRate)
-	send(uploadRate, 16*time.Second)
+	p.send(&clients, uploadRate, 16*time.Second)
 	if w.trouble {
 		w.note("burst: %.1f times as many for %v", burstFactor, burstTime)
-		send(uploadRate*burstFactor, burstTime)
+		p.send(&clients, uploadRate*burstFactor, burstTime)
 		w.note("burst ends")
 	} else {
-		send(uploadRate, burstTime)
+		p.send(&clients, uploadRate, burstTime)
 	}
-	send(uploadRate, 4*time.Second)
+	p.send(&clients, uploadRate, 4*time.Second)
 	clients.Wait()
 	close(guarded)
 	guards.Wait()
-	lost, answered := 0, 0
-	w.mu.Lock()
-	for id, got := range status {
-		switch {
-		case got != 0:
-			answered++
-		case w.runs[id] > 0:
-			lost++
-		}
-	}
-	w.mu.Unlock()
+	lost, answered := p.lost("")
 	text := fmt.Sprintf("%d requests that a runner had got ended with a closed connection and no answer; %d were answered; the gateways used up to %v MB of %d and were killed for it %v times",
 		lost, answered, most, memoryMB, kills)
 	if answered < 100 {
--- a/review/_standin2/servers_test.go
+++ b/review/_standin2/servers_test.go
@@ -180,7 +180,7 @@
 // ran records that a runner has begun to work on a request.
 func (w *world) ran(id, runner string, version int) {
 	w.mu.Lock()
-	w.runs[id]++
+	w.runs[id] = runner
 	w.mu.Unlock()
 	w.note("run %s at %s, version %d", id, runner, version)
 }
--- a/review/_standin2/world_test.go
+++ b/review/_standin2/world_test.go
@@ -52,12 +52,11 @@
 	origin  *origin
 	daemons []*daemon
 	servers []*http.Server
-	ends    []func() // end the child runners
 
 	mu     sync.Mutex
 	record *bufio.Writer
 	file   *os.File
-	runs   map[string]int // runs by request id
+	runs   map[string]string // the runner that ran a request, by request id
 }
 
 // newWorld opens the record and picks free loopback addresses.
@@ -70,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{trouble: trouble, dir: dir, start: time.Now(), store: storetest.New(), file: file, record: bufio.NewWriter(file), runs: make(map[string]int)}
+	w := &world{trouble: trouble, dir: dir, start: time.Now(), store: storetest.New(), file: file, record: bufio.NewWriter(file), runs: make(map[string]string)}
 	for range 50 {
 		w.prefix = fmt.Sprintf("127.%d.%d", 30+rand.IntN(200), rand.IntN(250))
 		if l, err := net.Listen("tcp4", w.storeAddress()); err == nil {
@@ -253,9 +252,6 @@
 // close ends all processes and stand-ins.
 func (w *world) close() {
 	w.killAll()
-	for _, end := range w.ends {
-		end()
-	}
 	for _, s := range w.servers {
 		_ = s.Close()
 	}
