--- a/review/_standin2/outage_test.go
+++ b/review/_standin2/outage_test.go
@@ -121,11 +121,19 @@
 	for n := range plainCount {
 		w.addPlain(n, 16, 30*time.Millisecond)
 	}
+	w.origin = &origin{world: w}
+	w.listen(w.originAddress(), w.origin)
+	for n := range engineCount {
+		w.addEngine(n)
+	}
 	all := []route{{"kept", "safe", plainName, 1500, 2}, {"dropped", "safe", plainName, 1500, 2}}
 	w.configure(3, all, nil)
 	for n := range gatewayCount {
 		w.addDaemon("front", "gateway", fmt.Sprintf("front-%d", n), w.gatewayIP(n), w.zoneOf(n))
 	}
+	for n := range engineCount {
+		w.addDaemon("side", "sidecar", fmt.Sprintf("side-%d", n), w.sideIP(n), w.zoneOf(n))
+	}
 	w.launchAll()
 	w.awaitReady(15 * time.Second)
 	time.Sleep(4 * time.Second)
