--- a/review/_standin2/world_test.go
+++ b/review/_standin2/world_test.go
@@ -70,15 +70,23 @@
 		return nil, err
 	}
 	w := &world{trouble: trouble, dir: dir, start: time.Now(), store: storetest.New(), file: file, record: bufio.NewWriter(file), runs: make(map[string]string)}
+	if !w.pickPrefix() {
+		return nil, fmt.Errorf("no free address")
+	}
+	w.note("TROUBLE=%t", trouble)
+	return w, nil
+}
+
+// pickPrefix picks the first three octets of all addresses; false if none are free.
+func (w *world) pickPrefix() bool {
 	for range 50 {
 		w.prefix = fmt.Sprintf("127.%d.%d", 30+rand.IntN(200), rand.IntN(250))
 		if l, err := net.Listen("tcp4", w.storeAddress()); err == nil {
 			_ = l.Close()
-			w.note("TROUBLE=%t", trouble)
-			return w, nil
+			return true
 		}
 	}
-	return nil, fmt.Errorf("no free address")
+	return false
 }
 
 func (w *world) storeAddress() string    { return w.prefix + ".5:8007" }
