installer: a manifest with a corrupt digest is compared with a second copy

Cause: a manifest was taken for corrupt only if no chunk had matched it. A chunk whose digest was wrong was read again and again (1,184 answers of the origin instead of about 70).

A chunk that arrives twice with the same content, which does not match, now makes the manifest suspect. It is compared with the copy of the peer that sent the chunk, or with the origin's, and replaced if the copy has the digest of the content. Neither a corrupt chunk nor a corrupt copy alone changes a manifest, and digests that held chunks have confirmed stay.

--- a/installer/fetch.go
+++ b/installer/fetch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -21,12 +22,8 @@
 // digest.
 const errDigestMismatch = errors.ConstError("chunk does not match its digest")
 
-// manifestMismatchLimit is the number of received chunks that do not match their
-// digests after which the manifest is assumed to be corrupt, if no chunk matched.
-const manifestMismatchLimit = 4
-
 // fetch pulls chunks until r is complete, for one round. It returns false if the round
-// ended, ctx ended or the manifest was discarded first. Pulls that are in flight at the
+// ended, ctx ended or r was replaced first. Pulls that are in flight at the
 // end of a round continue in the next one, so that no chunk is sent again.
 func (i *Installer) fetch(ctx context.Context, task fetchTask, r *replica) bool {
 	if i.isComplete(r) {
@@ -37,8 +34,7 @@
 	i.startSwarm(ctx, task, r)
 	ended := make(chan struct{}, 1)
 	for ctx.Err() == nil && clock.Now().Before(end) && !i.isComplete(r) {
-		if i.manifestSuspect(r) {
-			i.dropReplica(r)
+		if i.replicaDropped(r) {
 			return false
 		}
 		i.mu.Lock()
@@ -105,28 +101,6 @@
 	return r.complete()
 }
 
-// manifestSuspect reports whether the manifest of r is assumed to be corrupt,
-// because several chunks have arrived and none matched its digest.
-func (i *Installer) manifestSuspect(r *replica) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return r.held.Count() == 0 && r.mismatches >= manifestMismatchLimit
-}
-
-// dropReplica removes a replica whose manifest is assumed to be corrupt, so that
-// the manifest is fetched again.
-func (i *Installer) dropReplica(r *replica) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for at, other := range i.replicas {
-		if other == r {
-			i.replicas = append(i.replicas[:at:at], i.replicas[at+1:]...)
-			break
-		}
-	}
-	i.log.Info("manifest discarded", "version", r.manifest.Version, "spoilt", r.mismatches)
-}
-
 // startSwarm replaces the swarm of r, which schedules its pulls, by a new one over
 // the current sidecar list. The new swarm continues the pulls in flight.
 func (i *Installer) startSwarm(ctx context.Context, task fetchTask, r *replica) {
@@ -318,7 +292,7 @@
 	began := clock.Now()
 	availability, data, err := i.requestChunk(ctx, r, &p, has, func() { began = clock.Now() })
 	if err == nil {
-		err = i.storeChunk(r, p, data)
+		err = i.storeChunk(ctx, r, p, data)
 	}
 	now := clock.Now()
 	i.mu.Lock()
@@ -409,12 +383,9 @@
 
 // storeChunk verifies the digest of a received chunk and adds it to r. It returns
 // errDigestMismatch if the digest does not match.
-func (i *Installer) storeChunk(r *replica, p transfer.Pull, data []byte) error {
+func (i *Installer) storeChunk(ctx context.Context, r *replica, p transfer.Pull, data []byte) error {
 	if !r.manifest.ChunkMatches(p.Chunk, data) {
-		i.mu.Lock()
-		r.mismatches++
-		i.mu.Unlock()
-		i.metrics.Counter("mintlift_installer_spoilt_total").Inc()
+		i.rejectChunk(ctx, r, p, sha256.Sum256(data))
 		return errDigestMismatch
 	}
 	i.mu.Lock()
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -247,8 +247,14 @@
 	addresses map[string]string
 	// picker selects the chunks to send to peers.
 	picker *transfer.Picker
-	// mismatches counts received chunks that did not match their digests.
+	// mismatches counts received chunks that did not match their digests. rejected holds
+	// the digest of the last such content of each chunk.
 	mismatches int
+	rejected   map[int]Digest
+	// manifestReview is set while the manifest is compared with another copy;
+	// nextManifestReview is when the next comparison may start.
+	manifestReview     bool
+	nextManifestReview time.Time
 	// fromPeers, fromRemoteRegion and fromOrigin count the chunks received from boxes
 	// of this region, from boxes of other regions and from the origin.
 	fromPeers        int
--- a/installer/installer_test.go
+++ b/installer/installer_test.go
@@ -121,9 +121,11 @@
 	noChunks atomic.Bool
 	// corrupt reports whether to corrupt a chunk, given the number of chunks sent.
 	corrupt func(sent int) bool
-	// corruptManifests is how many of the next manifests are corrupted.
-	corruptManifests int
-	delay            time.Duration // of each call of Chunk and limitedOrigin.Manifest
+	// corruptManifests is how many of the next manifests are corrupted, in all digests or
+	// only in the one of chunk corruptDigest if that is not 0.
+	corruptManifests, corruptDigest int
+	manifests                       int           // manifests sent
+	delay                           time.Duration // of each call of Chunk and limitedOrigin.Manifest
 }
 
 // Manifest implements Origin. It corrupts the manifest while corruptManifests is not 0.
@@ -133,11 +135,14 @@
 	if o.down {
 		return nil, errors.New("down")
 	}
+	o.manifests++
 	m := manifestOf(version)
 	if o.corruptManifests > 0 {
 		o.corruptManifests--
 		for n := range m.Digests {
-			m.Digests[n][0] ^= 1
+			if o.corruptDigest == 0 || n == o.corruptDigest {
+				m.Digests[n][0] ^= 1
+			}
 		}
 	}
 	return m, nil
--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -162,7 +162,7 @@
 
 // obtain fetches the version of task, in repeated rounds, until its replica is
 // complete. It returns false if the manifest could not be fetched, the replica was
-// dropped or ctx ended.
+// evicted or ctx ended.
 func (i *Installer) obtain(ctx context.Context, task fetchTask) bool {
 	r := i.openReplica(ctx, task)
 	if r == nil {
@@ -177,9 +177,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // of pulls that are in flight when the replica is complete
 	for !i.fetch(ctx, task, r) {
-		if ctx.Err() != nil || i.replicaDropped(r) {
+		if ctx.Err() != nil {
 			return false
 		}
+		if i.replicaDropped(r) {
+			if r = i.replica(task.version); r == nil {
+				return false
+			}
+		}
 	}
 	i.mu.Lock()
 	i.notifyLocked()
@@ -237,6 +242,7 @@
 		chunks:       make([][]byte, len(m.Digests)),
 		held:         bitset.New(uint(len(m.Digests))),
 		chunkArrived: make(chan struct{}),
+		rejected:     make(map[int]Digest),
 		picker:       transfer.NewPicker(len(m.Digests), xxhash.Sum64String(box)),
 	}
 }
--- a/installer/review.go
+++ b/installer/review.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -191,11 +192,15 @@
 // reviewStage compares the staged chunks with the manifest of the version under review. It
 // tries until it has a result, a chunk has been staged or ctx ends.
 func (i *Installer) reviewStage(ctx context.Context, in *inheritedLoad, review *loadtrust.Review) {
+	var compared []Digest
 	for differed := 0; ctx.Err() == nil && differed < stageReviews; clock.Sleep(ctx, stageReviewInterval) {
 		m := i.manifestOfLoad(ctx, review.Load().Version)
 		if m == nil {
 			continue
 		}
+		if !slices.Equal(m.Digests, compared) {
+			differed, compared = 0, m.Digests // the manifest was corrected
+		}
 		stage, valid := i.compareStage(ctx, in, m)
 		if !valid {
 			return
--- a/installer/scale_test.go
+++ b/installer/scale_test.go
@@ -202,7 +202,7 @@
 		}()
 	}
 	time.Sleep(chunkWaitTimeout / 10)
-	assert.NilError(t, i.storeChunk(r, transfer.Pull{Chunk: 5}, chunkOf(2, 5)))
+	assert.NilError(t, i.storeChunk(t.Context(), r, transfer.Pull{Chunk: 5}, chunkOf(2, 5)))
 	served := 0
 	for range pulls {
 		a := <-answers
