installer: manifests of complete versions are archived in the store

Cause: a sidecar that starts trusts a load if a gateway remembers it, or if the staged chunks match the manifest. Both were known to processes and the origin alone.

The manifest of a version is written to a topic of the store once all its chunks have matched, by one of at most three boxes, and is read from there if neither a peer nor the origin has it; for the version that the engine has loaded, before the origin is asked. So the staged chunks can be compared, and engines that have restarted get chunks of other boxes.

--- a/cmd/mintlift/platform_sidecar.go
+++ b/cmd/mintlift/platform_sidecar.go
@@ -239,7 +239,8 @@
 	memories := func(ctx context.Context) []loadtrust.Memory {
 		return loadMemories(ctx, s.EngineAddress, lists, gateways)
 	}
-	state.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone, LinkRate: s.LinkRate(), Network: p.network, LoadMemories: memories}, engine, origin,
+	archive := installer.NewArchive(p.watcher.Store().OwnTopic(installer.ArchiveTopic))
+	state.installer = installer.New(installer.Settings{Box: s.IP, Region: s.Region, Zone: s.Zone, LinkRate: s.LinkRate(), Network: p.network, LoadMemories: memories, Archive: archive}, engine, origin,
 		func(ctx context.Context) ([]installer.Peer, error) { return state.listPeers(ctx, p, lists, gateways) }, p.log, p.metrics)
 	group.addCloser(state.installer.Close)
 	group.spawn(func() { publisher.Run(state.handleNotice) })
--- a/cmd/mintlift/weights_test.go
+++ b/cmd/mintlift/weights_test.go
@@ -155,6 +155,8 @@
 	boxes                []*weightsBox
 	daemons              []*taskGroup
 	gateways             []string // IP:PORT of the gateways' listeners for callers
+	// originLost is set while the origin breaks off all connections.
+	originLost atomic.Bool
 
 	mu sync.Mutex
 	// served counts requests by the version that served them; 0 counts the others.
@@ -222,7 +224,12 @@
 	d.storeAddress = prefix + ".251:8007"
 	d.serveAt(t, d.storeAddress, d.store, d.store.Close)
 	origin := prefix + ".252:8008"
-	d.serveAt(t, origin, weightsModel, func() {})
+	d.serveAt(t, origin, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.originLost.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		weightsModel.ServeHTTP(w, r)
+	}), func() {})
 	d.config = fmt.Sprintf(`{"version":1,
 		"routes":[{"name":"s","host":"h.example","path_prefix":"/s/","kind":"streaming","timeout_ms":3000,"target_latency_ms":800,"target_gap_ms":400,"service":"e","max_attempts":2,"public":true,"resumable":true}],
 		"services":[{"name":"weights","origin":%q,"zone":"z","link_mbps":80},
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -151,6 +151,8 @@
 	// LoadMemories returns what gateways remember of the engine, to be called while the
 	// engine has a load that this process has not verified; may be nil.
 	LoadMemories func(ctx context.Context) []loadtrust.Memory
+	// Archive keeps manifests of complete versions; may be nil.
+	Archive *Archive
 }
 
 // Installer fetches target versions and loads them into the engine of one sidecar.
@@ -191,6 +193,8 @@
 	// its version, if it was fetched without a replica.
 	inherited    *inheritedLoad
 	loadManifest *Manifest
+	// archiveReads holds the versions that could not be read from the archive.
+	archiveReads map[int]archiveState
 	// noWeights is set if the service's configuration has no weights, so that nothing
 	// orders the engine to load a version.
 	noWeights bool
@@ -255,6 +259,7 @@
 	// nextManifestReview is when the next comparison may start.
 	manifestReview     bool
 	nextManifestReview time.Time
+	archive            archiveState
 	// fromPeers, fromRemoteRegion and fromOrigin count the chunks received from boxes
 	// of this region, from boxes of other regions and from the origin.
 	fromPeers        int
@@ -268,7 +273,7 @@
 	return &Installer{
 		settings: s, engine: e, origin: o, peers: peers, log: log, metrics: m,
 		client: newPeerClient(network.OrSystem(s.Network), down), upPacer: newPacer(s.LinkRate), downPacer: down, manifestHopTimeout: manifestHopTimeout,
-		stagingMu: newCallLock(), changed: make(chan struct{}),
+		stagingMu: newCallLock(), changed: make(chan struct{}), archiveReads: make(map[int]archiveState),
 	}
 }
 
--- a/installer/installer_test.go
+++ b/installer/installer_test.go
@@ -177,6 +177,12 @@
 // newCluster starts n installers, spread over the regions. prepare, if not nil, is
 // called for each engine before its installer starts.
 func newCluster(t *testing.T, n, regions int, deadline time.Duration, prepare func(i int, e *fakeEngine)) *cluster {
+	t.Helper()
+	return newClusterWith(t, n, regions, deadline, Settings{}, prepare)
+}
+
+// newClusterWith is like newCluster, with settings for all boxes.
+func newClusterWith(t *testing.T, n, regions int, deadline time.Duration, settings Settings, prepare func(i int, e *fakeEngine)) *cluster {
 	t.Helper()
 	c := &cluster{t: t, origin: &fakeOrigin{}}
 	for k := range n {
@@ -186,7 +192,8 @@
 		}
 		region := fmt.Sprint("r", k%regions)
 		box := fmt.Sprint("box", k)
-		i := New(Settings{Box: box, Region: region, Zone: region}, e, c.origin,
+		settings.Box, settings.Region, settings.Zone = box, region, region
+		i := New(settings, e, c.origin,
 			func(context.Context) ([]Peer, error) { return c.peers, nil }, logr.Discard(), telemetry.NewMetrics())
 		s := httptest.NewServer(i.Handler())
 		t.Cleanup(s.Close)
--- a/installer/manifest.go
+++ b/installer/manifest.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 )
 
 // Manifests are distributed along a tree of boxes in each region, which is derived
@@ -55,7 +56,7 @@
 }
 
 // fetchManifest requests the manifest from each of this box's ancestors in the
-// region's tree, and then from the origin. It returns the first manifest with the
+// region's tree, and then from the origin and the archive. It returns the first manifest with the
 // expected number of chunks, or nil if there is none or the sidecars are not known yet.
 func (i *Installer) fetchManifest(ctx context.Context, task fetchTask) *Manifest {
 	peers, known := i.listPeers(ctx)
@@ -77,16 +78,41 @@
 	if ctx.Err() != nil {
 		return nil
 	}
-	m, err := i.origin.Manifest(ctx, task.params.Model, task.version)
-	if err != nil {
-		i.log.Info("manifest fetch from origin failed", "version", task.version, "error", err.Error())
-		return nil
+	for _, source := range i.manifestSources(task.version) {
+		m, err := source.read(ctx, task.params.Model, task.version)
+		switch {
+		case errors.Is(err, errArchivePaused):
+		case err != nil:
+			i.log.Info("manifest fetch from "+source.name+" failed", "version", task.version, "error", err.Error())
+		case len(m.Digests) != task.params.Chunks:
+			i.log.Info("manifest has the wrong number of digests", "version", task.version, "source", source.name, "digests", len(m.Digests), "chunks", task.params.Chunks)
+		default:
+			return m
+		}
 	}
-	if len(m.Digests) != task.params.Chunks {
-		i.log.Info("manifest has the wrong number of digests", "version", task.version, "digests", len(m.Digests), "chunks", task.params.Chunks)
-		return nil
+	return nil
+}
+
+// manifestSource is a source of manifests other than a peer.
+type manifestSource struct {
+	name string
+	read func(ctx context.Context, model string, version int) (*Manifest, error)
+}
+
+// manifestSources returns the sources of the manifest of a version, in the order in which they
+// are read. A version that the engine has loaded is usually archived.
+func (i *Installer) manifestSources(version int) []manifestSource {
+	i.mu.Lock()
+	loaded := i.engineState.Version == version
+	i.mu.Unlock()
+	sources := []manifestSource{{"origin", i.origin.Manifest}}
+	if i.settings.Archive != nil {
+		sources = append(sources, manifestSource{"archive", i.archivedManifest})
+	}
+	if loaded {
+		slices.Reverse(sources)
 	}
-	return m
+	return sources
 }
 
 // errorText returns the text of err for a log line. A nil error means that a manifest
--- a/installer/obtain.go
+++ b/installer/obtain.go
@@ -50,6 +50,7 @@
 	defer group.Wait()
 	group.Go(func() { i.runUpdates(ctx) })
 	group.Go(func() { i.reviewLoads(ctx) })
+	group.Go(func() { i.archiveManifests(ctx) })
 	jobs := make(map[int]job)
 	ended := make(chan int)
 	for ctx.Err() == nil {
--- a/installer/review_test.go
+++ b/installer/review_test.go
@@ -21,17 +21,27 @@
 // startOnInheritedLoad starts an installer whose engine has inheritedState, and the chunks
 // of version staged. Gateways remember what memories returns.
 func startOnInheritedLoad(t *testing.T, version int, memories func(context.Context) []loadtrust.Memory) (*Installer, *fakeEngine) {
+	t.Helper()
+	return startOnInheritedLoadOf(t, version, Settings{Box: "box0", Region: "r", LoadMemories: memories}, &fakeOrigin{})
+}
+
+// startOnInheritedLoadOf is like startOnInheritedLoad, with the given settings and origin. If
+// the settings have an archive, the engine has the staged version loaded.
+func startOnInheritedLoadOf(t *testing.T, version int, s Settings, origin *fakeOrigin) (*Installer, *fakeEngine) {
 	t.Helper()
 	e := &fakeEngine{}
 	e.load(version)
 	e.state = inheritedState
-	i := New(Settings{Box: "box0", Region: "r", LoadMemories: memories}, e, &fakeOrigin{}, func(context.Context) ([]Peer, error) { return nil, nil }, logr.Discard(), telemetry.NewMetrics())
+	if s.Archive != nil {
+		e.state.Version = version
+	}
+	i := New(s, e, origin, func(context.Context) ([]Peer, error) { return nil, nil }, logr.Discard(), telemetry.NewMetrics())
 	i.Configure(Params{Model: testModel, Chunks: testChunks, ChunkBytes: testBytes, OriginRate: 1 << 20, OriginRegion: "r", Deadline: testDeadline})
 	i.AddTarget(testModel, 2, time.Now())
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	s, _ := e.State(ctx)
-	i.UpdateEngineState(s)
+	state, _ := e.State(ctx)
+	i.UpdateEngineState(state)
 	assert.Assert(t, i.Undecided())
 	go i.Run(ctx)
 	go func() {
