upstream: the head of a response is bounded

An endpoint in trouble may send bytes without end in place of a response.

Cause: the client of endpoints gives its connection to http.ReadResponse, which reads a line and the headers whole. While a head is read, the connection now gives at most 64 KiB; after that the attempt fails like any other broken response, and the connection is closed.

--- a/installer/peers.go
+++ b/installer/peers.go
@@ -71,6 +71,7 @@
 func newPeerClient(n network.Network, down *pacer) *peerClient {
 	return &peerClient{pacer: down, client: &http.Client{Transport: &http.Transport{
 		DialContext: n.Dialer(peerDialTimeout, tcpconn.ProbeLater), IdleConnTimeout: peerIdleTimeout, MaxIdleConnsPerHost: 2, DisableCompression: true,
+		MaxResponseHeaderBytes: network.MaxResponseHeadBytes,
 	}}}
 }
 
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -99,14 +99,15 @@
 // New returns a client. name is the service name of its trace spans.
 func New(name string, o Options) *Client {
 	tr := &http.Transport{
-		DialContext:         o.Meter.Dial(network.OrSystem(o.Network).Dialer(dialTimeout, 0)),
-		TLSClientConfig:     o.TLS,
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-		DisableKeepAlives:   o.NoReuse,
-		WriteBufferSize:     connBufferBytes,
-		ReadBufferSize:      connBufferBytes,
+		DialContext:            o.Meter.Dial(network.OrSystem(o.Network).Dialer(dialTimeout, 0)),
+		TLSClientConfig:        o.TLS,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		DisableKeepAlives:      o.NoReuse,
+		WriteBufferSize:        connBufferBytes,
+		ReadBufferSize:         connBufferBytes,
+		MaxResponseHeaderBytes: network.MaxResponseHeadBytes,
 	}
 	breaker.NoBreakerFor(name)
 	hc := &http.Client{Transport: tr}
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -15,6 +15,11 @@
 	"github.com/mintlift/mintlift/internal/tcpconn"
 )
 
+// MaxResponseHeadBytes bounds the head of a response of any process: the status line and the
+// headers. Another process may send bytes without end, and one connection must not use up the
+// memory of a box that has hundreds.
+const MaxResponseHeadBytes = 64 << 10
+
 // DialFunc opens a connection, like net.Dialer.DialContext.
 type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/storerelay/list.go
+++ b/storerelay/list.go
@@ -136,6 +136,7 @@
 func NewClient(n network.Network) *Client {
 	return &Client{client: &http.Client{Transport: &http.Transport{
 		DialContext: n.Dialer(callTimeout, tcpconn.ProbeLater), IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: network.MaxResponseHeadBytes,
 	}}}
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -125,11 +125,6 @@
 	// maxInlineBody is the largest body, in bytes, that is written completely before
 	// the response is read. It must fit into the socket's send buffer.
 	maxInlineBody = 16 << 10
-	// maxMismatched is the maximum number of responses that are read for one request.
-	// Responses that do not belong to the request are skipped.
-	maxMismatched = 3
-	// maxMismatchedBytes bounds the body of a skipped response.
-	maxMismatchedBytes = 1 << 20
 )
 
 // Pool sends requests and keeps idle connections for reuse. It is safe for concurrent
@@ -153,6 +148,7 @@
 	pool      *Pool
 	address   string
 	reader    *bufio.Reader
+	limiter   *headLimiter
 	idleSince time.Time // when the connection became idle
 	idleUntil time.Time // when its idle timeout expires
 	once      sync.Once // of closeOnce
@@ -212,7 +208,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, pool: p, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	limiter := &headLimiter{conn: raw}
+	c := &conn{Conn: raw, pool: p, address: address, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter}
 	return c, nil
 }
 
@@ -461,26 +458,3 @@
 	}
 	return r, nil
 }
-
-// readHead reads responses until one belongs to the request, and returns its head. It
-// skips informational and mismatched responses.
-func (c *conn) readHead(q *Request) (*http.Response, error) {
-	method := &http.Request{Method: q.Method}
-	for range maxMismatched {
-		head, err := http.ReadResponse(c.reader, method)
-		if err != nil {
-			return nil, err
-		}
-		if head.StatusCode < http.StatusOK {
-			continue
-		}
-		if q.Accept == nil || q.Accept(head.Header) {
-			return head, nil
-		}
-		n, err := io.Copy(io.Discard, io.LimitReader(head.Body, maxMismatchedBytes))
-		if err != nil || n == maxMismatchedBytes || head.Close {
-			return nil, ErrMismatched
-		}
-	}
-	return nil, ErrMismatched
-}
