upstream: a status that no response has fails the attempt

A status of 600 to 999 reached callers as it was, and one of 000 to 099 was skipped like an informational response, so that the caller waited until its deadline although the endpoint had responded. Any status but 100 to 599 now fails the attempt at once, as does 101, since a change of the protocol is never requested.

--- a/upstream/head.go
+++ b/upstream/head.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,9 +13,14 @@
 	"github.com/mintlift/mintlift/internal/network"
 )
 
-// ErrHeadTooLarge reports that the head of a response exceeds network.MaxResponseHeadBytes. An
-// endpoint in trouble may send any bytes, also without end.
-const ErrHeadTooLarge = errors.ConstError("the head of the response is too large")
+// Errors of a response's head. An endpoint in trouble may send any bytes, also without end.
+const (
+	// ErrHeadTooLarge reports that the head of a response exceeds
+	// network.MaxResponseHeadBytes.
+	ErrHeadTooLarge = errors.ConstError("the head of the response is too large")
+	// ErrInvalidStatus reports a status code that no response has.
+	ErrInvalidStatus = errors.ConstError("the response has an invalid status code")
+)
 
 // Bounds on the responses that are read for one request.
 const (
@@ -81,5 +87,17 @@
 	c.limiter.left, c.limiter.limited = network.MaxResponseHeadBytes, true
 	head, err := http.ReadResponse(c.reader, method)
 	c.limiter.limited = false
-	return head, err
+	if err != nil {
+		return nil, err
+	}
+	if !validStatus(head.StatusCode) {
+		return nil, errors.WithType(fmt.Errorf("status %03d", head.StatusCode), ErrInvalidStatus)
+	}
+	return head, nil
+}
+
+// validStatus reports whether a status code is one of RFC 9110. A change of the protocol is
+// never requested, so that its status is not valid either.
+func validStatus(code int) bool {
+	return code >= 100 && code <= 599 && code != http.StatusSwitchingProtocols
 }
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"net"
 	"runtime"
 	"strings"
@@ -75,3 +77,46 @@
 		assert.Equal(t, body, "ok")
 	}
 }
+
+// Guards against callers that get a status that is none, such as 000, and against a wait for
+// another response after one whose status looks informational.
+func TestInvalidStatusIsAnError(t *testing.T) {
+	for _, status := range []string{"000", "001", "020", "099", "101", "600", "777", "999", "+20", "1000", "2", "OK"} {
+		t.Run(status, func(t *testing.T) {
+			done := make(chan struct{})
+			defer close(done)
+			address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+				readRequest(r)
+				write(c, fmt.Sprintf("HTTP/1.1 %s Trouble\r\nId: 1\r\nContent-Length: 2\r\n\r\nok", status))
+				<-done
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			_, err := pool().Do(ctx, address, request("1"))
+			var failure *Error
+			assert.Assert(t, errors.As(err, &failure) && failure.Sent, "%v", err)
+			assert.Assert(t, !errors.Is(err, context.DeadlineExceeded))
+		})
+	}
+}
+
+// Guards against a response that looks whole although its endpoint has stopped within its head:
+// with a part of a header left out, the rest could count as a body without a length.
+func TestHeadCutAnywhereIsAnError(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n"} {
+		head := "HTTP/1.1 200 OK\r\nId: 1\r\n" + framing + "A: b\r\n\r\n"
+		for end := range len(head) {
+			for _, reset := range []bool{false, true} {
+				address := endpoint(t, func(_ int, r *bufio.Reader, c *net.TCPConn) {
+					readRequest(r)
+					write(c, head[:end])
+					if reset {
+						_ = c.SetLinger(0)
+					}
+				})
+				_, err := exchange(t, pool(), address, request("1"))
+				assert.Assert(t, err != nil, "cut after %q", head[:end])
+			}
+		}
+	}
+}
