ingress: large responses share a budget of memory

A body or an event without end was bounded for each response (8 MiB, 1 MiB), but not for all together: endpoints in trouble could take a gateway over its memory limit, and with it the requests that sound endpoints were at work on.

Bodies and events of over 64 KiB now take their memory from a budget of a quarter of the memory limit (package membudget). A response that finds it used up is left unread until others have been delivered, since its endpoint has run the request.

TestLargeResponsesAreDelivered: 12 responses of 3 MiB through a budget of 20 MiB arrive whole.

--- a/cmd/mintlift/platform_gateway.go
+++ b/cmd/mintlift/platform_gateway.go
@@ -139,6 +139,7 @@
 		Current:         func() bool { return configCurrent(p.watcher.Progress(), s.ConfigBudget(), clock.Now()) },
 		ConfigAge:       func() time.Duration { return p.watcher.Progress().Age(clock.Now()) },
 		Network:         p.network,
+		MemoryLimit:     s.MemoryLimit(),
 	}, p.requestLog, p.log, p.metrics)
 	group.addCloser(server.Close)
 	front, err := p.network.Listen(ctx, "tcp4", s.Listen.Front, tcpconn.ProbeLater)
--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -37,11 +37,18 @@
 type Reader struct {
 	input *bufio.Reader
 	raw   []byte // bytes of the current event
+	// onLarge is called before the first event of more than large bytes; nil afterwards.
+	onLarge func() error
+	large   int
 }
 
 // NewReader returns a Reader that reads from r.
 func NewReader(r io.Reader) *Reader { return &Reader{input: bufio.NewReaderSize(r, 2<<10)} }
 
+// OnLarge makes Next call f before it buffers more than size bytes of an event, the first time.
+// If f returns an error, Next returns it.
+func (r *Reader) OnLarge(size int, f func() error) { r.large, r.onLarge = size, f }
+
 // Next returns the next event. It returns io.EOF at the end of the stream,
 // ErrTruncated if the stream ended within an event, and ErrTooLarge if the event
 // exceeds MaxEventBytes.
@@ -72,6 +79,12 @@
 func (r *Reader) readLine() error {
 	for {
 		part, err := r.input.ReadSlice('\n')
+		if r.onLarge != nil && len(r.raw)+len(part) > r.large {
+			if err := r.onLarge(); err != nil {
+				return err
+			}
+			r.onLarge = nil
+		}
 		r.raw = append(r.raw, part...)
 		if len(r.raw) > MaxEventBytes {
 			return ErrTooLarge
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/mintlift/mintlift/admission"
 	"github.com/mintlift/mintlift/internal/clock"
+	"github.com/mintlift/mintlift/membudget"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/residency"
 	"github.com/mintlift/mintlift/routing"
@@ -45,8 +46,10 @@
 	traits quarantine.Traits
 	// trial reports that the request is allowed to run once although it is in
 	// quarantine.
-	trial  bool
-	body   []byte
+	trial bool
+	body  []byte
+	// memory holds what the exchange takes from Server.responseMemory.
+	memory *membudget.Account
 	header http.Header // for the endpoint, without per-attempt headers
 	start  time.Time
 	// configAge is the time from when the configuration was last known to be the newest
@@ -130,6 +133,8 @@
 		x.rejectQuarantined()
 		return
 	}
+	x.memory = s.responseMemory.Open()
+	defer x.memory.End()
 	ctx, cancel := clock.WithDeadline(r.Context(), x.expiresAt)
 	defer cancel()
 	if x.route.Kind == routing.Streaming {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -28,6 +28,7 @@
 	"github.com/mintlift/mintlift/fleet"
 	"github.com/mintlift/mintlift/internal/clock"
 	"github.com/mintlift/mintlift/internal/network"
+	"github.com/mintlift/mintlift/membudget"
 	"github.com/mintlift/mintlift/quarantine"
 	"github.com/mintlift/mintlift/retrybudget"
 	"github.com/mintlift/mintlift/returnplan"
@@ -74,6 +75,8 @@
 	ConfigAge func() time.Duration
 	// Network opens the connections to endpoints; nil stands for the operating system's.
 	Network network.Network
+	// MemoryLimit is the memory limit of the process in bytes; 0 means none.
+	MemoryLimit int64
 }
 
 // Server is the part of a gateway that forwards callers' requests to endpoints. It
@@ -85,8 +88,9 @@
 	metrics               *telemetry.Metrics
 	routes                routing.Table
 	pool                  *upstream.Pool
-	stopping              atomic.Bool // set by StartStopping
-	refusing              atomic.Bool // set by Refuse
+	responseMemory        *membudget.Budget // of buffered responses
+	stopping              atomic.Bool       // set by StartStopping
+	refusing              atomic.Bool       // set by Refuse
 	inFlight              atomic.Int64
 	noticeDue             chan struct{} // see NoticeDue; capacity 1
 	permitRequestsPending chan struct{} // capacity 1
@@ -158,9 +162,12 @@
 		slotRequestsPending:   make(chan struct{}, 1),
 		list:                  newListState(),
 		rollback:              newStoreRollback(),
+		responseMemory:        newResponseBudget(s.MemoryLimit),
 	}
 	server.fleet.SetGateways(s.Budget.Gateways)
 	server.registerSignalGauges(m)
+	m.Gauge("mintlift_ingress_response_memory_bytes", func() float64 { return float64(server.responseMemory.Held()) })
+	m.Gauge("mintlift_ingress_response_memory_waits", func() float64 { return float64(server.responseMemory.Waits()) })
 	m.Gauge("mintlift_ingress_suspects", func() float64 {
 		suspected, _ := server.suspects.Counts(clock.Now())
 		return float64(suspected)
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -17,10 +17,6 @@
 	"github.com/mintlift/mintlift/upstream"
 )
 
-// maxResponseBytes limits the body of a plain response, which is buffered until it
-// is complete.
-const maxResponseBytes = 8 << 20
-
 // errStalled is the cause with which a silent attempt is canceled when its standby has
 // delivered.
 const errStalled = errors.ConstError("the endpoint has fallen silent")
@@ -91,7 +87,7 @@
 	if v == verdictNotRun || v == verdictInvalid {
 		return opening{result: a.discard(response, v)}
 	}
-	body, err := readResponseBody(response)
+	body, err := a.readBody(response)
 	if err != nil {
 		x.server.log.Info("response incomplete", "request", x.id, "attempt", a.number, "endpoint", a.endpoint.ID, "error", err.Error())
 		return opening{result: a.brokenOff("answer broke off: "+err.Error(), err)}
@@ -195,18 +191,6 @@
 	}
 }
 
-// readResponseBody reads a body of at most maxResponseBytes.
-func readResponseBody(response *upstream.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxResponseBytes {
-		return nil, errResponseTooLarge
-	}
-	return body, nil
-}
-
 // sendReply sends an endpoint's complete response to the caller. An error response whose
 // status would promise, of a request that must run at most once, that it has not run is
 // replaced: only the header Headers.NotRun of an endpoint says that.
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -115,7 +115,7 @@
 		defer response.Close()
 		return opening{result: a.unopened(response, v)}
 	}
-	o := opening{result: result{verdict: v}, response: response, events: eventstream.NewReader(response.Body)}
+	o := opening{result: result{verdict: v}, response: response, events: a.newEventReader(response)}
 	o.first, err = t.firstNew(a, o.events)
 	o.ended = err == io.EOF && t.started
 	if err != nil && !o.ended {
@@ -165,7 +165,7 @@
 		return a.discard(response, v)
 	}
 	a.finish(fleet.Failed)
-	body, err := readResponseBody(response)
+	body, err := a.readBody(response)
 	if err != nil {
 		return result{verdict: verdictInvalid, cause: "endpoint failed"}
 	}
