ingress: large request bodies share a budget of memory

Cause: bodies are held until the response and were bounded each, but not together. Bodies of over 64 KiB now take their memory from a budget of half the memory limit; a request that finds it used up is refused, unread, with 503 and a Retry-After. A body of known length is read into memory of its size instead of a buffer that grows.

Membudget's reservations of more than the budget take the whole of it.

--- a/ingress/responsebody_test.go
+++ b/ingress/buffered_test.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -171,3 +172,89 @@
 	group.Wait()
 	assert.Equal(t, g.server.responseMemory.Held(), int64(0))
 }
+
+// Guards against a gateway that exceeds the memory of its box because many callers send large
+// bodies while endpoints work: what can't be held must be refused as not run, and all others
+// must be served.
+func TestLargeRequestsStayWithinMemory(t *testing.T) {
+	const (
+		callers = 200
+		bytes   = 4_000_000
+	)
+	for name, chunked := range map[string]bool{"length": false, "chunks": true} {
+		t.Run(name, func(t *testing.T) {
+			limitMemory(t)
+			g := newTestGateway(t)
+			g.server.requestMemory = newRequestBudget(smallestMemory)
+			unsafe := route(routing.Unsafe, "/unsafe/", "plain", 1)
+			unsafe.Timeout = 10 * time.Second
+			g.server.Apply(routing.New(1, []*routing.Route{unsafe}, []*routing.Service{{Name: "plain"}}, nil, routing.Limits{BodyBytes: 4 << 20}))
+			var runs atomic.Int64
+			g.startNarrowEndpoint("e", "plain", func(c *net.TCPConn) {
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				n, _ := io.Copy(io.Discard, r.Body)
+				if n == bytes {
+					runs.Add(1)
+				}
+				time.Sleep(time.Second)
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\nContent-Length: 4\r\n\r\ntext", testHeaders.RequestID, r.Header.Get(testHeaders.RequestID), testHeaders.Seal)
+			})
+			before := g.server.requestMemory.Held()
+			var most, served, refused atomic.Int64
+			body := strings.Repeat("x", bytes)
+			var group sync.WaitGroup
+			for range callers {
+				group.Go(func() {
+					var content io.Reader = strings.NewReader(body)
+					if chunked {
+						content = io.MultiReader(content) // of unknown length
+					}
+					q, err := http.NewRequestWithContext(t.Context(), "POST", g.address+"/unsafe/1", content)
+					assert.NilError(t, err)
+					q.Host = "h.example"
+					q.Header.Set(testHeaders.RequestID, fmt.Sprint(most.Add(1)))
+					r, err := g.client.Do(q)
+					if err != nil {
+						refused.Add(1) // closed while the body was being sent
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					_ = r.Body.Close()
+					switch r.StatusCode {
+					case http.StatusOK:
+						served.Add(1)
+					case http.StatusServiceUnavailable:
+						assert.Check(t, r.Header.Get("Retry-After") != "")
+						refused.Add(1)
+					default:
+						t.Errorf("status %d", r.StatusCode)
+					}
+				})
+			}
+			stop, peak := make(chan struct{}), make(chan int64)
+			go func() {
+				held := int64(0)
+				for ended := false; !ended; {
+					held = max(held, g.server.requestMemory.Held())
+					select {
+					case <-stop:
+						ended = true
+					case <-time.After(time.Millisecond):
+					}
+				}
+				peak <- held
+			}()
+			group.Wait()
+			close(stop)
+			held := <-peak
+			t.Logf("%d served, %d refused, at most %d MB held", served.Load(), refused.Load(), held>>20)
+			assert.Assert(t, held <= smallestMemory/requestMemoryShare)
+			assert.Equal(t, served.Load(), runs.Load(), "requests that ran and did not get their response")
+			assert.Assert(t, served.Load() > 0 && served.Load()+refused.Load() == callers)
+			assert.Equal(t, g.server.requestMemory.Held(), before)
+		})
+	}
+}
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -3,7 +3,6 @@
 package ingress
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -48,10 +47,10 @@
 	// quarantine.
 	trial bool
 	body  []byte
-	// memory holds what the exchange takes from Server.responseMemory.
-	memory *membudget.Account
-	header http.Header // for the endpoint, without per-attempt headers
-	start  time.Time
+	// requestMemory and responseMemory hold what the exchange takes from the Server's budgets.
+	requestMemory, responseMemory *membudget.Account
+	header                        http.Header // for the endpoint, without per-attempt headers
+	start                         time.Time
 	// configAge is the time from when the configuration was last known to be the newest
 	// until start.
 	configAge time.Duration
@@ -126,6 +125,9 @@
 		x.refuse("stopping", retryAfterMin)
 		return
 	}
+	x.requestMemory, x.responseMemory = s.requestMemory.Open(), s.responseMemory.Open()
+	defer x.requestMemory.End()
+	defer x.responseMemory.End()
 	if !x.prepare() {
 		return
 	}
@@ -133,8 +135,6 @@
 		x.rejectQuarantined()
 		return
 	}
-	x.memory = s.responseMemory.Open()
-	defer x.memory.End()
 	ctx, cancel := clock.WithDeadline(r.Context(), x.expiresAt)
 	defer cancel()
 	if x.route.Kind == routing.Streaming {
@@ -304,15 +304,18 @@
 	}
 	control := http.NewResponseController(x.writer)
 	_ = control.SetReadDeadline(clock.ToMonotonic(x.start.Add(bodyReadTimeout))) // supported by network connections
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	body, err := readBuffered(http.MaxBytesReader(x.writer, x.request.Body, limit), x.request.ContentLength, limit, x.requestMemory, x.requestMemory.TryReserve)
 	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
 		// Without this header, net/http would read the rest of the body before it responds.
 		x.writer.Header().Set("Connection", "close")
 		var large *http.MaxBytesError
-		if errors.As(err, &large) {
+		switch {
+		case errors.As(err, &large):
 			x.deny(http.StatusRequestEntityTooLarge, "body too large")
-		} else {
+		case errors.Is(err, membudget.ErrExhausted):
+			x.refuse("no memory for the body", retryAfterMin+rand.N(retryAfterSpread))
+		default:
 			x.deny(http.StatusRequestTimeout, "body did not arrive")
 		}
 		return false
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -82,20 +82,21 @@
 // Server is the part of a gateway that forwards callers' requests to endpoints. It
 // implements http.Handler.
 type Server struct {
-	settings              Settings
-	log                   logr.Logger // per request
-	events                logr.Logger // state changes of the gateway
-	metrics               *telemetry.Metrics
-	routes                routing.Table
-	pool                  *upstream.Pool
-	responseMemory        *membudget.Budget // of buffered responses
-	stopping              atomic.Bool       // set by StartStopping
-	refusing              atomic.Bool       // set by Refuse
-	inFlight              atomic.Int64
-	noticeDue             chan struct{} // see NoticeDue; capacity 1
-	permitRequestsPending chan struct{} // capacity 1
-	slotRequestsPending   chan struct{} // capacity 1
-	acceptState           acceptState
+	settings Settings
+	log      logr.Logger // per request
+	events   logr.Logger // state changes of the gateway
+	metrics  *telemetry.Metrics
+	routes   routing.Table
+	pool     *upstream.Pool
+	// requestMemory and responseMemory are the budgets of buffered bodies.
+	requestMemory, responseMemory *membudget.Budget
+	stopping                      atomic.Bool // set by StartStopping
+	refusing                      atomic.Bool // set by Refuse
+	inFlight                      atomic.Int64
+	noticeDue                     chan struct{} // see NoticeDue; capacity 1
+	permitRequestsPending         chan struct{} // capacity 1
+	slotRequestsPending           chan struct{} // capacity 1
+	acceptState                   acceptState
 	// suspects holds the requests that were in progress when an endpoint crashed, and
 	// that may have caused the crash.
 	suspects *quarantine.Table
@@ -162,12 +163,12 @@
 		slotRequestsPending:   make(chan struct{}, 1),
 		list:                  newListState(),
 		rollback:              newStoreRollback(),
+		requestMemory:         newRequestBudget(s.MemoryLimit),
 		responseMemory:        newResponseBudget(s.MemoryLimit),
 	}
 	server.fleet.SetGateways(s.Budget.Gateways)
 	server.registerSignalGauges(m)
-	m.Gauge("mintlift_ingress_response_memory_bytes", func() float64 { return float64(server.responseMemory.Held()) })
-	m.Gauge("mintlift_ingress_response_memory_waits", func() float64 { return float64(server.responseMemory.Waits()) })
+	server.registerBodyGauges(m)
 	m.Gauge("mintlift_ingress_suspects", func() float64 {
 		suspected, _ := server.suspects.Counts(clock.Now())
 		return float64(suspected)
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -25,9 +25,6 @@
 // begun for an attempt whose box is reachable. The rest is left for the standby.
 const attemptTimeShare = 0.5
 
-// errResponseTooLarge is the error for a response body longer than maxResponseBytes.
-const errResponseTooLarge = errors.ConstError("the answer is too large")
-
 // reply is a complete response of an endpoint.
 type reply struct {
 	status int
--- a/membudget/membudget.go
+++ b/membudget/membudget.go
@@ -14,8 +14,13 @@
 	"golang.org/x/sync/semaphore"
 )
 
-// ErrEnded is returned by Account.Reserve after Account.End.
-const ErrEnded = errors.ConstError("the account of the memory budget has ended")
+// Errors of reservations.
+const (
+	// ErrEnded is returned by Account.Reserve after Account.End.
+	ErrEnded = errors.ConstError("the account of the memory budget has ended")
+	// ErrExhausted is returned by Account.TryReserve while the budget is used up.
+	ErrExhausted = errors.ConstError("the memory budget is used up")
+)
 
 // Budget is a number of bytes for all accounts. It is safe for concurrent use.
 type Budget struct {
@@ -23,6 +28,7 @@
 	limit int64
 	held  atomic.Int64
 	waits atomic.Int64
+	fails atomic.Int64
 }
 
 // New returns a budget of limit bytes.
@@ -37,6 +43,9 @@
 // Waits returns how many reservations have had to wait.
 func (b *Budget) Waits() int64 { return b.waits.Load() }
 
+// Failures returns how many reservations that may not wait have failed.
+func (b *Budget) Failures() int64 { return b.fails.Load() }
+
 // reserve reserves n bytes. It waits until they are available, in the order of the calls, or
 // until ctx ends.
 func (b *Budget) reserve(ctx context.Context, n int64) error {
@@ -68,11 +77,29 @@
 // Open returns an account without reservations. The caller must call End.
 func (b *Budget) Open() *Account { return &Account{budget: b} }
 
-// Reserve reserves n bytes. It waits until they are available or ctx ends.
+// Reserve reserves n bytes, at most the whole budget. It waits until they are available or ctx
+// ends.
 func (a *Account) Reserve(ctx context.Context, n int64) error {
+	n = min(n, a.budget.limit)
 	if err := a.budget.reserve(ctx, n); err != nil {
 		return err
 	}
+	return a.add(n)
+}
+
+// TryReserve is like Reserve, but returns ErrExhausted if the bytes are not available now.
+func (a *Account) TryReserve(n int64) error {
+	n = min(n, a.budget.limit)
+	if !a.budget.bytes.TryAcquire(n) {
+		a.budget.fails.Add(1)
+		return ErrExhausted
+	}
+	a.budget.held.Add(n)
+	return a.add(n)
+}
+
+// add adds n bytes, which the budget has reserved, to the account.
+func (a *Account) add(n int64) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ended {
@@ -83,8 +110,9 @@
 	return nil
 }
 
-// Release returns n bytes that the account has reserved. It has no effect after End.
+// Release returns a reservation of n bytes. It has no effect after End.
 func (a *Account) Release(n int64) {
+	n = min(n, a.budget.limit)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ended {
--- a/membudget/membudget_test.go
+++ b/membudget/membudget_test.go
@@ -60,3 +60,16 @@
 	first.End()
 	assert.Equal(t, b.Held(), int64(0))
 }
+
+// More than the budget is never available, so that such a reservation must take the whole.
+func TestReservationOfMoreThanTheBudget(t *testing.T) {
+	b := New(10)
+	a := b.Open()
+	assert.NilError(t, a.TryReserve(20))
+	assert.ErrorIs(t, b.Open().TryReserve(1), ErrExhausted)
+	assert.Equal(t, b.Failures(), int64(1))
+	a.Release(20)
+	assert.NilError(t, a.Reserve(t.Context(), 20))
+	a.End()
+	assert.Equal(t, b.Held(), int64(0))
+}
