--- a/installer/archive.go
+++ b/installer/archive.go
@@ -3,7 +3,6 @@
 package installer
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -190,15 +189,21 @@
 // archiveRank returns the position of a box in the order in which the boxes of the service
 // archive a version, or -1 for a box that is not listed or is being drained.
 func archiveRank(peers []Peer, box string, version int) int {
-	boxes := make([]string, 0, len(peers))
+	prefix := strconv.Itoa(version) + "/archive/"
+	own, rank, listed := xxhash.Sum64String(prefix+box), 0, false
 	for _, p := range peers {
-		if !p.Draining {
-			boxes = append(boxes, p.Box)
+		switch {
+		case p.Draining:
+		case p.Box == box:
+			listed = true
+		case xxhash.Sum64String(prefix+p.Box) < own:
+			rank++
 		}
 	}
-	weight := func(box string) uint64 { return xxhash.Sum64String(strconv.Itoa(version) + "/archive/" + box) }
-	slices.SortFunc(boxes, func(a, b string) int { return cmp.Compare(weight(a), weight(b)) })
-	return slices.Index(boxes, box)
+	if !listed {
+		return -1
+	}
+	return rank
 }
 
 // archivedManifest reads the manifest of a version from the archive. While that fails, most
