--- a/ingress/buffered.go
+++ b/ingress/buffered.go
@@ -37,8 +37,9 @@
 	defaultBodyMemory   = 256 << 20
 )
 
-// errBodyTooLarge is the error for a body that is longer than its limit.
-const errBodyTooLarge = errors.ConstError("the body is too large")
+// errResponseTooLarge is the error for a response that is longer than its limit. Readers of
+// requests have an error of their own.
+const errResponseTooLarge = errors.ConstError("the answer is too large")
 
 // bufferGrowth returns the memory that a buffer takes while it grows to size bytes, when its old
 // and its new memory are in use.
@@ -80,7 +81,7 @@
 // is large, its memory is reserved first, and given back to the account if it can't be read.
 func readBuffered(from io.Reader, length, limit int64, memory *membudget.Account, reserve func(n int64) error) ([]byte, error) {
 	if length > limit {
-		return nil, errBodyTooLarge
+		return nil, errResponseTooLarge
 	}
 	if length > smallBodyBytes {
 		if err := reserve(length); err != nil {
@@ -103,7 +104,7 @@
 	}
 	rest := io.LimitReader(from, limit+1-int64(len(body)))
 	if body, err = io.ReadAll(io.MultiReader(bytes.NewReader(body), rest)); err == nil && int64(len(body)) > limit {
-		err = errBodyTooLarge
+		err = errResponseTooLarge
 	}
 	if err != nil {
 		memory.Release(growing)
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -48,9 +48,10 @@
 	trial bool
 	body  []byte
 	// requestMemory and responseMemory hold what the exchange takes from the Server's budgets.
-	requestMemory, responseMemory *membudget.Account
-	header                        http.Header // for the endpoint, without per-attempt headers
-	start                         time.Time
+	requestMemory  *membudget.Account
+	responseMemory *membudget.Account
+	header         http.Header // for the endpoint, without per-attempt headers
+	start          time.Time
 	// configAge is the time from when the configuration was last known to be the newest
 	// until start.
 	configAge time.Duration
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -82,21 +82,21 @@
 // Server is the part of a gateway that forwards callers' requests to endpoints. It
 // implements http.Handler.
 type Server struct {
-	settings Settings
-	log      logr.Logger // per request
-	events   logr.Logger // state changes of the gateway
-	metrics  *telemetry.Metrics
-	routes   routing.Table
-	pool     *upstream.Pool
-	// requestMemory and responseMemory are the budgets of buffered bodies.
-	requestMemory, responseMemory *membudget.Budget
-	stopping                      atomic.Bool // set by StartStopping
-	refusing                      atomic.Bool // set by Refuse
-	inFlight                      atomic.Int64
-	noticeDue                     chan struct{} // see NoticeDue; capacity 1
-	permitRequestsPending         chan struct{} // capacity 1
-	slotRequestsPending           chan struct{} // capacity 1
-	acceptState                   acceptState
+	settings              Settings
+	log                   logr.Logger // per request
+	events                logr.Logger // state changes of the gateway
+	metrics               *telemetry.Metrics
+	routes                routing.Table
+	pool                  *upstream.Pool
+	requestMemory         *membudget.Budget // of buffered request bodies
+	responseMemory        *membudget.Budget // of buffered responses
+	stopping              atomic.Bool       // set by StartStopping
+	refusing              atomic.Bool       // set by Refuse
+	inFlight              atomic.Int64
+	noticeDue             chan struct{} // see NoticeDue; capacity 1
+	permitRequestsPending chan struct{} // capacity 1
+	slotRequestsPending   chan struct{} // capacity 1
+	acceptState           acceptState
 	// suspects holds the requests that were in progress when an endpoint crashed, and
 	// that may have caused the crash.
 	suspects *quarantine.Table
--- a/installer/installer.go
+++ b/installer/installer.go
@@ -193,7 +193,7 @@
 	// its version, if it was fetched without a replica.
 	inherited    *inheritedLoad
 	loadManifest *Manifest
-	// archiveReads holds the versions that could not be read from the archive.
+	// archiveReads holds the versions whose last read from the archive has failed.
 	archiveReads map[int]archiveState
 	// noWeights is set if the service's configuration has no weights, so that nothing
 	// orders the engine to load a version.
@@ -259,7 +259,8 @@
 	// nextManifestReview is when the next comparison may start.
 	manifestReview     bool
 	nextManifestReview time.Time
-	archive            archiveState
+	// archive is the progress of archiving the manifest, if this box is an archivist.
+	archive archiveState
 	// fromPeers, fromRemoteRegion and fromOrigin count the chunks received from boxes
 	// of this region, from boxes of other regions and from the origin.
 	fromPeers        int
