readerset: a gateway in place of lost readers pauses like a reader

Cause: the pause after a failed read doubled up to 8 s, plus a share by hash, for each gateway that is no reader by rank, although nobody else reads the store for one in place of lost readers. Gateways that did not respond when last asked no longer count before it: the first two of the others pause for 1 s, and the rest doubles as before, so that few read at once.

--- a/readerset/readerset.go
+++ b/readerset/readerset.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -39,10 +40,10 @@
 	// is usually one of few.
 	StartTimeout   = 3 * time.Second
 	RestartTimeout = 300 * time.Millisecond
-	// storeRetry is how long a gateway that the store has failed asks others instead. Of a
-	// gateway that reads in place of a reader, it doubles with each failure up to
-	// maxStoreRetry: reads that time out are a sign of a full link, and more of them
-	// would keep it full.
+	// storeRetry is how long a gateway that the store has failed asks others instead. Unless
+	// it is one of the first ReadersPerRegion that respond, it doubles with each failure up
+	// to maxStoreRetry: reads that time out are a sign of a full link, and more of them would
+	// keep it full.
 	storeRetry    = time.Second
 	maxStoreRetry = 8 * time.Second
 )
@@ -66,8 +67,9 @@
 	rank   int
 	// failedUntil is the time until which a gateway is not asked, by IP.
 	failedUntil map[string]time.Time
-	// silent holds the gateways that have not responded since one last did.
-	silent map[string]bool
+	// silent holds the gateways that have not responded since one last did. unresponsive
+	// holds those that did not respond when they were last asked.
+	silent, unresponsive map[string]bool
 	// storeFailures is the number of reads of the store that have failed since the last
 	// success, and storeRetryAt the time until which others are asked instead.
 	storeFailures int
@@ -77,7 +79,7 @@
 // New returns the set of the gateway with the address own, which does not know the other
 // gateways yet and waits for timeout until it reads the store without knowing them.
 func New(own string, timeout time.Duration, now time.Time) *Set {
-	return &Set{own: own, readFrom: now.Add(timeout), failedUntil: make(map[string]time.Time), silent: make(map[string]bool)}
+	return &Set{own: own, readFrom: now.Add(timeout), failedUntil: make(map[string]time.Time), silent: make(map[string]bool), unresponsive: make(map[string]bool)}
 }
 
 // Update sets the gateways of the region, and reports whether the order of ranks changed.
@@ -91,6 +93,7 @@
 		return false
 	}
 	s.ranked, s.rank = ranked, slices.Index(ranked, s.own)
+	maps.DeleteFunc(s.unresponsive, func(ip string, _ bool) bool { return !slices.Contains(ranked, ip) })
 	return true
 }
 
@@ -183,7 +186,7 @@
 // given time.
 func (s *Set) FailSilent(ip string, until time.Time) {
 	s.failedUntil[ip] = until
-	s.silent[ip] = true
+	s.silent[ip], s.unresponsive[ip] = true, true
 }
 
 // FailStale records that a gateway responded without recent data, and is not to be asked
@@ -191,12 +194,26 @@
 func (s *Set) FailStale(ip string, until time.Time) {
 	s.failedUntil[ip] = until
 	clear(s.silent)
+	delete(s.unresponsive, ip)
 }
 
 // Succeed records that a gateway has supplied recent data.
 func (s *Set) Succeed(ip string) {
 	delete(s.failedUntil, ip)
 	clear(s.silent)
+	delete(s.unresponsive, ip)
+}
+
+// firstToRespond reports whether this gateway is one of the first ReadersPerRegion by rank, if
+// those that did not respond when they were last asked are left out. Nobody else reads the store for such a gateway.
+func (s *Set) firstToRespond() bool {
+	responding := 0
+	for _, ip := range s.ranked[:s.rank] {
+		if !s.unresponsive[ip] {
+			responding++
+		}
+	}
+	return responding < ReadersPerRegion
 }
 
 // StoreRead records whether a read of the store succeeded.
@@ -206,7 +223,7 @@
 		return
 	}
 	pause := storeRetry
-	if s.rank >= ReadersPerRegion {
+	if !s.firstToRespond() {
 		pause = min(storeRetry<<min(s.storeFailures, 8), maxStoreRetry)
 		// The hash spreads the gateways over the pause, so that they do not retry at once.
 		pause += pause * time.Duration(xxhash.Sum64String(s.own)%256) / 256
--- a/readerset/readerset_test.go
+++ b/readerset/readerset_test.go
@@ -239,3 +239,34 @@
 		}
 	}
 }
+
+// Guards against a gateway that reads in place of lost readers and pauses for many seconds after
+// an outage of the store, whatever its length: changes would come into force late, as there is
+// nobody else to ask.
+func TestReadsResumeSoonAfterOutage(t *testing.T) {
+	const resumed = storeRetry + 2*tick
+	for _, n := range []int{3, 4, 20, 61} {
+		for lost := range min(n, 5) {
+			for outage := time.Second; outage < 40*time.Second; outage += 1300 * time.Millisecond {
+				now := time.Unix(1000, 0)
+				r := newRegion(n, n, now)
+				now, _, _ = r.run(now, 2*time.Second)
+				for _, ip := range r.members[0].set.Ranked()[:lost] {
+					r.byIP[ip].down = true
+				}
+				now, _, _ = r.run(now, 4*time.Second)
+				r.capacity = 0
+				now, _, _ = r.run(now, outage)
+				r.capacity = n
+				end, _, _ := r.run(now, resumed)
+				newest := time.Time{}
+				for _, m := range r.members {
+					if !m.down && m.confirmed.After(newest) {
+						newest = m.confirmed
+					}
+				}
+				assert.Check(t, newest.After(now), "%d gateways, %d lost, an outage of %s: not read until %s after it", n, lost, outage, end.Sub(now))
+			}
+		}
+	}
+}
