installer: a chunk is not sent again while its manifest is reviewed

The review of the manifest ran beside the pulls, so that the chunk with the corrupt digest was read again and again until it was over; with a slow origin that would be for seconds. The pull now ends after the review, and a further review of the manifest waits for its time instead of being left out.

--- a/installer/installer.go
+++ b/installer/installer.go
@@ -255,9 +255,7 @@
 	// the digest of the last such content of each chunk.
 	mismatches int
 	rejected   map[int]Digest
-	// manifestReview is set while the manifest is compared with another copy;
-	// nextManifestReview is when the next comparison may start.
-	manifestReview     bool
+	// nextManifestReview is when the manifest may next be compared with another copy.
 	nextManifestReview time.Time
 	// archive is the progress of archiving the manifest, if this box is an archivist.
 	archive archiveState
--- a/installer/manifestreview.go
+++ b/installer/manifestreview.go
@@ -20,29 +20,32 @@
 // is that of the received content, so that neither a corrupt chunk nor a corrupt copy alone
 // changes a manifest.
 
-// manifestReviewInterval is the minimum time between two reviews of the manifest of a replica.
+// manifestReviewInterval is the time between the starts of two reviews of the manifest of a
+// replica.
 const manifestReviewInterval = time.Second
 
-// rejectChunk records that the content of a received chunk does not match its digest. It
-// starts a review of the manifest if the chunk has arrived with this content before.
+// rejectChunk records that the content of a received chunk does not match its digest. If the
+// chunk has arrived with this content before, it reviews the manifest. The pull of the chunk has
+// not ended until then, so that the chunk is not sent again meanwhile.
 func (i *Installer) rejectChunk(ctx context.Context, r *replica, p transfer.Pull, content Digest) {
 	i.metrics.Counter("mintlift_installer_spoilt_total").Inc()
+	now := clock.Now()
 	i.mu.Lock()
-	defer i.mu.Unlock()
 	r.mismatches++
 	repeated := r.rejected[p.Chunk] == content
 	r.rejected[p.Chunk] = content
-	if !repeated || r.manifestReview || clock.Now().Before(r.nextManifestReview) {
+	address, wait := r.addresses[p.Peer], r.nextManifestReview.Sub(now)
+	if repeated {
+		r.nextManifestReview = later(r.nextManifestReview, now).Add(manifestReviewInterval)
+	}
+	i.mu.Unlock()
+	if !repeated {
 		return
 	}
-	r.manifestReview = true
-	address := r.addresses[p.Peer]
-	go func() {
+	clock.Sleep(ctx, wait)
+	if ctx.Err() == nil && !i.replicaDropped(r) {
 		i.reviewManifest(ctx, r, p, address, content)
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		r.manifestReview, r.nextManifestReview = false, clock.Now().Add(manifestReviewInterval)
-	}()
+	}
 }
 
 // reviewManifest compares the manifest of r with a second copy, and uses the copy if it
