--- a/installer/manifest.go
+++ b/installer/manifest.go
@@ -82,8 +82,10 @@
 		m, err := source.read(ctx, task.params.Model, task.version)
 		switch {
 		case errors.Is(err, errArchivePaused):
+		case err != nil && source.name == sourceArchive:
+			i.log.Info("manifest fetch from archive failed", "version", task.version, "error", err.Error())
 		case err != nil:
-			i.log.Info("manifest fetch from "+source.name+" failed", "version", task.version, "error", err.Error())
+			i.log.Info("manifest fetch from origin failed", "version", task.version, "error", err.Error())
 		case len(m.Digests) != task.params.Chunks:
 			i.log.Info("manifest has the wrong number of digests", "version", task.version, "source", source.name, "digests", len(m.Digests), "chunks", task.params.Chunks)
 		default:
@@ -93,6 +95,12 @@
 	return nil
 }
 
+// Names of the sources of manifests other than peers.
+const (
+	sourceOrigin  = "origin"
+	sourceArchive = "archive"
+)
+
 // manifestSource is a source of manifests other than a peer.
 type manifestSource struct {
 	name string
@@ -105,9 +113,9 @@
 	i.mu.Lock()
 	loaded := i.engineState.Version == version
 	i.mu.Unlock()
-	sources := []manifestSource{{"origin", i.origin.Manifest}}
+	sources := []manifestSource{{sourceOrigin, i.origin.Manifest}}
 	if i.settings.Archive != nil {
-		sources = append(sources, manifestSource{"archive", i.archivedManifest})
+		sources = append(sources, manifestSource{sourceArchive, i.archivedManifest})
 	}
 	if loaded {
 		slices.Reverse(sources)
--- a/installer/manifestreview.go
+++ b/installer/manifestreview.go
@@ -68,7 +68,7 @@
 		}
 	}
 	other, err := i.origin.Manifest(ctx, m.Model, m.Version)
-	confirms("origin", other, err)
+	confirms(sourceOrigin, other, err)
 }
 
 // replaceManifest replaces r by a replica with the digests of other, except for those of the
