--- a/ingress/buffered_test.go
+++ b/ingress/buffered_test.go
@@ -142,7 +142,7 @@
 	}
 }
 
-// Large responses that are sound must all be delivered whole, though they wait for memory.
+// Large responses must all be delivered whole, though they wait for memory.
 func TestLargeResponsesAreDelivered(t *testing.T) {
 	g := newTestGateway(t)
 	g.server.responseMemory = newResponseBudget(1) // enough for one of unknown length
--- a/installer/archive_test.go
+++ b/installer/archive_test.go
@@ -12,11 +12,13 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/mintlift/mintlift/loadtrust"
 	"github.com/mintlift/mintlift/storewatch"
+	"github.com/mintlift/mintlift/telemetry"
 )
 
 // memoryTopic is a storewatch.Topic with one partition. While failing is set, all calls fail.
@@ -109,6 +111,33 @@
 	assert.Equal(t, len(e.started), 0)
 }
 
+// Guards against wrong weights: an archived manifest must not confirm a load whose staged chunks
+// have become corrupt, or are those of another version than the engine reports, as after a
+// restart with an order that was carried out late.
+func TestArchiveDoesNotConfirmOtherChunks(t *testing.T) {
+	for name, change := range map[string]func(*fakeEngine){
+		"corrupt chunk":   func(e *fakeEngine) { e.stage[3][0] ^= 1 },
+		"missing chunk":   func(e *fakeEngine) { e.stage[3] = nil },
+		"another version": func(e *fakeEngine) { e.stage[3] = chunkOf(3, 3) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			topic := &memoryTopic{}
+			assert.NilError(t, NewArchive(topic).Save(t.Context(), manifestOf(2)))
+			e := &fakeEngine{}
+			e.load(2)
+			change(e)
+			e.state = inheritedState
+			e.state.Version = 2
+			i := New(Settings{Box: "box0", Region: "r", Archive: NewArchive(topic)}, e, &fakeOrigin{down: true}, func(context.Context) ([]Peer, error) { return nil, nil }, logr.Discard(), telemetry.NewMetrics())
+			load := &inheritedLoad{}
+			m, err := i.archivedManifest(t.Context(), testModel, 2)
+			assert.NilError(t, err)
+			stage, valid := i.compareStage(t.Context(), load, m)
+			assert.Assert(t, valid && stage == loadtrust.StageDiffers)
+		})
+	}
+}
+
 // Guards against a load that stays unused because the archive could not be read when the sidecar
 // started.
 func TestLoadIsTrustedOnceArchiveIsAvailable(t *testing.T) {
--- a/installer/installer_test.go
+++ b/installer/installer_test.go
@@ -125,6 +125,7 @@
 	// only in the one of chunk corruptDigest if that is not 0.
 	corruptManifests, corruptDigest int
 	manifests                       int           // manifests sent
+	shortManifests                  int           // how many of the next manifests lack a digest
 	delay                           time.Duration // of each call of Chunk and limitedOrigin.Manifest
 }
 
@@ -137,6 +138,10 @@
 	}
 	o.manifests++
 	m := manifestOf(version)
+	if o.shortManifests > 0 {
+		o.shortManifests--
+		m.Digests = m.Digests[1:]
+	}
 	if o.corruptManifests > 0 {
 		o.corruptManifests--
 		for n := range m.Digests {
--- a/installer/manifestreview_test.go
+++ b/installer/manifestreview_test.go
@@ -41,7 +41,27 @@
 	}
 }
 
-// Guards against a sound manifest that is replaced because the origin sends a corrupt chunk, or
+// A manifest that is corrupt in all digests or lacks one must not block a version either, though
+// the root of the region's tree passes it on to the other boxes.
+func TestCorruptManifestOfRegionDoesNotBlockVersion(t *testing.T) {
+	for name, prepare := range map[string]func(*fakeOrigin){
+		"all digests": func(o *fakeOrigin) { o.corruptManifests = 1 },
+		"too short":   func(o *fakeOrigin) { o.shortManifests = 2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 6, 1, 300*time.Millisecond, engineLoadedWith(1))
+			time.Sleep(50 * time.Millisecond)
+			c.origin.mu.Lock()
+			prepare(c.origin)
+			c.origin.mu.Unlock()
+			c.addTarget(2)
+			c.awaitVersion(2)
+			c.checkLoads()
+		})
+	}
+}
+
+// Guards against a correct manifest that is replaced because the origin sends a corrupt chunk, or
 // a corrupt second copy: the chunk's content and the copy's digest must agree.
 func TestCorruptChunkOrCopyReplacesNoManifest(t *testing.T) {
 	c := newCluster(t, 1, 1, time.Minute, engineLoadedWith(2))
